--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint format bench clean
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: requirements/run.txt requirements/dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements/dev.txt
+	touch $@
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+bench: setup
+	$(BIN)/python -m bench
+
+clean:
+	rm -rf $(VENV) .bench dist build
--- /dev/null
+++ b/passtally/api.py
@@ -0,0 +1,122 @@
+"""The callers' HTTP API: who may call, and how refusals are written."""
+
+import hmac
+import math
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from aiohttp.client_exceptions import ClientConnectionResetError
+
+from passtally.catalog import Catalog
+from passtally.decision import log_event
+from passtally.objects import Service, Workspace, digest_token
+from passtally.outcome import Code, Failure, Outcome, RefusedError, refuse
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+JSON_TYPE = "application/json"
+STOPPING_RETRY_SECONDS = 1
+
+
+def find_workspace(catalog: Catalog, request: web.Request) -> Workspace:
+    """Return the workspace whose token a request brings.
+
+    Raises:
+        RefusedError: It brings none, or an unknown one.
+    """
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    digest = digest_token(token.strip())
+    workspace = catalog.find_workspace(digest)
+    known = workspace is not None and hmac.compare_digest(
+        workspace.token_sha256, digest
+    )
+    if scheme.lower() != "bearer" or not known:
+        raise refuse(
+            Code.UNAUTHENTICATED,
+            "Bring a workspace's token as 'Authorization: Bearer TOKEN'.",
+            status=401,
+            step="authenticate",
+        )
+    return workspace
+
+
+def find_service(
+    catalog: Catalog, workspace: Workspace, service_id: str, *, code: Code
+) -> Service:
+    """Return a service that a workspace may use.
+
+    Raises:
+        RefusedError: There is none of this name for it.
+    """
+    service = catalog.services_by_id.get(service_id)
+    allowed = not workspace.services or service_id in workspace.services
+    if service is None or not allowed:
+        raise refuse(
+            code,
+            f"There is no {service_id!r} for this workspace.",
+            status=404,
+            step="authorize",
+        )
+    return service
+
+
+def failure_response(failure: Failure) -> web.Response:
+    """Return the response that carries a failure."""
+    headers = {}
+    if failure.retry_after is not None:
+        seconds = math.ceil(failure.retry_after.total_seconds())
+        headers["Retry-After"] = str(max(seconds, 1))
+    return web.Response(
+        body=failure.to_json(),
+        status=failure.status,
+        content_type=JSON_TYPE,
+        headers=headers,
+    )
+
+
+@web.middleware
+async def answer_failures(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Turn every error of a handler into one clear JSON answer."""
+    try:
+        return await handler(request)
+    except RefusedError as error:
+        log_event(
+            "api",
+            "Refused.",
+            path=request.path,
+            code=error.failure.code,
+            outcome=error.failure.outcome,
+            step=error.failure.step,
+            peer=error.failure.peer,
+        )
+        return failure_response(error.failure)
+    except web.HTTPRequestEntityTooLarge:
+        return _plain_failure(Code.BODY_TOO_LARGE, "The body is too large.", 413)
+    except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as error:
+        return _plain_failure(Code.UNKNOWN_PATH, "There is no such path.", error.status)
+    except ClientConnectionResetError:
+        raise
+    except web.HTTPException:
+        raise
+    except Exception as error:
+        log_event("api", "Handler failed.", path=request.path, why=repr(error))
+        failure = Failure(
+            code=Code.INTERNAL,
+            message="This host failed on the request.",
+            outcome=Outcome.UNKNOWN,
+            status=500,
+            step="internal",
+        )
+        return failure_response(failure)
+
+
+def _plain_failure(code: Code, message: str, status: int) -> web.Response:
+    return failure_response(
+        Failure(
+            code=code,
+            message=message,
+            outcome=Outcome.NOT_RUN,
+            status=status,
+            step="parse",
+        )
+    )
--- /dev/null
+++ b/passtally/cli.py
@@ -0,0 +1,57 @@
+"""The command line: the daemon, and the operators' client."""
+
+import sys
+from typing import Any
+
+import attrs
+import click
+
+from passtally import __version__
+from passtally.settings import (
+    Settings,
+    SettingsError,
+    check_settings,
+    flag_of,
+    variable_of,
+)
+
+EXIT_USAGE = 2
+
+
+@click.group()
+@click.version_option(__version__)
+def main() -> None:
+    """Serve long generations on engines that may die in the middle of an answer."""
+
+
+def _settings_options(command: Any) -> Any:
+    for field in reversed(attrs.fields(Settings)):
+        command = click.option(
+            flag_of(field.name),
+            field.name,
+            envvar=variable_of(field.name),
+            metavar="TEXT",
+            help=_help_of(field),
+        )(command)
+    return command
+
+
+def _help_of(field: attrs.Attribute) -> str:
+    default = field.metadata["default"]
+    shown = "required" if default is None else f"default: {default or 'empty'}"
+    return f"{field.metadata['help']} [{shown}; env: {variable_of(field.name)}]"
+
+
+@main.command()
+@_settings_options
+def serve(**texts_by_name: str | None) -> None:
+    """Run the daemon of one entry host."""
+    try:
+        settings = check_settings(texts_by_name)
+    except SettingsError as error:
+        click.echo(f"passtally serve: {error}", err=True)
+        sys.exit(EXIT_USAGE)
+    # Imported late: the operators' commands must not pay for the daemon.
+    from passtally.daemon import run_daemon
+
+    run_daemon(settings)
--- /dev/null
+++ b/passtally/completion.py
@@ -0,0 +1,270 @@
+"""The usual completion API: requests in, events and whole answers out."""
+
+import secrets
+import time
+from enum import StrEnum
+from typing import Any
+
+import attrs
+import msgspec
+
+from passtally.generation import Attempt, Delivery, Generation, GenerationRequest
+from passtally.handle import HandleSigner, HandleWriter, StreamRef
+from passtally.objects import Protection, Service
+from passtally.outcome import Code, RefusedError, refuse
+
+MAX_TOKENS_LIMIT = 1 << 20
+_SEED_BITS = 31
+
+
+class Flavour(StrEnum):
+    """The two shapes of the API."""
+
+    CHAT = "chat"
+    TEXT = "text"
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str
+
+
+class _StreamOptions(msgspec.Struct):
+    include_usage: bool = False
+
+
+class CompletionBody(msgspec.Struct, kw_only=True):
+    """A caller's request. Fields that are not listed are ignored.
+
+    Attributes:
+        model: The service's id.
+        messages: The conversation, for the chat shape.
+        prompt: The prompt, for the text shape.
+        max_tokens: Where the answer ends at the latest.
+        max_completion_tokens: The newer name of the same.
+        temperature: The sampling temperature, 0 to 2.
+        seed: The sampling seed; chosen here where none is given.
+        stop: Strings that end the answer.
+        stream: Whether the answer is sent as events.
+        stream_options: Whether the last event carries the usage.
+    """
+
+    model: str
+    messages: list[_Message] = []
+    prompt: str = ""
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    temperature: float = 0.0
+    seed: int | None = None
+    stop: str | list[str] | None = None
+    stream: bool = False
+    stream_options: _StreamOptions | None = None
+
+
+def parse_body(raw: bytes, flavour: Flavour) -> CompletionBody:
+    """Read and check a caller's request.
+
+    Raises:
+        RefusedError: It is not JSON, or not a request of this shape.
+    """
+    try:
+        body = msgspec.json.decode(raw, type=CompletionBody)
+    except msgspec.ValidationError as error:
+        raise _bad(Code.BAD_REQUEST, str(error)) from error
+    except msgspec.DecodeError as error:
+        raise _bad(Code.BAD_JSON, f"The body is not JSON: {error}") from error
+    problem = _find_problem(body, flavour)
+    if problem:
+        raise _bad(Code.BAD_REQUEST, problem)
+    return body
+
+
+def build_request(
+    body: CompletionBody,
+    flavour: Flavour,
+    *,
+    workspace: str,
+    service: Service,
+    version: str = "",
+    generation_id: str = "",
+    seed: int | None = None,
+) -> GenerationRequest:
+    """Return what is to be generated.
+
+    Args:
+        body: What the caller sent.
+        flavour: Its shape.
+        workspace: Whose it is.
+        service: The service it names.
+        version: The model's version when it goes on; else the service's.
+        generation_id: Its id when it goes on; else a new one is made.
+        seed: Its seed when it goes on.
+    """
+    wanted = body.max_completion_tokens or body.max_tokens or service.max_tokens
+    stop = (body.stop,) if isinstance(body.stop, str) else tuple(body.stop or ())
+    if seed is None:
+        seed = body.seed if body.seed is not None else secrets.randbits(_SEED_BITS)
+    return GenerationRequest(
+        id=generation_id or new_generation_id(),
+        workspace=workspace,
+        service=service.id,
+        model=service.model,
+        version=version or service.version,
+        adapter=service.adapter,
+        prompt=body.prompt if flavour is Flavour.TEXT else _flatten(body.messages),
+        max_tokens=wanted,
+        temperature=body.temperature,
+        seed=seed,
+        stop=stop,
+    )
+
+
+def new_generation_id() -> str:
+    """Return a new id; its first part is its time in seconds."""
+    return f"gen-{int(time.time()):08x}-{secrets.token_hex(8)}"
+
+
+@attrs.frozen(kw_only=True)
+class Shape:
+    """Writes events and answers in one flavour of the API.
+
+    Attributes:
+        flavour: Which of the two.
+        include_usage: Whether the last event carries the usage.
+    """
+
+    flavour: Flavour
+    include_usage: bool = False
+
+    def event_parts(self, request: GenerationRequest) -> tuple[bytes, bytes]:
+        """Return what stands before and after the text in each event."""
+        head = self._head(request, "chunk")[:-1]
+        if self.flavour is Flavour.CHAT:
+            before = head + b',"choices":[{"index":0,"delta":{"content":'
+            return before, b'},"finish_reason":null}]}\n\n'
+        before = head + b',"choices":[{"index":0,"text":'
+        return before, b',"finish_reason":null}]}\n\n'
+
+    def last_event(self, generation: Generation, text: str) -> bytes:
+        """Return the data of the event that ends an answer."""
+        row = {"content": text} if text else {}
+        row = {"delta": row} if self.flavour is Flavour.CHAT else {"text": text}
+        event = self._head_row(generation.request, "chunk") | {
+            "choices": [row | {"index": 0, "finish_reason": generation.finish_reason}]
+        }
+        if self.include_usage:
+            event["usage"] = _usage(generation)
+        return msgspec.json.encode(event)
+
+    def whole_answer(self, generation: Generation, text: str) -> bytes:
+        """Return the body of an answer that is not streamed."""
+        message: dict[str, Any] = {"text": text}
+        if self.flavour is Flavour.CHAT:
+            message = {"message": {"role": "assistant", "content": text}}
+        choice = message | {"index": 0, "finish_reason": generation.finish_reason}
+        return msgspec.json.encode(
+            self._head_row(generation.request, "whole")
+            | {"choices": [choice], "usage": _usage(generation)}
+        )
+
+    def _head(self, request: GenerationRequest, form: str) -> bytes:
+        return msgspec.json.encode(self._head_row(request, form))
+
+    def _head_row(self, request: GenerationRequest, form: str) -> dict[str, Any]:
+        names = {
+            (Flavour.CHAT, "chunk"): "chat.completion.chunk",
+            (Flavour.CHAT, "whole"): "chat.completion",
+        }
+        return {
+            "id": request.id,
+            "object": names.get((self.flavour, form), "text_completion"),
+            "created": int(request.id.split("-")[1], 16),
+            "model": request.service,
+        }
+
+
+class EventWriter:
+    """Turns deliveries into server-sent events, each with a resume handle.
+
+    Args:
+        shape: The API's flavour.
+        signer: Signs the handles.
+        binding: What the handles are bound to.
+        service: The service, for its protection.
+    """
+
+    def __init__(
+        self, *, shape: Shape, signer: HandleSigner, binding: bytes, service: Service
+    ) -> None:
+        self._shape = shape
+        self._signer = signer
+        self._binding = binding
+        self._keeps_tail = service.protection is Protection.COPY
+        self._before = self._after = b""
+        self._handles: HandleWriter | None = None
+        self.copied = 0
+
+    def switch(
+        self, generation: Generation, attempt: Attempt, *, copy_host: str = ""
+    ) -> None:
+        """Write the following events as a new attempt's."""
+        request = generation.request
+        stream = StreamRef(
+            generation_id=request.id,
+            endpoint_id=attempt.endpoint_id,
+            attempt=attempt.number,
+            version=request.version,
+            seed=request.seed,
+            copy_host=copy_host,
+        )
+        self._handles = self._signer.writer(stream, binding=self._binding)
+        self._before, self._after = self._shape.event_parts(request)
+
+    def encode(self, generation: Generation, deliveries: list[Delivery]) -> bytes:
+        """Return the events of some deliveries, as they go on the wire."""
+        return b"".join(self._encode_one(generation, item) for item in deliveries)
+
+    def _encode_one(self, generation: Generation, delivery: Delivery) -> bytes:
+        handle = self._write_handle(generation, delivery)
+        if delivery.finish_reason is not None:
+            data = self._shape.last_event(generation, delivery.text)
+            return b"id: %b\ndata: %b\n\ndata: [DONE]\n\n" % (handle, data)
+        text = msgspec.json.encode(delivery.text)
+        return b"id: %b\ndata: %b%b%b" % (handle, self._before, text, self._after)
+
+    def _write_handle(self, generation: Generation, delivery: Delivery) -> bytes:
+        position = delivery.position
+        tail_start = self.copied if self._keeps_tail else position
+        tail = generation.token_ids[tail_start:position]
+        handle = self._handles.write(position, delivery.characters, tail_start, tail)
+        return handle.encode()
+
+
+def _usage(generation: Generation) -> dict[str, int]:
+    completion = generation.position
+    return {
+        "prompt_tokens": generation.prompt_tokens,
+        "completion_tokens": completion,
+        "total_tokens": generation.prompt_tokens + completion,
+    }
+
+
+def _flatten(messages: list[_Message]) -> str:
+    return "\n".join(f"{message.role}: {message.content}" for message in messages)
+
+
+def _find_problem(body: CompletionBody, flavour: Flavour) -> str:
+    if flavour is Flavour.CHAT and not body.messages:
+        return "messages is missing or empty."
+    if flavour is Flavour.TEXT and not body.prompt:
+        return "prompt is missing or empty."
+    wanted = body.max_completion_tokens or body.max_tokens
+    if wanted is not None and not 0 < wanted <= MAX_TOKENS_LIMIT:
+        return f"max_tokens must lie between 1 and {MAX_TOKENS_LIMIT}."
+    if not 0 <= body.temperature <= 2:
+        return "temperature must lie between 0 and 2."
+    return ""
+
+
+def _bad(code: Code, message: str) -> RefusedError:
+    return refuse(code, message, status=400, step="parse")
--- /dev/null
+++ b/passtally/completion_handler.py
@@ -0,0 +1,236 @@
+"""Serves the completion API: streamed, whole, and going on after a loss."""
+
+from datetime import timedelta
+
+from aiohttp import web
+
+from passtally.api import JSON_TYPE, find_service, find_workspace
+from passtally.catalog import Catalog
+from passtally.completion import (
+    CompletionBody,
+    EventWriter,
+    Flavour,
+    Shape,
+    build_request,
+    parse_body,
+)
+from passtally.decision import log_event
+from passtally.dispatcher import Dispatcher
+from passtally.drain import Drain
+from passtally.generation import Attempt, Delivery, Generation
+from passtally.handle import HandleError, HandleSigner, ResumePoint, bind
+from passtally.objects import Service, ServiceKind, Workspace
+from passtally.outcome import Code, RefusedError, refuse
+
+EVENT_STREAM = "text/event-stream"
+RESUME_HEADER = "Last-Event-ID"
+GENERATION_HEADER = "X-Generation-Id"
+CLIENT_RETRY = timedelta(milliseconds=200)
+
+
+class CompletionHandler:
+    """Handles both shapes of the completion API.
+
+    Args:
+        catalog: The configuration in force.
+        dispatcher: Runs generations.
+        signer: Signs and opens resume handles.
+        drain: Counts the requests that are open.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalog: Catalog,
+        dispatcher: Dispatcher,
+        signer: HandleSigner,
+        drain: Drain,
+    ) -> None:
+        self._catalog = catalog
+        self._dispatcher = dispatcher
+        self._signer = signer
+        self._drain = drain
+
+    async def chat(self, request: web.Request) -> web.StreamResponse:
+        """Serve ``POST /v1/chat/completions``."""
+        return await self._serve(request, Flavour.CHAT)
+
+    async def text(self, request: web.Request) -> web.StreamResponse:
+        """Serve ``POST /v1/completions``."""
+        return await self._serve(request, Flavour.TEXT)
+
+    async def _serve(
+        self, request: web.Request, flavour: Flavour
+    ) -> web.StreamResponse:
+        workspace = find_workspace(self._catalog, request)
+        raw = await request.read()
+        body = parse_body(raw, flavour)
+        service = find_service(
+            self._catalog, workspace, body.model, code=Code.UNKNOWN_MODEL
+        )
+        if service.kind is not ServiceKind.MODEL:
+            raise refuse(
+                Code.UNKNOWN_MODEL,
+                f"{body.model!r} is not a model.",
+                status=404,
+                step="authorize",
+            )
+        binding = bind(workspace.id, raw)
+        point = self._open_handle(request, binding)
+        generation = _build_generation(body, flavour, workspace, service, point)
+        held_by = point.stream.endpoint_id if point else ""
+        shape = Shape(
+            flavour=flavour,
+            include_usage=bool(
+                body.stream_options and body.stream_options.include_usage
+            ),
+        )
+        writer = EventWriter(
+            shape=shape, signer=self._signer, binding=binding, service=service
+        )
+        with self._drain.track():
+            if body.stream:
+                return await self._stream(request, generation, writer, held_by)
+            return await self._answer_whole(request, generation, shape, held_by)
+
+    def _open_handle(self, request: web.Request, binding: bytes) -> ResumePoint | None:
+        handle = request.headers.get(RESUME_HEADER)
+        if not handle:
+            return None
+        try:
+            return self._signer.open(handle, binding=binding)
+        except HandleError as error:
+            raise refuse(
+                Code.BAD_RESUME_HANDLE, f"{error}.", status=400, step="resume"
+            ) from error
+
+    async def _stream(
+        self,
+        request: web.Request,
+        generation: Generation,
+        writer: EventWriter,
+        held_by: str,
+    ) -> web.StreamResponse:
+        sink = EventSink(request=request, writer=writer)
+        try:
+            await self._dispatcher.run(generation, sink, held_by=held_by)
+        except RefusedError as error:
+            if sink.response is None:
+                raise
+            await sink.fail(error)
+        except ConnectionError:
+            log_event("api", "Caller left.", request=generation.request.id)
+        response = sink.response or web.Response()
+        return response
+
+    async def _answer_whole(
+        self,
+        request: web.Request,
+        generation: Generation,
+        shape: Shape,
+        held_by: str,
+    ) -> web.Response:
+        sink = WholeSink(request=request)
+        await self._dispatcher.run(generation, sink, held_by=held_by)
+        return web.Response(
+            body=shape.whole_answer(generation, "".join(sink.texts)),
+            content_type=JSON_TYPE,
+            headers={GENERATION_HEADER: generation.request.id},
+        )
+
+
+class EventSink:
+    """Sends an answer as server-sent events.
+
+    Args:
+        request: The caller's request.
+        writer: Turns output into events.
+    """
+
+    def __init__(self, *, request: web.Request, writer: EventWriter) -> None:
+        self.response: web.StreamResponse | None = None
+        self._request = request
+        self._writer = writer
+        self._generation: Generation | None = None
+
+    def switch(self, generation: Generation, attempt: Attempt) -> None:
+        """Learn of a new attempt before its first output."""
+        self._generation = generation
+        self._writer.switch(generation, attempt)
+
+    async def write(self, deliveries: list[Delivery]) -> None:
+        """Send new output; returns when the caller has room for more."""
+        if self.response is None:
+            self.response = await self._open()
+        await self.response.write(self._writer.encode(self._generation, deliveries))
+
+    async def fail(self, error: RefusedError) -> None:
+        """End the stream with an honest error event."""
+        data = error.failure.to_json()
+        await self.response.write(b"event: error\ndata: %b\n\n" % data)
+
+    async def _open(self) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": EVENT_STREAM,
+                "Cache-Control": "no-cache",
+                GENERATION_HEADER: self._generation.request.id,
+            }
+        )
+        await response.prepare(self._request)
+        milliseconds = int(CLIENT_RETRY.total_seconds() * 1000)
+        await response.write(b"retry: %d\n\n" % milliseconds)
+        return response
+
+
+class WholeSink:
+    """Gathers an answer that is sent in one piece.
+
+    Args:
+        request: The caller's request, to see that the caller is still there.
+    """
+
+    def __init__(self, *, request: web.Request) -> None:
+        self.texts: list[str] = []
+        self._request = request
+
+    def switch(self, generation: Generation, attempt: Attempt) -> None:
+        """Learn of a new attempt; nothing depends on it here."""
+
+    async def write(self, deliveries: list[Delivery]) -> None:
+        """Take new output."""
+        transport = self._request.transport
+        if transport is None or transport.is_closing():
+            raise ConnectionResetError("the caller left")
+        self.texts.extend(delivery.text for delivery in deliveries)
+
+
+def _build_generation(
+    body: CompletionBody,
+    flavour: Flavour,
+    workspace: Workspace,
+    service: Service,
+    point: ResumePoint | None,
+) -> Generation:
+    if point is None:
+        return Generation(
+            request=build_request(
+                body, flavour, workspace=workspace.id, service=service
+            )
+        )
+    stream = point.stream
+    request = build_request(
+        body,
+        flavour,
+        workspace=workspace.id,
+        service=service,
+        version=stream.version,
+        generation_id=stream.generation_id,
+        seed=stream.seed,
+    )
+    return Generation(
+        request=request,
+        delivered=point.position,
+        delivered_characters=point.characters,
+        attempts_before=stream.attempt,
+    )
--- /dev/null
+++ b/passtally/daemon.py
@@ -0,0 +1,178 @@
+"""The daemon on an entry host: one process, one loop, one thread."""
+
+import asyncio
+import random
+import signal
+import sys
+from collections.abc import Coroutine
+from contextlib import ExitStack
+from typing import Any
+
+import aiohttp
+import aiomisc
+import uvloop
+from aiohttp import web
+from eliot import to_file
+
+from passtally.api import answer_failures
+from passtally.catalog import Catalog, CatalogKeeper
+from passtally.clock import Clock, SystemClock
+from passtally.completion_handler import CompletionHandler
+from passtally.decision import log_event
+from passtally.dispatcher import Dispatcher
+from passtally.drain import Drain
+from passtally.engine import HttpEngine
+from passtally.fleet import Fleet
+from passtally.handle import HandleSigner
+from passtally.objects import Endpoint
+from passtally.plain import PlainCaller, PlainHandler, open_session
+from passtally.platform import HttpPlatform
+from passtally.retry import RetryLimits
+from passtally.settings import Settings
+
+
+class EntryHost(aiomisc.Service):
+    """Everything that runs on one entry host, started and stopped as one.
+
+    Args:
+        settings: What it was told.
+        clock: The clock.
+    """
+
+    def __init__(self, *, settings: Settings, clock: Clock) -> None:
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        self.drain = Drain()
+        self.catalog = Catalog()
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def start(self) -> None:
+        """Open the sessions, the tasks and the listening socket."""
+        self._open_clients()
+        self._build()
+        self._spawn(self.keeper.run())
+        self._spawn(self.fleet.watch_silence())
+        await self._listen()
+        log_event("daemon", "Started.", listen=self.settings.listen)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close what start opened; requests were waited for before."""
+        await self._site_runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._engine_session.close()
+        await self._plain_session.close()
+        log_event("daemon", "Stopped.")
+
+    def _open_clients(self) -> None:
+        self._engine_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self._plain_session = open_session()
+
+    def _build(self) -> None:
+        settings = self.settings
+        self.platform = HttpPlatform(
+            session=self._engine_session, url=settings.platform
+        )
+        self.keeper = CatalogKeeper(
+            catalog=self.catalog, platform=self.platform, rng=random.Random()
+        )
+        self.fleet = Fleet(
+            catalog=self.catalog, clock=self.clock, connect=self._connect_engine
+        )
+        self.dispatcher = Dispatcher(
+            fleet=self.fleet,
+            clock=self.clock,
+            failure_domain=settings.failure_domain,
+            limits=RetryLimits(),
+            linger=settings.linger,
+        )
+        self.signer = HandleSigner(
+            keys_by_id=settings.resume_keys, active_key=next(iter(settings.resume_keys))
+        )
+        self.caller = PlainCaller(
+            fleet=self.fleet,
+            clock=self.clock,
+            failure_domain=settings.failure_domain,
+            session=self._plain_session,
+        )
+
+    def _connect_engine(self, endpoint: Endpoint) -> HttpEngine:
+        return HttpEngine(
+            session=self._engine_session, endpoint_id=endpoint.id, url=endpoint.url
+        )
+
+    async def _listen(self) -> None:
+        self._site_runner = web.AppRunner(
+            self._build_app(), access_log=None, handle_signals=False
+        )
+        await self._site_runner.setup()
+        listen = self.settings.listen
+        await web.TCPSite(self._site_runner, listen.host, listen.port).start()
+
+    def _build_app(self) -> web.Application:
+        app = web.Application(
+            middlewares=[answer_failures], client_max_size=self.settings.max_body
+        )
+        completions = CompletionHandler(
+            catalog=self.catalog,
+            dispatcher=self.dispatcher,
+            signer=self.signer,
+            drain=self.drain,
+        )
+        plain = PlainHandler(catalog=self.catalog, caller=self.caller, drain=self.drain)
+        app.router.add_post("/v1/chat/completions", completions.chat)
+        app.router.add_post("/v1/completions", completions.text)
+        app.router.add_route("*", "/services/{service}/{path:.*}", plain.serve)
+        app.router.add_get("/healthz", self._answer_health)
+        app.router.add_get("/readyz", self._answer_ready)
+        return app
+
+    async def _answer_health(self, request: web.Request) -> web.Response:
+        return web.json_response({"host": self.settings.host_id, "status": "alive"})
+
+    async def _answer_ready(self, request: web.Request) -> web.Response:
+        ready = self.keeper.loaded.is_set() and not self.drain.is_stopping
+        body = {"ready": ready, "config_version": self.catalog.version}
+        return web.json_response(body, status=200 if ready else 503)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def run_daemon(settings: Settings) -> None:
+    """Run an entry host until it is told to stop and its last request is done."""
+    with ExitStack() as stack:
+        log = sys.stdout
+        if settings.log != "-":
+            log = stack.enter_context(open(settings.log, "a"))
+        to_file(log)
+        _run_host(settings)
+
+
+def _run_host(settings: Settings) -> None:
+    host = EntryHost(settings=settings, clock=SystemClock())
+    with aiomisc.entrypoint(
+        host,
+        pool_size=1,
+        log_config=False,
+        catch_signals=(),
+        loop_factory=uvloop.new_event_loop,
+    ) as loop:
+        loop.run_until_complete(_wait_for_stop(host))
+
+
+async def _wait_for_stop(host: EntryHost) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await stopping.wait()
+    log_event("daemon", "Stopping.", open=host.drain.open_requests)
+    await host.drain.stop(balancer_lag=host.settings.balancer_lag)
--- /dev/null
+++ b/passtally/dispatcher.py
@@ -0,0 +1,356 @@
+"""Carries one generation from endpoint to endpoint until its answer is whole."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from typing import Protocol
+
+import attrs
+
+from passtally.clock import Clock
+from passtally.decision import log_decision
+from passtally.engine import AttemptLostError, Engine
+from passtally.fleet import Fleet, LiveEndpoint, StreamGuard
+from passtally.generation import (
+    Attempt,
+    Delivery,
+    Generation,
+    SeamError,
+    TokenEvent,
+)
+from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.retry import (
+    LossKind,
+    NextStep,
+    Quarantine,
+    RetryDecision,
+    RetryLimits,
+    decide_after_loss,
+)
+from passtally.routing import RouteQuery, choose_endpoint
+from passtally.silence import Phase
+
+#: How long an answer that has begun waits for an endpoint to go on with.
+RESUME_PATIENCE = timedelta(seconds=4)
+RESUME_POLL = timedelta(milliseconds=50)
+#: How long a stream is left with its engine for a caller to reconnect.
+LINGER = timedelta(seconds=2)
+RETRY_AFTER = timedelta(seconds=1)
+PREFIX_CHARACTERS = 256
+
+
+class Sink(Protocol):
+    """Where an answer goes."""
+
+    def switch(self, generation: Generation, attempt: Attempt) -> None:
+        """Learn of a new attempt before its first output."""
+
+    async def write(self, deliveries: list[Delivery]) -> None:
+        """Take new output; returns when more may come.
+
+        Raises:
+            ConnectionError: The caller left.
+        """
+
+
+@attrs.define(kw_only=True)
+class _Progress:
+    """What the losses of one generation on this host add up to."""
+
+    deaths: int = 0
+    excluded: set[str] = attrs.field(factory=set)
+    reached: bool = False
+    last_error: AttemptLostError | None = None
+
+
+class Dispatcher:
+    """Runs generations over the endpoints of a fleet.
+
+    Args:
+        fleet: The endpoints.
+        clock: The clock.
+        failure_domain: This host's own.
+        limits: Where resuming ends.
+        linger: How long a left stream stays with its engine.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        clock: Clock,
+        failure_domain: str,
+        limits: RetryLimits,
+        linger: timedelta = LINGER,
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._limits = limits
+        self._linger = linger
+        self._quarantine = Quarantine(limits=limits)
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self, generation: Generation, sink: Sink, *, held_by: str = ""
+    ) -> None:
+        """Run a generation to its end.
+
+        Args:
+            generation: What to run.
+            sink: Where its output goes.
+            held_by: The endpoint that may still hold its stream, if any.
+
+        Raises:
+            RefusedError: It could not be run, or not to its end.
+            ConnectionError: The caller left.
+        """
+        progress = _Progress(reached=bool(held_by))
+        step = NextStep.ATTACH if held_by else NextStep.RESUME
+        endpoint_id = held_by
+        self._refuse_quarantined(generation)
+        while True:
+            if step is NextStep.RESUME:
+                endpoint_id = await self._place(generation, progress)
+            live = self._fleet.find(endpoint_id)
+            if live is None:
+                step = NextStep.RESUME
+                continue
+            attempt = generation.start_attempt(
+                endpoint_id, attach=step is NextStep.ATTACH
+            )
+            try:
+                await self._run_attempt(generation, attempt, live, sink, step, progress)
+                return
+            except AttemptLostError as loss:
+                decision = self._take_loss(generation, attempt, live, loss, progress)
+                step = decision.step
+            if step is NextStep.GIVE_UP:
+                raise self._give_up(generation, progress, decision.reason)
+
+    async def _run_attempt(
+        self,
+        generation: Generation,
+        attempt: Attempt,
+        live: LiveEndpoint,
+        sink: Sink,
+        step: NextStep,
+        progress: _Progress,
+    ) -> None:
+        sink.switch(generation, attempt)
+        live.own_streams += 1
+        stream = _open_stream(live.engine, generation, attempt, step)
+        try:
+            await self._relay(generation, attempt, live, stream, sink)
+            live.readmit()
+        except AttemptLostError as loss:
+            unrun = (LossKind.REFUSED, LossKind.UNREACHABLE)
+            progress.reached = progress.reached or loss.kind not in unrun
+            raise
+        except (ConnectionError, asyncio.CancelledError):
+            generation.abandon()
+            self._cancel(live, generation, attempt, after=self._linger)
+            raise
+        finally:
+            live.own_streams -= 1
+
+    async def _relay(
+        self,
+        generation: Generation,
+        attempt: Attempt,
+        live: LiveEndpoint,
+        stream: AsyncIterator[list[TokenEvent]],
+        sink: Sink,
+    ) -> None:
+        """Pass on what one attempt sends, under the watch for silence."""
+        loop = asyncio.get_running_loop()
+        guard: StreamGuard | None = None
+        try:
+            async with asyncio.timeout(None) as scope:
+                guard = StreamGuard(trip=lambda: scope.reschedule(loop.time()))
+                live.guards.add(guard)
+                async for events in self._watched(stream, guard, live):
+                    await _deliver(generation, attempt, events, sink)
+        except TimeoutError as error:
+            kind = guard.tripped if guard and guard.tripped else LossKind.FROZEN
+            raise AttemptLostError(
+                kind, step="stream", peer=live.endpoint.id, detail="silence"
+            ) from error
+        except SeamError as error:
+            raise AttemptLostError(
+                LossKind.SEAM, step="join", peer=live.endpoint.id, detail=str(error)
+            ) from error
+        finally:
+            live.guards.discard(guard)
+
+    async def _watched(
+        self,
+        stream: AsyncIterator[list[TokenEvent]],
+        guard: StreamGuard,
+        live: LiveEndpoint,
+    ) -> AsyncIterator[list[TokenEvent]]:
+        while True:
+            armed_at = self._clock.monotonic()
+            guard.armed_at = armed_at
+            events = await anext(stream, None)
+            guard.armed_at = None
+            if events is None:
+                return
+            gap = self._clock.monotonic() - armed_at
+            live.limits_by_phase[guard.phase].observe(gap.total_seconds())
+            guard.phase = Phase.NEXT_TOKEN
+            yield events
+
+    async def _place(self, generation: Generation, progress: _Progress) -> str:
+        """Choose an endpoint; an answer that has begun waits for one a while."""
+        if generation.position < generation.delivered:
+            raise self._give_up(generation, progress, "its tokens are not held here")
+        request = generation.request
+        deadline = self._clock.monotonic() + RESUME_PATIENCE
+        while True:
+            decision = choose_endpoint(
+                RouteQuery(
+                    affinity=request.prompt[:PREFIX_CHARACTERS].encode(),
+                    failure_domain=self._failure_domain,
+                    exclude=progress.excluded,
+                ),
+                self._fleet.views(request.service),
+                now=self._clock.monotonic(),
+            )
+            if decision.endpoint_id is not None:
+                self._log_route(generation, decision.endpoint_id, decision)
+                return decision.endpoint_id
+            waited_out = self._clock.monotonic() >= deadline
+            if waited_out or not generation.delivered:
+                self._log_route(generation, None, decision)
+                raise self._give_up(generation, progress, decision.reason)
+            progress.excluded.clear()
+            await asyncio.sleep(RESUME_POLL.total_seconds())
+
+    def _log_route(self, generation, choice, decision) -> None:
+        log_decision(
+            "route",
+            request=generation.request.id,
+            choice=choice,
+            reason=decision.reason,
+            candidates=decision.candidates,
+            position=generation.position,
+        )
+
+    def _take_loss(
+        self,
+        generation: Generation,
+        attempt: Attempt,
+        live: LiveEndpoint,
+        loss: AttemptLostError,
+        progress: _Progress,
+    ) -> RetryDecision:
+        generation.lose_attempt(attempt)
+        progress.last_error = loss
+        was_attached = loss.step == "attach"
+        gone = was_attached or loss.kind in (LossKind.FROZEN, LossKind.UNREACHABLE)
+        if gone or loss.kind in (LossKind.SEAM, LossKind.REFUSED):
+            progress.excluded.add(live.endpoint.id)
+        if gone:
+            live.eject(self._clock.monotonic())
+            progress.deaths += progress.reached
+        if loss.kind in (LossKind.FROZEN, LossKind.SEAM):
+            self._cancel(live, generation, attempt)
+        decision = decide_after_loss(
+            loss.kind,
+            attempts=generation.attempt_count,
+            deaths=progress.deaths,
+            was_attached=was_attached,
+            limits=self._limits,
+        )
+        log_decision(
+            "retry",
+            request=generation.request.id,
+            choice=decision.step,
+            reason=decision.reason,
+            peer=loss.peer,
+            loss=loss.kind,
+            detail=loss.detail,
+            attempt=attempt.number,
+            position=generation.position,
+        )
+        return decision
+
+    def _give_up(
+        self, generation: Generation, progress: _Progress, reason: str
+    ) -> RefusedError:
+        generation.refuse()
+        request = generation.request
+        if progress.deaths >= self._limits.max_deaths:
+            now = self._clock.monotonic()
+            self._quarantine.add(request.workspace, request.prompt, now=now)
+        begun = generation.delivered > 0
+        ran = progress.reached or begun
+        return refuse(
+            Code.RESUME_IMPOSSIBLE if begun else Code.NO_ENDPOINT,
+            f"No endpoint can take this request: {reason}.",
+            status=503,
+            step="resume" if begun else "route",
+            peer=progress.last_error.peer if progress.last_error else request.service,
+            outcome=Outcome.UNKNOWN if ran else Outcome.NOT_RUN,
+            retry_after=RETRY_AFTER,
+            position=generation.delivered if begun else None,
+        )
+
+    def _refuse_quarantined(self, generation: Generation) -> None:
+        request = generation.request
+        remaining = self._quarantine.remaining(
+            request.workspace, request.prompt, now=self._clock.monotonic()
+        )
+        if remaining is None:
+            return
+        generation.refuse()
+        raise refuse(
+            Code.REQUEST_QUARANTINED,
+            "This prompt took down several endpoints and is refused for now.",
+            status=422,
+            step="admit",
+            peer=request.service,
+            retry_after=remaining,
+        )
+
+    def _cancel(
+        self,
+        live: LiveEndpoint,
+        generation: Generation,
+        attempt: Attempt,
+        *,
+        after: timedelta = timedelta(0),
+    ) -> None:
+        """Cancel an attempt in the background. A newer attempt is not touched."""
+
+        async def cancel() -> None:
+            await asyncio.sleep(after.total_seconds())
+            await live.engine.cancel(generation.request.id, attempt.number)
+
+        task = asyncio.create_task(cancel())
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _open_stream(
+    engine: Engine, generation: Generation, attempt: Attempt, step: NextStep
+) -> AsyncIterator[list[TokenEvent]]:
+    if step is NextStep.ATTACH:
+        return engine.attach(generation.request, attempt, position=generation.position)
+    return engine.generate(generation.request, attempt, generation.token_ids)
+
+
+async def _deliver(
+    generation: Generation, attempt: Attempt, events: list[TokenEvent], sink: Sink
+) -> None:
+    """Join events on and write what is new, also what came before a bad seam."""
+    deliveries: list[Delivery] = []
+    try:
+        for event in events:
+            delivery = generation.accept(attempt, event)
+            if delivery is not None:
+                deliveries.append(delivery)
+    finally:
+        if deliveries:
+            await sink.write(deliveries)
--- /dev/null
+++ b/passtally/drain.py
@@ -0,0 +1,42 @@
+"""A planned stop: out of the balancer, then waiting for the last request."""
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+
+#: How long a stopping host still takes requests while the balancer lags.
+BALANCER_LAG = timedelta(seconds=5)
+
+
+class Drain:
+    """Counts the open requests, and tells whether the host is stopping."""
+
+    def __init__(self) -> None:
+        self.open_requests = 0
+        self.is_stopping = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @contextmanager
+    def track(self) -> Iterator[None]:
+        """Count one request while it is open."""
+        self.open_requests += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self.open_requests -= 1
+            if not self.open_requests:
+                self._idle.set()
+
+    async def stop(self, *, balancer_lag: timedelta = BALANCER_LAG) -> None:
+        """Leave the balancer, serve what still comes, wait for the last request.
+
+        Args:
+            balancer_lag: How long the balancer may still send requests.
+        """
+        self.is_stopping = True
+        await asyncio.sleep(balancer_lag.total_seconds())
+        while self.open_requests:
+            await self._idle.wait()
--- /dev/null
+++ b/passtally/platform.py
@@ -0,0 +1,214 @@
+"""The platform's object API: versions, conditional updates and watches.
+
+Whatever must last or be agreed goes through it. Its protocol is described in
+docs/PLATFORM.md. Sources of every failure are named in the errors.
+"""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Protocol
+
+import aiohttp
+import attrs
+import msgspec
+
+CALL_TIMEOUT = timedelta(seconds=3)
+WATCH_TIMEOUT = timedelta(seconds=20)
+REMOVED = b"null"
+
+
+class PlatformError(Exception):
+    """The platform did not do what it was asked.
+
+    Args:
+        message: What happened.
+        step: The call that failed.
+        peer: The platform's URL.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str) -> None:
+        self.step = step
+        self.peer = peer
+        super().__init__(f"{step} at {peer}: {message}")
+
+
+class UnavailableError(PlatformError):
+    """It gave no answer; a write may have taken effect all the same."""
+
+
+class ThrottledError(PlatformError):
+    """It refused the call unrun, over its rate."""
+
+
+class ConflictError(PlatformError):
+    """The object's version was not the expected one; nothing was written."""
+
+
+class TooOldError(PlatformError):
+    """A watch asked for changes that it no longer keeps; list again."""
+
+
+@attrs.frozen(kw_only=True)
+class StoredObject:
+    """One object as the platform keeps it.
+
+    Attributes:
+        key: Its path.
+        version: The store-wide version of its last change.
+        value: Its JSON; ``null`` in a change that removed it.
+    """
+
+    key: str
+    version: int
+    value: msgspec.Raw
+
+    @property
+    def is_removed(self) -> bool:
+        """Whether the change removed the object."""
+        return bytes(self.value) == REMOVED
+
+
+@attrs.frozen(kw_only=True)
+class Listing:
+    """Objects, and the store-wide version at which they were read."""
+
+    version: int
+    objects: tuple[StoredObject, ...]
+
+
+@attrs.frozen(kw_only=True)
+class HostEntry:
+    """One line of the lagging host list.
+
+    Attributes:
+        id: The host.
+        failure_domain: Where it stands.
+        state: ``live`` or ``leaving``.
+    """
+
+    id: str
+    failure_domain: str
+    state: str
+
+
+@attrs.frozen(kw_only=True)
+class _Written:
+    version: int
+
+
+class Platform(Protocol):
+    """The calls that the system makes. Each may raise any PlatformError."""
+
+    async def list_objects(self, prefix: str) -> Listing:
+        """Return the objects whose keys start with a prefix."""
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return one object, or None where there is none."""
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Create an object that must not exist; return its version."""
+
+    async def update(self, key: str, value: bytes, *, version: int) -> int:
+        """Replace an object of exactly this version; return the new one."""
+
+    async def delete(self, key: str, *, version: int) -> None:
+        """Remove an object of exactly this version."""
+
+    async def watch(self, prefix: str, *, after: int) -> Listing:
+        """Wait for changes after a version; an empty listing on a quiet wait."""
+
+    async def hosts(self) -> Sequence[HostEntry]:
+        """Return the lagging list of hosts."""
+
+
+class HttpPlatform:
+    """The platform over HTTP.
+
+    Args:
+        session: The client session; it must not follow redirects by itself.
+        url: Where the platform listens.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def list_objects(self, prefix: str) -> Listing:
+        """Return the objects whose keys start with a prefix."""
+        body = await self._call("list", "GET", "/v1/objects", params={"prefix": prefix})
+        return msgspec.json.decode(body, type=Listing)
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return one object, or None where there is none."""
+        body = await self._call("get", "GET", f"/v1/objects/{key}")
+        return msgspec.json.decode(body, type=StoredObject) if body else None
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Create an object that must not exist; return its version."""
+        headers = {"If-None-Match": "*"}
+        body = await self._call(
+            "create", "PUT", f"/v1/objects/{key}", headers=headers, data=value
+        )
+        return msgspec.json.decode(body, type=_Written).version
+
+    async def update(self, key: str, value: bytes, *, version: int) -> int:
+        """Replace an object of exactly this version; return the new one."""
+        headers = {"If-Match": str(version)}
+        body = await self._call(
+            "update", "PUT", f"/v1/objects/{key}", headers=headers, data=value
+        )
+        return msgspec.json.decode(body, type=_Written).version
+
+    async def delete(self, key: str, *, version: int) -> None:
+        """Remove an object of exactly this version."""
+        headers = {"If-Match": str(version)}
+        await self._call("delete", "DELETE", f"/v1/objects/{key}", headers=headers)
+
+    async def watch(self, prefix: str, *, after: int) -> Listing:
+        """Wait for changes after a version; an empty listing on a quiet wait."""
+        wait = WATCH_TIMEOUT.total_seconds()
+        params = {"prefix": prefix, "after": str(after), "timeout": str(wait)}
+        body = await self._call(
+            "watch", "GET", "/v1/watch", params=params, timeout=2 * WATCH_TIMEOUT
+        )
+        return msgspec.json.decode(body, type=Listing)
+
+    async def hosts(self) -> Sequence[HostEntry]:
+        """Return the lagging list of hosts."""
+        body = await self._call("hosts", "GET", "/v1/hosts")
+        return msgspec.json.decode(body, type=tuple[HostEntry, ...])
+
+    async def _call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        *,
+        timeout: timedelta = CALL_TIMEOUT,
+        **kwargs: object,
+    ) -> bytes:
+        total = aiohttp.ClientTimeout(total=timeout.total_seconds())
+        try:
+            async with self._session.request(
+                method,
+                self._url + path,
+                timeout=total,
+                allow_redirects=False,
+                **kwargs,
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            reason = str(error) or type(error).__name__
+            raise UnavailableError(reason, step=step, peer=self._url) from error
+        return self._check(step, status, body)
+
+    def _check(self, step: str, status: int, body: bytes) -> bytes:
+        if status == 200:
+            return body
+        if status == 404 and step == "get":
+            return b""
+        kind = {409: ConflictError, 410: TooOldError, 429: ThrottledError}.get(
+            status, UnavailableError
+        )
+        raise kind(f"status {status}", step=step, peer=self._url)
--- /dev/null
+++ b/passtally/retry.py
@@ -0,0 +1,124 @@
+"""What follows when an attempt is lost. Pure."""
+
+import hashlib
+from collections import OrderedDict
+from datetime import timedelta
+from enum import StrEnum
+
+import attrs
+
+
+class LossKind(StrEnum):
+    """How an attempt was lost."""
+
+    #: The connection broke; the process may be gone or only the connection.
+    RESET = "reset"
+    #: It fell silent and did not answer the probe.
+    FROZEN = "frozen"
+    #: It sent tokens that do not join on.
+    SEAM = "seam"
+    #: It refused the request before running it.
+    REFUSED = "refused"
+    #: No connection to it could be made.
+    UNREACHABLE = "unreachable"
+
+
+class NextStep(StrEnum):
+    """What to do now."""
+
+    #: Take up the stream that the same endpoint still holds.
+    ATTACH = "attach"
+    #: Go on at another endpoint from the last position.
+    RESUME = "resume"
+    #: End with an honest failure.
+    GIVE_UP = "give_up"
+
+
+@attrs.frozen(kw_only=True)
+class RetryLimits:
+    """Where resuming ends.
+
+    Attributes:
+        max_attempts: The dispatches one generation may have.
+        max_deaths: The endpoints one request may take down before it is
+            quarantined.
+        quarantine: How long its prompt is then refused.
+    """
+
+    max_attempts: int = 6
+    max_deaths: int = 3
+    quarantine: timedelta = timedelta(minutes=10)
+
+
+@attrs.frozen(kw_only=True)
+class RetryDecision:
+    """What follows a loss, and why."""
+
+    step: NextStep
+    reason: str
+
+
+def decide_after_loss(
+    kind: LossKind,
+    *,
+    attempts: int,
+    deaths: int,
+    was_attached: bool,
+    limits: RetryLimits,
+) -> RetryDecision:
+    """Decide what follows a lost attempt.
+
+    Args:
+        kind: How it was lost.
+        attempts: The attempts made so far, this one included.
+        deaths: The endpoints that died or froze under this request.
+        was_attached: Whether this attempt had itself taken up a held stream.
+        limits: Where resuming ends.
+    """
+    if deaths >= limits.max_deaths:
+        return RetryDecision(
+            step=NextStep.GIVE_UP, reason="took down too many endpoints"
+        )
+    if attempts >= limits.max_attempts:
+        return RetryDecision(step=NextStep.GIVE_UP, reason="too many attempts")
+    if kind is LossKind.RESET and not was_attached:
+        return RetryDecision(
+            step=NextStep.ATTACH, reason="the endpoint may still hold the stream"
+        )
+    return RetryDecision(step=NextStep.RESUME, reason=f"lost by {kind}")
+
+
+class Quarantine:
+    """Prompts that took endpoints down, refused for a while.
+
+    Args:
+        limits: For how long.
+        max_entries: How many are remembered; the oldest is forgotten first.
+    """
+
+    def __init__(self, *, limits: RetryLimits, max_entries: int = 1024) -> None:
+        self._limits = limits
+        self._max_entries = max_entries
+        self._until_by_digest: OrderedDict[bytes, timedelta] = OrderedDict()
+
+    def add(self, workspace: str, prompt: str, *, now: timedelta) -> None:
+        """Refuse a prompt from now on, for its workspace."""
+        digest = _digest(workspace, prompt)
+        self._until_by_digest[digest] = now + self._limits.quarantine
+        self._until_by_digest.move_to_end(digest)
+        if len(self._until_by_digest) > self._max_entries:
+            self._until_by_digest.popitem(last=False)
+
+    def remaining(
+        self, workspace: str, prompt: str, *, now: timedelta
+    ) -> timedelta | None:
+        """Return how long a prompt is still refused, or None if it is not."""
+        until = self._until_by_digest.get(_digest(workspace, prompt))
+        if until is None or until <= now:
+            return None
+        return until - now
+
+
+def _digest(workspace: str, prompt: str) -> bytes:
+    keyed = f"{workspace}\0{prompt}".encode()
+    return hashlib.blake2b(keyed, digest_size=16).digest()
--- /dev/null
+++ b/passtally/routing.py
@@ -0,0 +1,127 @@
+"""Which endpoint a request goes to. Pure: typed views in, a decision out."""
+
+import hashlib
+from collections.abc import Collection, Sequence
+from datetime import timedelta
+
+import attrs
+
+from passtally.objects import EndpointState
+
+
+@attrs.frozen(kw_only=True)
+class EndpointView:
+    """What this entry host believes of one endpoint.
+
+    Attributes:
+        id: Its name.
+        failure_domain: Where it stands.
+        state: Whether it may get new work.
+        own_streams: Requests of this host that are open there.
+        reported_streams: Requests that its last report counted, all hosts'.
+        own_at_report: This host's open requests when that report was made.
+        max_streams: How many it takes at once.
+        ejected_until: Until when it gets no new work, on the monotonic clock.
+    """
+
+    id: str
+    failure_domain: str
+    state: EndpointState
+    own_streams: int
+    reported_streams: int
+    own_at_report: int
+    max_streams: int
+    ejected_until: timedelta | None = None
+
+    @property
+    def load(self) -> float:
+        """The share of its places believed taken.
+
+        The report lags, so this host's own dispatches since then are counted on.
+        """
+        since_report = self.own_streams - self.own_at_report
+        taken = max(self.own_streams, self.reported_streams + since_report)
+        return taken / self.max_streams
+
+
+@attrs.frozen(kw_only=True)
+class RouteQuery:
+    """What is to be placed.
+
+    Attributes:
+        affinity: What decides where its prompt prefix is likely cached.
+        failure_domain: The asking host's own.
+        exclude: Endpoints that lost this request before.
+    """
+
+    affinity: bytes
+    failure_domain: str
+    exclude: Collection[str] = ()
+
+
+@attrs.frozen(kw_only=True)
+class RouteDecision:
+    """Where a request goes, and why.
+
+    Attributes:
+        endpoint_id: The choice, or None where nothing can take it.
+        candidates: The endpoints that were compared.
+        reason: One short phrase for the log.
+    """
+
+    endpoint_id: str | None
+    candidates: tuple[str, ...]
+    reason: str
+
+
+#: Above this load an endpoint is passed over while another is below it.
+BUSY_LOAD = 0.8
+
+
+def choose_endpoint(
+    query: RouteQuery, endpoints: Sequence[EndpointView], *, now: timedelta
+) -> RouteDecision:
+    """Choose by prefix affinity and load.
+
+    The two endpoints that the prefix hashes to are compared; the less loaded
+    one is taken. Local ones go first, others are used once the local are busy.
+
+    Args:
+        query: What is to be placed.
+        endpoints: The service's endpoints.
+        now: The monotonic time.
+    """
+    usable = [view for view in endpoints if _is_usable(view, query, now)]
+    if not usable:
+        return RouteDecision(
+            endpoint_id=None, candidates=(), reason="no usable endpoint"
+        )
+    with_room = [view for view in usable if view.load < 1]
+    if not with_room:
+        names = tuple(view.id for view in usable)
+        return RouteDecision(endpoint_id=None, candidates=names, reason="all full")
+    local = [
+        view
+        for view in with_room
+        if view.failure_domain == query.failure_domain and view.load < BUSY_LOAD
+    ]
+    pool = local or with_room
+    ranked = sorted(pool, key=lambda view: _affinity_rank(query.affinity, view.id))
+    compared = ranked[:2]
+    choice = min(compared, key=lambda view: view.load)
+    reason = "local, less loaded of two" if local else "spill-over, less loaded of two"
+    return RouteDecision(
+        endpoint_id=choice.id,
+        candidates=tuple(view.id for view in compared),
+        reason=reason,
+    )
+
+
+def _is_usable(view: EndpointView, query: RouteQuery, now: timedelta) -> bool:
+    if view.state is not EndpointState.ACTIVE or view.id in query.exclude:
+        return False
+    return view.ejected_until is None or view.ejected_until <= now
+
+
+def _affinity_rank(affinity: bytes, endpoint_id: str) -> bytes:
+    return hashlib.blake2b(endpoint_id.encode() + affinity, digest_size=8).digest()
--- /dev/null
+++ b/passtally/settings.py
@@ -0,0 +1,198 @@
+"""The daemon's settings: flags and environment variables, checked at the start."""
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from ipaddress import ip_address
+from typing import Any
+from urllib.parse import urlsplit
+
+import attrs
+
+ENV_PREFIX = "PASSTALLY_"
+MIN_KEY_CHARACTERS = 16
+
+_SUFFIX_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+
+
+class SettingsError(ValueError):
+    """A setting that can't be used.
+
+    Args:
+        flag: The flag's name.
+        problem: What is wrong with it.
+    """
+
+    def __init__(self, flag: str, problem: str) -> None:
+        self.flag = flag
+        super().__init__(f"{flag}: {problem}")
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read ``IP:PORT``; a name instead of a number is refused."""
+    host, _, port = text.rpartition(":")
+    try:
+        ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise ValueError(f"{text!r} is not IP:PORT") from None
+    if not 0 <= number < 65536:
+        raise ValueError(f"port {number} is out of range")
+    return Address(host=host.strip("[]"), port=number)
+
+
+def parse_duration(text: str) -> timedelta:
+    """Read a duration such as ``250ms``, ``2s``, ``5m`` or ``1h``."""
+    for suffix in ("ms", "s", "m", "h"):
+        number = text.removesuffix(suffix)
+        if number != text and number.replace(".", "", 1).isdigit():
+            return timedelta(seconds=float(number) * _SUFFIX_SECONDS[suffix])
+    raise ValueError(f"{text!r} is not a duration such as 250ms, 2s or 5m")
+
+
+def parse_name(text: str) -> str:
+    """Read a name of letters, digits, dots, dashes and underscores."""
+    if (
+        not text
+        or not text.replace("-", "").replace("_", "").replace(".", "").isalnum()
+    ):
+        raise ValueError(f"{text!r} is not a name")
+    return text
+
+
+def parse_url(text: str) -> str:
+    """Read an ``http://`` URL."""
+    parts = urlsplit(text)
+    if parts.scheme != "http" or not parts.netloc:
+        raise ValueError(f"{text!r} is not an http:// URL")
+    return text.rstrip("/")
+
+
+def parse_keys(text: str) -> dict[str, bytes]:
+    """Read ``ID:SECRET,ID:SECRET``; the first one signs."""
+    keys_by_id: dict[str, bytes] = {}
+    for item in text.split(","):
+        key_id, _, secret = item.partition(":")
+        parse_name(key_id)
+        if len(secret) < MIN_KEY_CHARACTERS:
+            raise ValueError(
+                f"key {key_id!r} is shorter than {MIN_KEY_CHARACTERS} characters"
+            )
+        keys_by_id[key_id] = secret.encode()
+    return keys_by_id
+
+
+def parse_peers(text: str) -> dict[str, Address]:
+    """Read ``HOST=IP:PORT,HOST=IP:PORT``; empty for none."""
+    if not text:
+        return {}
+    pairs = (item.partition("=") for item in text.split(","))
+    return {parse_name(name): parse_address(address) for name, _, address in pairs}
+
+
+def parse_count(text: str) -> int:
+    """Read a whole number above zero."""
+    if not text.isdigit() or int(text) == 0:
+        raise ValueError(f"{text!r} is not a whole number above zero")
+    return int(text)
+
+
+def parse_path_or_dash(text: str) -> str:
+    """Read a file's path, or ``-`` for standard output."""
+    if not text:
+        raise ValueError("is empty")
+    return text
+
+
+def _setting(
+    parse: Callable[[str], Any], help_text: str, default: str | None = None
+) -> Any:
+    return attrs.field(metadata={"parse": parse, "help": help_text, "default": default})
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """What one daemon is told at its start."""
+
+    host_id: str = _setting(parse_name, "This host's name.")
+    region: str = _setting(parse_name, "The region it stands in.", "local")
+    failure_domain: str = _setting(parse_name, "The failure domain it stands in.")
+    listen: Address = _setting(
+        parse_address, "Where callers and operators reach it.", "127.0.0.1:8080"
+    )
+    peer_listen: Address = _setting(
+        parse_address, "Where its peers reach it.", "127.0.0.1:8081"
+    )
+    peers: dict[str, Address] = _setting(
+        parse_peers, "Its peers, as HOST=IP:PORT,HOST=IP:PORT.", ""
+    )
+    platform: str = _setting(parse_url, "The platform's object API.")
+    resume_keys: dict[str, bytes] = _setting(
+        parse_keys, "Keys for resume handles, ID:SECRET,...; the first one signs."
+    )
+    operator_token: str = _setting(
+        str, "The token that operators bring; empty turns the operators' API off.", ""
+    )
+    max_body: int = _setting(
+        parse_count, "The largest request body, in bytes.", "4194304"
+    )
+    max_streams: int = _setting(
+        parse_count, "How many requests this host takes at once.", "2000"
+    )
+    claim_shards: int = _setting(
+        parse_count, "How many claim logs there are; the same on all hosts.", "16"
+    )
+    claim_retention: timedelta = _setting(
+        parse_duration, "How long a claimed idempotency key is remembered.", "1h"
+    )
+    linger: timedelta = _setting(
+        parse_duration, "How long a stream waits at its engine for a lost caller.", "2s"
+    )
+    balancer_lag: timedelta = _setting(
+        parse_duration, "How long a stopping host still takes new requests.", "5s"
+    )
+    log: str = _setting(
+        parse_path_or_dash, "Where log lines go: a file, or - for standard output.", "-"
+    )
+    statsd: str = _setting(str, "Where metrics go, as IP:PORT; empty for nowhere.", "")
+
+
+def flag_of(name: str) -> str:
+    """Return the command line flag of a setting."""
+    return "--" + name.replace("_", "-")
+
+
+def variable_of(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENV_PREFIX + name.upper()
+
+
+def check_settings(texts_by_name: Mapping[str, str | None]) -> Settings:
+    """Turn the texts of all settings into checked values.
+
+    Raises:
+        SettingsError: One is missing or can't be used; it names the flag.
+    """
+    values: dict[str, Any] = {}
+    for field in attrs.fields(Settings):
+        text = texts_by_name.get(field.name)
+        if text is None:
+            text = field.metadata["default"]
+        if text is None:
+            problem = f"is missing (or set {variable_of(field.name)})"
+            raise SettingsError(flag_of(field.name), problem)
+        try:
+            values[field.name] = field.metadata["parse"](text)
+        except ValueError as error:
+            raise SettingsError(flag_of(field.name), str(error)) from error
+    return Settings(**values)
--- /dev/null
+++ b/passtally/statechart.py
@@ -0,0 +1,66 @@
+"""State machines whose charts are files beside the code."""
+
+from functools import cache
+from importlib import resources
+
+from sismic.interpreter import Interpreter
+from sismic.io import import_from_yaml
+from sismic.model import Statechart
+
+
+class IllegalTransitionError(Exception):
+    """An event that the chart does not allow in this state."""
+
+
+class Machine:
+    """One running state machine.
+
+    A transition costs about 0.1 ms, so machines take events for each request
+    or attempt and never for each token.
+
+    Args:
+        chart: The name of a file in ``passtally/charts``, without its ending.
+    """
+
+    def __init__(self, *, chart: str) -> None:
+        self._chart = chart
+        self._interpreter = Interpreter(_load_chart(chart))
+        self._interpreter.execute()
+
+    @property
+    def state(self) -> str:
+        """The name of the innermost active state."""
+        return self._interpreter.configuration[-1]
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the machine has ended."""
+        return self._interpreter.final
+
+    def send(self, event: str) -> str:
+        """Take one event.
+
+        Args:
+            event: Its name in the chart.
+
+        Returns:
+            The state after it.
+
+        Raises:
+            IllegalTransitionError: The chart allows no such event now.
+        """
+        if self.is_final:
+            raise IllegalTransitionError(f"{self._chart} has ended: no {event}.")
+        before = self.state
+        self._interpreter.queue(event)
+        step = self._interpreter.execute_once()
+        if step is None or not step.transitions:
+            raise IllegalTransitionError(f"{self._chart} in {before}: no {event}.")
+        self._interpreter.execute()
+        return "ended" if self.is_final else self.state
+
+
+@cache
+def _load_chart(name: str) -> Statechart:
+    path = resources.files("passtally") / "charts" / f"{name}.yaml"
+    return import_from_yaml(path.read_text())
--- /dev/null
+++ b/standins/booking.py
@@ -0,0 +1,81 @@
+"""A stand-in for a plain service that books slots and counts how often each ran."""
+
+import asyncio
+import os
+import signal
+from collections import Counter
+
+import click
+import msgspec
+from aiohttp import web
+
+from standins.serving import run_app
+
+
+class Control(msgspec.Struct, kw_only=True):
+    """The switches.
+
+    Attributes:
+        delay: Seconds before a booking is answered.
+        lose_answers: How many of the next bookings are made unanswered.
+        die_after: Kill this process after this many more bookings.
+    """
+
+    delay: float = 0.0
+    lose_answers: int = 0
+    die_after: int | None = None
+
+
+class BookingStandin:
+    """The bookings and their HTTP handlers."""
+
+    def __init__(self) -> None:
+        self.control = Control()
+        self.runs_by_slot: Counter[str] = Counter()
+
+    def build_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/control", self.read_control)
+        app.router.add_put("/control", self.write_control)
+        app.router.add_get("/redirect/{slot}", self.redirect)
+        app.router.add_route("*", "/slots/{slot}", self.book)
+        return app
+
+    async def book(self, request: web.Request) -> web.Response:
+        """Book a slot."""
+        slot = request.match_info["slot"]
+        self.runs_by_slot[slot] += 1
+        await asyncio.sleep(self.control.delay)
+        if self.control.die_after is not None:
+            self.control.die_after -= 1
+            if self.control.die_after <= 0:
+                os.kill(os.getpid(), signal.SIGKILL)
+        if self.control.lose_answers > 0:
+            self.control.lose_answers -= 1
+            request.transport.abort()
+        return web.json_response({"slot": slot, "runs": self.runs_by_slot[slot]})
+
+    async def redirect(self, request: web.Request) -> web.Response:
+        """Point at another path; a caller must not be followed there."""
+        raise web.HTTPTemporaryRedirect(f"/slots/{request.match_info['slot']}")
+
+    async def read_control(self, request: web.Request) -> web.Response:
+        """Answer with how often each slot was booked."""
+        return web.json_response(dict(self.runs_by_slot))
+
+    async def write_control(self, request: web.Request) -> web.Response:
+        """Set the switches."""
+        self.control = msgspec.json.decode(await request.read(), type=Control)
+        return web.json_response({})
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+def main(port: int) -> None:
+    """Run the stand-in."""
+    run_app(BookingStandin().build_app, port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,447 @@
+"""A stand-in for a model engine; docs/ENGINE.md has its protocol.
+
+It batches continuously in small steps, caches prompt prefixes, honours
+priorities, and holds the stream of a lost caller for a while. ``PUT /control``
+makes it die, freeze or drop a connection at a token.
+"""
+
+import asyncio
+import codecs
+import os
+import signal
+import time
+from collections import OrderedDict, deque
+
+import attrs
+import click
+import msgspec
+from aiohttp import web
+
+from standins.model import Sampler, detokenize
+from standins.serving import run_app
+
+PREFIX_CHARACTERS = 256
+CHARACTERS_A_TOKEN = 4
+
+
+class Body(msgspec.Struct, kw_only=True):
+    """A request to run."""
+
+    request_id: str
+    attempt: int = 1
+    model: str = ""
+    version: str = ""
+    adapter: str = ""
+    prompt: str
+    prior_token_ids: list[int] = []
+    max_tokens: int = 4096
+    temperature: float = 0.0
+    seed: int = 0
+    stop: list[str] = []
+    priority: int = 10
+
+
+class Control(msgspec.Struct, kw_only=True):
+    """The switches. Positions are token positions of any stream.
+
+    Attributes:
+        die_at: Kill this process once a stream reaches this position.
+        freeze_at: Stop this process once a stream reaches this position.
+        drop_at: Break the stream's connection once it reaches this position.
+        only: Apply them only to streams whose prompt contains this.
+        refuse: Refuse every new request.
+        ignore_cancel: Lose every cancel.
+    """
+
+    die_at: int | None = None
+    freeze_at: int | None = None
+    drop_at: int | None = None
+    only: str = ""
+    refuse: bool = False
+    ignore_cancel: bool = False
+
+
+class Order(msgspec.Struct, kw_only=True):
+    """A fenced order: load a version or adapter, or change role."""
+
+    fence: int
+    kind: str
+    value: str
+
+
+@attrs.define(eq=False)
+class Stream:
+    """One running or held stream."""
+
+    body: Body
+    sampler: Sampler
+    attempt: int
+    ready_at: float
+    token_ids: list[int]
+    events: list[bytes]
+    first_position: int
+    decoder: codecs.IncrementalDecoder
+    text: str = ""
+    text_sent: int = 0
+    finished: bool = False
+    detached_at: float | None = None
+    finished_at: float = 0.0
+    grew: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+class EngineStandin:
+    """The engine and its HTTP handlers.
+
+    Args:
+        step: Seconds between decoding steps.
+        max_batch: Streams that decode at once.
+        prefill_rate: Prompt tokens read per second.
+        prefixes: How many prompt prefixes the cache holds.
+        hold: Seconds for which a lost caller's stream is held.
+        report_lag: Seconds by which the load report lags.
+        version: The model version that it serves.
+        checks_fencing: Whether it refuses orders with an old fence.
+    """
+
+    def __init__(
+        self,
+        *,
+        step: float,
+        max_batch: int,
+        prefill_rate: float,
+        prefixes: int,
+        hold: float,
+        report_lag: float,
+        version: str,
+        checks_fencing: bool,
+    ) -> None:
+        self.control = Control()
+        self._step = step
+        self._max_batch = max_batch
+        self._prefill_rate = prefill_rate
+        self._max_prefixes = prefixes
+        self._hold = hold
+        self._report_lag = report_lag
+        self._version = version
+        self._checks_fencing = checks_fencing
+        self._streams_by_id: dict[str, Stream] = {}
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._cache_events: deque[dict] = deque(maxlen=1000)
+        self._reports: deque[tuple[float, dict]] = deque(maxlen=1000)
+        self._steps = 0
+        self._fence = 0
+        self._role = "serve"
+        self._loaded: set[str] = {version}
+        self.stats = {
+            "generated": 0,
+            "prefilled": 0,
+            "prefix_hits": 0,
+            "requests": 0,
+            "cancelled": 0,
+        }
+
+    def build_app(self) -> web.Application:
+        """Return the HTTP application; it also runs the decoding loop."""
+        app = web.Application(client_max_size=8 << 20)
+        app.router.add_post("/v1/completions", self.generate)
+        app.router.add_get("/v1/streams/{id}", self.attach)
+        app.router.add_delete("/v1/streams/{id}", self.cancel)
+        app.router.add_get("/v1/load", self.load)
+        app.router.add_get("/v1/cache-events", self.cache_events)
+        app.router.add_post("/v1/orders", self.order)
+        app.router.add_get("/control", self.read_control)
+        app.router.add_put("/control", self.write_control)
+        app.cleanup_ctx.append(self._run_loop)
+        return app
+
+    async def generate(self, request: web.Request) -> web.StreamResponse:
+        """Run a request and stream its output."""
+        body = msgspec.json.decode(await request.read(), type=Body)
+        if self.control.refuse or body.version not in self._loaded | {""}:
+            raise web.HTTPServiceUnavailable
+        self.stats["requests"] += 1
+        stream = self._start(body)
+        return await self._send(request, stream, stream.first_position)
+
+    async def attach(self, request: web.Request) -> web.StreamResponse:
+        """Take up a held stream."""
+        stream = self._streams_by_id.get(request.match_info["id"])
+        position = int(request.query["from"])
+        if stream is None or position < stream.first_position:
+            raise web.HTTPNotFound
+        attempt = int(request.query["attempt"])
+        if attempt <= stream.attempt:
+            raise web.HTTPConflict
+        stream.attempt = attempt
+        return await self._send(request, stream, position)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Drop a stream, unless a newer attempt has taken it up."""
+        stream = self._streams_by_id.get(request.match_info["id"])
+        attempt = int(request.query["attempt"])
+        if stream and stream.attempt <= attempt and not self.control.ignore_cancel:
+            self._drop(stream)
+            self.stats["cancelled"] += 1
+        return web.json_response({})
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Answer with a load report that lags; its step counter does not."""
+        until = time.monotonic() - self._report_lag
+        report = {"running": 0, "queued": 0}
+        for at, row in self._reports:
+            if at <= until:
+                report = row
+        return web.json_response(report | {"step": self._steps})
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Answer with the cache events after a number; old ones are gone."""
+        after = int(request.query.get("after", "0"))
+        rows = [row for row in self._cache_events if row["number"] > after]
+        return web.json_response(rows)
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Carry out an order, unless its fence is old and fences are checked."""
+        order = msgspec.json.decode(await request.read(), type=Order)
+        if self._checks_fencing and order.fence < self._fence:
+            raise web.HTTPConflict(text=str(self._fence))
+        self._fence = max(self._fence, order.fence)
+        if order.kind == "load":
+            self._loaded.add(order.value)
+        elif order.kind == "unload":
+            self._loaded.discard(order.value)
+        else:
+            self._role = order.value
+        return await self.read_control(request)
+
+    async def read_control(self, request: web.Request) -> web.Response:
+        """Answer with what the engine counted."""
+        state = {
+            "fence": self._fence,
+            "role": self._role,
+            "loaded": sorted(self._loaded),
+            "open": sum(not s.finished for s in self._streams_by_id.values()),
+        }
+        return web.json_response(self.stats | state)
+
+    async def write_control(self, request: web.Request) -> web.Response:
+        """Set the switches."""
+        self.control = msgspec.json.decode(await request.read(), type=Control)
+        return web.json_response({})
+
+    def _start(self, body: Body) -> Stream:
+        position = len(body.prior_token_ids)
+        prefilled = self._prefill(body)
+        stream = Stream(
+            body=body,
+            sampler=Sampler(
+                prompt=body.prompt,
+                temperature=body.temperature,
+                prior=body.prior_token_ids,
+            ),
+            attempt=body.attempt,
+            ready_at=time.monotonic() + prefilled / self._prefill_rate,
+            token_ids=list(body.prior_token_ids),
+            events=[],
+            first_position=position,
+            decoder=codecs.getincrementaldecoder("utf-8")("ignore"),
+        )
+        stream.text = stream.decoder.decode(detokenize(body.prior_token_ids))
+        stream.text_sent = _count_sendable(stream)
+        self._streams_by_id[body.request_id] = stream
+        return stream
+
+    def _prefill(self, body: Body) -> int:
+        """Return how many tokens must be read, and keep the prefix cached."""
+        tokens = len(body.prompt) // CHARACTERS_A_TOKEN + len(body.prior_token_ids)
+        prefix = body.prompt[:PREFIX_CHARACTERS]
+        if prefix in self._prefixes:
+            self.stats["prefix_hits"] += 1
+            tokens -= len(body.prompt) // CHARACTERS_A_TOKEN
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        number = self._cache_events[-1]["number"] + 1 if self._cache_events else 1
+        self._cache_events.append({"number": number, "stored": prefix[:32]})
+        if len(self._prefixes) > self._max_prefixes:
+            self._prefixes.popitem(last=False)
+        self.stats["prefilled"] += tokens
+        return tokens
+
+    async def _send(
+        self, request: web.Request, stream: Stream, position: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        attempt = stream.attempt
+        stream.detached_at = None
+        sent = position - stream.first_position
+        try:
+            while stream.attempt == attempt:
+                events = stream.events[sent:]
+                sent += len(events)
+                if events:
+                    await response.write(b"".join(events))
+                if self._should_break(stream):
+                    await response.write(b'data: {"choices":[{"in')
+                    request.transport.abort()
+                    return response
+                if stream.finished and sent >= len(stream.events):
+                    await response.write(b"data: [DONE]\n\n")
+                    return response
+                stream.grew.clear()
+                if sent >= len(stream.events):
+                    await stream.grew.wait()
+        except ConnectionError:
+            if stream.attempt == attempt:
+                stream.detached_at = time.monotonic()
+        return response
+
+    def _should_break(self, stream: Stream) -> bool:
+        drop_at = self.control.drop_at
+        if drop_at is None or self.control.only not in stream.body.prompt:
+            return False
+        if len(stream.token_ids) < drop_at:
+            return False
+        self.control.drop_at = None
+        return True
+
+    async def _run_loop(self, app: web.Application):
+        task = asyncio.create_task(self._decode())
+        yield
+        task.cancel()
+
+    async def _decode(self) -> None:
+        next_step = time.monotonic()
+        while True:
+            now = time.monotonic()
+            self._steps += 1
+            running = self._pick_batch(now)
+            for stream in running:
+                self._advance(stream)
+            self._forget(now)
+            waiting = sum(not s.finished for s in self._streams_by_id.values())
+            report = {"running": len(running), "queued": waiting - len(running)}
+            self._reports.append((now, report))
+            next_step = max(next_step + self._step, now)
+            await asyncio.sleep(next_step - time.monotonic())
+
+    def _pick_batch(self, now: float) -> list[Stream]:
+        ready = [
+            stream
+            for stream in self._streams_by_id.values()
+            if not stream.finished and stream.ready_at <= now
+        ]
+        ready.sort(key=lambda stream: (stream.body.priority, stream.ready_at))
+        return ready[: self._max_batch]
+
+    def _advance(self, stream: Stream) -> None:
+        position = len(stream.token_ids)
+        token = stream.sampler.next_token(position)
+        reason = None
+        if token is None:
+            reason = "stop"
+            event_ids: list[int] = []
+        else:
+            stream.token_ids.append(token)
+            event_ids = [token]
+            stream.text += stream.decoder.decode(detokenize(event_ids))
+            self.stats["generated"] += 1
+            if len(stream.token_ids) >= stream.body.max_tokens:
+                reason = "length"
+        text, stopped = _take_text(stream, at_end=reason is not None)
+        if stopped:
+            reason = "stop"
+        self._emit(stream, position, event_ids, text, reason)
+        self._fail_if_told(stream)
+
+    def _emit(
+        self,
+        stream: Stream,
+        position: int,
+        event_ids: list[int],
+        text: str,
+        reason: str | None,
+    ) -> None:
+        choice = {
+            "index": 0,
+            "text": text,
+            "token_ids": event_ids,
+            "text_offset": stream.text_sent,
+            "position": position,
+            "finish_reason": reason,
+        }
+        event = {"object": "text_completion", "choices": [choice]}
+        if reason is not None:
+            prompt_tokens = len(stream.body.prompt) // CHARACTERS_A_TOKEN
+            event["usage"] = {"prompt_tokens": prompt_tokens}
+            stream.finished = True
+            stream.finished_at = time.monotonic()
+        stream.text_sent += len(text)
+        stream.events.append(b"data: %b\n\n" % msgspec.json.encode(event))
+        stream.grew.set()
+
+    def _fail_if_told(self, stream: Stream) -> None:
+        if self.control.only not in stream.body.prompt:
+            return
+        position = len(stream.token_ids)
+        if self.control.die_at is not None and position >= self.control.die_at:
+            os.kill(os.getpid(), signal.SIGKILL)
+        if self.control.freeze_at is not None and position >= self.control.freeze_at:
+            self.control.freeze_at = None
+            os.kill(os.getpid(), signal.SIGSTOP)
+
+    def _forget(self, now: float) -> None:
+        for stream in list(self._streams_by_id.values()):
+            lost = stream.detached_at and now - stream.detached_at > self._hold
+            done = stream.finished and now - stream.finished_at > self._hold
+            if lost or done:
+                self._drop(stream)
+
+    def _drop(self, stream: Stream) -> None:
+        stream.finished = True
+        stream.finished_at = time.monotonic()
+        stream.grew.set()
+        self._streams_by_id.pop(stream.body.request_id, None)
+
+
+def _count_sendable(stream: Stream) -> int:
+    """Return how many characters may be sent: none that may begin a stop string."""
+    text = stream.text
+    held_back = max(
+        (
+            size
+            for stop in stream.body.stop
+            for size in range(1, len(stop))
+            if text.endswith(stop[:size])
+        ),
+        default=0,
+    )
+    return len(text) - held_back
+
+
+def _take_text(stream: Stream, *, at_end: bool) -> tuple[str, bool]:
+    """Return the text that may now be sent, and whether a stop string ended it."""
+    found = [stream.text.find(stop, stream.text_sent) for stop in stream.body.stop]
+    cuts = [position for position in found if position >= 0]
+    if cuts:
+        return stream.text[stream.text_sent : min(cuts)], True
+    end = len(stream.text) if at_end else _count_sendable(stream)
+    return stream.text[stream.text_sent : end], False
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--step", type=float, default=0.01)
+@click.option("--max-batch", type=int, default=64)
+@click.option("--prefill-rate", type=float, default=20_000)
+@click.option("--prefixes", type=int, default=64)
+@click.option("--hold", type=float, default=10.0)
+@click.option("--report-lag", type=float, default=0.5)
+@click.option("--version", default="1")
+@click.option("--checks-fencing/--no-checks-fencing", default=True)
+def main(port: int, **options: object) -> None:
+    """Run the stand-in."""
+    run_app(lambda: EngineStandin(**options).build_app(), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,238 @@
+"""Starts the system and its stand-ins as separate processes, for demo and tests."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+import attrs
+import msgspec
+
+from passtally.objects import (
+    Endpoint,
+    Protection,
+    Service,
+    ServiceKind,
+    Workspace,
+    digest_token,
+)
+
+START_SECONDS = 20.0
+STOP_SECONDS = 10.0
+POLL_SECONDS = 0.02
+RESUME_KEYS = "k1:only-for-demos-and-tests"
+OPERATOR_TOKEN = "operator-token-for-demos"
+
+
+@attrs.define
+class Process:
+    """One running process and where it listens."""
+
+    name: str
+    url: str
+    popen: subprocess.Popen
+
+    def signal(self, number: int) -> None:
+        """Send it a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill it without notice."""
+        self.popen.send_signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def control(self, **switches: Any) -> None:
+        """Set a stand-in's switches."""
+        call_json("PUT", f"{self.url}/control", switches)
+
+    def counts(self) -> dict[str, Any]:
+        """Return what a stand-in counted."""
+        return call_json("GET", f"{self.url}/control")
+
+
+class Processes:
+    """Starts processes on loopback and stops them all at the end.
+
+    Args:
+        folder: Where their logs go.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.by_name: dict[str, Process] = {}
+        self.platform: Process | None = None
+
+    def __enter__(self) -> "Processes":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """Kill whatever still runs."""
+        for process in self.by_name.values():
+            if process.popen.poll() is None:
+                process.signal(signal.SIGCONT)
+                process.signal(signal.SIGKILL)
+                process.popen.wait()
+
+    def start_platform(self) -> Process:
+        """Start the platform's stand-in."""
+        self.platform = self._start_standin("platform", "platform")
+        return self.platform
+
+    def start_engine(self, name: str, **options: Any) -> Process:
+        """Start an engine's stand-in."""
+        flags = [f"--{key.replace('_', '-')}={value}" for key, value in options.items()]
+        return self._start_standin(name, "engine", *flags)
+
+    def start_booking(self, name: str) -> Process:
+        """Start a booking service's stand-in."""
+        return self._start_standin(name, "booking")
+
+    def start_host(
+        self, name: str, *, failure_domain: str, wait: bool = True, **settings: Any
+    ) -> Process:
+        """Start an entry host.
+
+        Args:
+            name: Its name.
+            failure_domain: Where it stands.
+            wait: Whether to wait until it is ready.
+            settings: More settings, by name.
+        """
+        port = free_port()
+        texts = {
+            "host_id": name,
+            "failure_domain": failure_domain,
+            "listen": f"127.0.0.1:{port}",
+            "peer_listen": f"127.0.0.1:{free_port()}",
+            "platform": self.platform.url,
+            "resume_keys": RESUME_KEYS,
+            "operator_token": OPERATOR_TOKEN,
+            "balancer_lag": "100ms",
+            "log": str(self.folder / f"{name}.log"),
+        } | settings
+        flags = [f"--{key.replace('_', '-')}={value}" for key, value in texts.items()]
+        command = [sys.executable, "-m", "passtally", "serve", *flags]
+        process = self._start(name, command, port)
+        if wait:
+            wait_for(process, "/readyz")
+        return process
+
+    def put_config(self, kind: str, object_id: str, value: object) -> None:
+        """Write one configuration object to the platform."""
+        url = f"{self.platform.url}/v1/objects/config/{kind}/{object_id}"
+        call_json("PUT", url, value)
+
+    def add_workspace(self, name: str, **options: Any) -> str:
+        """Create a workspace; return its callers' token."""
+        token = f"token-of-{name}"
+        workspace = Workspace(id=name, token_sha256=digest_token(token), **options)
+        self.put_config("workspaces", name, workspace)
+        return token
+
+    def add_model(
+        self,
+        name: str,
+        engines: list[tuple[Process, str]],
+        *,
+        protection: Protection = Protection.ENGINE,
+    ) -> None:
+        """Create a model service and its endpoints, with their failure domains."""
+        service = Service(
+            id=name,
+            kind=ServiceKind.MODEL,
+            model=name,
+            version="1",
+            protection=protection,
+            max_tokens=20_000,
+        )
+        self.put_config("services", name, service)
+        self._add_endpoints(name, engines)
+
+    def add_plain(
+        self, name: str, endpoints: list[tuple[Process, str]], **options: Any
+    ) -> None:
+        """Create a plain service and its endpoints, with their failure domains."""
+        service = Service(id=name, kind=ServiceKind.PLAIN, **options)
+        self.put_config("services", name, service)
+        self._add_endpoints(name, endpoints)
+
+    def _add_endpoints(
+        self, service: str, processes: list[tuple[Process, str]]
+    ) -> None:
+        for process, failure_domain in processes:
+            endpoint = Endpoint(
+                id=process.name,
+                service=service,
+                url=process.url,
+                failure_domain=failure_domain,
+            )
+            self.put_config("endpoints", process.name, endpoint)
+
+    def _start_standin(self, name: str, kind: str, *flags: str) -> Process:
+        port = free_port()
+        command = [sys.executable, "-m", f"standins.{kind}", f"--port={port}", *flags]
+        process = self._start(name, command, port)
+        wait_for(process, "/control")
+        return process
+
+    def _start(self, name: str, command: list[str], port: int) -> Process:
+        with open(self.folder / f"{name}.err", "ab") as errors:
+            popen = subprocess.Popen(command, stdout=errors, stderr=errors)
+        process = Process(name, f"http://127.0.0.1:{port}", popen)
+        self.by_name[name] = process
+        return process
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def call_json(
+    method: str, url: str, value: object = None, headers: dict[str, str] | None = None
+) -> Any:
+    """Make one HTTP call with JSON both ways."""
+    data = None if value is None else msgspec.json.encode(value)
+    request = urllib.request.Request(
+        url, data=data, method=method, headers=headers or {}
+    )
+    with urllib.request.urlopen(request, timeout=START_SECONDS) as response:
+        return msgspec.json.decode(response.read())
+
+
+def wait_for(process: Process, path: str) -> None:
+    """Wait until a process answers 200 on a path.
+
+    Raises:
+        RuntimeError: It ended, or took too long.
+    """
+    deadline = time.monotonic() + START_SECONDS
+    while time.monotonic() < deadline:
+        if process.popen.poll() is not None:
+            raise RuntimeError(f"{process.name} ended with {process.popen.returncode}")
+        try:
+            urllib.request.urlopen(process.url + path, timeout=1).read()
+            return
+        except (urllib.error.URLError, OSError):
+            time.sleep(POLL_SECONDS)
+    raise RuntimeError(f"{process.name} did not answer on {path}")
+
+
+def is_running(pid: int) -> bool:
+    """Return whether a process exists and is not a zombie."""
+    try:
+        state = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
+    except OSError:
+        return False
+    return state != "Z" and os.path.exists(f"/proc/{pid}")
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,27 @@
+"""Runs one stand-in's HTTP application."""
+
+from collections.abc import Callable
+
+import uvloop
+from aiohttp import web
+
+
+def run_app(build: Callable[[], web.Application], port: int) -> None:
+    """Serve an application on loopback until told to stop.
+
+    Args:
+        build: Makes the application, within the loop.
+        port: Where it listens.
+    """
+
+    async def build_in_loop() -> web.Application:
+        return build()
+
+    web.run_app(
+        build_in_loop(),
+        host="127.0.0.1",
+        port=port,
+        print=None,
+        access_log=None,
+        loop=uvloop.new_event_loop(),
+    )
--- /dev/null
+++ b/tests/test_generation.py
@@ -0,0 +1,142 @@
+"""The seams of one generation."""
+
+import pytest
+
+from passtally.generation import (
+    Attempt,
+    Delivery,
+    Generation,
+    GenerationRequest,
+    SeamError,
+    TokenEvent,
+)
+from passtally.statechart import IllegalTransitionError
+
+
+def make_generation(**options) -> Generation:
+    request = GenerationRequest(
+        id="gen-00000000-1",
+        workspace="w",
+        service="s",
+        model="m",
+        version="1",
+        adapter="",
+        prompt="p",
+        max_tokens=100,
+        temperature=0,
+        seed=1,
+    )
+    return Generation(request=request, **options)
+
+
+def event(position: int, text: str, reason: str | None = None) -> TokenEvent:
+    """One token for each character, numbered by its code."""
+    return TokenEvent(
+        position=position,
+        token_ids=[ord(letter) for letter in text],
+        text_offset=position,
+        text=text,
+        finish_reason=reason,
+    )
+
+
+class TestSeams:
+    def test_a_second_attempt_goes_on_where_the_first_was_lost(self):
+        generation = make_generation()
+        first = generation.start_attempt("a")
+        assert generation.accept(first, event(0, "ab")).text == "ab"
+        generation.lose_attempt(first)
+        second = generation.start_attempt("b")
+        assert second.start_position == 2
+        delivery = generation.accept(second, event(2, "cd", "stop"))
+        assert delivery == Delivery(
+            position=4, characters=4, text="cd", finish_reason="stop"
+        )
+        assert list(generation.token_ids) == [ord(letter) for letter in "abcd"]
+
+    def test_tokens_of_an_older_attempt_are_dropped(self):
+        generation = make_generation()
+        first = generation.start_attempt("a")
+        generation.accept(first, event(0, "ab"))
+        generation.lose_attempt(first)
+        second = generation.start_attempt("b")
+        assert generation.accept(first, event(2, "XY")) is None
+        assert first.dropped_tokens == 2
+        assert generation.accept(second, event(2, "c")).text == "c"
+
+    def test_repeated_tokens_are_not_delivered_again(self):
+        generation = make_generation()
+        attempt = generation.start_attempt("a")
+        generation.accept(attempt, event(0, "abc"))
+        assert generation.accept(attempt, event(1, "bc")) is None
+        assert generation.accept(attempt, event(1, "bcd")).text == "d"
+
+    def test_missing_tokens_are_an_error(self):
+        generation = make_generation()
+        attempt = generation.start_attempt("a")
+        with pytest.raises(SeamError, match="missing"):
+            generation.accept(attempt, event(1, "b"))
+
+    def test_contradicting_tokens_are_an_error(self):
+        generation = make_generation()
+        attempt = generation.start_attempt("a")
+        generation.accept(attempt, event(0, "abc"))
+        with pytest.raises(SeamError, match="other tokens"):
+            generation.accept(attempt, event(1, "XX"))
+
+    def test_missing_text_is_an_error(self):
+        generation = make_generation()
+        attempt = generation.start_attempt("a")
+        gap = TokenEvent(position=0, token_ids=[1], text_offset=1, text="b")
+        with pytest.raises(SeamError, match="characters"):
+            generation.accept(attempt, gap)
+
+    def test_half_a_character_at_the_seam_comes_once(self):
+        generation = make_generation()
+        first = generation.start_attempt("a")
+        half = TokenEvent(position=0, token_ids=[0xC3], text_offset=0, text="")
+        assert generation.accept(first, half).text == ""
+        generation.lose_attempt(first)
+        second = generation.start_attempt("b")
+        rest = TokenEvent(position=1, token_ids=[0xB1], text_offset=0, text="ñ")
+        assert generation.accept(second, rest).text == "ñ"
+        assert generation.delivered_characters == 1
+
+    def test_an_end_before_what_was_delivered_is_an_error(self):
+        generation = make_generation(delivered=5, delivered_characters=5)
+        attempt = generation.start_attempt("a", attach=True)
+        with pytest.raises(SeamError, match="ended"):
+            generation.accept(attempt, event(0, "ab", "stop"))
+
+
+class TestGoingOnAtAnotherHost:
+    def test_what_the_caller_has_is_not_sent_again(self):
+        generation = make_generation(
+            delivered=2, delivered_characters=2, attempts_before=1
+        )
+        attempt = generation.start_attempt("a", attach=True)
+        assert attempt.number == 2
+        assert generation.accept(attempt, event(0, "ab")) is None
+        assert generation.accept(attempt, event(2, "c")).text == "c"
+
+    def test_an_end_that_was_not_delivered_is_delivered(self):
+        generation = make_generation(delivered=2, delivered_characters=2)
+        attempt = generation.start_attempt("a", attach=True)
+        assert generation.accept(attempt, event(0, "ab", "stop")).finish_reason
+
+
+class TestLife:
+    def test_nothing_follows_the_end(self):
+        generation = make_generation()
+        attempt = generation.start_attempt("a")
+        generation.accept(attempt, event(0, "a", "stop"))
+        assert generation.accept(attempt, event(1, "b")) is None
+        with pytest.raises(IllegalTransitionError):
+            generation.start_attempt("b")
+
+    def test_losing_an_attempt_that_is_not_current_changes_nothing(self):
+        generation = make_generation()
+        stale = Attempt(number=0, endpoint_id="x", start_position=0)
+        attempt = generation.start_attempt("a")
+        generation.lose_attempt(stale)
+        assert generation.current is attempt
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,61 @@
+"""The daemon's settings."""
+
+from datetime import timedelta
+
+import pytest
+from click.testing import CliRunner
+
+from passtally.cli import main
+from passtally.settings import SettingsError, check_settings, parse_duration
+
+GOOD = {
+    "host_id": "entry-1",
+    "failure_domain": "pilar",
+    "platform": "http://127.0.0.1:1",
+    "resume_keys": "k1:0123456789abcdef",
+}
+
+
+class TestCheckSettings:
+    def test_good_ones_are_typed(self):
+        settings = check_settings(GOOD | {"peers": "b=127.0.0.1:9", "linger": "250ms"})
+        assert settings.peers["b"].port == 9
+        assert settings.linger == timedelta(milliseconds=250)
+
+    @pytest.mark.parametrize(
+        ("name", "text"),
+        [
+            ("host_id", "a b"),
+            ("listen", "localhost:80"),
+            ("listen", "127.0.0.1:99999"),
+            ("platform", "ftp://x"),
+            ("resume_keys", "k1:short"),
+            ("peers", "b"),
+            ("max_body", "0"),
+            ("linger", "soon"),
+        ],
+    )
+    def test_a_wrong_one_names_its_flag(self, name, text):
+        with pytest.raises(SettingsError, match="--" + name.replace("_", "-")):
+            check_settings(GOOD | {name: text})
+
+    def test_a_missing_one_names_its_flag_and_variable(self):
+        with pytest.raises(SettingsError, match="--platform.*PASSTALLY_PLATFORM"):
+            check_settings({**GOOD, "platform": None})
+
+
+class TestServeCommand:
+    def test_a_wrong_setting_gives_one_line_and_exit_2(self):
+        result = CliRunner().invoke(
+            main, ["serve"], env={"PASSTALLY_HOST_ID": "not a name"}
+        )
+        assert result.exit_code == 2
+        assert result.output.count("\n") == 1
+        assert "--host-id" in result.output
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"), [("250ms", 0.25), ("2s", 2), ("1.5m", 90), ("1h", 3600)]
+)
+def test_parse_duration(text, seconds):
+    assert parse_duration(text) == timedelta(seconds=seconds)
