Go on with an answer after engine and entry host deaths

Cause: only an engine's death was survived; an entry host's death ended the answer, and both at once had no answer at all.

Weighed: the engine as the holder of the stream (no extra tokens or bytes, nothing left if the engine dies too); the whole answer in the handle (grows with each token); a second generation in parallel (a sampling engine gives another answer); the platform's object (one write a stream every few tokens is beyond its rate); copies at one peer. Ruled out: waiting for the copy before delivering, which puts a peer's round trip into every token.

Change: the handle names the engine and the attempt, so any host attaches. A copy has its own id on each host, so that a host that slept cannot add to another's. A stream taken up elsewhere fences the older attempt at the engine.

--- a/passtally/completion.py
+++ b/passtally/completion.py
@@ -8,9 +8,10 @@
 import attrs
 import msgspec
 
+from passtally.copies import CopiedStream
 from passtally.generation import Attempt, Delivery, Generation, GenerationRequest
 from passtally.handle import HandleSigner, HandleWriter, StreamRef
-from passtally.objects import Protection, Service
+from passtally.objects import Service
 from passtally.outcome import Code, RefusedError, refuse
 
 MAX_TOKENS_LIMIT = 1 << 20
@@ -190,35 +191,31 @@
         shape: The API's flavour.
         signer: Signs the handles.
         binding: What the handles are bound to.
-        service: The service, for its protection.
+        copy: The answer's copy at a peer, or None where none is kept.
     """
 
     def __init__(
-        self, *, shape: Shape, signer: HandleSigner, binding: bytes, service: Service
+        self,
+        *,
+        shape: Shape,
+        signer: HandleSigner,
+        binding: bytes,
+        copy: CopiedStream | None = None,
     ) -> None:
         self._shape = shape
         self._signer = signer
         self._binding = binding
-        self._keeps_tail = service.protection is Protection.COPY
+        self._copy = copy
+        self._copy_host = ""
         self._before = self._after = b""
+        self._attempt: Attempt | None = None
         self._handles: HandleWriter | None = None
-        self.copied = 0
 
-    def switch(
-        self, generation: Generation, attempt: Attempt, *, copy_host: str = ""
-    ) -> None:
+    def switch(self, generation: Generation, attempt: Attempt) -> None:
         """Write the following events as a new attempt's."""
-        request = generation.request
-        stream = StreamRef(
-            generation_id=request.id,
-            endpoint_id=attempt.endpoint_id,
-            attempt=attempt.number,
-            version=request.version,
-            seed=request.seed,
-            copy_host=copy_host,
-        )
-        self._handles = self._signer.writer(stream, binding=self._binding)
-        self._before, self._after = self._shape.event_parts(request)
+        self._attempt = attempt
+        self._before, self._after = self._shape.event_parts(generation.request)
+        self._open_handles(generation.request, self._copy_host)
 
     def encode(self, generation: Generation, deliveries: list[Delivery]) -> bytes:
         """Return the events of some deliveries, as they go on the wire."""
@@ -234,11 +231,29 @@
 
     def _write_handle(self, generation: Generation, delivery: Delivery) -> bytes:
         position = delivery.position
-        tail_start = self.copied if self._keeps_tail else position
-        tail = generation.token_ids[tail_start:position]
-        handle = self._handles.write(position, delivery.characters, tail_start, tail)
+        start = self._copy.tail_start(position) if self._copy else None
+        copy_host = self._copy.peer if start is not None else ""
+        if copy_host != self._copy_host:
+            self._open_handles(generation.request, copy_host)
+        if not copy_host:
+            start = position
+        tail = generation.token_ids[start:position]
+        handle = self._handles.write(position, delivery.characters, start, tail)
         return handle.encode()
 
+    def _open_handles(self, request: GenerationRequest, copy_host: str) -> None:
+        self._copy_host = copy_host
+        stream = StreamRef(
+            generation_id=request.id,
+            endpoint_id=self._attempt.endpoint_id,
+            attempt=self._attempt.number,
+            version=request.version,
+            seed=request.seed,
+            copy_host=copy_host,
+            copy_id=self._copy.copy_id if copy_host else "",
+        )
+        self._handles = self._signer.writer(stream, binding=self._binding)
+
 
 def _usage(generation: Generation) -> dict[str, int]:
     completion = generation.position
--- a/passtally/completion_handler.py
+++ b/passtally/completion_handler.py
@@ -1,7 +1,9 @@
 """Serves the completion API: streamed, whole, and going on after a loss."""
 
+from collections.abc import Sequence
 from datetime import timedelta
 
+import attrs
 from aiohttp import web
 
 from passtally.api import JSON_TYPE, find_service, find_workspace
@@ -14,12 +16,13 @@
     build_request,
     parse_body,
 )
+from passtally.copies import CopySender, CopyService
 from passtally.decision import log_event
-from passtally.dispatcher import Dispatcher
+from passtally.dispatcher import Dispatcher, Sink
 from passtally.drain import Drain
 from passtally.generation import Attempt, Delivery, Generation
 from passtally.handle import HandleError, HandleSigner, ResumePoint, bind
-from passtally.objects import Service, ServiceKind, Workspace
+from passtally.objects import Protection, Service, ServiceKind, Workspace
 from passtally.outcome import Code, RefusedError, refuse
 
 EVENT_STREAM = "text/event-stream"
@@ -36,6 +39,8 @@
         dispatcher: Runs generations.
         signer: Signs and opens resume handles.
         drain: Counts the requests that are open.
+        copy_sender: Sends copies of running answers to peers.
+        copies: Fetches copies from peers.
     """
 
     def __init__(
@@ -45,11 +50,15 @@
         dispatcher: Dispatcher,
         signer: HandleSigner,
         drain: Drain,
+        copy_sender: CopySender,
+        copies: CopyService,
     ) -> None:
         self._catalog = catalog
         self._dispatcher = dispatcher
         self._signer = signer
         self._drain = drain
+        self._copy_sender = copy_sender
+        self._copies = copies
 
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """Serve ``POST /v1/chat/completions``."""
@@ -77,21 +86,23 @@
             )
         binding = bind(workspace.id, raw)
         point = self._open_handle(request, binding)
-        generation = _build_generation(body, flavour, workspace, service, point)
-        held_by = point.stream.endpoint_id if point else ""
         shape = Shape(
             flavour=flavour,
             include_usage=bool(
                 body.stream_options and body.stream_options.include_usage
             ),
         )
-        writer = EventWriter(
-            shape=shape, signer=self._signer, binding=binding, service=service
+        work = _Work(
+            generation=_build_generation(body, flavour, workspace, service, point),
+            shape=shape,
+            service=service,
+            binding=binding,
+            point=point,
         )
         with self._drain.track():
             if body.stream:
-                return await self._stream(request, generation, writer, held_by)
-            return await self._answer_whole(request, generation, shape, held_by)
+                return await self._stream(request, work)
+            return await self._answer_whole(request, work)
 
     def _open_handle(self, request: web.Request, binding: bytes) -> ResumePoint | None:
         handle = request.headers.get(RESUME_HEADER)
@@ -104,40 +115,65 @@
                 Code.BAD_RESUME_HANDLE, f"{error}.", status=400, step="resume"
             ) from error
 
-    async def _stream(
-        self,
-        request: web.Request,
-        generation: Generation,
-        writer: EventWriter,
-        held_by: str,
-    ) -> web.StreamResponse:
+    async def _stream(self, request: web.Request, work: "_Work") -> web.StreamResponse:
+        copy = None
+        if work.service.protection is Protection.COPY:
+            copy = self._copy_sender.open(work.generation)
+        writer = EventWriter(
+            shape=work.shape, signer=self._signer, binding=work.binding, copy=copy
+        )
         sink = EventSink(request=request, writer=writer)
         try:
-            await self._dispatcher.run(generation, sink, held_by=held_by)
+            await self._dispatch(work, sink)
         except RefusedError as error:
             if sink.response is None:
                 raise
             await sink.fail(error)
         except ConnectionError:
-            log_event("api", "Caller left.", request=generation.request.id)
-        response = sink.response or web.Response()
-        return response
+            log_event("api", "Caller left.", request=work.generation.request.id)
+        finally:
+            if copy is not None:
+                self._copy_sender.close(copy)
+        return sink.response or web.Response()
 
-    async def _answer_whole(
-        self,
-        request: web.Request,
-        generation: Generation,
-        shape: Shape,
-        held_by: str,
-    ) -> web.Response:
+    async def _answer_whole(self, request: web.Request, work: "_Work") -> web.Response:
         sink = WholeSink(request=request)
-        await self._dispatcher.run(generation, sink, held_by=held_by)
+        await self._dispatch(work, sink)
         return web.Response(
-            body=shape.whole_answer(generation, "".join(sink.texts)),
+            body=work.shape.whole_answer(work.generation, "".join(sink.texts)),
             content_type=JSON_TYPE,
-            headers={GENERATION_HEADER: generation.request.id},
+            headers={GENERATION_HEADER: work.generation.request.id},
         )
 
+    async def _dispatch(self, work: "_Work", sink: Sink) -> None:
+        point = work.point
+        if point is None:
+            await self._dispatcher.run(work.generation, sink)
+            return
+
+        async def recover() -> Sequence[int] | None:
+            stream = point.stream
+            if not stream.copy_host:
+                return None
+            return await self._copies.recover(
+                stream.copy_host, stream.copy_id, point.tail_start, point.tail
+            )
+
+        await self._dispatcher.run(
+            work.generation, sink, held_by=point.stream.endpoint_id, recover=recover
+        )
+
+
+@attrs.frozen(kw_only=True)
+class _Work:
+    """One request that was read and admitted."""
+
+    generation: Generation
+    shape: Shape
+    service: Service
+    binding: bytes
+    point: ResumePoint | None
+
 
 class EventSink:
     """Sends an answer as server-sent events.
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -18,6 +18,7 @@
 from passtally.catalog import Catalog, CatalogKeeper
 from passtally.clock import Clock, SystemClock
 from passtally.completion_handler import CompletionHandler
+from passtally.copies import CopySender, CopyService, CopyShelf
 from passtally.decision import log_event
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
@@ -25,6 +26,7 @@
 from passtally.fleet import Fleet
 from passtally.handle import HandleSigner
 from passtally.objects import Endpoint
+from passtally.peers import Peers
 from passtally.plain import PlainCaller, PlainHandler, open_session
 from passtally.platform import HttpPlatform
 from passtally.retry import RetryLimits
@@ -51,8 +53,11 @@
         """Open the sessions, the tasks and the listening socket."""
         self._open_clients()
         self._build()
+        self._build_peers()
         self._spawn(self.keeper.run())
         self._spawn(self.fleet.watch_silence())
+        self.peers.start()
+        self._spawn(self.copy_sender.run())
         await self._listen()
         log_event("daemon", "Started.", listen=self.settings.listen)
 
@@ -62,6 +67,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.stop()
         await self._engine_session.close()
         await self._plain_session.close()
         log_event("daemon", "Stopped.")
@@ -101,6 +107,22 @@
             session=self._plain_session,
         )
 
+    def _build_peers(self) -> None:
+        settings = self.settings
+        self.peers = Peers(
+            host_id=settings.host_id,
+            listen=settings.peer_listen,
+            peers_by_id=settings.peers,
+            keys=list(settings.resume_keys.values()),
+        )
+        self.copy_sender = CopySender(
+            peers=self.peers,
+            clock=self.clock,
+            failure_domain=settings.failure_domain,
+            domains_by_host=self.peers.domains_by_id,
+        )
+        self.copies = CopyService(shelf=CopyShelf(clock=self.clock), peers=self.peers)
+
     def _connect_engine(self, endpoint: Endpoint) -> HttpEngine:
         return HttpEngine(
             session=self._engine_session, endpoint_id=endpoint.id, url=endpoint.url
@@ -123,6 +145,8 @@
             dispatcher=self.dispatcher,
             signer=self.signer,
             drain=self.drain,
+            copy_sender=self.copy_sender,
+            copies=self.copies,
         )
         plain = PlainHandler(catalog=self.catalog, caller=self.caller, drain=self.drain)
         app.router.add_post("/v1/chat/completions", completions.chat)
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -1,7 +1,7 @@
 """Carries one generation from endpoint to endpoint until its answer is whole."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from datetime import timedelta
 from typing import Protocol
 
@@ -39,6 +39,9 @@
 PREFIX_CHARACTERS = 256
 
 
+Recovery = Callable[[], Awaitable[Sequence[int] | None]]
+
+
 class Sink(Protocol):
     """Where an answer goes."""
 
@@ -92,7 +95,12 @@
         self._background: set[asyncio.Task[None]] = set()
 
     async def run(
-        self, generation: Generation, sink: Sink, *, held_by: str = ""
+        self,
+        generation: Generation,
+        sink: Sink,
+        *,
+        held_by: str = "",
+        recover: Recovery | None = None,
     ) -> None:
         """Run a generation to its end.
 
@@ -100,6 +108,8 @@
             generation: What to run.
             sink: Where its output goes.
             held_by: The endpoint that may still hold its stream, if any.
+            recover: Fetches the tokens that its caller already has, for an answer
+                taken up here whose engine turns out to be gone too.
 
         Raises:
             RefusedError: It could not be run, or not to its end.
@@ -111,6 +121,7 @@
         self._refuse_quarantined(generation)
         while True:
             if step is NextStep.RESUME:
+                await _recover_tokens(generation, recover)
                 endpoint_id = await self._place(generation, progress)
             live = self._fleet.find(endpoint_id)
             if live is None:
@@ -341,6 +352,14 @@
     return engine.generate(generation.request, attempt, generation.token_ids)
 
 
+async def _recover_tokens(generation: Generation, recover: Recovery | None) -> None:
+    if recover is None or generation.position >= generation.delivered:
+        return
+    token_ids = await recover()
+    if token_ids is not None:
+        generation.restore(token_ids)
+
+
 async def _deliver(
     generation: Generation, attempt: Attempt, events: list[TokenEvent], sink: Sink
 ) -> None:
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Sequence
 from datetime import timedelta
+from http import HTTPStatus
 from typing import Protocol
 
 import aiohttp
@@ -214,8 +215,9 @@
                 **kwargs,
             ) as response:
                 if response.status != 200:
-                    detail = f"status {response.status}"
-                    raise self._lost(LossKind.REFUSED, step, detail)
+                    superseded = response.status == HTTPStatus.CONFLICT
+                    kind = LossKind.SUPERSEDED if superseded else LossKind.REFUSED
+                    raise self._lost(kind, step, f"status {response.status}")
                 async for events in _read_events(response.content):
                     yield events
                     if events[-1].finish_reason is not None:
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -212,6 +212,19 @@
             finish_reason=event.finish_reason,
         )
 
+    def restore(self, token_ids: Sequence[int]) -> None:
+        """Take in the tokens that the caller has, from a copy.
+
+        Raises:
+            SeamError: They are too few, or contradict tokens that are held.
+        """
+        held = self.position
+        if len(token_ids) < self.delivered or held > len(token_ids):
+            raise SeamError(f"the copy ends at {len(token_ids)}")
+        if self.token_ids != array("I", token_ids[:held]):
+            raise SeamError("the copy has other tokens")
+        self.token_ids = array("I", token_ids)
+
     def refuse(self) -> None:
         """End with an honest refusal."""
         self._current = None
--- a/passtally/handle.py
+++ b/passtally/handle.py
@@ -33,6 +33,7 @@
         version: The model's version.
         seed: The sampling seed.
         copy_host: The peer that holds the copy, or empty.
+        copy_id: The copy's id there.
     """
 
     generation_id: str
@@ -41,6 +42,7 @@
     version: str
     seed: int
     copy_host: str = ""
+    copy_id: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -78,7 +80,7 @@
         if active_key not in keys_by_id:
             raise ValueError(f"no key {active_key!r} among the resume keys")
         self._keys_by_id = dict(keys_by_id)
-        self._active_key = active_key
+        self.active_key = active_key
 
     def writer(self, stream: StreamRef, *, binding: bytes) -> "HandleWriter":
         """Return what writes the handles of one attempt.
@@ -88,9 +90,9 @@
             binding: What the handles are bound to; see :func:`bind`.
         """
         body = base64.urlsafe_b64encode(msgspec.msgpack.encode(_as_row(stream)))
-        prefix = f"{self._active_key}.{body.decode().rstrip('=')}."
+        prefix = f"{self.active_key}.{body.decode().rstrip('=')}."
         return HandleWriter(
-            prefix=prefix, key=self._keys_by_id[self._active_key], binding=binding
+            prefix=prefix, key=self._keys_by_id[self.active_key], binding=binding
         )
 
     def open(self, handle: str, *, binding: bytes) -> ResumePoint:
@@ -142,7 +144,7 @@
     return workspace.encode() + b"\0" + digest.digest()
 
 
-def _as_row(stream: StreamRef) -> tuple[str, str, int, str, int, str]:
+def _as_row(stream: StreamRef) -> tuple[str, str, int, str, int, str, str]:
     return attrs.astuple(stream)
 
 
--- /dev/null
+++ b/passtally/peers.py
@@ -0,0 +1,275 @@
+"""Messages between entry hosts, over ZeroMQ.
+
+Every message is signed with a resume key, so that only hosts of this system
+are heard. Messages may be lost; whoever asks sets a time limit.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import itertools
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from passtally.decision import log_event
+from passtally.settings import Address, PeerAddress
+
+ASK_TIMEOUT = timedelta(milliseconds=500)
+HIGH_WATER_MARK = 1000
+MAC_BYTES = 12
+
+_ASK = b"?"
+_REPLY = b"!"
+
+
+class PeerError(Exception):
+    """A peer did not answer.
+
+    Args:
+        message: What happened.
+        step: What was asked.
+        peer: The peer's name.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str) -> None:
+        self.step = step
+        self.peer = peer
+        super().__init__(f"{step} with {peer}: {message}")
+
+
+class CopiedRun(msgspec.Struct, array_like=True):
+    """Token ids of one copy, from a position on.
+
+    Attributes:
+        copy_id: The copy; a generation has a new one on each entry host.
+        start: The position of the first one.
+        token_ids: The ids, four bytes each, little-endian.
+    """
+
+    copy_id: str
+    start: int
+    token_ids: bytes
+
+
+class StoreCopies(msgspec.Struct, tag="store_copies", array_like=True):
+    """Keep these runs; answered by :class:`CopiesHeld`."""
+
+    runs: list[CopiedRun]
+
+
+class CopiesHeld(msgspec.Struct, tag="copies_held", array_like=True):
+    """How many tokens of each copy are held."""
+
+    counts_by_id: dict[str, int]
+
+
+class FetchCopy(msgspec.Struct, tag="fetch_copy", array_like=True):
+    """Send a copy; answered by :class:`CopyFound`."""
+
+    copy_id: str
+
+
+class CopyFound(msgspec.Struct, tag="copy_found", array_like=True):
+    """A copy's token ids, four bytes each; empty where none is held."""
+
+    token_ids: bytes
+
+
+class AskClaim(msgspec.Struct, tag="ask_claim", array_like=True):
+    """Claim a key in its log; answered by :class:`ClaimAnswer`."""
+
+    shard: int
+    digest: bytes
+    body_digest: bytes
+    nonce: bytes
+    holder: str
+
+
+class ClaimAnswer(msgspec.Struct, tag="claim_answer", array_like=True):
+    """How a claim ended.
+
+    Attributes:
+        verdict: A :class:`passtally.claims.ClaimVerdict`.
+        holder: The host that holds the claim.
+    """
+
+    verdict: str
+    holder: str
+
+
+Message = StoreCopies | CopiesHeld | FetchCopy | CopyFound | AskClaim | ClaimAnswer
+Answerer = Callable[[Any], Awaitable[Message]]
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Message).decode
+
+
+class Peers:
+    """The links to the other entry hosts.
+
+    Args:
+        host_id: This host's name.
+        listen: Where it is reached.
+        peers_by_id: Where its peers are reached.
+        keys: The keys that messages may be signed with; the first one signs.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        listen: Address,
+        peers_by_id: Mapping[str, PeerAddress],
+        keys: Sequence[bytes],
+    ) -> None:
+        self.host_id = host_id
+        self.bytes_sent = 0
+        self._listen = listen
+        self._peers_by_id = dict(peers_by_id)
+        self._keys = [key[:64] for key in keys]
+        self._context = zmq.asyncio.Context()
+        self._sockets_by_id: dict[str, zmq.asyncio.Socket] = {}
+        self._answerers_by_type: dict[type, Answerer] = {}
+        self._waiting_by_number: dict[int, asyncio.Future[Message]] = {}
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def ids(self) -> list[str]:
+        """The names of the peers."""
+        return list(self._peers_by_id)
+
+    @property
+    def domains_by_id(self) -> dict[str, str]:
+        """The failure domain of each peer."""
+        return {
+            peer.host_id: peer.failure_domain for peer in self._peers_by_id.values()
+        }
+
+    def on(self, kind: type, answerer: Answerer) -> None:
+        """Answer messages of one type."""
+        self._answerers_by_type[kind] = answerer
+
+    def start(self) -> None:
+        """Listen, and open a link to each peer."""
+        router = self._open(zmq.ROUTER)
+        router.bind(f"tcp://{self._listen}")
+        self._spawn(self._serve(router))
+        for host_id, peer in self._peers_by_id.items():
+            dealer = self._open(zmq.DEALER)
+            dealer.connect(f"tcp://{peer.address}")
+            self._sockets_by_id[host_id] = dealer
+            self._spawn(self._receive_replies(dealer))
+
+    async def stop(self) -> None:
+        """Close all links at once; what was not sent is dropped."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._context.destroy(linger=0)
+
+    async def ask(
+        self, host_id: str, message: Message, *, timeout: timedelta = ASK_TIMEOUT
+    ) -> Message:
+        """Send a message and wait for its answer.
+
+        Raises:
+            PeerError: There is no such peer, or none answered in time.
+        """
+        step = type(message).__name__
+        socket = self._sockets_by_id.get(host_id)
+        if socket is None:
+            raise PeerError("there is no such peer", step=step, peer=host_id)
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting_by_number[number] = future
+        try:
+            await self._send(socket, [_ASK, _pack_number(number)], message)
+            return await asyncio.wait_for(future, timeout.total_seconds())
+        except (TimeoutError, zmq.Again) as error:
+            raise PeerError("no answer in time", step=step, peer=host_id) from error
+        finally:
+            del self._waiting_by_number[number]
+
+    def _open(self, kind: int) -> zmq.asyncio.Socket:
+        socket = self._context.socket(kind)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
+        socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+        return socket
+
+    async def _serve(self, router: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await router.recv_multipart()
+            if len(frames) != 5 or frames[1] != _ASK:
+                continue
+            message = self._read(frames[1:])
+            answerer = self._answerers_by_type.get(type(message))
+            if answerer is not None:
+                self._spawn(self._answer(router, frames, answerer, message))
+
+    async def _answer(
+        self,
+        router: zmq.asyncio.Socket,
+        frames: list[bytes],
+        answerer: Answerer,
+        message: Message,
+    ) -> None:
+        try:
+            reply = await answerer(message)
+        except Exception as error:
+            log_event("peers", "Could not answer.", kind=type(message), why=repr(error))
+            return
+        await self._send(router, [frames[0], _REPLY, frames[2]], reply)
+
+    async def _receive_replies(self, dealer: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await dealer.recv_multipart()
+            if len(frames) != 4 or frames[0] != _REPLY:
+                continue
+            message = self._read(frames)
+            number = int.from_bytes(frames[1])
+            future = self._waiting_by_number.get(number)
+            if message is not None and future is not None and not future.done():
+                future.set_result(message)
+
+    async def _send(
+        self, socket: zmq.asyncio.Socket, head: list[bytes], message: Message
+    ) -> None:
+        payload = _encode(message)
+        mac = _sign(self._keys[0], head[-2:], payload)
+        self.bytes_sent += len(payload) + len(mac) + sum(map(len, head))
+        await socket.send_multipart([*head, payload, mac], flags=zmq.NOBLOCK)
+
+    def _read(self, frames: list[bytes]) -> Message | None:
+        kind, number, payload, mac = frames
+        macs = (_sign(key, [kind, number], payload) for key in self._keys)
+        if not any(hmac.compare_digest(expected, mac) for expected in macs):
+            log_event("peers", "Dropped a message with a wrong signature.")
+            return None
+        try:
+            return _decode(payload)
+        except msgspec.MsgspecError as error:
+            log_event("peers", "Dropped a message of another version.", why=error)
+            return None
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _pack_number(number: int) -> bytes:
+    return number.to_bytes(8)
+
+
+def _sign(key: bytes, head: list[bytes], payload: bytes) -> bytes:
+    mac = hashlib.blake2b(b"".join(head), key=key, digest_size=MAC_BYTES)
+    mac.update(payload)
+    return mac.digest()
--- a/passtally/retry.py
+++ b/passtally/retry.py
@@ -19,6 +19,8 @@
     SEAM = "seam"
     #: It refused the request before running it.
     REFUSED = "refused"
+    #: A newer attempt, from another entry host, has taken the stream up.
+    SUPERSEDED = "superseded"
     #: No connection to it could be made.
     UNREACHABLE = "unreachable"
 
@@ -75,6 +77,8 @@
         was_attached: Whether this attempt had itself taken up a held stream.
         limits: Where resuming ends.
     """
+    if kind is LossKind.SUPERSEDED:
+        return RetryDecision(step=NextStep.GIVE_UP, reason="taken up by another host")
     if deaths >= limits.max_deaths:
         return RetryDecision(
             step=NextStep.GIVE_UP, reason="took down too many endpoints"
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -38,6 +38,15 @@
         return f"{self.host}:{self.port}"
 
 
+@attrs.frozen(kw_only=True)
+class PeerAddress:
+    """Where one peer stands and listens."""
+
+    host_id: str
+    failure_domain: str
+    address: Address
+
+
 def parse_address(text: str) -> Address:
     """Read ``IP:PORT``; a name instead of a number is refused."""
     host, _, port = text.rpartition(":")
@@ -92,12 +101,22 @@
     return keys_by_id
 
 
-def parse_peers(text: str) -> dict[str, Address]:
-    """Read ``HOST=IP:PORT,HOST=IP:PORT``; empty for none."""
+def parse_peers(text: str) -> dict[str, "PeerAddress"]:
+    """Read ``HOST@FAILURE-DOMAIN=IP:PORT,...``; empty for none."""
     if not text:
         return {}
-    pairs = (item.partition("=") for item in text.split(","))
-    return {parse_name(name): parse_address(address) for name, _, address in pairs}
+    peers = [_parse_peer(item) for item in text.split(",")]
+    return {peer.host_id: peer for peer in peers}
+
+
+def _parse_peer(item: str) -> "PeerAddress":
+    place, _, address = item.partition("=")
+    host_id, _, failure_domain = place.partition("@")
+    return PeerAddress(
+        host_id=parse_name(host_id),
+        failure_domain=parse_name(failure_domain),
+        address=parse_address(address),
+    )
 
 
 def parse_count(text: str) -> int:
@@ -133,8 +152,8 @@
     peer_listen: Address = _setting(
         parse_address, "Where its peers reach it.", "127.0.0.1:8081"
     )
-    peers: dict[str, Address] = _setting(
-        parse_peers, "Its peers, as HOST=IP:PORT,HOST=IP:PORT.", ""
+    peers: dict[str, PeerAddress] = _setting(
+        parse_peers, "Its peers, as HOST@FAILURE-DOMAIN=IP:PORT,...", ""
     )
     platform: str = _setting(parse_url, "The platform's object API.")
     resume_keys: dict[str, bytes] = _setting(
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -71,10 +71,9 @@
     processes.add_model("drafting", list(zip(engines, ("pilar", "tigre"), strict=True)))
     processes.add_plain("booking", [(booking, "pilar")], repeatable=False)
     token = processes.add_workspace("couriers")
-    hosts = [
-        processes.start_host(f"entry-{domain}", failure_domain=domain)
-        for domain in ("pilar", "tigre")
-    ]
+    processes.start_hosts({"entry-pilar": "pilar", "entry-tigre": "tigre"})
+    processes.wait_ready()
+    hosts = [processes.by_name["entry-pilar"], processes.by_name["entry-tigre"]]
     print(
         f"{len(processes.by_name)} processes up in {time.monotonic() - started:.1f} s"
     )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -159,6 +159,11 @@
         body = msgspec.json.decode(await request.read(), type=Body)
         if self.control.refuse or body.version not in self._loaded | {""}:
             raise web.HTTPServiceUnavailable
+        known = self._streams_by_id.get(body.request_id)
+        if known is not None and known.attempt >= body.attempt:
+            raise web.HTTPConflict
+        if known is not None:
+            self._drop(known)
         self.stats["requests"] += 1
         stream = self._start(body)
         return await self._send(request, stream, stream.first_position)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,6 +1,5 @@
 """Starts the system and its stand-ins as separate processes, for demo and tests."""
 
-import os
 import signal
 import socket
 import subprocess
@@ -37,6 +36,7 @@
     name: str
     url: str
     popen: subprocess.Popen
+    ready_path: str
 
     def signal(self, number: int) -> None:
         """Send it a signal."""
@@ -67,6 +67,8 @@
         self.folder = folder
         self.by_name: dict[str, Process] = {}
         self.platform: Process | None = None
+        self.config_version = 0
+        self._peer_ports: dict[str, int] = {}
 
     def __enter__(self) -> "Processes":
         return self
@@ -96,15 +98,29 @@
         """Start a booking service's stand-in."""
         return self._start_standin(name, "booking")
 
-    def start_host(
-        self, name: str, *, failure_domain: str, wait: bool = True, **settings: Any
-    ) -> Process:
-        """Start an entry host.
+    def start_hosts(self, domains_by_host: dict[str, str], **settings: Any) -> None:
+        """Start entry hosts that know each other.
+
+        Args:
+            domains_by_host: Their names and failure domains.
+            settings: More settings, by name.
+        """
+        for name in domains_by_host:
+            self._peer_ports.setdefault(name, free_port())
+        for name, domain in domains_by_host.items():
+            peers = ",".join(
+                f"{peer}@{domains_by_host[peer]}=127.0.0.1:{self._peer_ports[peer]}"
+                for peer in domains_by_host
+                if peer != name
+            )
+            self.start_host(name, failure_domain=domain, peers=peers, **settings)
+
+    def start_host(self, name: str, *, failure_domain: str, **settings: Any) -> Process:
+        """Start one entry host.
 
         Args:
             name: Its name.
             failure_domain: Where it stands.
-            wait: Whether to wait until it is ready.
             settings: More settings, by name.
         """
         port = free_port()
@@ -112,7 +128,7 @@
             "host_id": name,
             "failure_domain": failure_domain,
             "listen": f"127.0.0.1:{port}",
-            "peer_listen": f"127.0.0.1:{free_port()}",
+            "peer_listen": f"127.0.0.1:{self._peer_ports.get(name) or free_port()}",
             "platform": self.platform.url,
             "resume_keys": RESUME_KEYS,
             "operator_token": OPERATOR_TOKEN,
@@ -121,15 +137,34 @@
         } | settings
         flags = [f"--{key.replace('_', '-')}={value}" for key, value in texts.items()]
         command = [sys.executable, "-m", "passtally", "serve", *flags]
-        process = self._start(name, command, port)
-        if wait:
-            wait_for(process, "/readyz")
-        return process
+        return self._start(name, command, port, "/readyz")
+
+    def wait_ready(self) -> None:
+        """Wait until all processes answer and all hosts have the newest config."""
+        for process in self.by_name.values():
+            if process.popen.poll() is None:
+                self._wait_for(process)
 
     def put_config(self, kind: str, object_id: str, value: object) -> None:
         """Write one configuration object to the platform."""
+        self._wait_for(self.platform)
         url = f"{self.platform.url}/v1/objects/config/{kind}/{object_id}"
-        call_json("PUT", url, value)
+        self.config_version = call_json("PUT", url, value)["version"]
+
+    def _wait_for(self, process: Process) -> None:
+        wanted = self.config_version if process.ready_path == "/readyz" else 0
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            if process.popen.poll() is not None:
+                raise RuntimeError(f"{process.name} ended: {process.popen.returncode}")
+            try:
+                state = call_json("GET", process.url + process.ready_path)
+            except (urllib.error.URLError, OSError):
+                state = None
+            if state is not None and state.get("config_version", 0) >= wanted:
+                return
+            time.sleep(POLL_SECONDS)
+        raise RuntimeError(f"{process.name} is not ready")
 
     def add_workspace(self, name: str, **options: Any) -> str:
         """Create a workspace; return its callers' token."""
@@ -180,14 +215,15 @@
     def _start_standin(self, name: str, kind: str, *flags: str) -> Process:
         port = free_port()
         command = [sys.executable, "-m", f"standins.{kind}", f"--port={port}", *flags]
-        process = self._start(name, command, port)
-        wait_for(process, "/control")
-        return process
+        return self._start(name, command, port, "/control")
 
-    def _start(self, name: str, command: list[str], port: int) -> Process:
+    def _start(
+        self, name: str, command: list[str], port: int, ready_path: str
+    ) -> Process:
         with open(self.folder / f"{name}.err", "ab") as errors:
             popen = subprocess.Popen(command, stdout=errors, stderr=errors)
-        process = Process(name, f"http://127.0.0.1:{port}", popen)
+        url = f"http://127.0.0.1:{port}"
+        process = Process(name, url, popen, ready_path)
         self.by_name[name] = process
         return process
 
@@ -209,30 +245,3 @@
     )
     with urllib.request.urlopen(request, timeout=START_SECONDS) as response:
         return msgspec.json.decode(response.read())
-
-
-def wait_for(process: Process, path: str) -> None:
-    """Wait until a process answers 200 on a path.
-
-    Raises:
-        RuntimeError: It ended, or took too long.
-    """
-    deadline = time.monotonic() + START_SECONDS
-    while time.monotonic() < deadline:
-        if process.popen.poll() is not None:
-            raise RuntimeError(f"{process.name} ended with {process.popen.returncode}")
-        try:
-            urllib.request.urlopen(process.url + path, timeout=1).read()
-            return
-        except (urllib.error.URLError, OSError):
-            time.sleep(POLL_SECONDS)
-    raise RuntimeError(f"{process.name} did not answer on {path}")
-
-
-def is_running(pid: int) -> bool:
-    """Return whether a process exists and is not a zombie."""
-    try:
-        state = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
-    except OSError:
-        return False
-    return state != "Z" and os.path.exists(f"/proc/{pid}")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -18,8 +18,10 @@
 
 class TestCheckSettings:
     def test_good_ones_are_typed(self):
-        settings = check_settings(GOOD | {"peers": "b=127.0.0.1:9", "linger": "250ms"})
-        assert settings.peers["b"].port == 9
+        settings = check_settings(
+            GOOD | {"peers": "b@tigre=127.0.0.1:9", "linger": "250ms"}
+        )
+        assert settings.peers["b"].address.port == 9
         assert settings.linger == timedelta(milliseconds=250)
 
     @pytest.mark.parametrize(
@@ -40,7 +42,7 @@
             check_settings(GOOD | {name: text})
 
     def test_a_missing_one_names_its_flag_and_variable(self):
-        with pytest.raises(SettingsError, match="--platform.*PASSTALLY_PLATFORM"):
+        with pytest.raises(SettingsError, match=r"--platform.*PASSTALLY_PLATFORM"):
             check_settings({**GOOD, "platform": None})
 
 
