Run calls that may not be repeated at most once

Cause: a retry that reached another host ran a booking again, and the HTTP client repeated GET, PUT and DELETE by itself on a broken connection (test_the_library_as_it_comes_would_repeat counts two hits).

Weighed: one claim object a request (2,700 writes/s at the target, over the platform's rate); leases on key ranges (a lapsed lease and a paused holder can both send); a log for each shard whose next number is created conditionally, with many claims in one segment and one host in front of each shard as a hint. Taken: the log. Writes are bounded by shards x 20/s whatever the number of hosts. Expiry by how long a host has known a segment, never by a wall clock.

--- a/passtally/clock.py
+++ b/passtally/clock.py
@@ -1,5 +1,6 @@
 """The clock that every decision is handed."""
 
+import asyncio
 import time
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
@@ -14,6 +15,9 @@
     def monotonic(self) -> timedelta:
         """Return the time since an arbitrary start. It never goes back."""
 
+    async def sleep(self, duration: timedelta) -> None:
+        """Return once a duration has passed."""
+
 
 class SystemClock:
     """The machine's own clock.
@@ -30,6 +34,10 @@
         """Return the time since boot, suspension included."""
         return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
+    async def sleep(self, duration: timedelta) -> None:
+        """Return once a duration has passed."""
+        await asyncio.sleep(duration.total_seconds())
+
 
 class ManualClock:
     """A clock that moves only when told to, for tests and benchmarks.
@@ -50,6 +58,11 @@
         """Return the time since this clock was made."""
         return self._monotonic
 
+    async def sleep(self, duration: timedelta) -> None:
+        """Move forward by the duration, and let other tasks run."""
+        self.advance(duration)
+        await asyncio.sleep(0)
+
     def advance(self, by: timedelta) -> None:
         """Move both readings forward.
 
--- a/passtally/copies.py
+++ b/passtally/copies.py
@@ -188,7 +188,7 @@
     async def run(self) -> None:
         """Send what is new, a few times a second, for ever."""
         while True:
-            await asyncio.sleep(FLUSH_INTERVAL.total_seconds())
+            await self._clock.sleep(FLUSH_INTERVAL)
             await self.flush()
 
     async def flush(self) -> None:
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -16,6 +16,7 @@
 
 from passtally.api import answer_failures
 from passtally.catalog import Catalog, CatalogKeeper
+from passtally.claims import Claims
 from passtally.clock import Clock, SystemClock
 from passtally.completion_handler import CompletionHandler
 from passtally.copies import CopySender, CopyService, CopyShelf
@@ -26,6 +27,7 @@
 from passtally.fleet import Fleet
 from passtally.handle import HandleSigner
 from passtally.objects import Endpoint
+from passtally.once import OnceCaller
 from passtally.peers import Peers
 from passtally.plain import PlainCaller, PlainHandler, open_session
 from passtally.platform import HttpPlatform
@@ -54,10 +56,12 @@
         self._open_clients()
         self._build()
         self._build_peers()
+        self._build_claims()
         self._spawn(self.keeper.run())
         self._spawn(self.fleet.watch_silence())
         self.peers.start()
         self._spawn(self.copy_sender.run())
+        self._spawn(self.claims.run())
         await self._listen()
         log_event("daemon", "Started.", listen=self.settings.listen)
 
@@ -123,6 +127,22 @@
         )
         self.copies = CopyService(shelf=CopyShelf(clock=self.clock), peers=self.peers)
 
+    def _build_claims(self) -> None:
+        settings = self.settings
+        self.claims = Claims(
+            platform=self.platform,
+            peers=self.peers,
+            clock=self.clock,
+            shards=settings.claim_shards,
+            retention=settings.claim_retention,
+        )
+        self.once = OnceCaller(
+            caller=self.caller,
+            claims=self.claims,
+            clock=self.clock,
+            host_id=settings.host_id,
+        )
+
     def _connect_engine(self, endpoint: Endpoint) -> HttpEngine:
         return HttpEngine(
             session=self._engine_session, endpoint_id=endpoint.id, url=endpoint.url
@@ -148,7 +168,7 @@
             copy_sender=self.copy_sender,
             copies=self.copies,
         )
-        plain = PlainHandler(catalog=self.catalog, caller=self.caller, drain=self.drain)
+        plain = PlainHandler(catalog=self.catalog, caller=self.once, drain=self.drain)
         app.router.add_post("/v1/chat/completions", completions.chat)
         app.router.add_post("/v1/completions", completions.text)
         app.router.add_route("*", "/services/{service}/{path:.*}", plain.serve)
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -236,7 +236,7 @@
                 self._log_route(generation, None, decision)
                 raise self._give_up(generation, progress, decision.reason)
             progress.excluded.clear()
-            await asyncio.sleep(RESUME_POLL.total_seconds())
+            await self._clock.sleep(RESUME_POLL)
 
     def _log_route(self, generation, choice, decision) -> None:
         log_decision(
@@ -336,7 +336,7 @@
         """Cancel an attempt in the background. A newer attempt is not touched."""
 
         async def cancel() -> None:
-            await asyncio.sleep(after.total_seconds())
+            await self._clock.sleep(after)
             await live.engine.cancel(generation.request.id, attempt.number)
 
         task = asyncio.create_task(cancel())
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -157,7 +157,7 @@
             if history.last_step is not None and history.stalled_probes == 0:
                 self._spare(still)
                 return
-            await asyncio.sleep(WATCH_INTERVAL.total_seconds() * 2)
+            await self._clock.sleep(WATCH_INTERVAL * 2)
 
     def _spare(self, guards: list[StreamGuard]) -> None:
         """Let streams wait on, unless one alone has been silent for too long."""
@@ -221,4 +221,4 @@
             now = self._clock.monotonic()
             for live in list(self._live_by_id.values()):
                 live.check_silence(now)
-            await asyncio.sleep(WATCH_INTERVAL.total_seconds())
+            await self._clock.sleep(WATCH_INTERVAL)
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -1,7 +1,8 @@
 """Serves plain services: calls that are passed on, some of them only once."""
 
-import asyncio
+from collections.abc import Callable
 from datetime import timedelta
+from typing import Protocol
 
 import aiohttp
 import attrs
@@ -105,9 +106,16 @@
         self._failure_domain = failure_domain
         self._session = session
 
-    async def call(self, call: PlainCall) -> PlainAnswer:
+    async def call(
+        self, call: PlainCall, *, before_send: Callable[[], None] | None = None
+    ) -> PlainAnswer:
         """Pass one call on, more than once only where that is allowed.
 
+        Args:
+            call: What to pass on.
+            before_send: Called once the connection stands, before the first byte;
+                it raises RefusedError to hold the call back.
+
         Raises:
             RefusedError: No endpoint answered; its outcome tells whether one
                 may have run it.
@@ -119,7 +127,7 @@
             if endpoint_id is None:
                 break
             try:
-                return await self._send(call, endpoint_id)
+                return await self._send(call, endpoint_id, before_send)
             except RefusedError as error:
                 excluded.add(endpoint_id)
                 failure = _worse(failure, error)
@@ -154,7 +162,12 @@
         )
         return decision.endpoint_id
 
-    async def _send(self, call: PlainCall, endpoint_id: str) -> PlainAnswer:
+    async def _send(
+        self,
+        call: PlainCall,
+        endpoint_id: str,
+        before_send: Callable[[], None] | None,
+    ) -> PlainAnswer:
         live = self._fleet.find(endpoint_id)
         live.own_streams += 1
         timeout = aiohttp.ClientTimeout(
@@ -169,6 +182,7 @@
                 data=call.body,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=before_send,
             ) as response:
                 body = await response.read()
                 live.readmit()
@@ -183,6 +197,13 @@
             live.own_streams -= 1
 
 
+class Caller(Protocol):
+    """What passes calls on."""
+
+    async def call(self, call: PlainCall) -> PlainAnswer:
+        """Pass one call on; raises RefusedError where it was not answered."""
+
+
 class PlainHandler:
     """Handles ``/services/{service}/...``.
 
@@ -192,7 +213,7 @@
         drain: Counts the requests that are open.
     """
 
-    def __init__(self, *, catalog: Catalog, caller: PlainCaller, drain: Drain) -> None:
+    def __init__(self, *, catalog: Catalog, caller: Caller, drain: Drain) -> None:
         self._catalog = catalog
         self._caller = caller
         self._drain = drain
@@ -215,21 +236,20 @@
             )
         call = await _read_call(request, workspace.id, service)
         with self._drain.track():
-            answer = await self._run(call)
+            answer = await self._caller.call(call)
         return web.Response(
             status=answer.status, headers=answer.headers, body=answer.body
         )
 
-    async def _run(self, call: PlainCall) -> PlainAnswer:
-        # A caller that leaves must not cut short a call that is already under way.
-        return await asyncio.shield(asyncio.ensure_future(self._caller.call(call)))
-
 
 def open_session() -> aiohttp.ClientSession:
     """Return a client session that never repeats a call by itself."""
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
     session = aiohttp.ClientSession(
-        connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        trace_configs=[_trace_connections()],
     )
     # The library repeats GET, PUT and DELETE on a broken connection and has no
     # public switch for it; tests/test_plain.py proves that this one works.
@@ -237,6 +257,18 @@
     return session
 
 
+def _trace_connections() -> aiohttp.TraceConfig:
+    """Return hooks that call ``before_send`` between connection and first byte."""
+
+    async def check(session: object, context: object, params: object) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(check)
+    return trace
+
+
 async def _read_call(
     request: web.Request, workspace: str, service: Service
 ) -> PlainCall:
--- /dev/null
+++ b/tests/test_plain.py
@@ -0,0 +1,234 @@
+"""Plain services: at most once, honest outcomes, nothing repeated by a library."""
+
+import asyncio
+import signal
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+
+from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.plain import open_session
+from standins.processes import Process, Processes
+from tests.conftest import HOSTS, System
+
+
+class Reply:
+    """One HTTP answer."""
+
+    def __init__(self, status: int, headers, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = msgspec.json.decode(body) if body else None
+
+    @property
+    def error(self) -> dict:
+        return self.body["error"]
+
+
+def book(
+    system: System, host: str, slot: str, *, key: str = "", timeout=20, **headers
+) -> Reply:
+    names = {"Authorization": f"Bearer {system.token}"}
+    if key:
+        names["Idempotency-Key"] = key
+    names |= {name.replace("_", "-"): value for name, value in headers.items()}
+    request = urllib.request.Request(
+        f"{system.url(host)}/services/booking/slots/{slot}",
+        data=b"{}",
+        method="POST",
+        headers=names,
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return Reply(response.status, response.headers, response.read())
+    except urllib.error.HTTPError as error:
+        return Reply(error.code, error.headers, error.read())
+
+
+@pytest.fixture
+def booking(tmp_path) -> Iterator[System]:
+    """Three hosts, one booking service that may not be repeated, the platform."""
+    with Processes(tmp_path) as processes:
+        processes.start_platform()
+        endpoints = [(processes.start_booking(f"booking-{n}"), "pilar") for n in "12"]
+        processes.add_plain("booking", endpoints, repeatable=False)
+        processes.add_plain("safe", endpoints, repeatable=True)
+        processes.add_plain("self", endpoints, repeatable=False, deduplicates=True)
+        for process, domain in endpoints:
+            processes.put_config(
+                "endpoints", process.name, _endpoint(process, domain, "booking")
+            )
+        token = processes.add_workspace("couriers")
+        processes.start_hosts(HOSTS)
+        processes.wait_ready()
+        yield System(processes, token)
+
+
+def _endpoint(process: Process, domain: str, service: str) -> dict:
+    return {
+        "id": process.name,
+        "service": service,
+        "url": process.url,
+        "failure_domain": domain,
+    }
+
+
+def runs(system: System, slot: str) -> int:
+    names = ("booking-1", "booking-2")
+    running = [system[name] for name in names if system[name].popen.poll() is None]
+    return sum(process.counts().get(slot, 0) for process in running)
+
+
+class TestAtMostOnce:
+    def test_a_retry_at_any_host_does_not_run_again(self, booking: System):
+        first = book(booking, "entry-a", "s1", key="k1")
+        assert first.status == 200
+        replay = book(booking, "entry-a", "s1", key="k1")
+        assert (replay.status, replay.body) == (200, first.body)
+        assert replay.headers["Idempotency-Replayed"] == "true"
+        elsewhere = book(booking, "entry-b", "s1", key="k1")
+        assert elsewhere.status == 409
+        assert elsewhere.error["code"] == "key_in_use"
+        assert elsewhere.error["outcome"] == "unknown"
+        assert elsewhere.headers["Retry-After"]
+        assert runs(booking, "s1") == 1
+
+    def test_a_lost_answer_is_unknown_and_is_not_repeated(self, booking: System):
+        for name in ("booking-1", "booking-2"):
+            booking[name].control(lose_answers=1)
+        reply = book(booking, "entry-a", "s2", key="k2")
+        assert reply.status == 502
+        assert reply.error["outcome"] == "unknown"
+        assert reply.error["peer"].startswith("booking-")
+        assert reply.headers["Retry-After"]
+        assert book(booking, "entry-b", "s2", key="k2").status == 409
+        assert runs(booking, "s2") == 1
+
+    def test_without_a_key_a_lost_answer_is_not_repeated_either(self, booking):
+        for name in ("booking-1", "booking-2"):
+            booking[name].control(lose_answers=1)
+        assert book(booking, "entry-a", "s3").error["outcome"] == "unknown"
+        assert runs(booking, "s3") == 1
+
+    def test_a_platform_outage_is_not_run_and_the_key_stays_usable(self, booking):
+        booking.processes.platform.control(outage=True)
+        reply = book(booking, "entry-a", "s4", key="k4")
+        assert reply.status == 503
+        assert reply.error["code"] == "claims_unavailable"
+        assert reply.error["outcome"] == "not_run"
+        assert runs(booking, "s4") == 0
+        booking.processes.platform.control()
+        deadline = time.monotonic() + 20
+        while book(booking, "entry-b", "s4", key="k4").status != 200:
+            assert time.monotonic() < deadline
+            time.sleep(0.1)
+        assert runs(booking, "s4") == 1
+
+    def test_an_answer_of_the_platform_lost_after_the_write(self, booking: System):
+        booking.processes.platform.control(lose_answers=1)
+        assert book(booking, "entry-a", "s5", key="k5").status == 200
+        assert runs(booking, "s5") == 1
+
+    def test_no_endpoint_in_reach_is_not_run(self, booking: System):
+        booking["booking-1"].kill()
+        booking["booking-2"].kill()
+        reply = book(booking, "entry-a", "s6", key="k6")
+        assert reply.error["outcome"] == "not_run"
+        assert reply.error["step"] in ("connect", "route")
+
+    def test_a_host_that_slept_after_its_claim_does_not_send(self, booking: System):
+        # Its first host in the way is stopped, so the claim takes a while; the
+        # holder is stopped meanwhile and wakes up after the window.
+        booking.processes.platform.control(latency=1.0)
+        loop = asyncio.new_event_loop()
+        work = loop.run_in_executor(
+            None, lambda: book(booking, "entry-a", "s7", key="k7", timeout=60)
+        )
+        time.sleep(0.3)
+        booking["entry-a"].signal(signal.SIGSTOP)
+        time.sleep(5.5)
+        booking["entry-a"].signal(signal.SIGCONT)
+        reply = loop.run_until_complete(work)
+        loop.close()
+        assert reply.error["outcome"] == "not_run"
+        assert reply.error["code"] in ("claim_lapsed", "claims_unavailable")
+        assert runs(booking, "s7") == 0
+
+    def test_another_request_under_the_same_key_is_refused(self, booking: System):
+        book(booking, "entry-a", "s8", key="k8")
+        reply = book(booking, "entry-b", "other", key="k8")
+        assert (reply.status, reply.error["code"]) == (422, "key_reused")
+        assert reply.error["outcome"] == "not_run"
+
+    def test_a_caller_may_forbid_repeats_but_not_allow_them(self, booking: System):
+        reply = book(booking, "entry-a", "s9", X_Repeatable="maybe")
+        assert reply.error["code"] == "bad_request"
+        for name in ("booking-1", "booking-2"):
+            booking[name].control(lose_answers=1)
+        book(booking, "entry-a", "s9", X_Repeatable="yes")
+        assert runs(booking, "s9") == 1
+
+
+class TestClientLibrary:
+    """What the HTTP client must not do by itself."""
+
+    @pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+    def test_a_broken_connection_is_not_repeated(self, method):
+        hits = asyncio.run(self._count_hits(method, _break))
+        assert hits == 1
+
+    def test_before_send_holds_a_call_back_before_its_first_byte(self):
+        hits = asyncio.run(self._count_hits("POST", _break, before_send=_hold_back))
+        assert hits == 0
+
+    def test_the_library_as_it_comes_would_repeat(self):
+        hits = asyncio.run(
+            self._count_hits("GET", _break, open_client=aiohttp.ClientSession)
+        )
+        assert hits == 2
+
+    async def _count_hits(
+        self, method, handler, before_send=None, open_client=open_session
+    ) -> int:
+        hits = []
+
+        async def count(request: web.Request) -> web.Response:
+            hits.append(request.method)
+            return await handler(request)
+
+        app = web.Application()
+        app.router.add_route("*", "/", count)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = runner.addresses[0][1]
+        session = open_client()
+        with pytest.raises((aiohttp.ClientError, RefusedError)):
+            await session.request(
+                method, f"http://127.0.0.1:{port}/", trace_request_ctx=before_send
+            )
+        await session.close()
+        await runner.cleanup()
+        return len(hits)
+
+
+async def _break(request: web.Request) -> web.Response:
+    request.transport.abort()
+    return web.Response()
+
+
+def _hold_back() -> None:
+    raise refuse(
+        Code.CLAIM_LAPSED,
+        "slept",
+        status=503,
+        step="send",
+        outcome=Outcome.NOT_RUN,
+    )
