--- /dev/null
+++ b/standins/fake_engine.py
@@ -0,0 +1,230 @@
+"""A model engine at the interface, without a process: for virtual time."""
+
+import asyncio
+import heapq
+import itertools
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Sequence
+from datetime import timedelta
+
+import attrs
+
+from passtally.clock import Clock
+from passtally.engine import PROBE_TIMEOUT, AttemptLostError, LoadReport
+from passtally.generation import Attempt, GenerationRequest, TokenEvent
+from passtally.retry import LossKind
+
+PREFIX_CHARACTERS = 256
+CHARACTERS_A_TOKEN = 4
+
+
+@attrs.frozen(kw_only=True)
+class EngineSpeed:
+    """How fast an engine is.
+
+    Attributes:
+        step: Between two tokens of a stream that is alone.
+        crowding: The share by which each further stream slows a step.
+        prefill_rate: Prompt tokens a second, one prompt after the other.
+        max_batch: Streams that decode at once; others queue by priority.
+        prefixes: Prompt prefixes that stay cached.
+        report_lag: By how much the load report lags.
+    """
+
+    step: timedelta = timedelta(milliseconds=12)
+    crowding: float = 0.02
+    prefill_rate: float = 20_000
+    max_batch: int = 64
+    prefixes: int = 32
+    report_lag: timedelta = timedelta(milliseconds=500)
+
+
+@attrs.define(kw_only=True)
+class EngineCounts:
+    """What an engine did."""
+
+    prefilled: int = 0
+    generated: int = 0
+    prefix_hits: int = 0
+    requests: int = 0
+
+
+class FakeEngine:
+    """One engine as a queue, a prefill line and a batch.
+
+    Args:
+        name: Its endpoint's id.
+        clock: The clock.
+        speed: How fast it is.
+    """
+
+    def __init__(
+        self, *, name: str, clock: Clock, speed: EngineSpeed | None = None
+    ) -> None:
+        self.name = name
+        self.counts = EngineCounts()
+        self.speed = speed or EngineSpeed()
+        self.is_dead = False
+        self.running = 0
+        self._clock = clock
+        self._queue: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._numbers = itertools.count()
+        self._prefill_free_at = timedelta(0)
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._deaths: set[asyncio.Future[None]] = set()
+        self._reports: list[tuple[timedelta, LoadReport]] = []
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether it is stopped."""
+        return not self._thawed.is_set()
+
+    def die(self) -> None:
+        """Lose all streams at once; refuse connections from now on."""
+        self.is_dead = True
+        for death in list(self._deaths):
+            if not death.done():
+                death.set_result(None)
+
+    def restart(self) -> None:
+        """Come back empty."""
+        self.is_dead = False
+        self._prefixes.clear()
+
+    def freeze(self) -> None:
+        """Stop until thawed."""
+        self._thawed.clear()
+
+    def thaw(self) -> None:
+        """Go on."""
+        self._thawed.set()
+
+    async def generate(
+        self, request: GenerationRequest, attempt: Attempt, prior: Sequence[int]
+    ) -> AsyncIterator[list[TokenEvent]]:
+        """Run a request, going on after the prior token ids."""
+        if self.is_dead:
+            raise self._lost(LossKind.UNREACHABLE, "connect")
+        self.counts.requests += 1
+        await self._enter(request.priority)
+        try:
+            await self._prefill(request, len(prior))
+            for position in range(len(prior), request.max_tokens):
+                crowd = 1 + self.speed.crowding * self.running
+                await self._wait(self.speed.step * crowd)
+                self.counts.generated += 1
+                yield [_make_event(request, position)]
+        finally:
+            self._leave()
+
+    async def attach(
+        self, request: GenerationRequest, attempt: Attempt, *, position: int
+    ) -> AsyncIterator[list[TokenEvent]]:
+        """Refuse: this engine holds no streams."""
+        kind = LossKind.UNREACHABLE if self.is_dead else LossKind.REFUSED
+        raise self._lost(kind, "attach")
+        yield []
+
+    async def cancel(self, generation_id: str, attempt: int) -> None:
+        """Do nothing: a stream ends with its reader here."""
+
+    async def probe(self) -> LoadReport | None:
+        """Return a load report that lags, or None while frozen or dead."""
+        if self.is_dead or self.is_frozen:
+            await self._clock.sleep(PROBE_TIMEOUT)
+            return None
+        now = self._clock.monotonic()
+        step = int(now / self.speed.step)
+        current = LoadReport(running=self.running, queued=len(self._queue), step=step)
+        self._reports.append((now, current))
+        until = now - self.speed.report_lag
+        while len(self._reports) > 1 and self._reports[1][0] <= until:
+            self._reports.pop(0)
+        shown = self._reports[0][1]
+        return LoadReport(running=shown.running, queued=shown.queued, step=step)
+
+    async def _enter(self, priority: int) -> None:
+        if self.running < self.speed.max_batch:
+            self.running += 1
+            return
+        future = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._queue, (priority, next(self._numbers), future))
+        await self._race_death(future)
+
+    def _leave(self) -> None:
+        while self._queue:
+            _, _, future = heapq.heappop(self._queue)
+            if not future.done():
+                future.set_result(None)
+                return
+        self.running -= 1
+
+    async def _prefill(self, request: GenerationRequest, prior: int) -> None:
+        tokens = len(request.prompt) // CHARACTERS_A_TOKEN + prior
+        prefix = request.prompt[:PREFIX_CHARACTERS]
+        if prefix in self._prefixes:
+            self.counts.prefix_hits += 1
+            tokens -= len(prefix) // CHARACTERS_A_TOKEN
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        if len(self._prefixes) > self.speed.prefixes:
+            self._prefixes.popitem(last=False)
+        self.counts.prefilled += tokens
+        now = self._clock.monotonic()
+        start = max(now, self._prefill_free_at)
+        duration = timedelta(seconds=tokens / self.speed.prefill_rate)
+        self._prefill_free_at = start + duration
+        await self._wait(self._prefill_free_at - now)
+
+    async def _wait(self, duration: timedelta) -> None:
+        await self._race_death(asyncio.ensure_future(self._clock.sleep(duration)))
+        if self.is_frozen:
+            await self._race_death(asyncio.ensure_future(self._thawed.wait()))
+
+    async def _race_death(self, work: "asyncio.Future[object]") -> None:
+        death = asyncio.get_running_loop().create_future()
+        self._deaths.add(death)
+        try:
+            await asyncio.wait((work, death), return_when=asyncio.FIRST_COMPLETED)
+            if self.is_dead:
+                raise self._lost(LossKind.RESET, "stream")
+        finally:
+            self._deaths.discard(death)
+            work.cancel()
+
+    def _lost(self, kind: LossKind, step: str) -> AttemptLostError:
+        return AttemptLostError(kind, step=step, peer=self.name, detail="fake")
+
+
+def text_of(position: int) -> str:
+    """Return the text of the token at a position."""
+    return f"{position} "
+
+
+def expected_text(tokens: int) -> str:
+    """Return the whole answer of so many tokens."""
+    return "".join(text_of(position) for position in range(tokens))
+
+
+def _make_event(request: GenerationRequest, position: int) -> TokenEvent:
+    is_last = position + 1 == request.max_tokens
+    return TokenEvent(
+        position=position,
+        token_ids=[position],
+        text_offset=_offset_of(position),
+        text=text_of(position),
+        finish_reason="length" if is_last else None,
+        prompt_tokens=len(request.prompt) // CHARACTERS_A_TOKEN,
+    )
+
+
+def _offset_of(position: int) -> int:
+    """Return how many characters stand before a position."""
+    offset, digits, start = 0, 1, 0
+    while position > start:
+        end = min(position, 10**digits)
+        offset += (end - start) * (digits + 1)
+        start, digits = end, digits + 1
+    return offset
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,279 @@
+"""Generations over engines that die, freeze and lie, in virtual time."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passtally.catalog import Catalog
+from passtally.dispatcher import Dispatcher
+from passtally.engine import AttemptLostError
+from passtally.fleet import Fleet
+from passtally.generation import Generation, TokenEvent
+from passtally.objects import Endpoint
+from passtally.outcome import Code, Outcome, RefusedError
+from passtally.retry import LossKind, RetryLimits
+from standins.fake_engine import FakeEngine, expected_text
+from standins.virtual import VirtualClock, run_virtually
+from tests.test_generation import make_generation
+
+NAMES = ("r1", "r2", "r3", "r4")
+TOKENS = 40
+
+
+class ListSink:
+    """Gathers output, and who sent it."""
+
+    def __init__(self) -> None:
+        self.text = ""
+        self.ends = 0
+        self.engines: list[str] = []
+
+    def switch(self, generation, attempt) -> None:
+        self.engines.append(attempt.endpoint_id)
+
+    async def write(self, deliveries) -> None:
+        await asyncio.sleep(0)
+        self.text += "".join(delivery.text for delivery in deliveries)
+        self.ends += sum(item.finish_reason is not None for item in deliveries)
+
+
+@attrs.frozen
+class Fault:
+    """What the next attempt does wrong, and after how many of its events."""
+
+    kind: str
+    after: int
+
+
+class FaultyEngine(FakeEngine):
+    """An engine whose attempts fail as planned."""
+
+    plan: list[Fault] = []
+
+    async def generate(self, request, attempt, prior) -> AsyncIterator:
+        fault = self.plan.pop(0) if self.plan else None
+        if fault and fault.kind == "refuse":
+            raise self._lost(LossKind.REFUSED, "connect")
+        count = 0
+        async for events in super().generate(request, attempt, prior):
+            if fault and count == fault.after:
+                if fault.kind == "reset":
+                    raise self._lost(LossKind.RESET, "stream")
+                if fault.kind == "freeze":
+                    await asyncio.sleep(3600)
+                if fault.kind == "skip":
+                    count += 1
+                    continue
+                if fault.kind == "lie":
+                    events = [attrs.evolve(events[0], position=0, text_offset=0)]
+            yield events
+            if fault and fault.kind == "repeat" and count == fault.after:
+                yield events
+            count += 1
+
+    async def probe(self):
+        """Answer nothing, as a frozen engine does."""
+        await self._clock.sleep(timedelta(milliseconds=300))
+
+
+class Bench:
+    """A dispatcher over fake engines."""
+
+    def __init__(self, engine_class=FakeEngine, **limits) -> None:
+        self.clock = VirtualClock()
+        self.engines = {
+            name: engine_class(name=name, clock=self.clock) for name in NAMES
+        }
+        catalog = Catalog(
+            endpoints_by_id={
+                name: Endpoint(id=name, service="s", url=name, failure_domain="d")
+                for name in NAMES
+            }
+        )
+        self.fleet = Fleet(
+            catalog=catalog,
+            clock=self.clock,
+            connect=lambda endpoint: self.engines[endpoint.id],
+        )
+        self.dispatcher = Dispatcher(
+            fleet=self.fleet,
+            clock=self.clock,
+            failure_domain="d",
+            limits=RetryLimits(**limits),
+        )
+        self.watch = asyncio.ensure_future(self.fleet.watch_silence())
+
+    async def run(self, generation: Generation) -> ListSink:
+        sink = ListSink()
+        try:
+            await self.dispatcher.run(generation, sink)
+        finally:
+            self.watch.cancel()
+        return sink
+
+
+def make_short_generation(**options) -> Generation:
+    generation = make_generation(**options)
+    generation.request = attrs.evolve(generation.request, max_tokens=TOKENS)
+    return generation
+
+
+FAULTS = st.builds(
+    Fault,
+    st.sampled_from(["reset", "freeze", "skip", "lie", "repeat", "refuse"]),
+    st.integers(0, TOKENS - 1),
+)
+
+
+class TestAnswers:
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.lists(FAULTS, max_size=6))
+    def test_an_answer_is_whole_or_ends_honestly(self, faults):
+        async def run():
+            FaultyEngine.plan = list(faults)
+            bench = Bench(FaultyEngine)
+            generation = make_short_generation()
+            try:
+                sink = await bench.run(generation)
+            except RefusedError as error:
+                return generation, None, error.failure
+            return generation, sink, None
+
+        generation, sink, failure = run_virtually(run())
+        if failure is None:
+            assert sink.text == expected_text(TOKENS)
+            assert sink.ends == 1
+        else:
+            assert len(faults) >= 3
+            assert failure.position in (None, generation.delivered)
+            if failure.outcome is Outcome.NOT_RUN:
+                assert not generation.delivered
+
+    def test_output_before_a_bad_seam_in_one_read_is_not_lost(self):
+        class LyingEngine(FakeEngine):
+            lies = 1
+
+            async def generate(self, request, attempt, prior):
+                async for events in super().generate(request, attempt, prior):
+                    if LyingEngine.lies and events[0].position == 5:
+                        LyingEngine.lies = 0
+                        far = attrs.evolve(events[0], position=30)
+                        yield [events[0], far]
+                    yield events
+
+        async def run():
+            return await Bench(LyingEngine).run(make_short_generation())
+
+        assert run_virtually(run()).text == expected_text(TOKENS)
+
+    def test_a_death_takes_the_answer_to_another_engine(self):
+        async def run():
+            bench = Bench()
+            work = asyncio.ensure_future(bench.run(make_short_generation()))
+            await asyncio.sleep(0.3)
+            busy = next(e for e in bench.engines.values() if e.running)
+            busy.die()
+            return await work
+
+        sink = run_virtually(run())
+        assert sink.text == expected_text(TOKENS)
+        assert len(set(sink.engines)) == 2
+
+    def test_a_freeze_is_seen_within_two_seconds(self):
+        async def run():
+            bench = Bench()
+            work = asyncio.ensure_future(bench.run(make_short_generation()))
+            await asyncio.sleep(0.3)
+            busy = next(e for e in bench.engines.values() if e.running)
+            busy.freeze()
+            sink = await work
+            return sink, asyncio.get_running_loop().time()
+
+        sink, ended = run_virtually(run())
+        assert sink.text == expected_text(TOKENS)
+        assert ended < 0.3 + 2 + TOKENS * 0.013
+
+    def test_a_slow_engine_that_answers_its_probe_is_waited_for(self):
+        class SlowEngine(FakeEngine):
+            async def generate(self, request, attempt, prior):
+                async for events in super().generate(request, attempt, prior):
+                    if events[0].position == 20:
+                        await asyncio.sleep(2)
+                    yield events
+
+        async def run():
+            return await Bench(SlowEngine).run(make_short_generation())
+
+        sink = run_virtually(run())
+        assert sink.text == expected_text(TOKENS)
+        assert len(sink.engines) == 1
+
+
+class TestEnds:
+    def refuse(self, bench_options=None, **generation_options):
+        async def run():
+            bench = Bench(**(bench_options or {}))
+            for engine in bench.engines.values():
+                engine.die()
+            generation = make_short_generation(**generation_options)
+            with pytest.raises(RefusedError) as caught:
+                await bench.run(generation)
+            return caught.value.failure
+
+        return run_virtually(run())
+
+    def test_nothing_reached_is_not_run(self):
+        failure = self.refuse()
+        assert failure.code is Code.NO_ENDPOINT
+        assert failure.outcome is Outcome.NOT_RUN
+        assert failure.retry_after
+
+    def test_a_poison_prompt_is_stopped_and_quarantined(self):
+        class PoisonedEngine(FakeEngine):
+            async def generate(self, request, attempt, prior):
+                async for events in super().generate(request, attempt, prior):
+                    if events[0].position >= 10:
+                        self.die()
+                    yield events
+
+        async def run():
+            bench = Bench(PoisonedEngine, max_deaths=2)
+            with pytest.raises(RefusedError) as first:
+                await bench.run(make_short_generation())
+            dead = sum(engine.is_dead for engine in bench.engines.values())
+            for engine in bench.engines.values():
+                engine.restart()
+            with pytest.raises(RefusedError) as second:
+                await bench.run(make_short_generation())
+            return first.value.failure, dead, second.value.failure
+
+        first, dead, second = run_virtually(run())
+        assert (first.code, first.outcome) == (
+            Code.RESUME_IMPOSSIBLE,
+            Outcome.UNKNOWN,
+        )
+        assert first.position == 12, "one token from each engine after the tenth"
+        assert dead == 2
+        assert (second.code, second.outcome) == (
+            Code.REQUEST_QUARANTINED,
+            Outcome.NOT_RUN,
+        )
+
+    def test_an_error_names_step_and_peer(self):
+        error = AttemptLostError(LossKind.RESET, step="stream", peer="r1", detail="x")
+        assert "stream" in str(error) and "r1" in str(error)
+
+
+class TestSeamEvents:
+    def test_a_token_event_may_carry_no_tokens(self):
+        generation = make_generation()
+        attempt = generation.start_attempt("a")
+        end = TokenEvent(
+            position=0, token_ids=[], text_offset=0, text="", finish_reason="stop"
+        )
+        assert generation.accept(attempt, end).finish_reason == "stop"
