Tell an overloaded host from a dead endpoint; measure the cost of a token

Cause: with 500 requests arriving at once, 499 were refused. Connections timed out at the stand-ins' listen backlog of 128, a timeout counted as a reset, the 404 of the following attach ejected both endpoints, and nothing was left.

Ruled out: the silence limits (no probe failed) and the routing itself.

Change: a connection that was never made is 'unreachable'; an endpoint that answers an attach with 404 is not ejected; where all are ejected one is tried all the same; listen backlogs of 2048; connections get 1 s.

--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,59 @@
+"""What benchmarks return, how it is shown, and the bounds it must keep."""
+
+import json
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import attrs
+
+FOLDER = Path(__file__).parent
+BOUNDS = FOLDER / "bounds.json"
+REPORT = FOLDER / "report.json"
+
+
+@attrs.frozen(kw_only=True)
+class Figure:
+    """One measured figure.
+
+    Attributes:
+        name: What it is, as ``benchmark.figure``.
+        value: How much.
+        unit: In what.
+    """
+
+    name: str
+    value: float
+    unit: str
+
+
+Benchmark = Callable[[], Sequence[Figure]]
+
+
+def show(figures: Sequence[Figure]) -> None:
+    """Print a table."""
+    for figure in figures:
+        print(f"{figure.name:58}{figure.value:12.3f}  {figure.unit}")
+
+
+def write(figures: Sequence[Figure]) -> None:
+    """Write the report; figures that were not measured now stay as they were."""
+    known = json.loads(REPORT.read_text()) if REPORT.exists() else {}
+    for figure in figures:
+        known[figure.name] = {"value": round(figure.value, 4), "unit": figure.unit}
+    REPORT.write_text(json.dumps(known, indent=1, sort_keys=True) + "\n")
+
+
+def find_broken(figures: Sequence[Figure]) -> list[str]:
+    """Return one line for each bound that a figure breaks."""
+    bounds = json.loads(BOUNDS.read_text())
+    return [
+        f"{figure.name} is {figure.value:.3f}, above its bound {bounds[figure.name]}"
+        for figure in figures
+        if figure.name in bounds and figure.value > bounds[figure.name]
+    ]
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return the value at a share (0 to 1) of the sorted values."""
+    ranked = sorted(values)
+    return ranked[min(len(ranked) - 1, int(share * len(ranked)))]
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -34,6 +34,8 @@
 from passtally.retry import RetryLimits
 from passtally.settings import Settings
 
+LISTEN_BACKLOG = 2048
+
 
 class EntryHost(aiomisc.Service):
     """Everything that runs on one entry host, started and stopped as one.
@@ -154,7 +156,10 @@
         )
         await self._site_runner.setup()
         listen = self.settings.listen
-        await web.TCPSite(self._site_runner, listen.host, listen.port).start()
+        site = web.TCPSite(
+            self._site_runner, listen.host, listen.port, backlog=LISTEN_BACKLOG
+        )
+        await site.start()
 
     def _build_app(self) -> web.Application:
         app = web.Application(
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -26,6 +26,8 @@
     RetryDecision,
     RetryLimits,
     decide_after_loss,
+    is_death,
+    is_gone,
 )
 from passtally.routing import RouteQuery, choose_endpoint
 from passtally.silence import Phase
@@ -259,12 +261,12 @@
         generation.lose_attempt(attempt)
         progress.last_error = loss
         was_attached = loss.step == "attach"
-        gone = was_attached or loss.kind in (LossKind.FROZEN, LossKind.UNREACHABLE)
-        if gone or loss.kind in (LossKind.SEAM, LossKind.REFUSED):
-            progress.excluded.add(live.endpoint.id)
-        if gone:
+        if is_gone(loss.kind, was_attached=was_attached):
             live.eject(self._clock.monotonic())
-            progress.deaths += progress.reached
+        if is_death(loss.kind, was_attached=was_attached):
+            progress.deaths += 1
+        if was_attached or loss.kind is not LossKind.RESET:
+            progress.excluded.add(live.endpoint.id)
         if loss.kind in (LossKind.FROZEN, LossKind.SEAM):
             self._cancel(live, generation, attempt)
         decision = decide_after_loss(
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -11,7 +11,7 @@
 from passtally.generation import Attempt, GenerationRequest, TokenEvent
 from passtally.retry import LossKind
 
-CONNECT_TIMEOUT = timedelta(milliseconds=500)
+CONNECT_TIMEOUT = timedelta(seconds=1)
 PROBE_TIMEOUT = timedelta(milliseconds=300)
 CANCEL_TIMEOUT = timedelta(seconds=2)
 MAX_EVENT_BYTES = 1 << 20
@@ -223,7 +223,7 @@
                     if events[-1].finish_reason is not None:
                         return
             raise self._lost(LossKind.RESET, step, "the stream ended early")
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise self._lost(LossKind.UNREACHABLE, step, str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             detail = str(error) or type(error).__name__
--- a/passtally/retry.py
+++ b/passtally/retry.py
@@ -92,6 +92,23 @@
     return RetryDecision(step=NextStep.RESUME, reason=f"lost by {kind}")
 
 
+def is_gone(kind: LossKind, *, was_attached: bool) -> bool:
+    """Return whether a loss shows that the endpoint itself is out of reach."""
+    if kind in (LossKind.FROZEN, LossKind.UNREACHABLE):
+        return True
+    return was_attached and kind is LossKind.RESET
+
+
+def is_death(kind: LossKind, *, was_attached: bool) -> bool:
+    """Return whether a loss shows that the endpoint died under the request.
+
+    One that has a stream no more was restarted; one that was never reached did
+    not die of this request.
+    """
+    lost_stream = (LossKind.REFUSED, LossKind.UNREACHABLE, LossKind.RESET)
+    return kind is LossKind.FROZEN or (was_attached and kind in lost_stream)
+
+
 class Quarantine:
     """Prompts that took endpoints down, refused for a while.
 
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -85,13 +85,15 @@
 
     The two endpoints that the prefix hashes to are compared; the less loaded
     one is taken. Local ones go first, others are used once the local are busy.
+    Ejected ones are taken only where all are: this host itself may be at fault.
 
     Args:
         query: What is to be placed.
         endpoints: The service's endpoints.
         now: The monotonic time.
     """
-    usable = [view for view in endpoints if _is_usable(view, query, now)]
+    allowed = [view for view in endpoints if _is_allowed(view, query)]
+    usable = [view for view in allowed if not _is_ejected(view, now)] or allowed
     if not usable:
         return RouteDecision(
             endpoint_id=None, candidates=(), reason="no usable endpoint"
@@ -110,6 +112,8 @@
     compared = ranked[:2]
     choice = min(compared, key=lambda view: view.load)
     reason = "local, less loaded of two" if local else "spill-over, less loaded of two"
+    if _is_ejected(choice, now):
+        reason = "all are ejected, trying one"
     return RouteDecision(
         endpoint_id=choice.id,
         candidates=tuple(view.id for view in compared),
@@ -117,10 +121,12 @@
     )
 
 
-def _is_usable(view: EndpointView, query: RouteQuery, now: timedelta) -> bool:
-    if view.state is not EndpointState.ACTIVE or view.id in query.exclude:
-        return False
-    return view.ejected_until is None or view.ejected_until <= now
+def _is_allowed(view: EndpointView, query: RouteQuery) -> bool:
+    return view.state is EndpointState.ACTIVE and view.id not in query.exclude
+
+
+def _is_ejected(view: EndpointView, now: timedelta) -> bool:
+    return view.ejected_until is not None and view.ejected_until > now
 
 
 def _affinity_rank(affinity: bytes, endpoint_id: str) -> bytes:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -159,6 +159,8 @@
         body = msgspec.json.decode(await request.read(), type=Body)
         if self.control.refuse or body.version not in self._loaded | {""}:
             raise web.HTTPServiceUnavailable
+        # Callers without ids of their own are told apart here.
+        body.request_id = body.request_id or f"anonymous-{self.stats['requests']}"
         known = self._streams_by_id.get(body.request_id)
         if known is not None and known.attempt >= body.attempt:
             raise web.HTTPConflict
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -137,7 +137,7 @@
         } | settings
         flags = [f"--{key.replace('_', '-')}={value}" for key, value in texts.items()]
         command = [sys.executable, "-m", "passtally", "serve", *flags]
-        return self._start(name, command, port, "/readyz")
+        return self.start(name, command, port, "/readyz")
 
     def wait_ready(self) -> None:
         """Wait until all processes answer and all hosts have the newest config."""
@@ -157,10 +157,7 @@
         while time.monotonic() < deadline:
             if process.popen.poll() is not None:
                 raise RuntimeError(f"{process.name} ended: {process.popen.returncode}")
-            try:
-                state = call_json("GET", process.url + process.ready_path)
-            except (urllib.error.URLError, OSError):
-                state = None
+            state = _read_state(process)
             if state is not None and state.get("config_version", 0) >= wanted:
                 return
             time.sleep(POLL_SECONDS)
@@ -179,8 +176,16 @@
         engines: list[tuple[Process, str]],
         *,
         protection: Protection = Protection.ENGINE,
+        **options: Any,
     ) -> None:
-        """Create a model service and its endpoints, with their failure domains."""
+        """Create a model service and its endpoints, with their failure domains.
+
+        Args:
+            name: The service's id.
+            engines: Its engines, each with its failure domain.
+            protection: The service's level of protection.
+            options: More fields of its endpoints.
+        """
         service = Service(
             id=name,
             kind=ServiceKind.MODEL,
@@ -190,7 +195,7 @@
             max_tokens=20_000,
         )
         self.put_config("services", name, service)
-        self._add_endpoints(name, engines)
+        self._add_endpoints(name, engines, **options)
 
     def add_plain(
         self, name: str, endpoints: list[tuple[Process, str]], **options: Any
@@ -201,7 +206,7 @@
         self._add_endpoints(name, endpoints)
 
     def _add_endpoints(
-        self, service: str, processes: list[tuple[Process, str]]
+        self, service: str, processes: list[tuple[Process, str]], **options: Any
     ) -> None:
         for process, failure_domain in processes:
             endpoint = Endpoint(
@@ -209,17 +214,26 @@
                 service=service,
                 url=process.url,
                 failure_domain=failure_domain,
+                **options,
             )
             self.put_config("endpoints", process.name, endpoint)
 
     def _start_standin(self, name: str, kind: str, *flags: str) -> Process:
         port = free_port()
         command = [sys.executable, "-m", f"standins.{kind}", f"--port={port}", *flags]
-        return self._start(name, command, port, "/control")
+        return self.start(name, command, port, "/control")
 
-    def _start(
-        self, name: str, command: list[str], port: int, ready_path: str
+    def start(
+        self, name: str, command: list[str], port: int, ready_path: str = ""
     ) -> Process:
+        """Start any process.
+
+        Args:
+            name: Its name.
+            command: What to run.
+            port: Where it will listen.
+            ready_path: What answers 200 once it is ready; empty for the port alone.
+        """
         with open(self.folder / f"{name}.err", "ab") as errors:
             popen = subprocess.Popen(command, stdout=errors, stderr=errors)
         url = f"http://127.0.0.1:{port}"
@@ -228,6 +242,18 @@
         return process
 
 
+def _read_state(process: Process) -> dict[str, Any] | None:
+    """Return what a process says of itself, or None while it is not ready."""
+    try:
+        if process.ready_path:
+            return call_json("GET", process.url + process.ready_path)
+        port = int(process.url.rpartition(":")[2])
+        socket.create_connection(("127.0.0.1", port), timeout=1).close()
+    except (urllib.error.URLError, OSError):
+        return None
+    return {}
+
+
 def free_port() -> int:
     """Return a port that was free a moment ago."""
     with socket.socket() as probe:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -5,6 +5,8 @@
 import uvloop
 from aiohttp import web
 
+BACKLOG = 2048
+
 
 def run_app(build: Callable[[], web.Application], port: int) -> None:
     """Serve an application on loopback until told to stop.
@@ -23,5 +25,6 @@
         port=port,
         print=None,
         access_log=None,
+        backlog=BACKLOG,
         loop=uvloop.new_event_loop(),
     )
