--- a/bench/forward.py
+++ b/bench/forward.py
@@ -5,15 +5,33 @@
 import tempfile
 from pathlib import Path
 
+import attrs
+
 from bench.load import LoadResult, cpu_seconds, memory_mb, run_streams
 from bench.report import Figure
 from passtally.objects import Protection
 from standins.processes import Process, Processes, free_port
 
 STREAMS = 500
-TOKENS = 160
+SHORT_TOKENS = 40
+LONG_TOKENS = 240
 STEP = 0.05
-PROMPT = "av. rivadavia 1234, pilar\n" * 60
+PROMPT = "av. rivadavia 1234, pilar\n" * 120
+
+
+@attrs.frozen(kw_only=True)
+class _Cost:
+    """What one process spends, split by two lengths of answers.
+
+    Attributes:
+        token_us: Microseconds a token, the slope between the two lengths.
+        request_us: Microseconds a request besides its tokens.
+        event_bytes: Bytes to the caller an event.
+    """
+
+    token_us: float
+    request_us: float
+    event_bytes: float
 
 
 def run() -> list[Figure]:
@@ -22,44 +40,46 @@
         token = _start(processes)
         relay = processes.by_name["relay"]
         host = processes.by_name["entry-a"]
+        headers = {"Authorization": f"Bearer {token}"}
         chat = {
             "model": "drafting",
             "messages": [{"role": "user", "content": PROMPT}],
             "stream": True,
-            "max_tokens": TOKENS,
         }
-        headers = {"Authorization": f"Bearer {token}"}
         idle_mb = memory_mb(host.popen.pid)
-        plain = {"request_id": "", "prompt": PROMPT, "max_tokens": TOKENS}
-        relayed = _measure(relay, "/v1/completions", plain, None)
-        served = _measure(host, "/v1/chat/completions", chat, headers)
-        busy_mb = memory_mb(host.popen.pid)
-        copied = _measure(
-            host, "/v1/chat/completions", chat | {"model": "copied"}, headers
+        relayed = _measure(
+            relay, "/v1/completions", {"request_id": "", "prompt": PROMPT}, None
         )
-    micro = 1e6
-    relay_us, host_us, copy_us = (
-        cpu / result.events * micro for cpu, result in (relayed, served, copied)
-    )
-    bytes_ratio = _bytes_an_event(served[1]) / _bytes_an_event(relayed[1])
+        path = "/v1/chat/completions"
+        served = _measure(host, path, chat, headers)
+        busy_mb = memory_mb(host.popen.pid)
+        copied = _measure(host, path, chat | {"model": "copied"}, headers)
+    stream_kb = (busy_mb - idle_mb) * 1024 / STREAMS
     return [
-        Figure(name="forward.relay_cpu", value=relay_us, unit="us/token"),
-        Figure(name="forward.host_cpu", value=host_us, unit="us/token"),
-        Figure(name="forward.host_cpu_copies", value=copy_us, unit="us/token"),
-        Figure(name="forward.cpu_ratio", value=host_us / relay_us, unit="x relay"),
-        Figure(
-            name="forward.cpu_ratio_copies", value=copy_us / relay_us, unit="x relay"
-        ),
-        Figure(name="forward.caller_bytes_ratio", value=bytes_ratio, unit="x relay"),
-        Figure(
-            name="forward.memory_a_stream",
-            value=(busy_mb - idle_mb) * 1024 / STREAMS,
-            unit="KB",
-        ),
+        *_cost_figures("relay", relayed),
+        *_cost_figures("host", served),
+        *_cost_figures("host_copies", copied),
+        _ratio("cpu_ratio", served.token_us, relayed.token_us),
+        _ratio("cpu_ratio_copies", copied.token_us, relayed.token_us),
+        _ratio("request_cpu_ratio", served.request_us, relayed.request_us),
+        _ratio("caller_bytes_ratio", served.event_bytes, relayed.event_bytes),
+        Figure(name="forward.memory_a_stream", value=stream_kb, unit="KB"),
         Figure(name="forward.memory_idle", value=idle_mb, unit="MB"),
     ]
 
 
+def _cost_figures(name: str, cost: _Cost) -> list[Figure]:
+    return [
+        Figure(name=f"forward.{name}.token", value=cost.token_us, unit="us"),
+        Figure(name=f"forward.{name}.request", value=cost.request_us, unit="us"),
+        Figure(name=f"forward.{name}.event", value=cost.event_bytes, unit="bytes"),
+    ]
+
+
+def _ratio(name: str, value: float, base: float) -> Figure:
+    return Figure(name=f"forward.{name}", value=value / base, unit="x relay")
+
+
 def _start(processes: Processes) -> str:
     processes.start_platform()
     engines = [
@@ -94,15 +114,22 @@
 
 def _measure(
     process: Process, path: str, body: dict, headers: dict[str, str] | None
-) -> tuple[float, LoadResult]:
-    before = cpu_seconds(process.popen.pid)
-    result = asyncio.run(
-        run_streams(process.url + path, body, STREAMS, headers=headers)
-    )
-    if result.failures:
-        raise RuntimeError(f"{result.failures} streams failed at {process.name}")
-    return cpu_seconds(process.popen.pid) - before, result
+) -> _Cost:
+    def run_once(tokens: int) -> tuple[float, LoadResult]:
+        before = cpu_seconds(process.popen.pid)
+        wanted = body | {"max_tokens": tokens}
+        work = run_streams(process.url + path, wanted, STREAMS, headers=headers)
+        result = asyncio.run(work)
+        if result.failures:
+            raise RuntimeError(f"{result.failures} streams failed at {process.name}")
+        return (cpu_seconds(process.popen.pid) - before) * 1e6 / STREAMS, result
 
-
-def _bytes_an_event(result: LoadResult) -> float:
-    return result.wire_bytes / result.events
+    run_once(SHORT_TOKENS)
+    short, _ = run_once(SHORT_TOKENS)
+    long, result = run_once(LONG_TOKENS)
+    token_us = (long - short) / (LONG_TOKENS - SHORT_TOKENS)
+    return _Cost(
+        token_us=token_us,
+        request_us=short - token_us * SHORT_TOKENS,
+        event_bytes=result.wire_bytes / result.events,
+    )
--- a/passtally/completion.py
+++ b/passtally/completion.py
@@ -231,15 +231,20 @@
 
     def _write_handle(self, generation: Generation, delivery: Delivery) -> bytes:
         position = delivery.position
-        start = self._copy.tail_start(position) if self._copy else None
+        start = self._find_tail_start(generation, position)
+        tail = generation.token_ids[start:position] if start < position else ()
+        handle = self._handles.write(position, delivery.characters, start, tail)
+        return handle.encode()
+
+    def _find_tail_start(self, generation: Generation, position: int) -> int:
+        """Return from where a handle carries token ids, and name their copy."""
+        if self._copy is None:
+            return position
+        start = self._copy.tail_start(position)
         copy_host = self._copy.peer if start is not None else ""
         if copy_host != self._copy_host:
             self._open_handles(generation.request, copy_host)
-        if not copy_host:
-            start = position
-        tail = generation.token_ids[start:position]
-        handle = self._handles.write(position, delivery.characters, start, tail)
-        return handle.encode()
+        return start if copy_host else position
 
     def _open_handles(self, request: GenerationRequest, copy_host: str) -> None:
         self._copy_host = copy_host
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -1,7 +1,7 @@
 """Carries one generation from endpoint to endpoint until its answer is whole."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
 from typing import Protocol
 
@@ -9,7 +9,7 @@
 
 from passtally.clock import Clock
 from passtally.decision import log_decision
-from passtally.engine import AttemptLostError, Engine
+from passtally.engine import AttemptLostError, Engine, TokenStream
 from passtally.fleet import Fleet, LiveEndpoint, StreamGuard
 from passtally.generation import (
     Attempt,
@@ -30,7 +30,6 @@
     is_gone,
 )
 from passtally.routing import RouteQuery, choose_endpoint
-from passtally.silence import Phase
 
 #: How long an answer that has begun waits for an endpoint to go on with.
 RESUME_PATIENCE = timedelta(seconds=4)
@@ -152,9 +151,8 @@
     ) -> None:
         sink.switch(generation, attempt)
         live.own_streams += 1
-        stream = _open_stream(live.engine, generation, attempt, step)
         try:
-            await self._relay(generation, attempt, live, stream, sink)
+            await self._relay(generation, attempt, live, sink, step)
             live.readmit()
         except AttemptLostError as loss:
             unrun = (LossKind.REFUSED, LossKind.UNREACHABLE)
@@ -172,22 +170,29 @@
         generation: Generation,
         attempt: Attempt,
         live: LiveEndpoint,
-        stream: AsyncIterator[list[TokenEvent]],
         sink: Sink,
+        step: NextStep,
     ) -> None:
         """Pass on what one attempt sends, under the watch for silence."""
         loop = asyncio.get_running_loop()
-        guard: StreamGuard | None = None
+        guard = StreamGuard(quiet_since=self._clock.monotonic())
+        stream: TokenStream | None = None
         try:
             async with asyncio.timeout(None) as scope:
-                guard = StreamGuard(trip=lambda: scope.reschedule(loop.time()))
+                guard.trip = lambda: scope.reschedule(loop.time())
                 live.guards.add(guard)
-                async for events in self._watched(stream, guard, live):
+                stream = await _open_stream(live.engine, generation, attempt, step)
+                while events := await stream.read():
+                    guard.reads += 1
+                    guard.is_waiting = False
                     await _deliver(generation, attempt, events, sink)
+                    guard.is_waiting = True
         except TimeoutError as error:
-            kind = guard.tripped if guard and guard.tripped else LossKind.FROZEN
             raise AttemptLostError(
-                kind, step="stream", peer=live.endpoint.id, detail="silence"
+                guard.tripped or LossKind.FROZEN,
+                step="stream",
+                peer=live.endpoint.id,
+                detail="silence",
             ) from error
         except SeamError as error:
             raise AttemptLostError(
@@ -195,24 +200,8 @@
             ) from error
         finally:
             live.guards.discard(guard)
-
-    async def _watched(
-        self,
-        stream: AsyncIterator[list[TokenEvent]],
-        guard: StreamGuard,
-        live: LiveEndpoint,
-    ) -> AsyncIterator[list[TokenEvent]]:
-        while True:
-            armed_at = self._clock.monotonic()
-            guard.armed_at = armed_at
-            events = await anext(stream, None)
-            guard.armed_at = None
-            if events is None:
-                return
-            gap = self._clock.monotonic() - armed_at
-            live.limits_by_phase[guard.phase].observe(gap.total_seconds())
-            guard.phase = Phase.NEXT_TOKEN
-            yield events
+            if stream is not None:
+                stream.close()
 
     async def _place(self, generation: Generation, progress: _Progress) -> str:
         """Choose an endpoint; an answer that has begun waits for one a while."""
@@ -346,12 +335,13 @@
         task.add_done_callback(self._background.discard)
 
 
-def _open_stream(
+async def _open_stream(
     engine: Engine, generation: Generation, attempt: Attempt, step: NextStep
-) -> AsyncIterator[list[TokenEvent]]:
+) -> TokenStream:
+    request = generation.request
     if step is NextStep.ATTACH:
-        return engine.attach(generation.request, attempt, position=generation.position)
-    return engine.generate(generation.request, attempt, generation.token_ids)
+        return await engine.attach(request, attempt, position=generation.position)
+    return await engine.generate(request, attempt, generation.token_ids)
 
 
 async def _recover_tokens(generation: Generation, recover: Recovery | None) -> None:
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -1,6 +1,6 @@
 """Model engines over HTTP; docs/ENGINE.md describes their protocol."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Protocol
@@ -54,18 +54,40 @@
     draining: bool = False
 
 
+class TokenStream(Protocol):
+    """The output of one attempt."""
+
+    async def read(self) -> list[TokenEvent]:
+        """Return the events that arrived together; none once it has ended.
+
+        Raises:
+            AttemptLostError: It can't go on.
+        """
+
+    def close(self) -> None:
+        """Drop the connection."""
+
+
 class Engine(Protocol):
     """One model endpoint."""
 
-    def generate(
+    async def generate(
         self, request: GenerationRequest, attempt: Attempt, prior: Sequence[int]
-    ) -> AsyncIterator[list[TokenEvent]]:
-        """Run a request, going on after the prior token ids."""
+    ) -> TokenStream:
+        """Run a request, going on after the prior token ids.
+
+        Raises:
+            AttemptLostError: It was not taken.
+        """
 
-    def attach(
+    async def attach(
         self, request: GenerationRequest, attempt: Attempt, *, position: int
-    ) -> AsyncIterator[list[TokenEvent]]:
-        """Take up a stream that the engine still holds, from a position."""
+    ) -> TokenStream:
+        """Take up a stream that the engine still holds, from a position.
+
+        Raises:
+            AttemptLostError: The engine or its stream is gone.
+        """
 
     async def cancel(self, generation_id: str, attempt: int) -> None:
         """Ask it to drop an attempt; it may not hear."""
@@ -74,20 +96,12 @@
         """Return its load report, or None where none came in time."""
 
 
-class _Choice(msgspec.Struct):
-    text: str
-    token_ids: list[int]
-    text_offset: int
-    position: int
-    finish_reason: str | None = None
-
-
 class _Usage(msgspec.Struct):
     prompt_tokens: int = 0
 
 
 class _Chunk(msgspec.Struct):
-    choices: list[_Choice]
+    choices: list[TokenEvent]
     usage: _Usage | None = None
 
 
@@ -128,15 +142,8 @@
 
     async def generate(
         self, request: GenerationRequest, attempt: Attempt, prior: Sequence[int]
-    ) -> AsyncIterator[list[TokenEvent]]:
-        """Run a request, going on after the prior token ids.
-
-        Yields:
-            The events that arrived together.
-
-        Raises:
-            AttemptLostError: It can't go on.
-        """
+    ) -> TokenStream:
+        """Run a request, going on after the prior token ids."""
         body = _Body(
             request_id=request.id,
             attempt=attempt.number,
@@ -152,26 +159,16 @@
             priority=request.priority,
             stream=True,
         )
-        async for events in self._stream(
-            "stream", "POST", "/v1/completions", data=msgspec.json.encode(body)
-        ):
-            yield events
+        data = msgspec.json.encode(body)
+        return await self._open("stream", "POST", "/v1/completions", data=data)
 
     async def attach(
         self, request: GenerationRequest, attempt: Attempt, *, position: int
-    ) -> AsyncIterator[list[TokenEvent]]:
-        """Take up a stream that the engine still holds, from a position.
-
-        Yields:
-            The events that arrived together.
-
-        Raises:
-            AttemptLostError: The engine or its stream is gone.
-        """
+    ) -> TokenStream:
+        """Take up a stream that the engine still holds, from a position."""
         path = f"/v1/streams/{request.id}"
         params = {"from": str(position), "attempt": str(attempt.number)}
-        async for events in self._stream("attach", "GET", path, params=params):
-            yield events
+        return await self._open("attach", "GET", path, params=params)
 
     async def cancel(self, generation_id: str, attempt: int) -> None:
         """Ask it to drop an attempt; it may not hear."""
@@ -200,66 +197,96 @@
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
             return None
 
-    async def _stream(
+    async def _open(
         self, step: str, method: str, path: str, **kwargs: object
-    ) -> AsyncIterator[list[TokenEvent]]:
+    ) -> "HttpTokenStream":
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
         )
         try:
-            async with self._session.request(
+            response = await self._session.request(
                 method,
                 self._url + path,
                 timeout=timeout,
                 allow_redirects=False,
                 **kwargs,
-            ) as response:
-                if response.status != 200:
-                    superseded = response.status == HTTPStatus.CONFLICT
-                    kind = LossKind.SUPERSEDED if superseded else LossKind.REFUSED
-                    raise self._lost(kind, step, f"status {response.status}")
-                async for events in _read_events(response.content):
-                    yield events
-                    if events[-1].finish_reason is not None:
-                        return
-            raise self._lost(LossKind.RESET, step, "the stream ended early")
+            )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise self._lost(LossKind.UNREACHABLE, step, str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            detail = str(error) or type(error).__name__
-            raise self._lost(LossKind.RESET, step, detail) from error
-        except (msgspec.MsgspecError, ValueError) as error:
-            raise self._lost(LossKind.SEAM, step, str(error)) from error
+            raise self._lost(LossKind.RESET, step, _describe(error)) from error
+        if response.status != HTTPStatus.OK:
+            response.close()
+            superseded = response.status == HTTPStatus.CONFLICT
+            kind = LossKind.SUPERSEDED if superseded else LossKind.REFUSED
+            raise self._lost(kind, step, f"status {response.status}")
+        return HttpTokenStream(response=response, step=step, peer=self._endpoint_id)
 
     def _lost(self, kind: LossKind, step: str, detail: str) -> AttemptLostError:
         return AttemptLostError(kind, step=step, peer=self._endpoint_id, detail=detail)
 
 
-async def _read_events(
-    content: aiohttp.StreamReader,
-) -> AsyncIterator[list[TokenEvent]]:
-    """Yield the whole events of each read; a part event waits for its rest."""
-    rest = b""
-    while chunk := await content.readany():
-        *whole, rest = (rest + chunk).split(b"\n\n")
-        if len(rest) > MAX_EVENT_BYTES:
+class HttpTokenStream:
+    """The server-sent events of one attempt.
+
+    Args:
+        response: The open response.
+        step: The step, for errors.
+        peer: The endpoint, for errors.
+    """
+
+    def __init__(
+        self, *, response: aiohttp.ClientResponse, step: str, peer: str
+    ) -> None:
+        self._response = response
+        self._content = response.content
+        self._step = step
+        self._peer = peer
+        self._rest = b""
+        self._has_ended = False
+
+    async def read(self) -> list[TokenEvent]:
+        """Return the events that arrived together; none once it has ended."""
+        try:
+            while not self._has_ended:
+                chunk = await self._content.readany()
+                if not chunk:
+                    raise self._lost(LossKind.RESET, "the stream ended early")
+                events = self._decode(chunk)
+                if events:
+                    return events
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise self._lost(LossKind.RESET, _describe(error)) from error
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise self._lost(LossKind.SEAM, str(error)) from error
+        return []
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._response.close()
+
+    def _decode(self, chunk: bytes) -> list[TokenEvent]:
+        """Return the whole events so far; a part event waits for its rest."""
+        *whole, self._rest = (self._rest + chunk).split(b"\n\n")
+        if len(self._rest) > MAX_EVENT_BYTES:
             raise ValueError("an event is too long")
-        events = [
-            _to_event(_decode_chunk(raw[len(_DATA) :]))
-            for raw in whole
-            if raw.startswith(_DATA) and raw != _DONE
-        ]
-        if events:
-            yield events
-
-
-def _to_event(chunk: _Chunk) -> TokenEvent:
-    choice = chunk.choices[0]
-    return TokenEvent(
-        position=choice.position,
-        token_ids=choice.token_ids,
-        text_offset=choice.text_offset,
-        text=choice.text,
-        finish_reason=choice.finish_reason,
-        prompt_tokens=chunk.usage.prompt_tokens if chunk.usage else 0,
-    )
+        events = []
+        for raw in whole:
+            if raw.startswith(_DATA) and raw != _DONE:
+                events.append(self._decode_one(raw[len(_DATA) :]))
+        return events
+
+    def _decode_one(self, data: bytes) -> TokenEvent:
+        chunk = _decode_chunk(data)
+        event = chunk.choices[0]
+        if event.finish_reason is not None:
+            self._has_ended = True
+            event.prompt_tokens = chunk.usage.prompt_tokens if chunk.usage else 0
+        return event
+
+    def _lost(self, kind: LossKind, detail: str) -> AttemptLostError:
+        return AttemptLostError(kind, step=self._step, peer=self._peer, detail=detail)
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -23,7 +23,9 @@
 )
 
 WATCH_INTERVAL = timedelta(milliseconds=50)
-#: An endpoint that answers, but not on this stream, is asked for it again.
+#: A timer of this host that is later than this shows that it can't judge others.
+MAX_OWN_LAG = timedelta(milliseconds=100)
+#: A stream that is silent for longer, though its endpoint lives, is taken up anew.
 MAX_STREAM_SILENCE = timedelta(seconds=3)
 FIRST_EJECTION = timedelta(seconds=1)
 LAST_EJECTION = timedelta(seconds=30)
@@ -33,20 +35,32 @@
 class StreamGuard:
     """Watches one attempt for silence.
 
+    The attempt only counts its reads; the watch looks at the count now and then,
+    so that a token costs no reading of the clock.
+
     Attributes:
+        quiet_since: Since when no read was seen.
+        reads: How many reads brought output.
+        is_waiting: Whether it waits for output; not while the caller is written to.
+        seen_reads: The reads that the watch has seen.
+        spared_since: Since when it is silent though its endpoint was found alive.
         trip: Called to end the attempt.
-        phase: What the stream waits for.
-        armed_at: Since when it waits, or None while the caller is written to.
-        checked_at: When a probe last found the endpoint alive.
         tripped: How the attempt was lost, once it was.
     """
 
-    trip: Callable[[], None]
-    phase: Phase = Phase.FIRST_TOKEN
-    armed_at: timedelta | None = None
-    checked_at: timedelta = timedelta(0)
+    quiet_since: timedelta
+    reads: int = 0
+    is_waiting: bool = True
+    seen_reads: int = 0
+    spared_since: timedelta | None = None
+    trip: Callable[[], None] = lambda: None
     tripped: LossKind | None = None
 
+    @property
+    def phase(self) -> Phase:
+        """What the stream waits for."""
+        return Phase.NEXT_TOKEN if self.seen_reads else Phase.FIRST_TOKEN
+
     def end(self, kind: LossKind) -> None:
         """End the attempt as lost."""
         if self.tripped is None:
@@ -54,6 +68,28 @@
             self.trip()
 
 
+class LagMeter:
+    """Tells whether this host itself was too busy, or paused, to judge others.
+
+    Args:
+        clock: The clock.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._lagged_until = timedelta(0)
+
+    def tick(self, late_by: timedelta) -> None:
+        """Take in how late a timer of this host fired."""
+        if late_by > MAX_OWN_LAG:
+            self._lagged_until = self._clock.monotonic() + late_by
+
+    @property
+    def is_lagging(self) -> bool:
+        """Whether a timer was late a moment ago."""
+        return self._clock.monotonic() < self._lagged_until
+
+
 class LiveEndpoint:
     """The changing state of one endpoint.
 
@@ -61,6 +97,7 @@
         endpoint: Its configuration.
         engine: How it is reached.
         clock: The clock.
+        lag: Tells whether this host can judge.
         bounds_by_phase: Where its silence limits may move.
     """
 
@@ -70,11 +107,13 @@
         endpoint: Endpoint,
         engine: Engine,
         clock: Clock,
+        lag: LagMeter,
         bounds_by_phase: dict[Phase, SilenceBounds],
     ) -> None:
         self.endpoint = endpoint
         self.engine = engine
         self._clock = clock
+        self._lag = lag
         self.own_streams = 0
         self.guards: set[StreamGuard] = set()
         self.limits_by_phase = {
@@ -119,52 +158,66 @@
         """Start a probe if a stream has been silent for too long."""
         if self._probe is not None and not self._probe.done():
             return
-        if any(self._is_silent(guard, now) for guard in self.guards):
-            self._probe = asyncio.create_task(self._probe_until_decided())
+        silent = [guard for guard in self.guards if self._is_silent(guard, now)]
+        if silent:
+            self._probe = asyncio.create_task(self._probe_until_decided(silent))
+
+    def excuse_silence(self, now: timedelta) -> None:
+        """Count silence anew: this host was too busy to hear."""
+        for guard in self.guards:
+            guard.quiet_since = now
+            guard.spared_since = None
 
     def _is_silent(self, guard: StreamGuard, now: timedelta) -> bool:
-        if guard.armed_at is None:
+        reads = guard.reads - guard.seen_reads
+        limit = self.limits_by_phase[guard.phase]
+        if reads:
+            limit.observe((now - guard.quiet_since).total_seconds() / reads)
+        if reads or not guard.is_waiting:
+            guard.seen_reads = guard.reads
+            guard.quiet_since = now
+            guard.spared_since = None
             return False
-        since = max(guard.armed_at, guard.checked_at)
-        return now - since > self.limits_by_phase[guard.phase].current()
+        return now - guard.quiet_since > limit.current()
 
-    async def _probe_until_decided(self) -> None:
+    async def _probe_until_decided(self, silent: list[StreamGuard]) -> None:
         history = ProbeHistory()
-        silent_at_start = [guard for guard in self.guards if guard.armed_at is not None]
-        armed_by_guard = {guard: guard.armed_at for guard in silent_at_start}
         while True:
             report = await self.engine.probe()
-            verdict = history.judge(report.step if report else None)
-            still = [
-                guard
-                for guard, armed_at in armed_by_guard.items()
-                if guard in self.guards and guard.armed_at == armed_at
-            ]
+            still = [guard for guard in silent if self._is_still_silent(guard)]
             if not still:
                 return
-            if verdict is Verdict.FROZEN:
-                log_event(
-                    "silence",
-                    "Endpoint frozen.",
-                    peer=self.endpoint.id,
-                    lost=len(still),
-                )
-                for guard in still:
-                    guard.end(LossKind.FROZEN)
+            if report is None and self._lag.is_lagging:
+                # The answer may be here, unread.
+                await self._clock.sleep(WATCH_INTERVAL)
+                continue
+            if history.judge(report.step if report else None) is Verdict.FROZEN:
+                self._give_up()
                 return
-            if report is not None:
-                self.take_report(report)
-            if history.last_step is not None and history.stalled_probes == 0:
+            self.take_report(report)
+            if history.stalled_probes == 0:
                 self._spare(still)
                 return
             await self._clock.sleep(WATCH_INTERVAL * 2)
 
+    def _is_still_silent(self, guard: StreamGuard) -> bool:
+        waits = guard in self.guards and guard.is_waiting
+        return waits and guard.reads == guard.seen_reads
+
+    def _give_up(self) -> None:
+        """End all streams of the endpoint that wait for it."""
+        lost = [guard for guard in self.guards if self._is_still_silent(guard)]
+        log_event("silence", "Endpoint frozen.", peer=self.endpoint.id, lost=len(lost))
+        for guard in lost:
+            guard.end(LossKind.FROZEN)
+
     def _spare(self, guards: list[StreamGuard]) -> None:
         """Let streams wait on, unless one alone has been silent for too long."""
         now = self._clock.monotonic()
         for guard in guards:
-            guard.checked_at = now
-            waited = now - (guard.armed_at or now)
+            guard.spared_since = guard.spared_since or guard.quiet_since
+            guard.quiet_since = now
+            waited = now - guard.spared_since
             if guard.phase is Phase.NEXT_TOKEN and waited > MAX_STREAM_SILENCE:
                 guard.end(LossKind.RESET)
 
@@ -192,6 +245,7 @@
         self._connect = connect
         self._bounds_by_phase = bounds_by_phase or DEFAULT_BOUNDS_BY_PHASE
         self._live_by_id: dict[str, LiveEndpoint] = {}
+        self._lag = LagMeter(clock=clock)
 
     def find(self, endpoint_id: str) -> LiveEndpoint | None:
         """Return a configured endpoint's live state, or None."""
@@ -204,6 +258,7 @@
                 endpoint=endpoint,
                 engine=self._connect(endpoint),
                 clock=self._clock,
+                lag=self._lag,
                 bounds_by_phase=self._bounds_by_phase,
             )
             self._live_by_id[endpoint_id] = live
@@ -218,7 +273,12 @@
     async def watch_silence(self) -> None:
         """Look for silent streams, for ever."""
         while True:
+            due = self._clock.monotonic() + WATCH_INTERVAL
+            await self._clock.sleep(WATCH_INTERVAL)
             now = self._clock.monotonic()
+            self._lag.tick(now - due)
             for live in list(self._live_by_id.values()):
-                live.check_silence(now)
-            await self._clock.sleep(WATCH_INTERVAL)
+                if self._lag.is_lagging:
+                    live.excuse_silence(now)
+                else:
+                    live.check_silence(now)
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 import attrs
+import msgspec
 
 from passtally.statechart import Machine
 
@@ -50,9 +51,8 @@
     priority: int = 10
 
 
-@attrs.frozen(kw_only=True)
-class TokenEvent:
-    """What an engine sent in one event.
+class TokenEvent(msgspec.Struct, kw_only=True):
+    """What an engine sent in one event, as it came off the wire.
 
     Attributes:
         position: The position of its first token.
@@ -64,15 +64,14 @@
     """
 
     position: int
-    token_ids: Sequence[int]
+    token_ids: list[int]
     text_offset: int
     text: str
     finish_reason: str | None = None
     prompt_tokens: int = 0
 
 
-@attrs.frozen(kw_only=True)
-class Delivery:
+class Delivery(msgspec.Struct, frozen=True, kw_only=True):
     """New output for the caller.
 
     Attributes:
--- a/passtally/handle.py
+++ b/passtally/handle.py
@@ -155,7 +155,7 @@
 def _sign(keyed: "hashlib.blake2b", signed: str) -> str:
     mac = keyed.copy()
     mac.update(signed.encode())
-    return base64.urlsafe_b64encode(mac.digest()).decode()
+    return mac.hexdigest()
 
 
 def _parse(signed: str) -> ResumePoint:
--- a/passtally/statechart.py
+++ b/passtally/statechart.py
@@ -26,11 +26,8 @@
         self._chart = chart
         self._interpreter = Interpreter(_load_chart(chart))
         self._interpreter.execute()
-
-    @property
-    def state(self) -> str:
-        """The name of the innermost active state."""
-        return self._interpreter.configuration[-1]
+        #: The name of the innermost active state; of the last one, once ended.
+        self.state: str = self._interpreter.configuration[-1]
 
     @property
     def is_final(self) -> bool:
@@ -51,13 +48,12 @@
         """
         if self.is_final:
             raise IllegalTransitionError(f"{self._chart} has ended: no {event}.")
-        before = self.state
         self._interpreter.queue(event)
         step = self._interpreter.execute_once()
         if step is None or not step.transitions:
-            raise IllegalTransitionError(f"{self._chart} in {before}: no {event}.")
-        self._interpreter.execute()
-        return "ended" if self.is_final else self.state
+            raise IllegalTransitionError(f"{self._chart} in {self.state}: no {event}.")
+        self.state = step.transitions[-1].target
+        return self.state
 
 
 @cache
--- a/standins/fake_engine.py
+++ b/standins/fake_engine.py
@@ -103,15 +103,27 @@
 
     async def generate(
         self, request: GenerationRequest, attempt: Attempt, prior: Sequence[int]
-    ) -> AsyncIterator[list[TokenEvent]]:
+    ) -> "FakeStream":
         """Run a request, going on after the prior token ids."""
         if self.is_dead:
             raise self._lost(LossKind.UNREACHABLE, "connect")
         self.counts.requests += 1
+        return FakeStream(self._produce(request, len(prior)))
+
+    async def attach(
+        self, request: GenerationRequest, attempt: Attempt, *, position: int
+    ) -> "FakeStream":
+        """Refuse: this engine holds no streams."""
+        kind = LossKind.UNREACHABLE if self.is_dead else LossKind.REFUSED
+        raise self._lost(kind, "attach")
+
+    async def _produce(
+        self, request: GenerationRequest, prior: int
+    ) -> AsyncIterator[list[TokenEvent]]:
         await self._enter(request.priority)
         try:
-            await self._prefill(request, len(prior))
-            for position in range(len(prior), request.max_tokens):
+            await self._prefill(request, prior)
+            for position in range(prior, request.max_tokens):
                 crowd = 1 + self.speed.crowding * self.running
                 await self._wait(self.speed.step * crowd)
                 self.counts.generated += 1
@@ -119,14 +131,6 @@
         finally:
             self._leave()
 
-    async def attach(
-        self, request: GenerationRequest, attempt: Attempt, *, position: int
-    ) -> AsyncIterator[list[TokenEvent]]:
-        """Refuse: this engine holds no streams."""
-        kind = LossKind.UNREACHABLE if self.is_dead else LossKind.REFUSED
-        raise self._lost(kind, "attach")
-        yield []
-
     async def cancel(self, generation_id: str, attempt: int) -> None:
         """Do nothing: a stream ends with its reader here."""
 
@@ -198,6 +202,26 @@
         return AttemptLostError(kind, step=step, peer=self.name, detail="fake")
 
 
+class FakeStream:
+    """The output of one attempt, from a generator.
+
+    Args:
+        events: Yields what arrives together.
+    """
+
+    def __init__(self, events: AsyncIterator[list[TokenEvent]]) -> None:
+        self._events = events
+        self._closing: asyncio.Task[None] | None = None
+
+    async def read(self) -> list[TokenEvent]:
+        """Return the events that arrived together; none once it has ended."""
+        return await anext(self._events, [])
+
+    def close(self) -> None:
+        """End the generator, so that it leaves its engine."""
+        self._closing = asyncio.ensure_future(self._events.aclose())
+
+
 def text_of(position: int) -> str:
     """Return the text of the token at a position."""
     return f"{position} "
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -43,6 +43,10 @@
         """Return the virtual time, in seconds."""
         return self._jumping.now
 
+    def pause(self, seconds: float) -> None:
+        """Let time pass without running anything, as a stopped process does."""
+        self._jumping.now += seconds
+
 
 class VirtualClock:
     """A clock that follows the running virtual loop."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 import attrs
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -55,12 +56,12 @@
 
     plan: list[Fault] = []
 
-    async def generate(self, request, attempt, prior) -> AsyncIterator:
+    async def _produce(self, request, prior) -> AsyncIterator:
         fault = self.plan.pop(0) if self.plan else None
         if fault and fault.kind == "refuse":
             raise self._lost(LossKind.REFUSED, "connect")
         count = 0
-        async for events in super().generate(request, attempt, prior):
+        async for events in super()._produce(request, prior):
             if fault and count == fault.after:
                 if fault.kind == "reset":
                     raise self._lost(LossKind.RESET, "stream")
@@ -70,7 +71,9 @@
                     count += 1
                     continue
                 if fault.kind == "lie":
-                    events = [attrs.evolve(events[0], position=0, text_offset=0)]
+                    events = [
+                        msgspec.structs.replace(events[0], position=0, text_offset=0)
+                    ]
             yield events
             if fault and fault.kind == "repeat" and count == fault.after:
                 yield events
@@ -158,11 +161,11 @@
         class LyingEngine(FakeEngine):
             lies = 1
 
-            async def generate(self, request, attempt, prior):
-                async for events in super().generate(request, attempt, prior):
+            async def _produce(self, request, prior):
+                async for events in super()._produce(request, prior):
                     if LyingEngine.lies and events[0].position == 5:
                         LyingEngine.lies = 0
-                        far = attrs.evolve(events[0], position=30)
+                        far = msgspec.structs.replace(events[0], position=30)
                         yield [events[0], far]
                     yield events
 
@@ -200,8 +203,8 @@
 
     def test_a_slow_engine_that_answers_its_probe_is_waited_for(self):
         class SlowEngine(FakeEngine):
-            async def generate(self, request, attempt, prior):
-                async for events in super().generate(request, attempt, prior):
+            async def _produce(self, request, prior):
+                async for events in super()._produce(request, prior):
                     if events[0].position == 20:
                         await asyncio.sleep(2)
                     yield events
@@ -213,6 +216,31 @@
         assert sink.text == expected_text(TOKENS)
         assert len(sink.engines) == 1
 
+    def test_a_host_that_was_paused_does_not_judge_its_endpoints(self):
+        """The host sleeps through the probe: its answer lies unread."""
+
+        class UnreadEngine(FakeEngine):
+            async def probe(self):
+                loop = asyncio.get_running_loop()
+                if loop.time() < 4:
+                    loop.pause(3)
+                    await asyncio.sleep(0.3)
+                    return None
+                return await super().probe()
+
+            async def _produce(self, request, prior):
+                async for events in super()._produce(request, prior):
+                    if events[0].position == 20:
+                        await asyncio.sleep(4)
+                    yield events
+
+        async def run():
+            return await Bench(UnreadEngine).run(make_short_generation())
+
+        sink = run_virtually(run())
+        assert sink.text == expected_text(TOKENS)
+        assert len(sink.engines) == 1
+
 
 class TestEnds:
     def refuse(self, bench_options=None, **generation_options):
@@ -235,8 +263,8 @@
 
     def test_a_poison_prompt_is_stopped_and_quarantined(self):
         class PoisonedEngine(FakeEngine):
-            async def generate(self, request, attempt, prior):
-                async for events in super().generate(request, attempt, prior):
+            async def _produce(self, request, prior):
+                async for events in super()._produce(request, prior):
                     if events[0].position >= 10:
                         self.die()
                     yield events
