--- a/passtally/catalog.py
+++ b/passtally/catalog.py
@@ -7,8 +7,18 @@
 import attrs
 import msgspec
 
+from passtally.clock import Clock
 from passtally.decision import log_event
-from passtally.objects import Endpoint, Service, Workspace, decode_object
+from passtally.intent import LEDGER_KEY, Ledger, read_ledger
+from passtally.membership import Gossip
+from passtally.objects import (
+    CONFIG_KINDS,
+    Endpoint,
+    Service,
+    Workspace,
+    decode_object,
+)
+from passtally.peers import ConfigChanges, FetchConfig, PeerError, Peers
 from passtally.platform import (
     REMOVED,
     Listing,
@@ -22,12 +32,8 @@
 RELIST_JITTER = timedelta(seconds=2)
 FIRST_RETRY = timedelta(milliseconds=100)
 LAST_RETRY = timedelta(seconds=2)
-
-_KINDS = {
-    "services": Service,
-    "endpoints": Endpoint,
-    "workspaces": Workspace,
-}
+PEER_INTERVAL = timedelta(seconds=1)
+FETCH_TIMEOUT = timedelta(seconds=5)
 
 
 @attrs.define(kw_only=True)
@@ -39,14 +45,18 @@
         services_by_id: The services.
         endpoints_by_id: The endpoints.
         workspaces_by_id: The workspaces.
+        versions_by_key: The version of each object taken in, removed ones too.
+        ledger: The intents under way.
     """
 
     version: int = 0
     services_by_id: dict[str, Service] = attrs.field(factory=dict)
     endpoints_by_id: dict[str, Endpoint] = attrs.field(factory=dict)
     workspaces_by_id: dict[str, Workspace] = attrs.field(factory=dict)
+    versions_by_key: dict[str, int] = attrs.field(factory=dict)
+    ledger: Ledger = attrs.field(factory=Ledger)
+    _stored_by_key: dict[str, StoredObject] = attrs.field(factory=dict)
     _workspaces_by_token: dict[str, Workspace] = attrs.field(factory=dict)
-    _versions_by_key: dict[str, int] = attrs.field(factory=dict)
 
     def replace(self, listing: Listing) -> bool:
         """Take in a whole listing.
@@ -57,7 +67,7 @@
         if listing.version < self.version:
             return False
         listed = {stored.key for stored in listing.objects}
-        for key in [key for key in self._versions_by_key if key not in listed]:
+        for key in [key for key in self.versions_by_key if key not in listed]:
             removed = msgspec.Raw(REMOVED)
             self._apply(StoredObject(key=key, version=listing.version, value=removed))
         for stored in listing.objects:
@@ -71,6 +81,28 @@
             self._apply(stored)
         self.version = max(self.version, changes.version)
 
+    @property
+    def config_version(self) -> int:
+        """The version of the newest configuration object that was taken in."""
+        return max(self.versions_by_key.values(), default=0)
+
+    def current_versions(self) -> dict[str, int]:
+        """Return the versions of the objects that exist."""
+        return {
+            key: stored.version
+            for key, stored in self._stored_by_key.items()
+            if not stored.is_removed
+        }
+
+    def changes_after(self, version: int) -> Listing:
+        """Return the newest state of all objects that changed after a version."""
+        changed = (
+            stored
+            for stored in self._stored_by_key.values()
+            if stored.version > version
+        )
+        return Listing(version=self.version, objects=tuple(changed))
+
     def endpoints_of(self, service_id: str) -> list[Endpoint]:
         """Return the endpoints of one service."""
         return [
@@ -84,12 +116,15 @@
         return self._workspaces_by_token.get(token_sha256)
 
     def _apply(self, stored: StoredObject) -> None:
-        if stored.version <= self._versions_by_key.get(stored.key, 0):
+        if stored.version <= self.versions_by_key.get(stored.key, 0):
             return
-        self._versions_by_key[stored.key] = stored.version
+        self.versions_by_key[stored.key] = stored.version
+        self._stored_by_key[stored.key] = stored
+        if stored.key == LEDGER_KEY:
+            self.ledger = Ledger() if stored.is_removed else read_ledger(stored.value)
         _, _, rest = stored.key.partition(CONFIG_PREFIX)
         kind, _, object_id = rest.partition("/")
-        if kind not in _KINDS:
+        if kind not in CONFIG_KINDS:
             return
         objects_by_id = getattr(self, f"{kind}_by_id")
         if stored.is_removed:
@@ -110,28 +145,43 @@
         value: msgspec.Raw,
     ) -> None:
         try:
-            objects_by_id[object_id] = decode_object(bytes(value), _KINDS[kind])
+            objects_by_id[object_id] = decode_object(bytes(value), CONFIG_KINDS[kind])
         except ValueError as error:
             # Keeping the last good object serves callers better than none.
             log_event("config", "Ignored a broken object.", id=object_id, why=error)
 
 
 class CatalogKeeper:
-    """Keeps a catalog up to date from the platform, through its outages.
+    """Keeps a catalog up to date, from the platform and through its outages.
 
     Args:
         catalog: What to keep.
         platform: Where the objects are.
+        peers: Who else may know newer ones.
+        gossip: Tells which peer has the newest.
+        clock: The clock.
         rng: Where the jitter comes from.
     """
 
     def __init__(
-        self, *, catalog: Catalog, platform: Platform, rng: random.Random
+        self,
+        *,
+        catalog: Catalog,
+        platform: Platform,
+        peers: Peers,
+        gossip: Gossip,
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
         self.catalog = catalog
         self.loaded = asyncio.Event()
+        self.is_watching = False
         self._platform = platform
+        self._peers = peers
+        self._gossip = gossip
+        self._clock = clock
         self._rng = rng
+        peers.on(FetchConfig, self._answer)
 
     async def run(self) -> None:
         """List, then watch, for ever."""
@@ -140,30 +190,65 @@
             try:
                 await self._list()
                 delay = FIRST_RETRY
+                self.is_watching = True
                 await self._watch()
             except TooOldError:
                 log_event("config", "Watch too old, listing again.")
                 await self._sleep(RELIST_JITTER)
             except PlatformError as error:
+                self.is_watching = False
                 log_event("config", "Platform out of reach.", why=error)
                 await self._sleep(delay)
                 delay = min(2 * delay, LAST_RETRY)
 
+    async def follow_peers(self) -> None:
+        """Take newer configuration from peers, for ever.
+
+        A host that is cut off from the platform, or that starts during an outage,
+        learns from them what was accepted. A host whose watch is up needs none.
+        """
+        while True:
+            await self._clock.sleep(PEER_INTERVAL)
+            host_id, version = self._gossip.newest_config()
+            if version > self.catalog.config_version:
+                await self._fetch(host_id)
+            self._gossip.config_version = self.catalog.config_version
+
+    async def _fetch(self, host_id: str) -> None:
+        message = FetchConfig(after=self.catalog.config_version)
+        try:
+            reply = await self._peers.ask(host_id, message, timeout=FETCH_TIMEOUT)
+        except PeerError as error:
+            log_event("config", "Peer did not answer.", peer=host_id, why=error)
+            return
+        if isinstance(reply, ConfigChanges):
+            changes = msgspec.json.decode(reply.listing, type=Listing)
+            self.catalog.advance(changes)
+            self._note("Learned from a peer.", peer=host_id)
+
+    async def _answer(self, message: FetchConfig) -> ConfigChanges:
+        changes = self.catalog.changes_after(message.after)
+        return ConfigChanges(listing=msgspec.json.encode(changes))
+
     async def _list(self) -> None:
         listing = await self._platform.list_objects(CONFIG_PREFIX)
         taken = self.catalog.replace(listing)
-        log_event("config", "Listed.", version=listing.version, taken=taken)
         if taken:
-            self.loaded.set()
+            self._note("Listed.")
 
     async def _watch(self) -> None:
         while True:
             changes = await self._platform.watch(
                 CONFIG_PREFIX, after=self.catalog.version
             )
+            self.catalog.advance(changes)
             if changes.objects:
-                self.catalog.advance(changes)
-                log_event("config", "Changed.", version=self.catalog.version)
+                self._note("Changed.")
+
+    def _note(self, sentence: str, **fields: object) -> None:
+        self.loaded.set()
+        self._gossip.config_version = self.catalog.config_version
+        log_event("config", sentence, version=self.catalog.config_version, **fields)
 
     async def _sleep(self, longest: timedelta) -> None:
-        await asyncio.sleep(self._rng.uniform(0.5, 1) * longest.total_seconds())
+        await self._clock.sleep(self._rng.uniform(0.5, 1) * longest)
--- a/passtally/cli.py
+++ b/passtally/cli.py
@@ -7,6 +7,7 @@
 import click
 
 from passtally import __version__
+from passtally.operator_cli import add_commands
 from passtally.settings import (
     Settings,
     SettingsError,
@@ -24,6 +25,9 @@
     """Serve long generations on engines that may die in the middle of an answer."""
 
 
+add_commands(main)
+
+
 def _settings_options(command: Any) -> Any:
     for field in reversed(attrs.fields(Settings)):
         command = click.option(
--- a/passtally/completion.py
+++ b/passtally/completion.py
@@ -11,7 +11,7 @@
 from passtally.copies import CopiedStream
 from passtally.generation import Attempt, Delivery, Generation, GenerationRequest
 from passtally.handle import HandleSigner, HandleWriter, StreamRef
-from passtally.objects import Service
+from passtally.objects import Service, Workspace
 from passtally.outcome import Code, RefusedError, refuse
 
 MAX_TOKENS_LIMIT = 1 << 20
@@ -84,7 +84,7 @@
     body: CompletionBody,
     flavour: Flavour,
     *,
-    workspace: str,
+    workspace: Workspace,
     service: Service,
     version: str = "",
     generation_id: str = "",
@@ -107,7 +107,7 @@
         seed = body.seed if body.seed is not None else secrets.randbits(_SEED_BITS)
     return GenerationRequest(
         id=generation_id or new_generation_id(),
-        workspace=workspace,
+        workspace=workspace.id,
         service=service.id,
         model=service.model,
         version=version or service.version,
@@ -117,6 +117,7 @@
         temperature=body.temperature,
         seed=seed,
         stop=stop,
+        failure_domain=workspace.placements.get(service.id, ""),
     )
 
 
--- a/passtally/completion_handler.py
+++ b/passtally/completion_handler.py
@@ -250,15 +250,13 @@
 ) -> Generation:
     if point is None:
         return Generation(
-            request=build_request(
-                body, flavour, workspace=workspace.id, service=service
-            )
+            request=build_request(body, flavour, workspace=workspace, service=service)
         )
     stream = point.stream
     request = build_request(
         body,
         flavour,
-        workspace=workspace.id,
+        workspace=workspace,
         service=service,
         version=stream.version,
         generation_id=stream.generation_id,
--- /dev/null
+++ b/passtally/config_store.py
@@ -0,0 +1,150 @@
+"""Writes that are answered only once it is certain whether they were accepted."""
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from typing import TypeVar
+
+import msgspec
+
+from passtally.clock import Clock
+from passtally.intent import (
+    INTENTS_PREFIX,
+    LEDGER_KEY,
+    Intent,
+    Ledger,
+    read_intent,
+    read_ledger,
+)
+from passtally.platform import (
+    ConflictError,
+    Platform,
+    StoredObject,
+    ThrottledError,
+    UnavailableError,
+)
+
+T = TypeVar("T")
+
+WRITE_PATIENCE = timedelta(seconds=5)
+WRITE_PAUSE = timedelta(milliseconds=100)
+
+
+class ConfigStore:
+    """Reads and writes configuration, intents and the ledger.
+
+    Args:
+        platform: Where they are.
+        clock: The clock.
+    """
+
+    def __init__(self, *, platform: Platform, clock: Clock) -> None:
+        self._platform = platform
+        self._clock = clock
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return one object; raises PlatformError."""
+        return await self._platform.get(key)
+
+    async def put(self, key: str, value: bytes, *, version: int | None) -> int:
+        """Write an object and return its version once the platform has it.
+
+        A write whose answer was lost is read back: if the object then holds this
+        value, it was accepted.
+
+        Args:
+            key: The object.
+            value: Its JSON.
+            version: The version it must have now; 0 for none, None for any.
+
+        Raises:
+            ConflictError: It has another version.
+            UnavailableError: The platform could not be asked; unknown.
+        """
+        deadline = self._clock.monotonic() + WRITE_PATIENCE
+        is_repeat = False
+        while True:
+            try:
+                expected = await self._find_version(key) if version is None else version
+                return await self._write(key, value, expected)
+            except ConflictError:
+                stored = await self._platform.get(key) if is_repeat else None
+                if stored is not None and bytes(stored.value) == value:
+                    return stored.version
+                if version is not None:
+                    raise
+            except (UnavailableError, ThrottledError):
+                is_repeat = True
+                if self._clock.monotonic() >= deadline:
+                    raise
+            await self._clock.sleep(WRITE_PAUSE)
+
+    async def remove(self, key: str, *, version: int | None) -> None:
+        """Remove an object; one that is gone already is no error.
+
+        Raises:
+            ConflictError: It has another version.
+            UnavailableError: The platform could not be asked; unknown.
+        """
+        deadline = self._clock.monotonic() + WRITE_PATIENCE
+        while True:
+            try:
+                stored = await self._platform.get(key)
+                if stored is None:
+                    return
+                expected = stored.version if version is None else version
+                await self._platform.delete(key, version=expected)
+                return
+            except ConflictError:
+                if version is not None and await self._platform.get(key) is not None:
+                    raise
+            except (UnavailableError, ThrottledError):
+                if self._clock.monotonic() >= deadline:
+                    raise
+            await self._clock.sleep(WRITE_PAUSE)
+
+    async def versions(self) -> Mapping[str, int]:
+        """Return the versions of all configuration objects."""
+        listing = await self._platform.list_objects("config/")
+        return {stored.key: stored.version for stored in listing.objects}
+
+    async def list_intents(self) -> list[Intent]:
+        """Return all intents."""
+        listing = await self._platform.list_objects(INTENTS_PREFIX)
+        return [read_intent(bytes(stored.value)) for stored in listing.objects]
+
+    async def get_intent(self, intent_id: str) -> tuple[Intent, int] | None:
+        """Return an intent and its version, or None where there is none."""
+        stored = await self._platform.get(INTENTS_PREFIX + intent_id)
+        if stored is None:
+            return None
+        return read_intent(bytes(stored.value)), stored.version
+
+    async def change_ledger(self, change: Callable[[Ledger], Ledger]) -> None:
+        """Change the ledger, again and again until no other host was in between.
+
+        Args:
+            change: Returns the new ledger for the newest one. It may raise; then
+                nothing is written. Returning the same one writes nothing.
+        """
+        while True:
+            stored = await self._platform.get(LEDGER_KEY)
+            ledger = read_ledger(bytes(stored.value)) if stored else Ledger()
+            changed = change(ledger)
+            if changed == ledger:
+                return
+            value = msgspec.json.encode(changed)
+            version = stored.version if stored else 0
+            try:
+                await self.put(LEDGER_KEY, value, version=version)
+            except ConflictError:
+                continue
+            return
+
+    async def _find_version(self, key: str) -> int:
+        stored = await self._platform.get(key)
+        return stored.version if stored else 0
+
+    async def _write(self, key: str, value: bytes, version: int) -> int:
+        if version == 0:
+            return await self._platform.create(key, value)
+        return await self._platform.update(key, value, version=version)
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -19,20 +19,28 @@
 from passtally.claims import Claims
 from passtally.clock import Clock, SystemClock
 from passtally.completion_handler import CompletionHandler
+from passtally.config_store import ConfigStore
 from passtally.copies import CopySender, CopyService, CopyShelf
 from passtally.decision import log_event
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.engine import HttpEngine
+from passtally.executor import LEASE_KEY, Executor
 from passtally.fleet import Fleet
 from passtally.handle import HandleSigner
+from passtally.intents import Intents
+from passtally.lease import Lease
+from passtally.membership import Gossip, MemberTable
 from passtally.objects import Endpoint
 from passtally.once import OnceCaller
-from passtally.peers import Peers
+from passtally.operator_api import OperatorApi
+from passtally.orders import HttpOrders
+from passtally.peers import MemberRow, Peers
 from passtally.plain import PlainCaller, PlainHandler, open_session
 from passtally.platform import HttpPlatform
 from passtally.retry import RetryLimits
 from passtally.settings import Settings
+from passtally.status import StatusReader
 
 LISTEN_BACKLOG = 2048
 
@@ -56,14 +64,20 @@
     async def start(self) -> None:
         """Open the sessions, the tasks and the listening socket."""
         self._open_clients()
-        self._build()
-        self._build_peers()
-        self._build_claims()
-        self._spawn(self.keeper.run())
-        self._spawn(self.fleet.watch_silence())
+        self._build_links()
+        self._build_serving()
+        self._build_control()
         self.peers.start()
-        self._spawn(self.copy_sender.run())
-        self._spawn(self.claims.run())
+        for work in (
+            self.keeper.run(),
+            self.keeper.follow_peers(),
+            self.gossip.run(),
+            self.fleet.watch_silence(),
+            self.copy_sender.run(),
+            self.claims.run(),
+            self.executor.run(),
+        ):
+            self._spawn(work)
         await self._listen()
         log_event("daemon", "Started.", listen=self.settings.listen)
 
@@ -78,6 +92,11 @@
         await self._plain_session.close()
         log_event("daemon", "Stopped.")
 
+    async def leave(self) -> None:
+        """Leave the balancer and wait for the last request, however long."""
+        self.gossip.leaving = True
+        await self.drain.stop(balancer_lag=self.settings.balancer_lag)
+
     def _open_clients(self) -> None:
         self._engine_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
@@ -85,17 +104,46 @@
         )
         self._plain_session = open_session()
 
-    def _build(self) -> None:
+    def _build_links(self) -> None:
+        """Build what leads to the platform, the peers and the endpoints."""
         settings = self.settings
         self.platform = HttpPlatform(
             session=self._engine_session, url=settings.platform
         )
+        self.peers = Peers(
+            host_id=settings.host_id,
+            listen=settings.peer_listen,
+            peers_by_id=settings.peers,
+            keys=list(settings.resume_keys.values()),
+        )
+        own = MemberRow(
+            host_id=settings.host_id,
+            failure_domain=settings.failure_domain,
+            counter=int(self.clock.now().timestamp()),
+            config_version=0,
+            leaving=False,
+        )
+        self.gossip = Gossip(
+            table=MemberTable(own=own),
+            peers=self.peers,
+            clock=self.clock,
+            rng=random.Random(),
+        )
         self.keeper = CatalogKeeper(
-            catalog=self.catalog, platform=self.platform, rng=random.Random()
+            catalog=self.catalog,
+            platform=self.platform,
+            peers=self.peers,
+            gossip=self.gossip,
+            clock=self.clock,
+            rng=random.Random(),
         )
         self.fleet = Fleet(
             catalog=self.catalog, clock=self.clock, connect=self._connect_engine
         )
+
+    def _build_serving(self) -> None:
+        """Build what carries requests."""
+        settings = self.settings
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clock=self.clock,
@@ -106,21 +154,6 @@
         self.signer = HandleSigner(
             keys_by_id=settings.resume_keys, active_key=next(iter(settings.resume_keys))
         )
-        self.caller = PlainCaller(
-            fleet=self.fleet,
-            clock=self.clock,
-            failure_domain=settings.failure_domain,
-            session=self._plain_session,
-        )
-
-    def _build_peers(self) -> None:
-        settings = self.settings
-        self.peers = Peers(
-            host_id=settings.host_id,
-            listen=settings.peer_listen,
-            peers_by_id=settings.peers,
-            keys=list(settings.resume_keys.values()),
-        )
         self.copy_sender = CopySender(
             peers=self.peers,
             clock=self.clock,
@@ -128,9 +161,6 @@
             domains_by_host=self.peers.domains_by_id,
         )
         self.copies = CopyService(shelf=CopyShelf(clock=self.clock), peers=self.peers)
-
-    def _build_claims(self) -> None:
-        settings = self.settings
         self.claims = Claims(
             platform=self.platform,
             peers=self.peers,
@@ -138,13 +168,56 @@
             shards=settings.claim_shards,
             retention=settings.claim_retention,
         )
+        caller = PlainCaller(
+            fleet=self.fleet,
+            clock=self.clock,
+            failure_domain=settings.failure_domain,
+            session=self._plain_session,
+        )
         self.once = OnceCaller(
-            caller=self.caller,
+            caller=caller,
             claims=self.claims,
             clock=self.clock,
             host_id=settings.host_id,
         )
 
+    def _build_control(self) -> None:
+        """Build what operators use."""
+        settings = self.settings
+        store = ConfigStore(platform=self.platform, clock=self.clock)
+        self.executor = Executor(
+            host_id=settings.host_id,
+            host_ids=[settings.host_id, *settings.peers],
+            store=store,
+            catalog=self.catalog,
+            fleet=self.fleet,
+            orders=HttpOrders(session=self._plain_session),
+            lease=Lease(
+                key=LEASE_KEY,
+                holder=settings.host_id,
+                platform=self.platform,
+                clock=self.clock,
+            ),
+            clock=self.clock,
+        )
+        status = StatusReader(
+            host_id=settings.host_id,
+            failure_domain=settings.failure_domain,
+            catalog=self.catalog,
+            gossip=self.gossip,
+            peers=self.peers,
+            fleet=self.fleet,
+            drain=self.drain,
+            is_platform_reachable=lambda: self.keeper.is_watching,
+            count_claim_writes=lambda: self.claims.write_count,
+        )
+        self.operator_api = OperatorApi(
+            token=settings.operator_token,
+            store=store,
+            intents=Intents(store=store, catalog=self.catalog, fleet=self.fleet),
+            status=status,
+        )
+
     def _connect_engine(self, endpoint: Endpoint) -> HttpEngine:
         return HttpEngine(
             session=self._engine_session, endpoint_id=endpoint.id, url=endpoint.url
@@ -177,6 +250,7 @@
         app.router.add_post("/v1/chat/completions", completions.chat)
         app.router.add_post("/v1/completions", completions.text)
         app.router.add_route("*", "/services/{service}/{path:.*}", plain.serve)
+        self.operator_api.add_routes(app)
         app.router.add_get("/healthz", self._answer_health)
         app.router.add_get("/readyz", self._answer_ready)
         return app
@@ -186,7 +260,7 @@
 
     async def _answer_ready(self, request: web.Request) -> web.Response:
         ready = self.keeper.loaded.is_set() and not self.drain.is_stopping
-        body = {"ready": ready, "config_version": self.catalog.version}
+        body = {"ready": ready, "config_version": self.catalog.config_version}
         return web.json_response(body, status=200 if ready else 503)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -224,4 +298,4 @@
         loop.add_signal_handler(number, stopping.set)
     await stopping.wait()
     log_event("daemon", "Stopping.", open=host.drain.open_requests)
-    await host.drain.stop(balancer_lag=host.settings.balancer_lag)
+    await host.leave()
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -213,7 +213,7 @@
             decision = choose_endpoint(
                 RouteQuery(
                     affinity=request.prompt[:PREFIX_CHARACTERS].encode(),
-                    failure_domain=self._failure_domain,
+                    failure_domain=request.failure_domain or self._failure_domain,
                     exclude=progress.excluded,
                 ),
                 self._fleet.views(request.service),
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -10,7 +10,7 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.engine import Engine, LoadReport
-from passtally.objects import Endpoint
+from passtally.objects import Endpoint, is_placed
 from passtally.retry import LossKind
 from passtally.routing import EndpointView
 from passtally.silence import (
@@ -267,9 +267,25 @@
 
     def views(self, service_id: str) -> list[EndpointView]:
         """Return what decisions read of one service's endpoints."""
-        found = (self.find(item.id) for item in self._catalog.endpoints_of(service_id))
+        service = self._catalog.services_by_id.get(service_id)
+        if service is None:
+            return []
+        placed = (
+            endpoint
+            for endpoint in self._catalog.endpoints_of(service_id)
+            if is_placed(endpoint, service)
+        )
+        found = (self.find(endpoint.id) for endpoint in placed)
         return [live.view() for live in found if live is not None]
 
+    def count_streams(self, endpoint_id: str) -> int:
+        """Return the open requests of an endpoint, as far as this host knows."""
+        live = self.find(endpoint_id)
+        if live is None:
+            return 0
+        view = live.view()
+        return max(view.own_streams, view.reported_streams)
+
     async def watch_silence(self) -> None:
         """Look for silent streams, for ever."""
         while True:
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -35,6 +35,7 @@
         seed: The sampling seed, the same for all attempts.
         stop: Strings that end the answer.
         priority: The engine's priority; lower goes first.
+        failure_domain: Where it is to run if it can; empty for the host's own.
     """
 
     id: str
@@ -49,6 +50,7 @@
     seed: int
     stop: tuple[str, ...] = ()
     priority: int = 10
+    failure_domain: str = ""
 
 
 class TokenEvent(msgspec.Struct, kw_only=True):
--- /dev/null
+++ b/passtally/intents.py
@@ -0,0 +1,226 @@
+"""Declares, confirms and cancels intents, on behalf of operators."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+import attrs
+
+from passtally.catalog import Catalog
+from passtally.config_store import ConfigStore
+from passtally.decision import log_decision
+from passtally.fleet import Fleet
+from passtally.intent import (
+    Intent,
+    IntentKind,
+    IntentState,
+    Ledger,
+    find_stale,
+    new_intent_id,
+    overlap,
+)
+from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.planner import PlanRefusedError, PlanView, make_plan
+from passtally.platform import ConflictError, PlatformError
+
+RETRY_AFTER = timedelta(seconds=1)
+
+
+class Intents:
+    """The operators' side of intents; the executor carries them out.
+
+    Args:
+        store: Where they are kept.
+        catalog: The configuration in force.
+        fleet: The endpoints' load.
+    """
+
+    def __init__(self, *, store: ConfigStore, catalog: Catalog, fleet: Fleet) -> None:
+        self._store = store
+        self._catalog = catalog
+        self._fleet = fleet
+
+    async def declare(self, kind: IntentKind, params: Mapping[str, str]) -> Intent:
+        """Make a plan and keep it; nothing happens before it is confirmed.
+
+        Raises:
+            RefusedError: The plan can't keep the promises, or can't be kept now.
+        """
+        try:
+            plan = make_plan(kind, params, self._view())
+        except PlanRefusedError as error:
+            raise refuse(
+                Code.PLAN_REFUSED, str(error), status=422, step="plan"
+            ) from error
+        intent = Intent(
+            id=new_intent_id(kind),
+            kind=kind,
+            params=dict(params),
+            state=IntentState.PLANNED,
+            plan=plan,
+        )
+        try:
+            await self._store.put(intent.key, intent.to_json(), version=0)
+        except PlatformError as error:
+            raise platform_away(error) from error
+        return intent
+
+    async def confirm(self, intent_id: str) -> Intent:
+        """Let a plan be carried out. Asking again is safe.
+
+        Raises:
+            RefusedError: It is stale, in conflict, ended, or can't be kept now.
+        """
+        try:
+            return await self._confirm(intent_id)
+        except PlatformError as error:
+            raise platform_away(error) from error
+
+    async def cancel(self, intent_id: str) -> Intent:
+        """Stop an intent before its next step.
+
+        Raises:
+            RefusedError: It has ended, or can't be kept now.
+        """
+        try:
+            while True:
+                intent, version = await self._get(intent_id)
+                if intent.state in (IntentState.DONE, IntentState.FAILED):
+                    raise _ended(intent)
+                cancelled = attrs.evolve(intent, state=IntentState.CANCELLED)
+                try:
+                    if intent.state is not IntentState.CANCELLED:
+                        await self._store.put(
+                            intent.key, cancelled.to_json(), version=version
+                        )
+                except ConflictError:
+                    continue
+                await self._store.change_ledger(lambda ledger: ledger.remove(intent_id))
+                return cancelled
+        except PlatformError as error:
+            raise platform_away(error) from error
+
+    async def show(self, intent_id: str) -> Intent:
+        """Return one intent as it is now.
+
+        Raises:
+            RefusedError: There is none, or the platform is away.
+        """
+        try:
+            intent, _ = await self._get(intent_id)
+        except PlatformError as error:
+            raise platform_away(error) from error
+        return intent
+
+    async def list(self) -> "list[Intent]":
+        """Return all intents; raises RefusedError where the platform is away."""
+        try:
+            return await self._store.list_intents()
+        except PlatformError as error:
+            raise platform_away(error) from error
+
+    async def _confirm(self, intent_id: str) -> Intent:
+        intent, version = await self._get(intent_id)
+        if intent.state is IntentState.CONFIRMED or intent.state is IntentState.DONE:
+            return intent
+        if intent.state is not IntentState.PLANNED:
+            raise _ended(intent)
+        versions = await self._store.versions()
+        stale = find_stale(intent.plan, versions)
+        if stale:
+            raise _stale(intent, stale)
+        await self._store.change_ledger(lambda ledger: _enter(ledger, intent))
+        confirmed = attrs.evolve(intent, state=IntentState.CONFIRMED)
+        try:
+            await self._store.put(intent.key, confirmed.to_json(), version=version)
+        except ConflictError:
+            # Another confirm, or a cancel, came between; the next look tells.
+            return await self._settle(intent_id)
+        log_decision(
+            "place",
+            request=intent.id,
+            choice="confirmed",
+            reason=f"{intent.kind} was confirmed",
+            steps=len(intent.plan.steps),
+        )
+        return confirmed
+
+    async def _settle(self, intent_id: str) -> Intent:
+        intent, _ = await self._get(intent_id)
+        if intent.state is IntentState.CANCELLED:
+            await self._store.change_ledger(lambda ledger: ledger.remove(intent_id))
+            raise _ended(intent)
+        return intent
+
+    async def _get(self, intent_id: str) -> tuple[Intent, int]:
+        found = await self._store.get_intent(intent_id)
+        if found is None:
+            raise refuse(
+                Code.UNKNOWN_INTENT,
+                f"There is no intent {intent_id!r}.",
+                status=404,
+                step="intent",
+            )
+        return found
+
+    def _view(self) -> PlanView:
+        catalog = self._catalog
+        streams = {
+            endpoint_id: self._fleet.count_streams(endpoint_id)
+            for endpoint_id in catalog.endpoints_by_id
+        }
+        return PlanView(
+            services_by_id=dict(catalog.services_by_id),
+            endpoints_by_id=dict(catalog.endpoints_by_id),
+            workspaces_by_id=dict(catalog.workspaces_by_id),
+            versions_by_key=catalog.current_versions(),
+            streams_by_endpoint=streams,
+        )
+
+
+def platform_away(error: PlatformError) -> RefusedError:
+    """Return the refusal for a call that the platform left open."""
+    return refuse(
+        Code.PLATFORM_AWAY,
+        f"The platform did not answer, so this is not settled; ask again: {error}.",
+        status=503,
+        step=error.step,
+        peer=error.peer,
+        outcome=Outcome.UNKNOWN,
+        retry_after=RETRY_AFTER,
+    )
+
+
+def _enter(ledger: Ledger, intent: Intent) -> Ledger:
+    if ledger.has(intent.id):
+        return ledger
+    conflict = ledger.find_conflict(intent.plan)
+    if conflict is not None:
+        both = overlap(intent.plan, conflict)
+        raise refuse(
+            Code.INTENT_CONFLICT,
+            f"{conflict.intent} is under way and touches {', '.join(both)}.",
+            status=409,
+            step="confirm",
+            peer=conflict.intent,
+        )
+    return ledger.add(intent)
+
+
+def _stale(intent: Intent, keys: "list[str]") -> RefusedError:
+    return refuse(
+        Code.PLAN_STALE,
+        f"Since the plan was made, {', '.join(keys)} changed; declare it again.",
+        status=409,
+        step="confirm",
+        peer=intent.id,
+    )
+
+
+def _ended(intent: Intent) -> RefusedError:
+    return refuse(
+        Code.INTENT_ENDED,
+        f"{intent.id} is {intent.state}: {intent.reason or 'nothing is left to do'}.",
+        status=409,
+        step="intent",
+        peer=intent.id,
+    )
--- a/passtally/objects.py
+++ b/passtally/objects.py
@@ -9,6 +9,9 @@
 
 ObjectT = TypeVar("ObjectT")
 
+SERVE_ROLE = "serve"
+TOKEN_DIGEST_CHARACTERS = 64
+
 
 class ServiceKind(StrEnum):
     """What stands behind a service."""
@@ -47,6 +50,8 @@
         repeatable: Whether a call may run more than once.
         deduplicates: Whether its endpoints themselves run a key at most once.
         max_tokens: The length of an answer when the caller names none.
+        failure_domains: Where it is served; empty means everywhere.
+        weights_gb: The size of the model's weights, in GB.
     """
 
     id: str
@@ -58,6 +63,8 @@
     repeatable: bool = True
     deduplicates: bool = False
     max_tokens: int = 4096
+    failure_domains: tuple[str, ...] = ()
+    weights_gb: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -72,6 +79,10 @@
         state: Whether it may get new work.
         checks_fencing: Whether it refuses orders with an old fencing number.
         max_streams: How many requests it takes at once.
+        host: The host it runs on, as the platform's list names it, or empty.
+        incarnation: Counts how often it was brought back into use.
+        role: What it is for; only ``serve`` gets requests.
+        versions: The model versions and adapters that it has loaded.
     """
 
     id: str
@@ -81,6 +92,10 @@
     state: EndpointState = EndpointState.ACTIVE
     checks_fencing: bool = True
     max_streams: int = 64
+    host: str = ""
+    incarnation: int = 0
+    role: str = SERVE_ROLE
+    versions: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -92,12 +107,85 @@
         token_sha256: The hex digest of the token its callers bring.
         share: Its weight against the other workspaces under load.
         services: The services it may use; empty means all.
+        placements: The failure domain in which it uses a service, by service;
+            where none is named, the caller's nearest.
     """
 
     id: str
     token_sha256: str
     share: int = 1
     services: tuple[str, ...] = ()
+    placements: dict[str, str] = attrs.field(factory=dict)
+
+
+def is_placed(endpoint: Endpoint, service: Service) -> bool:
+    """Return whether an endpoint stands and has the role to serve a service."""
+    domains = service.failure_domains
+    in_domain = not domains or endpoint.failure_domain in domains
+    return in_domain and endpoint.role == SERVE_ROLE
+
+
+CONFIG_KINDS: dict[str, type] = {
+    "services": Service,
+    "endpoints": Endpoint,
+    "workspaces": Workspace,
+}
+
+
+def find_problems(kind: str, object_id: str, value: object) -> list[str]:
+    """Return everything that is wrong with a decoded object, one line each.
+
+    Args:
+        kind: Its kind, a key of :data:`CONFIG_KINDS`.
+        object_id: The id under which it is to be kept.
+        value: The object.
+    """
+    problems = []
+    if value.id != object_id:
+        problems.append(f"id: is {value.id!r}, but the path says {object_id!r}")
+    if not object_id or not object_id.replace("-", "").replace("_", "").isalnum():
+        problems.append(f"id: {object_id!r} is not a name")
+    checks = {
+        "services": _service_problems,
+        "endpoints": _endpoint_problems,
+        "workspaces": _workspace_problems,
+    }
+    return problems + checks[kind](value)
+
+
+def _service_problems(service: Service) -> list[str]:
+    problems = []
+    if service.kind is ServiceKind.MODEL and not service.model:
+        problems.append("model: is missing")
+    if service.kind is ServiceKind.MODEL and not service.version:
+        problems.append("version: is missing")
+    if service.max_tokens < 1:
+        problems.append("max_tokens: must be above zero")
+    if service.weights_gb < 0:
+        problems.append("weights_gb: must not be negative")
+    return problems
+
+
+def _endpoint_problems(endpoint: Endpoint) -> list[str]:
+    problems = []
+    if not endpoint.url.startswith("http://"):
+        problems.append("url: is not an http:// URL")
+    if not endpoint.service:
+        problems.append("service: is missing")
+    if not endpoint.failure_domain:
+        problems.append("failure_domain: is missing")
+    if endpoint.max_streams < 1:
+        problems.append("max_streams: must be above zero")
+    return problems
+
+
+def _workspace_problems(workspace: Workspace) -> list[str]:
+    problems = []
+    if len(workspace.token_sha256) != TOKEN_DIGEST_CHARACTERS:
+        problems.append("token_sha256: is not a hex SHA-256 digest")
+    if workspace.share < 1:
+        problems.append("share: must be above zero")
+    return problems
 
 
 def digest_token(token: str) -> str:
--- /dev/null
+++ b/passtally/operator_api.py
@@ -0,0 +1,209 @@
+"""The operators' HTTP API: configuration, intents and status."""
+
+import hmac
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import msgspec
+from aiohttp import web
+
+from passtally.api import JSON_TYPE
+from passtally.config_store import ConfigStore
+from passtally.intent import IntentKind
+from passtally.intents import Intents, platform_away
+from passtally.objects import CONFIG_KINDS, decode_object, find_problems
+from passtally.outcome import Code, RefusedError, refuse
+from passtally.platform import ConflictError, PlatformError
+from passtally.status import StatusReader
+
+PREFIX = "/operator/v1"
+RETRY_AFTER = timedelta(seconds=1)
+
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+
+
+class _Declaration(msgspec.Struct):
+    kind: IntentKind
+    params: dict[str, str] = {}
+
+
+class OperatorApi:
+    """Handles what operators ask of a host.
+
+    Args:
+        token: The operators' token; empty refuses everyone.
+        store: Where configuration is written.
+        intents: Declares and confirms intents.
+        status: Tells the state of the hosts.
+    """
+
+    def __init__(
+        self, *, token: str, store: ConfigStore, intents: Intents, status: StatusReader
+    ) -> None:
+        self._token = token
+        self._store = store
+        self._intents = intents
+        self._status = status
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the handlers to an application."""
+        for method, path, handler in (
+            ("GET", "/status", self.show_status),
+            ("GET", "/config/{kind}", self.list_objects),
+            ("GET", "/config/{kind}/{id}", self.get_object),
+            ("PUT", "/config/{kind}/{id}", self.put_object),
+            ("DELETE", "/config/{kind}/{id}", self.remove_object),
+            ("POST", "/intents", self.declare),
+            ("GET", "/intents", self.list_intents),
+            ("GET", "/intents/{id}", self.show_intent),
+            ("POST", "/intents/{id}/confirm", self.confirm),
+            ("POST", "/intents/{id}/cancel", self.cancel),
+        ):
+            app.router.add_route(method, PREFIX + path, self._guard(handler))
+
+    async def show_status(self, request: web.Request) -> web.Response:
+        """Answer with the state of this host and its peers."""
+        return _answer(await self._status.read())
+
+    async def list_objects(self, request: web.Request) -> web.Response:
+        """Answer with all objects of a kind, as this host has them in force."""
+        kind = _kind_of(request)
+        return _answer(self._status.objects(kind))
+
+    async def get_object(self, request: web.Request) -> web.Response:
+        """Answer with one object as this host has it in force."""
+        kind = _kind_of(request)
+        object_id = request.match_info["id"]
+        found = self._status.objects(kind).get(object_id)
+        if found is None:
+            raise _unknown_object(kind, object_id)
+        return _answer(found)
+
+    async def put_object(self, request: web.Request) -> web.Response:
+        """Accept an object: it is answered only once the platform has it."""
+        kind = _kind_of(request)
+        object_id = request.match_info["id"]
+        raw = await request.read()
+        _check_object(kind, object_id, raw)
+        try:
+            version = await self._store.put(
+                f"config/{kind}/{object_id}", raw, version=_version_of(request)
+            )
+        except ConflictError as error:
+            raise _version_conflict(kind, object_id) from error
+        except PlatformError as error:
+            raise platform_away(error) from error
+        return _answer({"accepted": True, "version": version})
+
+    async def remove_object(self, request: web.Request) -> web.Response:
+        """Remove an object."""
+        kind = _kind_of(request)
+        object_id = request.match_info["id"]
+        try:
+            await self._store.remove(
+                f"config/{kind}/{object_id}", version=_version_of(request)
+            )
+        except ConflictError as error:
+            raise _version_conflict(kind, object_id) from error
+        except PlatformError as error:
+            raise platform_away(error) from error
+        return _answer({"accepted": True})
+
+    async def declare(self, request: web.Request) -> web.Response:
+        """Make a plan."""
+        try:
+            wanted = msgspec.json.decode(await request.read(), type=_Declaration)
+        except msgspec.MsgspecError as error:
+            raise refuse(
+                Code.BAD_REQUEST, str(error), status=400, step="parse"
+            ) from error
+        return _answer(await self._intents.declare(wanted.kind, wanted.params))
+
+    async def list_intents(self, request: web.Request) -> web.Response:
+        """Answer with all intents."""
+        return _answer(await self._intents.list())
+
+    async def show_intent(self, request: web.Request) -> web.Response:
+        """Answer with one intent."""
+        return _answer(await self._intents.show(request.match_info["id"]))
+
+    async def confirm(self, request: web.Request) -> web.Response:
+        """Confirm a plan."""
+        return _answer(await self._intents.confirm(request.match_info["id"]))
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel an intent."""
+        return _answer(await self._intents.cancel(request.match_info["id"]))
+
+    def _guard(self, handler: Handler) -> Handler:
+        async def check(request: web.Request) -> web.Response:
+            scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+            brought = token.strip().encode()
+            known = hmac.compare_digest(brought, self._token.encode())
+            if scheme.lower() != "bearer" or not self._token or not known:
+                raise refuse(
+                    Code.UNAUTHENTICATED,
+                    "Bring the operators' token as 'Authorization: Bearer TOKEN'.",
+                    status=401,
+                    step="authenticate",
+                )
+            return await handler(request)
+
+        return check
+
+
+def _answer(value: object) -> web.Response:
+    return web.Response(body=msgspec.json.encode(value), content_type=JSON_TYPE)
+
+
+def _kind_of(request: web.Request) -> str:
+    kind = request.match_info["kind"]
+    if kind not in CONFIG_KINDS:
+        raise refuse(
+            Code.UNKNOWN_OBJECT,
+            f"There is no kind {kind!r}; there are {', '.join(CONFIG_KINDS)}.",
+            status=404,
+            step="parse",
+        )
+    return kind
+
+
+def _version_of(request: web.Request) -> int | None:
+    text = request.headers.get("If-Match")
+    if text is None:
+        return None
+    if not text.isdigit():
+        raise refuse(
+            Code.BAD_REQUEST, "If-Match is not a version.", status=400, step="parse"
+        )
+    return int(text)
+
+
+def _check_object(kind: str, object_id: str, raw: bytes) -> None:
+    """Raise RefusedError with every problem of an object at once."""
+    try:
+        value = decode_object(raw, CONFIG_KINDS[kind])
+        problems = find_problems(kind, object_id, value)
+    except ValueError as error:
+        problems = [str(error)]
+    if problems:
+        raise refuse(Code.BAD_OBJECT, "; ".join(problems), status=422, step="check")
+
+
+def _unknown_object(kind: str, object_id: str) -> RefusedError:
+    return refuse(
+        Code.UNKNOWN_OBJECT,
+        f"There is no {object_id!r} among the {kind}.",
+        status=404,
+        step="read",
+    )
+
+
+def _version_conflict(kind: str, object_id: str) -> RefusedError:
+    return refuse(
+        Code.VERSION_CONFLICT,
+        f"{kind}/{object_id} has another version by now; read it again.",
+        status=409,
+        step="write",
+        peer="platform",
+    )
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -102,7 +102,57 @@
     holder: str
 
 
-Message = StoreCopies | CopiesHeld | FetchCopy | CopyFound | AskClaim | ClaimAnswer
+class MemberRow(msgspec.Struct, array_like=True, frozen=True):
+    """One host's heartbeat.
+
+    Attributes:
+        host_id: Whose it is.
+        failure_domain: Where it stands.
+        counter: Goes up with each heartbeat.
+        config_version: The configuration version in force there.
+        leaving: Whether it is stopping.
+    """
+
+    host_id: str
+    failure_domain: str
+    counter: int
+    config_version: int
+    leaving: bool
+
+
+class Hello(msgspec.Struct, tag="hello", array_like=True):
+    """Some heartbeats; answered by another one of these."""
+
+    rows: list[MemberRow]
+
+
+class FetchConfig(msgspec.Struct, tag="fetch_config", array_like=True):
+    """Send what changed after a version; answered by :class:`ConfigChanges`."""
+
+    after: int
+
+
+class ConfigChanges(msgspec.Struct, tag="config_changes", array_like=True):
+    """Configuration objects, as the platform lists them.
+
+    Attributes:
+        listing: The JSON of a :class:`passtally.platform.Listing`.
+    """
+
+    listing: bytes
+
+
+Message = (
+    StoreCopies
+    | CopiesHeld
+    | FetchCopy
+    | CopyFound
+    | AskClaim
+    | ClaimAnswer
+    | Hello
+    | FetchConfig
+    | ConfigChanges
+)
 Answerer = Callable[[Any], Awaitable[Message]]
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -15,7 +15,7 @@
 from passtally.decision import log_decision
 from passtally.drain import Drain
 from passtally.fleet import Fleet
-from passtally.objects import Service, ServiceKind
+from passtally.objects import Service, ServiceKind, Workspace
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.routing import RouteQuery, choose_endpoint
 
@@ -60,6 +60,7 @@
         body: The body.
         repeatable: Whether it may run more than once.
         key: The caller's idempotency key, or empty.
+        failure_domain: Where it is to run if it can; empty for the host's own.
     """
 
     id: str
@@ -71,6 +72,7 @@
     body: bytes
     repeatable: bool
     key: str
+    failure_domain: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -147,7 +149,7 @@
         decision = choose_endpoint(
             RouteQuery(
                 affinity=call.id.encode(),
-                failure_domain=self._failure_domain,
+                failure_domain=call.failure_domain or self._failure_domain,
                 exclude=excluded,
             ),
             self._fleet.views(call.service.id),
@@ -234,7 +236,7 @@
                 status=404,
                 step="authorize",
             )
-        call = await _read_call(request, workspace.id, service)
+        call = await _read_call(request, workspace, service)
         with self._drain.track():
             answer = await self._caller.call(call)
         return web.Response(
@@ -270,7 +272,7 @@
 
 
 async def _read_call(
-    request: web.Request, workspace: str, service: Service
+    request: web.Request, workspace: Workspace, service: Service
 ) -> PlainCall:
     key = request.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY_CHARACTERS:
@@ -285,7 +287,7 @@
         path = f"{path}?{request.query_string}"
     return PlainCall(
         id=key or f"call-{id(request):x}",
-        workspace=workspace,
+        workspace=workspace.id,
         service=service,
         method=request.method,
         path=path,
@@ -293,6 +295,7 @@
         body=await request.read(),
         repeatable=_is_repeatable(request, service),
         key=key,
+        failure_domain=workspace.placements.get(service.id, ""),
     )
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -149,6 +149,7 @@
         app.router.add_get("/v1/load", self.load)
         app.router.add_get("/v1/cache-events", self.cache_events)
         app.router.add_post("/v1/orders", self.order)
+        app.router.add_get("/v1/state", self.state)
         app.router.add_get("/control", self.read_control)
         app.router.add_put("/control", self.write_control)
         app.cleanup_ctx.append(self._run_loop)
@@ -218,17 +219,17 @@
             self._loaded.discard(order.value)
         else:
             self._role = order.value
-        return await self.read_control(request)
+        return await self.state(request)
+
+    async def state(self, request: web.Request) -> web.Response:
+        """Answer with the role and the loaded versions."""
+        row = {"role": self._role, "loaded": sorted(self._loaded), "fence": self._fence}
+        return web.json_response(row)
 
     async def read_control(self, request: web.Request) -> web.Response:
         """Answer with what the engine counted."""
-        state = {
-            "fence": self._fence,
-            "role": self._role,
-            "loaded": sorted(self._loaded),
-            "open": sum(not s.finished for s in self._streams_by_id.values()),
-        }
-        return web.json_response(self.stats | state)
+        is_open = sum(not s.finished for s in self._streams_by_id.values())
+        return web.json_response(self.stats | {"open": is_open, "fence": self._fence})
 
     async def write_control(self, request: web.Request) -> web.Response:
         """Set the switches."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -69,6 +69,7 @@
         self.platform: Process | None = None
         self.config_version = 0
         self._peer_ports: dict[str, int] = {}
+        self._domains_by_host: dict[str, str] = {}
 
     def __enter__(self) -> "Processes":
         return self
@@ -107,13 +108,21 @@
         """
         for name in domains_by_host:
             self._peer_ports.setdefault(name, free_port())
-        for name, domain in domains_by_host.items():
-            peers = ",".join(
-                f"{peer}@{domains_by_host[peer]}=127.0.0.1:{self._peer_ports[peer]}"
-                for peer in domains_by_host
-                if peer != name
-            )
-            self.start_host(name, failure_domain=domain, peers=peers, **settings)
+        self._domains_by_host = domains_by_host
+        for name in domains_by_host:
+            self.start_one_of_hosts(name, **settings)
+
+    def start_one_of_hosts(self, name: str, **settings: Any) -> Process:
+        """Start one of the hosts that know each other, as new."""
+        domains = self._domains_by_host
+        peers = ",".join(
+            f"{peer}@{domains[peer]}=127.0.0.1:{self._peer_ports[peer]}"
+            for peer in domains
+            if peer != name
+        )
+        return self.start_host(
+            name, failure_domain=domains[name], peers=peers, **settings
+        )
 
     def start_host(self, name: str, *, failure_domain: str, **settings: Any) -> Process:
         """Start one entry host.
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -15,7 +15,7 @@
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.generation import Generation, TokenEvent
-from passtally.objects import Endpoint
+from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.outcome import Code, Outcome, RefusedError
 from passtally.retry import LossKind, RetryLimits
 from standins.fake_engine import FakeEngine, expected_text
@@ -92,11 +92,13 @@
         self.engines = {
             name: engine_class(name=name, clock=self.clock) for name in NAMES
         }
+        service = Service(id="s", kind=ServiceKind.MODEL, model="m", version="1")
         catalog = Catalog(
+            services_by_id={"s": service},
             endpoints_by_id={
                 name: Endpoint(id=name, service="s", url=name, failure_domain="d")
                 for name in NAMES
-            }
+            },
         )
         self.fleet = Fleet(
             catalog=catalog,
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,444 @@
+"""Carrying intents out, in virtual time: holders die, sleep and race."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from passtally.catalog import Catalog
+from passtally.config_store import ConfigStore
+from passtally.executor import IDLE_FOR, LEASE_KEY, Executor
+from passtally.fleet import Fleet
+from passtally.intent import (
+    Intent,
+    IntentKind,
+    IntentState,
+    Plan,
+    StepState,
+)
+from passtally.intents import Intents
+from passtally.lease import LEASE_LENGTH, Lease
+from passtally.objects import (
+    Endpoint,
+    EndpointState,
+    Service,
+    ServiceKind,
+    Workspace,
+    digest_token,
+)
+from passtally.orders import EndpointReport, FencedError, OrderError
+from passtally.outcome import Code, RefusedError
+from standins.fake_engine import FakeEngine
+from standins.virtual import VirtualClock, run_virtually
+from tests.fakes import FakePlatform
+
+ENDPOINTS = {"r1": "pilar", "r2": "pilar", "r3": "tigre"}
+
+
+def make_intent(plan: Plan, **options) -> Intent:
+    return Intent(
+        id="i", kind=IntentKind.DRAIN, params={}, state=IntentState.PLANNED, plan=plan
+    )
+
+
+class FakeOrders:
+    """Endpoints that load, change role, and check fences where they do."""
+
+    def __init__(self) -> None:
+        self.loaded = {name: {"1"} for name in ENDPOINTS}
+        self.roles = dict.fromkeys(ENDPOINTS, "serve")
+        self.fences = dict.fromkeys(ENDPOINTS, 0)
+        self.given: list[tuple[str, str, int]] = []
+        self.away: set[str] = set()
+
+    async def give(self, endpoint, *, kind, value, fence, before_send) -> None:
+        await asyncio.sleep(0.01)
+        before_send()
+        self._check(endpoint)
+        if fence < self.fences[endpoint.id]:
+            raise FencedError("old", step=kind, peer=endpoint.id)
+        self.fences[endpoint.id] = fence
+        self.given.append((endpoint.id, value, fence))
+        if kind == "load":
+            self.loaded[endpoint.id].add(value)
+        else:
+            self.roles[endpoint.id] = value
+
+    async def report(self, endpoint) -> EndpointReport:
+        self._check(endpoint)
+        return EndpointReport(
+            role=self.roles[endpoint.id], loaded=sorted(self.loaded[endpoint.id])
+        )
+
+    def _check(self, endpoint) -> None:
+        if endpoint.id in self.away:
+            raise OrderError("away", step="order", peer=endpoint.id)
+
+
+class ControlHost:
+    """The control side of one host."""
+
+    def __init__(self, name: str, bench: "ControlBench") -> None:
+        self.catalog = Catalog()
+        self.fleet = Fleet(
+            catalog=self.catalog,
+            clock=bench.clock,
+            connect=lambda endpoint: bench.engines[endpoint.id],
+        )
+        self.store = ConfigStore(platform=bench.platform, clock=bench.clock)
+        self.intents = Intents(store=self.store, catalog=self.catalog, fleet=self.fleet)
+        self.lease = Lease(
+            key=LEASE_KEY, holder=name, platform=bench.platform, clock=bench.clock
+        )
+        self.executor = Executor(
+            host_id=name,
+            host_ids=["a", "b"],
+            store=self.store,
+            catalog=self.catalog,
+            fleet=self.fleet,
+            orders=bench.orders,
+            lease=self.lease,
+            clock=bench.clock,
+        )
+        self.tasks = [
+            asyncio.ensure_future(self.executor.run()),
+            asyncio.ensure_future(self._follow(bench)),
+        ]
+
+    def die(self) -> None:
+        for task in [*self.tasks, *self.executor._tasks_by_intent.values()]:
+            task.cancel()
+
+    async def _follow(self, bench: "ControlBench") -> None:
+        while True:
+            objects = bench.platform.objects_by_key
+            for key in list(self.catalog.current_versions()):
+                if key not in objects:
+                    self.catalog.replace(await bench.quiet_list())
+            self.catalog.advance(await bench.quiet_list())
+            await asyncio.sleep(0.1)
+
+
+class ControlBench:
+    """Two hosts' control sides over one platform."""
+
+    def __init__(self, *names: str) -> None:
+        self.clock = VirtualClock()
+        self.platform = FakePlatform()
+        self.orders = FakeOrders()
+        self.engines = {
+            name: FakeEngine(name=name, clock=self.clock) for name in ENDPOINTS
+        }
+        self.hosts = {name: ControlHost(name, self) for name in names or ("a", "b")}
+
+    async def quiet_list(self):
+        down, self.platform.is_down = self.platform.is_down, False
+        faults, self.platform.faults = (
+            self.platform.faults,
+            type(self.platform.faults)(),
+        )
+        try:
+            return await self.platform.list_objects("config/")
+        finally:
+            self.platform.is_down, self.platform.faults = down, faults
+
+    async def seed(self) -> None:
+        service = Service(id="draft", kind=ServiceKind.MODEL, model="m", version="1")
+        await self.put("services", service)
+        for name, domain in ENDPOINTS.items():
+            endpoint = Endpoint(
+                id=name,
+                service="draft",
+                url="http://x",
+                failure_domain=domain,
+                versions=("1",),
+            )
+            await self.put("endpoints", endpoint)
+        workspace = Workspace(id="w", token_sha256=digest_token("t"))
+        await self.put("workspaces", workspace)
+        await asyncio.sleep(0.5)
+
+    async def put(self, kind: str, value) -> None:
+        key = f"config/{kind}/{value.id}"
+        known = self.platform.objects_by_key.get(key)
+        data = msgspec.json.encode(value)
+        if known is None:
+            await self.platform.create(key, data)
+        else:
+            await self.platform.update(key, data, version=known.version)
+
+    def read(self, intent_id: str) -> Intent:
+        stored = self.platform.objects_by_key[f"intents/{intent_id}"]
+        return msgspec.json.decode(bytes(stored.value), type=Intent)
+
+    def endpoint(self, name: str) -> Endpoint:
+        stored = self.platform.objects_by_key[f"config/endpoints/{name}"]
+        return msgspec.json.decode(bytes(stored.value), type=Endpoint)
+
+    async def wait_for(self, intent_id: str, seconds: float = 300) -> Intent:
+        for _ in range(int(seconds * 10)):
+            intent = self.read(intent_id)
+            if intent.state not in (IntentState.PLANNED, IntentState.CONFIRMED):
+                return intent
+            await asyncio.sleep(0.1)
+        raise AssertionError(f"{intent} did not end")
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        for _ in range(3000):
+            if condition():
+                return
+            await asyncio.sleep(0.1)
+        raise AssertionError("the condition did not come true")
+
+
+def run_bench(work) -> None:
+    async def run():
+        bench = ControlBench()
+        await bench.seed()
+        await work(bench)
+        for host in bench.hosts.values():
+            host.die()
+
+    run_virtually(run())
+
+
+MOVE = {"workspace": "w", "service": "draft", "to": "tigre"}
+LOAD = {"endpoints": "r1", "version": "2"}
+
+
+class TestCarryingOut:
+    def test_nothing_happens_before_it_is_confirmed(self):
+        async def work(bench):
+            intents = bench.hosts["a"].intents
+            declared = await intents.declare(IntentKind.LOAD, LOAD)
+            await asyncio.sleep(60)
+            assert bench.orders.given == []
+            await intents.confirm(declared.id)
+            done = await bench.wait_for(declared.id)
+            assert done.state is IntentState.DONE
+            assert bench.endpoint("r1").versions == ("1", "2")
+            catalog = bench.hosts["a"].catalog
+            await bench.wait_until(lambda: not catalog.ledger.entries)
+
+        run_bench(work)
+
+    def test_another_host_goes_on_after_the_holders_death(self):
+        async def work(bench):
+            intents = bench.hosts["a"].intents
+            bench.orders.away.add("r1")
+            declared = await intents.declare(IntentKind.LOAD, LOAD)
+            await intents.confirm(declared.id)
+            await bench.wait_until(lambda: bench.read(declared.id).holder)
+            first = bench.read(declared.id)
+            died_at = bench.clock.monotonic()
+            bench.hosts[first.holder].die()
+            bench.orders.away.clear()
+            done = await bench.wait_for(declared.id)
+            assert done.state is IntentState.DONE
+            assert done.holder != first.holder
+            assert done.fence > first.fence
+            took = bench.clock.monotonic() - died_at
+            assert took < 3 * LEASE_LENGTH
+
+        run_bench(work)
+
+    def test_a_holder_that_slept_gives_no_more_orders(self):
+        async def work(bench):
+            intents = bench.hosts["a"].intents
+            bench.orders.away.add("r1")
+            declared = await intents.declare(IntentKind.LOAD, LOAD)
+            await intents.confirm(declared.id)
+            await bench.wait_until(lambda: bench.read(declared.id).holder)
+            sleeper = bench.hosts[bench.read(declared.id).holder].lease
+            old_fence = sleeper.fence
+            sleeper._held_until = None
+            sleeper.try_hold = lambda: asyncio.sleep(0, result=False)
+            bench.orders.away.clear()
+            await bench.wait_for(declared.id)
+            assert all(fence > old_fence for _, _, fence in bench.orders.given)
+
+        run_bench(work)
+
+    def test_a_drain_waits_for_the_last_request_however_long(self):
+        async def work(bench):
+            bench.engines["r1"].running = 1
+            intents = bench.hosts["a"].intents
+            declared = await intents.declare(IntentKind.DRAIN, {"endpoints": "r1"})
+            await intents.confirm(declared.id)
+            await asyncio.sleep(1200)
+            assert bench.endpoint("r1").state is EndpointState.DRAINING
+            assert bench.read(declared.id).state is IntentState.CONFIRMED
+            bench.engines["r1"].running = 0
+            idle_at = bench.clock.monotonic()
+            done = await bench.wait_for(declared.id)
+            assert done.state is IntentState.DONE
+            assert bench.clock.monotonic() - idle_at >= IDLE_FOR
+
+        run_bench(work)
+
+    def test_a_moved_workspace_has_its_new_place_ready_first(self):
+        async def work(bench):
+            bench.orders.loaded["r3"].clear()
+            cold = Endpoint(
+                id="r3", service="draft", url="http://x", failure_domain="tigre"
+            )
+            await bench.put("endpoints", cold)
+            await asyncio.sleep(0.5)
+            intents = bench.hosts["a"].intents
+            declared = await intents.declare(IntentKind.MOVE_WORKSPACE, MOVE)
+            await intents.confirm(declared.id)
+            key = "config/workspaces/w"
+            before = bench.platform.objects_by_key[key].version
+            await bench.wait_until(
+                lambda: bench.platform.objects_by_key[key].version != before
+            )
+            assert "1" in bench.orders.loaded["r3"]
+
+        run_bench(work)
+
+    def test_an_endpoint_that_can_not_load_stops_the_intent_unrouted(self):
+        async def work(bench):
+            bench.orders.away.add("r1")
+            intents = bench.hosts["a"].intents
+            declared = await intents.declare(IntentKind.LOAD, LOAD)
+            await intents.confirm(declared.id)
+            failed = await bench.wait_for(declared.id)
+            assert failed.state is IntentState.FAILED
+            assert "r1" in failed.reason
+            assert bench.endpoint("r1").versions == ("1",)
+            catalog = bench.hosts["b"].catalog
+            await bench.wait_until(lambda: not catalog.ledger.entries)
+
+        run_bench(work)
+
+    def test_a_step_over_a_changed_object_stops_the_intent(self):
+        async def work(bench):
+            bench.engines["r1"].running = 1
+            intents = bench.hosts["a"].intents
+            role = {"endpoint": "r1", "role": "embed"}
+            declared = await intents.declare(IntentKind.SET_ROLE, role)
+            await intents.confirm(declared.id)
+            await bench.wait_until(
+                lambda: bench.endpoint("r1").state is EndpointState.DRAINING
+            )
+            changed = Endpoint(
+                id="r1", service="draft", url="http://y", failure_domain="pilar"
+            )
+            await bench.put("endpoints", changed)
+            bench.engines["r1"].running = 0
+            failed = await bench.wait_for(declared.id)
+            assert failed.state is IntentState.FAILED
+            assert "changed" in failed.reason
+
+        run_bench(work)
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_lost_answers_and_outages_stop_nothing(self, seed):
+        async def work(bench):
+            kinds = ["ok", "lost", "late", "down"]
+            plan = [kinds[(seed * 7 + n * n) % 4] for n in range(60)]
+            intents = bench.hosts["a"].intents
+            declared = await intents.declare(IntentKind.LOAD, LOAD)
+            bench.platform.faults.extend(plan[:8])
+            while True:
+                try:
+                    await intents.confirm(declared.id)
+                    break
+                except RefusedError as error:
+                    assert error.failure.code is Code.PLATFORM_AWAY
+            bench.platform.faults.extend(plan[8:])
+            done = await bench.wait_for(declared.id)
+            assert done.state is IntentState.DONE
+            assert all(step.state is StepState.DONE for step in done.plan.steps)
+
+        run_bench(work)
+
+
+class TestRaces:
+    def test_of_two_conflicting_confirms_one_wins_and_the_other_is_told(self):
+        async def work(bench):
+            first, second = (host.intents for host in bench.hosts.values())
+            bench.engines["r1"].running = bench.engines["r2"].running = 1
+            one = await first.declare(IntentKind.DRAIN, {"endpoints": "r1"})
+            two = await second.declare(IntentKind.DRAIN, {"endpoints": "r2"})
+            results = await asyncio.gather(
+                first.confirm(one.id), second.confirm(two.id), return_exceptions=True
+            )
+            refused = [item for item in results if isinstance(item, RefusedError)]
+            assert len(refused) == 1
+            failure = refused[0].failure
+            assert failure.code in (Code.INTENT_CONFLICT, Code.PLAN_STALE)
+            assert "config/endpoints" in failure.message
+
+        run_bench(work)
+
+    def test_a_stale_plan_is_refused_with_what_changed(self):
+        async def work(bench):
+            intents = bench.hosts["a"].intents
+            declared = await intents.declare(IntentKind.LOAD, LOAD)
+            changed = Endpoint(
+                id="r1", service="draft", url="http://z", failure_domain="pilar"
+            )
+            await bench.put("endpoints", changed)
+            with pytest.raises(RefusedError) as caught:
+                await intents.confirm(declared.id)
+            assert caught.value.failure.code is Code.PLAN_STALE
+            assert "config/endpoints/r1" in caught.value.failure.message
+
+        run_bench(work)
+
+    def test_a_confirm_can_be_asked_again(self):
+        async def work(bench):
+            intents = bench.hosts["a"].intents
+            declared = await intents.declare(IntentKind.LOAD, LOAD)
+            await intents.confirm(declared.id)
+            await bench.hosts["b"].intents.confirm(declared.id)
+            await bench.wait_for(declared.id)
+            again = await intents.confirm(declared.id)
+            assert again.state is IntentState.DONE
+            assert [value for _, value, _ in bench.orders.given] == ["2"]
+
+        run_bench(work)
+
+    def test_a_cancelled_intent_stops_before_its_next_step(self):
+        async def work(bench):
+            bench.engines["r1"].running = 1
+            intents = bench.hosts["a"].intents
+            declared = await intents.declare(
+                IntentKind.SET_ROLE, {"endpoint": "r1", "role": "embed"}
+            )
+            await intents.confirm(declared.id)
+            await asyncio.sleep(20)
+            await intents.cancel(declared.id)
+            bench.engines["r1"].running = 0
+            await asyncio.sleep(60)
+            assert bench.orders.roles["r1"] == "serve"
+            assert bench.read(declared.id).state is IntentState.CANCELLED
+            with pytest.raises(RefusedError) as caught:
+                await intents.confirm(declared.id)
+            assert caught.value.failure.code is Code.INTENT_ENDED
+
+        run_bench(work)
+
+
+class TestTakeOver:
+    def test_time_is_counted_by_ones_own_clock(self):
+        async def work(bench):
+            holder = bench.hosts["a"].lease
+            other = bench.hosts["b"].lease
+            for host in bench.hosts.values():
+                host.die()
+            assert await holder.try_hold()
+            assert not await other.try_hold()
+            await asyncio.sleep(LEASE_LENGTH.total_seconds() / 2)
+            assert await holder.try_hold()
+            await asyncio.sleep(LEASE_LENGTH.total_seconds() * 0.7)
+            assert not await other.try_hold()
+            await asyncio.sleep((LEASE_LENGTH + timedelta(1e-3)).total_seconds())
+            assert await other.try_hold()
+            assert other.fence > holder.fence
+            assert not holder.is_held
+
+        run_bench(work)
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,113 @@
+"""The lease: one holder at a time, fences that only go up, no clock shared."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from passtally.clock import ManualClock
+from passtally.lease import LEASE_LENGTH, Lease
+from tests.fakes import FakePlatform
+
+HOSTS = ("a", "b", "c")
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Hosts hold, lose and take over a lease over a platform that loses answers."""
+
+    lease_class = Lease
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.platform = FakePlatform()
+        self.clock = ManualClock()
+        self.leases = {host: self.make_lease(host) for host in HOSTS}
+        self.fences: list[tuple[int, str]] = []
+
+    def make_lease(self, host: str) -> Lease:
+        return self.lease_class(
+            key="leases/x", holder=host, platform=self.platform, clock=self.clock
+        )
+
+    def teardown(self) -> None:
+        self.loop.close()
+
+    @rule(
+        host=st.sampled_from(HOSTS),
+        faults=st.lists(st.sampled_from(["ok", "ok", "lost", "down"]), max_size=3),
+    )
+    def look(self, host, faults):
+        self.platform.faults.extend(faults)
+        lease = self.leases[host]
+        if self.loop.run_until_complete(lease.try_hold()):
+            self.fences.append((lease.fence, host))
+        self.platform.faults.clear()
+
+    @rule(host=st.sampled_from(HOSTS))
+    def give_back(self, host):
+        self.loop.run_until_complete(self.leases[host].give_back())
+
+    @rule(seconds=st.sampled_from([0.5, 1, 2, 6]))
+    def pass_time(self, seconds):
+        self.clock.advance(timedelta(seconds=seconds))
+
+    @rule(host=st.sampled_from(HOSTS))
+    def restart(self, host):
+        self.leases[host] = self.make_lease(host)
+
+    @invariant()
+    def at_most_one_holds(self):
+        assert sum(lease.is_held for lease in self.leases.values()) <= 1
+
+    @invariant()
+    def each_fence_has_one_holder_and_they_go_up(self):
+        numbers = [fence for fence, _ in self.fences]
+        assert numbers == sorted(numbers)
+        assert len(dict(self.fences)) == len(set(self.fences))
+
+
+class EagerLease(Lease):
+    """Broken: takes over without waiting."""
+
+    async def _look(self):
+        await super()._look()
+        return True
+
+
+class LongLease(Lease):
+    """Broken: believes that it holds for longer than others wait."""
+
+    async def _write(self, record):
+        await super()._write(record)
+        if self._held_until is not None:
+            self._held_until += 2 * LEASE_LENGTH
+
+
+class TestLease:
+    def run_machine(self, lease: type[Lease]) -> None:
+        class Machine(LeaseMachine):
+            lease_class = lease
+
+        run_state_machine_as_test(
+            Machine,
+            settings=settings(
+                max_examples=600, deadline=None, derandomize=True, print_blob=False
+            ),
+        )
+
+    def test_at_most_one_host_holds_it(self):
+        self.run_machine(Lease)
+
+    @pytest.mark.parametrize("broken", [EagerLease, LongLease])
+    def test_the_machine_catches_a_broken_lease(self, broken):
+        with pytest.raises(AssertionError):
+            self.run_machine(broken)
