--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,4 +1,6 @@
-"""The baseline of the forwarding benchmark: a bare relay with no decisions."""
+"""The baselines: a bare relay with no decisions, and one that starts again."""
+
+from collections.abc import AsyncIterator
 
 import aiohttp
 import click
@@ -6,6 +8,8 @@
 
 from standins.serving import run_app
 
+SEPARATOR = b"\n\n"
+
 
 class Relay:
     """Copies one upstream's answers, chunk by chunk.
@@ -30,6 +34,34 @@
                 await response.write(chunk)
         return response
 
+    async def serve_again(self, request: web.Request) -> web.StreamResponse:
+        """Relay one request; where its upstream is lost, start it from nothing."""
+        body = await request.read()
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        sent = 0
+        while True:
+            self._count += 1
+            url = self._upstreams[self._count % len(self._upstreams)]
+            try:
+                async for number, event in self._events(url + request.path, body):
+                    if number >= sent:
+                        await response.write(event + SEPARATOR)
+                        sent = number + 1
+                return response
+            except aiohttp.ClientError:
+                continue
+
+    async def _events(self, url: str, body: bytes) -> AsyncIterator[tuple[int, bytes]]:
+        number = 0
+        async with self._session.post(url, data=body) as upstream:
+            rest = b""
+            while chunk := await upstream.content.readany():
+                *whole, rest = (rest + chunk).split(SEPARATOR)
+                for event in whole:
+                    yield number, event
+                    number += 1
+
     async def open(self, app: web.Application):
         """Hold the client session while the application runs."""
         connector = aiohttp.TCPConnector(limit=0)
@@ -44,11 +76,13 @@
 @click.command()
 @click.option("--port", type=int, required=True)
 @click.option("--upstream", "upstreams", multiple=True, required=True)
-def main(port: int, upstreams: tuple[str, ...]) -> None:
+@click.option("--start-again", is_flag=True)
+def main(port: int, upstreams: tuple[str, ...], start_again: bool) -> None:
     """Run the relay."""
     relay = Relay(list(upstreams))
     app = web.Application()
-    app.router.add_post("/{path:.*}", relay.serve)
+    handler = relay.serve_again if start_again else relay.serve
+    app.router.add_post("/{path:.*}", handler)
     app.cleanup_ctx.append(relay.open)
 
     run_app(lambda: app, port)
--- /dev/null
+++ b/bench/survive.py
@@ -0,0 +1,241 @@
+"""Resume latency, and what surviving costs, against starting again from nothing."""
+
+import asyncio
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from itertools import pairwise
+from pathlib import Path
+
+import aiohttp
+import attrs
+import msgspec
+
+from bench.report import Figure, percentile
+from passtally.objects import Protection
+from standins.caller import Answer, Caller
+from standins.processes import Processes, free_port
+
+ROUNDS = 3
+STREAMS = 8
+TOKENS = 500
+STEP = 0.01
+FAULT_AFTER = 1.5
+HOSTS = {"entry-a": "pilar", "entry-b": "tigre", "entry-c": "escobar"}
+PROMPT = "\n".join(f"av. rivadavia {n},  pilar" for n in range(120))
+#: A stream that went on within this time was not hit by the fault.
+UNHIT_SECONDS = 0.03
+
+
+@attrs.define
+class Round:
+    """What one round gave.
+
+    Attributes:
+        latencies: Seconds from the fault to each hit stream's next token.
+        delivered: Tokens that came after the fault.
+        generated: Tokens that the engines generated after it.
+        prefilled: Tokens that the engines read again after it.
+        failures: Streams that did not come whole.
+    """
+
+    latencies: list[float] = attrs.field(factory=list)
+    delivered: int = 0
+    generated: int = 0
+    prefilled: int = 0
+    failures: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Scenario:
+    """One fault, and at which protection.
+
+    Attributes:
+        name: Its name.
+        protection: The service's protection.
+        strike: Brings the fault about.
+        is_baseline: Whether the relay that starts again serves.
+    """
+
+    name: str
+    strike: Callable[[Processes], None]
+    protection: Protection = Protection.ENGINE
+    is_baseline: bool = False
+
+
+def _kill_engine(processes: Processes) -> None:
+    processes.by_name["runner-1"].kill()
+
+
+def _freeze_engine(processes: Processes) -> None:
+    processes.by_name["runner-1"].signal(signal.SIGSTOP)
+
+
+def _kill_host(processes: Processes) -> None:
+    processes.by_name["entry-a"].kill()
+
+
+def _kill_both(processes: Processes) -> None:
+    _kill_engine(processes)
+    _kill_host(processes)
+
+
+SCENARIOS = (
+    Scenario(name="engine_killed", strike=_kill_engine),
+    Scenario(name="engine_frozen", strike=_freeze_engine),
+    Scenario(name="host_killed", strike=_kill_host),
+    Scenario(
+        name="host_and_engine_killed", strike=_kill_both, protection=Protection.COPY
+    ),
+    Scenario(name="start_again_baseline", strike=_kill_engine, is_baseline=True),
+)
+
+
+def run() -> list[Figure]:
+    """Run all scenarios; fail where a stream did not come whole."""
+    figures = []
+    rounds_by_name = {}
+    for scenario in SCENARIOS:
+        rounds = [_run_round(scenario) for _ in range(ROUNDS)]
+        rounds_by_name[scenario.name] = rounds
+        figures += _figures(scenario.name, rounds)
+    killed = rounds_by_name["engine_killed"]
+    baseline = rounds_by_name["start_again_baseline"]
+    base_p95 = percentile(_latencies(baseline), 0.95)
+
+    def ratio(name: str, value: float, base: float) -> Figure:
+        unit = "x starting again"
+        return Figure(name=f"survive.{name}", value=value / base, unit=unit)
+
+    figures.append(ratio("extra_tokens_ratio", _extra(killed), _extra(baseline)))
+    for name in ("engine_killed", "host_killed", "host_and_engine_killed"):
+        p95 = percentile(_latencies(rounds_by_name[name]), 0.95)
+        figures.append(ratio(f"{name}.resume_ratio", p95, base_p95))
+    return figures
+
+
+def _latencies(rounds: list[Round]) -> list[float]:
+    return [latency for item in rounds for latency in item.latencies]
+
+
+def _extra(rounds: list[Round]) -> float:
+    """Return the tokens generated twice, a stream that was hit."""
+    extra = sum(item.generated - item.delivered for item in rounds)
+    return max(extra, 0) / max(1, sum(len(item.latencies) for item in rounds))
+
+
+def _figures(name: str, rounds: list[Round]) -> list[Figure]:
+    latencies = _latencies(rounds)
+    if not latencies:
+        raise RuntimeError(f"{name}: no stream was hit")
+    hit = len(latencies)
+    prefilled = sum(item.prefilled for item in rounds) / hit
+
+    def figure(part: str, value: float, unit: str) -> Figure:
+        return Figure(name=f"survive.{name}.{part}", value=value, unit=unit)
+
+    return [
+        figure("resume_p50", percentile(latencies, 0.5), "s"),
+        figure("resume_p95", percentile(latencies, 0.95), "s"),
+        figure("resume_max", max(latencies), "s"),
+        figure("hit", hit, "streams"),
+        figure("not_whole", sum(item.failures for item in rounds), "streams"),
+        figure("generated_twice", _extra(rounds), "tokens/hit"),
+        figure("read_again", prefilled, "tokens/hit"),
+    ]
+
+
+def _run_round(scenario: Scenario) -> Round:
+    with tempfile.TemporaryDirectory() as folder, Processes(Path(folder)) as processes:
+        token = _start(processes, scenario)
+        return asyncio.run(_drive(processes, scenario, token))
+
+
+def _start(processes: Processes, scenario: Scenario) -> str:
+    processes.start_platform()
+    engines = [processes.start_engine(f"runner-{n}", step=STEP) for n in range(1, 5)]
+    domains = ("pilar", "tigre", "escobar", "pilar")
+    placed = list(zip(engines, domains, strict=True))
+    processes.add_model("drafting", placed, protection=scenario.protection)
+    token = processes.add_workspace("load")
+    if scenario.is_baseline:
+        port = free_port()
+        upstreams = [f"--upstream={engine.url}" for engine in engines]
+        command = [sys.executable, "-m", "bench.relay", f"--port={port}", *upstreams]
+        processes.start("relay", [*command, "--start-again"], port)
+    else:
+        processes.start_hosts(HOSTS)
+    processes.wait_ready()
+    return token
+
+
+async def _drive(processes: Processes, scenario: Scenario, token: str) -> Round:
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=120),
+    ) as session:
+        if scenario.is_baseline:
+            url = processes.by_name["relay"].url
+            work = [_read_relay(session, url, n) for n in range(STREAMS)]
+        else:
+            urls = [processes.by_name[name].url for name in HOSTS]
+            work = [_read_host(session, urls, token, n) for n in range(STREAMS)]
+        gathered = asyncio.ensure_future(asyncio.gather(*work))
+        await asyncio.sleep(FAULT_AFTER)
+        before = await asyncio.to_thread(_count, processes)
+        struck_at = time.monotonic()
+        scenario.strike(processes)
+        answers = await gathered
+    for process in processes.by_name.values():
+        if process.popen.poll() is None:
+            process.signal(signal.SIGCONT)
+    after = _count(processes)
+    return _judge(answers, struck_at, before, after)
+
+
+def _count(processes: Processes) -> dict[str, dict[str, int]]:
+    running = [
+        process
+        for name, process in processes.by_name.items()
+        if name.startswith("runner") and process.popen.poll() is None
+    ]
+    return {process.name: process.counts() for process in running}
+
+
+def _judge(answers: list[Answer], struck_at: float, before: dict, after: dict) -> Round:
+    result = Round()
+    for answer in answers:
+        result.failures += answer.events != TOKENS or answer.error is not None
+        result.delivered += sum(at > struck_at for at in answer.arrivals)
+        for earlier, later in pairwise(answer.arrivals):
+            if earlier <= struck_at < later and later - struck_at > UNHIT_SECONDS:
+                result.latencies.append(later - struck_at)
+    for name, counts in after.items():
+        result.generated += counts["generated"] - before[name]["generated"]
+        result.prefilled += counts["prefilled"] - before[name]["prefilled"]
+    return result
+
+
+async def _read_host(
+    session: aiohttp.ClientSession, urls: list[str], token: str, number: int
+) -> Answer:
+    caller = Caller(session=session, urls=urls, token=token)
+    return await caller.chat("drafting", f"{number}\n{PROMPT}", max_tokens=TOKENS)
+
+
+async def _read_relay(session: aiohttp.ClientSession, url: str, number: int) -> Answer:
+    answer = Answer()
+    body = {
+        "request_id": "",
+        "prompt": f"user: {number}\n{PROMPT}",
+        "max_tokens": TOKENS,
+    }
+    data = msgspec.json.encode(body)
+    async with session.post(f"{url}/v1/completions", data=data) as response:
+        while chunk := await response.content.readany():
+            count = chunk.count(b"data: {")
+            answer.events += count
+            answer.arrivals += [time.monotonic()] * count
+    return answer
--- a/passtally/catalog.py
+++ b/passtally/catalog.py
@@ -46,6 +46,7 @@
         endpoints_by_id: The endpoints.
         workspaces_by_id: The workspaces.
         versions_by_key: The version of each object taken in, removed ones too.
+        config_version: The newest of these.
         ledger: The intents under way.
     """
 
@@ -54,8 +55,10 @@
     endpoints_by_id: dict[str, Endpoint] = attrs.field(factory=dict)
     workspaces_by_id: dict[str, Workspace] = attrs.field(factory=dict)
     versions_by_key: dict[str, int] = attrs.field(factory=dict)
+    config_version: int = 0
     ledger: Ledger = attrs.field(factory=Ledger)
     _stored_by_key: dict[str, StoredObject] = attrs.field(factory=dict)
+    _endpoint_ids_by_service: dict[str, dict[str, None]] = attrs.field(factory=dict)
     _workspaces_by_token: dict[str, Workspace] = attrs.field(factory=dict)
 
     def replace(self, listing: Listing) -> bool:
@@ -81,11 +84,6 @@
             self._apply(stored)
         self.version = max(self.version, changes.version)
 
-    @property
-    def config_version(self) -> int:
-        """The version of the newest configuration object that was taken in."""
-        return max(self.versions_by_key.values(), default=0)
-
     def current_versions(self) -> dict[str, int]:
         """Return the versions of the objects that exist."""
         return {
@@ -105,11 +103,8 @@
 
     def endpoints_of(self, service_id: str) -> list[Endpoint]:
         """Return the endpoints of one service."""
-        return [
-            endpoint
-            for endpoint in self.endpoints_by_id.values()
-            if endpoint.service == service_id
-        ]
+        ids = self._endpoint_ids_by_service.get(service_id, ())
+        return [self.endpoints_by_id[endpoint_id] for endpoint_id in ids]
 
     def find_workspace(self, token_sha256: str) -> Workspace | None:
         """Return whose token has this digest, or None."""
@@ -119,6 +114,7 @@
         if stored.version <= self.versions_by_key.get(stored.key, 0):
             return
         self.versions_by_key[stored.key] = stored.version
+        self.config_version = max(self.config_version, stored.version)
         self._stored_by_key[stored.key] = stored
         if stored.key == LEDGER_KEY:
             self.ledger = Ledger() if stored.is_removed else read_ledger(stored.value)
@@ -127,15 +123,15 @@
         if kind not in CONFIG_KINDS:
             return
         objects_by_id = getattr(self, f"{kind}_by_id")
+        before = objects_by_id.get(object_id)
         if stored.is_removed:
             objects_by_id.pop(object_id, None)
         else:
             self._store(objects_by_id, kind, object_id, stored.value)
         if kind == "workspaces":
-            self._workspaces_by_token = {
-                workspace.token_sha256: workspace
-                for workspace in self.workspaces_by_id.values()
-            }
+            self._index_token(before, objects_by_id.get(object_id))
+        if kind == "endpoints":
+            self._index_service(before, objects_by_id.get(object_id))
 
     def _store(
         self,
@@ -150,6 +146,21 @@
             # Keeping the last good object serves callers better than none.
             log_event("config", "Ignored a broken object.", id=object_id, why=error)
 
+    def _index_service(self, before: Endpoint | None, after: Endpoint | None) -> None:
+        if before is not None:
+            del self._endpoint_ids_by_service[before.service][before.id]
+        if after is not None:
+            ids = self._endpoint_ids_by_service.setdefault(after.service, {})
+            ids[after.id] = None
+
+    def _index_token(self, before: Workspace | None, after: Workspace | None) -> None:
+        if before is not None:
+            known = self._workspaces_by_token.get(before.token_sha256)
+            if known is not None and known.id == before.id:
+                del self._workspaces_by_token[before.token_sha256]
+        if after is not None:
+            self._workspaces_by_token[after.token_sha256] = after
+
 
 class CatalogKeeper:
     """Keeps a catalog up to date, from the platform and through its outages.
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -169,7 +169,7 @@
         parse_count, "How many requests this host takes at once.", "2000"
     )
     claim_shards: int = _setting(
-        parse_count, "How many claim logs there are; the same on all hosts.", "16"
+        parse_count, "How many claim logs there are; the same on all hosts.", "8"
     )
     claim_retention: timedelta = _setting(
         parse_duration, "How long a claimed idempotency key is remembered.", "1h"
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from passtally.catalog import Catalog
+from passtally.objects import Endpoint, Service
 from passtally.platform import (
     REMOVED,
     ConflictError,
@@ -108,3 +110,22 @@
         if value == REMOVED:
             del self.objects_by_key[key]
         return True
+
+
+def make_catalog(
+    services: Sequence[Service], endpoints: Sequence[Endpoint] = ()
+) -> Catalog:
+    """Return a catalog with these objects in force."""
+    kinds = [("services", item) for item in services]
+    kinds += [("endpoints", item) for item in endpoints]
+    objects = tuple(
+        StoredObject(
+            key=f"config/{kind}/{item.id}",
+            version=number,
+            value=msgspec.Raw(msgspec.json.encode(item)),
+        )
+        for number, (kind, item) in enumerate(kinds, start=1)
+    )
+    catalog = Catalog()
+    catalog.replace(Listing(version=len(objects), objects=objects))
+    return catalog
--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,88 @@
+"""The configuration in force: it only moves forward."""
+
+import itertools
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passtally.catalog import Catalog
+from passtally.objects import Workspace, digest_token
+from passtally.platform import REMOVED, Listing, StoredObject
+
+
+def stored(name: str, version: int, token: str = "t", *, removed=False):
+    workspace = Workspace(id=name, token_sha256=digest_token(token))
+    value = REMOVED if removed else msgspec.json.encode(workspace)
+    return StoredObject(
+        key=f"config/workspaces/{name}", version=version, value=msgspec.Raw(value)
+    )
+
+
+def listing(version: int, *objects: StoredObject) -> Listing:
+    return Listing(version=version, objects=objects)
+
+
+class TestCatalog:
+    def test_an_older_listing_is_not_taken(self):
+        catalog = Catalog()
+        assert catalog.replace(listing(5, stored("a", 5)))
+        assert not catalog.replace(listing(4))
+        assert "a" in catalog.workspaces_by_id
+
+    def test_a_late_change_does_not_bring_anything_back(self):
+        catalog = Catalog()
+        catalog.advance(listing(3, stored("a", 3, removed=True)))
+        catalog.advance(listing(2, stored("a", 2)))
+        assert "a" not in catalog.workspaces_by_id
+        assert catalog.version == 3
+
+    def test_a_changed_token_takes_the_place_of_the_old_one(self):
+        catalog = Catalog()
+        catalog.advance(listing(1, stored("a", 1, "old")))
+        catalog.advance(listing(2, stored("a", 2, "new")))
+        assert catalog.find_workspace(digest_token("old")) is None
+        assert catalog.find_workspace(digest_token("new")).id == "a"
+
+    def test_a_broken_object_leaves_the_last_good_one(self):
+        catalog = Catalog()
+        catalog.advance(listing(1, stored("a", 1)))
+        broken = StoredObject(
+            key="config/workspaces/a", version=2, value=msgspec.Raw(b'{"id":7}')
+        )
+        catalog.advance(listing(2, broken))
+        assert catalog.workspaces_by_id["a"].id == "a"
+
+    def test_a_new_host_takes_all_from_a_peer(self):
+        full, fresh = Catalog(), Catalog()
+        full.replace(listing(7, stored("a", 3), stored("b", 7)))
+        fresh.advance(full.changes_after(0))
+        assert fresh.workspaces_by_id == full.workspaces_by_id
+        assert fresh.config_version == 7
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.permutations(range(5)), st.sets(st.integers(0, 4)))
+    def test_any_order_and_repeats_end_at_the_newest(self, order, repeats):
+        history = [
+            stored("a", 1, "1"),
+            stored("b", 2, "2"),
+            stored("a", 3, removed=True),
+            stored("b", 4, "4"),
+            stored("a", 5, "5"),
+        ]
+        catalog = Catalog()
+        seen = 0
+        for index in itertools.chain(order, repeats):
+            catalog.advance(listing(history[index].version, history[index]))
+            assert catalog.config_version >= seen
+            seen = catalog.config_version
+        tokens = {w.token_sha256 for w in catalog.workspaces_by_id.values()}
+        assert tokens == {digest_token("4"), digest_token("5")}
+
+    @pytest.mark.parametrize("version", [1, 9])
+    def test_what_a_listing_lacks_was_removed(self, version):
+        catalog = Catalog()
+        catalog.advance(listing(1, stored("a", 1)))
+        catalog.replace(listing(version, stored("b", version)))
+        assert set(catalog.workspaces_by_id) == ({"b"} if version == 9 else {"a", "b"})
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -10,7 +10,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from passtally.catalog import Catalog
 from passtally.dispatcher import Dispatcher
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
@@ -20,6 +19,7 @@
 from passtally.retry import LossKind, RetryLimits
 from standins.fake_engine import FakeEngine, expected_text
 from standins.virtual import VirtualClock, run_virtually
+from tests.fakes import make_catalog
 from tests.test_generation import make_generation
 
 NAMES = ("r1", "r2", "r3", "r4")
@@ -93,13 +93,11 @@
             name: engine_class(name=name, clock=self.clock) for name in NAMES
         }
         service = Service(id="s", kind=ServiceKind.MODEL, model="m", version="1")
-        catalog = Catalog(
-            services_by_id={"s": service},
-            endpoints_by_id={
-                name: Endpoint(id=name, service="s", url=name, failure_domain="d")
-                for name in NAMES
-            },
-        )
+        endpoints = [
+            Endpoint(id=name, service="s", url=name, failure_domain="d")
+            for name in NAMES
+        ]
+        catalog = make_catalog([service], endpoints)
         self.fleet = Fleet(
             catalog=catalog,
             clock=self.clock,
