Admit by class and share, spread resumes, bound repeats

Cause: a full service refused at once, one workspace could hold every place, all streams of a dead engine went to the next one, and repeats had no bound.

Change: admission (pure) with a bounded fair queue, classes, deadlines and early refusal; the gate; a resume budget for each endpoint; resumes go first at the engines; retry budgets by workspace and failure domain; load reports ride on answers.

Found by test: a small workspace queued behind a large one's waiting requests although it fitted (test_a_large_workspace_leaves_the_last_places_to_small_ones).

--- a/passtally/api.py
+++ b/passtally/api.py
@@ -7,15 +7,18 @@
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
 
+from passtally.admission import AdmissionRequest, RequestClass
 from passtally.catalog import Catalog
 from passtally.decision import log_event
-from passtally.objects import Service, Workspace, digest_token
+from passtally.objects import REQUEST_CLASSES, Service, Workspace, digest_token
 from passtally.outcome import Code, Failure, Outcome, RefusedError, refuse
+from passtally.settings import parse_duration
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 JSON_TYPE = "application/json"
-STOPPING_RETRY_SECONDS = 1
+CLASS_HEADER = "X-Request-Class"
+TIMEOUT_HEADER = "X-Timeout"
 
 
 def find_workspace(catalog: Catalog, request: web.Request) -> Workspace:
@@ -60,6 +63,39 @@
     return service
 
 
+def read_admission(
+    request: web.Request, workspace: Workspace, service: Service, *, request_id: str
+) -> AdmissionRequest:
+    """Return what asks to be admitted for a request.
+
+    Raises:
+        RefusedError: A header can't be read.
+    """
+    name = request.headers.get(CLASS_HEADER, service.request_class).lower()
+    if name not in REQUEST_CLASSES:
+        raise bad_header(CLASS_HEADER, f"one of {', '.join(REQUEST_CLASSES)}")
+    timeout = None
+    if TIMEOUT_HEADER in request.headers:
+        try:
+            timeout = parse_duration(request.headers[TIMEOUT_HEADER])
+        except ValueError as error:
+            raise bad_header(TIMEOUT_HEADER, "a duration such as 2s") from error
+    return AdmissionRequest(
+        id=request_id,
+        workspace=workspace.id,
+        share=workspace.share,
+        request_class=RequestClass[name.upper()],
+        timeout=timeout,
+    )
+
+
+def bad_header(name: str, wanted: str) -> RefusedError:
+    """Return the refusal for a header that can't be read."""
+    return refuse(
+        Code.BAD_REQUEST, f"{name} must be {wanted}.", status=400, step="parse"
+    )
+
+
 def failure_response(failure: Failure) -> web.Response:
     """Return the response that carries a failure."""
     headers = {}
--- a/passtally/completion_handler.py
+++ b/passtally/completion_handler.py
@@ -6,7 +6,8 @@
 import attrs
 from aiohttp import web
 
-from passtally.api import JSON_TYPE, find_service, find_workspace
+from passtally.admission import AdmissionRequest
+from passtally.api import JSON_TYPE, find_service, find_workspace, read_admission
 from passtally.catalog import Catalog
 from passtally.completion import (
     CompletionBody,
@@ -20,6 +21,7 @@
 from passtally.decision import log_event
 from passtally.dispatcher import Dispatcher, Sink
 from passtally.drain import Drain
+from passtally.gate import Gate
 from passtally.generation import Attempt, Delivery, Generation
 from passtally.handle import HandleError, HandleSigner, ResumePoint, bind
 from passtally.objects import Protection, Service, ServiceKind, Workspace
@@ -41,6 +43,7 @@
         drain: Counts the requests that are open.
         copy_sender: Sends copies of running answers to peers.
         copies: Fetches copies from peers.
+        gate: Admits requests.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         drain: Drain,
         copy_sender: CopySender,
         copies: CopyService,
+        gate: Gate,
     ) -> None:
         self._catalog = catalog
         self._dispatcher = dispatcher
@@ -59,6 +63,7 @@
         self._drain = drain
         self._copy_sender = copy_sender
         self._copies = copies
+        self._gate = gate
 
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """Serve ``POST /v1/chat/completions``."""
@@ -92,8 +97,12 @@
                 body.stream_options and body.stream_options.include_usage
             ),
         )
+        generation = _build_generation(body, flavour, workspace, service, point)
         work = _Work(
-            generation=_build_generation(body, flavour, workspace, service, point),
+            generation=generation,
+            admission=read_admission(
+                request, workspace, service, request_id=generation.request.id
+            ),
             shape=shape,
             service=service,
             binding=binding,
@@ -148,7 +157,8 @@
     async def _dispatch(self, work: "_Work", sink: Sink) -> None:
         point = work.point
         if point is None:
-            await self._dispatcher.run(work.generation, sink)
+            async with self._gate.enter(work.service.id, work.admission):
+                await self._dispatcher.run(work.generation, sink)
             return
 
         async def recover() -> Sequence[int] | None:
@@ -169,6 +179,7 @@
     """One request that was read and admitted."""
 
     generation: Generation
+    admission: AdmissionRequest
     shape: Shape
     service: Service
     binding: bytes
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -27,6 +27,7 @@
 from passtally.engine import HttpEngine
 from passtally.executor import LEASE_KEY, Executor
 from passtally.fleet import Fleet
+from passtally.gate import Gate
 from passtally.handle import HandleSigner
 from passtally.intents import Intents
 from passtally.lease import Lease
@@ -39,6 +40,7 @@
 from passtally.plain import PlainCaller, PlainHandler, open_session
 from passtally.platform import HttpPlatform
 from passtally.retry import RetryLimits
+from passtally.retry_budget import RetryBudgets
 from passtally.settings import Settings
 from passtally.status import StatusReader
 
@@ -73,6 +75,7 @@
             self.keeper.follow_peers(),
             self.gossip.run(),
             self.fleet.watch_silence(),
+            self.gate.run(),
             self.copy_sender.run(),
             self.claims.run(),
             self.executor.run(),
@@ -144,11 +147,14 @@
     def _build_serving(self) -> None:
         """Build what carries requests."""
         settings = self.settings
+        budgets = RetryBudgets()
+        self.gate = Gate(fleet=self.fleet, clock=self.clock)
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clock=self.clock,
             failure_domain=settings.failure_domain,
             limits=RetryLimits(),
+            budgets=budgets,
             linger=settings.linger,
         )
         self.signer = HandleSigner(
@@ -172,6 +178,7 @@
             fleet=self.fleet,
             clock=self.clock,
             failure_domain=settings.failure_domain,
+            budgets=budgets,
             session=self._plain_session,
         )
         self.once = OnceCaller(
@@ -245,6 +252,7 @@
             drain=self.drain,
             copy_sender=self.copy_sender,
             copies=self.copies,
+            gate=self.gate,
         )
         plain = PlainHandler(catalog=self.catalog, caller=self.once, drain=self.drain)
         app.router.add_post("/v1/chat/completions", completions.chat)
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -29,7 +29,8 @@
     is_death,
     is_gone,
 )
-from passtally.routing import RouteQuery, choose_endpoint
+from passtally.retry_budget import RetryBudgets
+from passtally.routing import Choose, RouteQuery, choose_endpoint
 
 #: How long an answer that has begun waits for an endpoint to go on with.
 RESUME_PATIENCE = timedelta(seconds=4)
@@ -38,6 +39,10 @@
 LINGER = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
 PREFIX_CHARACTERS = 256
+#: An estimate is enough for a budget.
+CHARACTERS_A_TOKEN = 4
+#: Engines take lower numbers first; new requests have 10 or more.
+RESUME_PRIORITY = 0
 
 
 Recovery = Callable[[], Awaitable[Sequence[int] | None]]
@@ -75,7 +80,9 @@
         clock: The clock.
         failure_domain: This host's own.
         limits: Where resuming ends.
+        budgets: How many repeats are left.
         linger: How long a left stream stays with its engine.
+        choose: The routing policy.
     """
 
     def __init__(
@@ -85,13 +92,17 @@
         clock: Clock,
         failure_domain: str,
         limits: RetryLimits,
+        budgets: RetryBudgets,
         linger: timedelta = LINGER,
+        choose: Choose = choose_endpoint,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._failure_domain = failure_domain
         self._limits = limits
+        self._budgets = budgets
         self._linger = linger
+        self._choose = choose
         self._quarantine = Quarantine(limits=limits)
         self._background: set[asyncio.Task[None]] = set()
 
@@ -120,6 +131,7 @@
         step = NextStep.ATTACH if held_by else NextStep.RESUME
         endpoint_id = held_by
         self._refuse_quarantined(generation)
+        self._budgets.earn(generation.request.workspace)
         while True:
             if step is NextStep.RESUME:
                 await _recover_tokens(generation, recover)
@@ -151,8 +163,10 @@
     ) -> None:
         sink.switch(generation, attempt)
         live.own_streams += 1
+        reading = 0 if step is NextStep.ATTACH else _count_resume_tokens(generation)
+        live.resume_tokens += reading
         try:
-            await self._relay(generation, attempt, live, sink, step)
+            await self._relay(generation, attempt, live, sink, step, reading)
             live.readmit()
         except AttemptLostError as loss:
             unrun = (LossKind.REFUSED, LossKind.UNREACHABLE)
@@ -172,6 +186,7 @@
         live: LiveEndpoint,
         sink: Sink,
         step: NextStep,
+        reading: int,
     ) -> None:
         """Pass on what one attempt sends, under the watch for silence."""
         loop = asyncio.get_running_loop()
@@ -182,8 +197,13 @@
                 guard.trip = lambda: scope.reschedule(loop.time())
                 live.guards.add(guard)
                 stream = await _open_stream(live.engine, generation, attempt, step)
+                if stream.report is not None:
+                    live.take_report(stream.report)
                 while events := await stream.read():
                     guard.reads += 1
+                    if reading:
+                        live.resume_tokens -= reading
+                        reading = 0
                     guard.is_waiting = False
                     await _deliver(generation, attempt, events, sink)
                     guard.is_waiting = True
@@ -200,6 +220,7 @@
             ) from error
         finally:
             live.guards.discard(guard)
+            live.resume_tokens -= reading
             if stream is not None:
                 stream.close()
 
@@ -210,11 +231,12 @@
         request = generation.request
         deadline = self._clock.monotonic() + RESUME_PATIENCE
         while True:
-            decision = choose_endpoint(
+            decision = self._choose(
                 RouteQuery(
                     affinity=request.prompt[:PREFIX_CHARACTERS].encode(),
                     failure_domain=request.failure_domain or self._failure_domain,
                     exclude=progress.excluded,
+                    resume_tokens=_count_resume_tokens(generation),
                 ),
                 self._fleet.views(request.service),
                 now=self._clock.monotonic(),
@@ -265,6 +287,10 @@
             was_attached=was_attached,
             limits=self._limits,
         )
+        if decision.step is NextStep.RESUME and not self._may_repeat(generation):
+            decision = RetryDecision(
+                step=NextStep.GIVE_UP, reason="the retry budget is spent"
+            )
         log_decision(
             "retry",
             request=generation.request.id,
@@ -278,6 +304,16 @@
         )
         return decision
 
+    def _may_repeat(self, generation: Generation) -> bool:
+        """Take a repeat from the budget.
+
+        Going on with an answer that has begun is bounded by the resume budget
+        of each endpoint instead.
+        """
+        if generation.delivered:
+            return True
+        return self._budgets.try_spend(generation.request.workspace)
+
     def _give_up(
         self, generation: Generation, progress: _Progress, reason: str
     ) -> RefusedError:
@@ -339,11 +375,20 @@
     engine: Engine, generation: Generation, attempt: Attempt, step: NextStep
 ) -> TokenStream:
     request = generation.request
+    if generation.delivered:
+        request = attrs.evolve(request, priority=RESUME_PRIORITY)
     if step is NextStep.ATTACH:
         return await engine.attach(request, attempt, position=generation.position)
     return await engine.generate(request, attempt, generation.token_ids)
 
 
+def _count_resume_tokens(generation: Generation) -> int:
+    """Return the tokens to read before an answer that has begun goes on."""
+    if not generation.delivered:
+        return 0
+    return generation.position + len(generation.request.prompt) // CHARACTERS_A_TOKEN
+
+
 async def _recover_tokens(generation: Generation, recover: Recovery | None) -> None:
     if recover is None or generation.position >= generation.delivered:
         return
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -15,6 +15,7 @@
 PROBE_TIMEOUT = timedelta(milliseconds=300)
 CANCEL_TIMEOUT = timedelta(seconds=2)
 MAX_EVENT_BYTES = 1 << 20
+LOAD_HEADER = "X-Engine-Load"
 
 _DATA = b"data: "
 _DONE = b"data: [DONE]"
@@ -55,7 +56,13 @@
 
 
 class TokenStream(Protocol):
-    """The output of one attempt."""
+    """The output of one attempt.
+
+    Attributes:
+        report: The load report that came with it, if any.
+    """
+
+    report: LoadReport | None
 
     async def read(self) -> list[TokenEvent]:
         """Return the events that arrived together; none once it has ended.
@@ -242,6 +249,7 @@
         self._content = response.content
         self._step = step
         self._peer = peer
+        self.report = _read_report(response.headers.get(LOAD_HEADER, ""))
         self._rest = b""
         self._has_ended = False
 
@@ -288,5 +296,14 @@
         return AttemptLostError(kind, step=self._step, peer=self._peer, detail=detail)
 
 
+def _read_report(text: str) -> LoadReport | None:
+    """Read a load report that rode on an answer: ``running,queued,step``."""
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+        return None
+    running, queued, step = map(int, parts)
+    return LoadReport(running=running, queued=queued, step=step)
+
+
 def _describe(error: Exception) -> str:
     return str(error) or type(error).__name__
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -10,7 +10,7 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.engine import Engine, LoadReport
-from passtally.objects import Endpoint, is_placed
+from passtally.objects import Endpoint, EndpointState, is_placed
 from passtally.retry import LossKind
 from passtally.routing import EndpointView
 from passtally.silence import (
@@ -68,6 +68,19 @@
             self.trip()
 
 
+@attrs.frozen(kw_only=True)
+class Capacity:
+    """Places for requests, and how many are believed taken."""
+
+    places: int
+    taken: int
+
+    @property
+    def load(self) -> float:
+        """The share that is taken; 0 where there are none, so that routing tells."""
+        return self.taken / self.places if self.places else 0.0
+
+
 class LagMeter:
     """Tells whether this host itself was too busy, or paused, to judge others.
 
@@ -115,6 +128,7 @@
         self._clock = clock
         self._lag = lag
         self.own_streams = 0
+        self.resume_tokens = 0
         self.guards: set[StreamGuard] = set()
         self.limits_by_phase = {
             phase: SilenceLimit(bounds=bounds)
@@ -137,6 +151,7 @@
             own_at_report=self._own_at_report,
             max_streams=self.endpoint.max_streams,
             ejected_until=self.ejected_until,
+            resume_tokens=self.resume_tokens,
         )
 
     def take_report(self, report: LoadReport) -> None:
@@ -278,6 +293,18 @@
         found = (self.find(endpoint.id) for endpoint in placed)
         return [live.view() for live in found if live is not None]
 
+    def service_capacity(self, service_id: str) -> "Capacity":
+        """Return the places of a service's endpoints in use, and how many are taken."""
+        views = [
+            view
+            for view in self.views(service_id)
+            if view.state is EndpointState.ACTIVE
+        ]
+        return Capacity(
+            places=sum(view.max_streams for view in views),
+            taken=sum(min(view.taken, view.max_streams) for view in views),
+        )
+
     def count_streams(self, endpoint_id: str) -> int:
         """Return the open requests of an endpoint, as far as this host knows."""
         live = self.find(endpoint_id)
--- /dev/null
+++ b/passtally/gate.py
@@ -0,0 +1,156 @@
+"""Holds requests back until admission lets them in."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+from passtally.admission import (
+    AdmissionDecision,
+    AdmissionLimits,
+    AdmissionQueue,
+    AdmissionRequest,
+    Verdict,
+    Waiting,
+)
+from passtally.clock import Clock
+from passtally.decision import log_decision
+from passtally.fleet import Fleet
+from passtally.outcome import Code, RefusedError, refuse
+
+TICK = timedelta(milliseconds=50)
+
+
+class Gate:
+    """Admission for all services of one host.
+
+    Args:
+        fleet: The endpoints and their load.
+        clock: The clock.
+        limits: Where admission begins to choose.
+    """
+
+    def __init__(
+        self, *, fleet: Fleet, clock: Clock, limits: AdmissionLimits | None = None
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._limits = limits or AdmissionLimits()
+        self._queues_by_service: dict[str, AdmissionQueue] = {}
+        self._futures: dict[Waiting, asyncio.Future[None]] = {}
+
+    @asynccontextmanager
+    async def enter(
+        self, service_id: str, request: AdmissionRequest
+    ) -> AsyncIterator[None]:
+        """Wait for admission, and count the request while it runs.
+
+        Raises:
+            RefusedError: It can't be admitted in time; it did not run.
+        """
+        queue = self._queue(service_id)
+        now = self._clock.monotonic()
+        decision, waiting = queue.ask(request, load=self._load(service_id), now=now)
+        if decision.verdict is not Verdict.ADMIT:
+            self._log(service_id, request, decision, len(queue))
+        if decision.verdict is Verdict.REFUSE:
+            raise _overloaded(service_id, decision.reason, decision.retry_after)
+        if waiting is not None:
+            await self._wait(queue, waiting)
+        try:
+            yield
+        finally:
+            queue.leave(request)
+            self._admit_next(service_id)
+
+    async def run(self) -> None:
+        """Let waiting requests in, or refuse them, for ever."""
+        while True:
+            await self._clock.sleep(TICK)
+            for service_id in list(self._queues_by_service):
+                self._tick(service_id)
+
+    def _tick(self, service_id: str) -> None:
+        queue = self._queues_by_service[service_id]
+        if not len(queue):
+            return
+        for waiting in queue.expired(self._clock.monotonic()):
+            error = _overloaded(service_id, "it waited too long", timedelta(seconds=1))
+            self._settle(waiting, error)
+        self._admit_next(service_id)
+
+    def _admit_next(self, service_id: str) -> None:
+        """Let in as many as there is room for."""
+        queue = self._queues_by_service[service_id]
+        capacity = self._fleet.service_capacity(service_id)
+        taken = capacity.taken
+        while len(queue) and taken < capacity.places:
+            load = taken / capacity.places
+            waiting = queue.next(load=load, now=self._clock.monotonic())
+            if waiting is None:
+                return
+            if self._settle(waiting, None):
+                taken += 1
+            else:
+                queue.leave(waiting.request)
+
+    def _settle(self, waiting: Waiting, error: RefusedError | None) -> bool:
+        future = self._futures.get(waiting)
+        if future is None or future.done():
+            return False
+        if error is None:
+            future.set_result(None)
+        else:
+            future.set_exception(error)
+        return True
+
+    async def _wait(self, queue: AdmissionQueue, waiting: Waiting) -> None:
+        future = asyncio.get_running_loop().create_future()
+        self._futures[waiting] = future
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                queue.leave(waiting.request)
+            queue.remove(waiting)
+            raise
+        finally:
+            del self._futures[waiting]
+
+    def _queue(self, service_id: str) -> AdmissionQueue:
+        if service_id not in self._queues_by_service:
+            queue = AdmissionQueue(limits=self._limits)
+            self._queues_by_service[service_id] = queue
+        return self._queues_by_service[service_id]
+
+    def _load(self, service_id: str) -> float:
+        return self._fleet.service_capacity(service_id).load
+
+    def _log(
+        self,
+        service_id: str,
+        request: AdmissionRequest,
+        decision: AdmissionDecision,
+        queued: int,
+    ) -> None:
+        log_decision(
+            "admit",
+            request=request.id,
+            choice=decision.verdict.name.lower(),
+            reason=decision.reason,
+            service=service_id,
+            workspace=request.workspace,
+            request_class=request.request_class.name.lower(),
+            queued=queued,
+        )
+
+
+def _overloaded(service_id: str, reason: str, retry_after: timedelta) -> RefusedError:
+    return refuse(
+        Code.OVERLOADED,
+        f"There is no room for this request: {reason}.",
+        status=503,
+        step="admit",
+        peer=service_id,
+        retry_after=retry_after,
+    )
--- a/passtally/objects.py
+++ b/passtally/objects.py
@@ -11,6 +11,7 @@
 
 SERVE_ROLE = "serve"
 TOKEN_DIGEST_CHARACTERS = 64
+REQUEST_CLASSES = ("lookup", "interactive", "job")
 
 
 class ServiceKind(StrEnum):
@@ -52,6 +53,8 @@
         max_tokens: The length of an answer when the caller names none.
         failure_domains: Where it is served; empty means everywhere.
         weights_gb: The size of the model's weights, in GB.
+        request_class: How urgent its requests are where the caller says nothing:
+            ``lookup``, ``interactive`` or ``job``.
     """
 
     id: str
@@ -65,6 +68,7 @@
     max_tokens: int = 4096
     failure_domains: tuple[str, ...] = ()
     weights_gb: float = 0.0
+    request_class: str = "interactive"
 
 
 @attrs.frozen(kw_only=True)
@@ -161,6 +165,8 @@
         problems.append("version: is missing")
     if service.max_tokens < 1:
         problems.append("max_tokens: must be above zero")
+    if service.request_class not in REQUEST_CLASSES:
+        problems.append(f"request_class: is not one of {', '.join(REQUEST_CLASSES)}")
     if service.weights_gb < 0:
         problems.append("weights_gb: must not be negative")
     return problems
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -9,14 +9,16 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from passtally.api import find_service, find_workspace
+from passtally.api import bad_header, find_service, find_workspace, read_admission
 from passtally.catalog import Catalog
 from passtally.clock import Clock
 from passtally.decision import log_decision
 from passtally.drain import Drain
 from passtally.fleet import Fleet
+from passtally.gate import Gate
 from passtally.objects import Service, ServiceKind, Workspace
 from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.retry_budget import RetryBudgets
 from passtally.routing import RouteQuery, choose_endpoint
 
 CALL_TIMEOUT = timedelta(seconds=30)
@@ -91,6 +93,7 @@
         fleet: The endpoints.
         clock: The clock.
         failure_domain: This host's own.
+        budgets: How many repeats are left.
         session: The client session. It must neither repeat a call by itself
             nor follow a redirect; see :func:`open_session`.
     """
@@ -101,11 +104,13 @@
         fleet: Fleet,
         clock: Clock,
         failure_domain: str,
+        budgets: RetryBudgets,
         session: aiohttp.ClientSession,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._failure_domain = failure_domain
+        self._budgets = budgets
         self._session = session
 
     async def call(
@@ -124,6 +129,7 @@
         """
         excluded: set[str] = set()
         failure: RefusedError | None = None
+        self._budgets.earn(call.workspace)
         for _ in range(MAX_ATTEMPTS):
             endpoint_id = self._route(call, excluded)
             if endpoint_id is None:
@@ -136,6 +142,8 @@
                 ran = error.failure.outcome is Outcome.UNKNOWN
                 if ran and not call.repeatable:
                     break
+                if not self._budgets.try_spend(call.workspace):
+                    break
         raise failure or refuse(
             Code.NO_ENDPOINT,
             "No endpoint of the service can take the call.",
@@ -213,10 +221,14 @@
         catalog: The configuration in force.
         caller: Passes calls on.
         drain: Counts the requests that are open.
+        gate: Admits requests.
     """
 
-    def __init__(self, *, catalog: Catalog, caller: Caller, drain: Drain) -> None:
+    def __init__(
+        self, *, catalog: Catalog, caller: Caller, drain: Drain, gate: Gate
+    ) -> None:
         self._catalog = catalog
+        self._gate = gate
         self._caller = caller
         self._drain = drain
 
@@ -237,8 +249,10 @@
                 step="authorize",
             )
         call = await _read_call(request, workspace, service)
+        admission = read_admission(request, workspace, service, request_id=call.id)
         with self._drain.track():
-            answer = await self._caller.call(call)
+            async with self._gate.enter(service.id, admission):
+                answer = await self._caller.call(call)
         return web.Response(
             status=answer.status, headers=answer.headers, body=answer.body
         )
@@ -276,12 +290,7 @@
 ) -> PlainCall:
     key = request.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY_CHARACTERS:
-        raise refuse(
-            Code.BAD_REQUEST,
-            f"{KEY_HEADER} is longer than {MAX_KEY_CHARACTERS} characters.",
-            status=400,
-            step="parse",
-        )
+        raise bad_header(KEY_HEADER, f"at most {MAX_KEY_CHARACTERS} characters long")
     path = request.match_info["path"]
     if request.query_string:
         path = f"{path}?{request.query_string}"
@@ -302,12 +311,7 @@
 def _is_repeatable(request: web.Request, service: Service) -> bool:
     text = request.headers.get(REPEATABLE_HEADER, "").lower()
     if text not in ("", "yes", "no"):
-        raise refuse(
-            Code.BAD_REQUEST,
-            f"{REPEATABLE_HEADER} must be 'yes' or 'no'.",
-            status=400,
-            step="parse",
-        )
+        raise bad_header(REPEATABLE_HEADER, "'yes' or 'no'")
     # A caller may forbid a repeat that the service allows, never the reverse.
     return service.repeatable and text != "no"
 
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -1,7 +1,7 @@
 """Which endpoint a request goes to. Pure: typed views in, a decision out."""
 
 import hashlib
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 
 import attrs
@@ -22,6 +22,7 @@
         own_at_report: This host's open requests when that report was made.
         max_streams: How many it takes at once.
         ejected_until: Until when it gets no new work, on the monotonic clock.
+        resume_tokens: Tokens that this host's resumes still make it read.
     """
 
     id: str
@@ -32,16 +33,21 @@
     own_at_report: int
     max_streams: int
     ejected_until: timedelta | None = None
+    resume_tokens: int = 0
 
     @property
-    def load(self) -> float:
-        """The share of its places believed taken.
+    def taken(self) -> int:
+        """The places believed taken.
 
         The report lags, so this host's own dispatches since then are counted on.
         """
         since_report = self.own_streams - self.own_at_report
-        taken = max(self.own_streams, self.reported_streams + since_report)
-        return taken / self.max_streams
+        return max(self.own_streams, self.reported_streams + since_report)
+
+    @property
+    def load(self) -> float:
+        """The share of its places believed taken."""
+        return self.taken / self.max_streams
 
 
 @attrs.frozen(kw_only=True)
@@ -52,11 +58,14 @@
         affinity: What decides where its prompt prefix is likely cached.
         failure_domain: The asking host's own.
         exclude: Endpoints that lost this request before.
+        resume_tokens: The tokens that an endpoint must read to go on with an
+            answer; 0 for a new request.
     """
 
     affinity: bytes
     failure_domain: str
     exclude: Collection[str] = ()
+    resume_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -74,6 +83,11 @@
     reason: str
 
 
+Choose = Callable[..., RouteDecision]
+
+#: Tokens of resumes that one host makes one endpoint read at a time: the streams
+#: of a dead endpoint come all at once and must not take the next one down.
+RESUME_BUDGET = 16_000
 #: Above this load an endpoint is passed over while another is below it.
 BUSY_LOAD = 0.8
 
@@ -98,6 +112,8 @@
         return RouteDecision(
             endpoint_id=None, candidates=(), reason="no usable endpoint"
         )
+    if query.resume_tokens:
+        return _choose_for_resume(query, usable)
     with_room = [view for view in usable if view.load < 1]
     if not with_room:
         names = tuple(view.id for view in usable)
@@ -121,6 +137,36 @@
     )
 
 
+def _choose_for_resume(
+    query: RouteQuery, usable: Sequence[EndpointView]
+) -> RouteDecision:
+    """Spread resumes: the endpoint that has the least to read for them goes first.
+
+    A resume takes a place also where all are taken: its caller has waited already.
+    """
+    names = tuple(view.id for view in usable)
+    open_views = [
+        view
+        for view in usable
+        if not view.resume_tokens
+        or view.resume_tokens + query.resume_tokens <= RESUME_BUDGET
+    ]
+    if not open_views:
+        return RouteDecision(
+            endpoint_id=None, candidates=names, reason="resume budget is spent"
+        )
+
+    def cost(view: EndpointView) -> tuple[float, bool, bytes]:
+        is_far = view.failure_domain != query.failure_domain
+        reading = view.resume_tokens / RESUME_BUDGET
+        return view.load + reading, is_far, _affinity_rank(query.affinity, view.id)
+
+    choice = min(open_views, key=cost)
+    return RouteDecision(
+        endpoint_id=choice.id, candidates=names, reason="resume, least to read"
+    )
+
+
 def _is_allowed(view: EndpointView, query: RouteQuery) -> bool:
     return view.state is EndpointState.ACTIVE and view.id not in query.exclude
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -194,12 +194,7 @@
 
     async def load(self, request: web.Request) -> web.Response:
         """Answer with a load report that lags; its step counter does not."""
-        until = time.monotonic() - self._report_lag
-        report = {"running": 0, "queued": 0}
-        for at, row in self._reports:
-            if at <= until:
-                report = row
-        return web.json_response(report | {"step": self._steps})
+        return web.json_response(self._find_report() | {"step": self._steps})
 
     async def cache_events(self, request: web.Request) -> web.Response:
         """Answer with the cache events after a number; old ones are gone."""
@@ -236,6 +231,16 @@
         self.control = msgspec.json.decode(await request.read(), type=Control)
         return web.json_response({})
 
+    def _find_report(self) -> dict[str, int]:
+        """Return the newest report that is as old as the lag."""
+        until = time.monotonic() - self._report_lag
+        while len(self._reports) > 1 and self._reports[1][0] <= until:
+            self._reports.popleft()
+        shown = {"running": 0, "queued": 0}
+        if self._reports and self._reports[0][0] <= until:
+            shown = self._reports[0][1]
+        return shown
+
     def _start(self, body: Body) -> Stream:
         position = len(body.prior_token_ids)
         prefilled = self._prefill(body)
@@ -277,7 +282,12 @@
     async def _send(
         self, request: web.Request, stream: Stream, position: int
     ) -> web.StreamResponse:
-        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        load = self._find_report()
+        headers = {
+            "Content-Type": "text/event-stream",
+            "X-Engine-Load": f"{load['running']},{load['queued']},{self._steps}",
+        }
+        response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         attempt = stream.attempt
         stream.detached_at = None
--- a/standins/fake_engine.py
+++ b/standins/fake_engine.py
@@ -3,7 +3,7 @@
 import asyncio
 import heapq
 import itertools
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import AsyncIterator, Sequence
 from datetime import timedelta
 
@@ -74,7 +74,7 @@
         self._thawed = asyncio.Event()
         self._thawed.set()
         self._deaths: set[asyncio.Future[None]] = set()
-        self._reports: list[tuple[timedelta, LoadReport]] = []
+        self._reports: deque[tuple[timedelta, LoadReport]] = deque()
 
     @property
     def is_frozen(self) -> bool:
@@ -108,7 +108,7 @@
         if self.is_dead:
             raise self._lost(LossKind.UNREACHABLE, "connect")
         self.counts.requests += 1
-        return FakeStream(self._produce(request, len(prior)))
+        return FakeStream(self._produce(request, len(prior)), self._report())
 
     async def attach(
         self, request: GenerationRequest, attempt: Attempt, *, position: int
@@ -139,13 +139,17 @@
         if self.is_dead or self.is_frozen:
             await self._clock.sleep(PROBE_TIMEOUT)
             return None
+        return self._report()
+
+    def _report(self) -> LoadReport:
+        """Return the newest load that is as old as the lag."""
         now = self._clock.monotonic()
         step = int(now / self.speed.step)
         current = LoadReport(running=self.running, queued=len(self._queue), step=step)
         self._reports.append((now, current))
         until = now - self.speed.report_lag
         while len(self._reports) > 1 and self._reports[1][0] <= until:
-            self._reports.pop(0)
+            self._reports.popleft()
         shown = self._reports[0][1]
         return LoadReport(running=shown.running, queued=shown.queued, step=step)
 
@@ -207,9 +211,13 @@
 
     Args:
         events: Yields what arrives together.
+        report: The load report that comes with it.
     """
 
-    def __init__(self, events: AsyncIterator[list[TokenEvent]]) -> None:
+    def __init__(
+        self, events: AsyncIterator[list[TokenEvent]], report: LoadReport
+    ) -> None:
+        self.report = report
         self._events = events
         self._closing: asyncio.Task[None] | None = None
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,289 @@
+"""Admission, routing of resumes, and the budget of repeats."""
+
+import asyncio
+from datetime import timedelta
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passtally.admission import (
+    AdmissionLimits,
+    AdmissionQueue,
+    AdmissionRequest,
+    RequestClass,
+    Verdict,
+)
+from passtally.fleet import Capacity
+from passtally.gate import Gate
+from passtally.objects import EndpointState
+from passtally.outcome import Code, Outcome, RefusedError
+from passtally.retry_budget import MOST, RetryBudgets
+from passtally.routing import (
+    RESUME_BUDGET,
+    EndpointView,
+    RouteQuery,
+    choose_endpoint,
+)
+from standins.virtual import VirtualClock, run_virtually
+
+NOW = timedelta(0)
+
+
+def ask_for(workspace="w", name="interactive", share=1, timeout=None):
+    return AdmissionRequest(
+        id="r",
+        workspace=workspace,
+        share=share,
+        request_class=RequestClass[name.upper()],
+        timeout=timeout,
+    )
+
+
+def make_queue(**options) -> AdmissionQueue:
+    return AdmissionQueue(limits=AdmissionLimits(**options))
+
+
+class TestAdmissionQueue:
+    def test_room_admits_at_once(self):
+        decision, waiting = make_queue().ask(ask_for(), load=0.5, now=NOW)
+        assert (decision.verdict, waiting) == (Verdict.ADMIT, None)
+
+    def test_jobs_wait_while_lookups_still_enter(self):
+        queue = make_queue()
+        job, _ = queue.ask(ask_for(name="job"), load=0.75, now=NOW)
+        lookup, _ = queue.ask(ask_for(name="lookup"), load=0.75, now=NOW)
+        assert (job.verdict, lookup.verdict) == (Verdict.QUEUE, Verdict.ADMIT)
+
+    def test_a_large_workspace_leaves_the_last_places_to_small_ones(self):
+        queue = make_queue()
+        for _ in range(20):
+            queue.ask(ask_for("large"), load=0.5, now=NOW)
+        queue.ask(ask_for("small"), load=0.5, now=NOW)
+        large, _ = queue.ask(ask_for("large"), load=0.9, now=NOW)
+        small, _ = queue.ask(ask_for("small"), load=0.9, now=NOW)
+        assert (large.verdict, small.verdict) == (Verdict.QUEUE, Verdict.ADMIT)
+
+    def test_classes_go_in_order_and_workspaces_take_turns(self):
+        queue = make_queue()
+        for workspace, name in (
+            ("a", "job"),
+            ("a", "interactive"),
+            ("a", "interactive"),
+            ("b", "interactive"),
+            ("b", "lookup"),
+        ):
+            queue.ask(ask_for(workspace, name), load=1, now=NOW)
+        order = [queue.next(load=0, now=NOW).request for _ in range(5)]
+        assert [(r.workspace, r.request_class.name) for r in order] == [
+            ("b", "LOOKUP"),
+            ("a", "INTERACTIVE"),
+            ("b", "INTERACTIVE"),
+            ("a", "INTERACTIVE"),
+            ("a", "JOB"),
+        ]
+
+    def test_a_full_queue_refuses_with_a_time_to_come_back(self):
+        queue = make_queue(max_queue=1)
+        queue.ask(ask_for(), load=1, now=NOW)
+        decision, _ = queue.ask(ask_for(), load=1, now=NOW)
+        assert decision.verdict is Verdict.REFUSE
+        assert decision.retry_after >= timedelta(seconds=1)
+
+    def test_what_can_not_begin_in_time_is_refused_before_it_waits(self):
+        queue = make_queue()
+        for _ in range(20):
+            queue.ask(ask_for(), load=1, now=NOW)
+        for second in range(4):
+            queue.next(load=0, now=timedelta(seconds=second))
+        hurried = ask_for(timeout=timedelta(seconds=2))
+        decision, _ = queue.ask(hurried, load=1, now=timedelta(seconds=4))
+        assert decision.verdict is Verdict.REFUSE
+        assert "in time" in decision.reason
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abc"),
+                st.sampled_from(["lookup", "interactive", "job"]),
+                st.sampled_from(["ask", "next", "leave", "expire"]),
+                st.sampled_from([0, 0.75, 0.9, 1]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_nobody_is_lost_or_counted_twice(self, script):
+        queue = make_queue(max_queue=8)
+        admitted, waiting = [], []
+        now = NOW
+        for workspace, name, action, load in script:
+            now += timedelta(seconds=0.3)
+            if action == "ask":
+                decision, place = queue.ask(
+                    ask_for(workspace, name), load=load, now=now
+                )
+                if decision.verdict is Verdict.ADMIT:
+                    admitted.append(ask_for(workspace, name))
+                if place is not None:
+                    waiting.append(place)
+            elif action == "next":
+                place = queue.next(load=load, now=now)
+                if place is not None:
+                    waiting.remove(place)
+                    admitted.append(place.request)
+            elif action == "leave" and admitted:
+                queue.leave(admitted.pop())
+            elif action == "expire":
+                for place in queue.expired(now):
+                    waiting.remove(place)
+            assert len(queue) == len(waiting)
+        assert sum(queue._running_by_workspace.values()) == len(admitted)
+
+
+class TestGate:
+    def run_gate(self, work):
+        class FakeFleet:
+            places, taken = 1, 1
+
+            def service_capacity(self, service_id):
+                return Capacity(places=self.places, taken=self.taken)
+
+        async def run():
+            fleet = FakeFleet()
+            gate = Gate(fleet=fleet, clock=VirtualClock())
+            ticking = asyncio.ensure_future(gate.run())
+            try:
+                await work(gate, fleet)
+            finally:
+                ticking.cancel()
+
+        run_virtually(run())
+
+    def test_a_waiting_request_enters_once_there_is_room(self):
+        async def work(gate, fleet):
+            async def enter():
+                async with gate.enter("s", ask_for()):
+                    return asyncio.get_running_loop().time()
+
+            entered = asyncio.ensure_future(enter())
+            await asyncio.sleep(1)
+            assert not entered.done()
+            fleet.taken = 0
+            assert await entered < 1.2
+
+        self.run_gate(work)
+
+    def test_one_that_waits_too_long_is_told_at_once_that_it_did_not_run(self):
+        async def work(gate, fleet):
+            with pytest.raises(RefusedError) as caught:
+                async with gate.enter("s", ask_for(name="lookup")):
+                    pass
+            failure = caught.value.failure
+            assert (failure.code, failure.outcome) == (
+                Code.OVERLOADED,
+                Outcome.NOT_RUN,
+            )
+            assert asyncio.get_running_loop().time() < 1.2
+
+        self.run_gate(work)
+
+    def test_a_caller_that_leaves_the_queue_leaves_no_trace(self):
+        async def work(gate, fleet):
+            async def enter():
+                async with gate.enter("s", ask_for()):
+                    pass
+
+            entered = asyncio.ensure_future(enter())
+            await asyncio.sleep(0.5)
+            entered.cancel()
+            await asyncio.sleep(0.5)
+            queue = gate._queues_by_service["s"]
+            assert (len(queue), queue._running_by_workspace) == (0, {})
+
+        self.run_gate(work)
+
+
+def view(name: str, **options) -> EndpointView:
+    row = {
+        "id": name,
+        "failure_domain": "p",
+        "state": EndpointState.ACTIVE,
+        "own_streams": 0,
+        "reported_streams": 0,
+        "own_at_report": 0,
+        "max_streams": 10,
+    }
+    return EndpointView(**(row | options))
+
+
+def choose(views, **query):
+    asked = RouteQuery(**({"affinity": b"x", "failure_domain": "p"} | query))
+    return choose_endpoint(asked, views, now=NOW)
+
+
+class TestRouting:
+    def test_own_dispatches_since_the_report_count(self):
+        stale = view("a", reported_streams=5, own_at_report=2, own_streams=6)
+        assert stale.load == 0.9
+
+    def test_local_first_then_spill_over(self):
+        near, far = view("a"), view("b", failure_domain="t")
+        assert choose([near, far]).endpoint_id == "a"
+        busy = attrs.evolve(near, own_streams=9)
+        assert choose([busy, far]).endpoint_id == "b"
+
+    def test_the_same_prefix_goes_to_the_same_place(self):
+        views = [view(name) for name in "abcdef"]
+        assert len({choose(views).endpoint_id for _ in range(5)}) == 1
+        chosen = {choose(views, affinity=bytes([n])).endpoint_id for n in range(60)}
+        assert len(chosen) == 6
+
+    def test_draining_excluded_and_full_ones_get_nothing(self):
+        views = [
+            view("a", state=EndpointState.DRAINING),
+            view("b", own_streams=10),
+            view("c"),
+        ]
+        decision = choose(views, exclude={"c"})
+        assert (decision.endpoint_id, decision.reason) == (None, "all full")
+
+    def test_ejected_ones_are_tried_only_where_all_are(self):
+        later = timedelta(seconds=5)
+        ejected = view("a", ejected_until=later)
+        assert choose([ejected, view("b", own_streams=5)]).endpoint_id == "b"
+        assert "ejected" in choose([ejected]).reason
+
+    def test_resumes_spread_over_the_budget(self):
+        tokens = dict.fromkeys("abcd", 0)
+        for _ in range(16):
+            views = [view(name, resume_tokens=n) for name, n in tokens.items()]
+            name = choose(views, resume_tokens=4000).endpoint_id
+            tokens[name] += 4000
+        assert set(tokens.values()) == {RESUME_BUDGET}
+        views = [view(name, resume_tokens=n) for name, n in tokens.items()]
+        decision = choose(views, resume_tokens=4000)
+        assert (decision.endpoint_id, decision.reason) == (
+            None,
+            "resume budget is spent",
+        )
+
+    def test_one_long_resume_above_the_budget_still_goes(self):
+        assert choose([view("a")], resume_tokens=RESUME_BUDGET * 2).endpoint_id == "a"
+
+
+class TestRetryBudgets:
+    def test_repeats_are_a_share_of_a_workspaces_requests(self):
+        budgets = RetryBudgets()
+        allowed = sum(budgets.try_spend("w") for _ in range(100))
+        assert allowed == MOST
+        assert budgets.try_spend("other")
+        for _ in range(15):
+            budgets.earn("w")
+        assert sum(budgets.try_spend("w") for _ in range(100)) == 1
+
+    def test_all_workspaces_together_are_bounded_too(self):
+        budgets = RetryBudgets()
+        spent = sum(budgets.try_spend(str(n)) for n in range(1000))
+        assert spent == 10 * MOST
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -17,6 +17,7 @@
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.outcome import Code, Outcome, RefusedError
 from passtally.retry import LossKind, RetryLimits
+from passtally.retry_budget import RetryBudgets
 from standins.fake_engine import FakeEngine, expected_text
 from standins.virtual import VirtualClock, run_virtually
 from tests.fakes import make_catalog
@@ -108,6 +109,7 @@
             clock=self.clock,
             failure_domain="d",
             limits=RetryLimits(**limits),
+            budgets=RetryBudgets(),
         )
         self.watch = asyncio.ensure_future(self.fleet.watch_silence())
 
