--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -254,7 +254,12 @@
             copies=self.copies,
             gate=self.gate,
         )
-        plain = PlainHandler(catalog=self.catalog, caller=self.once, drain=self.drain)
+        plain = PlainHandler(
+            catalog=self.catalog,
+            caller=self.once,
+            drain=self.drain,
+            gate=self.gate,
+        )
         app.router.add_post("/v1/chat/completions", completions.chat)
         app.router.add_post("/v1/completions", completions.text)
         app.router.add_route("*", "/services/{service}/{path:.*}", plain.serve)
