Let a report's word on other hosts fade

An endpoint that was once reported full got no request, and so never a newer report; admission believed the service full.

Ruled out: the silence limits (no loss logged) and the queue's length (500).

Change: what a report shows of other hosts loses half its weight in 2 s; own requests count exactly; one endpoint a second, the one heard of longest ago, is asked for its load.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -77,6 +77,7 @@
             self.gossip.run(),
             self.host_list.run(),
             self.fleet.watch_silence(),
+            self.fleet.refresh_reports(),
             self.gate.run(),
             self.copy_sender.run(),
             self.claims.run(),
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -24,6 +24,8 @@
 )
 
 WATCH_INTERVAL = timedelta(milliseconds=50)
+#: One endpoint is asked for its load this often, whatever their number.
+REFRESH_INTERVAL = timedelta(seconds=1)
 #: A timer of this host that is later than this shows that it can't judge others.
 MAX_OWN_LAG = timedelta(milliseconds=100)
 #: A stream that is silent for longer, though its endpoint lives, is taken up anew.
@@ -142,6 +144,9 @@
         self._ejection = FIRST_EJECTION
         self._report = LoadReport(running=0, queued=0, step=0)
         self._own_at_report = 0
+        self.reported_at = timedelta(0)
+        #: Whether it has reported its load; plain endpoints never do.
+        self.has_engine = False
         self._probe: asyncio.Task[None] | None = None
 
     def view(self) -> EndpointView:
@@ -153,6 +158,7 @@
             own_streams=self.own_streams,
             reported_streams=self._report.running + self._report.queued,
             own_at_report=self._own_at_report,
+            report_age=self._clock.monotonic() - self.reported_at,
             max_streams=self.endpoint.max_streams,
             ejected_until=self.ejected_until,
             resume_tokens=self.resume_tokens,
@@ -160,8 +166,10 @@
 
     def take_report(self, report: LoadReport) -> None:
         """Take in what the endpoint says of itself."""
+        self.has_engine = True
         self._report = report
         self._own_at_report = self.own_streams
+        self.reported_at = self._clock.monotonic()
         if report.draining:
             endpoint = self.endpoint
             self._departures.note(
@@ -331,6 +339,20 @@
         view = live.view()
         return max(view.own_streams, view.reported_streams)
 
+    async def refresh_reports(self) -> None:
+        """Ask one endpoint at a time for its load, the one heard of longest ago."""
+        while True:
+            await self._clock.sleep(REFRESH_INTERVAL)
+            busy = [live for live in self._live_by_id.values() if live.has_engine]
+            if not busy:
+                continue
+            oldest = min(busy, key=lambda live: live.reported_at)
+            report = await oldest.engine.probe()
+            if report is not None:
+                oldest.take_report(report)
+            else:
+                oldest.reported_at = self._clock.monotonic()
+
     async def watch_silence(self) -> None:
         """Look for silent streams, for ever."""
         while True:
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -20,6 +20,7 @@
         own_streams: Requests of this host that are open there.
         reported_streams: Requests that its last report counted, all hosts'.
         own_at_report: This host's open requests when that report was made.
+        report_age: How old that report is.
         max_streams: How many it takes at once.
         ejected_until: Until when it gets no new work, on the monotonic clock.
         resume_tokens: Tokens that this host's resumes still make it read.
@@ -32,6 +33,7 @@
     reported_streams: int
     own_at_report: int
     max_streams: int
+    report_age: timedelta = timedelta(0)
     ejected_until: timedelta | None = None
     resume_tokens: int = 0
 
@@ -39,10 +41,13 @@
     def taken(self) -> int:
         """The places believed taken.
 
-        The report lags, so this host's own dispatches since then are counted on.
+        This host counts its own requests exactly. What the report showed of other
+        hosts' fades with its age: an endpoint that was once reported full would
+        otherwise get no request, and so never a newer report.
         """
-        since_report = self.own_streams - self.own_at_report
-        return max(self.own_streams, self.reported_streams + since_report)
+        others = max(0, self.reported_streams - self.own_at_report)
+        faded = others * 0.5 ** (self.report_age / REPORT_HALF_LIFE)
+        return self.own_streams + round(faded)
 
     @property
     def load(self) -> float:
@@ -85,6 +90,8 @@
 
 Choose = Callable[..., RouteDecision]
 
+#: The time in which a report's word on other hosts' requests loses half its weight.
+REPORT_HALF_LIFE = timedelta(seconds=2)
 #: Tokens of resumes that one host makes one endpoint read at a time: the streams
 #: of a dead endpoint come all at once and must not take the next one down.
 RESUME_BUDGET = 16_000
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -228,6 +228,12 @@
         stale = view("a", reported_streams=5, own_at_report=2, own_streams=6)
         assert stale.load == 0.9
 
+    def test_an_old_report_does_not_keep_an_endpoint_out_for_ever(self):
+        full = view("a", reported_streams=10)
+        assert full.load == 1
+        later = attrs.evolve(full, report_age=timedelta(seconds=20))
+        assert later.load == 0
+
     def test_local_first_then_spill_over(self):
         near, far = view("a"), view("b", failure_domain="t")
         assert choose([near, far]).endpoint_id == "a"
