Bound the load of a prefix's place; metrics, trace, the silence curve

Change: the endpoints stand in an order that the prefix decides; the first one within 1.2 times the mean load is taken. Metrics by statsd, passtally trace.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from bench.report import find_broken, show, write
 
-NAMES = ("catalog", "claims", "control", "forward", "survive")
+NAMES = ("catalog", "claims", "silence", "policy", "control", "forward", "survive")
 
 
 def main() -> None:
--- a/passtally/api.py
+++ b/passtally/api.py
@@ -10,6 +10,7 @@
 from passtally.admission import AdmissionRequest, RequestClass
 from passtally.catalog import Catalog
 from passtally.decision import log_event
+from passtally.metrics import Metric, Metrics
 from passtally.objects import REQUEST_CLASSES, Service, Workspace, digest_token
 from passtally.outcome import Code, Failure, Outcome, RefusedError, refuse
 from passtally.settings import parse_duration
@@ -110,12 +111,16 @@
     )
 
 
+METRICS_KEY: web.AppKey[Metrics] = web.AppKey("metrics")
+
+
 @web.middleware
 async def answer_failures(request: web.Request, handler: Handler) -> web.StreamResponse:
     """Turn every error of a handler into one clear JSON answer."""
     try:
         return await handler(request)
     except RefusedError as error:
+        request.app[METRICS_KEY].count(Metric.REFUSED, error.failure.code)
         log_event(
             "api",
             "Refused.",
--- a/passtally/cli.py
+++ b/passtally/cli.py
@@ -7,7 +7,7 @@
 import click
 
 from passtally import __version__
-from passtally.operator_cli import add_commands
+from passtally.operator_cli import EXIT_REFUSED, add_commands
 from passtally.settings import (
     Settings,
     SettingsError,
@@ -15,6 +15,7 @@
     flag_of,
     variable_of,
 )
+from passtally.trace import trace
 
 EXIT_USAGE = 2
 
@@ -59,3 +60,17 @@
     from passtally.daemon import run_daemon
 
     run_daemon(settings)
+
+
+@main.command("trace")
+@click.argument("request_id", metavar="REQUEST_ID")
+@click.option("--log", "log", type=click.File(), default="-", help="A host's log.")
+def trace_command(request_id: str, log: Any) -> None:
+    """Tell one request's story from a log; exit 1 if it is not in there."""
+    found = False
+    for line in trace(log, request_id):
+        found = True
+        click.echo(line)
+    if not found:
+        click.echo(f"{request_id} is not in this log.", err=True)
+        sys.exit(EXIT_REFUSED)
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 from eliot import to_file
 
-from passtally.api import answer_failures
+from passtally.api import METRICS_KEY, answer_failures
 from passtally.catalog import Catalog, CatalogKeeper
 from passtally.claims import Claims
 from passtally.clock import Clock, SystemClock
@@ -33,6 +33,7 @@
 from passtally.intents import Intents
 from passtally.lease import Lease
 from passtally.membership import Gossip, MemberTable
+from passtally.metrics import Metrics, NoMetrics, StatsdMetrics, report_gauges
 from passtally.objects import Endpoint
 from passtally.once import OnceCaller
 from passtally.operator_api import OperatorApi
@@ -61,6 +62,7 @@
         self.settings = settings
         self.clock = clock
         self.drain = Drain()
+        self.metrics = _open_metrics(settings)
         self.catalog = Catalog()
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -82,6 +84,7 @@
             self.copy_sender.run(),
             self.claims.run(),
             self.executor.run(),
+            report_gauges(metrics=self.metrics, status=self.status, clock=self.clock),
         ):
             self._spawn(work)
         await self._listen()
@@ -168,6 +171,7 @@
             clock=self.clock,
             failure_domain=settings.failure_domain,
             limits=RetryLimits(),
+            metrics=self.metrics,
             budgets=budgets,
             linger=settings.linger,
         )
@@ -221,7 +225,7 @@
             ),
             clock=self.clock,
         )
-        status = StatusReader(
+        self.status = StatusReader(
             host_id=settings.host_id,
             failure_domain=settings.failure_domain,
             catalog=self.catalog,
@@ -236,7 +240,7 @@
             token=settings.operator_token,
             store=store,
             intents=Intents(store=store, catalog=self.catalog, fleet=self.fleet),
-            status=status,
+            status=self.status,
         )
 
     def _connect_engine(self, endpoint: Endpoint) -> HttpEngine:
@@ -274,6 +278,7 @@
             drain=self.drain,
             gate=self.gate,
         )
+        app[METRICS_KEY] = self.metrics
         app.router.add_post("/v1/chat/completions", completions.chat)
         app.router.add_post("/v1/completions", completions.text)
         app.router.add_route("*", "/services/{service}/{path:.*}", plain.serve)
@@ -296,6 +301,12 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _open_metrics(settings: Settings) -> Metrics:
+    if settings.statsd is None:
+        return NoMetrics()
+    return StatsdMetrics(address=settings.statsd, host_id=settings.host_id)
+
+
 def run_daemon(settings: Settings) -> None:
     """Run an entry host until it is told to stop and its last request is done."""
     with ExitStack() as stack:
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -18,6 +18,7 @@
     SeamError,
     TokenEvent,
 )
+from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.retry import (
     LossKind,
@@ -69,6 +70,7 @@
     deaths: int = 0
     excluded: set[str] = attrs.field(factory=set)
     reached: bool = False
+    waiting_since: timedelta
     last_error: AttemptLostError | None = None
 
 
@@ -83,6 +85,7 @@
         budgets: How many repeats are left.
         linger: How long a left stream stays with its engine.
         choose: The routing policy.
+        metrics: Where metrics go.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         budgets: RetryBudgets,
         linger: timedelta = LINGER,
         choose: Choose = choose_endpoint,
+        metrics: Metrics | None = None,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
@@ -103,6 +107,7 @@
         self._budgets = budgets
         self._linger = linger
         self._choose = choose
+        self._metrics = metrics or NoMetrics()
         self._quarantine = Quarantine(limits=limits)
         self._background: set[asyncio.Task[None]] = set()
 
@@ -127,10 +132,13 @@
             RefusedError: It could not be run, or not to its end.
             ConnectionError: The caller left.
         """
-        progress = _Progress(reached=bool(held_by))
+        progress = _Progress(
+            reached=bool(held_by), waiting_since=self._clock.monotonic()
+        )
         step = NextStep.ATTACH if held_by else NextStep.RESUME
         endpoint_id = held_by
         self._refuse_quarantined(generation)
+        self._metrics.count(Metric.REQUESTS)
         self._budgets.earn(generation.request.workspace)
         while True:
             if step is NextStep.RESUME:
@@ -162,11 +170,12 @@
         progress: _Progress,
     ) -> None:
         sink.switch(generation, attempt)
+        self._metrics.count(Metric.ATTEMPTS)
         live.own_streams += 1
         reading = 0 if step is NextStep.ATTACH else _count_resume_tokens(generation)
         live.resume_tokens += reading
         try:
-            await self._relay(generation, attempt, live, sink, step, reading)
+            await self._relay(generation, attempt, live, sink, step, reading, progress)
             live.readmit()
         except AttemptLostError as loss:
             unrun = (LossKind.REFUSED, LossKind.UNREACHABLE)
@@ -187,6 +196,7 @@
         sink: Sink,
         step: NextStep,
         reading: int,
+        progress: _Progress,
     ) -> None:
         """Pass on what one attempt sends, under the watch for silence."""
         loop = asyncio.get_running_loop()
@@ -201,9 +211,10 @@
                     live.take_report(stream.report)
                 while events := await stream.read():
                     guard.reads += 1
-                    if reading:
+                    if guard.reads == 1:
                         live.resume_tokens -= reading
                         reading = 0
+                        self._time_first(generation, progress)
                     guard.is_waiting = False
                     await _deliver(generation, attempt, events, sink)
                     guard.is_waiting = True
@@ -271,6 +282,8 @@
     ) -> RetryDecision:
         generation.lose_attempt(attempt)
         progress.last_error = loss
+        progress.waiting_since = self._clock.monotonic()
+        self._metrics.count(Metric.LOST, loss.kind)
         was_attached = loss.step == "attach"
         if is_gone(loss.kind, was_attached=was_attached):
             live.eject(self._clock.monotonic())
@@ -304,6 +317,12 @@
         )
         return decision
 
+    def _time_first(self, generation: Generation, progress: _Progress) -> None:
+        """Record how long the caller waited for an attempt's first output."""
+        metric = Metric.RESUME if generation.delivered else Metric.FIRST_TOKEN
+        waited = self._clock.monotonic() - progress.waiting_since
+        self._metrics.time(metric, waited)
+
     def _may_repeat(self, generation: Generation) -> bool:
         """Take a repeat from the budget.
 
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -95,6 +95,12 @@
 #: Tokens of resumes that one host makes one endpoint read at a time: the streams
 #: of a dead endpoint come all at once and must not take the next one down.
 RESUME_BUDGET = 16_000
+#: An endpoint may be this many times as loaded as the mean, and a little more,
+#: before its prefixes go to the next one.
+LOAD_BOUND = 1.2
+SLACK = 0.05
+#: Candidates named in a decision's log line.
+MAX_LOGGED = 4
 #: Above this load an endpoint is passed over while another is below it.
 BUSY_LOAD = 0.8
 
@@ -102,11 +108,12 @@
 def choose_endpoint(
     query: RouteQuery, endpoints: Sequence[EndpointView], *, now: timedelta
 ) -> RouteDecision:
-    """Choose by prefix affinity and load.
+    """Choose by prefix affinity within a bound of the load.
 
-    The two endpoints that the prefix hashes to are compared; the less loaded
-    one is taken. Local ones go first, others are used once the local are busy.
-    Ejected ones are taken only where all are: this host itself may be at fault.
+    The endpoints stand in an order that the prefix decides; the first whose load
+    is not far above the mean is taken, so that a popular prefix spreads. Local
+    ones go first, others are used once the local are busy. Ejected ones are taken
+    only where all are: this host itself may be at fault.
 
     Args:
         query: What is to be placed.
@@ -132,14 +139,15 @@
     ]
     pool = local or with_room
     ranked = sorted(pool, key=lambda view: _affinity_rank(query.affinity, view.id))
-    compared = ranked[:2]
-    choice = min(compared, key=lambda view: view.load)
-    reason = "local, less loaded of two" if local else "spill-over, less loaded of two"
+    bound = LOAD_BOUND * (sum(view.load for view in pool) / len(pool)) + SLACK
+    compared = [view for view in ranked if view.load <= bound] or ranked
+    choice = compared[0]
+    reason = "local, by prefix" if local else "spill-over, by prefix"
     if _is_ejected(choice, now):
         reason = "all are ejected, trying one"
     return RouteDecision(
         endpoint_id=choice.id,
-        candidates=tuple(view.id for view in compared),
+        candidates=tuple(view.id for view in compared[:MAX_LOGGED]),
         reason=reason,
     )
 
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -60,6 +60,11 @@
     return Address(host=host.strip("[]"), port=number)
 
 
+def parse_optional_address(text: str) -> Address | None:
+    """Read ``IP:PORT``; empty for none."""
+    return parse_address(text) if text else None
+
+
 def parse_duration(text: str) -> timedelta:
     """Read a duration such as ``250ms``, ``2s``, ``5m`` or ``1h``."""
     for suffix in ("ms", "s", "m", "h"):
@@ -183,7 +188,9 @@
     log: str = _setting(
         parse_path_or_dash, "Where log lines go: a file, or - for standard output.", "-"
     )
-    statsd: str = _setting(str, "Where metrics go, as IP:PORT; empty for nowhere.", "")
+    statsd: Address | None = _setting(
+        parse_optional_address, "Where metrics go, as IP:PORT; empty for nowhere.", ""
+    )
 
 
 def flag_of(name: str) -> str:
--- a/standins/fake_engine.py
+++ b/standins/fake_engine.py
@@ -72,6 +72,7 @@
         self._prefill_free_at = timedelta(0)
         self._prefixes: OrderedDict[str, None] = OrderedDict()
         self.is_frozen = False
+        self.is_mute = False
         self._open: set[asyncio.Future[None]] = set()
         self._frozen: list[asyncio.Future[None]] = []
         self._reports: deque[tuple[timedelta, LoadReport]] = deque()
@@ -87,9 +88,14 @@
         self.is_dead = False
         self._prefixes.clear()
 
-    def freeze(self) -> None:
-        """Stop until thawed."""
+    def freeze(self, *, mute: bool = True) -> None:
+        """Stop until thawed.
+
+        Args:
+            mute: Whether probes get no answer either.
+        """
         self.is_frozen = True
+        self.is_mute = mute
 
     def thaw(self) -> None:
         """Go on."""
@@ -133,7 +139,7 @@
 
     async def probe(self) -> LoadReport | None:
         """Return a load report that lags, or None while frozen or dead."""
-        if self.is_dead or self.is_frozen:
+        if self.is_dead or (self.is_frozen and self.is_mute):
             await self._clock.sleep(PROBE_TIMEOUT)
             return None
         return self._report()
