--- a/passtally/cli.py
+++ b/passtally/cli.py
@@ -8,6 +8,7 @@
 
 from passtally import __version__
 from passtally.operator_cli import EXIT_REFUSED, add_commands
+from passtally.reference import PAGES
 from passtally.settings import (
     Settings,
     SettingsError,
@@ -74,3 +75,10 @@
     if not found:
         click.echo(f"{request_id} is not in this log.", err=True)
         sys.exit(EXIT_REFUSED)
+
+
+@main.command()
+@click.argument("page", type=click.Choice(sorted(PAGES)))
+def reference(page: str) -> None:
+    """Print a page of docs/ that is made from the code."""
+    click.echo(PAGES[page](), nl=False)
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -15,32 +15,39 @@
 
 
 class Metric(StrEnum):
-    """Every metric's name. The comment above each is its meaning and unit."""
-
-    #: Requests taken, a counter.
-    REQUESTS = "requests"
-    #: Refusals, a counter; the error code follows the name.
-    REFUSED = "refused"
-    #: Attempts started, a counter.
-    ATTEMPTS = "attempts"
-    #: Attempts lost, a counter; how they were lost follows the name.
-    LOST = "lost"
-    #: From a request's dispatch to its first token, in milliseconds.
-    FIRST_TOKEN = "first_token"
-    #: From an attempt's loss to the next token, in milliseconds.
-    RESUME = "resume"
-    #: Open requests, a gauge.
-    OPEN = "open"
-    #: The configuration version in force, a gauge.
-    CONFIG_VERSION = "config_version"
-    #: Hosts out of reach, a gauge.
-    PEERS_AWAY = "peers_away"
-    #: Whether the platform is out of reach, a gauge of 0 or 1.
-    PLATFORM_AWAY = "platform_away"
-    #: Bytes sent to peers since the start, a gauge.
-    PEER_BYTES = "peer_bytes"
-    #: Writes sent for claims since the start, a gauge.
-    CLAIM_WRITES = "claim_writes"
+    """Every metric's name.
+
+    Attributes:
+        kind: The statsd type.
+        unit: The unit.
+        meaning: What it tells, for docs/METRICS.md.
+    """
+
+    kind: str
+    unit: str
+    meaning: str
+
+    def __new__(cls, value: str, kind: str, unit: str, meaning: str) -> "Metric":
+        """Make one metric."""
+        metric = str.__new__(cls, value)
+        metric._value_ = value
+        metric.kind = kind
+        metric.unit = unit
+        metric.meaning = meaning
+        return metric
+
+    REQUESTS = "requests", "counter", "1", "Generations taken or taken up."
+    REFUSED = "refused", "counter", "1", "Refusals; the error code follows the name."
+    ATTEMPTS = "attempts", "counter", "1", "Attempts started."
+    LOST = "lost", "counter", "1", "Attempts lost; the kind follows the name."
+    FIRST_TOKEN = "first_token", "timer", "ms", "From dispatch to the first token."
+    RESUME = "resume", "timer", "ms", "From an attempt's loss to the next token."
+    OPEN = "open", "gauge", "1", "Open requests."
+    CONFIG_VERSION = "config_version", "gauge", "1", "Configuration version in force."
+    PEERS_AWAY = "peers_away", "gauge", "1", "Hosts out of reach."
+    PLATFORM_AWAY = "platform_away", "gauge", "0 or 1", "Whether the watch is down."
+    PEER_BYTES = "peer_bytes", "gauge", "bytes", "Sent to peers since the start."
+    CLAIM_WRITES = "claim_writes", "gauge", "1", "Claim writes since the start."
 
 
 class Metrics(Protocol):
--- a/passtally/outcome.py
+++ b/passtally/outcome.py
@@ -18,35 +18,66 @@
 
 
 class Code(StrEnum):
-    """Every error code a caller can meet; docs/API.md explains each."""
-
-    BAD_JSON = "bad_json"
-    BAD_REQUEST = "bad_request"
-    BODY_TOO_LARGE = "body_too_large"
-    UNAUTHENTICATED = "unauthenticated"
-    UNKNOWN_PATH = "unknown_path"
-    UNKNOWN_MODEL = "unknown_model"
-    UNKNOWN_SERVICE = "unknown_service"
-    BAD_RESUME_HANDLE = "bad_resume_handle"
-    OVERLOADED = "overloaded"
-    NO_ENDPOINT = "no_endpoint"
-    ENDPOINT_LOST = "endpoint_lost"
-    REQUEST_QUARANTINED = "request_quarantined"
-    RESUME_IMPOSSIBLE = "resume_impossible"
-    KEY_IN_USE = "key_in_use"
-    KEY_REUSED = "key_reused"
-    CLAIMS_UNAVAILABLE = "claims_unavailable"
-    CLAIM_LAPSED = "claim_lapsed"
-    BAD_OBJECT = "bad_object"
-    VERSION_CONFLICT = "version_conflict"
-    UNKNOWN_OBJECT = "unknown_object"
-    PLATFORM_AWAY = "platform_away"
-    PLAN_REFUSED = "plan_refused"
-    PLAN_STALE = "plan_stale"
-    UNKNOWN_INTENT = "unknown_intent"
-    INTENT_CONFLICT = "intent_conflict"
-    INTENT_ENDED = "intent_ended"
-    INTERNAL = "internal"
+    """Every error code that a caller or operator can meet.
+
+    Attributes:
+        meaning: What it means, for docs/API.md.
+    """
+
+    meaning: str
+
+    def __new__(cls, value: str, meaning: str) -> "Code":
+        """Make one code with its meaning."""
+        code = str.__new__(cls, value)
+        code._value_ = value
+        code.meaning = meaning
+        return code
+
+    BAD_JSON = "bad_json", "The body is not JSON."
+    BAD_REQUEST = "bad_request", "A field or header can't be used; the text names it."
+    BODY_TOO_LARGE = "body_too_large", "The body is over the host's `--max-body`."
+    UNAUTHENTICATED = "unauthenticated", "No token, or one that nobody has."
+    UNKNOWN_PATH = "unknown_path", "There is no such path or method."
+    UNKNOWN_MODEL = "unknown_model", "The workspace has no model of this name."
+    UNKNOWN_SERVICE = "unknown_service", "The workspace has no service of this name."
+    BAD_RESUME_HANDLE = (
+        "bad_resume_handle",
+        "`Last-Event-ID` was not issued for this workspace and body.",
+    )
+    OVERLOADED = "overloaded", "There is no room, and would not be in time."
+    NO_ENDPOINT = "no_endpoint", "No endpoint could be given the request."
+    ENDPOINT_LOST = (
+        "endpoint_lost",
+        "The endpoint was lost after the call was sent; it may have run.",
+    )
+    REQUEST_QUARANTINED = (
+        "request_quarantined",
+        "This prompt took several endpoints down and is refused for a while.",
+    )
+    RESUME_IMPOSSIBLE = (
+        "resume_impossible",
+        "The answer can't go on; `position` names the last token delivered.",
+    )
+    KEY_IN_USE = (
+        "key_in_use",
+        "A request with this key was sent before; how it ended is not known here.",
+    )
+    KEY_REUSED = "key_reused", "This key was used for another request."
+    CLAIMS_UNAVAILABLE = (
+        "claims_unavailable",
+        "The key can't be claimed while the platform is away.",
+    )
+    CLAIM_LAPSED = "claim_lapsed", "The host slept between claim and send."
+    BAD_OBJECT = "bad_object", "A configuration object has problems; all are named."
+    VERSION_CONFLICT = "version_conflict", "The object has another version by now."
+    UNKNOWN_OBJECT = "unknown_object", "There is no such object or kind."
+    PLATFORM_AWAY = "platform_away", "The platform did not answer; ask again."
+    PLAN_REFUSED = "plan_refused", "The plan could not keep the promises."
+    PLAN_STALE = "plan_stale", "What the plan rests on has changed."
+    UNKNOWN_INTENT = "unknown_intent", "There is no such intent."
+    INTENT_CONFLICT = "intent_conflict", "Another intent under way is in conflict."
+    INTENT_ENDED = "intent_ended", "The intent has ended already."
+    INTERNAL = "internal", "The host failed on the request."
 
 
 @attrs.frozen(kw_only=True)
