Tell a retry at another host how the first try ended; enforce max-streams

Change: a host asks the holder for the answer; where it has none or is gone, the outcome stays unknown.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -61,7 +61,7 @@
         super().__init__()
         self.settings = settings
         self.clock = clock
-        self.drain = Drain()
+        self.drain = Drain(max_open=settings.max_streams)
         self.metrics = _open_metrics(settings)
         self.catalog = Catalog()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -203,7 +203,7 @@
             caller=caller,
             claims=self.claims,
             clock=self.clock,
-            host_id=settings.host_id,
+            peers=self.peers,
         )
 
     def _build_control(self) -> None:
--- a/passtally/drain.py
+++ b/passtally/drain.py
@@ -5,14 +5,22 @@
 from contextlib import contextmanager
 from datetime import timedelta
 
+from passtally.outcome import Code, refuse
+
 #: How long a stopping host still takes requests while the balancer lags.
 BALANCER_LAG = timedelta(seconds=5)
+RETRY_AFTER = timedelta(seconds=1)
 
 
 class Drain:
-    """Counts the open requests, and tells whether the host is stopping."""
+    """Counts the open requests, and tells whether the host is stopping.
+
+    Args:
+        max_open: How many may be open at once.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_open: int) -> None:
+        self._max_open = max_open
         self.open_requests = 0
         self.is_stopping = False
         self._idle = asyncio.Event()
@@ -20,7 +28,19 @@
 
     @contextmanager
     def track(self) -> Iterator[None]:
-        """Count one request while it is open."""
+        """Count one request while it is open.
+
+        Raises:
+            RefusedError: As many as the host takes are open.
+        """
+        if self.open_requests >= self._max_open:
+            raise refuse(
+                Code.OVERLOADED,
+                "This host has as many requests open as it takes.",
+                status=503,
+                step="admit",
+                retry_after=RETRY_AFTER,
+            )
         self.open_requests += 1
         self._idle.clear()
         try:
--- a/passtally/once.py
+++ b/passtally/once.py
@@ -5,12 +5,14 @@
 from datetime import timedelta
 
 import attrs
+from multidict import CIMultiDict
 
 from passtally.claim_log import Claim, ClaimVerdict
 from passtally.claims import ClaimResult, Claims, new_claim
 from passtally.clock import Clock
 from passtally.decision import log_decision
 from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.peers import FetchResult, PeerError, Peers, ResultFound
 from passtally.plain import PlainAnswer, PlainCall, PlainCaller
 
 #: A holder that slept longer than this between claim and send gives the claim
@@ -35,16 +37,17 @@
         caller: Passes calls on.
         claims: Claims keys.
         clock: The clock.
-        host_id: This host's name.
+        peers: The links; a holder is asked how its call ended.
     """
 
     def __init__(
-        self, *, caller: PlainCaller, claims: Claims, clock: Clock, host_id: str
+        self, *, caller: PlainCaller, claims: Claims, clock: Clock, peers: Peers
     ) -> None:
         self._caller = caller
         self._claims = claims
         self._clock = clock
-        self._host_id = host_id
+        self._peers = peers
+        peers.on(FetchResult, self._answer_result)
         self._results_by_digest: OrderedDict[bytes, _Result] = OrderedDict()
         self._running: set[asyncio.Task[PlainAnswer]] = set()
 
@@ -70,7 +73,7 @@
             service=call.service.id,
             key=call.key,
             body=b"\0".join((call.method.encode(), call.path.encode(), call.body)),
-            holder=self._host_id,
+            holder=self._peers.host_id,
         )
         known = self._results_by_digest.get(claim.digest)
         if known is not None:
@@ -78,15 +81,44 @@
         claimed_at = self._clock.monotonic()
         result = await self._claims.claim(claim)
         self._log(call, result)
+        if result.verdict is ClaimVerdict.HELD:
+            return await self._fetch(claim, result.holder)
         self._check(call, claim, result)
         return await self._send(call, claim, claimed_at)
 
+    async def _fetch(self, claim: Claim, holder: str) -> PlainAnswer:
+        """Return the answer that another host has for the key.
+
+        Raises:
+            RefusedError: It has none, or none yet, or is out of reach.
+        """
+        try:
+            found = await self._peers.ask(holder, FetchResult(claim.digest))
+        except PeerError as error:
+            raise _key_in_use(holder) from error
+        if not isinstance(found, ResultFound) or not found.status:
+            raise _key_in_use(holder)
+        answer = PlainAnswer(
+            status=found.status, headers=CIMultiDict(found.headers), body=found.body
+        )
+        return _replay(_Result(body_digest=found.body_digest, answer=answer), claim)
+
+    async def _answer_result(self, message: FetchResult) -> ResultFound:
+        known = self._results_by_digest.get(message.digest)
+        if known is None:
+            return ResultFound(status=0)
+        headers = known.answer.headers
+        return ResultFound(
+            status=known.answer.status,
+            headers=[(str(name), value) for name, value in headers.items()],
+            body=known.answer.body,
+            body_digest=known.body_digest,
+        )
+
     def _check(self, call: PlainCall, claim: Claim, result: ClaimResult) -> None:
         """Raise unless the call may be sent under its claim."""
         if result.verdict is ClaimVerdict.GRANTED:
             return
-        if result.verdict is ClaimVerdict.HELD:
-            raise _key_in_use(result.holder)
         if result.verdict is ClaimVerdict.MISMATCH:
             raise _key_reused(result.holder)
         if not call.service.deduplicates:
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -102,6 +102,28 @@
     holder: str
 
 
+class FetchResult(msgspec.Struct, tag="fetch_result", array_like=True):
+    """Tell how the call under a key ended; answered by :class:`ResultFound`."""
+
+    digest: bytes
+
+
+class ResultFound(msgspec.Struct, tag="result_found", array_like=True):
+    """How a call ended on the host that held its key.
+
+    Attributes:
+        status: The HTTP status, or 0 where it is not known or not yet.
+        headers: The headers.
+        body: The body.
+        body_digest: What identifies the request's body.
+    """
+
+    status: int
+    headers: list[tuple[str, str]] = []
+    body: bytes = b""
+    body_digest: bytes = b""
+
+
 class MemberRow(msgspec.Struct, array_like=True, frozen=True):
     """One host's heartbeat.
 
@@ -160,6 +182,8 @@
     | Hello
     | FetchConfig
     | ConfigChanges
+    | FetchResult
+    | ResultFound
 )
 Answerer = Callable[[Any], Awaitable[Message]]
 
