Accept jobs, collect them anywhere, take them over

Cause: work that can wait had to hold a connection, and was lost with its entry host.

Change: Prefer: respond-async, GET /v1/generations/{id}; a host that is asked for a job whose host is gone runs it, since nothing of it was delivered.

--- a/passtally/completion_handler.py
+++ b/passtally/completion_handler.py
@@ -6,7 +6,7 @@
 import attrs
 from aiohttp import web
 
-from passtally.admission import AdmissionRequest
+from passtally.admission import AdmissionRequest, RequestClass
 from passtally.api import JSON_TYPE, find_service, find_workspace, read_admission
 from passtally.catalog import Catalog
 from passtally.completion import (
@@ -15,6 +15,7 @@
     Flavour,
     Shape,
     build_request,
+    new_generation_id,
     parse_body,
 )
 from passtally.copies import CopySender, CopyService
@@ -24,12 +25,19 @@
 from passtally.gate import Gate
 from passtally.generation import Attempt, Delivery, Generation
 from passtally.handle import HandleError, HandleSigner, ResumePoint, bind
+from passtally.job import Job, JobState
+from passtally.jobs import RETRY_AFTER, Jobs
 from passtally.objects import Protection, Service, ServiceKind, Workspace
 from passtally.outcome import Code, RefusedError, refuse
 
 EVENT_STREAM = "text/event-stream"
 RESUME_HEADER = "Last-Event-ID"
 GENERATION_HEADER = "X-Generation-Id"
+PREFER_HEADER = "Prefer"
+RESPOND_ASYNC = "respond-async"
+FAILED_JOB_STATUS = 500
+#: Attempts of a job's new host are numbered behind all of the last one's.
+ATTEMPTS_A_TAKEOVER = 1000
 CLIENT_RETRY = timedelta(milliseconds=200)
 
 
@@ -44,8 +52,14 @@
         copy_sender: Sends copies of running answers to peers.
         copies: Fetches copies from peers.
         gate: Admits requests.
+        host_id: This host's name.
+
+    Attributes:
+        jobs: The jobs; set once they are built.
     """
 
+    jobs: Jobs
+
     def __init__(
         self,
         *,
@@ -56,6 +70,7 @@
         copy_sender: CopySender,
         copies: CopyService,
         gate: Gate,
+        host_id: str,
     ) -> None:
         self._catalog = catalog
         self._dispatcher = dispatcher
@@ -64,11 +79,51 @@
         self._copy_sender = copy_sender
         self._copies = copies
         self._gate = gate
+        self._host_id = host_id
 
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """Serve ``POST /v1/chat/completions``."""
         return await self._serve(request, Flavour.CHAT)
 
+    async def collect(self, request: web.Request) -> web.Response:
+        """Serve ``GET /v1/generations/{id}``: a job's answer, once it is whole."""
+        workspace = find_workspace(self._catalog, request)
+        job = await self.jobs.collect(request.match_info["id"], workspace.id)
+        if job.state is JobState.RUNNING:
+            return _answer_running(job.id)
+        status = 200 if job.state is JobState.DONE else FAILED_JOB_STATUS
+        return web.Response(text=job.answer, status=status, content_type=JSON_TYPE)
+
+    async def run_job(self, job: Job) -> bytes:
+        """Run a job and return the body of its answer.
+
+        Raises:
+            RefusedError: It could not be run, or not to its end.
+        """
+        raw = job.body.encode()
+        flavour = Flavour(job.flavour)
+        body = parse_body(raw, flavour)
+        workspace = self._catalog.workspaces_by_id.get(job.workspace)
+        if workspace is None:
+            raise _unknown_model(body.model)
+        service = self._find_model(workspace, body)
+        request = build_request(
+            body, flavour, workspace=workspace, service=service, generation_id=job.id
+        )
+        generation = Generation(
+            request=request, attempts_before=job.takeovers * ATTEMPTS_A_TAKEOVER
+        )
+        admission = AdmissionRequest(
+            id=job.id,
+            workspace=workspace.id,
+            share=workspace.share,
+            request_class=RequestClass.JOB,
+        )
+        sink = JobSink()
+        async with self._gate.enter(service.id, admission):
+            await self._dispatcher.run(generation, sink)
+        return Shape(flavour=flavour).whole_answer(generation, "".join(sink.texts))
+
     async def text(self, request: web.Request) -> web.StreamResponse:
         """Serve ``POST /v1/completions``."""
         return await self._serve(request, Flavour.TEXT)
@@ -79,16 +134,9 @@
         workspace = find_workspace(self._catalog, request)
         raw = await request.read()
         body = parse_body(raw, flavour)
-        service = find_service(
-            self._catalog, workspace, body.model, code=Code.UNKNOWN_MODEL
-        )
-        if service.kind is not ServiceKind.MODEL:
-            raise refuse(
-                Code.UNKNOWN_MODEL,
-                f"{body.model!r} is not a model.",
-                status=404,
-                step="authorize",
-            )
+        service = self._find_model(workspace, body)
+        if RESPOND_ASYNC in request.headers.get(PREFER_HEADER, ""):
+            return await self._submit(workspace, flavour, raw)
         binding = bind(workspace.id, raw)
         point = self._open_handle(request, binding)
         shape = Shape(
@@ -113,6 +161,27 @@
                 return await self._stream(request, work)
             return await self._answer_whole(request, work)
 
+    def _find_model(self, workspace: Workspace, body: CompletionBody) -> Service:
+        service = find_service(
+            self._catalog, workspace, body.model, code=Code.UNKNOWN_MODEL
+        )
+        if service.kind is not ServiceKind.MODEL:
+            raise _unknown_model(body.model)
+        return service
+
+    async def _submit(
+        self, workspace: Workspace, flavour: Flavour, raw: bytes
+    ) -> web.Response:
+        job = Job(
+            id=new_generation_id(),
+            workspace=workspace.id,
+            flavour=flavour.value,
+            body=raw.decode(),
+            holder=self._host_id,
+        )
+        await self.jobs.submit(job)
+        return _answer_running(job.id)
+
     def _open_handle(self, request: web.Request, binding: bytes) -> ResumePoint | None:
         handle = request.headers.get(RESUME_HEADER)
         if not handle:
@@ -252,6 +321,40 @@
         self.texts.extend(delivery.text for delivery in deliveries)
 
 
+class JobSink:
+    """Gathers a job's answer; nobody waits for it."""
+
+    def __init__(self) -> None:
+        self.texts: list[str] = []
+
+    def switch(self, generation: Generation, attempt: Attempt) -> None:
+        """Learn of a new attempt; nothing depends on it here."""
+
+    async def write(self, deliveries: list[Delivery]) -> None:
+        """Take new output."""
+        self.texts.extend(delivery.text for delivery in deliveries)
+
+
+def _answer_running(job_id: str) -> web.Response:
+    return web.json_response(
+        {"id": job_id, "status": "running"},
+        status=202,
+        headers={
+            "Location": f"/v1/generations/{job_id}",
+            "Retry-After": str(int(RETRY_AFTER.total_seconds())),
+        },
+    )
+
+
+def _unknown_model(name: str) -> RefusedError:
+    return refuse(
+        Code.UNKNOWN_MODEL,
+        f"{name!r} is not a model of this workspace.",
+        status=404,
+        step="authorize",
+    )
+
+
 def _build_generation(
     body: CompletionBody,
     flavour: Flavour,
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -31,6 +31,7 @@
 from passtally.gate import Gate
 from passtally.handle import HandleSigner
 from passtally.intents import Intents
+from passtally.jobs import Jobs
 from passtally.lease import Lease
 from passtally.membership import Gossip, MemberTable
 from passtally.metrics import Metrics, NoMetrics, StatsdMetrics, report_gauges
@@ -71,6 +72,7 @@
         self._open_clients()
         self._build_links()
         self._build_serving()
+        self._build_completions()
         self._build_control()
         self.peers.start()
         for work in (
@@ -84,6 +86,7 @@
             self.copy_sender.run(),
             self.claims.run(),
             self.executor.run(),
+            self.jobs.run(),
             report_gauges(metrics=self.metrics, status=self.status, clock=self.clock),
         ):
             self._spawn(work)
@@ -119,6 +122,7 @@
         self.platform = HttpPlatform(
             session=self._engine_session, url=settings.platform
         )
+        self.store = ConfigStore(platform=self.platform, clock=self.clock)
         self.peers = Peers(
             host_id=settings.host_id,
             listen=settings.peer_listen,
@@ -206,10 +210,34 @@
             peers=self.peers,
         )
 
+    def _build_completions(self) -> None:
+        """Build the completion API and its jobs."""
+        settings = self.settings
+        self.completions = CompletionHandler(
+            catalog=self.catalog,
+            dispatcher=self.dispatcher,
+            signer=self.signer,
+            drain=self.drain,
+            copy_sender=self.copy_sender,
+            copies=self.copies,
+            gate=self.gate,
+            host_id=settings.host_id,
+        )
+        self.jobs = Jobs(
+            host_id=settings.host_id,
+            store=self.store,
+            platform=self.platform,
+            gossip=self.gossip,
+            clock=self.clock,
+            drain=self.drain,
+            run_job=self.completions.run_job,
+        )
+        self.completions.jobs = self.jobs
+
     def _build_control(self) -> None:
         """Build what operators use."""
         settings = self.settings
-        store = ConfigStore(platform=self.platform, clock=self.clock)
+        store = self.store
         self.executor = Executor(
             host_id=settings.host_id,
             host_ids=[settings.host_id, *settings.peers],
@@ -263,15 +291,7 @@
         app = web.Application(
             middlewares=[answer_failures], client_max_size=self.settings.max_body
         )
-        completions = CompletionHandler(
-            catalog=self.catalog,
-            dispatcher=self.dispatcher,
-            signer=self.signer,
-            drain=self.drain,
-            copy_sender=self.copy_sender,
-            copies=self.copies,
-            gate=self.gate,
-        )
+        completions = self.completions
         plain = PlainHandler(
             catalog=self.catalog,
             caller=self.once,
@@ -281,6 +301,7 @@
         app[METRICS_KEY] = self.metrics
         app.router.add_post("/v1/chat/completions", completions.chat)
         app.router.add_post("/v1/completions", completions.text)
+        app.router.add_get("/v1/generations/{id}", completions.collect)
         app.router.add_route("*", "/services/{service}/{path:.*}", plain.serve)
         self.operator_api.add_routes(app)
         app.router.add_get("/healthz", self._answer_health)
--- a/passtally/outcome.py
+++ b/passtally/outcome.py
@@ -40,6 +40,8 @@
     UNKNOWN_PATH = "unknown_path", "There is no such path or method."
     UNKNOWN_MODEL = "unknown_model", "The workspace has no model of this name."
     UNKNOWN_SERVICE = "unknown_service", "The workspace has no service of this name."
+    UNKNOWN_GENERATION = "unknown_generation", "The workspace has no such job."
+    ANSWER_TOO_LONG = "answer_too_long", "A job's answer is too long to be kept."
     BAD_RESUME_HANDLE = (
         "bad_resume_handle",
         "`Last-Event-ID` was not issued for this workspace and body.",
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,70 @@
+"""Jobs: accepted, run, collected anywhere, taken over."""
+
+import http.client
+import json
+import time
+from urllib.parse import urlsplit
+
+from tests.conftest import EXPECTED, PROMPT, System
+
+
+def call(system: System, host: str, method: str, path: str, body=None, token=""):
+    address = urlsplit(system.url(host)).netloc
+    connection = http.client.HTTPConnection(address, timeout=20)
+    headers = {
+        "Authorization": f"Bearer {token or system.token}",
+        "Prefer": "respond-async",
+    }
+    data = None if body is None else json.dumps(body)
+    connection.request(method, path, data, headers)
+    response = connection.getresponse()
+    answer = json.loads(response.read())
+    connection.close()
+    return response.status, answer
+
+
+def submit(system: System, host: str) -> str:
+    body = {"model": "drafting", "messages": [{"role": "user", "content": PROMPT}]}
+    status, answer = call(system, host, "POST", "/v1/chat/completions", body)
+    assert status == 202
+    return answer["id"]
+
+
+def collect(system: System, host: str, job: str) -> dict:
+    deadline = time.monotonic() + 60
+    while time.monotonic() < deadline:
+        status, answer = call(system, host, "GET", f"/v1/generations/{job}")
+        if status != 202:
+            assert status == 200, answer
+            return answer
+        time.sleep(0.2)
+    raise AssertionError("the job did not end")
+
+
+class TestJobs:
+    def test_a_job_is_collected_at_another_host(self, system: System):
+        job = submit(system, "entry-a")
+        answer = collect(system, "entry-b", job)
+        assert answer["id"] == job
+        assert answer["choices"][0]["message"]["content"] == EXPECTED
+
+    def test_a_job_whose_host_died_is_run_where_it_is_asked_for(self, system: System):
+        job = submit(system, "entry-a")
+        system["entry-a"].kill()
+        answer = collect(system, "entry-b", job)
+        assert answer["choices"][0]["message"]["content"] == EXPECTED
+
+    def test_another_workspace_sees_nothing(self, system: System):
+        other = system.processes.add_workspace("other")
+        system.processes.wait_ready()
+        job = submit(system, "entry-a")
+        status, answer = call(
+            system, "entry-a", "GET", f"/v1/generations/{job}", token=other
+        )
+        assert (status, answer["error"]["code"]) == (404, "unknown_generation")
+
+    def test_without_the_platform_a_job_is_not_accepted(self, system: System):
+        system.processes.platform.control(outage=True)
+        body = {"model": "drafting", "messages": [{"role": "user", "content": "x"}]}
+        status, answer = call(system, "entry-a", "POST", "/v1/chat/completions", body)
+        assert (status, answer["error"]["code"]) == (503, "platform_away")
