Build one file that runs as one process

Weighed: PyInstaller's and Nuitka's onefile (both fork a child, seen before), a zipapp (needs Python on the host), PyInstaller's folder behind a launcher that unpacks to a memory file system and execs (taken).

Change: make binary.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format bench clean
+.PHONY: setup demo test lint format bench binary clean
 
 setup: $(VENV)/.done
 
@@ -28,5 +28,10 @@
 bench: setup
 	$(BIN)/python -m bench
 
+binary: setup
+	$(BIN)/pip install --quiet -r requirements/binary.txt
+	$(BIN)/python -m binary.build
+	$(BIN)/python -m binary.check
+
 clean:
 	rm -rf $(VENV) .bench dist build
--- /dev/null
+++ b/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Builds and checks the one-file binary."""
--- /dev/null
+++ b/binary/entry.py
@@ -0,0 +1,5 @@
+"""Where the frozen program starts."""
+
+from passtally.cli import main
+
+main()
