Split the relay of one attempt from the dispatcher; mend two ends

Two faults came to light, each with a test that failed first: a caller that left at the very last output raised an illegal transition, and a copy that contradicts what is held ended as an internal error instead of an honest one.

Change: relay.py holds one attempt; abandoning a whole answer is no event; a copy that does not fit ends as resume_impossible.

--- a/passtally/completion_handler.py
+++ b/passtally/completion_handler.py
@@ -20,7 +20,7 @@
 )
 from passtally.copies import CopySender, CopyService
 from passtally.decision import log_event
-from passtally.dispatcher import Dispatcher, Sink
+from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.gate import Gate
 from passtally.generation import Attempt, Delivery, Generation
@@ -29,6 +29,7 @@
 from passtally.jobs import RETRY_AFTER, Jobs
 from passtally.objects import Protection, Service, ServiceKind, Workspace
 from passtally.outcome import Code, RefusedError, refuse
+from passtally.relay import Sink
 
 EVENT_STREAM = "text/event-stream"
 RESUME_HEADER = "Last-Event-ID"
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -3,23 +3,17 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
-from typing import Protocol
 
 import attrs
 
 from passtally.clock import Clock
 from passtally.decision import log_decision
-from passtally.engine import AttemptLostError, Engine, TokenStream
-from passtally.fleet import Fleet, LiveEndpoint, StreamGuard
-from passtally.generation import (
-    Attempt,
-    Delivery,
-    Generation,
-    SeamError,
-    TokenEvent,
-)
+from passtally.engine import AttemptLostError
+from passtally.fleet import Fleet, LiveEndpoint
+from passtally.generation import Attempt, Generation
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.relay import Relay, Sink, count_resume_tokens
 from passtally.retry import (
     LossKind,
     NextStep,
@@ -31,7 +25,7 @@
     is_gone,
 )
 from passtally.retry_budget import RetryBudgets
-from passtally.routing import Choose, RouteQuery, choose_endpoint
+from passtally.routing import Choose, RouteDecision, RouteQuery, choose_endpoint
 
 #: How long an answer that has begun waits for an endpoint to go on with.
 RESUME_PATIENCE = timedelta(seconds=4)
@@ -40,29 +34,11 @@
 LINGER = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
 PREFIX_CHARACTERS = 256
-#: An estimate is enough for a budget.
-CHARACTERS_A_TOKEN = 4
-#: Engines take lower numbers first; new requests have 10 or more.
-RESUME_PRIORITY = 0
 
 
 Recovery = Callable[[], Awaitable[Sequence[int] | None]]
 
 
-class Sink(Protocol):
-    """Where an answer goes."""
-
-    def switch(self, generation: Generation, attempt: Attempt) -> None:
-        """Learn of a new attempt before its first output."""
-
-    async def write(self, deliveries: list[Delivery]) -> None:
-        """Take new output; returns when more may come.
-
-        Raises:
-            ConnectionError: The caller left.
-        """
-
-
 @attrs.define(kw_only=True)
 class _Progress:
     """What the losses of one generation on this host add up to."""
@@ -142,7 +118,7 @@
         self._budgets.earn(generation.request.workspace)
         while True:
             if step is NextStep.RESUME:
-                await _recover_tokens(generation, recover)
+                await self._recover_tokens(generation, recover, progress)
                 endpoint_id = await self._place(generation, progress)
             live = self._fleet.find(endpoint_id)
             if live is None:
@@ -152,7 +128,14 @@
                 endpoint_id, attach=step is NextStep.ATTACH
             )
             try:
-                await self._run_attempt(generation, attempt, live, sink, step, progress)
+                await self._run_attempt(
+                    generation,
+                    attempt,
+                    live,
+                    sink,
+                    progress,
+                    attach=step is NextStep.ATTACH,
+                )
                 return
             except AttemptLostError as loss:
                 decision = self._take_loss(generation, attempt, live, loss, progress)
@@ -166,16 +149,21 @@
         attempt: Attempt,
         live: LiveEndpoint,
         sink: Sink,
-        step: NextStep,
         progress: _Progress,
+        *,
+        attach: bool,
     ) -> None:
-        sink.switch(generation, attempt)
         self._metrics.count(Metric.ATTEMPTS)
-        live.own_streams += 1
-        reading = 0 if step is NextStep.ATTACH else _count_resume_tokens(generation)
-        live.resume_tokens += reading
+        relay = Relay(
+            generation=generation,
+            attempt=attempt,
+            live=live,
+            sink=sink,
+            clock=self._clock,
+            on_first=lambda: self._time_first(generation, progress),
+        )
         try:
-            await self._relay(generation, attempt, live, sink, step, reading, progress)
+            await relay.run(attach=attach)
             live.readmit()
         except AttemptLostError as loss:
             unrun = (LossKind.REFUSED, LossKind.UNREACHABLE)
@@ -185,55 +173,20 @@
             generation.abandon()
             self._cancel(live, generation, attempt, after=self._linger)
             raise
-        finally:
-            live.own_streams -= 1
 
-    async def _relay(
-        self,
-        generation: Generation,
-        attempt: Attempt,
-        live: LiveEndpoint,
-        sink: Sink,
-        step: NextStep,
-        reading: int,
-        progress: _Progress,
+    async def _recover_tokens(
+        self, generation: Generation, recover: Recovery | None, progress: _Progress
     ) -> None:
-        """Pass on what one attempt sends, under the watch for silence."""
-        loop = asyncio.get_running_loop()
-        guard = StreamGuard(quiet_since=self._clock.monotonic())
-        stream: TokenStream | None = None
+        """Take in the tokens that the caller has, where this host lacks them."""
+        if recover is None or generation.position >= generation.delivered:
+            return
+        token_ids = await recover()
+        if token_ids is None:
+            return
         try:
-            async with asyncio.timeout(None) as scope:
-                guard.trip = lambda: scope.reschedule(loop.time())
-                live.guards.add(guard)
-                stream = await _open_stream(live.engine, generation, attempt, step)
-                if stream.report is not None:
-                    live.take_report(stream.report)
-                while events := await stream.read():
-                    guard.reads += 1
-                    if guard.reads == 1:
-                        live.resume_tokens -= reading
-                        reading = 0
-                        self._time_first(generation, progress)
-                    guard.is_waiting = False
-                    await _deliver(generation, attempt, events, sink)
-                    guard.is_waiting = True
-        except TimeoutError as error:
-            raise AttemptLostError(
-                guard.tripped or LossKind.FROZEN,
-                step="stream",
-                peer=live.endpoint.id,
-                detail="silence",
-            ) from error
+            generation.restore(token_ids)
         except SeamError as error:
-            raise AttemptLostError(
-                LossKind.SEAM, step="join", peer=live.endpoint.id, detail=str(error)
-            ) from error
-        finally:
-            live.guards.discard(guard)
-            live.resume_tokens -= reading
-            if stream is not None:
-                stream.close()
+            raise self._give_up(generation, progress, str(error)) from error
 
     async def _place(self, generation: Generation, progress: _Progress) -> str:
         """Choose an endpoint; an answer that has begun waits for one a while."""
@@ -247,7 +200,7 @@
                     affinity=request.prompt[:PREFIX_CHARACTERS].encode(),
                     failure_domain=request.failure_domain or self._failure_domain,
                     exclude=progress.excluded,
-                    resume_tokens=_count_resume_tokens(generation),
+                    resume_tokens=count_resume_tokens(generation),
                 ),
                 self._fleet.views(request.service),
                 now=self._clock.monotonic(),
@@ -262,7 +215,9 @@
             progress.excluded.clear()
             await self._clock.sleep(RESUME_POLL)
 
-    def _log_route(self, generation, choice, decision) -> None:
+    def _log_route(
+        self, generation: Generation, choice: str | None, decision: RouteDecision
+    ) -> None:
         log_decision(
             "route",
             request=generation.request.id,
@@ -388,44 +343,3 @@
         task = asyncio.create_task(cancel())
         self._background.add(task)
         task.add_done_callback(self._background.discard)
-
-
-async def _open_stream(
-    engine: Engine, generation: Generation, attempt: Attempt, step: NextStep
-) -> TokenStream:
-    request = generation.request
-    if generation.delivered:
-        request = attrs.evolve(request, priority=RESUME_PRIORITY)
-    if step is NextStep.ATTACH:
-        return await engine.attach(request, attempt, position=generation.position)
-    return await engine.generate(request, attempt, generation.token_ids)
-
-
-def _count_resume_tokens(generation: Generation) -> int:
-    """Return the tokens to read before an answer that has begun goes on."""
-    if not generation.delivered:
-        return 0
-    return generation.position + len(generation.request.prompt) // CHARACTERS_A_TOKEN
-
-
-async def _recover_tokens(generation: Generation, recover: Recovery | None) -> None:
-    if recover is None or generation.position >= generation.delivered:
-        return
-    token_ids = await recover()
-    if token_ids is not None:
-        generation.restore(token_ids)
-
-
-async def _deliver(
-    generation: Generation, attempt: Attempt, events: list[TokenEvent], sink: Sink
-) -> None:
-    """Join events on and write what is new, also what came before a bad seam."""
-    deliveries: list[Delivery] = []
-    try:
-        for event in events:
-            delivery = generation.accept(attempt, event)
-            if delivery is not None:
-                deliveries.append(delivery)
-    finally:
-        if deliveries:
-            await sink.write(deliveries)
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -232,9 +232,10 @@
         self.machine.send("refuse")
 
     def abandon(self) -> None:
-        """End because the caller left."""
+        """End because the caller left, unless the answer is whole already."""
         self._current = None
-        self.machine.send("abandon")
+        if not self.machine.is_final:
+            self.machine.send("abandon")
 
     def _join_tokens(self, attempt: Attempt, event: TokenEvent) -> None:
         held = self.position
--- /dev/null
+++ b/passtally/relay.py
@@ -0,0 +1,161 @@
+"""Passes one attempt's output on, under the watch for silence."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from passtally.clock import Clock
+from passtally.engine import AttemptLostError, TokenStream
+from passtally.fleet import LiveEndpoint, StreamGuard
+from passtally.generation import (
+    Attempt,
+    Delivery,
+    Generation,
+    SeamError,
+    TokenEvent,
+)
+from passtally.retry import LossKind
+
+#: An estimate is enough for a budget.
+CHARACTERS_A_TOKEN = 4
+#: Engines take lower numbers first; new requests have 10 or more.
+RESUME_PRIORITY = 0
+
+
+class Sink(Protocol):
+    """Where an answer goes."""
+
+    def switch(self, generation: Generation, attempt: Attempt) -> None:
+        """Learn of a new attempt before its first output."""
+
+    async def write(self, deliveries: list[Delivery]) -> None:
+        """Take new output; returns when more may come.
+
+        Raises:
+            ConnectionError: The caller left.
+        """
+
+
+class Relay:
+    """One attempt, from its dispatch to its end or loss.
+
+    Args:
+        generation: What runs.
+        attempt: The attempt.
+        live: Where it runs.
+        sink: Where its output goes.
+        clock: The clock.
+        on_first: Called before its first output is passed on.
+    """
+
+    def __init__(
+        self,
+        *,
+        generation: Generation,
+        attempt: Attempt,
+        live: LiveEndpoint,
+        sink: Sink,
+        clock: Clock,
+        on_first: Callable[[], None],
+    ) -> None:
+        self._generation = generation
+        self._attempt = attempt
+        self._live = live
+        self._sink = sink
+        self._on_first = on_first
+        self._guard = StreamGuard(quiet_since=clock.monotonic())
+        self._reading = 0
+
+    async def run(self, *, attach: bool) -> None:
+        """Pass the output on until the answer ends.
+
+        Args:
+            attach: Whether to take up a stream that the endpoint still holds.
+
+        Raises:
+            AttemptLostError: It can't go on.
+            ConnectionError: The caller left.
+        """
+        live = self._live
+        self._sink.switch(self._generation, self._attempt)
+        if not attach:
+            self._reading = count_resume_tokens(self._generation)
+        live.own_streams += 1
+        live.resume_tokens += self._reading
+        live.guards.add(self._guard)
+        try:
+            await self._pass_on(attach=attach)
+        except SeamError as error:
+            raise self._lost(LossKind.SEAM, "join", str(error)) from error
+        finally:
+            live.guards.discard(self._guard)
+            live.resume_tokens -= self._reading
+            live.own_streams -= 1
+
+    async def _pass_on(self, *, attach: bool) -> None:
+        loop = asyncio.get_running_loop()
+        stream: TokenStream | None = None
+        try:
+            async with asyncio.timeout(None) as scope:
+                self._guard.trip = lambda: scope.reschedule(loop.time())
+                stream = await self._open(attach=attach)
+                await self._read(stream)
+        except TimeoutError as error:
+            kind = self._guard.tripped or LossKind.FROZEN
+            raise self._lost(kind, "stream", "silence") from error
+        finally:
+            if stream is not None:
+                stream.close()
+
+    async def _open(self, *, attach: bool) -> TokenStream:
+        generation, engine = self._generation, self._live.engine
+        request = generation.request
+        if generation.delivered:
+            request = attrs.evolve(request, priority=RESUME_PRIORITY)
+        if attach:
+            position = generation.position
+            return await engine.attach(request, self._attempt, position=position)
+        return await engine.generate(request, self._attempt, generation.token_ids)
+
+    async def _read(self, stream: TokenStream) -> None:
+        guard = self._guard
+        if stream.report is not None:
+            self._live.take_report(stream.report)
+        while events := await stream.read():
+            guard.reads += 1
+            if guard.reads == 1:
+                self._note_first()
+            guard.is_waiting = False
+            await self._deliver(events)
+            guard.is_waiting = True
+
+    def _note_first(self) -> None:
+        self._live.resume_tokens -= self._reading
+        self._reading = 0
+        self._on_first()
+
+    async def _deliver(self, events: list[TokenEvent]) -> None:
+        """Join events on and write what is new, also what came before a bad seam."""
+        deliveries: list[Delivery] = []
+        try:
+            for event in events:
+                delivery = self._generation.accept(self._attempt, event)
+                if delivery is not None:
+                    deliveries.append(delivery)
+        finally:
+            if deliveries:
+                await self._sink.write(deliveries)
+
+    def _lost(self, kind: LossKind, step: str, detail: str) -> AttemptLostError:
+        return AttemptLostError(
+            kind, step=step, peer=self._live.endpoint.id, detail=detail
+        )
+
+
+def count_resume_tokens(generation: Generation) -> int:
+    """Return the tokens to read before an answer that has begun goes on."""
+    if not generation.delivered:
+        return 0
+    return generation.position + len(generation.request.prompt) // CHARACTERS_A_TOKEN
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -244,6 +244,47 @@
         assert len(sink.engines) == 1
 
 
+class TestCallersThatLeave:
+    @pytest.mark.parametrize("at", [1, TOKENS])
+    def test_one_that_leaves_at_any_output_is_told_to_the_handler(self, at):
+        """Also at the last output, when the generation has already finished."""
+
+        class LeavingSink(ListSink):
+            async def write(self, deliveries) -> None:
+                await super().write(deliveries)
+                if deliveries[-1].position >= at:
+                    raise ConnectionResetError
+
+        async def run():
+            bench = Bench()
+            with pytest.raises(ConnectionError):
+                await bench.dispatcher.run(make_short_generation(), LeavingSink())
+            bench.watch.cancel()
+
+        run_virtually(run())
+
+
+class TestCopies:
+    def test_a_copy_that_contradicts_ends_honestly(self):
+        async def run():
+            bench = Bench()
+            generation = make_short_generation(delivered=5, delivered_characters=10)
+
+            async def recover():
+                return [1, 2]
+
+            with pytest.raises(RefusedError) as caught:
+                await bench.dispatcher.run(
+                    generation, ListSink(), held_by="r1", recover=recover
+                )
+            bench.watch.cancel()
+            return caught.value.failure
+
+        failure = run_virtually(run())
+        assert failure.code is Code.RESUME_IMPOSSIBLE
+        assert failure.position == 5
+
+
 class TestEnds:
     def refuse(self, bench_options=None, **generation_options):
         async def run():
