--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -10,7 +10,7 @@
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet, LiveEndpoint
-from passtally.generation import Attempt, Generation
+from passtally.generation import Attempt, Generation, SeamError
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.relay import Relay, Sink, count_resume_tokens
