Go on watching after an outage instead of listing anew

Cause: every host listed all objects after each outage, 330 of them within 2 s: about 1 GB from the platform at 11,000 workspaces.

Change: the watch goes on at the version where it was; a listing is asked for only after 'too old', within a time that grows by 20 ms a host (6.6 s at 330).

--- a/passtally/catalog.py
+++ b/passtally/catalog.py
@@ -21,6 +21,7 @@
 from passtally.peers import ConfigChanges, FetchConfig, PeerError, Peers
 from passtally.platform import (
     REMOVED,
+    WATCH_TIMEOUT,
     Listing,
     Platform,
     PlatformError,
@@ -30,6 +31,8 @@
 
 CONFIG_PREFIX = "config/"
 RELIST_JITTER = timedelta(seconds=2)
+#: With 330 hosts they list within 6.6 s, 50 a second.
+RELIST_PER_HOST = timedelta(milliseconds=20)
 FIRST_RETRY = timedelta(milliseconds=100)
 LAST_RETRY = timedelta(seconds=2)
 PEER_INTERVAL = timedelta(seconds=1)
@@ -195,22 +198,29 @@
         peers.on(FetchConfig, self._answer)
 
     async def run(self) -> None:
-        """List, then watch, for ever."""
+        """List, then watch, for ever.
+
+        After an outage the watch goes on where it was: a listing is asked for only
+        where the platform no longer keeps the changes in between, so that hosts do
+        not all list at once.
+        """
         delay = FIRST_RETRY
+        must_list = True
         while True:
             try:
-                await self._list()
-                delay = FIRST_RETRY
-                self.is_watching = True
+                if must_list:
+                    await self._list()
+                    must_list = False
                 await self._watch()
             except TooOldError:
+                must_list = True
                 log_event("config", "Watch too old, listing again.")
-                await self._sleep(RELIST_JITTER)
+                await self._sleep(self._relist_pause())
             except PlatformError as error:
+                delay = FIRST_RETRY if self.is_watching else min(2 * delay, LAST_RETRY)
                 self.is_watching = False
                 log_event("config", "Platform out of reach.", why=error)
                 await self._sleep(delay)
-                delay = min(2 * delay, LAST_RETRY)
 
     async def follow_peers(self) -> None:
         """Take newer configuration from peers, for ever.
@@ -248,14 +258,22 @@
             self._note("Listed.")
 
     async def _watch(self) -> None:
+        # The first one does not wait, to tell that the platform is back.
+        wait = timedelta(0)
         while True:
             changes = await self._platform.watch(
-                CONFIG_PREFIX, after=self.catalog.version
+                CONFIG_PREFIX, after=self.catalog.version, wait=wait
             )
+            wait = WATCH_TIMEOUT
+            self.is_watching = True
             self.catalog.advance(changes)
             if changes.objects:
                 self._note("Changed.")
 
+    def _relist_pause(self) -> timedelta:
+        """Return within which time hosts list again; it grows with their number."""
+        return max(RELIST_JITTER, (len(self._peers.ids) + 1) * RELIST_PER_HOST)
+
     def _note(self, sentence: str, **fields: object) -> None:
         self.loaded.set()
         self._gossip.config_version = self.catalog.config_version
--- a/passtally/platform.py
+++ b/passtally/platform.py
@@ -114,7 +114,9 @@
     async def delete(self, key: str, *, version: int) -> None:
         """Remove an object of exactly this version."""
 
-    async def watch(self, prefix: str, *, after: int) -> Listing:
+    async def watch(
+        self, prefix: str, *, after: int, wait: timedelta = WATCH_TIMEOUT
+    ) -> Listing:
         """Wait for changes after a version; an empty listing on a quiet wait."""
 
     async def hosts(self) -> Sequence[HostEntry]:
@@ -164,12 +166,18 @@
         headers = {"If-Match": str(version)}
         await self._call("delete", "DELETE", f"/v1/objects/{key}", headers=headers)
 
-    async def watch(self, prefix: str, *, after: int) -> Listing:
+    async def watch(
+        self, prefix: str, *, after: int, wait: timedelta = WATCH_TIMEOUT
+    ) -> Listing:
         """Wait for changes after a version; an empty listing on a quiet wait."""
-        wait = WATCH_TIMEOUT.total_seconds()
-        params = {"prefix": prefix, "after": str(after), "timeout": str(wait)}
+        params = {
+            "prefix": prefix,
+            "after": str(after),
+            "timeout": str(wait.total_seconds()),
+        }
+        limit = CALL_TIMEOUT + 2 * wait
         body = await self._call(
-            "watch", "GET", "/v1/watch", params=params, timeout=2 * WATCH_TIMEOUT
+            "watch", "GET", "/v1/watch", params=params, timeout=limit
         )
         return msgspec.json.decode(body, type=Listing)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Sequence
+from datetime import timedelta
 
 import msgspec
 
@@ -60,16 +61,24 @@
     async def delete(self, key: str, *, version: int) -> None:
         await self._write("delete", key, REMOVED, version=version)
 
-    async def watch(self, prefix: str, *, after: int) -> Listing:
+    async def watch(
+        self, prefix: str, *, after: int, wait: timedelta = timedelta(0)
+    ) -> Listing:
         await self._enter("watch")
-        if after < self.oldest_change:
-            raise TooOldError("too old", step="watch", peer="fake")
-        objects = tuple(
-            change
-            for change in self.changes
-            if change.version > after and change.key.startswith(prefix)
-        )
-        return Listing(version=self.version, objects=objects)
+        until = asyncio.get_running_loop().time() + wait.total_seconds()
+        while True:
+            if self.is_down:
+                raise UnavailableError("down", step="watch", peer="fake")
+            if after < self.oldest_change:
+                raise TooOldError("too old", step="watch", peer="fake")
+            objects = tuple(
+                change
+                for change in self.changes
+                if change.version > after and change.key.startswith(prefix)
+            )
+            if objects or asyncio.get_running_loop().time() >= until:
+                return Listing(version=self.version, objects=objects)
+            await asyncio.sleep(0.05)
 
     async def hosts(self) -> Sequence[HostEntry]:
         await self._enter("hosts")
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -1,15 +1,19 @@
 """The configuration in force: it only moves forward."""
 
+import asyncio
 import itertools
+import random
 
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from passtally.catalog import Catalog
+from passtally.catalog import Catalog, CatalogKeeper
 from passtally.objects import Workspace, digest_token
 from passtally.platform import REMOVED, Listing, StoredObject
+from standins.virtual import VirtualClock, run_virtually
+from tests.fakes import FakePlatform
 
 
 def stored(name: str, version: int, token: str = "t", *, removed=False):
@@ -86,3 +90,69 @@
         catalog.advance(listing(1, stored("a", 1)))
         catalog.replace(listing(version, stored("b", version)))
         assert set(catalog.workspaces_by_id) == ({"b"} if version == 9 else {"a", "b"})
+
+
+class FakePeers:
+    """Peers that are never asked."""
+
+    def __init__(self, count: int) -> None:
+        self.ids = [f"h{number}" for number in range(count)]
+
+    def on(self, kind, answerer) -> None:
+        pass
+
+
+class FakeGossip:
+    config_version = 0
+
+
+class TestCatalogKeeper:
+    def run_keeper(self, work, *, peers: int = 3):
+        async def run():
+            platform = FakePlatform()
+            keeper = CatalogKeeper(
+                catalog=Catalog(),
+                platform=platform,
+                peers=FakePeers(peers),
+                gossip=FakeGossip(),
+                clock=VirtualClock(),
+                rng=random.Random(1),
+            )
+            task = asyncio.ensure_future(keeper.run())
+            await asyncio.sleep(1)
+            await work(platform, keeper)
+            task.cancel()
+
+        run_virtually(run())
+
+    async def change(self, platform: FakePlatform, name: str) -> None:
+        workspace = Workspace(id=name, token_sha256=digest_token(name))
+        key = f"config/workspaces/{name}"
+        await platform.create(key, msgspec.json.encode(workspace))
+
+    def test_after_an_outage_the_watch_goes_on_without_a_listing(self):
+        async def work(platform, keeper):
+            await self.change(platform, "a")
+            await asyncio.sleep(1)
+            platform.is_down = True
+            await asyncio.sleep(10)
+            assert not keeper.is_watching
+            platform.is_down = False
+            await self.change(platform, "b")
+            await asyncio.sleep(3)
+            assert keeper.is_watching
+            assert set(keeper.catalog.workspaces_by_id) == {"a", "b"}
+            assert platform.calls.count("list") == 1
+
+        self.run_keeper(work)
+
+    def test_a_watch_too_old_lists_after_a_pause_that_grows_with_the_hosts(self):
+        async def work(platform, keeper):
+            platform.version += 5
+            platform.oldest_change = platform.version
+            await asyncio.sleep(3)
+            assert platform.calls.count("list") == 1
+            await asyncio.sleep(4)
+            assert platform.calls.count("list") == 2
+
+        self.run_keeper(work, peers=329)
