Keep model, adapter and length of an answer in its handle

Cause (reading): a handle kept version and seed; the adapter, the model's name and the default length were read anew from the service, so an answer taken up at another host after a change of its service could have gone on with another adapter or ended elsewhere.

Change: the handle carries them; a resumed request is the one that began.

--- a/passtally/completion.py
+++ b/passtally/completion.py
@@ -86,9 +86,7 @@
     *,
     workspace: Workspace,
     service: Service,
-    version: str = "",
     generation_id: str = "",
-    seed: int | None = None,
 ) -> GenerationRequest:
     """Return what is to be generated.
 
@@ -97,30 +95,38 @@
         flavour: Its shape.
         workspace: Whose it is.
         service: The service it names.
-        version: The model's version when it goes on; else the service's.
-        generation_id: Its id when it goes on; else a new one is made.
-        seed: Its seed when it goes on.
+        generation_id: Its id, where it has one already.
     """
-    wanted = body.max_completion_tokens or body.max_tokens or service.max_tokens
-    stop = (body.stop,) if isinstance(body.stop, str) else tuple(body.stop or ())
-    if seed is None:
-        seed = body.seed if body.seed is not None else secrets.randbits(_SEED_BITS)
+    seed = body.seed if body.seed is not None else secrets.randbits(_SEED_BITS)
     return GenerationRequest(
         id=generation_id or new_generation_id(),
         workspace=workspace.id,
         service=service.id,
         model=service.model,
-        version=version or service.version,
+        version=service.version,
         adapter=service.adapter,
         prompt=body.prompt if flavour is Flavour.TEXT else _flatten(body.messages),
-        max_tokens=wanted,
+        max_tokens=body.max_completion_tokens or body.max_tokens or service.max_tokens,
         temperature=body.temperature,
         seed=seed,
-        stop=stop,
+        stop=(body.stop,) if isinstance(body.stop, str) else tuple(body.stop or ()),
         failure_domain=workspace.placements.get(service.id, ""),
     )
 
 
+def resume_request(request: GenerationRequest, stream: StreamRef) -> GenerationRequest:
+    """Return a request as it began, whatever its service has become since."""
+    return attrs.evolve(
+        request,
+        id=stream.generation_id,
+        model=stream.model,
+        version=stream.version,
+        adapter=stream.adapter,
+        seed=stream.seed,
+        max_tokens=stream.max_tokens,
+    )
+
+
 def new_generation_id() -> str:
     """Return a new id; its first part is its time in seconds."""
     return f"gen-{int(time.time()):08x}-{secrets.token_hex(8)}"
@@ -140,7 +146,7 @@
 
     def event_parts(self, request: GenerationRequest) -> tuple[bytes, bytes]:
         """Return what stands before and after the text in each event."""
-        head = self._head(request, "chunk")[:-1]
+        head = msgspec.json.encode(self._head_row(request, "chunk"))[:-1]
         if self.flavour is Flavour.CHAT:
             before = head + b',"choices":[{"index":0,"delta":{"content":'
             return before, b'},"finish_reason":null}]}\n\n'
@@ -169,9 +175,6 @@
             | {"choices": [choice], "usage": _usage(generation)}
         )
 
-    def _head(self, request: GenerationRequest, form: str) -> bytes:
-        return msgspec.json.encode(self._head_row(request, form))
-
     def _head_row(self, request: GenerationRequest, form: str) -> dict[str, Any]:
         names = {
             (Flavour.CHAT, "chunk"): "chat.completion.chunk",
@@ -249,12 +252,10 @@
 
     def _open_handles(self, request: GenerationRequest, copy_host: str) -> None:
         self._copy_host = copy_host
-        stream = StreamRef(
-            generation_id=request.id,
+        stream = StreamRef.of(
+            request,
             endpoint_id=self._attempt.endpoint_id,
             attempt=self._attempt.number,
-            version=request.version,
-            seed=request.seed,
             copy_host=copy_host,
             copy_id=self._copy.copy_id if copy_host else "",
         )
--- a/passtally/completion_handler.py
+++ b/passtally/completion_handler.py
@@ -17,6 +17,7 @@
     build_request,
     new_generation_id,
     parse_body,
+    resume_request,
 )
 from passtally.copies import CopySender, CopyService
 from passtally.decision import log_event
@@ -146,7 +147,7 @@
                 body.stream_options and body.stream_options.include_usage
             ),
         )
-        generation = _build_generation(body, flavour, workspace, service, point)
+        generation = build_generation(body, flavour, workspace, service, point)
         work = _Work(
             generation=generation,
             admission=read_admission(
@@ -356,30 +357,20 @@
     )
 
 
-def _build_generation(
+def build_generation(
     body: CompletionBody,
     flavour: Flavour,
     workspace: Workspace,
     service: Service,
     point: ResumePoint | None,
 ) -> Generation:
+    """Return the generation of a request, new or going on from a point."""
+    request = build_request(body, flavour, workspace=workspace, service=service)
     if point is None:
-        return Generation(
-            request=build_request(body, flavour, workspace=workspace, service=service)
-        )
-    stream = point.stream
-    request = build_request(
-        body,
-        flavour,
-        workspace=workspace,
-        service=service,
-        version=stream.version,
-        generation_id=stream.generation_id,
-        seed=stream.seed,
-    )
+        return Generation(request=request)
     return Generation(
-        request=request,
+        request=resume_request(request, point.stream),
         delivered=point.position,
         delivered_characters=point.characters,
-        attempts_before=stream.attempt,
+        attempts_before=point.stream.attempt,
     )
--- a/passtally/executor.py
+++ b/passtally/executor.py
@@ -15,7 +15,7 @@
 from passtally.lease import LEASE_LENGTH, RENEW_INTERVAL, Lease
 from passtally.objects import Endpoint, ServiceKind
 from passtally.orders import FencedError, OrderError, Orders
-from passtally.platform import ConflictError, PlatformError
+from passtally.platform import ConflictError, PlatformError, StoredObject
 
 LEASE_KEY = "leases/executor"
 STEP_POLL = timedelta(milliseconds=500)
@@ -45,7 +45,7 @@
 
     Args:
         host_id: This host's name.
-        host_ids: Returns the names of all hosts that may carry out intents.
+        host_ids: The names of all hosts that may carry out intents.
         store: Where intents are kept.
         catalog: The configuration in force, the ledger included.
         fleet: The endpoints.
@@ -58,7 +58,7 @@
         self,
         *,
         host_id: str,
-        host_ids: "list[str]",
+        host_ids: list[str],
         store: ConfigStore,
         catalog: Catalog,
         fleet: Fleet,
@@ -198,7 +198,9 @@
         except ConflictError as error:
             raise _changed(step) from error
 
-    def _expected_version(self, intent: Intent, index: int, step: Step, stored) -> int:
+    def _expected_version(
+        self, intent: Intent, index: int, step: Step, stored: StoredObject | None
+    ) -> int:
         """Return the version to write over: the planned one, or this plan's own."""
         if stored is None:
             if intent.plan.versions_by_key.get(step.key, 0):
--- a/passtally/handle.py
+++ b/passtally/handle.py
@@ -14,6 +14,8 @@
 import attrs
 import msgspec
 
+from passtally.generation import GenerationRequest
+
 MAC_BYTES = 12
 MAX_HANDLE_CHARACTERS = 4096
 
@@ -30,8 +32,11 @@
         generation_id: The generation.
         endpoint_id: The endpoint that runs the current attempt.
         attempt: The current attempt's number.
+        model: The model's name at the engines.
         version: The model's version.
+        adapter: The adapter's name, or empty.
         seed: The sampling seed.
+        max_tokens: The length at which the answer ends.
         copy_host: The peer that holds the copy, or empty.
         copy_id: The copy's id there.
     """
@@ -39,11 +44,38 @@
     generation_id: str
     endpoint_id: str
     attempt: int
+    model: str
     version: str
+    adapter: str
     seed: int
+    max_tokens: int
     copy_host: str = ""
     copy_id: str = ""
 
+    @classmethod
+    def of(
+        cls,
+        request: GenerationRequest,
+        *,
+        endpoint_id: str,
+        attempt: int,
+        copy_host: str = "",
+        copy_id: str = "",
+    ) -> "StreamRef":
+        """Return where a request's stream is, and all that its resume must keep."""
+        return cls(
+            generation_id=request.id,
+            endpoint_id=endpoint_id,
+            attempt=attempt,
+            model=request.model,
+            version=request.version,
+            adapter=request.adapter,
+            seed=request.seed,
+            max_tokens=request.max_tokens,
+            copy_host=copy_host,
+            copy_id=copy_id,
+        )
+
 
 @attrs.frozen(kw_only=True)
 class ResumePoint:
@@ -144,7 +176,7 @@
     return workspace.encode() + b"\0" + digest.digest()
 
 
-def _as_row(stream: StreamRef) -> tuple[str, str, int, str, int, str, str]:
+def _as_row(stream: StreamRef) -> tuple[str | int, ...]:
     return attrs.astuple(stream)
 
 
--- a/passtally/status.py
+++ b/passtally/status.py
@@ -1,6 +1,6 @@
 """What a host tells operators of itself, its peers and its endpoints."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -8,7 +8,7 @@
 from passtally.catalog import Catalog
 from passtally.drain import Drain
 from passtally.fleet import Fleet
-from passtally.membership import Gossip
+from passtally.membership import Gossip, MemberView
 from passtally.peers import Peers
 from passtally.routing import EndpointView
 
@@ -86,8 +86,8 @@
     peers: Peers
     fleet: Fleet
     drain: Drain
-    is_platform_reachable: Any
-    count_claim_writes: Any
+    is_platform_reachable: Callable[[], bool]
+    count_claim_writes: Callable[[], int]
 
     async def read(self) -> HostStatus:
         """Return the state of this host."""
@@ -113,7 +113,7 @@
         return [live.view() for live in found if live is not None]
 
 
-def _peer_status(view: Any) -> PeerStatus:
+def _peer_status(view: MemberView) -> PeerStatus:
     ago = view.heard_ago
     return PeerStatus(
         id=view.id,
--- a/tests/test_handle.py
+++ b/tests/test_handle.py
@@ -5,7 +5,14 @@
 from passtally.handle import HandleError, HandleSigner, StreamRef, bind
 
 STREAM = StreamRef(
-    generation_id="gen-1", endpoint_id="runner-1", attempt=2, version="1", seed=7
+    generation_id="gen-1",
+    endpoint_id="runner-1",
+    attempt=2,
+    model="m",
+    version="1",
+    adapter="",
+    seed=7,
+    max_tokens=100,
 )
 BINDING = bind("workspace", b"body")
 
