--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -1,5 +1,6 @@
 """Model engines over HTTP; docs/ENGINE.md describes their protocol."""
 
+import contextlib
 from collections.abc import Sequence
 from datetime import timedelta
 from http import HTTPStatus
@@ -9,6 +10,7 @@
 import msgspec
 
 from passtally.generation import Attempt, GenerationRequest, TokenEvent
+from passtally.http import FetchError, fetch
 from passtally.retry import LossKind
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
@@ -179,29 +181,22 @@
 
     async def cancel(self, generation_id: str, attempt: int) -> None:
         """Ask it to drop an attempt; it may not hear."""
-        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT.total_seconds())
-        try:
-            async with self._session.delete(
-                f"{self._url}/v1/streams/{generation_id}",
-                params={"attempt": str(attempt)},
-                timeout=timeout,
-            ):
-                pass
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return
+        url = f"{self._url}/v1/streams/{generation_id}"
+        params = {"attempt": str(attempt)}
+        with contextlib.suppress(FetchError):
+            await fetch(
+                self._session, "DELETE", url, timeout=CANCEL_TIMEOUT, params=params
+            )
 
     async def probe(self) -> LoadReport | None:
         """Return its load report, or None where none came in time."""
-        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT.total_seconds())
+        url = f"{self._url}/v1/load"
         try:
-            async with self._session.get(
-                f"{self._url}/v1/load", timeout=timeout
-            ) as response:
-                if response.status != 200:
-                    return None
-                body = await response.read()
-                return msgspec.json.decode(body, type=LoadReport)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            fetched = await fetch(self._session, "GET", url, timeout=PROBE_TIMEOUT)
+            if fetched.status != HTTPStatus.OK:
+                return None
+            return msgspec.json.decode(fetched.body, type=LoadReport)
+        except (FetchError, msgspec.MsgspecError):
             return None
 
     async def _open(
--- a/passtally/orders.py
+++ b/passtally/orders.py
@@ -7,9 +7,11 @@
 import aiohttp
 import msgspec
 
+from passtally.http import FetchError, fetch
 from passtally.objects import Endpoint
 
 ORDER_TIMEOUT = timedelta(seconds=3)
+OK = 200
 CONFLICT = 409
 
 
@@ -117,23 +119,20 @@
         data: bytes | None = None,
         context: Callable[[], None] | None = None,
     ) -> bytes:
-        timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT.total_seconds())
         try:
-            async with self._session.request(
+            fetched = await fetch(
+                self._session,
                 method,
                 endpoint.url + path,
+                timeout=ORDER_TIMEOUT,
                 data=data,
-                timeout=timeout,
-                allow_redirects=False,
                 trace_request_ctx=context,
-            ) as response:
-                body = await response.read()
-                status = response.status
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            reason = str(error) or type(error).__name__
-            raise OrderError(reason, step=step, peer=endpoint.id) from error
-        if status == CONFLICT:
+            )
+        except FetchError as error:
+            raise OrderError(str(error), step=step, peer=endpoint.id) from error
+        if fetched.status == CONFLICT:
             raise FencedError("fenced off", step=step, peer=endpoint.id)
-        if status != 200:
-            raise OrderError(f"status {status}", step=step, peer=endpoint.id)
-        return body
+        if fetched.status != OK:
+            message = f"status {fetched.status}"
+            raise OrderError(message, step=step, peer=endpoint.id)
+        return fetched.body
--- a/passtally/platform.py
+++ b/passtally/platform.py
@@ -12,6 +12,8 @@
 import attrs
 import msgspec
 
+from passtally.http import FetchError, fetch
+
 CALL_TIMEOUT = timedelta(seconds=3)
 WATCH_TIMEOUT = timedelta(seconds=20)
 REMOVED = b"null"
@@ -195,21 +197,13 @@
         timeout: timedelta = CALL_TIMEOUT,
         **kwargs: object,
     ) -> bytes:
-        total = aiohttp.ClientTimeout(total=timeout.total_seconds())
         try:
-            async with self._session.request(
-                method,
-                self._url + path,
-                timeout=total,
-                allow_redirects=False,
-                **kwargs,
-            ) as response:
-                body = await response.read()
-                status = response.status
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            reason = str(error) or type(error).__name__
-            raise UnavailableError(reason, step=step, peer=self._url) from error
-        return self._check(step, status, body)
+            fetched = await fetch(
+                self._session, method, self._url + path, timeout=timeout, **kwargs
+            )
+        except FetchError as error:
+            raise UnavailableError(str(error), step=step, peer=self._url) from error
+        return self._check(step, fetched.status, fetched.body)
 
     def _check(self, step: str, status: int, body: bytes) -> bytes:
         if status == 200:
