Start the daemon's endless tasks again when one fails

Cause (reading): a task that met an error nobody foresaw ended in silence, so that a broken answer of the platform would have frozen the configuration of a host for good.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -46,6 +46,7 @@
 from passtally.retry_budget import RetryBudgets
 from passtally.settings import Settings
 from passtally.status import StatusReader
+from passtally.supervisor import keep_running
 
 LISTEN_BACKLOG = 2048
 
@@ -75,21 +76,21 @@
         self._build_completions()
         self._build_control()
         self.peers.start()
-        for work in (
-            self.keeper.run(),
-            self.keeper.follow_peers(),
-            self.gossip.run(),
-            self.host_list.run(),
-            self.fleet.watch_silence(),
-            self.fleet.refresh_reports(),
-            self.gate.run(),
-            self.copy_sender.run(),
-            self.claims.run(),
-            self.executor.run(),
-            self.jobs.run(),
-            report_gauges(metrics=self.metrics, status=self.status, clock=self.clock),
+        for name, work in (
+            ("catalog", self.keeper.run),
+            ("catalog from peers", self.keeper.follow_peers),
+            ("gossip", self.gossip.run),
+            ("host list", self.host_list.run),
+            ("silence", self.fleet.watch_silence),
+            ("load reports", self.fleet.refresh_reports),
+            ("gate", self.gate.run),
+            ("copies", self.copy_sender.run),
+            ("claims", self.claims.run),
+            ("executor", self.executor.run),
+            ("jobs", self.jobs.run),
+            ("gauges", self._report_gauges),
         ):
-            self._spawn(work)
+            self._spawn(keep_running(name, work, clock=self.clock))
         await self._listen()
         log_event("daemon", "Started.", listen=self.settings.listen)
 
@@ -109,6 +110,9 @@
         self.gossip.leaving = True
         await self.drain.stop(balancer_lag=self.settings.balancer_lag)
 
+    async def _report_gauges(self) -> None:
+        await report_gauges(metrics=self.metrics, status=self.status, clock=self.clock)
+
     def _open_clients(self) -> None:
         self._engine_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
