--- a/passtally/operator_cli.py
+++ b/passtally/operator_cli.py
@@ -22,6 +22,7 @@
 WATCH_SECONDS = 1.0
 ENDED_STATES = ("done", "failed", "cancelled")
 API = "/operator/v1"
+CALLERS_API = "/v1"
 
 
 @attrs.frozen(kw_only=True)
@@ -32,11 +33,13 @@
         urls: The hosts' URLs.
         token: The operators' token.
         as_json: Whether to print JSON.
+        api: The path under which the calls stand.
     """
 
     urls: tuple[str, ...]
     token: str
     as_json: bool
+    api: str = API
 
     def call(
         self, method: str, path: str, value: object = None, *, version: str = ""
@@ -67,7 +70,7 @@
             headers["If-Match"] = version
         data = None if value is None else json.dumps(value).encode()
         request = urllib.request.Request(
-            url.rstrip("/") + API + path, data=data, method=method, headers=headers
+            url.rstrip("/") + self.api + path, data=data, method=method, headers=headers
         )
         with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_SECONDS) as response:
             return json.loads(response.read())
@@ -253,6 +256,27 @@
         time.sleep(WATCH_SECONDS)
 
 
+@click.group()
+def generation() -> None:
+    """Collect the answers of jobs, with a workspace's token."""
+
+
+@generation.command()
+@click.argument("generation_id", metavar="ID")
+@click.option("--watch", is_flag=True, help="Go on until it has ended.")
+@client_options
+def collect(client: Client, generation_id: str, watch: bool) -> None:
+    """Print a job's answer; while it runs, its state."""
+    callers = attrs.evolve(client, api=CALLERS_API)
+    while True:
+        row = callers.call("GET", f"/generations/{generation_id}")
+        is_running = row.get("status") == "running"
+        if not (watch and is_running):
+            callers.show(row, _write_answer)
+            return
+        time.sleep(WATCH_SECONDS)
+
+
 @click.command()
 @client_options
 def status(client: Client) -> None:
@@ -287,6 +311,14 @@
         )
 
 
+def _write_answer(row: dict) -> None:
+    if row.get("status") == "running":
+        click.echo(f"{row['id']}: running")
+        return
+    choice = row["choices"][0]
+    click.echo(choice["message"]["content"] if "message" in choice else choice["text"])
+
+
 def _write_status(row: dict) -> None:
     reach = "platform in reach" if row["platform_reachable"] else "platform away"
     click.echo(
@@ -313,4 +345,5 @@
     ):
         main.add_command(_object_group(name, kind))
     main.add_command(intent)
+    main.add_command(generation)
     main.add_command(status)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -5,6 +5,9 @@
 import time
 from urllib.parse import urlsplit
 
+from click.testing import CliRunner
+
+from passtally.cli import main
 from tests.conftest import EXPECTED, PROMPT, System
 
 
@@ -54,6 +57,13 @@
         answer = collect(system, "entry-b", job)
         assert answer["choices"][0]["message"]["content"] == EXPECTED
 
+    def test_the_command_line_collects_it(self, system: System):
+        job = submit(system, "entry-a")
+        words = ["generation", "collect", job, "--watch", "--token", system.token]
+        result = CliRunner().invoke(main, [*words, "--host", system.url("entry-b")])
+        assert result.exit_code == 0
+        assert result.output == EXPECTED + "\n"
+
     def test_another_workspace_sees_nothing(self, system: System):
         other = system.processes.add_workspace("other")
         system.processes.wait_ready()
