Don't take one's own ended requests for other hosts'

Reports lag by 0.5 s; they still showed this host's ended requests, which counted as other hosts', so that a service with 1000 places looked full.

Change: a host takes its own highest count of the last 2 s off a report (tests/test_fleet.py failed before, 3 passed after).

--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -24,6 +24,8 @@
 )
 
 WATCH_INTERVAL = timedelta(milliseconds=50)
+#: Load reports are not older than this.
+LONGEST_REPORT_LAG = timedelta(seconds=2)
 #: One endpoint is asked for its load this often, whatever their number.
 REFRESH_INTERVAL = timedelta(seconds=1)
 #: A timer of this host that is later than this shows that it can't judge others.
@@ -144,11 +146,25 @@
         self._ejection = FIRST_EJECTION
         self._report = LoadReport(running=0, queued=0, step=0)
         self._own_at_report = 0
+        self._peak = 0
+        self._peak_at = timedelta(0)
         self.reported_at = timedelta(0)
         #: Whether it has reported its load; plain endpoints never do.
         self.has_engine = False
         self._probe: asyncio.Task[None] | None = None
 
+    def enter(self) -> None:
+        """Count one more of this host's requests."""
+        self.own_streams += 1
+
+    def leave(self) -> None:
+        """Count one of this host's requests out."""
+        now = self._clock.monotonic()
+        if self.own_streams >= self._peak or now - self._peak_at > LONGEST_REPORT_LAG:
+            self._peak = self.own_streams
+            self._peak_at = now
+        self.own_streams -= 1
+
     def view(self) -> EndpointView:
         """Return what decisions read."""
         return EndpointView(
@@ -168,7 +184,10 @@
         """Take in what the endpoint says of itself."""
         self.has_engine = True
         self._report = report
-        self._own_at_report = self.own_streams
+        # A report may still show requests of this host that have ended since.
+        is_recent = self._clock.monotonic() - self._peak_at <= LONGEST_REPORT_LAG
+        own_then = self._peak if is_recent else 0
+        self._own_at_report = max(self.own_streams, own_then)
         self.reported_at = self._clock.monotonic()
         if report.draining:
             endpoint = self.endpoint
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -179,7 +179,7 @@
         before_send: Callable[[], None] | None,
     ) -> PlainAnswer:
         live = self._fleet.find(endpoint_id)
-        live.own_streams += 1
+        live.enter()
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT.total_seconds(),
             sock_connect=CONNECT_TIMEOUT.total_seconds(),
@@ -204,7 +204,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise _maybe_run(endpoint_id, error) from error
         finally:
-            live.own_streams -= 1
+            live.leave()
 
 
 class Caller(Protocol):
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -82,7 +82,7 @@
         self._sink.switch(self._generation, self._attempt)
         if not attach:
             self._reading = count_resume_tokens(self._generation)
-        live.own_streams += 1
+        live.enter()
         live.resume_tokens += self._reading
         live.guards.add(self._guard)
         try:
@@ -92,7 +92,7 @@
         finally:
             live.guards.discard(self._guard)
             live.resume_tokens -= self._reading
-            live.own_streams -= 1
+            live.leave()
 
     async def _pass_on(self, *, attach: bool) -> None:
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,50 @@
+"""What a host believes of an endpoint's load."""
+
+from datetime import timedelta
+
+from passtally.clock import ManualClock
+from passtally.departures import Departures
+from passtally.engine import LoadReport
+from passtally.fleet import LagMeter, LiveEndpoint
+from passtally.objects import Endpoint
+from passtally.silence import DEFAULT_BOUNDS_BY_PHASE
+
+
+def make_live(clock: ManualClock) -> LiveEndpoint:
+    return LiveEndpoint(
+        endpoint=Endpoint(id="r", service="s", url="http://r", failure_domain="p"),
+        engine=None,
+        clock=clock,
+        lag=LagMeter(clock=clock),
+        departures=Departures(),
+        bounds_by_phase=DEFAULT_BOUNDS_BY_PHASE,
+    )
+
+
+class TestLiveEndpoint:
+    def test_a_lagging_report_of_ones_own_requests_is_not_taken_for_others(self):
+        clock = ManualClock()
+        live = make_live(clock)
+        for _ in range(40):
+            live.enter()
+        for _ in range(40):
+            live.leave()
+        clock.advance(timedelta(milliseconds=500))
+        live.take_report(LoadReport(running=40, queued=0, step=1))
+        assert live.view().taken == 0
+
+    def test_other_hosts_requests_count(self):
+        clock = ManualClock()
+        live = make_live(clock)
+        live.enter()
+        live.take_report(LoadReport(running=5, queued=2, step=1))
+        assert live.view().taken == 7
+
+    def test_long_gone_requests_of_ones_own_are_forgotten(self):
+        clock = ManualClock()
+        live = make_live(clock)
+        live.enter()
+        live.leave()
+        clock.advance(timedelta(seconds=10))
+        live.take_report(LoadReport(running=3, queued=0, step=1))
+        assert live.view().taken == 3
