Log each admission; prove calls to endpoints that deduplicate in an outage

Cause: only refusals and waits were logged, so a trace did not tell how a request came in; and the setting 'deduplicates' had no test (the fixture's service for it had lost its endpoints to another one).

--- a/passtally/gate.py
+++ b/passtally/gate.py
@@ -19,6 +19,7 @@
 from passtally.outcome import Code, RefusedError, refuse
 
 TICK = timedelta(milliseconds=50)
+ADMITTED_LATE = AdmissionDecision(verdict=Verdict.ADMIT, reason="room after waiting")
 
 
 class Gate:
@@ -51,12 +52,12 @@
         queue = self._queue(service_id)
         now = self._clock.monotonic()
         decision, waiting = queue.ask(request, load=self._load(service_id), now=now)
-        if decision.verdict is not Verdict.ADMIT:
-            self._log(service_id, request, decision, len(queue))
+        self._log(service_id, request, decision, len(queue))
         if decision.verdict is Verdict.REFUSE:
             raise _overloaded(service_id, decision.reason, decision.retry_after)
         if waiting is not None:
             await self._wait(queue, waiting)
+            self._log(service_id, request, ADMITTED_LATE, len(queue))
         try:
             yield
         finally:
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -12,9 +12,10 @@
 import pytest
 from aiohttp import web
 
+from passtally.objects import Service, ServiceKind
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.plain import open_session
-from standins.processes import Process, Processes
+from standins.processes import Processes
 from tests.conftest import HOSTS, System
 
 
@@ -58,27 +59,12 @@
         processes.start_platform()
         endpoints = [(processes.start_booking(f"booking-{n}"), "pilar") for n in "12"]
         processes.add_plain("booking", endpoints, repeatable=False)
-        processes.add_plain("safe", endpoints, repeatable=True)
-        processes.add_plain("self", endpoints, repeatable=False, deduplicates=True)
-        for process, domain in endpoints:
-            processes.put_config(
-                "endpoints", process.name, _endpoint(process, domain, "booking")
-            )
         token = processes.add_workspace("couriers")
         processes.start_hosts(HOSTS)
         processes.wait_ready()
         yield System(processes, token)
 
 
-def _endpoint(process: Process, domain: str, service: str) -> dict:
-    return {
-        "id": process.name,
-        "service": service,
-        "url": process.url,
-        "failure_domain": domain,
-    }
-
-
 def runs(system: System, slot: str) -> int:
     names = ("booking-1", "booking-2")
     running = [system[name] for name in names if system[name].popen.poll() is None]
@@ -139,6 +125,16 @@
             time.sleep(0.1)
         assert runs(booking, "s4") == 1
 
+    def test_endpoints_that_deduplicate_are_called_in_an_outage(self, booking: System):
+        service = Service(
+            id="booking", kind=ServiceKind.PLAIN, repeatable=False, deduplicates=True
+        )
+        booking.processes.put_config("services", "booking", service)
+        booking.processes.wait_ready()
+        booking.processes.platform.control(outage=True)
+        assert book(booking, "entry-a", "s10", key="k10").status == 200
+        assert runs(booking, "s10") == 1
+
     def test_an_answer_of_the_platform_lost_after_the_write(self, booking: System):
         booking.processes.platform.control(lose_answers=1)
         assert book(booking, "entry-a", "s5", key="k5").status == 200
