Measure an engine's load by the tokens in its memory

Cause: streams waited 3 s and more for their first event at endpoints whose memory was full of other runs and replicas; by places (64) they looked idle, and the order of prefixes put up to three of one host's streams on one of them.

Change: a run counts its prompt and longest answer at its endpoint and at the one that keeps its replica, as long as it lasts; the load is the larger of the shares of places and of memory.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -179,6 +179,7 @@
             live=live,
             sink=sink,
             clock=self._clock,
+            replica=self._fleet.find(attempt.replica_id),
             on_first=lambda: self._time_first(generation, progress),
         )
         try:
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -135,6 +135,9 @@
         self._departures = departures
         self.own_streams = 0
         self.resume_tokens = 0
+        #: Tokens that its memory holds for this host's runs and replicas.
+        self.held_tokens = 0
+        self.capacity_tokens = 0
         #: Calls in a row that were not answered in time.
         self.unanswered_calls = 0
         self.guards: set[StreamGuard] = set()
@@ -178,6 +181,8 @@
             max_streams=self.endpoint.max_streams,
             ejected_until=self.ejected_until,
             resume_tokens=self.resume_tokens,
+            held_tokens=self.held_tokens,
+            capacity_tokens=self.capacity_tokens,
         )
 
     def take_report(self, report: LoadReport) -> None:
@@ -309,6 +314,8 @@
         connect: Makes the engine client of an endpoint.
         departures: Which endpoints are leaving.
         bounds_by_phase: Where silence limits may move.
+        capacity_of: Returns the tokens that an endpoint's memory holds, by its
+            service; 0 where that is not known.
     """
 
     def __init__(
@@ -319,12 +326,14 @@
         connect: Callable[[Endpoint], Engine],
         departures: Departures | None = None,
         bounds_by_phase: dict[Phase, SilenceBounds] | None = None,
+        capacity_of: Callable[[str], int] = lambda service: 0,
     ) -> None:
         self._catalog = catalog
         self._clock = clock
         self._connect = connect
         self._departures = departures or Departures()
         self._bounds_by_phase = bounds_by_phase or DEFAULT_BOUNDS_BY_PHASE
+        self._capacity_of = capacity_of
         self._live_by_id: dict[str, LiveEndpoint] = {}
         self._lag = LagMeter(clock=clock)
 
@@ -345,6 +354,7 @@
             )
             self._live_by_id[endpoint_id] = live
         live.endpoint = endpoint
+        live.capacity_tokens = self._capacity_of(endpoint.service)
         return live
 
     def forget(self, endpoint_id: str) -> None:
--- a/passtally/platform/host.py
+++ b/passtally/platform/host.py
@@ -31,7 +31,7 @@
 from passtally.platform.store import PlatformStore
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
-from passtally.routes import RoutesInForce
+from passtally.routes import RoutesInForce, ServiceInfo
 from passtally.settings import Address, Settings, parse_address
 from passtally.silence import Phase, SilenceBounds
 from passtally.supervisor import keep_running
@@ -150,6 +150,7 @@
             clock=self.clock,
             connect=self._connect,
             bounds_by_phase=SILENCE_BOUNDS_BY_PHASE,
+            capacity_of=self._capacity_of,
         )
         self.book = EndpointBook(
             catalog=self.catalog, clock=self.clock, gone=self.fleet.forget
@@ -250,10 +251,17 @@
         return parse_address(endpoint.url.removeprefix("http://"))
 
     def _keeps_replicas(self, service: str) -> bool:
-        routes = self.routes.current
-        info = routes.services_by_id.get(service) if routes else None
+        info = self._find_service(service)
         return info is not None and info.keeps_replicas
 
+    def _capacity_of(self, service: str) -> int:
+        info = self._find_service(service)
+        return 0 if info is None else info.capacity_tokens
+
+    def _find_service(self, service: str) -> ServiceInfo | None:
+        routes = self.routes.current
+        return routes.services_by_id.get(service) if routes else None
+
     def _take_routes(self, listing: Listing) -> None:
         for stored in listing.objects:
             if stored.key != CONFIG_KEY or stored.is_removed:
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -47,6 +47,7 @@
         live: Where it runs.
         sink: Where its output goes.
         clock: The clock.
+        replica: Where a replica of its state is kept, if anywhere.
         on_first: Called before its first output is passed on.
     """
 
@@ -58,12 +59,14 @@
         live: LiveEndpoint,
         sink: Sink,
         clock: Clock,
+        replica: LiveEndpoint | None = None,
         on_first: Callable[[], None],
     ) -> None:
         self._generation = generation
         self._attempt = attempt
         self._live = live
         self._sink = sink
+        self._replica = replica
         self._on_first = on_first
         self._guard = StreamGuard(quiet_since=clock.monotonic())
         self._reading = 0
@@ -85,11 +88,17 @@
         live.enter()
         live.resume_tokens += self._reading
         live.guards.add(self._guard)
+        held = [live] if self._replica is None else [live, self._replica]
+        tokens = count_held_tokens(self._generation)
+        for endpoint in held:
+            endpoint.held_tokens += tokens
         try:
             await self._pass_on(attach=attach)
         except SeamError as error:
             raise self._lost(LossKind.SEAM, "join", str(error)) from error
         finally:
+            for endpoint in held:
+                endpoint.held_tokens -= tokens
             live.guards.discard(self._guard)
             live.resume_tokens -= self._reading
             live.leave()
@@ -154,6 +163,12 @@
         )
 
 
+def count_held_tokens(generation: Generation) -> int:
+    """Return the tokens that a run may take in an endpoint's memory."""
+    request = generation.request
+    return request.prompt_tokens + request.max_tokens
+
+
 def count_resume_tokens(generation: Generation) -> int:
     """Return the tokens to read before an answer that has begun goes on."""
     if not generation.delivered:
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -24,6 +24,8 @@
         max_streams: How many it takes at once.
         ejected_until: Until when it gets no new work, on the monotonic clock.
         resume_tokens: Tokens that this host's resumes still make it read.
+        held_tokens: Tokens in its memory for this host's runs and replicas.
+        capacity_tokens: The tokens that its memory holds; 0 where that is not known.
     """
 
     id: str
@@ -36,6 +38,8 @@
     report_age: timedelta = timedelta(0)
     ejected_until: timedelta | None = None
     resume_tokens: int = 0
+    held_tokens: int = 0
+    capacity_tokens: int = 0
 
     @property
     def taken(self) -> int:
@@ -51,8 +55,11 @@
 
     @property
     def load(self) -> float:
-        """The share of its places believed taken."""
-        return self.taken / self.max_streams
+        """The share of its places, or of its memory, believed taken."""
+        places = self.taken / self.max_streams
+        if not self.capacity_tokens:
+            return places
+        return max(places, self.held_tokens / self.capacity_tokens)
 
 
 @attrs.frozen(kw_only=True)
