Avoid failure domains that lose runs; stop long requests late in a stop

Cause: (1) a crash takes most endpoints of a failure domain at once. A lost stream tried the others there one after the other, each try took one of five attempts and a repeat from the budget, though no byte had left.

Change: attempts that reached nobody cost neither an attempt nor a repeat; a domain with a loss in the last 1.5 s is passed over while another is calm; an endpoint whose address another has is noted as departed for good; a stopping host refuses streams once the balancer has let go of it, with when to come back.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -279,6 +279,10 @@
         was_attached = loss.step == "attach"
         if is_gone(loss.kind, was_attached=was_attached):
             live.eject(self._clock.monotonic())
+        if is_gone(loss.kind, was_attached=was_attached) or loss.kind is RESET:
+            self._fleet.note_loss(live)
+        if loss.kind is LossKind.REPLACED:
+            live.note_ended()
         if is_death(loss.kind, was_attached=was_attached):
             progress.deaths += 1
         holder = _find_holder(generation, attempt, live)
@@ -286,7 +290,8 @@
             progress.excluded.add(live.endpoint.id)
         if loss.kind in (LossKind.FROZEN, LossKind.SEAM):
             self._cancel(live, generation, attempt)
-        progress.unreached += loss.kind is LossKind.UNREACHABLE
+        is_unreached = loss.kind is LossKind.UNREACHABLE
+        progress.unreached += is_unreached
         decision = decide_after_loss(
             loss.kind,
             attempts=generation.attempt_count - progress.unreached,
@@ -295,7 +300,9 @@
             limits=_limits_of(generation, self._limits),
             holder=holder,
         )
-        if decision.step is NextStep.RESUME and not self._may_repeat(generation):
+        if decision.step is not NextStep.GIVE_UP and not (
+            is_unreached or self._may_repeat(generation)
+        ):
             decision = RetryDecision(
                 step=NextStep.GIVE_UP, reason="the retry budget is spent"
             )
--- a/passtally/drain.py
+++ b/passtally/drain.py
@@ -10,6 +10,8 @@
 #: How long a stopping host still takes requests while the balancer lags.
 BALANCER_LAG = timedelta(seconds=5)
 RETRY_AFTER = timedelta(seconds=1)
+#: A caller that is sent to another host may come at once.
+RETRY_ELSEWHERE = timedelta(milliseconds=50)
 
 
 class Drain:
@@ -23,6 +25,8 @@
         self._max_open = max_open
         self.open_requests = 0
         self.is_stopping = False
+        #: Whether requests that may take long are refused: they would be cut off.
+        self.refuses_long = False
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -50,6 +54,21 @@
             if not self.open_requests:
                 self._idle.set()
 
+    def check_long(self) -> None:
+        """Refuse a request that may take long, where it could not be finished.
+
+        Raises:
+            RefusedError: The host is about to stop.
+        """
+        if self.refuses_long:
+            raise refuse(
+                Code.STOPPING,
+                "This host is about to stop; ask another.",
+                status=503,
+                step="admit",
+                retry_after=RETRY_ELSEWHERE,
+            )
+
     async def stop(self, *, balancer_lag: timedelta = BALANCER_LAG) -> None:
         """Leave the balancer, serve what still comes, wait for the last request.
 
@@ -58,5 +77,6 @@
         """
         self.is_stopping = True
         await asyncio.sleep(balancer_lag.total_seconds())
+        self.refuses_long = True
         while self.open_requests:
             await self._idle.wait()
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -30,6 +30,9 @@
 REFRESH_INTERVAL = timedelta(seconds=1)
 #: A timer of this host that is later than this shows that it can't judge others.
 MAX_OWN_LAG = timedelta(milliseconds=100)
+#: For how long after a loss its failure domain is avoided. Endpoints of one domain
+#: are often lost together, and noticed one after the other.
+SHAKY_FOR = timedelta(seconds=1.5)
 FIRST_EJECTION = timedelta(seconds=1)
 LAST_EJECTION = timedelta(seconds=30)
 
@@ -168,8 +171,12 @@
             self._peak_at = now
         self.own_streams -= 1
 
-    def view(self) -> EndpointView:
-        """Return what decisions read."""
+    def view(self, *, is_shaky: bool = False) -> EndpointView:
+        """Return what decisions read.
+
+        Args:
+            is_shaky: Whether a run was lost in its failure domain a moment ago.
+        """
         return EndpointView(
             id=self.endpoint.id,
             failure_domain=self.endpoint.failure_domain,
@@ -181,6 +188,7 @@
             max_streams=self.endpoint.max_streams,
             ejected_until=self.ejected_until,
             resume_tokens=self.resume_tokens,
+            is_shaky=is_shaky,
             held_tokens=self.held_tokens,
             capacity_tokens=self.capacity_tokens,
         )
@@ -205,6 +213,12 @@
             return EndpointState.DRAINING
         return self.endpoint.state
 
+    def note_ended(self) -> None:
+        """Take in that it has ended for good, whatever the configuration says."""
+        self._departures.note(
+            self.endpoint.id, self.endpoint.incarnation, channel="its address"
+        )
+
     def eject(self, now: timedelta) -> None:
         """Give it no new work for a while, longer each time."""
         self.ejected_until = now + self._ejection
@@ -336,6 +350,7 @@
         self._capacity_of = capacity_of
         self._live_by_id: dict[str, LiveEndpoint] = {}
         self._lag = LagMeter(clock=clock)
+        self._lost_at_by_domain: dict[str, timedelta] = {}
 
     def find(self, endpoint_id: str) -> LiveEndpoint | None:
         """Return a configured endpoint's live state, or None."""
@@ -357,6 +372,17 @@
         live.capacity_tokens = self._capacity_of(endpoint.service)
         return live
 
+    def note_loss(self, live: LiveEndpoint) -> None:
+        """Take in that a run was lost: its whole failure domain may be going."""
+        domain = live.endpoint.failure_domain
+        self._lost_at_by_domain[domain] = self._clock.monotonic()
+
+    def _is_shaky(self, domain: str) -> bool:
+        lost_at = self._lost_at_by_domain.get(domain)
+        if lost_at is None:
+            return False
+        return self._clock.monotonic() - lost_at < SHAKY_FOR
+
     def forget(self, endpoint_id: str) -> None:
         """Drop the state of an endpoint that is gone, once it has no streams."""
         live = self._live_by_id.get(endpoint_id)
@@ -374,7 +400,11 @@
             if is_placed(endpoint, service)
         )
         found = (self.find(endpoint.id) for endpoint in placed)
-        return [live.view() for live in found if live is not None]
+        return [
+            live.view(is_shaky=self._is_shaky(live.endpoint.failure_domain))
+            for live in found
+            if live is not None
+        ]
 
     def service_capacity(self, service_id: str) -> "Capacity":
         """Return the places of a service's endpoints in use, and how many are taken."""
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -187,6 +187,8 @@
         admitted = self._admit(request)
         route = admitted.route
         is_stream = route.kind is CallKind.STREAM
+        if is_stream:
+            self._drain.check_long()
         admission = AdmissionRequest(
             id=request.id,
             workspace=admitted.workspace,
--- a/passtally/outcome.py
+++ b/passtally/outcome.py
@@ -65,6 +65,7 @@
         "A request with this key was sent before; how it ended is not known here.",
     )
     KEY_REUSED = "key_reused", "This key was used for another request."
+    STOPPING = "stopping", "The host is about to stop; ask another."
     NO_CONFIG = "no_config", "The host knows no configuration yet; ask again."
     CLAIMS_UNAVAILABLE = (
         "claims_unavailable",
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -30,6 +30,8 @@
 #: Calls in a row that an endpoint may leave unanswered before it is passed over. One
 #: alone may be a long one.
 MAX_UNANSWERED = 3
+#: The step of a failure before any byte was sent; going on costs no repeat.
+UNSENT_STEP = "connect"
 RETRY_AFTER = timedelta(seconds=1)
 KEY_HEADER = "Idempotency-Key"
 REPEATABLE_HEADER = "X-Repeatable"
@@ -237,6 +239,8 @@
             return False
         if self._remaining(call) <= timedelta(0):
             return False
+        if failure.failure.step == UNSENT_STEP:
+            return True
         return self._budgets.try_spend(call.workspace, service=call.service.id)
 
     def _route(self, call: PlainCall, excluded: set[str]) -> str | None:
@@ -303,6 +307,8 @@
         is_frozen = loss.kind is LossKind.FROZEN
         live.unanswered_calls += is_frozen
         is_gone = loss.kind is LossKind.UNREACHABLE
+        if loss.kind is LossKind.REPLACED:
+            live.note_ended()
         if is_gone or live.unanswered_calls >= MAX_UNANSWERED:
             live.eject(self._clock.monotonic())
         log_decision(
@@ -452,7 +458,7 @@
         Code.NO_ENDPOINT,
         f"No connection could be made, or the call was not taken: {loss.detail}.",
         status=503,
-        step="connect",
+        step=UNSENT_STEP if loss.kind is LossKind.UNREACHABLE else "call",
         peer=loss.peer,
         retry_after=RETRY_AFTER,
     )
--- a/passtally/platform/host.py
+++ b/passtally/platform/host.py
@@ -47,7 +47,7 @@
 LAST_RETRY = timedelta(milliseconds=400)
 RELIST_PAUSE = timedelta(milliseconds=200)
 #: Left of a stop's grace for breaking off streams and closing connections.
-STOP_MARGIN = timedelta(milliseconds=1200)
+STOP_MARGIN = timedelta(milliseconds=600)
 #: Hosts that may share a budget; each keeps to its part without asking the others.
 BUDGET_HOSTS = 16
 #: No request is refused for the endpoints that died under it: here they die in
@@ -122,12 +122,18 @@
         self.front_server.is_closing = True
         limit = self.settings.grace - STOP_MARGIN
         log_event("daemon", "Stopping.", open=self.drain.open_requests)
+        self._spawn(self._close_idle_later())
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 await self.drain.stop(balancer_lag=self.settings.balancer_lag)
         except TimeoutError:
             log_event("daemon", "Out of grace.", open=self.drain.open_requests)
 
+    async def _close_idle_later(self) -> None:
+        """Close idle connections once the balancer sends no new ones."""
+        await self.clock.sleep(self.settings.balancer_lag)
+        self.front_server.close_idle()
+
     def reload(self, settings: Settings) -> None:
         """Take over what may change while the host runs."""
         self.settings = settings
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -146,7 +146,7 @@
         if head.header(names.REQUEST_ID) not in (None, sent_id):
             raise self.lost(LossKind.SEAM, "the answer belongs to another request")
         if head.status == 421:
-            raise self.lost(LossKind.UNREACHABLE, "another endpoint has the address")
+            raise self.lost(LossKind.REPLACED, "another endpoint has the address")
         if head.header(names.NOT_RUN) is not None:
             raise self.lost(LossKind.REFUSED, f"not run, status {head.status}")
         if head.header(names.CONTENT_ENCODING) is not None:
--- a/passtally/retry.py
+++ b/passtally/retry.py
@@ -21,6 +21,8 @@
     REFUSED = "refused"
     #: A newer attempt, from another entry host, has taken the stream up.
     SUPERSEDED = "superseded"
+    #: Another endpoint has its address now: this one has ended for good.
+    REPLACED = "replaced"
     #: No connection to it could be made.
     UNREACHABLE = "unreachable"
 
@@ -37,7 +39,7 @@
 
 
 #: Losses after which the request is known not to have run there.
-UNRUN_KINDS = frozenset((LossKind.REFUSED, LossKind.UNREACHABLE))
+UNRUN_KINDS = frozenset((LossKind.REFUSED, LossKind.UNREACHABLE, LossKind.REPLACED))
 
 
 class NextStep(StrEnum):
@@ -114,7 +116,7 @@
 
 def is_gone(kind: LossKind, *, was_attached: bool) -> bool:
     """Return whether a loss shows that the endpoint itself is out of reach."""
-    if kind in (LossKind.FROZEN, LossKind.UNREACHABLE):
+    if kind in (LossKind.FROZEN, LossKind.UNREACHABLE, LossKind.REPLACED):
         return True
     return was_attached and kind is LossKind.RESET
 
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -24,6 +24,7 @@
         max_streams: How many it takes at once.
         ejected_until: Until when it gets no new work, on the monotonic clock.
         resume_tokens: Tokens that this host's resumes still make it read.
+        is_shaky: Whether a run was lost in its failure domain a moment ago.
         held_tokens: Tokens in its memory for this host's runs and replicas.
         capacity_tokens: The tokens that its memory holds; 0 where that is not known.
     """
@@ -38,6 +39,7 @@
     report_age: timedelta = timedelta(0)
     ejected_until: timedelta | None = None
     resume_tokens: int = 0
+    is_shaky: bool = False
     held_tokens: int = 0
     capacity_tokens: int = 0
 
@@ -129,6 +131,7 @@
     """
     allowed = [view for view in endpoints if _is_allowed(view, query)]
     usable = [view for view in allowed if not _is_ejected(view, now)] or allowed
+    usable = [view for view in usable if not view.is_shaky] or usable
     if not usable:
         return RouteDecision(
             endpoint_id=None, candidates=(), reason="no usable endpoint"
@@ -188,9 +191,10 @@
         and not _is_ejected(view, now)
     ]
 
-    def cost(view: EndpointView) -> tuple[bool, float, bytes]:
+    def cost(view: EndpointView) -> tuple[bool, bool, float, bytes]:
         shares_domain = view.failure_domain == domain
-        return shares_domain, view.load, _affinity_rank(query.affinity, view.id)
+        rank = _affinity_rank(query.affinity, view.id)
+        return shares_domain, view.is_shaky, view.load, rank
 
     return min(usable, key=cost).id if usable else ""
 
