Copy a run's state anew when its replica's endpoint is lost

Cause: waves of losses come every 6.5 s and streams last longer.

Ruled out: waiting for the engine's own replica to move; it does not.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -14,6 +14,7 @@
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.relay import Relay, Sink, count_resume_tokens
+from passtally.replica import ReplicaKeeper
 from passtally.retry import (
     UNRUN_KINDS,
     Holder,
@@ -127,6 +128,7 @@
         )
         step = NextStep.ATTACH if held_by else NextStep.RESUME
         endpoint_id = held_by
+        resume_ref = ""
         self._refuse_quarantined(generation)
         self._metrics.count(Metric.REQUESTS)
         self._budgets.earn(
@@ -144,6 +146,7 @@
                 endpoint_id,
                 attach=step is NextStep.ATTACH,
                 replica_id=self._place_replica(generation, endpoint_id, progress),
+                resume_ref=resume_ref,
             )
             try:
                 await self._run_attempt(
@@ -159,6 +162,7 @@
                 decision = self._take_loss(generation, attempt, live, loss, progress)
                 step = decision.step
                 endpoint_id = attempt.replica_id or endpoint_id
+                resume_ref = attempt.replica_ref
             if step is NextStep.GIVE_UP:
                 raise self._give_up(generation, progress, decision.reason)
 
@@ -182,8 +186,17 @@
             replica=self._fleet.find(attempt.replica_id),
             on_first=lambda: self._time_first(generation, progress),
         )
+        keeper = ReplicaKeeper(
+            generation=generation,
+            attempt=attempt,
+            live=live,
+            fleet=self._fleet,
+            clock=self._clock,
+            place=lambda: self._place_replica(generation, live.endpoint.id, progress),
+        )
         try:
-            await relay.run(attach=attach)
+            async with keeper:
+                await relay.run(attach=attach)
             live.readmit()
         except AttemptLostError as loss:
             progress.reached = progress.reached or loss.kind not in UNRUN_KINDS
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -109,6 +109,23 @@
     async def cancel(self, generation_id: str, attempt: int) -> None:
         """Ask it to drop an attempt; it may not hear."""
 
+    async def copy_run(self, generation_id: str, target: str) -> str:
+        """Copy a run's state to another endpoint; the run goes on.
+
+        Args:
+            generation_id: The generation that runs.
+            target: The other endpoint's id.
+
+        Returns:
+            What names the replica.
+
+        Raises:
+            AttemptLostError: It was not copied.
+        """
+
+    async def drop_copy(self, replica_ref: str, target: str) -> None:
+        """Let go of a copy at another endpoint; it may not hear."""
+
     async def probe(self) -> LoadReport | None:
         """Return its load report, or None where none came in time."""
 
@@ -213,6 +230,13 @@
         except (FetchError, msgspec.MsgspecError):
             return None
 
+    async def copy_run(self, generation_id: str, target: str) -> str:
+        """Refuse: these engines keep no copies of each other's runs."""
+        raise self._lost(LossKind.REFUSED, "copy", "not supported")
+
+    async def drop_copy(self, replica_ref: str, target: str) -> None:
+        """Do nothing: there are no copies."""
+
     async def is_reachable(self) -> bool:
         """Return whether it answers a probe."""
         return await self.probe() is not None
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -372,6 +372,17 @@
         live.capacity_tokens = self._capacity_of(endpoint.service)
         return live
 
+    def is_usable(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint is known, and neither leaving nor ejected."""
+        if endpoint_id not in self._catalog.endpoints_by_id:
+            return False
+        view = self.find(endpoint_id).view()
+        ejected_until = view.ejected_until
+        is_ejected = (
+            ejected_until is not None and ejected_until > self._clock.monotonic()
+        )
+        return view.state is EndpointState.ACTIVE and not is_ejected
+
     def note_loss(self, live: LiveEndpoint) -> None:
         """Take in that a run was lost: its whole failure domain may be going."""
         domain = live.endpoint.failure_domain
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -131,6 +131,8 @@
         endpoint_id: Where it runs.
         start_position: The position it went on from.
         replica_id: The endpoint that keeps a replica of its state, or empty.
+        replica_ref: What names that replica to the endpoint, or empty.
+        resume_ref: What names the replica that it goes on from, or empty.
         dropped_tokens: Tokens it sent that were already there, or too late.
         head: The head of the endpoint's answer, where it is passed on.
     """
@@ -139,6 +141,8 @@
     endpoint_id: str
     start_position: int
     replica_id: str = ""
+    replica_ref: str = ""
+    resume_ref: str = ""
     dropped_tokens: int = 0
     head: ResponseHead | None = None
 
@@ -190,7 +194,12 @@
         return self._attempts_before + len(self.attempts)
 
     def start_attempt(
-        self, endpoint_id: str, *, attach: bool = False, replica_id: str = ""
+        self,
+        endpoint_id: str,
+        *,
+        attach: bool = False,
+        replica_id: str = "",
+        resume_ref: str = "",
     ) -> Attempt:
         """Open the next attempt.
 
@@ -198,6 +207,7 @@
             endpoint_id: Where it runs.
             attach: Whether it takes up a stream that the endpoint still holds.
             replica_id: The endpoint that is to keep a replica of its state, if any.
+            resume_ref: What names the replica that it goes on from, if any.
 
         Returns:
             The attempt; from now on only its tokens count.
@@ -208,6 +218,7 @@
             endpoint_id=endpoint_id,
             start_position=self.position,
             replica_id=replica_id,
+            resume_ref=resume_ref,
         )
         self.attempts.append(attempt)
         self._current = attempt
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -84,6 +84,30 @@
     slots: int = DEFAULT_SLOTS
 
 
+class _CopyOrder(msgspec.Struct):
+    id: str
+    #: The address of the endpoint that is to have the copy; not a version.
+    target_version: str
+
+
+class _Copied(msgspec.Struct):
+    handle: str
+
+
+def encode_copy_order(generation_id: str, target: str) -> bytes:
+    """Return the order to copy a run to another endpoint's address."""
+    return msgspec.json.encode(_CopyOrder(id=generation_id, target_version=target))
+
+
+def decode_copy_handle(body: bytes) -> str:
+    """Return what names the copy at its source.
+
+    Raises:
+        ValueError: The answer does not fit.
+    """
+    return _decode(body, _Copied).handle
+
+
 def decode_routes(spec: bytes) -> RouteSet:
     """Read the configuration.
 
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -1,5 +1,6 @@
 """The endpoints on the platform: model engines and plain services over HTTP/1.1."""
 
+import asyncio
 import re
 from collections.abc import Callable, Sequence
 from datetime import timedelta
@@ -7,6 +8,7 @@
 from multidict import CIMultiDict
 
 from passtally.clock import Clock
+from passtally.decision import log_event
 from passtally.engine import AttemptLostError, LoadReport
 from passtally.fleet import LiveEndpoint
 from passtally.generation import Attempt, GenerationRequest, TokenEvent
@@ -22,6 +24,7 @@
 from passtally.objects import Endpoint
 from passtally.plain import PlainAnswer, PlainCall
 from passtally.platform import names
+from passtally.platform.decode import decode_copy_handle, encode_copy_order
 from passtally.retry import LossKind
 from passtally.settings import Address, parse_address
 
@@ -34,6 +37,11 @@
 #: Sent where the caller gave no limit.
 NO_DEADLINE = timedelta(seconds=30)
 DEFAULT_PRIORITY = 5
+#: How long copying a run may take. A copy of 1.8 GB takes 60 to 120 ms, and copies
+#: wait for each other.
+COPY_TIMEOUT = timedelta(seconds=1.5)
+#: The longest answer of an endpoint's own interface, in bytes.
+MAX_ORDER_BYTES = 1 << 20
 
 _URL_PREFIX = "http://"
 _EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
@@ -97,6 +105,50 @@
         """Keep a connection whose answer was read whole."""
         self._pool.give_back(self.address, connection, head)
 
+    async def order(
+        self,
+        method: bytes,
+        path: bytes,
+        body: bytes,
+        timeout: timedelta,
+        *,
+        address: Address | None = None,
+    ) -> bytes:
+        """Make a call to the endpoint's own interface and return its answer.
+
+        Args:
+            method: The method.
+            path: The path.
+            body: The JSON, or nothing.
+            timeout: How long it may take.
+            address: Another endpoint's address, to ask that one instead.
+
+        Raises:
+            AttemptLostError: It was refused, or no answer came.
+        """
+        address = address or self.address
+        headers = [
+            (b"Host", str(address).encode()),
+            (b"Content-Type", b"application/json"),
+        ]
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                connection = await self._pool.take(address)
+                try:
+                    head = await connection.send(method, path, headers, body)
+                    answer = await connection.read_all(MAX_ORDER_BYTES)
+                except BaseException:
+                    connection.abort()
+                    raise
+        except ExchangeError as error:
+            raise self.lost_in_exchange(error) from error
+        except TimeoutError as error:
+            raise self.lost(LossKind.FROZEN, "no answer in time") from error
+        self._pool.give_back(address, connection, head)
+        if head.status != 200:
+            raise self.lost(LossKind.REFUSED, f"status {head.status}")
+        return answer
+
     async def is_reachable(self) -> bool:
         """Return whether the endpoint accepts a connection."""
         try:
@@ -241,13 +293,33 @@
         self, request: GenerationRequest, attempt: Attempt, *, position: int
     ) -> "RunnerStream":
         """Go on from the replica that this endpoint keeps."""
-        source = f"{self._link.address}/{request.id}".encode()
-        extra = [(b"Kv-From", source)]
+        extra = [(b"Kv-From", attempt.resume_ref.encode())]
         return await self._open(request, attempt, position=position, extra=extra)
 
     async def cancel(self, generation_id: str, attempt: int) -> None:
         """Do nothing: closing the connection has ended the run."""
 
+    async def copy_run(self, generation_id: str, target: str) -> str:
+        """Copy a run's state to another endpoint; the run goes on."""
+        address = self._find_address(target)
+        if address is None:
+            raise self._link.lost(LossKind.REFUSED, f"{target} is not known")
+        order = encode_copy_order(generation_id, str(address))
+        body = await self._link.order(b"POST", b"/api/kv-move", order, COPY_TIMEOUT)
+        return f"{self._link.address}/{decode_copy_handle(body)}"
+
+    async def drop_copy(self, replica_ref: str, target: str) -> None:
+        """Let go of a copy at another endpoint; it may not hear."""
+        address = self._find_address(target)
+        if address is None:
+            return
+        _, _, handle = replica_ref.partition("/")
+        path = f"/api/kv-handle/{handle}".encode()
+        try:
+            await self._link.order(b"DELETE", path, b"", COPY_TIMEOUT, address=address)
+        except AttemptLostError as error:
+            log_event("replica", "Could not drop a copy.", peer=target, why=error)
+
     async def probe(self) -> LoadReport | None:
         """Return none: reports lag, and each is paid for."""
         return None
@@ -273,6 +345,7 @@
         replica_at = self._find_address(attempt.replica_id)
         if replica_at is not None:
             headers.append((b"X-Kv-Backup", str(replica_at).encode()))
+            attempt.replica_ref = f"{replica_at}/{request.id}"
         connection, head = await self._link.send(
             raw.method,
             raw.target,
--- a/standins/fake_engine.py
+++ b/standins/fake_engine.py
@@ -140,6 +140,13 @@
     async def cancel(self, generation_id: str, attempt: int) -> None:
         """Do nothing: a stream ends with its reader here."""
 
+    async def copy_run(self, generation_id: str, target: str) -> str:
+        """Refuse: this engine keeps no copies."""
+        raise self._lost(LossKind.REFUSED, "copy")
+
+    async def drop_copy(self, replica_ref: str, target: str) -> None:
+        """Do nothing: there are no copies."""
+
     async def is_reachable(self) -> bool:
         """Return whether it answers a probe."""
         return await self.probe() is not None
