Let hosts find each other and tell their loads and losses

Cause: each host saw its own runs only. The shared budget of repeats was divided by a guess of 16 hosts.

Change: hosts meet through the seeds and gossip, over pyzmq. Each tells the others within 100 ms what its runs take at endpoints and which it found gone; the interval grows with their number, and above 24 hosts only those of the same failure domain are told. The budget is divided by the hosts met. The catalog's store of objects became a class of its own (mirror), to be used for more kinds.

--- a/passtally/catalog.py
+++ b/passtally/catalog.py
@@ -12,8 +12,8 @@
 from passtally.follower import Follower
 from passtally.intent import LEDGER_KEY, Ledger, read_ledger
 from passtally.membership import Gossip
+from passtally.mirror import ObjectMirror
 from passtally.object_store import (
-    REMOVED,
     Listing,
     Platform,
     StoredObject,
@@ -40,65 +40,54 @@
     """The services, endpoints and workspaces in force on this host.
 
     Attributes:
-        version: The store-wide version of the newest change taken in.
+        mirror: The objects as the platform keeps them.
         services_by_id: The services.
         endpoints_by_id: The endpoints.
         workspaces_by_id: The workspaces.
-        versions_by_key: The version of each object taken in, removed ones too.
-        config_version: The newest of these.
         ledger: The intents under way.
     """
 
-    version: int = 0
+    mirror: ObjectMirror = attrs.field(factory=ObjectMirror)
     services_by_id: dict[str, Service] = attrs.field(factory=dict)
     endpoints_by_id: dict[str, Endpoint] = attrs.field(factory=dict)
     workspaces_by_id: dict[str, Workspace] = attrs.field(factory=dict)
-    versions_by_key: dict[str, int] = attrs.field(factory=dict)
-    config_version: int = 0
     ledger: Ledger = attrs.field(factory=Ledger)
-    _stored_by_key: dict[str, StoredObject] = attrs.field(factory=dict)
     _endpoint_ids_by_service: dict[str, dict[str, None]] = attrs.field(factory=dict)
     _workspaces_by_token: dict[str, Workspace] = attrs.field(factory=dict)
 
+    @property
+    def version(self) -> int:
+        """The store-wide version of the newest change taken in."""
+        return self.mirror.version
+
+    @property
+    def config_version(self) -> int:
+        """The newest version of an object taken in."""
+        return self.mirror.newest
+
     def replace(self, listing: Listing) -> bool:
         """Take in a whole listing.
 
         Returns:
             Whether it was taken: an older one than is in force is not.
         """
-        if listing.version < self.version:
-            return False
-        listed = {stored.key for stored in listing.objects}
-        for key in [key for key in self.versions_by_key if key not in listed]:
-            removed = msgspec.Raw(REMOVED)
-            self._apply(StoredObject(key=key, version=listing.version, value=removed))
-        for stored in listing.objects:
+        changed = self.mirror.replace(listing)
+        for stored in changed or ():
             self._apply(stored)
-        self.version = listing.version
-        return True
+        return changed is not None
 
     def advance(self, changes: Listing) -> None:
         """Take in changes from a watch. Late ones change nothing."""
-        for stored in changes.objects:
+        for stored in self.mirror.advance(changes):
             self._apply(stored)
-        self.version = max(self.version, changes.version)
-
-    def current_versions(self) -> dict[str, int]:
-        """Return the versions of the objects that exist."""
-        return {
-            key: stored.version
-            for key, stored in self._stored_by_key.items()
-            if not stored.is_removed
-        }
 
     def changes_after(self, version: int) -> Listing:
         """Return the newest state of all objects that changed after a version."""
-        changed = (
-            stored
-            for stored in self._stored_by_key.values()
-            if stored.version > version
-        )
-        return Listing(version=self.version, objects=tuple(changed))
+        return self.mirror.changes_after(version)
+
+    def current_versions(self) -> dict[str, int]:
+        """Return the versions of the objects that exist."""
+        return self.mirror.current_versions()
 
     def endpoints_of(self, service_id: str) -> list[Endpoint]:
         """Return the endpoints of one service."""
@@ -124,11 +113,6 @@
         return self._workspaces_by_token.get(token_sha256)
 
     def _apply(self, stored: StoredObject) -> None:
-        if stored.version <= self.versions_by_key.get(stored.key, 0):
-            return
-        self.versions_by_key[stored.key] = stored.version
-        self.config_version = max(self.config_version, stored.version)
-        self._stored_by_key[stored.key] = stored
         if stored.key == LEDGER_KEY:
             self.ledger = Ledger() if stored.is_removed else read_ledger(stored.value)
         _, _, rest = stored.key.partition(CONFIG_PREFIX)
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -290,10 +290,11 @@
         progress.waiting_since = self._clock.monotonic()
         self._metrics.count(Metric.LOST, loss.kind)
         was_attached = loss.step == "attach"
-        if is_gone(loss.kind, was_attached=was_attached):
+        gone = is_gone(loss.kind, was_attached=was_attached)
+        if gone:
             live.eject(self._clock.monotonic())
-        if is_gone(loss.kind, was_attached=was_attached) or loss.kind is RESET:
-            self._fleet.note_loss(live)
+        if gone or loss.kind is RESET:
+            self._fleet.note_loss(live, is_gone=gone)
         if loss.kind is LossKind.REPLACED:
             live.note_ended()
         if is_death(loss.kind, was_attached=was_attached):
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -171,11 +171,12 @@
             self._peak_at = now
         self.own_streams -= 1
 
-    def view(self, *, is_shaky: bool = False) -> EndpointView:
+    def view(self, *, is_shaky: bool = False, others_tokens: int = 0) -> EndpointView:
         """Return what decisions read.
 
         Args:
             is_shaky: Whether a run was lost in its failure domain a moment ago.
+            others_tokens: The tokens that other hosts' runs take there.
         """
         return EndpointView(
             id=self.endpoint.id,
@@ -189,7 +190,7 @@
             ejected_until=self.ejected_until,
             resume_tokens=self.resume_tokens,
             is_shaky=is_shaky,
-            held_tokens=self.held_tokens,
+            held_tokens=self.held_tokens + others_tokens,
             capacity_tokens=self.capacity_tokens,
         )
 
@@ -219,6 +220,12 @@
             self.endpoint.id, self.endpoint.incarnation, channel="its address"
         )
 
+    @property
+    def is_ejected(self) -> bool:
+        """Whether it gets no new work for now."""
+        until = self.ejected_until
+        return until is not None and until > self._clock.monotonic()
+
     def eject(self, now: timedelta) -> None:
         """Give it no new work for a while, longer each time."""
         self.ejected_until = now + self._ejection
@@ -330,6 +337,7 @@
         bounds_by_phase: Where silence limits may move.
         capacity_of: Returns the tokens that an endpoint's memory holds, by its
             service; 0 where that is not known.
+        others_tokens: Returns the tokens that other hosts' runs take at an endpoint.
     """
 
     def __init__(
@@ -341,6 +349,7 @@
         departures: Departures | None = None,
         bounds_by_phase: dict[Phase, SilenceBounds] | None = None,
         capacity_of: Callable[[str], int] = lambda service: 0,
+        others_tokens: Callable[[str], int] = lambda endpoint_id: 0,
     ) -> None:
         self._catalog = catalog
         self._clock = clock
@@ -350,6 +359,8 @@
         self._capacity_of = capacity_of
         self._live_by_id: dict[str, LiveEndpoint] = {}
         self._lag = LagMeter(clock=clock)
+        self._others_tokens = others_tokens
+        self._losses: list[str] = []
         self._lost_at_by_domain: dict[str, timedelta] = {}
 
     def find(self, endpoint_id: str) -> LiveEndpoint | None:
@@ -376,17 +387,47 @@
         """Return whether an endpoint is known, and neither leaving nor ejected."""
         if endpoint_id not in self._catalog.endpoints_by_id:
             return False
-        view = self.find(endpoint_id).view()
-        ejected_until = view.ejected_until
-        is_ejected = (
-            ejected_until is not None and ejected_until > self._clock.monotonic()
-        )
-        return view.state is EndpointState.ACTIVE and not is_ejected
+        live = self.find(endpoint_id)
+        return live.view().state is EndpointState.ACTIVE and not live.is_ejected
 
-    def note_loss(self, live: LiveEndpoint) -> None:
-        """Take in that a run was lost: its whole failure domain may be going."""
+    def note_loss(self, live: LiveEndpoint, *, is_gone: bool) -> None:
+        """Take in that a run was lost: its whole failure domain may be going.
+
+        Args:
+            live: Where it was lost.
+            is_gone: Whether the endpoint itself is out of reach.
+        """
         domain = live.endpoint.failure_domain
         self._lost_at_by_domain[domain] = self._clock.monotonic()
+        if is_gone:
+            self._losses.append(live.endpoint.id)
+
+    def note_peer_loss(self, endpoint_id: str) -> None:
+        """Take in that a peer found an endpoint gone.
+
+        Where this host's own runs go on there, it knows better.
+        """
+        if endpoint_id not in self._catalog.endpoints_by_id:
+            return
+        live = self.find(endpoint_id)
+        now = self._clock.monotonic()
+        self._lost_at_by_domain[live.endpoint.failure_domain] = now
+        if not live.own_streams and not live.is_ejected:
+            live.eject(now)
+            log_event("endpoints", "A peer found it gone.", peer=endpoint_id)
+
+    def take_losses(self) -> list[str]:
+        """Return the endpoints found gone since the last call."""
+        losses, self._losses = self._losses, []
+        return sorted(set(losses))
+
+    def held_tokens_by_endpoint(self) -> dict[str, int]:
+        """Return what this host's runs take in endpoints' memory, where they do."""
+        return {
+            endpoint_id: live.held_tokens
+            for endpoint_id, live in self._live_by_id.items()
+            if live.held_tokens
+        }
 
     def _is_shaky(self, domain: str) -> bool:
         lost_at = self._lost_at_by_domain.get(domain)
@@ -412,7 +453,10 @@
         )
         found = (self.find(endpoint.id) for endpoint in placed)
         return [
-            live.view(is_shaky=self._is_shaky(live.endpoint.failure_domain))
+            live.view(
+                is_shaky=self._is_shaky(live.endpoint.failure_domain),
+                others_tokens=self._others_tokens(live.endpoint.id),
+            )
             for live in found
             if live is not None
         ]
--- /dev/null
+++ b/passtally/host_news.py
@@ -0,0 +1,141 @@
+"""Tells peers what this host's runs take at endpoints, and hears it of theirs.
+
+Without it each host would see its own runs only, and hosts that choose the least
+loaded endpoint at the same moment would choose the same one.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import attrs
+
+from passtally.clock import Clock
+from passtally.fleet import Fleet
+from passtally.peers import HostNews, Peers
+from passtally.roster import Roster
+
+#: How often changes are told, where there are few hosts to tell.
+TELL_INTERVAL = timedelta(milliseconds=100)
+#: Each host to be told makes the interval longer, so that the cost is bounded.
+TELL_PER_HOST = timedelta(milliseconds=8)
+#: Loads that did not change are told again this often, for peers that missed them.
+REPEAT_INTERVAL = timedelta(seconds=2)
+#: Loads that were not told again are forgotten: their host may be gone.
+FORGET_AFTER = timedelta(seconds=5)
+#: Above this number of hosts, only those of the same failure domain are told.
+MAX_TOLD = 24
+
+
+@attrs.frozen(kw_only=True)
+class _Heard:
+    tokens_by_endpoint: dict[str, int]
+    heard_at: timedelta
+
+
+class LoadBoard:
+    """What the other hosts' runs take at endpoints. Pure."""
+
+    def __init__(self) -> None:
+        self._heard_by_host: dict[str, _Heard] = {}
+        self._totals: dict[str, int] = {}
+
+    def take(
+        self, host_id: str, tokens_by_endpoint: dict[str, int], *, now: timedelta
+    ) -> None:
+        """Take in one host's loads."""
+        self._heard_by_host[host_id] = _Heard(
+            tokens_by_endpoint=tokens_by_endpoint, heard_at=now
+        )
+        self._sum()
+
+    def forget_old(self, now: timedelta) -> None:
+        """Forget the hosts that were not heard of for long."""
+        old = [
+            host_id
+            for host_id, heard in self._heard_by_host.items()
+            if now - heard.heard_at > FORGET_AFTER
+        ]
+        for host_id in old:
+            del self._heard_by_host[host_id]
+        if old:
+            self._sum()
+
+    def tokens(self, endpoint_id: str) -> int:
+        """Return the tokens that the others' runs take at an endpoint."""
+        return self._totals.get(endpoint_id, 0)
+
+    def _sum(self) -> None:
+        self._totals = {}
+        for heard in self._heard_by_host.values():
+            for endpoint_id, tokens in heard.tokens_by_endpoint.items():
+                self._totals[endpoint_id] = self._totals.get(endpoint_id, 0) + tokens
+
+
+class NewsExchange:
+    """Tells and hears news.
+
+    Args:
+        host_id: This host's name.
+        failure_domain: Where it stands.
+        board: Where the others' loads go.
+        fleet: The endpoints.
+        peers: The links.
+        roster: Who is there.
+        clock: The clock.
+        on_lost: Called with each endpoint that a peer found gone.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        failure_domain: str,
+        board: LoadBoard,
+        fleet: Fleet,
+        peers: Peers,
+        roster: Roster,
+        clock: Clock,
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._host_id = host_id
+        self._failure_domain = failure_domain
+        self._board = board
+        self._fleet = fleet
+        self._peers = peers
+        self._roster = roster
+        self._clock = clock
+        self._on_lost = on_lost
+        self._told: dict[str, int] = {}
+        self._told_at = timedelta(0)
+        peers.listen(HostNews, self._hear)
+
+    async def run(self) -> None:
+        """Tell changes, for ever."""
+        while True:
+            host_ids = self._audience()
+            await self._clock.sleep(max(TELL_INTERVAL, len(host_ids) * TELL_PER_HOST))
+            self._board.forget_old(self._clock.monotonic())
+            await self._tell(host_ids)
+
+    def _audience(self) -> list[str]:
+        rows = self._roster.others()
+        if len(rows) > MAX_TOLD:
+            rows = [row for row in rows if row.failure_domain == self._failure_domain]
+        return [row.host_id for row in rows]
+
+    async def _tell(self, host_ids: list[str]) -> None:
+        tokens = self._fleet.held_tokens_by_endpoint()
+        lost = self._fleet.take_losses()
+        now = self._clock.monotonic()
+        is_due = bool(tokens) and now - self._told_at > REPEAT_INTERVAL
+        if tokens == self._told and not lost and not is_due:
+            return
+        self._told, self._told_at = tokens, now
+        news = HostNews(host_id=self._host_id, tokens_by_endpoint=tokens, lost=lost)
+        await self._peers.tell(host_ids, news)
+
+    def _hear(self, news: HostNews) -> None:
+        now = self._clock.monotonic()
+        self._board.take(news.host_id, news.tokens_by_endpoint, now=now)
+        for endpoint_id in news.lost:
+            self._on_lost(endpoint_id)
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 import attrs
+import msgspec
 
 from passtally.clock import Clock
 from passtally.peers import DepartureRow, Hello, MemberRow, PeerError, Peers
@@ -56,17 +57,18 @@
 
     Args:
         own: This host's first row.
+        alive_for: A host that nobody has heard for this long is out of reach.
     """
 
-    def __init__(self, *, own: MemberRow) -> None:
+    def __init__(self, *, own: MemberRow, alive_for: timedelta = ALIVE_FOR) -> None:
         self.own = own
+        self._alive_for = alive_for
         self._known_by_id: dict[str, _Known] = {}
 
     def beat(self, *, config_version: int, leaving: bool) -> MemberRow:
         """Count this host's own heartbeat up and return its row."""
-        self.own = MemberRow(
-            host_id=self.own.host_id,
-            failure_domain=self.own.failure_domain,
+        self.own = msgspec.structs.replace(
+            self.own,
             counter=self.own.counter + 1,
             config_version=config_version,
             leaving=leaving,
@@ -98,21 +100,23 @@
         """Return the living host with the highest configuration version."""
         best = ("", 0)
         for name, known in self._known_by_id.items():
-            is_alive = now - known.heard_at < ALIVE_FOR
+            is_alive = now - known.heard_at < self._alive_for
             if is_alive and known.row.config_version > best[1]:
                 best = (name, known.row.config_version)
         return best
 
+    def alive_rows(self, now: timedelta) -> list[MemberRow]:
+        """Return the rows of the other hosts that are in reach."""
+        return [
+            known.row
+            for known in self._known_by_id.values()
+            if now - known.heard_at < self._alive_for
+        ]
+
     def _outrun(self, row: MemberRow) -> None:
         """Go above a counter from before a restart, so that news is not ignored."""
         if row.counter > self.own.counter:
-            self.own = MemberRow(
-                host_id=self.own.host_id,
-                failure_domain=self.own.failure_domain,
-                counter=row.counter + 1,
-                config_version=self.own.config_version,
-                leaving=self.own.leaving,
-            )
+            self.own = msgspec.structs.replace(self.own, counter=row.counter + 1)
 
     def _view(self, name: str, now: timedelta) -> MemberView:
         known = self._known_by_id.get(name)
@@ -132,7 +136,7 @@
             config_version=known.row.config_version,
             leaving=known.row.leaving,
             heard_ago=ago,
-            alive=ago < ALIVE_FOR,
+            alive=ago < self._alive_for,
         )
 
 
--- /dev/null
+++ b/passtally/mirror.py
@@ -0,0 +1,77 @@
+"""The newest state of all objects under one prefix, and what changed since. Pure."""
+
+import msgspec
+
+from passtally.object_store import REMOVED, Listing, StoredObject
+
+
+class ObjectMirror:
+    """Takes in listings and changes in any order; older ones change nothing.
+
+    Attributes:
+        version: The store-wide version of the newest change taken in.
+        newest: The newest version of an object taken in.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.newest = 0
+        self._stored_by_key: dict[str, StoredObject] = {}
+
+    @property
+    def versions_by_key(self) -> dict[str, int]:
+        """The version of each object taken in, removed ones too."""
+        return {key: stored.version for key, stored in self._stored_by_key.items()}
+
+    def replace(self, listing: Listing) -> list[StoredObject] | None:
+        """Take in a whole listing.
+
+        Returns:
+            The objects that changed, or None where the listing is older than what
+            was taken in.
+        """
+        if listing.version < self.version:
+            return None
+        listed = {stored.key for stored in listing.objects}
+        removed = [
+            StoredObject(key=key, version=listing.version, value=msgspec.Raw(REMOVED))
+            for key, stored in self._stored_by_key.items()
+            if key not in listed and not stored.is_removed
+        ]
+        changed = self._take([*removed, *listing.objects])
+        self.version = listing.version
+        return changed
+
+    def advance(self, changes: Listing) -> list[StoredObject]:
+        """Take in changes and return those that were new."""
+        changed = self._take(changes.objects)
+        self.version = max(self.version, changes.version)
+        return changed
+
+    def current_versions(self) -> dict[str, int]:
+        """Return the versions of the objects that exist."""
+        return {
+            key: stored.version
+            for key, stored in self._stored_by_key.items()
+            if not stored.is_removed
+        }
+
+    def changes_after(self, version: int) -> Listing:
+        """Return the newest state of all objects that changed after a version."""
+        changed = (
+            stored
+            for stored in self._stored_by_key.values()
+            if stored.version > version
+        )
+        return Listing(version=self.version, objects=tuple(changed))
+
+    def _take(self, objects: "list[StoredObject] | tuple[StoredObject, ...]") -> list:
+        changed = []
+        for stored in objects:
+            known = self._stored_by_key.get(stored.key)
+            if known is not None and stored.version <= known.version:
+                continue
+            self._stored_by_key[stored.key] = stored
+            self.newest = max(self.newest, stored.version)
+            changed.append(stored)
+        return changed
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -25,6 +25,7 @@
 
 _ASK = b"?"
 _REPLY = b"!"
+_TELL = b"."
 
 
 class PeerError(Exception):
@@ -133,6 +134,8 @@
         counter: Goes up with each heartbeat.
         config_version: The configuration version in force there.
         leaving: Whether it is stopping.
+        address: Where its peers reach it; empty where they are told by settings.
+        endpoints_version: The version of the endpoints' entries known there.
     """
 
     host_id: str
@@ -140,6 +143,8 @@
     counter: int
     config_version: int
     leaving: bool
+    address: str = ""
+    endpoints_version: int = 0
 
 
 class DepartureRow(msgspec.Struct, array_like=True, frozen=True):
@@ -160,6 +165,7 @@
     """Send what changed after a version; answered by :class:`ConfigChanges`."""
 
     after: int
+    prefix: str = "config/"
 
 
 class ConfigChanges(msgspec.Struct, tag="config_changes", array_like=True):
@@ -172,6 +178,21 @@
     listing: bytes
 
 
+class HostNews(msgspec.Struct, tag="host_news", array_like=True):
+    """What one host's runs take at endpoints, and which endpoints it lost.
+
+    Attributes:
+        host_id: The host.
+        tokens_by_endpoint: The tokens in each endpoint's memory for its runs and
+            replicas; all that are not zero.
+        lost: Endpoints that it found gone since its last news.
+    """
+
+    host_id: str
+    tokens_by_endpoint: dict[str, int]
+    lost: list[str]
+
+
 Message = (
     StoreCopies
     | CopiesHeld
@@ -184,6 +205,7 @@
     | ConfigChanges
     | FetchResult
     | ResultFound
+    | HostNews
 )
 Answerer = Callable[[Any], Awaitable[Message]]
 
@@ -216,7 +238,9 @@
         self._keys = [key[:64] for key in keys]
         self._context = zmq.asyncio.Context()
         self._sockets_by_id: dict[str, zmq.asyncio.Socket] = {}
+        self._readers_by_id: dict[str, asyncio.Task[None]] = {}
         self._answerers_by_type: dict[type, Answerer] = {}
+        self._listeners_by_type: dict[type, Callable[[Any], None]] = {}
         self._waiting_by_number: dict[int, asyncio.Future[Message]] = {}
         self._numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -237,16 +261,38 @@
         """Answer messages of one type."""
         self._answerers_by_type[kind] = answerer
 
+    def listen(self, kind: type, listener: Callable[[Any], None]) -> None:
+        """Hear messages of one type that need no answer."""
+        self._listeners_by_type[kind] = listener
+
     def start(self) -> None:
         """Listen, and open a link to each peer."""
         router = self._open(zmq.ROUTER)
         router.bind(f"tcp://{self._listen}")
         self._spawn(self._serve(router))
-        for host_id, peer in self._peers_by_id.items():
-            dealer = self._open(zmq.DEALER)
-            dealer.connect(f"tcp://{peer.address}")
-            self._sockets_by_id[host_id] = dealer
-            self._spawn(self._receive_replies(dealer))
+        for peer in self._peers_by_id.values():
+            self._connect(peer)
+
+    def meet(self, peer: PeerAddress) -> None:
+        """Open a link to a peer that was not known, or whose address changed."""
+        known = self._peers_by_id.get(peer.host_id)
+        if peer == known:
+            return
+        self.forget(peer.host_id)
+        self._peers_by_id[peer.host_id] = peer
+        self._connect(peer)
+
+    def forget(self, host_id: str) -> None:
+        """Close the link to a peer."""
+        if self._peers_by_id.pop(host_id, None) is None:
+            return
+        self._readers_by_id.pop(host_id).cancel()
+        self._sockets_by_id.pop(host_id).close(linger=0)
+
+    def find(self, address: Address) -> list[str]:
+        """Return the names of the peers at an address."""
+        peers = self._peers_by_id.values()
+        return [peer.host_id for peer in peers if peer.address == address]
 
     async def stop(self) -> None:
         """Close all links at once; what was not sent is dropped."""
@@ -255,6 +301,17 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._context.destroy(linger=0)
 
+    async def tell(self, host_ids: Sequence[str], message: Message) -> None:
+        """Send a message that needs no answer; it may be lost."""
+        for host_id in host_ids:
+            socket = self._sockets_by_id.get(host_id)
+            if socket is None:
+                continue
+            try:
+                await self._send(socket, [_TELL, _pack_number(0)], message)
+            except zmq.Again:
+                log_event("peers", "Dropped news, the link is full.", peer=host_id)
+
     async def ask(
         self, host_id: str, message: Message, *, timeout: timedelta = ASK_TIMEOUT
     ) -> Message:
@@ -278,6 +335,13 @@
         finally:
             del self._waiting_by_number[number]
 
+    def _connect(self, peer: PeerAddress) -> None:
+        dealer = self._open(zmq.DEALER)
+        dealer.connect(f"tcp://{peer.address}")
+        self._sockets_by_id[peer.host_id] = dealer
+        reader = self._spawn(self._receive_replies(dealer))
+        self._readers_by_id[peer.host_id] = reader
+
     def _open(self, kind: int) -> zmq.asyncio.Socket:
         socket = self._context.socket(kind)
         socket.setsockopt(zmq.LINGER, 0)
@@ -289,13 +353,21 @@
     async def _serve(self, router: zmq.asyncio.Socket) -> None:
         while True:
             frames = await router.recv_multipart()
-            if len(frames) != 5 or frames[1] != _ASK:
+            if len(frames) != 5 or frames[1] not in (_ASK, _TELL):
                 continue
             message = self._read(frames[1:])
+            if frames[1] == _TELL:
+                self._hear(message)
+                continue
             answerer = self._answerers_by_type.get(type(message))
             if answerer is not None:
                 self._spawn(self._answer(router, frames, answerer, message))
 
+    def _hear(self, message: Message | None) -> None:
+        listener = self._listeners_by_type.get(type(message))
+        if listener is not None:
+            listener(message)
+
     async def _answer(
         self,
         router: zmq.asyncio.Socket,
@@ -341,10 +413,11 @@
             log_event("peers", "Dropped a message of another version.", why=error)
             return None
 
-    def _spawn(self, work: Any) -> None:
+    def _spawn(self, work: Any) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def _pack_number(number: int) -> bytes:
--- a/passtally/platform/host.py
+++ b/passtally/platform/host.py
@@ -12,6 +12,7 @@
 from passtally.catalog import Catalog
 from passtally.clock import Clock
 from passtally.decision import log_event
+from passtally.departures import Departures
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.endpoint_book import EndpointBook
@@ -19,11 +20,14 @@
 from passtally.follower import Follower
 from passtally.front import Front
 from passtally.gate import Gate
+from passtally.host_news import LoadBoard, NewsExchange
 from passtally.http_client import ConnectionPool
 from passtally.http_server import Exchange, HttpServer, ServerLimits
+from passtally.membership import Gossip, MemberTable
 from passtally.metrics import GAUGE_INTERVAL, Metric, TextMetrics
 from passtally.object_store import Listing
 from passtally.objects import Endpoint, Service, ServiceKind
+from passtally.peers import MemberRow, Peers
 from passtally.plain import PlainCaller
 from passtally.platform.decode import decode_endpoint, decode_routes
 from passtally.platform.ingress import Ingress, encode_ready
@@ -31,6 +35,7 @@
 from passtally.platform.store import PlatformStore
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
+from passtally.roster import Roster
 from passtally.routes import RoutesInForce, ServiceInfo
 from passtally.settings import Address, Settings, parse_address
 from passtally.silence import Phase, SilenceBounds
@@ -48,8 +53,12 @@
 RELIST_PAUSE = timedelta(milliseconds=200)
 #: Left of a stop's grace for breaking off streams and closing connections.
 STOP_MARGIN = timedelta(milliseconds=600)
-#: Hosts that may share a budget; each keeps to its part without asking the others.
-BUDGET_HOSTS = 16
+#: A host counts on at least this many that share a budget: it may have just started,
+#: or be cut off from most.
+MIN_BUDGET_HOSTS = 8
+#: Hosts tell of themselves each second; one that was not heard of for this long is
+#: out of reach. It is short, so that the loads of a dead host are soon forgotten.
+ALIVE_FOR = timedelta(seconds=8)
 #: No request is refused for the endpoints that died under it: here they die in
 #: groups, whatever they run.
 MAX_DEATHS = 1000
@@ -100,9 +109,13 @@
             ("missing endpoints", self.book.run),
             ("silence", self.fleet.watch_silence),
             ("gate", self.gate.run),
+            ("gossip", self.gossip.run),
+            ("roster", lambda: self.roster.run(self.gossip)),
+            ("news", self.news.run),
             ("gauges", self._report_gauges),
         ):
             self._spawn(keep_running(name, work, clock=self.clock))
+        self.peers.start()
         await self._listen()
         log_event("daemon", "Started.", listen=self.settings.listen)
 
@@ -113,6 +126,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.stop()
         self.pool.close()
         await self._session.close()
         log_event("daemon", "Stopped.")
@@ -151,7 +165,10 @@
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         self.store = PlatformStore(session=self._session, url=self.settings.platform)
+        self._build_links()
+        self.board = LoadBoard()
         self.fleet = Fleet(
+            others_tokens=self.board.tokens,
             catalog=self.catalog,
             clock=self.clock,
             connect=self._connect,
@@ -171,6 +188,35 @@
             reach_changed=self.book.note_reach,
         )
 
+    def _build_links(self) -> None:
+        """Build what leads to the other hosts."""
+        settings = self.settings
+        self.peers = Peers(
+            host_id=settings.host_id,
+            listen=settings.peer_listen,
+            peers_by_id={},
+            keys=list(settings.resume_keys.values()),
+        )
+        own = MemberRow(
+            host_id=settings.host_id,
+            failure_domain=settings.failure_domain,
+            counter=int(self.clock.now().timestamp()),
+            config_version=0,
+            leaving=False,
+            address=str(settings.peer_listen),
+        )
+        table = MemberTable(own=own, alive_for=ALIVE_FOR)
+        self.gossip = Gossip(
+            table=table,
+            peers=self.peers,
+            clock=self.clock,
+            rng=random.Random(),
+            departures=Departures(),
+        )
+        self.roster = Roster(
+            seeds=settings.seeds, table=table, peers=self.peers, clock=self.clock
+        )
+
     def _follow(self, prefix: str, **options: Any) -> Follower:
         return Follower(
             prefix=prefix,
@@ -187,7 +233,18 @@
         """Build what carries requests."""
         settings = self.settings
         budgets = ServiceBudgets(
-            share=settings.retry_share, most=settings.retry_extra / BUDGET_HOSTS
+            share=settings.retry_share,
+            most=lambda: settings.retry_extra / max(self.roster.peak, MIN_BUDGET_HOSTS),
+        )
+        self.news = NewsExchange(
+            host_id=settings.host_id,
+            failure_domain=settings.failure_domain,
+            board=self.board,
+            fleet=self.fleet,
+            peers=self.peers,
+            roster=self.roster,
+            clock=self.clock,
+            on_lost=self.fleet.note_peer_loss,
         )
         self.gate = Gate(fleet=self.fleet, clock=self.clock)
         self.dispatcher = Dispatcher(
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -1,6 +1,6 @@
 """Reads the platform's settings file into the product's settings."""
 
-import secrets
+import hashlib
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -26,6 +26,7 @@
     "listen": "listen.front",
     "peer_listen": "listen.control",
     "ready_listen": "listen.ready",
+    "seeds": "seeds",
     "retry_share": "bounds.retry_budget_ratio",
     "retry_extra": "bounds.budget_extra",
 }
@@ -65,14 +66,27 @@
     texts["metrics_listen"] = f"{values_by_key.get('ip', '')}:{METRICS_PORT}"
     texts["grace"] = values_by_key.get("bounds.grace_s", "8") + "s"
     texts["balancer_lag"] = BALANCER_LAG
-    # Callers bring no resume handles here, so no other host has to know the key.
-    texts["resume_keys"] = f"own:{secrets.token_hex(16)}"
+    texts["resume_keys"] = f"platform:{_derive_key(values_by_key)}"
     try:
         return check_settings(texts)
     except SettingsError as error:
         raise _name_keys(error) from error
 
 
+def _derive_key(values_by_key: Mapping[str, str]) -> str:
+    """Return a key that all hosts of one installation have, and others don't.
+
+    The platform hands out no secret. The key keeps hosts from hearing those of
+    another installation at a reused address; it is no defence against an attacker.
+    """
+    shared = sorted(
+        f"{key}={value}"
+        for key, value in values_by_key.items()
+        if key.startswith(("zones.", "platform.address"))
+    )
+    return hashlib.blake2b("\n".join(shared).encode(), digest_size=16).hexdigest()
+
+
 def _name_keys(error: SettingsError) -> SettingsError:
     """Return the error with the settings file's own names."""
     keys_by_flag = {
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -1,5 +1,6 @@
 """Lets repeats be a share of the requests, so that they can't pile up. Pure."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -89,14 +90,16 @@
 
     Args:
         share: How many repeats each request earns.
-        most: How many this host may save up for one service.
+        most: Returns how many this host may save up for one service now.
         resume_part: The part of it that only resumes may use.
     """
 
-    def __init__(self, *, share: float, most: float, resume_part: float = 0.5) -> None:
+    def __init__(
+        self, *, share: float, most: Callable[[], float], resume_part: float = 0.5
+    ) -> None:
         self._share = share
         self._most = most
-        self._kept_back = resume_part * most
+        self._resume_part = resume_part
         self._by_service: dict[str, RetryBudget] = {}
 
     def earn(self, workspace: str, *, service: str = "") -> None:
@@ -105,7 +108,7 @@
 
     def try_spend(self, workspace: str, *, service: str = "") -> bool:
         """Take a repeat, unless only what is kept back is left."""
-        return self._take(service, above=self._kept_back)
+        return self._take(service, above=self._resume_part * self._most())
 
     def try_resume(self, workspace: str, *, service: str = "") -> bool:
         """Take a resume from all that is left."""
@@ -119,8 +122,11 @@
         return True
 
     def _of(self, service: str) -> RetryBudget:
-        if service not in self._by_service:
-            self._by_service[service] = RetryBudget(
-                share=self._share, most=self._most, saved=self._most
-            )
-        return self._by_service[service]
+        most = self._most()
+        budget = self._by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(share=self._share, most=most, saved=most)
+            self._by_service[service] = budget
+        budget.most = most
+        budget.saved = min(budget.saved, most)
+        return budget
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -60,6 +60,11 @@
     return Address(host=host.strip("[]"), port=number)
 
 
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Read ``IP:PORT,IP:PORT``; empty for none."""
+    return tuple(parse_address(item) for item in text.split(",") if item)
+
+
 def parse_optional_address(text: str) -> Address | None:
     """Read ``IP:PORT``; empty for none."""
     return parse_address(text) if text else None
@@ -210,6 +215,9 @@
     grace: timedelta = _setting(
         parse_duration, "How long a stop may take before the process is killed.", "8s"
     )
+    seeds: tuple[Address, ...] = _setting(
+        parse_addresses, "Where some other hosts may be reached, IP:PORT,...", ""
+    )
     retry_share: float = _setting(
         parse_share, "How many repeats each request to a service earns.", "0.1"
     )
