Place prompts where they are read soonest

Cause: load was counted in memory held. News of loads came 100 ms apart.

Change: hosts tell what is still to be read beside what is held, within 20 ms of a change; a new prompt goes where the least is to be read, memory counting a fifth, another failure domain as 1,000 tokens; nearly equal engines stand in an order that the prompt decides. The limit for a first event is 1.5 s and twice the time that reading takes.

Ruled out: a queue at the host; it only moves the wait.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -13,7 +13,7 @@
 from passtally.generation import Attempt, Generation, SeamError
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
-from passtally.relay import Relay, Sink, count_resume_tokens
+from passtally.relay import Relay, Sink, count_held_tokens, count_resume_tokens
 from passtally.replica import ReplicaKeeper
 from passtally.retry import (
     UNRUN_KINDS,
@@ -184,6 +184,7 @@
             sink=sink,
             clock=self._clock,
             replica=self._fleet.find(attempt.replica_id),
+            load_changed=self._fleet.load_changed.set,
             on_first=lambda: self._time_first(generation, progress),
         )
         keeper = ReplicaKeeper(
@@ -233,6 +234,7 @@
                     failure_domain=request.failure_domain or self._failure_domain,
                     exclude=progress.excluded,
                     resume_tokens=count_resume_tokens(generation),
+                    tokens=count_held_tokens(generation),
                 ),
                 self._fleet.views(request.service),
                 now=self._clock.monotonic(),
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -12,6 +12,7 @@
 from passtally.departures import Departures
 from passtally.engine import Engine, LoadReport
 from passtally.objects import Endpoint, EndpointState, is_placed
+from passtally.peers import TokenLoad
 from passtally.retry import LossKind
 from passtally.routing import EndpointView
 from passtally.silence import (
@@ -46,6 +47,8 @@
 
     Attributes:
         quiet_since: Since when no read was seen.
+        first_limit: When it is given up before its first output though its endpoint
+            lives; None for the endpoint's own limit.
         reads: How many reads brought output.
         is_waiting: Whether it waits for output; not while the caller is written to.
         seen_reads: The reads that the watch has seen.
@@ -55,6 +58,7 @@
     """
 
     quiet_since: timedelta
+    first_limit: timedelta | None = None
     reads: int = 0
     is_waiting: bool = True
     seen_reads: int = 0
@@ -140,6 +144,8 @@
         self.resume_tokens = 0
         #: Tokens that its memory holds for this host's runs and replicas.
         self.held_tokens = 0
+        #: Tokens of this host's prompts that it is still to read.
+        self.reading_tokens = 0
         self.capacity_tokens = 0
         #: Calls in a row that were not answered in time.
         self.unanswered_calls = 0
@@ -171,13 +177,16 @@
             self._peak_at = now
         self.own_streams -= 1
 
-    def view(self, *, is_shaky: bool = False, others_tokens: int = 0) -> EndpointView:
+    def view(
+        self, *, is_shaky: bool = False, others: TokenLoad | None = None
+    ) -> EndpointView:
         """Return what decisions read.
 
         Args:
             is_shaky: Whether a run was lost in its failure domain a moment ago.
-            others_tokens: The tokens that other hosts' runs take there.
+            others: What other hosts' runs take there.
         """
+        others = others or TokenLoad()
         return EndpointView(
             id=self.endpoint.id,
             failure_domain=self.endpoint.failure_domain,
@@ -190,7 +199,8 @@
             ejected_until=self.ejected_until,
             resume_tokens=self.resume_tokens,
             is_shaky=is_shaky,
-            held_tokens=self.held_tokens + others_tokens,
+            held_tokens=self.held_tokens + others.held,
+            reading_tokens=self.reading_tokens + others.reading,
             capacity_tokens=self.capacity_tokens,
         )
 
@@ -312,6 +322,8 @@
             guard.spared_since = guard.spared_since or guard.quiet_since
             guard.quiet_since = now
             stuck_after = self.limits_by_phase[guard.phase].stuck_after
+            if guard.phase is Phase.FIRST_TOKEN and guard.first_limit is not None:
+                stuck_after = guard.first_limit
             if stuck_after is not None and now - guard.spared_since > stuck_after:
                 self._log_stuck(guard, now)
                 guard.end(LossKind.RESET)
@@ -337,7 +349,7 @@
         bounds_by_phase: Where silence limits may move.
         capacity_of: Returns the tokens that an endpoint's memory holds, by its
             service; 0 where that is not known.
-        others_tokens: Returns the tokens that other hosts' runs take at an endpoint.
+        others_load: Returns what other hosts' runs take at an endpoint.
     """
 
     def __init__(
@@ -349,7 +361,7 @@
         departures: Departures | None = None,
         bounds_by_phase: dict[Phase, SilenceBounds] | None = None,
         capacity_of: Callable[[str], int] = lambda service: 0,
-        others_tokens: Callable[[str], int] = lambda endpoint_id: 0,
+        others_load: Callable[[str], TokenLoad] = lambda endpoint_id: TokenLoad(),
     ) -> None:
         self._catalog = catalog
         self._clock = clock
@@ -359,7 +371,9 @@
         self._capacity_of = capacity_of
         self._live_by_id: dict[str, LiveEndpoint] = {}
         self._lag = LagMeter(clock=clock)
-        self._others_tokens = others_tokens
+        self._others_load = others_load
+        #: Set when what this host's runs take at endpoints has changed.
+        self.load_changed = asyncio.Event()
         self._losses: list[str] = []
         self._lost_at_by_domain: dict[str, timedelta] = {}
 
@@ -401,6 +415,7 @@
         self._lost_at_by_domain[domain] = self._clock.monotonic()
         if is_gone:
             self._losses.append(live.endpoint.id)
+            self.load_changed.set()
 
     def note_peer_loss(self, endpoint_id: str) -> None:
         """Take in that a peer found an endpoint gone.
@@ -421,12 +436,12 @@
         losses, self._losses = self._losses, []
         return sorted(set(losses))
 
-    def held_tokens_by_endpoint(self) -> dict[str, int]:
-        """Return what this host's runs take in endpoints' memory, where they do."""
+    def loads_by_endpoint(self) -> dict[str, TokenLoad]:
+        """Return what this host's runs take at endpoints, where they take any."""
         return {
-            endpoint_id: live.held_tokens
+            endpoint_id: TokenLoad(held=live.held_tokens, reading=live.reading_tokens)
             for endpoint_id, live in self._live_by_id.items()
-            if live.held_tokens
+            if live.held_tokens or live.reading_tokens
         }
 
     def _is_shaky(self, domain: str) -> bool:
@@ -455,7 +470,7 @@
         return [
             live.view(
                 is_shaky=self._is_shaky(live.endpoint.failure_domain),
-                others_tokens=self._others_tokens(live.endpoint.id),
+                others=self._others_load(live.endpoint.id),
             )
             for live in found
             if live is not None
--- a/passtally/host_news.py
+++ b/passtally/host_news.py
@@ -4,31 +4,33 @@
 loaded endpoint at the same moment would choose the same one.
 """
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 import attrs
 
 from passtally.clock import Clock
 from passtally.fleet import Fleet
-from passtally.peers import HostNews, Peers
+from passtally.peers import HostNews, Peers, TokenLoad
 from passtally.roster import Roster
 
-#: How often changes are told, where there are few hosts to tell.
-TELL_INTERVAL = timedelta(milliseconds=100)
+#: How long changes are gathered before they are told, where few hosts are told.
+TELL_INTERVAL = timedelta(milliseconds=20)
 #: Each host to be told makes the interval longer, so that the cost is bounded.
-TELL_PER_HOST = timedelta(milliseconds=8)
+TELL_PER_HOST = timedelta(milliseconds=4)
 #: Loads that did not change are told again this often, for peers that missed them.
 REPEAT_INTERVAL = timedelta(seconds=2)
 #: Loads that were not told again are forgotten: their host may be gone.
 FORGET_AFTER = timedelta(seconds=5)
+NO_LOAD = TokenLoad()
 #: Above this number of hosts, only those of the same failure domain are told.
 MAX_TOLD = 24
 
 
 @attrs.frozen(kw_only=True)
 class _Heard:
-    tokens_by_endpoint: dict[str, int]
+    loads_by_endpoint: Mapping[str, TokenLoad]
     heard_at: timedelta
 
 
@@ -37,14 +39,18 @@
 
     def __init__(self) -> None:
         self._heard_by_host: dict[str, _Heard] = {}
-        self._totals: dict[str, int] = {}
+        self._totals: dict[str, TokenLoad] = {}
 
     def take(
-        self, host_id: str, tokens_by_endpoint: dict[str, int], *, now: timedelta
+        self,
+        host_id: str,
+        loads_by_endpoint: Mapping[str, TokenLoad],
+        *,
+        now: timedelta,
     ) -> None:
         """Take in one host's loads."""
         self._heard_by_host[host_id] = _Heard(
-            tokens_by_endpoint=tokens_by_endpoint, heard_at=now
+            loads_by_endpoint=loads_by_endpoint, heard_at=now
         )
         self._sum()
 
@@ -60,15 +66,18 @@
         if old:
             self._sum()
 
-    def tokens(self, endpoint_id: str) -> int:
-        """Return the tokens that the others' runs take at an endpoint."""
-        return self._totals.get(endpoint_id, 0)
+    def load(self, endpoint_id: str) -> TokenLoad:
+        """Return what the others' runs take at an endpoint."""
+        return self._totals.get(endpoint_id, NO_LOAD)
 
     def _sum(self) -> None:
         self._totals = {}
         for heard in self._heard_by_host.values():
-            for endpoint_id, tokens in heard.tokens_by_endpoint.items():
-                self._totals[endpoint_id] = self._totals.get(endpoint_id, 0) + tokens
+            for endpoint_id, load in heard.loads_by_endpoint.items():
+                known = self.load(endpoint_id)
+                self._totals[endpoint_id] = TokenLoad(
+                    held=known.held + load.held, reading=known.reading + load.reading
+                )
 
 
 class NewsExchange:
@@ -105,18 +114,28 @@
         self._roster = roster
         self._clock = clock
         self._on_lost = on_lost
-        self._told: dict[str, int] = {}
+        self._told: Mapping[str, TokenLoad] = {}
         self._told_at = timedelta(0)
         peers.listen(HostNews, self._hear)
 
     async def run(self) -> None:
         """Tell changes, for ever."""
         while True:
+            await self._wait_for_change()
             host_ids = self._audience()
             await self._clock.sleep(max(TELL_INTERVAL, len(host_ids) * TELL_PER_HOST))
             self._board.forget_old(self._clock.monotonic())
             await self._tell(host_ids)
 
+    async def _wait_for_change(self) -> None:
+        try:
+            async with asyncio.timeout(REPEAT_INTERVAL.total_seconds()):
+                await self._fleet.load_changed.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._fleet.load_changed.clear()
+
     def _audience(self) -> list[str]:
         rows = self._roster.others()
         if len(rows) > MAX_TOLD:
@@ -124,18 +143,18 @@
         return [row.host_id for row in rows]
 
     async def _tell(self, host_ids: list[str]) -> None:
-        tokens = self._fleet.held_tokens_by_endpoint()
+        loads = self._fleet.loads_by_endpoint()
         lost = self._fleet.take_losses()
         now = self._clock.monotonic()
-        is_due = bool(tokens) and now - self._told_at > REPEAT_INTERVAL
-        if tokens == self._told and not lost and not is_due:
+        is_due = bool(loads) and now - self._told_at > REPEAT_INTERVAL
+        if loads == self._told and not lost and not is_due:
             return
-        self._told, self._told_at = tokens, now
-        news = HostNews(host_id=self._host_id, tokens_by_endpoint=tokens, lost=lost)
+        self._told, self._told_at = loads, now
+        news = HostNews(host_id=self._host_id, loads_by_endpoint=loads, lost=lost)
         await self._peers.tell(host_ids, news)
 
     def _hear(self, news: HostNews) -> None:
         now = self._clock.monotonic()
-        self._board.take(news.host_id, news.tokens_by_endpoint, now=now)
+        self._board.take(news.host_id, news.loads_by_endpoint, now=now)
         for endpoint_id in news.lost:
             self._on_lost(endpoint_id)
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -178,18 +178,29 @@
     listing: bytes
 
 
+class TokenLoad(msgspec.Struct, array_like=True, frozen=True):
+    """What runs take at one endpoint.
+
+    Attributes:
+        held: Tokens in its memory for runs and replicas.
+        reading: Tokens of prompts that it is still to read.
+    """
+
+    held: int = 0
+    reading: int = 0
+
+
 class HostNews(msgspec.Struct, tag="host_news", array_like=True):
     """What one host's runs take at endpoints, and which endpoints it lost.
 
     Attributes:
         host_id: The host.
-        tokens_by_endpoint: The tokens in each endpoint's memory for its runs and
-            replicas; all that are not zero.
+        loads_by_endpoint: What its runs take at each endpoint; all that take any.
         lost: Endpoints that it found gone since its last news.
     """
 
     host_id: str
-    tokens_by_endpoint: dict[str, int]
+    loads_by_endpoint: dict[str, TokenLoad]
     lost: list[str]
 
 
--- a/passtally/platform/host.py
+++ b/passtally/platform/host.py
@@ -168,7 +168,7 @@
         self._build_links()
         self.board = LoadBoard()
         self.fleet = Fleet(
-            others_tokens=self.board.tokens,
+            others_load=self.board.load,
             catalog=self.catalog,
             clock=self.clock,
             connect=self._connect,
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Protocol
 
 import attrs
@@ -20,6 +21,10 @@
 
 #: An estimate is enough for a budget.
 CHARACTERS_A_TOKEN = 4
+#: Prompt tokens that an engine reads in a second: the users' sheets.
+TOKENS_READ_A_SECOND = 5_000
+#: How much longer than twice the reading a first output may take.
+FIRST_SLACK = timedelta(seconds=1.5)
 #: Engines take lower numbers first; new requests have 10 or more.
 RESUME_PRIORITY = 0
 
@@ -48,6 +53,7 @@
         sink: Where its output goes.
         clock: The clock.
         replica: Where a replica of its state is kept, if anywhere.
+        load_changed: Called when what it takes at endpoints has changed.
         on_first: Called before its first output is passed on.
     """
 
@@ -60,6 +66,7 @@
         sink: Sink,
         clock: Clock,
         replica: LiveEndpoint | None = None,
+        load_changed: Callable[[], None],
         on_first: Callable[[], None],
     ) -> None:
         self._generation = generation
@@ -67,8 +74,10 @@
         self._live = live
         self._sink = sink
         self._replica = replica
+        self._load_changed = load_changed
         self._on_first = on_first
         self._guard = StreamGuard(quiet_since=clock.monotonic())
+        self._resuming = 0
         self._reading = 0
 
     async def run(self, *, attach: bool) -> None:
@@ -84,14 +93,18 @@
         live = self._live
         self._sink.switch(self._generation, self._attempt)
         if not attach:
-            self._reading = count_resume_tokens(self._generation)
+            self._resuming = count_resume_tokens(self._generation)
+            self._reading = count_reading_tokens(self._generation)
+            self._guard.first_limit = _first_limit(live.reading_tokens + self._reading)
         live.enter()
-        live.resume_tokens += self._reading
+        live.resume_tokens += self._resuming
+        live.reading_tokens += self._reading
         live.guards.add(self._guard)
         held = [live] if self._replica is None else [live, self._replica]
         tokens = count_held_tokens(self._generation)
         for endpoint in held:
             endpoint.held_tokens += tokens
+        self._load_changed()
         try:
             await self._pass_on(attach=attach)
         except SeamError as error:
@@ -100,8 +113,9 @@
             for endpoint in held:
                 endpoint.held_tokens -= tokens
             live.guards.discard(self._guard)
-            live.resume_tokens -= self._reading
+            self._end_reading()
             live.leave()
+            self._load_changed()
 
     async def _pass_on(self, *, attach: bool) -> None:
         loop = asyncio.get_running_loop()
@@ -141,10 +155,15 @@
             guard.is_waiting = True
 
     def _note_first(self) -> None:
-        self._live.resume_tokens -= self._reading
-        self._reading = 0
+        self._end_reading()
+        self._load_changed()
         self._on_first()
 
+    def _end_reading(self) -> None:
+        self._live.resume_tokens -= self._resuming
+        self._live.reading_tokens -= self._reading
+        self._resuming = self._reading = 0
+
     async def _deliver(self, events: list[TokenEvent]) -> None:
         """Join events on and write what is new, also what came before a bad seam."""
         deliveries: list[Delivery] = []
@@ -169,6 +188,19 @@
     return request.prompt_tokens + request.max_tokens
 
 
+def count_reading_tokens(generation: Generation) -> int:
+    """Return the tokens to read before a run's next output, where that is known."""
+    prompt_tokens = generation.request.prompt_tokens
+    return prompt_tokens + generation.position if prompt_tokens else 0
+
+
+def _first_limit(tokens: int) -> timedelta | None:
+    """Return how long a first output may take after so many tokens to read."""
+    if not tokens:
+        return None
+    return FIRST_SLACK + 2 * tokens / TOKENS_READ_A_SECOND * timedelta(seconds=1)
+
+
 def count_resume_tokens(generation: Generation) -> int:
     """Return the tokens to read before an answer that has begun goes on."""
     if not generation.delivered:
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -26,6 +26,8 @@
         resume_tokens: Tokens that this host's resumes still make it read.
         is_shaky: Whether a run was lost in its failure domain a moment ago.
         held_tokens: Tokens in its memory for this host's runs and replicas.
+        reading_tokens: Tokens of prompts that it is still to read, all hosts' as far
+            as they are known.
         capacity_tokens: The tokens that its memory holds; 0 where that is not known.
     """
 
@@ -41,6 +43,7 @@
     resume_tokens: int = 0
     is_shaky: bool = False
     held_tokens: int = 0
+    reading_tokens: int = 0
     capacity_tokens: int = 0
 
     @property
@@ -74,12 +77,14 @@
         exclude: Endpoints that lost this request before.
         resume_tokens: The tokens that an endpoint must read to go on with an
             answer; 0 for a new request.
+        tokens: What it may take in an endpoint's memory; 0 where that is not known.
     """
 
     affinity: bytes
     failure_domain: str
     exclude: Collection[str] = ()
     resume_tokens: int = 0
+    tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -108,6 +113,12 @@
 #: before its prefixes go to the next one.
 LOAD_BOUND = 1.2
 SLACK = 0.05
+#: What a token in an endpoint's memory counts against one that is still to be read.
+HELD_WEIGHT = 0.2
+#: Another failure domain counts as so many more tokens to read: a fifth of a prompt.
+FAR_TOKENS = 1_000
+#: Endpoints count as equal within so many tokens.
+EQUAL_TOKENS = 1_000
 #: Candidates named in a decision's log line.
 MAX_LOGGED = 4
 #: Above this load an endpoint is passed over while another is below it.
@@ -136,6 +147,8 @@
         return RouteDecision(
             endpoint_id=None, candidates=(), reason="no usable endpoint"
         )
+    if all(view.capacity_tokens for view in usable):
+        return _choose_by_tokens(query, usable)
     if query.resume_tokens:
         return _choose_for_resume(query, usable)
     with_room = [view for view in usable if view.load < 1]
@@ -199,6 +212,37 @@
     return min(usable, key=cost).id if usable else ""
 
 
+def _choose_by_tokens(
+    query: RouteQuery, usable: Sequence[EndpointView]
+) -> RouteDecision:
+    """Choose where a prompt is read soonest, among endpoints of known memory.
+
+    Prompts that are still to be read count in full, since a new one waits for them;
+    what is in the memory slows each step a little, until it is full. Nearly equal
+    endpoints stand in an order that the prompt decides, so that hosts that choose at
+    the same moment choose apart.
+    """
+
+    def cost(view: EndpointView) -> tuple[int, bytes]:
+        tokens = view.reading_tokens + HELD_WEIGHT * view.held_tokens
+        if view.failure_domain != query.failure_domain:
+            tokens += FAR_TOKENS
+        if view.held_tokens + query.tokens > view.capacity_tokens:
+            tokens += view.capacity_tokens
+        rank = _affinity_rank(query.affinity, view.id)
+        return round(tokens / EQUAL_TOKENS), rank
+
+    ranked = sorted(usable, key=cost)
+    return RouteDecision(
+        endpoint_id=ranked[0].id,
+        candidates=tuple(
+            f"{view.id}:{view.reading_tokens}+{view.held_tokens}"
+            for view in ranked[:MAX_LOGGED]
+        ),
+        reason="least to read",
+    )
+
+
 def _choose_for_resume(
     query: RouteQuery, usable: Sequence[EndpointView]
 ) -> RouteDecision:
