Prove the raw HTTP sides and a host on the platform before stand-ins

Change: tests of the server and client by raw sockets, stand-ins for the users' store and endpoints, tests of a whole host before them (calls, streams, replicas, store outages, stop, peers).

--- a/passtally/endpoint_book.py
+++ b/passtally/endpoint_book.py
@@ -84,9 +84,9 @@
 
     def note_reach(self, is_reachable: bool) -> None:
         """Take in that the platform went out of reach or came back."""
-        self._is_away = not is_reachable
-        if is_reachable:
+        if is_reachable and self._is_away:
             self._back_at = self._clock.monotonic()
+        self._is_away = not is_reachable
 
     async def run(self) -> None:
         """Drop missing entries once the platform has settled, for ever."""
--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -398,18 +398,25 @@
         """Hand bytes to the parser, a head only once all of it can be checked."""
         self._has_request_bytes = True
         if self._parser.their_state is h11.IDLE:
-            data = self._unchecked + data
-            end = _HEAD_END.search(data)
-            limit = self._server.limits().max_header
-            if end is None and len(data) <= limit:
-                self._unchecked = data
-                return
-            self._unchecked = b""
-            if _AMBIGUOUS_HEAD.search(data[: end.end() if end else limit]):
-                self._problem = BadRequestError(400, "ambiguous line ends in the head")
-        self._parser.receive_data(data)
+            data = self._check_head(self._unchecked + data)
+        if data:
+            self._parser.receive_data(data)
         self._arrived.set()
 
+    def _check_head(self, data: bytes) -> bytes:
+        """Return the bytes to parse: none until a whole head could be checked."""
+        end = _HEAD_END.search(data)
+        length = len(data) if end is None else end.end()
+        if length > self._server.limits().max_header:
+            self._problem = BadRequestError(431, "the head is too long")
+        elif end is not None and _AMBIGUOUS_HEAD.search(data[:length]):
+            self._problem = BadRequestError(400, "ambiguous line ends in the head")
+        elif end is None:
+            self._unchecked = data
+            return b""
+        self._unchecked = b""
+        return data
+
     def _refuse(self, error: BadRequestError) -> None:
         log_event("http", "Refused a request.", status=error.status, why=error)
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- /dev/null
+++ b/standins/object_store.py
@@ -0,0 +1,131 @@
+"""A stand-in for the users' object store: kinds, revisions, watches and faults."""
+
+import asyncio
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+PAGE = 500
+
+
+@attrs.define(kw_only=True)
+class _Change:
+    revision: int
+    kind: str
+    item: dict[str, Any]
+    removed: bool
+
+
+class ObjectStoreStandIn:
+    """Keeps objects in memory and serves them over HTTP.
+
+    Attributes:
+        page: How many objects one page of a listing holds.
+        refusal: A status with which every call is refused, or None.
+        is_silent: Whether calls get no answer.
+        is_deaf: Whether watches hear nothing.
+        calls: How many calls were made.
+    """
+
+    def __init__(self) -> None:
+        self.page = PAGE
+        self.refusal: int | None = None
+        self.is_silent = False
+        self.is_deaf = False
+        self.calls = 0
+        self.revision = 0
+        self._oldest = 0
+        self._items: dict[tuple[str, str], dict[str, Any]] = {}
+        self._changes: list[_Change] = []
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> int:
+        """Listen on the loopback and return the port."""
+        app = web.Application()
+        app.router.add_get("/api/objects/{kind}", self._serve)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        return self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Create or replace an object."""
+        self.revision += 1
+        item = {
+            "metadata": {"name": name, "revision": self.revision, "created": 1},
+            "spec": spec,
+        }
+        self._items[kind, name] = item
+        self._note(_Change(revision=self.revision, kind=kind, item=item, removed=False))
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        item = self._items.pop((kind, name))
+        metadata = item["metadata"] | {"revision": self.revision}
+        item = item | {"metadata": metadata}
+        self._note(_Change(revision=self.revision, kind=kind, item=item, removed=True))
+
+    def forget_history(self) -> None:
+        """Drop all changes; watches from before get 410."""
+        self._changes.clear()
+        self._oldest = self.revision
+        self._changed.set()
+
+    def _note(self, change: _Change) -> None:
+        self._changes.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        if self.is_silent:
+            await asyncio.sleep(3600)
+        if self.refusal is not None:
+            return web.Response(status=self.refusal)
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(kind, request)
+        names = sorted(name for known, name in self._items if known == kind)
+        names = [name for name in names if name > request.query.get("after", "")]
+        items = [self._items[kind, name] for name in names[: self.page]]
+        return web.json_response(
+            {
+                "items": items,
+                "has_more": len(names) > self.page,
+                "store_revision": self.revision,
+            }
+        )
+
+    async def _watch(self, kind: str, request: web.Request) -> web.Response:
+        after = int(request.query["watch"])
+        wait = int(request.query.get("wait_ms", "0")) / 1000
+        until = asyncio.get_running_loop().time() + wait
+        while True:
+            if after < self._oldest:
+                return web.Response(status=410)
+            events = [
+                {"object": change.item, "removed": change.removed}
+                for change in self._changes
+                if change.kind == kind and change.revision > after
+            ]
+            left = until - asyncio.get_running_loop().time()
+            if (events and not self.is_deaf) or left <= 0:
+                return web.json_response(
+                    {
+                        "events": [] if self.is_deaf else events,
+                        "store_revision": after if self.is_deaf else self.revision,
+                    }
+                )
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
--- /dev/null
+++ b/standins/runner.py
@@ -0,0 +1,221 @@
+"""A stand-in for the users' endpoints: plain calls, and streams with replicas."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+PROOF = "3e1b.07.5a2.600.0.c9f2a4d1"
+
+
+@attrs.define(kw_only=True)
+class RunnerFaults:
+    """What a stand-in does wrong.
+
+    Attributes:
+        refusals: How many requests it still refuses unrun.
+        break_after: After how many events of a stream it resets the connection.
+        break_inside: Whether it breaks off inside an event.
+        hang_after: After how many events of a stream it falls silent.
+        lose_answers: How many answers of plain calls it loses after running them.
+        own_status: The status of plain answers.
+        no_proof: Whether its answers lack the proof.
+        other_id: Whether its answers carry another request's id.
+        encoding: The content encoding that its answers claim.
+        extra: Bytes sent after each plain answer.
+        unframed: Whether plain answers come without a length.
+        answer_delay: How long a plain call takes, in seconds.
+    """
+
+    refusals: int = 0
+    break_after: int | None = None
+    break_inside: bool = False
+    hang_after: int | None = None
+    lose_answers: int = 0
+    own_status: int = 200
+    no_proof: bool = False
+    other_id: bool = False
+    encoding: str = ""
+    extra: bytes = b""
+    unframed: bool = False
+    answer_delay: float = 0.0
+
+
+class RunnerStandIn:
+    """One endpoint.
+
+    Args:
+        name: Its id.
+        events: How many events a stream has.
+        gap: The time between two events, in seconds.
+        find: Returns the stand-in at an address, to keep replicas there.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        events: int = 20,
+        gap: float = 0.005,
+        find: "Callable[[str], RunnerStandIn | None]" = lambda address: None,
+    ) -> None:
+        self.name = name
+        self.events = events
+        self.gap = gap
+        self.faults = RunnerFaults()
+        self.requests: list[web.Request] = []
+        self.bodies: list[bytes] = []
+        self.ran: list[str] = []
+        self.replicas: dict[str, int] = {}
+        self.copies: list[str] = []
+        self.attached: list[str] = []
+        self.prompts_read = 0
+        self.closed_early = 0
+        self.address = ""
+        self._find = find
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> str:
+        """Listen on the loopback and return the address."""
+        app = web.Application()
+        app.router.add_post("/api/kv-move", self._copy)
+        app.router.add_delete("/api/kv-handle/{handle}", self._drop)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.05, handler_cancellation=True
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Stop listening, and reset what is open."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def entry(self, service: str, **fields: Any) -> dict[str, Any]:
+        """Return its entry in the store."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "pilar",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        } | fields
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        self.requests.append(request)
+        self.bodies.append(body)
+        if request.headers.get("X-Expect-Instance") != self.name:
+            return web.Response(status=421, headers={"X-Instance-Id": self.name})
+        if self.faults.refusals:
+            self.faults.refusals -= 1
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        if "X-Prefix-Hash" in request.headers:
+            return await self._stream(request)
+        return await self._call(request)
+
+    def _headers(self, request: web.Request) -> dict[str, str]:
+        request_id = request.headers["X-Request-Id"]
+        headers = {"X-Request-Id": "other" if self.faults.other_id else request_id}
+        if not self.faults.no_proof:
+            headers["X-Response-Stamp"] = PROOF
+        if self.faults.encoding:
+            headers["Content-Encoding"] = self.faults.encoding
+        return headers
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        self.ran.append(request.headers["X-Request-Id"])
+        await asyncio.sleep(self.faults.answer_delay)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            request.transport.abort()
+        headers = self._headers(request)
+        body = f"{self.name} {request.raw_path}".encode()
+        if not self.faults.unframed and not self.faults.extra:
+            return web.Response(
+                status=self.faults.own_status, headers=headers, body=body
+            )
+        lines = [f"HTTP/1.1 {self.faults.own_status} OK"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if not self.faults.unframed:
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        request.transport.write(head + body + self.faults.extra)
+        if self.faults.unframed:
+            request.transport.close()
+        await asyncio.sleep(0.05)
+        request.transport.close()
+        return web.Response()
+
+    async def _stream(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers["X-Request-Id"]
+        start = int(request.headers.get("Last-Event-Id", "0"))
+        source = request.headers.get("Kv-From")
+        if source is not None:
+            if self.replicas.pop(source, None) is None:
+                return web.Response(status=503, headers={"X-Not-Executed": "1"})
+            self.attached.append(request_id)
+        else:
+            self.prompts_read += 1
+        replica = self._find(request.headers.get("X-Kv-Backup", ""))
+        response = web.StreamResponse(
+            headers=self._headers(request) | {"Content-Type": "text/event-stream"}
+        )
+        await response.prepare(request)
+        self.ran.append(request_id)
+        try:
+            await self._send_events(request, response, start, replica)
+        except (ConnectionError, asyncio.CancelledError):
+            self.closed_early += 1
+            raise
+        return response
+
+    async def _send_events(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        start: int,
+        replica: "RunnerStandIn | None",
+    ) -> None:
+        request_id = request.headers["X-Request-Id"]
+        for number in range(start + 1, self.events + 1):
+            if self.faults.break_after == number - 1:
+                if self.faults.break_inside:
+                    await response.write(f"id: {number}\ndata: ha".encode())
+                    await asyncio.sleep(0.01)
+                request.transport.abort()
+                return
+            if self.faults.hang_after == number - 1:
+                await asyncio.sleep(3600)
+            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            if replica is not None:
+                replica.replicas[f"{replica.address}/{request_id}"] = number
+            await asyncio.sleep(self.gap)
+
+    async def _copy(self, request: web.Request) -> web.Response:
+        order = json.loads(await request.read())
+        target = self._find(order["target_version"])
+        if target is None:
+            return web.Response(status=503)
+        handle = f"h-{order['id']}"
+        self.copies.append(order["id"])
+        target.replicas[f"{self.address}/{handle}"] = 1
+        return web.json_response({"handle": handle, "created": 1})
+
+    async def _drop(self, request: web.Request) -> web.Response:
+        handle = request.match_info["handle"]
+        kept = {ref: n for ref, n in self.replicas.items() if not ref.endswith(handle)}
+        self.replicas = kept
+        return web.json_response({})
--- /dev/null
+++ b/tests/platform_system.py
@@ -0,0 +1,271 @@
+"""A host on the platform, in this process, before stand-ins."""
+
+import asyncio
+import itertools
+import socket
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import attrs
+
+from passtally.clock import SystemClock
+from passtally.platform.host import PlatformHost
+from passtally.platform.settings import translate
+from standins.object_store import ObjectStoreStandIn
+from standins.runner import RunnerStandIn
+
+KEY = "xd9dnn2ctnfzs989anu6"
+WORKSPACE = "huka270"
+ENGINE = "huvo11a"
+LOOKUPS = "wuno96b"
+
+
+def make_config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a stream route and two routes for calls."""
+
+    def route(name: str, prefix: str, kind: str, service: str, **fields: Any) -> dict:
+        return {
+            "name": name,
+            "hostname": "shop.example",
+            "path_prefix": prefix,
+            "kind": kind,
+            "timeout_ms": 5000,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "service": service,
+            "max_attempts": 1,
+            "public": False,
+        } | fields
+
+    return {
+        "version": version,
+        "routes": [
+            route(
+                "r-stream",
+                "/draft/",
+                "stream",
+                ENGINE,
+                resume_streams=True,
+                max_attempts=5,
+            ),
+            route("r-safe", "/look/", "safe", LOOKUPS, max_attempts=2),
+            route("r-unsafe", "/book/", "unsafe", LOOKUPS),
+        ],
+        "services": [
+            {
+                "name": ENGINE,
+                "health_check_path": "/health",
+                "max_connections": 100,
+                "engine": {
+                    "kv_capacity_tokens": 55000,
+                    "backups": True,
+                    "handle_s": 4.0,
+                },
+            },
+            {
+                "name": LOOKUPS,
+                "health_check_path": "/health",
+                "max_connections": 100,
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": WORKSPACE, "api_keys": [KEY], "priority": 1}],
+    } | changes
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: The status, 0 where none came.
+        headers: The headers, with names in lower case.
+        body: The body, without its framing.
+        is_whole: Whether it looked complete.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    is_whole: bool
+
+
+class PlatformSystem:
+    """The stand-ins and hosts of one test."""
+
+    def __init__(self) -> None:
+        self.store = ObjectStoreStandIn()
+        self.runners: dict[str, RunnerStandIn] = {}
+        self.hosts: list[PlatformHost] = []
+        self._numbers = itertools.count(1)
+        self._store_port = 0
+
+    async def add_runner(
+        self, name: str, service: str = ENGINE, *, zone: str = "pilar", **fields: Any
+    ) -> RunnerStandIn:
+        """Start an endpoint and enter it in the store."""
+        runner = RunnerStandIn(name, find=self._find, **fields)
+        await runner.start()
+        self.runners[name] = runner
+        self.store.put("servers", name, runner.entry(service, zone=zone))
+        return runner
+
+    async def add_host(self, name: str = "front-1", seeds: str = "") -> PlatformHost:
+        """Start a host and wait until it knows what the store has."""
+        if not self._store_port:
+            self._store_port = await self.store.start()
+        free = [str(port) for port in _free_ports(4)]
+        settings = translate(
+            {
+                "node_name": name,
+                "region": "ba-norte",
+                "zone": "pilar",
+                "ip": "127.0.0.1",
+                "listen.front": f"127.0.0.1:{free[0]}",
+                "listen.ready": f"127.0.0.1:{free[1]}",
+                "listen.control": f"127.0.0.1:{free[2]}",
+                "seeds": seeds,
+                "platform.address": f"127.0.0.1:{self._store_port}",
+                "bounds.grace_s": "2",
+                "bounds.retry_budget_ratio": "0.8",
+                "bounds.budget_extra": "150",
+            }
+        )
+        settings = attrs.evolve(settings, metrics_listen=None)
+        host = PlatformHost(settings=settings, clock=SystemClock())
+        await host.start()
+        self.hosts.append(host)
+        return host
+
+    async def wait_ready(self, endpoints: int | None = None) -> None:
+        """Wait until all hosts know the configuration and the endpoints."""
+        wanted = len(self.runners) if endpoints is None else endpoints
+        for host in self.hosts:
+            while not host.is_ready or len(host.catalog.endpoints_by_id) != wanted:
+                await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for host in self.hosts:
+            await host.stop()
+        for runner in self.runners.values():
+            await runner.stop()
+        await self.store.stop()
+
+    async def send(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"",
+        host: PlatformHost | None = None,
+        key: str | None = KEY,
+        **headers: str,
+    ) -> Answer:
+        """Send one request and read its answer to the end."""
+        address = (host or self.hosts[0]).settings.listen
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        lines = {"Host": "shop.example", "Connection": "close"}
+        lines["X-Request-Id"] = f"q{next(self._numbers)}"
+        if key is not None:
+            lines["X-Key"] = key
+        if body or method == "POST":
+            lines["Content-Length"] = str(len(body))
+        lines |= {name.replace("_", "-"): value for name, value in headers.items()}
+        head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+        writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+        try:
+            return await asyncio.wait_for(_read_answer(reader), 20)
+        finally:
+            writer.close()
+
+    async def stream(self, path: str = "/draft/1", **options: Any) -> Answer:
+        """Send a request for a stream."""
+        fields = {
+            "X_Model": "m",
+            "X_Token_Usage": "500,100",
+            "X_Prefix_Hash": f"5c1e07a2:200,{next(self._numbers):x}:300",
+            "X_Deadline_Ms": "10000",
+        }
+        return await self.send(path, **(fields | options))
+
+    def _find(self, address: str) -> RunnerStandIn | None:
+        for runner in self.runners.values():
+            if runner.address == address:
+                return runner
+        return None
+
+
+def run(test: Callable[[PlatformSystem], Awaitable[None]]) -> None:
+    """Run a test before a system that is stopped afterwards."""
+
+    async def main() -> None:
+        system = PlatformSystem()
+        try:
+            await asyncio.wait_for(test(system), 40)
+        finally:
+            await system.stop()
+
+    asyncio.run(main())
+
+
+def expected_events(count: int, *, after: int = 0) -> bytes:
+    """Return the events that a runner stand-in sends."""
+    numbers = range(after + 1, count + 1)
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> Answer:
+    received = b""
+    is_reset = False
+    try:
+        while data := await reader.read(65536):
+            received += data
+    except ConnectionResetError:
+        is_reset = True
+    head, _, rest = received.partition(b"\r\n\r\n")
+    if not head:
+        return Answer(status=0, headers={}, body=b"", is_whole=False)
+    first, *lines = head.decode("latin-1").split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines)
+    }
+    body, is_whole = _unframe(rest, headers)
+    return Answer(
+        status=int(first.split()[1]),
+        headers=headers,
+        body=body,
+        is_whole=is_whole and not is_reset,
+    )
+
+
+def _unframe(rest: bytes, headers: Mapping[str, str]) -> tuple[bytes, bool]:
+    if "content-length" in headers:
+        return rest, len(rest) == int(headers["content-length"])
+    if headers.get("transfer-encoding") != "chunked":
+        return rest, True
+    body = b""
+    while rest:
+        size_text, _, rest = rest.partition(b"\r\n")
+        size = int(size_text or b"0", 16)
+        if size == 0:
+            return body, True
+        body += rest[:size]
+        rest = rest[size + 2 :]
+    return body, False
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,225 @@
+"""The raw HTTP client: nothing repeated, nothing taken for another's answer."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from passtally.clock import SystemClock
+from passtally.http_client import (
+    ConnectionPool,
+    ExchangeError,
+    ExchangeStep,
+    drop_connection_headers,
+)
+from passtally.settings import Address
+
+HEADERS = [(b"Host", b"h")]
+
+
+class Peer:
+    """A peer that sends back what it is told, and counts connections."""
+
+    def __init__(self, *replies: bytes, reset: bool = False, stay: bool = True) -> None:
+        self.replies = list(replies)
+        self.reset = reset
+        self.stay = stay
+        self.connections = 0
+        self.received = b""
+
+    async def __aenter__(self) -> "Peer":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = Address(host=host, port=port)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        while data := await reader.read(65536):
+            self.received += data
+            writer.write(self.replies.pop(0) if self.replies else b"")
+            await asyncio.sleep(0.02)
+            if self.reset:
+                sock = writer.get_extra_info("socket")
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return
+            if not self.stay:
+                writer.close()
+                return
+
+
+def run(peer: Peer, test: Callable[[ConnectionPool], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with peer:
+            pool = ConnectionPool(clock=SystemClock())
+            await asyncio.wait_for(test(pool), 10)
+            pool.close()
+
+    asyncio.run(main())
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+async def call(pool: ConnectionPool, peer: Peer, body: bytes = b"") -> bytes:
+    """Make one call and keep the connection if it may be used again."""
+    connection = await pool.take(peer.address)
+    head = await connection.send(b"POST", b"/a%2Fb", HEADERS, body)
+    answer = await connection.read_all(1000)
+    pool.give_back(peer.address, connection, head)
+    return answer
+
+
+class TestExchange:
+    def test_target_and_body_arrive_as_given(self):
+        peer = Peer(OK)
+
+        async def test(pool: ConnectionPool) -> None:
+            assert await call(pool, peer, b"body") == b"ok"
+            assert peer.received.startswith(b"POST /a%2Fb HTTP/1.1\r\n")
+            assert peer.received.endswith(b"Content-Length: 4\r\n\r\nbody")
+
+        run(peer, test)
+
+    def test_a_whole_answer_leaves_the_connection_usable(self):
+        peer = Peer(OK, OK)
+
+        async def test(pool: ConnectionPool) -> None:
+            await call(pool, peer)
+            await call(pool, peer)
+            assert peer.connections == 1
+
+        run(peer, test)
+
+    def test_bytes_behind_an_answer_end_the_connection(self):
+        peer = Peer(OK + OK, OK)
+
+        async def test(pool: ConnectionPool) -> None:
+            assert await call(pool, peer) == b"ok"
+            await call(pool, peer)
+            assert peer.connections == 2
+
+        run(peer, test)
+
+    def test_a_late_answer_on_an_idle_connection_ends_it(self):
+        peer = Peer(OK)
+
+        async def test(pool: ConnectionPool) -> None:
+            connection = await pool.take(peer.address)
+            head = await connection.send(b"POST", b"/", HEADERS, b"")
+            await connection.read_all(100)
+            pool.give_back(peer.address, connection, head)
+            connection.data_received(b"HTTP/1.1 200 OK\r\n")
+            assert not connection.is_usable
+
+        run(peer, test)
+
+    @pytest.mark.parametrize(
+        "head", [b"Connection: close\r\n", b"Keep-Alive: timeout=0\r\n"]
+    )
+    def test_an_answer_may_end_the_use_of_its_connection(self, head):
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + head + b"\r\nok"
+        peer = Peer(answer, answer)
+
+        async def test(pool: ConnectionPool) -> None:
+            await call(pool, peer)
+            await call(pool, peer)
+            assert peer.connections == 2
+
+        run(peer, test)
+
+
+class TestFailures:
+    def test_no_connection_is_told_as_such(self):
+        async def main() -> None:
+            pool = ConnectionPool(clock=SystemClock())
+            with pytest.raises(ExchangeError) as caught:
+                await pool.take(Address(host="127.0.0.1", port=1))
+            assert caught.value.step is ExchangeStep.CONNECT
+
+        asyncio.run(main())
+
+    def test_a_request_that_got_no_answer_is_not_repeated(self):
+        peer = Peer(b"", reset=True)
+
+        async def test(pool: ConnectionPool) -> None:
+            with pytest.raises(ExchangeError) as caught:
+                await call(pool, peer)
+            assert caught.value.step is ExchangeStep.SENT
+            await asyncio.sleep(0.1)
+            assert peer.connections == 1
+            assert peer.received.count(b"POST") == 1
+
+        run(peer, test)
+
+    @pytest.mark.parametrize(
+        "reply",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nok",
+        ],
+    )
+    def test_an_answer_that_is_reset_is_not_whole(self, reply):
+        peer = Peer(reply, reset=True)
+
+        async def test(pool: ConnectionPool) -> None:
+            with pytest.raises(ExchangeError) as caught:
+                await call(pool, peer)
+            assert caught.value.step is ExchangeStep.ANSWER
+
+        run(peer, test)
+
+    def test_bytes_that_are_no_answer_are_told_as_such(self):
+        peer = Peer(b"\x00\x01garbage\r\n\r\n")
+
+        async def test(pool: ConnectionPool) -> None:
+            with pytest.raises(ExchangeError) as caught:
+                await call(pool, peer)
+            assert caught.value.is_garbled
+
+        run(peer, test)
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        peer = Peer(b"HTTP/1.1 200 OK\r\n\r\nok", stay=False)
+
+        async def test(pool: ConnectionPool) -> None:
+            connection = await pool.take(peer.address)
+            head = await connection.send(b"GET", b"/", HEADERS, b"")
+            assert not head.is_framed
+            assert await connection.read_all(100) == b"ok"
+            pool.give_back(peer.address, connection, head)
+            assert not connection.is_usable
+
+        run(peer, test)
+
+    def test_an_answer_that_is_too_long_is_refused(self):
+        peer = Peer(b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"a" * 2000)
+
+        async def test(pool: ConnectionPool) -> None:
+            with pytest.raises(ExchangeError):
+                await call(pool, peer)
+
+        run(peer, test)
+
+
+class TestHeaders:
+    def test_headers_of_one_connection_are_dropped(self):
+        headers = [
+            (b"Connection", b"close, X-Hop"),
+            (b"x-hop", b"1"),
+            (b"Keep-Alive", b"timeout=5"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"Content-Length", b"3"),
+            (b"X-Own", b"1"),
+            (b"X-End", b"2"),
+        ]
+        kept = drop_connection_headers(headers, extra=(b"x-own",))
+        assert kept == [(b"X-End", b"2")]
--- /dev/null
+++ b/tests/test_platform_host.py
@@ -0,0 +1,506 @@
+"""A host on the platform, end to end before stand-ins."""
+
+import asyncio
+
+import pytest
+
+from standins.runner import PROOF
+from tests.platform_system import (
+    KEY,
+    LOOKUPS,
+    WORKSPACE,
+    PlatformSystem,
+    expected_events,
+    make_config,
+    run,
+)
+
+
+async def start_lookups(system: PlatformSystem, count: int = 1) -> None:
+    """Start a host before some endpoints for lookups."""
+    system.store.put("config", "main", make_config())
+    for number in range(count):
+        await system.add_runner(f"i-look{number}", LOOKUPS)
+    await system.add_host()
+    await system.wait_ready()
+
+
+async def start_engines(system: PlatformSystem, **fields) -> None:
+    """Start a host before three engines in two failure domains."""
+    system.store.put("config", "main", make_config())
+    for name, zone in (("i-a", "pilar"), ("i-b", "tigre"), ("i-c", "tigre")):
+        await system.add_runner(name, zone=zone, **fields)
+    await system.add_host()
+    await system.wait_ready()
+
+
+def busy(system: PlatformSystem):
+    """Return the engine that runs a stream."""
+    return next(runner for runner in system.runners.values() if runner.ran)
+
+
+class TestCalls:
+    def test_a_call_arrives_unchanged_and_its_answer_comes_back(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            answer = await system.send(
+                "/look/a%2Fb/../c?x=%20",
+                body=b"\x00\xff",
+                X_Odd="a, b",
+                X_Tenant_Id="z",
+            )
+            runner = system.runners["i-look0"]
+            request = runner.requests[0]
+            assert answer.status == 200
+            assert answer.is_whole
+            assert answer.body == b"i-look0 /look/a%2Fb/../c?x=%20"
+            assert answer.headers["x-response-stamp"] == PROOF
+            assert runner.bodies == [b"\x00\xff"]
+            assert request.headers["X-Odd"] == "a, b"
+            assert request.headers["X-Tenant-Id"] == WORKSPACE
+            assert request.headers["X-Request-Id"] == "q1"
+            assert "X-Key" not in request.headers
+            assert request.headers["X-Expect-Instance"] == "i-look0"
+
+        run(test)
+
+    def test_the_time_that_is_left_is_handed_on(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            await system.send("/look/1", X_Deadline_Ms="1500")
+            left = system.runners["i-look0"].requests[0].headers["X-Deadline-Ms"]
+            assert 1000 <= int(left) <= 1500
+
+        run(test)
+
+    def test_a_refusal_of_the_endpoint_goes_on_to_another(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system, count=2)
+            for runner in system.runners.values():
+                runner.faults.refusals = 1
+            first = await system.send("/book/1")
+            assert first.status == 503
+            assert float(first.headers["retry-after"]) > 0
+            assert "x-response-stamp" not in first.headers
+            answer = await system.send("/look/2")
+            assert answer.status == 200
+
+        run(test)
+
+    @pytest.mark.parametrize(
+        ("path", "runs", "status"), [("/book/1", 1, 502), ("/look/1", 2, 200)]
+    )
+    def test_a_lost_answer_is_repeated_only_where_allowed(self, path, runs, status):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system, count=2)
+            for runner in system.runners.values():
+                runner.faults.lose_answers = 1
+            if status == 200:
+                system.runners["i-look1"].faults.lose_answers = 0
+            answer = await system.send(path)
+            ran = sum(len(runner.ran) for runner in system.runners.values())
+            if status == 200:
+                assert answer.status == 200
+                assert 1 <= ran <= runs
+            else:
+                assert answer.status == status
+                assert ran == 1
+
+        run(test)
+
+    @pytest.mark.parametrize(
+        "fault",
+        [{"no_proof": True}, {"other_id": True}, {"encoding": "gzip"}],
+    )
+    def test_an_answer_that_is_not_the_endpoints_is_not_passed_on(self, fault):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            for name, value in fault.items():
+                setattr(system.runners["i-look0"].faults, name, value)
+            answer = await system.send("/book/1")
+            assert answer.status == 502
+            assert "x-response-stamp" not in answer.headers
+
+        run(test)
+
+    def test_an_endpoints_own_failure_is_passed_on(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            system.runners["i-look0"].faults.own_status = 500
+            answer = await system.send("/look/1")
+            assert answer.status == 500
+            assert answer.headers["x-response-stamp"] == PROOF
+
+        run(test)
+
+    def test_bytes_behind_an_answer_belong_to_no_request(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            extra = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
+            system.runners["i-look0"].faults.extra = extra
+            first = await system.send("/look/1")
+            second = await system.send("/look/2")
+            assert first.body.endswith(b"/look/1")
+            assert second.body.endswith(b"/look/2")
+
+        run(test)
+
+    def test_an_answer_without_a_length_is_passed_on_without_one(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            system.runners["i-look0"].faults.unframed = True
+            answer = await system.send("/look/1")
+            assert answer.body == b"i-look0 /look/1"
+            assert "content-length" not in answer.headers
+            assert "transfer-encoding" not in answer.headers
+
+        run(test)
+
+    def test_an_endpoint_at_a_reused_address_is_not_asked_again(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            system.runners["i-look0"].name = "i-other"
+            for _ in range(3):
+                answer = await system.send("/look/1")
+                assert answer.status == 503
+            assert len(system.runners["i-look0"].requests) == 1
+
+        run(test)
+
+    def test_a_call_is_given_up_at_its_routes_time(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            routes = make_config(version=2)
+            for route in routes["routes"]:
+                route["timeout_ms"] = 200
+            system.store.put("config", "main", routes)
+            while system.hosts[0].routes.current.version != 2:
+                await asyncio.sleep(0.01)
+            system.runners["i-look0"].faults.answer_delay = 5
+            answer = await asyncio.wait_for(system.send("/book/1"), 1)
+            assert answer.status == 504
+
+        run(test)
+
+
+class TestRoutes:
+    def test_unknown_routes_and_keys_are_refused(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            assert (await system.send("/none/1")).status == 404
+            assert (await system.send("/look/1", Host="other.example")).status == 404
+            assert (await system.send("/look/1", key="bad")).status == 401
+            assert (await system.send("/look/1", key=None)).status == 401
+
+        run(test)
+
+    def test_a_host_without_configuration_says_that_it_has_none(self):
+        async def test(system: PlatformSystem) -> None:
+            host = await system.add_host()
+            answer = await system.send("/look/1")
+            assert answer.status == 503
+            assert not host.is_ready
+
+        run(test)
+
+    def test_a_revoked_key_is_refused_on_an_open_connection(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            address = system.hosts[0].settings.listen
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            request = (
+                "GET /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                f"X-Request-Id: a\r\nX-Key: {KEY}\r\n\r\n"
+            ).encode()
+            writer.write(request)
+            assert b" 200 " in await reader.readline()
+            tenants = [{"name": WORKSPACE, "api_keys": ["new"]}]
+            system.store.put("config", "main", make_config(5, tenants=tenants))
+            while system.hosts[0].routes.current.version != 5:
+                await asyncio.sleep(0.01)
+            await reader.readuntil(b"/look/1")
+            writer.write(request)
+            assert b" 401 " in await reader.readline()
+            writer.close()
+
+        run(test)
+
+    def test_a_version_never_goes_back(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            system.store.put("config", "main", make_config(9))
+            while system.hosts[0].routes.current.version != 9:
+                await asyncio.sleep(0.01)
+            system.store.put("config", "main", make_config(3))
+            await asyncio.sleep(0.2)
+            assert system.hosts[0].routes.current.version == 9
+
+        run(test)
+
+    def test_a_broken_configuration_changes_nothing(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            system.store.put("config", "main", {"version": 7})
+            await asyncio.sleep(0.2)
+            assert (await system.send("/look/1")).status == 200
+
+        run(test)
+
+
+class TestStreams:
+    def test_a_stream_is_passed_on_event_by_event(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            answer = await system.stream()
+            assert answer.status == 200
+            assert answer.is_whole
+            assert answer.body == expected_events(20)
+            assert answer.headers["x-response-stamp"] == PROOF
+
+        run(test)
+
+    @pytest.mark.parametrize("inside", [False, True])
+    def test_a_lost_stream_goes_on_from_its_replica(self, inside):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            for runner in system.runners.values():
+                runner.faults.break_after = 8
+                runner.faults.break_inside = inside
+            answer = await system.stream()
+            assert answer.is_whole
+            assert answer.body == expected_events(20)
+            assert sum(runner.prompts_read for runner in system.runners.values()) == 1
+            attached = [r for r in system.runners.values() if r.attached]
+            assert len(attached) == 1
+            assert attached[0] is not busy(system) or not attached[0].prompts_read
+
+        async def broken_once(system: PlatformSystem) -> None:
+            await start_engines(system)
+            task = asyncio.create_task(system.stream())
+            while not any(runner.ran for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            first = busy(system)
+            first.faults.break_after = 8
+            first.faults.break_inside = inside
+            answer = await task
+            assert answer.is_whole
+            assert answer.body == expected_events(20)
+            assert sum(runner.prompts_read for runner in system.runners.values()) == 1
+            assert sum(len(r.attached) for r in system.runners.values()) == 1
+
+        run(broken_once)
+
+    def test_a_silent_stream_goes_on_from_its_replica(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            task = asyncio.create_task(system.stream())
+            while not any(runner.ran for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            busy(system).faults.hang_after = 8
+            answer = await task
+            assert answer.is_whole
+            assert answer.body == expected_events(20)
+            assert sum(len(r.attached) for r in system.runners.values()) == 1
+
+        run(test)
+
+    def test_the_first_connection_is_closed_before_the_run_goes_on(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            task = asyncio.create_task(system.stream())
+            while not any(runner.ran for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            first = busy(system)
+            first.faults.hang_after = 8
+            await task
+            assert first.closed_early == 1
+
+        run(test)
+
+    def test_a_run_whose_replica_is_lost_gets_another(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system, events=60, gap=0.02)
+            task = asyncio.create_task(system.stream())
+            while not any(runner.replicas for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            keeper = next(r for r in system.runners.values() if r.replicas)
+            first = busy(system)
+            system.store.remove("servers", keeper.name)
+            await keeper.stop()
+            while not first.copies:
+                await asyncio.sleep(0.01)
+            first.faults.break_after = 50
+            answer = await task
+            assert answer.is_whole
+            assert answer.body == expected_events(60)
+            assert sum(runner.prompts_read for runner in system.runners.values()) == 1
+
+        run(test)
+
+    def test_without_a_replica_the_prompt_is_read_again(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            task = asyncio.create_task(system.stream())
+            while not any(runner.ran for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            first = busy(system)
+            first.faults.break_after = 8
+            for runner in system.runners.values():
+                runner.replicas = {}
+                runner.faults.refusals = 0
+            while True:
+                for runner in system.runners.values():
+                    runner.replicas.clear()
+                if task.done():
+                    break
+                await asyncio.sleep(0)
+            answer = await task
+            assert answer.body == expected_events(20)
+
+        run(test)
+
+    def test_a_caller_goes_on_after_the_last_event_it_has(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            answer = await system.stream(Last_Event_Id="12")
+            assert answer.body == expected_events(20, after=12)
+            assert busy(system).requests[0].headers["Last-Event-Id"] == "12"
+
+        run(test)
+
+    def test_a_caller_that_leaves_ends_the_run(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system, gap=0.1)
+            task = asyncio.create_task(system.stream())
+            while not any(runner.ran for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            task.cancel()
+            while not busy(system).closed_early:
+                await asyncio.sleep(0.01)
+
+        run(test)
+
+    def test_where_nothing_can_take_it_the_refusal_says_when_to_come_back(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            await system.add_host()
+            await system.wait_ready()
+            answer = await system.stream()
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert b"not_run" in answer.body
+
+        run(test)
+
+
+class TestStore:
+    def test_a_watch_that_hears_nothing_is_renewed(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            system.store.is_deaf = True
+            system.store.put("config", "main", make_config(4))
+            await asyncio.sleep(0.3)
+            system.store.forget_history()
+            system.store.is_deaf = False
+            async with asyncio.timeout(2):
+                while system.hosts[0].routes.current.version != 4:
+                    await asyncio.sleep(0.01)
+
+        run(test)
+
+    @pytest.mark.parametrize("outage", ["refused", "silent"])
+    def test_a_host_serves_on_through_an_outage(self, outage):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            system.store.refusal = 503 if outage == "refused" else None
+            system.store.is_silent = outage == "silent"
+            await asyncio.sleep(1)
+            assert (await system.send("/look/1")).status == 200
+            system.store.refusal, system.store.is_silent = None, False
+            system.store.put("config", "main", make_config(4))
+            async with asyncio.timeout(3):
+                while system.hosts[0].routes.current.version != 4:
+                    await asyncio.sleep(0.01)
+
+        run(test)
+
+    def test_a_listing_of_many_pages_is_read_whole(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.page = 2
+            system.store.put("config", "main", make_config())
+            for number in range(5):
+                await system.add_runner(f"i-{number}", LOOKUPS)
+            await system.add_host()
+            await system.wait_ready()
+            assert len(system.hosts[0].catalog.endpoints_by_id) == 5
+
+        run(test)
+
+    def test_a_draining_endpoint_gets_no_new_requests(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system, count=2)
+            leaving = system.runners["i-look0"]
+            entry = leaving.entry(LOOKUPS, state="draining")
+            system.store.put("servers", "i-look0", entry)
+            live = system.hosts[0].fleet.find("i-look0")
+            while live.view().state == "active":
+                await asyncio.sleep(0.01)
+                live = system.hosts[0].fleet.find("i-look0")
+            before = len(leaving.requests)
+            for number in range(6):
+                assert (await system.send(f"/look/{number}")).status == 200
+            assert len(leaving.requests) == before
+
+        run(test)
+
+
+class TestStop:
+    def test_a_stopping_host_finishes_what_is_open(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system, gap=0.02)
+            host = system.hosts[0]
+            task = asyncio.create_task(system.stream())
+            while not any(runner.ran for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            leaving = asyncio.create_task(host.leave())
+            await asyncio.sleep(0)
+            assert not host.is_ready
+            answer = await task
+            assert answer.is_whole
+            assert answer.body == expected_events(20)
+            await leaving
+
+        run(test)
+
+    def test_late_in_a_stop_streams_are_sent_elsewhere(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            system.hosts[0].drain.refuses_long = True
+            answer = await system.stream()
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) < 0.1
+
+        run(test)
+
+
+class TestPeers:
+    def test_hosts_find_each_other_and_share_loads_and_losses(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system, events=60, gap=0.02)
+            first = system.hosts[0]
+            second = await system.add_host(
+                "front-2", seeds=str(first.settings.peer_listen)
+            )
+            await system.wait_ready()
+            while "front-2" not in first.peers.ids:
+                await asyncio.sleep(0.02)
+            task = asyncio.create_task(system.stream(host=first))
+            while not any(second.board.load(name).held for name in system.runners):
+                await asyncio.sleep(0.01)
+            lost = next(r for r in system.runners.values() if not r.ran)
+            first.fleet.note_loss(first.fleet.find(lost.name), is_gone=True)
+            while not second.fleet.find(lost.name).is_ejected:
+                await asyncio.sleep(0.01)
+            await task
+
+        run(test)
