--- /dev/null
+++ b/tests/test_host_news.py
@@ -0,0 +1,142 @@
+"""What hosts tell each other of loads; how budgets are divided among them."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from passtally.clock import ManualClock
+from passtally.host_news import FORGET_AFTER, LoadBoard
+from passtally.membership import MemberTable
+from passtally.peers import MemberRow, TokenLoad
+from passtally.retry_budget import ServiceBudgets
+from passtally.roster import Roster
+from passtally.settings import Address, PeerAddress
+
+NOW = timedelta(0)
+
+
+class TestLoadBoard:
+    def test_loads_of_all_hosts_add_up(self):
+        board = LoadBoard()
+        board.take("h1", {"a": TokenLoad(held=10, reading=5)}, now=NOW)
+        board.take("h2", {"a": TokenLoad(held=1), "b": TokenLoad(held=7)}, now=NOW)
+        assert board.load("a") == TokenLoad(held=11, reading=5)
+        assert board.load("b") == TokenLoad(held=7)
+        assert board.load("c") == TokenLoad()
+
+    def test_newer_news_replaces_older(self):
+        board = LoadBoard()
+        board.take("h1", {"a": TokenLoad(held=10)}, now=NOW)
+        board.take("h1", {}, now=NOW)
+        assert board.load("a") == TokenLoad()
+
+    def test_a_host_that_is_silent_is_forgotten(self):
+        board = LoadBoard()
+        board.take("h1", {"a": TokenLoad(held=10)}, now=NOW)
+        board.take("h2", {"a": TokenLoad(held=1)}, now=NOW + FORGET_AFTER)
+        board.forget_old(NOW + FORGET_AFTER + timedelta(milliseconds=1))
+        assert board.load("a") == TokenLoad(held=1)
+
+
+class FakeLinks:
+    """The links to peers, without any network."""
+
+    def __init__(self) -> None:
+        self.peers: dict[str, PeerAddress] = {}
+
+    @property
+    def ids(self) -> list[str]:
+        return list(self.peers)
+
+    def meet(self, peer: PeerAddress) -> None:
+        self.peers[peer.host_id] = peer
+
+    def forget(self, host_id: str) -> None:
+        self.peers.pop(host_id, None)
+
+    def find(self, address: Address) -> list[str]:
+        return [name for name, peer in self.peers.items() if peer.address == address]
+
+
+def make_roster(*seeds: str) -> tuple[Roster, MemberTable, FakeLinks, ManualClock]:
+    own = MemberRow("own", "pilar", 1, 0, False, "10.0.0.1:1")
+    clock, links = ManualClock(), FakeLinks()
+    table = MemberTable(own=own, alive_for=timedelta(seconds=8))
+    addresses = [
+        Address(host=seed.partition(":")[0], port=int(seed.partition(":")[2]))
+        for seed in seeds
+    ]
+    roster = Roster(seeds=addresses, table=table, peers=links, clock=clock)
+    return roster, table, links, clock
+
+
+class TestRoster:
+    def test_seeds_are_dialled_until_their_names_are_known(self):
+        roster, table, links, clock = make_roster("10.0.0.1:1", "10.0.0.2:1")
+        roster.meet_seeds()
+        assert links.ids == ["seed-10.0.0.2:1"]
+        row = MemberRow("other", "tigre", 5, 0, False, "10.0.0.2:1")
+        table.merge([row], clock.monotonic())
+        roster.meet()
+        assert links.ids == ["other"]
+
+    def test_a_host_out_of_reach_is_let_go_and_its_seed_tried_again(self):
+        roster, table, links, clock = make_roster("10.0.0.2:1")
+        row = MemberRow("other", "tigre", 5, 0, False, "10.0.0.2:1")
+        table.merge([row], clock.monotonic())
+        roster.meet()
+        clock.advance(timedelta(seconds=9))
+        roster.meet()
+        assert links.ids == ["seed-10.0.0.2:1"]
+
+    def test_the_peak_is_kept_when_hosts_go_out_of_reach(self):
+        roster, table, _, clock = make_roster()
+        for number in range(4):
+            row = MemberRow(
+                f"h{number}", "tigre", 5, 0, False, f"10.0.0.{number + 2}:1"
+            )
+            table.merge([row], clock.monotonic())
+        roster.meet()
+        clock.advance(timedelta(seconds=60))
+        roster.meet()
+        assert roster.peak == 5
+        assert roster.others() == []
+
+
+class TestServiceBudgets:
+    def test_resumes_may_use_what_repeats_may_not(self):
+        budgets = ServiceBudgets(share=0.5, most=lambda: 10)
+        repeats = sum(budgets.try_spend("w", service="s") for _ in range(20))
+        resumes = sum(budgets.try_resume("w", service="s") for _ in range(20))
+        assert (repeats, resumes) == (5, 5)
+
+    def test_services_have_budgets_of_their_own(self):
+        budgets = ServiceBudgets(share=0.5, most=lambda: 4)
+        while budgets.try_spend("w", service="a"):
+            pass
+        assert budgets.try_spend("w", service="b")
+
+    @given(
+        st.lists(st.sampled_from(["earn", "spend", "resume"]), max_size=200),
+        st.integers(1, 20),
+    )
+    def test_repeats_never_exceed_the_share_and_the_extra(self, steps, most):
+        budgets = ServiceBudgets(share=0.8, most=lambda: most)
+        earned = spent = 0
+        for step in steps:
+            if step == "earn":
+                budgets.earn("w", service="s")
+                earned += 1
+            elif step == "spend":
+                spent += budgets.try_spend("w", service="s")
+            else:
+                spent += budgets.try_resume("w", service="s")
+            assert spent <= most + 0.8 * earned
+
+    def test_a_budget_shrinks_as_hosts_are_met(self):
+        most = 20.0
+        budgets = ServiceBudgets(share=0, most=lambda: most, resume_part=0)
+        assert budgets.try_spend("w", service="s")
+        most = 2.0
+        assert sum(budgets.try_spend("w", service="s") for _ in range(10)) == 2
--- /dev/null
+++ b/tests/test_mirror.py
@@ -0,0 +1,72 @@
+"""The mirror of the platform's objects: late news changes nothing."""
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from passtally.mirror import ObjectMirror
+from passtally.object_store import REMOVED, Listing, StoredObject
+
+
+def stored(key: str, version: int, value: bytes = b"1") -> StoredObject:
+    return StoredObject(key=key, version=version, value=msgspec.Raw(value))
+
+
+def listing(version: int, *objects: StoredObject) -> Listing:
+    return Listing(version=version, objects=objects)
+
+
+class TestObjectMirror:
+    def test_a_listing_tells_what_changed_and_what_went(self):
+        mirror = ObjectMirror()
+        mirror.replace(listing(2, stored("a", 1), stored("b", 2)))
+        changed = mirror.replace(listing(5, stored("b", 4)))
+        assert {(item.key, item.version, item.is_removed) for item in changed} == {
+            ("a", 5, True),
+            ("b", 4, False),
+        }
+
+    def test_an_older_listing_is_not_taken(self):
+        mirror = ObjectMirror()
+        mirror.replace(listing(5, stored("a", 4)))
+        assert mirror.replace(listing(3)) is None
+        assert mirror.current_versions() == {"a": 4}
+
+    def test_a_late_change_changes_nothing(self):
+        mirror = ObjectMirror()
+        mirror.advance(listing(4, stored("a", 4, REMOVED)))
+        assert mirror.advance(listing(2, stored("a", 2))) == []
+        assert mirror.current_versions() == {}
+
+    def test_another_mirror_takes_all_from_its_changes(self):
+        mirror, other = ObjectMirror(), ObjectMirror()
+        mirror.replace(listing(3, stored("a", 1), stored("b", 3)))
+        other.advance(mirror.changes_after(1))
+        assert other.current_versions() == {"b": 3}
+        other.advance(mirror.changes_after(0))
+        assert other.current_versions() == mirror.current_versions()
+
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.integers(1, 30), st.booleans()),
+            max_size=30,
+        )
+    )
+    def test_any_order_of_changes_ends_in_the_same_state(self, changes):
+        newest: dict[str, StoredObject] = {}
+        in_order, shuffled = ObjectMirror(), ObjectMirror()
+        seen: dict[tuple[str, int], StoredObject] = {}
+        for key, version, is_removed in changes:
+            item = seen.setdefault(
+                (key, version), stored(key, version, REMOVED if is_removed else b"1")
+            )
+            if key not in newest or newest[key].version < version:
+                newest[key] = item
+        for item in sorted(seen.values(), key=lambda item: item.version):
+            in_order.advance(listing(item.version, item))
+        for item in seen.values():
+            shuffled.advance(listing(item.version, item))
+        assert shuffled.versions_by_key == in_order.versions_by_key
+        assert shuffled.current_versions() == {
+            key: item.version for key, item in newest.items() if not item.is_removed
+        }
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,175 @@
+"""The adapter's decoding: settings, configuration, endpoints, requests."""
+
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from passtally.http_server import HttpRequest
+from passtally.objects import EndpointState
+from passtally.platform.decode import (
+    decode_copy_handle,
+    decode_endpoint,
+    decode_routes,
+    encode_copy_order,
+)
+from passtally.platform.ingress import decode_request
+from passtally.platform.settings import parse_lines, read_settings, translate
+from passtally.routes import CallKind
+from passtally.settings import Address, SettingsError
+from tests.platform_system import ENGINE, KEY, LOOKUPS, WORKSPACE, make_config
+
+LINES = """\
+node_name=front-pilar-1
+zone=pilar
+region=ba-norte
+zones.pilar=ba-norte
+ip=10.1.0.19
+listen.front=10.1.0.19:8740
+listen.ready=10.1.0.19:8749
+listen.control=10.1.0.19:8748
+seeds=10.1.0.19:8748,10.2.0.13:8748
+bounds.grace_s=8
+bounds.retry_budget_ratio=0.8
+bounds.budget_extra=150
+platform.address=10.200.1.7:8742
+unknown.field=1
+"""
+
+
+class TestSettings:
+    def test_the_file_is_read_into_the_products_settings(self, tmp_path: Path):
+        path = tmp_path / "node.conf"
+        path.write_text(LINES)
+        settings = read_settings(path)
+        assert settings.host_id == "front-pilar-1"
+        assert settings.failure_domain == "pilar"
+        assert settings.listen == Address(host="10.1.0.19", port=8740)
+        assert settings.platform == "http://10.200.1.7:8742"
+        assert settings.grace == timedelta(seconds=8)
+        assert settings.retry_extra == 150
+        assert len(settings.seeds) == 2
+
+    def test_all_faults_are_told_at_once_by_the_files_own_names(self):
+        values = parse_lines(LINES)
+        del values["zone"]
+        values["listen.front"] = "here"
+        values["bounds.retry_budget_ratio"] = "much"
+        with pytest.raises(SettingsError) as caught:
+            translate(values)
+        assert set(caught.value.problems_by_flag) == {
+            "zone",
+            "listen.front",
+            "bounds.retry_budget_ratio",
+        }
+
+    def test_hosts_of_one_installation_share_a_key_and_others_have_another(self):
+        first = translate(parse_lines(LINES))
+        other_host = LINES.replace("front-pilar-1", "front-pilar-2")
+        second = translate(parse_lines(other_host))
+        elsewhere = translate(parse_lines(LINES.replace("10.200.1.7", "10.200.1.8")))
+        assert first.resume_keys == second.resume_keys != elsewhere.resume_keys
+
+
+class TestDecode:
+    def test_the_configuration_is_read(self):
+        routes = decode_routes(msgspec.json.encode(make_config(7)))
+        stream = routes.find_route("shop.example", "/draft/1")
+        assert routes.version == 7
+        assert stream.kind is CallKind.STREAM
+        assert stream.is_repeatable
+        assert stream.max_attempts == 5
+        assert stream.service_for(b"x") == ENGINE
+        assert routes.find_workspace(KEY).workspace == WORKSPACE
+        assert routes.services_by_id[ENGINE].keeps_replicas
+        assert routes.services_by_id[ENGINE].capacity_tokens == 55000
+        assert not routes.services_by_id[LOOKUPS].keeps_replicas
+
+    def test_a_split_route_has_shares(self):
+        config = make_config()
+        route = config["routes"][1]
+        del route["service"]
+        route["traffic_split"] = [
+            {"service": "a", "weight": 90},
+            {"service": "b", "weight": 10},
+        ]
+        routes = decode_routes(msgspec.json.encode(config))
+        shares = routes.find_route("shop.example", "/look/1").shares
+        assert [(share.service, share.weight) for share in shares] == [
+            ("a", 90),
+            ("b", 10),
+        ]
+
+    @pytest.mark.parametrize("spec", [b"{}", b"nonsense", b'{"version": "x"}'])
+    def test_a_configuration_that_does_not_fit_is_refused(self, spec):
+        with pytest.raises(ValueError):
+            decode_routes(spec)
+
+    def test_an_endpoints_entry_is_read(self):
+        spec = {
+            "service": "s",
+            "address": "10.0.0.1:80",
+            "zone": "tigre",
+            "state": "ready",
+            "slots": 6,
+        }
+        endpoint = decode_endpoint("i-1", msgspec.json.encode(spec))
+        assert endpoint.url == "http://10.0.0.1:80"
+        assert endpoint.state is EndpointState.ACTIVE
+        draining = msgspec.json.encode(spec | {"state": "draining"})
+        assert decode_endpoint("i-1", draining).state is EndpointState.DRAINING
+
+    def test_copies_are_ordered_by_address_and_named_by_a_handle(self):
+        order = msgspec.json.decode(encode_copy_order("g1", "10.0.0.2:80"))
+        assert order == {"id": "g1", "target_version": "10.0.0.2:80"}
+        assert decode_copy_handle(b'{"handle": "h1", "created": 3}') == "h1"
+        with pytest.raises(ValueError):
+            decode_copy_handle(b"{}")
+
+
+def make_request(target: bytes = b"/draft/1?x", **headers: bytes) -> HttpRequest:
+    pairs = [
+        (name.replace("_", "-").encode(), value) for name, value in headers.items()
+    ]
+    return HttpRequest(method=b"POST", target=target, headers=pairs, body=b"b")
+
+
+class TestRequests:
+    def test_what_the_system_needs_is_read_and_its_own_headers_are_dropped(self):
+        request = decode_request(
+            make_request(
+                Host=b"shop.example:80",
+                X_Request_Id=b"q1",
+                X_Key=b"k",
+                X_Deadline_Ms=b"1500",
+                Last_Event_Id=b"12",
+                X_Token_Usage=b"1460,80",
+                X_Prefix_Hash=b"5c1e07a2:800, 91bd3f06:410",
+                X_Tenant_Id=b"forged",
+                X_Expect_Instance=b"forged",
+                X_Hint=b"kept",
+            )
+        )
+        assert request.id == "q1"
+        assert request.host == "shop.example"
+        assert request.path == "/draft/1"
+        assert request.key == "k"
+        assert request.time_left == timedelta(seconds=1.5)
+        assert request.position == 12
+        assert request.prompt.last_part == "91bd3f06"
+        assert (request.prompt.tokens, request.prompt.max_output) == (1460, 80)
+        names = {name for name, _ in request.raw.headers}
+        assert names == {
+            b"Host",
+            b"X-Request-Id",
+            b"X-Token-Usage",
+            b"X-Prefix-Hash",
+            b"X-Hint",
+        }
+        assert request.raw.target == b"/draft/1?x"
+
+    @pytest.mark.parametrize("value", [b"soon", b"-1", b"nan", b"1e99"])
+    def test_a_number_that_is_none_is_refused(self, value):
+        with pytest.raises(ValueError):
+            decode_request(make_request(X_Deadline_Ms=value))
