Follow replaced endpoints to their successors; try ejected ones once at a time

Requests queued up behind connections that could not come up (150 ms each) where all endpoints were ejected. After a cut, news that had waited in the links made hosts eject sound endpoints. A stopping host took streams it had to cut.

Change: an answer of another endpoint names it; where a single service has engines and the address answers with an engine's report, it is used. Of an ejected endpoint one request at a time finds out whether it is back. Links drop what can't be sent. A stopping host takes streams for one second. New requests wait up to a fifth of their target for an endpoint.

Ruled out: trusting the successor's id alone; addresses go to other services too.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -198,7 +198,6 @@
         try:
             async with keeper:
                 await relay.run(attach=attach)
-            live.readmit()
         except AttemptLostError as loss:
             progress.reached = progress.reached or loss.kind not in UNRUN_KINDS
             raise
@@ -222,11 +221,12 @@
             raise self._give_up(generation, progress, str(error)) from error
 
     async def _place(self, generation: Generation, progress: _Progress) -> str:
-        """Choose an endpoint; an answer that has begun waits for one a while."""
+        """Choose an endpoint, and wait for one a while where there is none."""
         if generation.position < generation.delivered:
             raise self._give_up(generation, progress, "its tokens are not held here")
         request = generation.request
-        deadline = self._clock.monotonic() + RESUME_PATIENCE
+        patience = RESUME_PATIENCE if generation.delivered else request.patience
+        deadline = self._clock.monotonic() + patience
         while True:
             decision = self._choose(
                 RouteQuery(
@@ -242,11 +242,11 @@
             if decision.endpoint_id is not None:
                 self._log_route(generation, decision.endpoint_id, decision)
                 return decision.endpoint_id
-            waited_out = self._clock.monotonic() >= deadline
-            if waited_out or not generation.delivered:
+            if self._clock.monotonic() >= deadline:
                 self._log_route(generation, None, decision)
                 raise self._give_up(generation, progress, decision.reason)
-            progress.excluded.clear()
+            if generation.delivered:
+                progress.excluded.clear()
             await self._clock.sleep(RESUME_POLL)
 
     def _place_replica(
@@ -299,6 +299,7 @@
             self._fleet.note_loss(live, is_gone=gone)
         if loss.kind is LossKind.REPLACED:
             live.note_ended()
+            self._fleet.note_successor(live, loss.successor)
         if is_death(loss.kind, was_attached=was_attached):
             progress.deaths += 1
         holder = _find_holder(generation, attempt, live)
--- a/passtally/drain.py
+++ b/passtally/drain.py
@@ -54,6 +54,9 @@
             if not self.open_requests:
                 self._idle.set()
 
+    def _refuse_long(self) -> None:
+        self.refuses_long = True
+
     def check_long(self) -> None:
         """Refuse a request that may take long, where it could not be finished.
 
@@ -69,14 +72,23 @@
                 retry_after=RETRY_ELSEWHERE,
             )
 
-    async def stop(self, *, balancer_lag: timedelta = BALANCER_LAG) -> None:
+    async def stop(
+        self,
+        *,
+        balancer_lag: timedelta = BALANCER_LAG,
+        takes_long_for: timedelta | None = None,
+    ) -> None:
         """Leave the balancer, serve what still comes, wait for the last request.
 
         Args:
             balancer_lag: How long the balancer may still send requests.
+            takes_long_for: How long those that may take long are still taken; None
+                for always.
         """
         self.is_stopping = True
+        if takes_long_for is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(takes_long_for.total_seconds(), self._refuse_long)
         await asyncio.sleep(balancer_lag.total_seconds())
-        self.refuses_long = True
         while self.open_requests:
             await self._idle.wait()
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -31,10 +31,20 @@
         step: The step at which it was: ``connect``, ``stream`` or ``attach``.
         peer: The endpoint.
         detail: What was seen.
+        successor: The endpoint that has the address now, where it was replaced.
     """
 
-    def __init__(self, kind: LossKind, *, step: str, peer: str, detail: str) -> None:
+    def __init__(
+        self,
+        kind: LossKind,
+        *,
+        step: str,
+        peer: str,
+        detail: str,
+        successor: str = "",
+    ) -> None:
         self.kind = kind
+        self.successor = successor
         self.step = step
         self.peer = peer
         self.detail = detail
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -156,6 +156,8 @@
         }
         self.ejected_until: timedelta | None = None
         self._ejection = FIRST_EJECTION
+        #: Whether a request is under way that shows whether it is back.
+        self._is_on_trial = False
         self._report = LoadReport(running=0, queued=0, step=0)
         self._own_at_report = 0
         self._peak = 0
@@ -168,6 +170,8 @@
     def enter(self) -> None:
         """Count one more of this host's requests."""
         self.own_streams += 1
+        if self.is_ejected:
+            self._is_on_trial = True
 
     def leave(self) -> None:
         """Count one of this host's requests out."""
@@ -176,6 +180,8 @@
             self._peak = self.own_streams
             self._peak_at = now
         self.own_streams -= 1
+        if not self.own_streams:
+            self._is_on_trial = False
 
     def view(
         self, *, is_shaky: bool = False, others: TokenLoad | None = None
@@ -199,6 +205,7 @@
             ejected_until=self.ejected_until,
             resume_tokens=self.resume_tokens,
             is_shaky=is_shaky,
+            is_on_trial=self._is_on_trial,
             held_tokens=self.held_tokens + others.held,
             reading_tokens=self.reading_tokens + others.reading,
             capacity_tokens=self.capacity_tokens,
@@ -244,6 +251,7 @@
     def readmit(self) -> None:
         """Forget past ejections and unanswered calls, after an answer."""
         self.unanswered_calls = 0
+        self._is_on_trial = False
         self.ejected_until = None
         self._ejection = FIRST_EJECTION
 
@@ -350,6 +358,8 @@
         capacity_of: Returns the tokens that an endpoint's memory holds, by its
             service; 0 where that is not known.
         others_load: Returns what other hosts' runs take at an endpoint.
+        on_successor: Called with an endpoint that has ended and the id of the one
+            that has its address now.
     """
 
     def __init__(
@@ -362,6 +372,9 @@
         bounds_by_phase: dict[Phase, SilenceBounds] | None = None,
         capacity_of: Callable[[str], int] = lambda service: 0,
         others_load: Callable[[str], TokenLoad] = lambda endpoint_id: TokenLoad(),
+        on_successor: Callable[[Endpoint, str], None] = lambda endpoint, successor: (
+            None
+        ),
     ) -> None:
         self._catalog = catalog
         self._clock = clock
@@ -372,6 +385,7 @@
         self._live_by_id: dict[str, LiveEndpoint] = {}
         self._lag = LagMeter(clock=clock)
         self._others_load = others_load
+        self._on_successor = on_successor
         #: Set when what this host's runs take at endpoints has changed.
         self.load_changed = asyncio.Event()
         self._losses: list[str] = []
@@ -431,6 +445,11 @@
             live.eject(now)
             log_event("endpoints", "A peer found it gone.", peer=endpoint_id)
 
+    def note_successor(self, live: LiveEndpoint, successor_id: str) -> None:
+        """Take in that another endpoint has the address of one that has ended."""
+        if successor_id and successor_id not in self._catalog.endpoints_by_id:
+            self._on_successor(live.endpoint, successor_id)
+
     def take_losses(self) -> list[str]:
         """Return the endpoints found gone since the last call."""
         losses, self._losses = self._losses, []
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -378,6 +378,7 @@
         prompt_tokens=prompt.tokens,
         max_attempts=admitted.route.max_attempts if admitted.route.is_resumable else 1,
         deadline=admitted.deadline,
+        patience=ADMISSION_PART * admitted.route.target,
         raw=request.raw,
     )
 
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -59,6 +59,7 @@
         prompt_tokens: The prompt's length; 0 where it is not known.
         max_attempts: The dispatches it may have, where it has a limit of its own.
         deadline: When its caller stops waiting, on the monotonic clock.
+        patience: How long it may wait for an endpoint before it has begun.
         raw: What to hand on, where the content is not read.
     """
 
@@ -78,6 +79,7 @@
     prompt_tokens: int = 0
     max_attempts: int | None = None
     deadline: timedelta | None = None
+    patience: timedelta = timedelta(0)
     raw: RawCall | None = None
 
 
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -22,6 +22,10 @@
 ASK_TIMEOUT = timedelta(milliseconds=500)
 HIGH_WATER_MARK = 1000
 MAC_BYTES = 12
+#: How often links are checked, and after what silence they are opened anew, in
+#: milliseconds.
+HEARTBEAT_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 1500
 
 _ASK = b"?"
 _REPLY = b"!"
@@ -249,6 +253,7 @@
         self._keys = [key[:64] for key in keys]
         self._context = zmq.asyncio.Context()
         self._sockets_by_id: dict[str, zmq.asyncio.Socket] = {}
+        self._unheard: set[str] = set()
         self._readers_by_id: dict[str, asyncio.Task[None]] = {}
         self._answerers_by_type: dict[type, Answerer] = {}
         self._listeners_by_type: dict[type, Callable[[Any], None]] = {}
@@ -321,7 +326,11 @@
             try:
                 await self._send(socket, [_TELL, _pack_number(0)], message)
             except zmq.Again:
-                log_event("peers", "Dropped news, the link is full.", peer=host_id)
+                if host_id not in self._unheard:
+                    log_event("peers", "Out of reach, news is dropped.", peer=host_id)
+                self._unheard.add(host_id)
+            else:
+                self._unheard.discard(host_id)
 
     async def ask(
         self, host_id: str, message: Message, *, timeout: timedelta = ASK_TIMEOUT
@@ -359,6 +368,11 @@
         socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
         socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+        # What could not be sent while a peer was out of reach is dropped: it would
+        # be taken for news when the peer is back.
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         return socket
 
     async def _serve(self, router: zmq.asyncio.Socket) -> None:
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -84,6 +84,10 @@
     slots: int = DEFAULT_SLOTS
 
 
+class _Report(msgspec.Struct):
+    models: list[msgspec.Raw]
+
+
 class _CopyOrder(msgspec.Struct):
     id: str
     #: The address of the endpoint that is to have the copy; not a version.
@@ -108,6 +112,14 @@
     return _decode(body, _Copied).handle
 
 
+def is_engine_report(body: bytes) -> bool:
+    """Return whether an endpoint's report is that of a model engine."""
+    try:
+        return bool(_decode(body, _Report).models)
+    except ValueError:
+        return False
+
+
 def decode_routes(spec: bytes) -> RouteSet:
     """Read the configuration.
 
--- a/passtally/platform/host.py
+++ b/passtally/platform/host.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import aiomisc
+import attrs
 
 from passtally.catalog import Catalog
 from passtally.clock import Clock
@@ -26,7 +27,7 @@
 from passtally.membership import Gossip, MemberTable
 from passtally.metrics import GAUGE_INTERVAL, Metric, TextMetrics
 from passtally.object_store import Listing
-from passtally.objects import Endpoint, Service, ServiceKind
+from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.peers import MemberRow, Peers
 from passtally.plain import PlainCaller
 from passtally.platform.decode import decode_endpoint, decode_routes
@@ -53,6 +54,9 @@
 RELIST_PAUSE = timedelta(milliseconds=200)
 #: Left of a stop's grace for breaking off streams and closing connections.
 STOP_MARGIN = timedelta(milliseconds=600)
+#: How long a stopping host takes new streams: most last six seconds, of the eight
+#: that it has.
+TAKES_STREAMS_FOR = timedelta(seconds=1)
 #: A host counts on at least this many that share a budget: it may have just started,
 #: or be cut off from most.
 MIN_BUDGET_HOSTS = 8
@@ -139,7 +143,10 @@
         self._spawn(self._close_idle_later())
         try:
             async with asyncio.timeout(limit.total_seconds()):
-                await self.drain.stop(balancer_lag=self.settings.balancer_lag)
+                await self.drain.stop(
+                    balancer_lag=self.settings.balancer_lag,
+                    takes_long_for=TAKES_STREAMS_FOR,
+                )
         except TimeoutError:
             log_event("daemon", "Out of grace.", open=self.drain.open_requests)
 
@@ -169,6 +176,7 @@
         self.board = LoadBoard()
         self.fleet = Fleet(
             others_load=self.board.load,
+            on_successor=self._meet_successor,
             catalog=self.catalog,
             clock=self.clock,
             connect=self._connect,
@@ -307,6 +315,22 @@
             find_address=self._find_address,
         )
 
+    def _meet_successor(self, ended: Endpoint, successor_id: str) -> None:
+        """Use the endpoint that has the address of one that ended.
+
+        The platform tells of it too, but may be out of reach. The service is
+        known only where a single one has engines.
+        """
+        routes = self.routes.current
+        engines = [info.id for info in routes.services if info.capacity_tokens]
+        if engines == [ended.service]:
+            successor = attrs.evolve(ended, id=successor_id, state=EndpointState.ACTIVE)
+            self._spawn(self._adopt(successor))
+
+    async def _adopt(self, successor: Endpoint) -> None:
+        if await self._connect(successor).is_engine():
+            self.book.put(successor)
+
     def _find_address(self, endpoint_id: str) -> Address | None:
         endpoint = self.catalog.endpoints_by_id.get(endpoint_id)
         if endpoint is None:
--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -16,6 +16,8 @@
 PROOF = b"x-response-stamp"
 #: On an answer: the endpoint did not run the request.
 NOT_RUN = b"x-not-executed"
+#: On an answer: the endpoint that gave it.
+ANSWERED_BY = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
 CONTENT_ENCODING = b"content-encoding"
 HOST = b"host"
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -24,7 +24,11 @@
 from passtally.objects import Endpoint
 from passtally.plain import PlainAnswer, PlainCall
 from passtally.platform import names
-from passtally.platform.decode import decode_copy_handle, encode_copy_order
+from passtally.platform.decode import (
+    decode_copy_handle,
+    encode_copy_order,
+    is_engine_report,
+)
 from passtally.retry import LossKind
 from passtally.settings import Address, parse_address
 
@@ -40,6 +44,7 @@
 #: How long copying a run may take. A copy of 1.8 GB takes 60 to 120 ms, and copies
 #: wait for each other.
 COPY_TIMEOUT = timedelta(seconds=1.5)
+REPORT_TIMEOUT = timedelta(milliseconds=300)
 #: The longest answer of an endpoint's own interface, in bytes.
 MAX_ORDER_BYTES = 1 << 20
 
@@ -198,7 +203,14 @@
         if head.header(names.REQUEST_ID) not in (None, sent_id):
             raise self.lost(LossKind.SEAM, "the answer belongs to another request")
         if head.status == 421:
-            raise self.lost(LossKind.REPLACED, "another endpoint has the address")
+            successor = head.header(names.ANSWERED_BY) or b""
+            raise AttemptLostError(
+                LossKind.REPLACED,
+                step="stream",
+                peer=self._endpoint_id,
+                detail="another endpoint has the address",
+                successor=successor.decode("latin-1"),
+            )
         if head.header(names.NOT_RUN) is not None:
             raise self.lost(LossKind.REFUSED, f"not run, status {head.status}")
         if head.header(names.CONTENT_ENCODING) is not None:
@@ -320,6 +332,15 @@
         except AttemptLostError as error:
             log_event("replica", "Could not drop a copy.", peer=target, why=error)
 
+    async def is_engine(self) -> bool:
+        """Return whether a model engine answers at its address."""
+        try:
+            body = await self._link.order(b"GET", b"/api/report", b"", REPORT_TIMEOUT)
+        except AttemptLostError as error:
+            log_event("successor", "No report.", peer=error.peer, why=error)
+            return False
+        return is_engine_report(body)
+
     async def probe(self) -> LoadReport | None:
         """Return none: reports lag, and each is paid for."""
         return None
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -155,6 +155,7 @@
             guard.is_waiting = True
 
     def _note_first(self) -> None:
+        self._live.readmit()
         self._end_reading()
         self._load_changed()
         self._on_first()
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -11,6 +11,8 @@
 
 #: How often links are made to hosts that gossip has told of.
 MEET_INTERVAL = timedelta(milliseconds=500)
+#: How long links take to come up before the first message.
+CONNECT_PAUSE = timedelta(milliseconds=50)
 SEED_PREFIX = "seed-"
 
 
@@ -59,6 +61,7 @@
     async def run(self, gossip: Gossip) -> None:
         """Open links to hosts that gossip has told of, for ever."""
         self.meet_seeds()
+        await self._clock.sleep(CONNECT_PAUSE)
         await gossip.tell()
         while True:
             self.meet()
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -25,6 +25,7 @@
         ejected_until: Until when it gets no new work, on the monotonic clock.
         resume_tokens: Tokens that this host's resumes still make it read.
         is_shaky: Whether a run was lost in its failure domain a moment ago.
+        is_on_trial: Whether a request is under way that shows whether it is back.
         held_tokens: Tokens in its memory for this host's runs and replicas.
         reading_tokens: Tokens of prompts that it is still to read, all hosts' as far
             as they are known.
@@ -42,6 +43,7 @@
     ejected_until: timedelta | None = None
     resume_tokens: int = 0
     is_shaky: bool = False
+    is_on_trial: bool = False
     held_tokens: int = 0
     reading_tokens: int = 0
     capacity_tokens: int = 0
@@ -274,7 +276,8 @@
 
 
 def _is_allowed(view: EndpointView, query: RouteQuery) -> bool:
-    return view.state is EndpointState.ACTIVE and view.id not in query.exclude
+    is_open = view.state is EndpointState.ACTIVE and not view.is_on_trial
+    return is_open and view.id not in query.exclude
 
 
 def _is_ejected(view: EndpointView, now: timedelta) -> bool:
