Let hosts learn configuration and endpoints from each other

Cause: a host that could not reach the store kept what it had, and one that started in an outage had nothing and refused all.

Change: watch_share decides who watches (a pure decision, tested by properties: it settles on the first hosts of a domain; where no watcher is heard everyone watches). Up to four hosts of a domain all watch; in larger ones two do and pass changes on. Watchers tell their versions twice a second; a host whose watch is down fetches what it lacks from one of them, or from any host that gossip says is newer.

Ruled out: an election; two watchers cost a little, none costs a rule.

--- a/passtally/endpoint_book.py
+++ b/passtally/endpoint_book.py
@@ -5,7 +5,7 @@
 only then taken as gone.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from passtally.catalog import Catalog
@@ -45,13 +45,6 @@
         self._back_at: timedelta | None = None
         self._missing: set[str] = set()
 
-    def replace(self, endpoints_by_id: Mapping[str, Endpoint]) -> None:
-        """Take in a whole listing."""
-        for endpoint in endpoints_by_id.values():
-            self.put(endpoint)
-        known = list(self._catalog.endpoints_by_id)
-        self.remove(id for id in known if id not in endpoints_by_id)
-
     def put(self, endpoint: Endpoint) -> None:
         """Take in a new or changed entry."""
         self._missing.discard(endpoint.id)
--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -65,10 +65,15 @@
         self._last_retry = last_retry
         self._reach_changed = reach_changed
 
-    async def run(self) -> None:
-        """List, then watch, for ever."""
+    async def run(self, *, after: int = 0) -> None:
+        """List, then watch, for ever.
+
+        Args:
+            after: The version that is known already; 0 to list first.
+        """
         delay = FIRST_RETRY
-        must_list = True
+        must_list = not after
+        self.version = after
         while True:
             try:
                 if must_list:
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from datetime import timedelta
 from typing import Protocol
 
@@ -65,13 +65,20 @@
         self._alive_for = alive_for
         self._known_by_id: dict[str, _Known] = {}
 
-    def beat(self, *, config_version: int, leaving: bool) -> MemberRow:
+    def beat(
+        self,
+        *,
+        config_version: int,
+        leaving: bool,
+        versions_by_prefix: Mapping[str, int] | None = None,
+    ) -> MemberRow:
         """Count this host's own heartbeat up and return its row."""
         self.own = msgspec.structs.replace(
             self.own,
             counter=self.own.counter + 1,
             config_version=config_version,
             leaving=leaving,
+            versions_by_prefix=dict(versions_by_prefix or {}),
         )
         return self.own
 
@@ -174,6 +181,8 @@
         self._departures = departures
         self.config_version = 0
         self.leaving = False
+        #: Returns the newest version known under each prefix, to be spread along.
+        self.versions: Callable[[], Mapping[str, int]] = dict
         self._peers = peers
         self._clock = clock
         self._rng = rng
@@ -187,7 +196,11 @@
 
     async def tell(self) -> None:
         """Exchange rows with a few random peers."""
-        self.table.beat(config_version=self.config_version, leaving=self.leaving)
+        self.table.beat(
+            config_version=self.config_version,
+            leaving=self.leaving,
+            versions_by_prefix=self.versions(),
+        )
         ids = self._peers.ids
         for host_id in self._rng.sample(ids, min(FANOUT, len(ids))):
             try:
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -139,7 +139,8 @@
         config_version: The configuration version in force there.
         leaving: Whether it is stopping.
         address: Where its peers reach it; empty where they are told by settings.
-        endpoints_version: The version of the endpoints' entries known there.
+        versions_by_prefix: The newest version known there of the objects under
+            each prefix.
     """
 
     host_id: str
@@ -148,7 +149,7 @@
     config_version: int
     leaving: bool
     address: str = ""
-    endpoints_version: int = 0
+    versions_by_prefix: dict[str, int] = {}
 
 
 class DepartureRow(msgspec.Struct, array_like=True, frozen=True):
@@ -208,6 +209,32 @@
     lost: list[str]
 
 
+class ViewBeat(msgspec.Struct, tag="view_beat", array_like=True):
+    """A host watches the platform and knows these versions.
+
+    Attributes:
+        host_id: The host.
+        versions_by_prefix: The store-wide version known under each prefix.
+    """
+
+    host_id: str
+    versions_by_prefix: dict[str, int]
+
+
+class ViewChanges(msgspec.Struct, tag="view_changes", array_like=True):
+    """Objects that changed at the platform.
+
+    Attributes:
+        prefix: What their keys start with.
+        since: The version after which these are all changes.
+        listing: The JSON of a :class:`passtally.object_store.Listing`.
+    """
+
+    prefix: str
+    since: int
+    listing: bytes
+
+
 Message = (
     StoreCopies
     | CopiesHeld
@@ -221,6 +248,8 @@
     | FetchResult
     | ResultFound
     | HostNews
+    | ViewBeat
+    | ViewChanges
 )
 Answerer = Callable[[Any], Awaitable[Message]]
 
--- a/passtally/platform/host.py
+++ b/passtally/platform/host.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -26,7 +26,7 @@
 from passtally.http_server import Exchange, HttpServer, ServerLimits
 from passtally.membership import Gossip, MemberTable
 from passtally.metrics import GAUGE_INTERVAL, Metric, TextMetrics
-from passtally.object_store import Listing
+from passtally.object_store import StoredObject
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.peers import MemberRow, Peers
 from passtally.plain import PlainCaller
@@ -41,6 +41,7 @@
 from passtally.settings import Address, Settings, parse_address
 from passtally.silence import Phase, SilenceBounds
 from passtally.supervisor import keep_running
+from passtally.watch_share import View, WatchShare
 
 CONFIG_PREFIX = "config/"
 CONFIG_KEY = "config/main"
@@ -108,8 +109,7 @@
         self._build_knowledge()
         self._build_serving()
         for name, work in (
-            ("configuration", self.routes_follower.run),
-            ("endpoints", self.endpoints_follower.run),
+            ("watch", self.watch.run),
             ("missing endpoints", self.book.run),
             ("silence", self.fleet.watch_silence),
             ("gate", self.gate.run),
@@ -186,15 +186,20 @@
         self.book = EndpointBook(
             catalog=self.catalog, clock=self.clock, gone=self.fleet.forget
         )
-        self.routes_follower = self._follow(
-            CONFIG_PREFIX, replace=self._take_routes, advance=self._take_routes
-        )
-        self.endpoints_follower = self._follow(
-            ENDPOINTS_PREFIX,
-            replace=self._replace_endpoints,
-            advance=self._advance_endpoints,
+        self.watch = WatchShare(
+            host_id=self.settings.host_id,
+            failure_domain=self.settings.failure_domain,
+            views=(
+                View(prefix=CONFIG_PREFIX, apply=self._take_routes),
+                View(prefix=ENDPOINTS_PREFIX, apply=self._take_endpoints),
+            ),
+            follow=self._follow,
+            peers=self.peers,
+            roster=self.roster,
+            clock=self.clock,
             reach_changed=self.book.note_reach,
         )
+        self.gossip.versions = self.watch.newest
 
     def _build_links(self) -> None:
         """Build what leads to the other hosts."""
@@ -225,16 +230,17 @@
             seeds=settings.seeds, table=table, peers=self.peers, clock=self.clock
         )
 
-    def _follow(self, prefix: str, **options: Any) -> Follower:
+    def _follow(self, share: WatchShare, view: View) -> Follower:
         return Follower(
-            prefix=prefix,
+            prefix=view.prefix,
             platform=self.store,
+            replace=lambda listing: share.replace(view, listing),
+            advance=lambda changes: share.advance(view, changes),
             clock=self.clock,
             rng=random.Random(),
             relist_pause=lambda: RELIST_PAUSE,
             wait=WATCH_WAIT,
             last_retry=LAST_RETRY,
-            **options,
         )
 
     def _build_serving(self) -> None:
@@ -349,8 +355,8 @@
         routes = self.routes.current
         return routes.services_by_id.get(service) if routes else None
 
-    def _take_routes(self, listing: Listing) -> None:
-        for stored in listing.objects:
+    def _take_routes(self, changed: Sequence[StoredObject]) -> None:
+        for stored in changed:
             if stored.key != CONFIG_KEY or stored.is_removed:
                 continue
             try:
@@ -364,14 +370,11 @@
                 self.catalog.put_service(
                     Service(id=service.id, kind=ServiceKind.MODEL, model=service.id)
                 )
+            self.gossip.config_version = routes.version
             log_event("config", "In force.", version=routes.version)
 
-    def _replace_endpoints(self, listing: Listing) -> None:
-        found = (self._decode_endpoint(stored) for stored in listing.objects)
-        self.book.replace({item.id: item for item in found if item is not None})
-
-    def _advance_endpoints(self, changes: Listing) -> None:
-        for stored in changes.objects:
+    def _take_endpoints(self, changed: Sequence[StoredObject]) -> None:
+        for stored in changed:
             if stored.is_removed:
                 self.book.remove([stored.key.removeprefix(ENDPOINTS_PREFIX)])
                 continue
@@ -379,7 +382,7 @@
             if endpoint is not None:
                 self.book.put(endpoint)
 
-    def _decode_endpoint(self, stored: Any) -> Endpoint | None:
+    def _decode_endpoint(self, stored: StoredObject) -> Endpoint | None:
         endpoint_id = stored.key.removeprefix(ENDPOINTS_PREFIX)
         try:
             return decode_endpoint(endpoint_id, bytes(stored.value))
@@ -392,7 +395,7 @@
             current = self.routes.current
             self.metrics.gauge(Metric.OPEN, self.drain.open_requests)
             self.metrics.gauge(Metric.CONFIG_VERSION, current.version if current else 0)
-            is_away = not self.routes_follower.is_watching
+            is_away = not self.watch.is_up
             self.metrics.gauge(Metric.PLATFORM_AWAY, int(is_away))
             await self.clock.sleep(GAUGE_INTERVAL)
 
--- /dev/null
+++ b/passtally/watch_share.py
@@ -0,0 +1,316 @@
+"""Lets a few hosts of a failure domain watch the platform, and the rest learn.
+
+Each call to the platform is paid for, and each change wakes every watch. In a large
+failure domain a few hosts watch and pass changes on. Who watches follows from who
+is heard watching: a host watches while fewer than enough hosts before it, in the
+order of their names, are heard doing so. Nothing is agreed: two that both watch
+cost a little, and a host that hears no watcher watches itself.
+
+A host whose own watch is down also learns from the others, whatever their domain.
+"""
+
+import asyncio
+from collections.abc import Callable, Collection, Mapping, Sequence
+from datetime import timedelta
+
+import attrs
+import msgspec
+
+from passtally.clock import Clock
+from passtally.decision import log_event
+from passtally.follower import Follower
+from passtally.mirror import ObjectMirror
+from passtally.object_store import Listing, StoredObject
+from passtally.peers import (
+    ConfigChanges,
+    FetchConfig,
+    PeerError,
+    Peers,
+    ViewBeat,
+    ViewChanges,
+)
+from passtally.roster import Roster
+
+#: Hosts of a large failure domain that watch. Two, so that one's end is no gap.
+WATCHERS = 2
+#: In a domain of at most so many hosts all watch: little is to be saved.
+SMALL_DOMAIN = 4
+#: How often watchers tell the versions that they know.
+BEAT_INTERVAL = timedelta(milliseconds=500)
+#: A watcher that was not heard for this long counts as gone. A change must be in
+#: force within two seconds, listing included.
+BEAT_TIMEOUT = timedelta(milliseconds=1300)
+#: How long enough others must be heard before a watch is given up.
+STAND_DOWN_AFTER = timedelta(seconds=3)
+CHECK_INTERVAL = timedelta(milliseconds=100)
+FETCH_TIMEOUT = timedelta(seconds=1)
+
+
+def should_watch(
+    own_id: str,
+    domain_ids: Collection[str],
+    watching_ids: Collection[str],
+    *,
+    watchers: int = WATCHERS,
+    small_domain: int = SMALL_DOMAIN,
+) -> bool:
+    """Decide whether a host watches the platform.
+
+    Args:
+        own_id: The host.
+        domain_ids: The hosts of its failure domain in reach, itself included.
+        watching_ids: Those that were heard watching a moment ago.
+        watchers: How many are enough.
+        small_domain: Up to how many hosts all watch.
+    """
+    if len(domain_ids) <= small_domain:
+        return True
+    before = [host_id for host_id in watching_ids if host_id < own_id]
+    return len(before) < watchers
+
+
+@attrs.define(kw_only=True)
+class View:
+    """What this host knows of the objects under one prefix.
+
+    Attributes:
+        prefix: The prefix.
+        apply: Called with the objects that changed.
+        mirror: The objects.
+        follower: Follows them at the platform while this host watches.
+        task: The follower's run, while this host watches.
+    """
+
+    prefix: str
+    apply: Callable[[Sequence[StoredObject]], None]
+    mirror: ObjectMirror = attrs.field(factory=ObjectMirror)
+    follower: Follower | None = None
+    task: asyncio.Task[None] | None = None
+
+
+@attrs.frozen(kw_only=True)
+class _Heard:
+    versions_by_prefix: Mapping[str, int]
+    at: timedelta
+
+
+class WatchShare:
+    """Keeps views up to date, from the platform or from peers.
+
+    Args:
+        host_id: This host's name.
+        failure_domain: Where it stands.
+        views: The views; their followers are made by the next argument.
+        follow: Makes the follower of a view.
+        peers: The links.
+        roster: Who is there.
+        clock: The clock.
+        reach_changed: Called when changes stop or begin to arrive.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        failure_domain: str,
+        views: Sequence[View],
+        follow: Callable[["WatchShare", View], Follower],
+        peers: Peers,
+        roster: Roster,
+        clock: Clock,
+        reach_changed: Callable[[bool], None],
+    ) -> None:
+        self._host_id = host_id
+        self._failure_domain = failure_domain
+        self._views_by_prefix = {view.prefix: view for view in views}
+        self._peers = peers
+        self._roster = roster
+        self._clock = clock
+        self._reach_changed = reach_changed
+        self._heard_by_host: dict[str, _Heard] = {}
+        self._fetching: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._enough_since: timedelta | None = None
+        self._is_reached = False
+        self.is_watching = False
+        for view in views:
+            view.follower = follow(self, view)
+        peers.on(FetchConfig, self._answer)
+        peers.listen(ViewBeat, self._hear_beat)
+        peers.listen(ViewChanges, self._hear_changes)
+
+    @property
+    def is_up(self) -> bool:
+        """Whether this host's own watches are up."""
+        views = self._views_by_prefix.values()
+        return all(view.follower.is_watching for view in views)
+
+    def replace(self, view: View, listing: Listing) -> None:
+        """Take in a whole listing from the platform."""
+        since = view.mirror.version
+        changed = view.mirror.replace(listing)
+        if changed is not None:
+            self._take(view, changed, since=since)
+
+    def advance(self, view: View, changes: Listing) -> None:
+        """Take in changes from the platform."""
+        since = view.mirror.version
+        self._take(view, view.mirror.advance(changes), since=since)
+
+    async def run(self) -> None:
+        """Watch or stand down as others do, for ever."""
+        beat_at = timedelta(0)
+        while True:
+            now = self._clock.monotonic()
+            self._decide(now)
+            self._note_reach(now)
+            if self.is_up and now - beat_at >= BEAT_INTERVAL:
+                beat_at = now
+                await self._peers.tell(self._neighbours(), self._beat())
+            self._catch_up(now)
+            await self._clock.sleep(CHECK_INTERVAL)
+
+    def _decide(self, now: timedelta) -> None:
+        domain_ids = {self._host_id, *self._neighbours()}
+        wants = should_watch(self._host_id, domain_ids, self._watching(now))
+        if wants:
+            self._enough_since = None
+            if not self.is_watching:
+                self._start(f"{len(domain_ids)} hosts here, too few watch")
+            return
+        self._enough_since = self._enough_since or now
+        if self.is_watching and now - self._enough_since >= STAND_DOWN_AFTER:
+            self._stop()
+
+    def _start(self, reason: str) -> None:
+        self.is_watching = True
+        log_event("watch", "Watching.", why=reason)
+        for view in self._views_by_prefix.values():
+            run = view.follower.run(after=view.mirror.version)
+            view.task = self._spawn(run)
+
+    def _stop(self) -> None:
+        self.is_watching = False
+        log_event("watch", "Standing down, others watch.")
+        for view in self._views_by_prefix.values():
+            view.task.cancel()
+            view.follower.is_watching = False
+
+    def _take(self, view: View, changed: Sequence[StoredObject], *, since: int) -> None:
+        if not changed:
+            return
+        view.apply(changed)
+        neighbours = self._neighbours()
+        if len(neighbours) + 1 > SMALL_DOMAIN:
+            listing = Listing(version=view.mirror.version, objects=tuple(changed))
+            news = ViewChanges(
+                prefix=view.prefix, since=since, listing=msgspec.json.encode(listing)
+            )
+            self._spawn(self._peers.tell(neighbours, news))
+
+    def _hear_changes(self, news: ViewChanges) -> None:
+        view = self._views_by_prefix.get(news.prefix)
+        # With a gap before them the changes wait for the next beat, which shows it.
+        if view is not None and news.since <= view.mirror.version:
+            listing = msgspec.json.decode(news.listing, type=Listing)
+            view.apply(view.mirror.advance(listing))
+
+    def _hear_beat(self, beat: ViewBeat) -> None:
+        self._heard_by_host[beat.host_id] = _Heard(
+            versions_by_prefix=beat.versions_by_prefix, at=self._clock.monotonic()
+        )
+
+    def _catch_up(self, now: timedelta) -> None:
+        """Fetch what others know and this host, whose own watch is down, does not."""
+        if self.is_up:
+            return
+        for view in self._views_by_prefix.values():
+            host_id = self._find_newer(view, now)
+            if host_id is not None and view.prefix not in self._fetching:
+                self._spawn(self._fetch(view, host_id))
+
+    def _find_newer(self, view: View, now: timedelta) -> str | None:
+        """Return a host that knows a newer version, one of this domain if any."""
+        for host_id in self._watching(now):
+            versions = self._heard_by_host[host_id].versions_by_prefix
+            if versions.get(view.prefix, 0) > view.mirror.version:
+                return host_id
+        best, version = None, view.mirror.newest
+        for row in self._roster.others():
+            if row.versions_by_prefix.get(view.prefix, 0) > version:
+                best, version = row.host_id, row.versions_by_prefix[view.prefix]
+        return best
+
+    async def _fetch(self, view: View, host_id: str) -> None:
+        self._fetching.add(view.prefix)
+        message = FetchConfig(after=view.mirror.version, prefix=view.prefix)
+        try:
+            reply = await self._peers.ask(host_id, message, timeout=FETCH_TIMEOUT)
+        except PeerError as error:
+            log_event("watch", "Peer did not answer.", peer=host_id, why=error)
+            await self._clock.sleep(BEAT_INTERVAL)
+            return
+        finally:
+            self._fetching.discard(view.prefix)
+        if isinstance(reply, ConfigChanges):
+            changed = view.mirror.advance(
+                msgspec.json.decode(reply.listing, type=Listing)
+            )
+            view.apply(changed)
+            log_event(
+                "watch",
+                "Learned from a peer.",
+                peer=host_id,
+                prefix=view.prefix,
+                version=view.mirror.version,
+                changed=len(changed),
+            )
+
+    async def _answer(self, message: FetchConfig) -> ConfigChanges:
+        view = self._views_by_prefix.get(message.prefix)
+        changes = Listing(version=0, objects=())
+        if view is not None:
+            changes = view.mirror.changes_after(message.after)
+        return ConfigChanges(listing=msgspec.json.encode(changes))
+
+    def _note_reach(self, now: timedelta) -> None:
+        is_reached = self.is_up or bool(self._watching(now))
+        if is_reached != self._is_reached:
+            self._is_reached = is_reached
+            self._reach_changed(is_reached)
+
+    def _beat(self) -> ViewBeat:
+        return ViewBeat(host_id=self._host_id, versions_by_prefix=self.versions())
+
+    def versions(self) -> dict[str, int]:
+        """Return the version known under each prefix."""
+        return {
+            prefix: view.mirror.version
+            for prefix, view in self._views_by_prefix.items()
+        }
+
+    def newest(self) -> dict[str, int]:
+        """Return the newest version of an object known under each prefix."""
+        return {
+            prefix: view.mirror.newest for prefix, view in self._views_by_prefix.items()
+        }
+
+    def _watching(self, now: timedelta) -> list[str]:
+        return [
+            host_id
+            for host_id, heard in self._heard_by_host.items()
+            if now - heard.at < BEAT_TIMEOUT
+        ]
+
+    def _neighbours(self) -> list[str]:
+        return [
+            row.host_id
+            for row in self._roster.others()
+            if row.failure_domain == self._failure_domain
+        ]
+
+    def _spawn(self, work) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/tests/test_watch_share.py
@@ -0,0 +1,113 @@
+"""Who watches the platform, and how the others learn."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from passtally import watch_share
+from passtally.watch_share import should_watch
+from tests.platform_system import LOOKUPS, PlatformSystem, make_config, run
+
+NAMES = st.sets(st.integers(0, 30).map(lambda n: f"h{n:02}"), min_size=1, max_size=20)
+
+
+class TestShouldWatch:
+    def test_in_a_small_domain_all_watch(self):
+        assert should_watch("z", {"a", "b", "z"}, {"a", "b"})
+
+    def test_in_a_large_one_enough_others_before_are_enough(self):
+        domain = {f"h{n}" for n in range(9)}
+        assert not should_watch("h5", domain, {"h1", "h2"})
+        assert should_watch("h5", domain, {"h1"})
+        assert should_watch("h5", domain, {"h1", "h7", "h8"})
+        assert should_watch("h5", domain, set())
+
+    @given(NAMES, st.integers(1, 4))
+    def test_it_settles_on_the_first_hosts(self, names, watchers):
+        watching: set[str] = set(names)
+        for _ in range(len(names) + 1):
+            watching = {
+                name
+                for name in names
+                if should_watch(
+                    name, names, watching - {name}, watchers=watchers, small_domain=1
+                )
+            }
+        expected = names if len(names) == 1 else set(sorted(names)[:watchers])
+        assert watching == expected
+
+    @given(NAMES, st.data())
+    def test_where_no_watcher_is_heard_everyone_watches(self, names, data):
+        own = data.draw(st.sampled_from(sorted(names)))
+        assert should_watch(own, names, set(), small_domain=1)
+
+
+async def wait_for_version(host, version: int) -> None:
+    async with asyncio.timeout(4):
+        while host.routes.current is None or host.routes.current.version != version:
+            await asyncio.sleep(0.01)
+
+
+class TestOutages:
+    def test_a_host_cut_off_from_the_store_learns_from_a_peer(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config(3))
+            await system.add_runner("i-look", LOOKUPS)
+            first = await system.add_host()
+            seeds = str(first.settings.peer_listen)
+            second = await system.add_host("front-2", seeds, store_port=1)
+            await system.wait_ready()
+            assert (await system.send("/look/1", host=second)).status == 200
+            system.store.put("config", "main", make_config(8))
+            await wait_for_version(second, 8)
+
+        run(test)
+
+    def test_while_the_store_is_away_a_new_host_starts_from_a_peer(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config(3))
+            await system.add_runner("i-look", LOOKUPS)
+            first = await system.add_host()
+            await system.wait_ready()
+            system.store.refusal = 503
+            await asyncio.sleep(1.5)
+            seeds = str(first.settings.peer_listen)
+            second = await system.add_host("front-2", seeds)
+            await wait_for_version(second, 3)
+            assert (await system.send("/look/1", host=second)).status == 200
+
+        run(test)
+
+
+class TestLargeDomains:
+    @pytest.fixture(autouse=True)
+    def small_limits(self, monkeypatch):
+        monkeypatch.setattr(watch_share, "SMALL_DOMAIN", 1)
+        monkeypatch.setitem(should_watch.__kwdefaults__, "small_domain", 1)
+        monkeypatch.setitem(should_watch.__kwdefaults__, "watchers", 1)
+
+    def test_one_watches_the_other_learns_and_takes_over(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config(3))
+            first = await system.add_host()
+            second = await system.add_host("front-2", str(first.settings.peer_listen))
+            await system.wait_ready()
+            async with asyncio.timeout(10):
+                while second.watch.is_watching:
+                    await asyncio.sleep(0.05)
+            assert first.watch.is_watching
+            calls = second.store.calls
+            system.store.put("config", "main", make_config(5))
+            await wait_for_version(second, 5)
+            await system.add_runner("i-look", LOOKUPS)
+            await system.wait_ready()
+            assert second.store.calls == calls
+            system.hosts.remove(first)
+            await first.stop()
+            system.store.put("config", "main", make_config(9))
+            async with asyncio.timeout(2.5):
+                await wait_for_version(second, 9)
+
+        run(test)
