Bound each host's links in large fleets

Cause: with 88 hosts each linked to every other: 7,656 links with heartbeats, and news of each run to all hosts of a domain.

Change: up to 24 hosts all link; among more, a host links to the next eight of its failure domain and to one of each other domain. Links, beats and news no longer grow with the fleet; a property proves that a domain stays connected.

--- a/passtally/host_news.py
+++ b/passtally/host_news.py
@@ -24,8 +24,6 @@
 #: Loads that were not told again are forgotten: their host may be gone.
 FORGET_AFTER = timedelta(seconds=5)
 NO_LOAD = TokenLoad()
-#: Above this number of hosts, only those of the same failure domain are told.
-MAX_TOLD = 24
 
 
 @attrs.frozen(kw_only=True)
@@ -85,7 +83,6 @@
 
     Args:
         host_id: This host's name.
-        failure_domain: Where it stands.
         board: Where the others' loads go.
         fleet: The endpoints.
         peers: The links.
@@ -98,7 +95,6 @@
         self,
         *,
         host_id: str,
-        failure_domain: str,
         board: LoadBoard,
         fleet: Fleet,
         peers: Peers,
@@ -107,7 +103,6 @@
         on_lost: Callable[[str], None],
     ) -> None:
         self._host_id = host_id
-        self._failure_domain = failure_domain
         self._board = board
         self._fleet = fleet
         self._peers = peers
@@ -137,10 +132,7 @@
             self._fleet.load_changed.clear()
 
     def _audience(self) -> list[str]:
-        rows = self._roster.others()
-        if len(rows) > MAX_TOLD:
-            rows = [row for row in rows if row.failure_domain == self._failure_domain]
-        return [row.host_id for row in rows]
+        return [row.host_id for row in self._roster.linked()]
 
     async def _tell(self, host_ids: list[str]) -> None:
         loads = self._fleet.loads_by_endpoint()
--- a/passtally/platform/host.py
+++ b/passtally/platform/host.py
@@ -62,8 +62,8 @@
 #: or be cut off from most.
 MIN_BUDGET_HOSTS = 8
 #: Hosts tell of themselves each second; one that was not heard of for this long is
-#: out of reach. It is short, so that the loads of a dead host are soon forgotten.
-ALIVE_FOR = timedelta(seconds=8)
+#: out of reach. Word of a host may take 15 s to reach all of 55.
+ALIVE_FOR = timedelta(seconds=20)
 #: No request is refused for the endpoints that died under it: here they die in
 #: groups, whatever they run.
 MAX_DEATHS = 1000
@@ -188,7 +188,6 @@
         )
         self.watch = WatchShare(
             host_id=self.settings.host_id,
-            failure_domain=self.settings.failure_domain,
             views=(
                 View(prefix=CONFIG_PREFIX, apply=self._take_routes),
                 View(prefix=ENDPOINTS_PREFIX, apply=self._take_endpoints),
@@ -252,7 +251,6 @@
         )
         self.news = NewsExchange(
             host_id=settings.host_id,
-            failure_domain=settings.failure_domain,
             board=self.board,
             fleet=self.fleet,
             peers=self.peers,
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -1,5 +1,6 @@
 """Finds the other entry hosts: from a few seeds, then from each other."""
 
+import hashlib
 from collections.abc import Sequence
 from datetime import timedelta
 
@@ -13,6 +14,11 @@
 MEET_INTERVAL = timedelta(milliseconds=500)
 #: How long links take to come up before the first message.
 CONNECT_PAUSE = timedelta(milliseconds=50)
+#: Up to so many hosts all link to each other.
+MAX_LINKS = 24
+#: Among more, each links to so many hosts of its failure domain, the next ones in
+#: the order of names, and to one of each other domain: its cost does not grow.
+RING_LINKS = 8
 SEED_PREFIX = "seed-"
 
 
@@ -40,6 +46,7 @@
         self._clock = clock
         #: The most hosts that were in reach at once, this one included.
         self.peak = 1
+        self._linked_ids: set[str] = set()
 
     def others(self) -> list[MemberRow]:
         """Return the rows of the other hosts that are in reach."""
@@ -68,9 +75,11 @@
             await self._clock.sleep(MEET_INTERVAL)
 
     def meet(self) -> None:
-        """Open links to hosts that are new, close those to hosts out of reach."""
-        self.peak = max(self.peak, len(self.others()) + 1)
-        rows_by_id = {row.host_id: row for row in self.others() if row.address}
+        """Open links to the hosts that it is this host's part to know."""
+        rows = [row for row in self.others() if row.address]
+        self.peak = max(self.peak, len(rows) + 1)
+        rows_by_id = {row.host_id: row for row in choose_links(self._table.own, rows)}
+        self._linked_ids = set(rows_by_id)
         for row in rows_by_id.values():
             address = parse_address(row.address)
             peer = PeerAddress(
@@ -82,12 +91,44 @@
             self._peers.meet(peer)
         for host_id in self._peers.ids:
             if host_id not in rows_by_id and not host_id.startswith(SEED_PREFIX):
-                log_event("roster", "Out of reach.", peer=host_id)
+                log_event("roster", "Let go.", peer=host_id)
                 self._peers.forget(host_id)
         if not rows_by_id:
             self.meet_seeds()
 
+    def neighbours(self) -> list[MemberRow]:
+        """Return the rows of the linked hosts of this failure domain."""
+        domain = self._table.own.failure_domain
+        return [row for row in self.linked() if row.failure_domain == domain]
+
+    def linked(self) -> list[MemberRow]:
+        """Return the rows of the hosts in reach that this one is linked to."""
+        return [row for row in self.others() if row.host_id in self._linked_ids]
+
     def _forget_seed(self, address: Address) -> None:
         for host_id in self._peers.find(address):
             if host_id.startswith(SEED_PREFIX):
                 self._peers.forget(host_id)
+
+
+def choose_links(own: MemberRow, rows: Sequence[MemberRow]) -> list[MemberRow]:
+    """Choose the hosts that one host links to. Pure.
+
+    Args:
+        own: The host's own row.
+        rows: The other hosts.
+    """
+    if len(rows) < MAX_LINKS:
+        return list(rows)
+    ordered = sorted(rows, key=lambda row: (row.host_id <= own.host_id, row.host_id))
+    near = [row for row in ordered if row.failure_domain == own.failure_domain]
+    far = {
+        row.failure_domain: row
+        for row in sorted(rows, key=lambda row: _rank(own.host_id, row.host_id))
+        if row.failure_domain != own.failure_domain
+    }
+    return [*near[:RING_LINKS], *far.values()]
+
+
+def _rank(own_id: str, host_id: str) -> bytes:
+    return hashlib.blake2b(f"{own_id} {host_id}".encode(), digest_size=8).digest()
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -99,7 +99,6 @@
 
     Args:
         host_id: This host's name.
-        failure_domain: Where it stands.
         views: The views; their followers are made by the next argument.
         follow: Makes the follower of a view.
         peers: The links.
@@ -112,7 +111,6 @@
         self,
         *,
         host_id: str,
-        failure_domain: str,
         views: Sequence[View],
         follow: Callable[["WatchShare", View], Follower],
         peers: Peers,
@@ -121,7 +119,6 @@
         reach_changed: Callable[[bool], None],
     ) -> None:
         self._host_id = host_id
-        self._failure_domain = failure_domain
         self._views_by_prefix = {view.prefix: view for view in views}
         self._peers = peers
         self._roster = roster
@@ -236,7 +233,7 @@
             if versions.get(view.prefix, 0) > view.mirror.version:
                 return host_id
         best, version = None, view.mirror.newest
-        for row in self._roster.others():
+        for row in self._roster.linked():
             if row.versions_by_prefix.get(view.prefix, 0) > version:
                 best, version = row.host_id, row.versions_by_prefix[view.prefix]
         return best
@@ -303,11 +300,7 @@
         ]
 
     def _neighbours(self) -> list[str]:
-        return [
-            row.host_id
-            for row in self._roster.others()
-            if row.failure_domain == self._failure_domain
-        ]
+        return [row.host_id for row in self._roster.neighbours()]
 
     def _spawn(self, work) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
--- a/tests/test_host_news.py
+++ b/tests/test_host_news.py
@@ -10,7 +10,7 @@
 from passtally.membership import MemberTable
 from passtally.peers import MemberRow, TokenLoad
 from passtally.retry_budget import ServiceBudgets
-from passtally.roster import Roster
+from passtally.roster import MAX_LINKS, RING_LINKS, Roster, choose_links
 from passtally.settings import Address, PeerAddress
 
 NOW = timedelta(0)
@@ -104,6 +104,46 @@
         assert roster.others() == []
 
 
+def make_rows(count: int, domains: str = "abc") -> list[MemberRow]:
+    return [
+        MemberRow(f"h{n:03}", domains[n % len(domains)], 1, 0, False, f"10.0.0.{n}:1")
+        for n in range(count)
+    ]
+
+
+class TestLinks:
+    def test_few_hosts_all_link_to_each_other(self):
+        own, *others = make_rows(MAX_LINKS)
+        assert choose_links(own, others) == others
+
+    def test_among_many_a_host_links_to_a_bounded_number(self):
+        rows = make_rows(330, "abcdef")
+        for own in rows[::50]:
+            others = [row for row in rows if row is not own]
+            links = choose_links(own, others)
+            near = [r for r in links if r.failure_domain == own.failure_domain]
+            assert len(near) == RING_LINKS
+            assert len(links) == RING_LINKS + 5
+
+    @given(st.integers(30, 120), st.sets(st.integers(0, 119), max_size=20))
+    def test_the_hosts_of_a_domain_stay_connected(self, count, lost):
+        rows = [row for n, row in enumerate(make_rows(count)) if n not in lost]
+        if len(rows) <= MAX_LINKS:
+            return
+        domain = [row for row in rows if row.failure_domain == "a"]
+        names = {row.host_id for row in domain}
+        reached = {domain[0].host_id}
+        frontier = [domain[0]]
+        while frontier:
+            own = frontier.pop()
+            others = [row for row in rows if row is not own]
+            for row in choose_links(own, others):
+                if row.host_id in names and row.host_id not in reached:
+                    reached.add(row.host_id)
+                    frontier.append(row)
+        assert reached == names
+
+
 class TestServiceBudgets:
     def test_resumes_may_use_what_repeats_may_not(self):
         budgets = ServiceBudgets(share=0.5, most=lambda: 10)
