--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,506 @@
+"""Replicas of runs: where they are kept, renewed, and gone on from."""
+
+import asyncio
+from collections.abc import Sequence
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from passtally.dispatcher import Dispatcher
+from passtally.engine import AttemptLostError
+from passtally.fleet import Fleet
+from passtally.generation import Attempt, Generation, GenerationRequest, TokenEvent
+from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
+from passtally.outcome import RefusedError
+from passtally.peers import TokenLoad
+from passtally.retry import (
+    Holder,
+    LossKind,
+    NextStep,
+    RetryLimits,
+    decide_after_loss,
+)
+from passtally.retry_budget import ServiceBudgets
+from passtally.routing import (
+    EndpointView,
+    RouteQuery,
+    choose_endpoint,
+    choose_replica,
+)
+from passtally.silence import Phase, SilenceBounds
+from standins.virtual import VirtualClock, run_virtually
+from tests.fakes import make_catalog
+
+NOW = timedelta(0)
+EVENTS = 30
+
+
+def view(name: str, domain: str = "pilar", **fields) -> EndpointView:
+    defaults = {
+        "state": EndpointState.ACTIVE,
+        "own_streams": 0,
+        "reported_streams": 0,
+        "own_at_report": 0,
+        "max_streams": 64,
+        "capacity_tokens": 55_000,
+    }
+    return EndpointView(id=name, failure_domain=domain, **(defaults | fields))
+
+
+QUERY = RouteQuery(affinity=b"p", failure_domain="pilar", tokens=5_700)
+
+
+class TestPlacing:
+    def choose(self, *views: EndpointView, query: RouteQuery = QUERY) -> str | None:
+        return choose_endpoint(query, views, now=NOW).endpoint_id
+
+    def test_a_prompt_goes_where_the_least_is_to_be_read(self):
+        busy = view("a", reading_tokens=5_000)
+        assert self.choose(busy, view("b", held_tokens=9_000)) == "b"
+
+    def test_its_own_domain_goes_first_where_all_are_equal(self):
+        assert self.choose(view("a", "tigre"), view("b")) == "b"
+
+    def test_another_domain_is_taken_where_its_own_reads(self):
+        assert self.choose(view("a", "tigre"), view("b", reading_tokens=5_000)) == "a"
+
+    def test_a_full_memory_is_avoided(self):
+        full = view("b", held_tokens=52_000)
+        assert self.choose(view("a", "tigre", held_tokens=30_000), full) == "a"
+
+    def test_a_domain_with_a_loss_is_avoided_while_another_is_calm(self):
+        assert self.choose(view("a", "tigre"), view("b", is_shaky=True)) == "a"
+        assert self.choose(view("b", is_shaky=True)) == "b"
+
+    def test_one_on_trial_gets_no_second_request(self):
+        assert self.choose(view("a", is_on_trial=True)) is None
+
+    def test_equal_ones_are_spread_by_the_prompt(self):
+        views = [view(name) for name in "abcd"]
+        chosen = {
+            self.choose(
+                *views, query=RouteQuery(affinity=bytes([n]), failure_domain="pilar")
+            )
+            for n in range(40)
+        }
+        assert chosen == set("abcd")
+
+
+class TestReplicaPlace:
+    def place(self, primary: str, *views: EndpointView) -> str:
+        return choose_replica(primary, QUERY, views, now=NOW)
+
+    def test_another_failure_domain_goes_first(self):
+        assert self.place("a", view("a"), view("b"), view("c", "tigre")) == "c"
+
+    def test_its_own_domain_is_better_than_none(self):
+        assert self.place("a", view("a"), view("b")) == "b"
+
+    def test_there_may_be_none(self):
+        assert self.place("a", view("a")) == ""
+        leaving = view("b", state=EndpointState.DRAINING)
+        assert self.place("a", view("a"), leaving) == ""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["pilar", "tigre"]),
+                st.integers(0, 50_000),
+                st.booleans(),
+            ),
+            min_size=1,
+            max_size=8,
+        )
+    )
+    def test_it_is_never_the_runs_own_endpoint_or_an_ejected_one(self, specs):
+        views = [
+            view(
+                f"e{n}",
+                domain,
+                held_tokens=held,
+                ejected_until=timedelta(seconds=1) if is_ejected else None,
+            )
+            for n, (domain, held, is_ejected) in enumerate(specs)
+        ]
+        chosen = self.place("e0", *views)
+        usable = {item.id for item in views[1:] if item.ejected_until is None}
+        assert chosen in usable or (chosen == "" and not usable)
+
+
+class TestDecision:
+    def decide(self, kind: LossKind, holder: Holder) -> NextStep:
+        return decide_after_loss(
+            kind,
+            attempts=1,
+            deaths=0,
+            was_attached=False,
+            limits=RetryLimits(),
+            holder=holder,
+        ).step
+
+    @pytest.mark.parametrize("kind", [LossKind.RESET, LossKind.FROZEN, LossKind.SEAM])
+    def test_a_run_goes_on_from_its_replica(self, kind):
+        assert self.decide(kind, Holder.REPLICA) is NextStep.ATTACH
+
+    @pytest.mark.parametrize(
+        "kind", [LossKind.REFUSED, LossKind.UNREACHABLE, LossKind.REPLACED]
+    )
+    def test_a_run_that_never_began_has_nothing_to_go_on_from(self, kind):
+        assert self.decide(kind, Holder.REPLICA) is NextStep.RESUME
+
+    def test_without_a_holder_the_prompt_is_read_again(self):
+        assert self.decide(LossKind.RESET, Holder.NONE) is NextStep.RESUME
+        assert self.decide(LossKind.RESET, Holder.ENDPOINT) is NextStep.ATTACH
+
+
+class Engines:
+    """Engines that keep replicas of each other's runs, and fail when told to."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, ReplicaEngine] = {}
+        self.read_prompts = 0
+        self.opened: list[tuple[str, str]] = []
+
+    def connect(self, endpoint: Endpoint) -> "ReplicaEngine":
+        return self.by_id.setdefault(endpoint.id, ReplicaEngine(endpoint.id, self))
+
+
+class ReplicaEngine:
+    """One of them."""
+
+    reports_load = False
+    keeps_streams = False
+
+    def __init__(self, name: str, engines: Engines) -> None:
+        self.name = name
+        self.engines = engines
+        self.is_dead = False
+        self.hangs = False
+        self.replaced_by = ""
+        self.replicas: set[str] = set()
+        self.copies = 0
+        self.streams: list[ReplicaStream] = []
+
+    async def generate(
+        self, request: GenerationRequest, attempt: Attempt, prior: Sequence[int]
+    ) -> "ReplicaStream":
+        self.engines.read_prompts += 1
+        return self._open("read", request, attempt, len(prior))
+
+    async def attach(
+        self, request: GenerationRequest, attempt: Attempt, *, position: int
+    ) -> "ReplicaStream":
+        self._check()
+        if attempt.resume_ref not in self.replicas:
+            raise self.lost(LossKind.REFUSED)
+        return self._open("attach", request, attempt, position)
+
+    async def cancel(self, generation_id: str, attempt: int) -> None:
+        pass
+
+    async def copy_run(self, generation_id: str, target: str) -> str:
+        self._check()
+        self.copies += 1
+        ref = f"copy-{self.name}-{target}"
+        self.engines.by_id[target].replicas.add(ref)
+        return ref
+
+    async def drop_copy(self, replica_ref: str, target: str) -> None:
+        self.engines.by_id[target].replicas.discard(replica_ref)
+
+    async def is_reachable(self) -> bool:
+        await asyncio.sleep(0.001)
+        return not self.is_dead
+
+    def die(self) -> None:
+        self.is_dead = True
+        self.replicas.clear()
+
+    def lost(self, kind: LossKind) -> AttemptLostError:
+        return AttemptLostError(
+            kind,
+            step="stream",
+            peer=self.name,
+            detail="test",
+            successor=self.replaced_by,
+        )
+
+    def _check(self) -> None:
+        if self.replaced_by:
+            raise self.lost(LossKind.REPLACED)
+        if self.is_dead:
+            raise self.lost(LossKind.UNREACHABLE)
+
+    def _open(
+        self, how: str, request: GenerationRequest, attempt: Attempt, position: int
+    ) -> "ReplicaStream":
+        self._check()
+        self.engines.opened.append((self.name, how))
+        keeper = self.engines.by_id.get(attempt.replica_id)
+        if keeper is not None and not keeper.is_dead:
+            attempt.replica_ref = f"backup-{request.id}-{keeper.name}"
+            keeper.replicas.add(attempt.replica_ref)
+        stream = ReplicaStream(self, position)
+        self.streams.append(stream)
+        return stream
+
+
+class ReplicaStream:
+    """One run's events, 30 ms apart; the first takes longer."""
+
+    report = None
+
+    def __init__(self, engine: ReplicaEngine, position: int) -> None:
+        self.engine = engine
+        self.position = position
+        self.is_closed = False
+        self._first = True
+
+    async def read(self) -> list[TokenEvent]:
+        if self.position > EVENTS:
+            return []
+        await asyncio.sleep(0.2 if self._first else 0.03)
+        self._first = False
+        while self.engine.hangs:
+            await asyncio.sleep(3600)
+        if self.engine.is_dead:
+            raise self.engine.lost(LossKind.RESET)
+        self.position += 1
+        if self.position > EVENTS:
+            return [self._event(self.position - 1, [], "end")]
+        return [self._event(self.position - 1, [0], None)]
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def _event(self, position: int, tokens: list[int], end: str | None) -> TokenEvent:
+        return TokenEvent(
+            position=position,
+            token_ids=tokens,
+            text_offset=0,
+            text="",
+            finish_reason=end,
+            payload=b"%d " % (position + 1) if tokens else b"",
+        )
+
+
+class ByteSink:
+    """Gathers what is passed on, and the longest pause."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.longest = 0.0
+        self._last: float | None = None
+
+    def switch(self, generation: Generation, attempt: Attempt) -> None:
+        pass
+
+    async def write(self, deliveries) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._last is not None:
+            self.longest = max(self.longest, now - self._last)
+        self._last = now
+        self.data += b"".join(delivery.payload for delivery in deliveries)
+
+
+WHOLE = b"".join(b"%d " % number for number in range(1, EVENTS + 1))
+BOUNDS = {
+    Phase.FIRST_TOKEN: SilenceBounds(
+        initial=timedelta(seconds=0.8),
+        floor=timedelta(seconds=0.8),
+        ceiling=timedelta(seconds=0.8),
+        stuck_after=timedelta(seconds=3),
+    ),
+    Phase.NEXT_TOKEN: SilenceBounds(
+        initial=timedelta(seconds=0.25),
+        floor=timedelta(seconds=0.2),
+        ceiling=timedelta(seconds=0.3),
+        stuck_after=timedelta(seconds=0.42),
+    ),
+}
+
+
+class World:
+    """Four engines in two domains, a fleet and a dispatcher."""
+
+    def __init__(self, *, most: float = 20) -> None:
+        service = Service(id="s", kind=ServiceKind.MODEL, model="m", version="1")
+        endpoints = [
+            Endpoint(id=name, service="s", url=f"http://{name}", failure_domain=domain)
+            for name, domain in (
+                ("a1", "pilar"),
+                ("a2", "pilar"),
+                ("b1", "tigre"),
+                ("b2", "tigre"),
+            )
+        ]
+        self.clock = VirtualClock()
+        self.engines = Engines()
+        self.catalog = make_catalog([service], endpoints)
+        self.successors: list[str] = []
+        self.fleet = Fleet(
+            catalog=self.catalog,
+            clock=self.clock,
+            connect=self.engines.connect,
+            bounds_by_phase=BOUNDS,
+            capacity_of=lambda service: 55_000,
+            others_load=lambda endpoint_id: TokenLoad(),
+            on_successor=lambda ended, successor: self.successors.append(successor),
+        )
+        self.fleet.views("s")
+        self.dispatcher = Dispatcher(
+            fleet=self.fleet,
+            clock=self.clock,
+            failure_domain="pilar",
+            limits=RetryLimits(max_deaths=1000),
+            budgets=ServiceBudgets(share=0.8, most=lambda: most),
+            linger=timedelta(0),
+            keeps_replicas=lambda service: True,
+        )
+        self.sink = ByteSink()
+
+    def start(self) -> asyncio.Task[None]:
+        self._watch = asyncio.create_task(self.fleet.watch_silence())
+        request = GenerationRequest(
+            id="g1",
+            workspace="w",
+            service="s",
+            model="",
+            prompt="p1",
+            max_tokens=700,
+            prompt_tokens=5_000,
+            priority=5,
+            max_attempts=5,
+        )
+        self.task = asyncio.create_task(
+            self.dispatcher.run(Generation(request=request), self.sink)
+        )
+        return self.task
+
+    async def running(self, count: int = 5) -> ReplicaEngine:
+        """Wait until some events came; return the engine that runs."""
+        while self.sink.data.count(b" ") < count:
+            assert not self.task.done(), self.task
+            await asyncio.sleep(0.01)
+        return self.engines.by_id[self.engines.opened[-1][0]]
+
+    def keeper(self) -> ReplicaEngine:
+        return next(e for e in self.engines.by_id.values() if e.replicas)
+
+
+class TestGoingOn:
+    def test_a_dead_engines_run_goes_on_from_the_replica(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            keeper = world.keeper()
+            first.die()
+            await task
+            assert world.sink.data == WHOLE
+            assert world.engines.read_prompts == 1
+            assert world.engines.opened[-1] == (keeper.name, "attach")
+            assert world.sink.longest < 0.7
+
+        run_virtually(test())
+
+    def test_a_silent_engines_run_goes_on_within_the_pause_that_users_allow(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            first.hangs = True
+            await task
+            assert world.sink.data == WHOLE
+            assert world.engines.read_prompts == 1
+            assert world.sink.longest < 0.85
+            assert first.streams[0].is_closed
+
+        run_virtually(test())
+
+    def test_after_the_replicas_loss_the_next_loss_finds_a_copy(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            keeper = world.keeper()
+            keeper.die()
+            world.fleet.note_peer_loss(keeper.name)
+            while not first.copies:
+                assert not task.done()
+                await asyncio.sleep(0.01)
+            first.die()
+            await task
+            assert world.sink.data == WHOLE
+            assert world.engines.read_prompts == 1
+
+        run_virtually(test())
+
+    def test_a_copy_is_let_go_after_a_whole_answer(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            keeper = world.keeper()
+            keeper.die()
+            world.fleet.note_peer_loss(keeper.name)
+            while not first.copies:
+                assert not task.done()
+                await asyncio.sleep(0.01)
+            await task
+            await asyncio.sleep(0.01)
+            names = (ref for e in world.engines.by_id.values() for ref in e.replicas)
+            assert not any(ref.startswith("copy-") for ref in names)
+
+        run_virtually(test())
+
+    def test_where_both_are_lost_the_prompt_is_read_once_more(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            world.keeper().die()
+            first.die()
+            await task
+            assert world.sink.data == WHOLE
+            assert world.engines.read_prompts == 2
+
+        run_virtually(test())
+
+    def test_engines_out_of_reach_cost_no_attempt_and_no_budget(self):
+        async def test() -> None:
+            world = World(most=0)
+            for name in ("a1", "a2", "b1"):
+                world.engines.by_id[name].is_dead = True
+            await world.start()
+            assert world.sink.data == WHOLE
+
+        run_virtually(test())
+
+    def test_a_replaced_engine_is_told_of_and_never_asked_again(self):
+        async def test() -> None:
+            world = World()
+            for engine in world.engines.by_id.values():
+                engine.replaced_by = f"new-{engine.name}"
+            with pytest.raises(RefusedError):
+                await world.start()
+            assert set(world.successors) == {"new-a1", "new-a2", "new-b1", "new-b2"}
+            states = {item.state for item in world.fleet.views("s")}
+            assert states == {EndpointState.DRAINING}
+
+        run_virtually(test())
+
+    def test_what_runs_take_is_counted_out_again(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            first.die()
+            assert world.fleet.loads_by_endpoint()
+            await task
+            assert world.fleet.loads_by_endpoint() == {}
+            assert all(not e.resume_tokens for e in world.fleet._live_by_id.values())
+
+        run_virtually(test())
