--- a/passtally/replica.py
+++ b/passtally/replica.py
@@ -52,8 +52,8 @@
         self._fleet = fleet
         self._clock = clock
         self._place = place
-        #: Whether the replica is a copy that has to be renewed.
-        self._is_copy = False
+        #: When the replica was copied last; None while the engine sends it on itself.
+        self._copied_at: timedelta | None = None
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> None:
@@ -71,7 +71,7 @@
         if self._task is None:
             return
         self._task.cancel()
-        if self._is_copy and error is None:
+        if self._copied_at is not None and error is None:
             asyncio.get_running_loop().create_task(self._drop())
 
     async def _run(self) -> None:
@@ -79,16 +79,23 @@
             await self._clock.sleep(CHECK_INTERVAL)
             if not self._generation.delivered:
                 continue
-            if not self._is_lost():
-                if self._is_copy:
-                    await self._clock.sleep(RENEW_INTERVAL)
-                    await self._copy(self._attempt.replica_id)
-                continue
-            target = self._place()
-            if target:
-                await self._copy(target)
-            else:
-                await self._clock.sleep(REFUSED_PAUSE)
+            if self._is_lost():
+                await self._replace()
+            elif self._is_due():
+                await self._copy(self._attempt.replica_id)
+
+    async def _replace(self) -> None:
+        target = self._place()
+        if target:
+            await self._copy(target)
+        else:
+            await self._clock.sleep(REFUSED_PAUSE)
+
+    def _is_due(self) -> bool:
+        """Return whether the replica is a copy that has to be renewed."""
+        if self._copied_at is None:
+            return False
+        return self._clock.monotonic() - self._copied_at >= RENEW_INTERVAL
 
     def _is_lost(self) -> bool:
         return not self._fleet.is_usable(self._attempt.replica_id)
@@ -116,7 +123,7 @@
                 lost=attempt.replica_id,
             )
         attempt.replica_id, attempt.replica_ref = target, ref
-        self._is_copy = True
+        self._copied_at = self._clock.monotonic()
 
     async def _drop(self) -> None:
         attempt = self._attempt
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -34,7 +34,7 @@
 from tests.fakes import make_catalog
 
 NOW = timedelta(0)
-EVENTS = 30
+EVENTS = 60
 
 
 def view(name: str, domain: str = "pilar", **fields) -> EndpointView:
@@ -438,6 +438,26 @@
 
         run_virtually(test())
 
+    def test_a_lost_copy_is_replaced_without_waiting_for_its_renewal(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running(2)
+            for copies in (1, 2):
+                await asyncio.sleep(0.3)
+                keeper = world.keeper()
+                keeper.die()
+                world.fleet.note_peer_loss(keeper.name)
+                lost_at = asyncio.get_running_loop().time()
+                while first.copies < copies:
+                    assert not task.done()
+                    await asyncio.sleep(0.01)
+                assert asyncio.get_running_loop().time() - lost_at < 0.5
+            await task
+            assert world.sink.data == WHOLE
+
+        run_virtually(test())
+
     def test_a_copy_is_let_go_after_a_whole_answer(self):
         async def test() -> None:
             world = World()
