Keep the adapter to translation; read changed settings without a signal

Cause: the host's composition, with its limits for silence, stops and budgets, stood in the adapter's folder, which is to hold no decision.

Change: front_host composes the product's parts behind an Adapter protocol that platform/adapter.py implements. The file is looked at every 5 s. Watches end with their host. Tests start the process as the deploy file does.

--- a/passtally/platform/host.py
+++ b/passtally/front_host.py
@@ -1,10 +1,10 @@
-"""One entry host on the platform: the product's parts behind the adapter."""
+"""An entry host that serves by routes, behind an adapter to its surroundings."""
 
 import asyncio
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from datetime import timedelta
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 import aiomisc
@@ -17,35 +17,29 @@
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.endpoint_book import EndpointBook
+from passtally.engine import Engine
 from passtally.fleet import Fleet
 from passtally.follower import Follower
 from passtally.front import Front
 from passtally.gate import Gate
 from passtally.host_news import LoadBoard, NewsExchange
 from passtally.http_client import ConnectionPool
-from passtally.http_server import Exchange, HttpServer, ServerLimits
+from passtally.http_server import Exchange, Handle, HttpServer, ServerLimits
 from passtally.membership import Gossip, MemberTable
 from passtally.metrics import GAUGE_INTERVAL, Metric, TextMetrics
-from passtally.object_store import StoredObject
+from passtally.object_store import Platform, StoredObject
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.peers import MemberRow, Peers
-from passtally.plain import PlainCaller
-from passtally.platform.decode import decode_endpoint, decode_routes
-from passtally.platform.ingress import Ingress, encode_ready
-from passtally.platform.runner import RunnerEngine, RunnerSender
-from passtally.platform.store import PlatformStore
+from passtally.plain import PlainCaller, Sender
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
 from passtally.roster import Roster
-from passtally.routes import RoutesInForce, ServiceInfo
+from passtally.routes import RouteSet, RoutesInForce, ServiceInfo
 from passtally.settings import Address, Settings, parse_address
 from passtally.silence import Phase, SilenceBounds
 from passtally.supervisor import keep_running
 from passtally.watch_share import View, WatchShare
 
-CONFIG_PREFIX = "config/"
-CONFIG_KEY = "config/main"
-ENDPOINTS_PREFIX = "servers/"
 #: How long one watch waits. A store that compacts its history lets watches hear
 #: nothing, so a quiet watch is renewed often enough to apply a change within 2 s.
 WATCH_WAIT = timedelta(seconds=1.2)
@@ -85,17 +79,70 @@
 }
 
 
-class PlatformHost(aiomisc.Service):
+class Adapter(Protocol):
+    """Translates between a host and what surrounds it; it decides nothing.
+
+    Attributes:
+        routes_prefix: What the keys of the configuration start with.
+        endpoints_prefix: What the keys of endpoints' entries start with.
+    """
+
+    routes_prefix: str
+    endpoints_prefix: str
+
+    def open_store(self, session: aiohttp.ClientSession, url: str) -> Platform:
+        """Return the client of the store."""
+
+    def decode_routes(self, stored: StoredObject) -> RouteSet | None:
+        """Read the routes; None for an object that holds none.
+
+        Raises:
+            ValueError: They can't be read.
+        """
+
+    def decode_endpoint(self, stored: StoredObject) -> Endpoint:
+        """Read an endpoint's entry.
+
+        Raises:
+            ValueError: It can't be read.
+        """
+
+    def connect(
+        self,
+        endpoint: Endpoint,
+        *,
+        pool: ConnectionPool,
+        clock: Clock,
+        find_address: Callable[[str], Address | None],
+    ) -> Engine:
+        """Return the client of an endpoint's engine."""
+
+    async def is_engine(self, engine: Engine) -> bool:
+        """Return whether a model engine answers there."""
+
+    def make_sender(self, *, pool: ConnectionPool, clock: Clock) -> Sender:
+        """Return what sends plain calls."""
+
+    def make_handler(self, front: Front) -> Handle:
+        """Return what hands callers' requests to the front."""
+
+    def encode_ready(self, is_ready: bool) -> tuple[int, bytes]:
+        """Return the status and body for the balancer's question."""
+
+
+class FrontHost(aiomisc.Service):
     """Everything that runs on one entry host.
 
     Args:
         settings: What it was told.
         clock: The clock.
+        adapter: Translates for it.
     """
 
-    def __init__(self, *, settings: Settings, clock: Clock) -> None:
+    def __init__(self, *, settings: Settings, clock: Clock, adapter: Adapter) -> None:
         super().__init__()
         self.settings = settings
+        self._adapter = adapter
         self.clock = clock
         self.metrics = TextMetrics()
         self.drain = Drain(max_open=settings.max_streams)
@@ -130,6 +177,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.watch.stop()
         await self.peers.stop()
         self.pool.close()
         await self._session.close()
@@ -171,7 +219,7 @@
             connector=aiohttp.TCPConnector(limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
-        self.store = PlatformStore(session=self._session, url=self.settings.platform)
+        self.store = self._adapter.open_store(self._session, self.settings.platform)
         self._build_links()
         self.board = LoadBoard()
         self.fleet = Fleet(
@@ -189,8 +237,8 @@
         self.watch = WatchShare(
             host_id=self.settings.host_id,
             views=(
-                View(prefix=CONFIG_PREFIX, apply=self._take_routes),
-                View(prefix=ENDPOINTS_PREFIX, apply=self._take_endpoints),
+                View(prefix=self._adapter.routes_prefix, apply=self._take_routes),
+                View(prefix=self._adapter.endpoints_prefix, apply=self._take_endpoints),
             ),
             follow=self._follow,
             peers=self.peers,
@@ -274,7 +322,7 @@
             clock=self.clock,
             failure_domain=settings.failure_domain,
             budgets=budgets,
-            sender=RunnerSender(pool=self.pool, clock=self.clock),
+            sender=self._adapter.make_sender(pool=self.pool, clock=self.clock),
         )
         self.front = Front(
             routes=self.routes,
@@ -287,8 +335,9 @@
         )
 
     async def _listen(self) -> None:
-        ingress = Ingress(front=self.front)
-        self.front_server = HttpServer(handle=ingress.handle, limits=self._limits)
+        self.front_server = HttpServer(
+            handle=self._adapter.make_handler(self.front), limits=self._limits
+        )
         self.ready_server = HttpServer(handle=self._answer_ready)
         self.metrics_server = HttpServer(handle=self._answer_metrics)
         for server, address in (
@@ -304,16 +353,16 @@
         return ServerLimits() if current is None else current.limits
 
     async def _answer_ready(self, exchange: Exchange) -> None:
-        status, body = encode_ready(self.is_ready)
+        status, body = self._adapter.encode_ready(self.is_ready)
         await exchange.answer(status, [(b"Content-Type", b"application/json")], body)
 
     async def _answer_metrics(self, exchange: Exchange) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         await exchange.answer(200, headers, self.metrics.render())
 
-    def _connect(self, endpoint: Endpoint) -> RunnerEngine:
-        return RunnerEngine(
-            endpoint=endpoint,
+    def _connect(self, endpoint: Endpoint) -> Engine:
+        return self._adapter.connect(
+            endpoint,
             pool=self.pool,
             clock=self.clock,
             find_address=self._find_address,
@@ -332,7 +381,7 @@
             self._spawn(self._adopt(successor))
 
     async def _adopt(self, successor: Endpoint) -> None:
-        if await self._connect(successor).is_engine():
+        if await self._adapter.is_engine(self._connect(successor)):
             self.book.put(successor)
 
     def _find_address(self, endpoint_id: str) -> Address | None:
@@ -355,14 +404,12 @@
 
     def _take_routes(self, changed: Sequence[StoredObject]) -> None:
         for stored in changed:
-            if stored.key != CONFIG_KEY or stored.is_removed:
-                continue
             try:
-                routes = decode_routes(bytes(stored.value))
+                routes = self._adapter.decode_routes(stored)
             except ValueError as error:
                 log_event("config", "Ignored a broken configuration.", why=error)
                 continue
-            if not self.routes.take(routes):
+            if routes is None or not self.routes.take(routes):
                 continue
             for service in routes.services:
                 self.catalog.put_service(
@@ -374,18 +421,19 @@
     def _take_endpoints(self, changed: Sequence[StoredObject]) -> None:
         for stored in changed:
             if stored.is_removed:
-                self.book.remove([stored.key.removeprefix(ENDPOINTS_PREFIX)])
+                self.book.remove(
+                    [stored.key.removeprefix(self._adapter.endpoints_prefix)]
+                )
                 continue
             endpoint = self._decode_endpoint(stored)
             if endpoint is not None:
                 self.book.put(endpoint)
 
     def _decode_endpoint(self, stored: StoredObject) -> Endpoint | None:
-        endpoint_id = stored.key.removeprefix(ENDPOINTS_PREFIX)
         try:
-            return decode_endpoint(endpoint_id, bytes(stored.value))
+            return self._adapter.decode_endpoint(stored)
         except ValueError as error:
-            log_event("endpoints", "Ignored a broken entry.", id=endpoint_id, why=error)
+            log_event("endpoints", "Ignored a broken entry.", id=stored.key, why=error)
             return None
 
     async def _report_gauges(self) -> None:
--- a/passtally/platform/__main__.py
+++ b/passtally/platform/__main__.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from datetime import timedelta
 from pathlib import Path
 
 import aiomisc
@@ -12,12 +13,14 @@
 
 from passtally.clock import SystemClock
 from passtally.decision import log_event
+from passtally.front_host import FrontHost
 from passtally.log_output import LogOutput
-from passtally.platform.host import PlatformHost
+from passtally.platform.adapter import PlatformAdapter
 from passtally.platform.settings import FILE_VARIABLE, read_settings
 from passtally.settings import SettingsError
 
 EXIT_USAGE = 2
+FILE_CHECK_INTERVAL = timedelta(seconds=5)
 
 
 def main() -> None:
@@ -30,7 +33,7 @@
         sys.exit(EXIT_USAGE)
     output = LogOutput(stream=sys.stdout.buffer)
     eliot.add_destinations(output)
-    host = PlatformHost(settings=settings, clock=SystemClock())
+    host = FrontHost(settings=settings, clock=SystemClock(), adapter=PlatformAdapter())
     with aiomisc.entrypoint(
         host,
         pool_size=1,
@@ -42,17 +45,38 @@
     output.close()
 
 
-async def _wait_for_stop(host: PlatformHost, path: Path) -> None:
+async def _wait_for_stop(host: FrontHost, path: Path) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
+    watching = loop.create_task(_watch_file(host, path))
     await stopping.wait()
+    watching.cancel()
     await host.leave()
 
 
-def _reload(host: PlatformHost, path: Path) -> None:
+async def _watch_file(host: FrontHost, path: Path) -> None:
+    """Read the settings again when their file changes without a signal."""
+    known = _modified_at(path)
+    while True:
+        await host.clock.sleep(FILE_CHECK_INTERVAL)
+        modified_at = _modified_at(path)
+        if modified_at != known:
+            known = modified_at
+            _reload(host, path)
+
+
+def _modified_at(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as error:
+        log_event("daemon", "The settings file can't be seen.", path=path, why=error)
+        return 0
+
+
+def _reload(host: FrontHost, path: Path) -> None:
     try:
         host.reload(read_settings(path))
     except (SettingsError, OSError) as error:
--- /dev/null
+++ b/passtally/platform/adapter.py
@@ -0,0 +1,72 @@
+"""Puts the translations of this package together for one host."""
+
+from collections.abc import Callable
+
+import aiohttp
+
+from passtally.clock import Clock
+from passtally.front import Front
+from passtally.http_client import ConnectionPool
+from passtally.http_server import Handle
+from passtally.object_store import StoredObject
+from passtally.objects import Endpoint
+from passtally.platform.decode import decode_endpoint, decode_routes
+from passtally.platform.ingress import Ingress, encode_ready
+from passtally.platform.runner import RunnerEngine, RunnerSender
+from passtally.platform.store import PlatformStore
+from passtally.routes import RouteSet
+from passtally.settings import Address
+
+_ROUTES_KEY = "config/main"
+
+
+class PlatformAdapter:
+    """See :class:`passtally.front_host.Adapter`."""
+
+    routes_prefix = "config/"
+    #: The platform's "servers" are our endpoints.
+    endpoints_prefix = "servers/"
+
+    def open_store(self, session: aiohttp.ClientSession, url: str) -> PlatformStore:
+        """Return the client of the store."""
+        return PlatformStore(session=session, url=url)
+
+    def decode_routes(self, stored: StoredObject) -> RouteSet | None:
+        """Read the routes; None for an object that holds none."""
+        if stored.key != _ROUTES_KEY or stored.is_removed:
+            return None
+        return decode_routes(bytes(stored.value))
+
+    def decode_endpoint(self, stored: StoredObject) -> Endpoint:
+        """Read an endpoint's entry."""
+        endpoint_id = stored.key.removeprefix(self.endpoints_prefix)
+        return decode_endpoint(endpoint_id, bytes(stored.value))
+
+    def connect(
+        self,
+        endpoint: Endpoint,
+        *,
+        pool: ConnectionPool,
+        clock: Clock,
+        find_address: Callable[[str], Address | None],
+    ) -> RunnerEngine:
+        """Return the client of an endpoint's engine."""
+        return RunnerEngine(
+            endpoint=endpoint, pool=pool, clock=clock, find_address=find_address
+        )
+
+    async def is_engine(self, engine: RunnerEngine) -> bool:
+        """Return whether a model engine answers there."""
+        return await engine.is_engine()
+
+    def make_sender(self, *, pool: ConnectionPool, clock: Clock) -> RunnerSender:
+        """Return what sends plain calls."""
+        return RunnerSender(pool=pool, clock=clock)
+
+    def make_handler(self, front: Front) -> Handle:
+        """Return what hands callers' requests to the front."""
+        return Ingress(front=front).handle
+
+    def encode_ready(self, is_ready: bool) -> tuple[int, bytes]:
+        """Return the status and body for the balancer's question."""
+        return encode_ready(is_ready)
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -8,10 +8,8 @@
 
 #: The environment variable with the path of the settings file.
 FILE_VARIABLE = "PASSTALLY_CONFIG"
-#: Where a host's metrics are read: this many ports above where peers reach it would
-#: do as well; the deploy file names the port.
+#: Where a host's metrics are read; deploy/system.toml names the same port.
 METRICS_PORT = 8750
-METRICS_PATH = "/metrics"
 
 #: How long a stopping host still takes requests. The balancer asks once a second
 #: and lets go after two answers; the third second is for questions under way.
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -10,8 +10,9 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Coroutine, Mapping, Sequence
 from datetime import timedelta
+from typing import Any
 
 import attrs
 import msgspec
@@ -167,6 +168,13 @@
             self._catch_up(now)
             await self._clock.sleep(CHECK_INTERVAL)
 
+    async def stop(self) -> None:
+        """End all watches and fetches."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _decide(self, now: timedelta) -> None:
         domain_ids = {self._host_id, *self._neighbours()}
         wants = should_watch(self._host_id, domain_ids, self._watching(now))
@@ -302,7 +310,7 @@
     def _neighbours(self) -> list[str]:
         return [row.host_id for row in self._roster.neighbours()]
 
-    def _spawn(self, work) -> asyncio.Task[None]:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -9,7 +9,8 @@
 import attrs
 
 from passtally.clock import SystemClock
-from passtally.platform.host import PlatformHost
+from passtally.front_host import FrontHost
+from passtally.platform.adapter import PlatformAdapter
 from passtally.platform.settings import translate
 from standins.object_store import ObjectStoreStandIn
 from standins.runner import RunnerStandIn
@@ -101,7 +102,7 @@
     def __init__(self) -> None:
         self.store = ObjectStoreStandIn()
         self.runners: dict[str, RunnerStandIn] = {}
-        self.hosts: list[PlatformHost] = []
+        self.hosts: list[FrontHost] = []
         self._numbers = itertools.count(1)
         self._store_port = 0
 
@@ -117,7 +118,7 @@
 
     async def add_host(
         self, name: str = "front-1", seeds: str = "", *, store_port: int = 0
-    ) -> PlatformHost:
+    ) -> FrontHost:
         """Start a host.
 
         Args:
@@ -127,7 +128,7 @@
         """
         if not self._store_port:
             self._store_port = await self.store.start()
-        free = [str(port) for port in _free_ports(4)]
+        free = [str(port) for port in free_ports(4)]
         settings = translate(
             {
                 "node_name": name,
@@ -148,7 +149,9 @@
         if store_port:
             url = f"http://127.0.0.1:{store_port}"
             settings = attrs.evolve(settings, platform=url)
-        host = PlatformHost(settings=settings, clock=SystemClock())
+        host = FrontHost(
+            settings=settings, clock=SystemClock(), adapter=PlatformAdapter()
+        )
         await host.start()
         self.hosts.append(host)
         return host
@@ -174,7 +177,7 @@
         *,
         method: str = "POST",
         body: bytes = b"",
-        host: PlatformHost | None = None,
+        host: FrontHost | None = None,
         key: str | None = KEY,
         **headers: str,
     ) -> Answer:
@@ -231,7 +234,7 @@
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     for sock in sockets:
         sock.bind(("127.0.0.1", 0))
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,98 @@
+"""The process on the platform: start, reload, stop, settings that can't be used."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+from standins.object_store import ObjectStoreStandIn
+from tests.platform_system import free_ports, make_config
+
+LINES = """\
+node_name=front-pilar-1
+zone=pilar
+region=ba-norte
+ip=127.0.0.1
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+listen.control=127.0.0.1:{control}
+bounds.grace_s=3
+bounds.retry_budget_ratio=0.8
+bounds.budget_extra=150
+platform.address=127.0.0.1:{store}
+"""
+
+
+def start(path: Path, log: Path) -> subprocess.Popen:
+    """Start the process as the deploy file does."""
+    with log.open("wb") as output:
+        return subprocess.Popen(
+            [sys.executable, "-m", "passtally.platform"],
+            env={**os.environ, "PASSTALLY_CONFIG": str(path)},
+            stdout=output,
+            stderr=subprocess.PIPE,
+        )
+
+
+def messages(log: Path) -> list[str]:
+    """Return what the process has logged."""
+    lines = log.read_bytes().splitlines()
+    return [msgspec.json.decode(line)["message"] for line in lines]
+
+
+async def wait_for(log: Path, text: str) -> None:
+    """Wait until the process has logged something."""
+    until = time.monotonic() + 20
+    while not any(text in message for message in messages(log)):
+        assert time.monotonic() < until, messages(log)
+        await asyncio.sleep(0.05)
+
+
+class TestProcess:
+    def test_it_starts_reloads_and_stops(self, tmp_path: Path):
+        async def main() -> None:
+            store = ObjectStoreStandIn()
+            store.put("config", "main", make_config())
+            port = await store.start()
+            front, ready, control = free_ports(3)
+            path, log = tmp_path / "node.conf", tmp_path / "log"
+            text = LINES.format(front=front, ready=ready, control=control, store=port)
+            path.write_text(text)
+            process = start(path, log)
+            try:
+                await wait_for(log, "config: In force.")
+                reader, writer = await asyncio.open_connection("127.0.0.1", ready)
+                writer.write(b"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert b" 200 " in await reader.readline()
+                writer.close()
+                process.send_signal(signal.SIGHUP)
+                await wait_for(log, "daemon: Settings read again.")
+                path.write_text("zone=pilar\n")
+                process.send_signal(signal.SIGHUP)
+                await wait_for(log, "daemon: Kept the old settings.")
+                process.send_signal(signal.SIGTERM)
+                await asyncio.to_thread(process.wait, 10)
+                assert process.returncode == 0
+                assert messages(log)[-1] == "daemon: Stopped."
+            finally:
+                if process.poll() is None:
+                    process.kill()
+                process.wait()
+                process.stderr.close()
+                await store.stop()
+
+        asyncio.run(main())
+
+    def test_settings_that_cant_be_used_are_told_and_end_it(self, tmp_path: Path):
+        path = tmp_path / "node.conf"
+        path.write_text("zone=pilar\nlisten.front=here\n")
+        process = start(path, tmp_path / "log")
+        _, error = process.communicate(timeout=20)
+        assert process.returncode == 2
+        for name in ("node_name", "listen.front", "platform"):
+            assert name in error.decode()
