--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -9,8 +9,9 @@
 from passtally.clock import Clock
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
-from passtally.fleet import Fleet, LiveEndpoint
+from passtally.fleet import Fleet
 from passtally.generation import Attempt, Generation, SeamError
+from passtally.live_endpoint import LiveEndpoint
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.relay import Relay, Sink, count_held_tokens, count_resume_tokens
--- /dev/null
+++ b/passtally/live_endpoint.py
@@ -0,0 +1,327 @@
+"""What this host knows of one endpoint while it runs: load, silence, ejection."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+import attrs
+
+from passtally.clock import Clock
+from passtally.decision import log_event
+from passtally.departures import Departures
+from passtally.engine import Engine, LoadReport
+from passtally.objects import Endpoint, EndpointState
+from passtally.peers import TokenLoad
+from passtally.retry import LossKind
+from passtally.routing import EndpointView
+from passtally.silence import (
+    Phase,
+    ProbeHistory,
+    SilenceBounds,
+    SilenceLimit,
+    Verdict,
+)
+
+#: How often a look for silent streams is taken.
+WATCH_INTERVAL = timedelta(milliseconds=50)
+#: Load reports are not older than this.
+LONGEST_REPORT_LAG = timedelta(seconds=2)
+#: A timer of this host that is later than this shows that it can't judge others.
+MAX_OWN_LAG = timedelta(milliseconds=100)
+FIRST_EJECTION = timedelta(seconds=1)
+LAST_EJECTION = timedelta(seconds=30)
+
+
+@attrs.define(kw_only=True, eq=False)
+class StreamGuard:
+    """Watches one attempt for silence.
+
+    The attempt only counts its reads; the watch looks at the count now and then,
+    so that a token costs no reading of the clock.
+
+    Attributes:
+        quiet_since: Since when no read was seen.
+        first_limit: When it is given up before its first output though its endpoint
+            lives; None for the endpoint's own limit.
+        reads: How many reads brought output.
+        is_waiting: Whether it waits for output; not while the caller is written to.
+        seen_reads: The reads that the watch has seen.
+        spared_since: Since when it is silent though its endpoint was found alive.
+        trip: Called to end the attempt.
+        tripped: How the attempt was lost, once it was.
+    """
+
+    quiet_since: timedelta
+    first_limit: timedelta | None = None
+    reads: int = 0
+    is_waiting: bool = True
+    seen_reads: int = 0
+    spared_since: timedelta | None = None
+    trip: Callable[[], None] = lambda: None
+    tripped: LossKind | None = None
+
+    @property
+    def phase(self) -> Phase:
+        """What the stream waits for."""
+        return Phase.NEXT_TOKEN if self.seen_reads else Phase.FIRST_TOKEN
+
+    def end(self, kind: LossKind) -> None:
+        """End the attempt as lost."""
+        if self.tripped is None:
+            self.tripped = kind
+            self.trip()
+
+
+class LagMeter:
+    """Tells whether this host itself was too busy, or paused, to judge others.
+
+    Args:
+        clock: The clock.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._lagged_until = timedelta(0)
+
+    def tick(self, late_by: timedelta) -> None:
+        """Take in how late a timer of this host fired."""
+        if late_by > MAX_OWN_LAG:
+            self._lagged_until = self._clock.monotonic() + late_by
+
+    @property
+    def is_lagging(self) -> bool:
+        """Whether a timer was late a moment ago."""
+        return self._clock.monotonic() < self._lagged_until
+
+
+class LiveEndpoint:
+    """The changing state of one endpoint.
+
+    Args:
+        endpoint: Its configuration.
+        engine: How it is reached.
+        clock: The clock.
+        lag: Tells whether this host can judge.
+        departures: Where its own reports of leaving are noted.
+        bounds_by_phase: Where its silence limits may move.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: Endpoint,
+        engine: Engine,
+        clock: Clock,
+        lag: LagMeter,
+        departures: Departures,
+        bounds_by_phase: dict[Phase, SilenceBounds],
+    ) -> None:
+        self.endpoint = endpoint
+        self.engine = engine
+        self._clock = clock
+        self._lag = lag
+        self._departures = departures
+        self.own_streams = 0
+        self.resume_tokens = 0
+        #: Tokens that its memory holds for this host's runs and replicas.
+        self.held_tokens = 0
+        #: Tokens of this host's prompts that it is still to read.
+        self.reading_tokens = 0
+        self.capacity_tokens = 0
+        #: Calls in a row that were not answered in time.
+        self.unanswered_calls = 0
+        self.guards: set[StreamGuard] = set()
+        self.limits_by_phase = {
+            phase: SilenceLimit(bounds=bounds)
+            for phase, bounds in bounds_by_phase.items()
+        }
+        self.ejected_until: timedelta | None = None
+        self._ejection = FIRST_EJECTION
+        #: Whether a request is under way that shows whether it is back.
+        self._is_on_trial = False
+        self._report = LoadReport(running=0, queued=0, step=0)
+        self._own_at_report = 0
+        self._peak = 0
+        self._peak_at = timedelta(0)
+        self.reported_at = timedelta(0)
+        #: Whether it has reported its load; plain endpoints never do.
+        self.has_engine = False
+        self._probe: asyncio.Task[None] | None = None
+
+    def enter(self) -> None:
+        """Count one more of this host's requests."""
+        self.own_streams += 1
+        if self.is_ejected:
+            self._is_on_trial = True
+
+    def leave(self) -> None:
+        """Count one of this host's requests out."""
+        now = self._clock.monotonic()
+        if self.own_streams >= self._peak or now - self._peak_at > LONGEST_REPORT_LAG:
+            self._peak = self.own_streams
+            self._peak_at = now
+        self.own_streams -= 1
+        if not self.own_streams:
+            self._is_on_trial = False
+
+    def view(
+        self, *, is_shaky: bool = False, others: TokenLoad | None = None
+    ) -> EndpointView:
+        """Return what decisions read.
+
+        Args:
+            is_shaky: Whether a run was lost in its failure domain a moment ago.
+            others: What other hosts' runs take there.
+        """
+        others = others or TokenLoad()
+        return EndpointView(
+            id=self.endpoint.id,
+            failure_domain=self.endpoint.failure_domain,
+            state=self._state(),
+            own_streams=self.own_streams,
+            reported_streams=self._report.running + self._report.queued,
+            own_at_report=self._own_at_report,
+            report_age=self._clock.monotonic() - self.reported_at,
+            max_streams=self.endpoint.max_streams,
+            ejected_until=self.ejected_until,
+            resume_tokens=self.resume_tokens,
+            is_shaky=is_shaky,
+            is_on_trial=self._is_on_trial,
+            held_tokens=self.held_tokens + others.held,
+            reading_tokens=self.reading_tokens + others.reading,
+            capacity_tokens=self.capacity_tokens,
+        )
+
+    def take_report(self, report: LoadReport) -> None:
+        """Take in what the endpoint says of itself."""
+        self.has_engine = True
+        self._report = report
+        # A report may still show requests of this host that have ended since.
+        is_recent = self._clock.monotonic() - self._peak_at <= LONGEST_REPORT_LAG
+        own_then = self._peak if is_recent else 0
+        self._own_at_report = max(self.own_streams, own_then)
+        self.reported_at = self._clock.monotonic()
+        if report.draining:
+            endpoint = self.endpoint
+            self._departures.note(
+                endpoint.id, endpoint.incarnation, channel="its own report"
+            )
+
+    def _state(self) -> EndpointState:
+        if self._departures.is_leaving(self.endpoint):
+            return EndpointState.DRAINING
+        return self.endpoint.state
+
+    def note_ended(self) -> None:
+        """Take in that it has ended for good, whatever the configuration says."""
+        self._departures.note(
+            self.endpoint.id, self.endpoint.incarnation, channel="its address"
+        )
+
+    @property
+    def is_ejected(self) -> bool:
+        """Whether it gets no new work for now."""
+        until = self.ejected_until
+        return until is not None and until > self._clock.monotonic()
+
+    def eject(self, now: timedelta) -> None:
+        """Give it no new work for a while, longer each time."""
+        self.ejected_until = now + self._ejection
+        self._ejection = min(2 * self._ejection, LAST_EJECTION)
+
+    def readmit(self) -> None:
+        """Forget past ejections and unanswered calls, after an answer."""
+        self.unanswered_calls = 0
+        self._is_on_trial = False
+        self.ejected_until = None
+        self._ejection = FIRST_EJECTION
+
+    def check_silence(self, now: timedelta) -> None:
+        """Start a probe if a stream has been silent for too long."""
+        if self._probe is not None and not self._probe.done():
+            return
+        silent = [guard for guard in self.guards if self._is_silent(guard, now)]
+        if silent:
+            self._probe = asyncio.create_task(self._probe_until_decided(silent))
+
+    def excuse_silence(self, now: timedelta) -> None:
+        """Count silence anew: this host was too busy to hear."""
+        for guard in self.guards:
+            guard.quiet_since = now
+            guard.spared_since = None
+
+    def _is_silent(self, guard: StreamGuard, now: timedelta) -> bool:
+        reads = guard.reads - guard.seen_reads
+        limit = self.limits_by_phase[guard.phase]
+        if reads:
+            limit.observe((now - guard.quiet_since).total_seconds() / reads)
+        if reads or not guard.is_waiting:
+            guard.seen_reads = guard.reads
+            guard.quiet_since = now
+            guard.spared_since = None
+            return False
+        return now - guard.quiet_since > limit.current()
+
+    async def _probe_until_decided(self, silent: list[StreamGuard]) -> None:
+        if not self.engine.reports_load:
+            await self._judge_by_reach(silent)
+            return
+        history = ProbeHistory()
+        while True:
+            report = await self.engine.probe()
+            still = [guard for guard in silent if self._is_still_silent(guard)]
+            if not still:
+                return
+            if report is None and self._lag.is_lagging:
+                # The answer may be here, unread.
+                await self._clock.sleep(WATCH_INTERVAL)
+                continue
+            if history.judge(report.step if report else None) is Verdict.FROZEN:
+                self._give_up()
+                return
+            self.take_report(report)
+            if history.stalled_probes == 0:
+                self._spare(still)
+                return
+            await self._clock.sleep(WATCH_INTERVAL * 2)
+
+    async def _judge_by_reach(self, silent: list[StreamGuard]) -> None:
+        """Judge an endpoint that reports no load by whether it takes a connection."""
+        is_reachable = await self.engine.is_reachable()
+        if not is_reachable and not self._lag.is_lagging:
+            self._give_up()
+            return
+        self._spare([guard for guard in silent if self._is_still_silent(guard)])
+
+    def _is_still_silent(self, guard: StreamGuard) -> bool:
+        waits = guard in self.guards and guard.is_waiting
+        return waits and guard.reads == guard.seen_reads
+
+    def _give_up(self) -> None:
+        """End all streams of the endpoint that wait for it."""
+        lost = [guard for guard in self.guards if self._is_still_silent(guard)]
+        log_event("silence", "Endpoint frozen.", peer=self.endpoint.id, lost=len(lost))
+        for guard in lost:
+            guard.end(LossKind.FROZEN)
+
+    def _spare(self, guards: list[StreamGuard]) -> None:
+        """Let streams wait on, unless one alone has been silent for too long."""
+        now = self._clock.monotonic()
+        for guard in guards:
+            guard.spared_since = guard.spared_since or guard.quiet_since
+            guard.quiet_since = now
+            stuck_after = self.limits_by_phase[guard.phase].stuck_after
+            if guard.phase is Phase.FIRST_TOKEN and guard.first_limit is not None:
+                stuck_after = guard.first_limit
+            if stuck_after is not None and now - guard.spared_since > stuck_after:
+                self._log_stuck(guard, now)
+                guard.end(LossKind.RESET)
+
+    def _log_stuck(self, guard: StreamGuard, now: timedelta) -> None:
+        log_event(
+            "silence",
+            "Stream stuck, though its endpoint lives.",
+            peer=self.endpoint.id,
+            phase=guard.phase,
+            silent_for=now - guard.spared_since,
+        )
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -16,8 +16,9 @@
 from passtally.decision import log_decision
 from passtally.drain import Drain
 from passtally.engine import AttemptLostError
-from passtally.fleet import Fleet, LiveEndpoint
+from passtally.fleet import Fleet
 from passtally.gate import Gate
+from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Service, ServiceKind, Workspace
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.retry import UNRUN_KINDS, LossKind
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -10,7 +10,6 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.engine import AttemptLostError, LoadReport
-from passtally.fleet import LiveEndpoint
 from passtally.generation import Attempt, GenerationRequest, TokenEvent
 from passtally.http_client import (
     ClientConnection,
@@ -21,6 +20,7 @@
     ResponseHead,
     drop_connection_headers,
 )
+from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Endpoint
 from passtally.plain import PlainAnswer, PlainCall
 from passtally.platform import names
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -9,7 +9,6 @@
 
 from passtally.clock import Clock
 from passtally.engine import AttemptLostError, TokenStream
-from passtally.fleet import LiveEndpoint, StreamGuard
 from passtally.generation import (
     Attempt,
     Delivery,
@@ -17,6 +16,7 @@
     SeamError,
     TokenEvent,
 )
+from passtally.live_endpoint import LiveEndpoint, StreamGuard
 from passtally.retry import LossKind
 
 #: An estimate is enough for a budget.
--- a/passtally/replica.py
+++ b/passtally/replica.py
@@ -13,8 +13,9 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.engine import AttemptLostError
-from passtally.fleet import Fleet, LiveEndpoint
+from passtally.fleet import Fleet
 from passtally.generation import Attempt, Generation
+from passtally.live_endpoint import LiveEndpoint
 
 #: How often a run looks whether its replica's endpoint is still there.
 CHECK_INTERVAL = timedelta(milliseconds=200)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,7 @@
 from passtally.clock import ManualClock
 from passtally.departures import Departures
 from passtally.engine import LoadReport
-from passtally.fleet import LagMeter, LiveEndpoint
+from passtally.live_endpoint import LagMeter, LiveEndpoint
 from passtally.objects import Endpoint
 from passtally.silence import DEFAULT_BOUNDS_BY_PHASE
 
