Let asking a peer wait for a link that is coming up

Since links drop what can't be sent at once, a question to a peer whose link was just coming up failed at once instead of within its time limit, so a host did not learn how a call had ended at another. Not load: a test with a link that comes up 200 ms later failed each time.

Change: asking waits for the link within its time limit; telling still drops.

Ruled out: queueing without a link again; stale news would be heard after a cut.

--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -377,9 +377,11 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting_by_number[number] = future
         try:
-            await self._send(socket, [_ASK, _pack_number(number)], message)
-            return await asyncio.wait_for(future, timeout.total_seconds())
-        except (TimeoutError, zmq.Again) as error:
+            async with asyncio.timeout(timeout.total_seconds()):
+                # A link that is coming up is waited for.
+                await self._send(socket, [_ASK, _pack_number(number)], message, flags=0)
+                return await future
+        except TimeoutError as error:
             raise PeerError("no answer in time", step=step, peer=host_id) from error
         finally:
             del self._waiting_by_number[number]
@@ -448,12 +450,17 @@
                 future.set_result(message)
 
     async def _send(
-        self, socket: zmq.asyncio.Socket, head: list[bytes], message: Message
+        self,
+        socket: zmq.asyncio.Socket,
+        head: list[bytes],
+        message: Message,
+        *,
+        flags: int = zmq.NOBLOCK,
     ) -> None:
         payload = _encode(message)
         mac = _sign(self._keys[0], head[-2:], payload)
         self.bytes_sent += len(payload) + len(mac) + sum(map(len, head))
-        await socket.send_multipart([*head, payload, mac], flags=zmq.NOBLOCK)
+        await socket.send_multipart([*head, payload, mac], flags=flags)
 
     def _read(self, frames: list[bytes]) -> Message | None:
         kind, number, payload, mac = frames
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,86 @@
+"""The links between hosts: asking waits for a link, telling does not."""
+
+import asyncio
+import time
+from datetime import timedelta
+
+import pytest
+
+from passtally.peers import ConfigChanges, FetchConfig, HostNews, PeerError, Peers
+from passtally.settings import Address, PeerAddress
+from tests.platform_system import free_ports
+
+KEY = b"a key of both hosts"
+
+
+def make_peers(name: str, port: int, **others: int) -> Peers:
+    return Peers(
+        host_id=name,
+        listen=Address(host="127.0.0.1", port=port),
+        peers_by_id={
+            other: PeerAddress(
+                host_id=other,
+                failure_domain="pilar",
+                address=Address(host="127.0.0.1", port=other_port),
+            )
+            for other, other_port in others.items()
+        },
+        keys=[KEY],
+    )
+
+
+async def answer(message: FetchConfig) -> ConfigChanges:
+    return ConfigChanges(listing=b"[]")
+
+
+class TestLinks:
+    def test_asking_waits_for_a_link_that_is_coming_up(self):
+        async def main() -> None:
+            port_a, port_b = free_ports(2)
+            first, second = make_peers("a", port_a, b=port_b), make_peers("b", port_b)
+            first.start()
+            asking = asyncio.create_task(
+                first.ask("b", FetchConfig(after=0), timeout=timedelta(seconds=5))
+            )
+            await asyncio.sleep(0.2)
+            second.on(FetchConfig, answer)
+            second.start()
+            assert await asking == ConfigChanges(listing=b"[]")
+            await first.stop()
+            await second.stop()
+
+        asyncio.run(main())
+
+    def test_asking_a_peer_that_is_gone_ends_in_time(self):
+        async def main() -> None:
+            port_a, port_b = free_ports(2)
+            first = make_peers("a", port_a, b=port_b)
+            first.start()
+            began = time.monotonic()
+            with pytest.raises(PeerError):
+                await first.ask(
+                    "b", FetchConfig(after=0), timeout=timedelta(seconds=0.2)
+                )
+            assert time.monotonic() - began < 2
+            await first.stop()
+
+        asyncio.run(main())
+
+    def test_what_is_told_to_a_peer_out_of_reach_is_dropped(self):
+        async def main() -> None:
+            port_a, port_b = free_ports(2)
+            first, second = make_peers("a", port_a, b=port_b), make_peers("b", port_b)
+            heard = []
+            first.start()
+            news = HostNews(host_id="a", loads_by_endpoint={}, lost=["old"])
+            await first.tell(["b"], news)
+            second.listen(HostNews, heard.append)
+            second.on(FetchConfig, answer)
+            second.start()
+            await first.ask("b", FetchConfig(after=0), timeout=timedelta(seconds=5))
+            await asyncio.sleep(0.1)
+            assert heard == []
+            await first.stop()
+            await second.stop()
+
+        asyncio.run(main())
