Let few hosts of a large failure domain watch the platform

Change: each host lists once at its start, listens for 1.2 s, and only then decides (watch_duty, pure): the first two of a domain watch, the others wait the longer the more hosts stand before them. Watchers link to their whole domain and tell changes to the hosts that do not watch. A host that sends few rows gets all rows at once. Changes are gathered for 250 ms before the next watch.

Ruled out: an election or a lease in the store; two watchers cost a little, none costs a rule.

Tests: test_watch_duty (in virtual time: a domain that starts together never has more than four watchers; lost ones are followed within two seconds).

--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -34,6 +34,7 @@
         advance: Called with the changes that each watch brings, also when none.
         relist_pause: Returns within which time hosts list again.
         wait: How long one watch waits for a change.
+        pause: How long changes are gathered before the next watch asks for them.
         last_retry: The longest pause between two tries.
         reach_changed: Called when the watch goes down or up.
     """
@@ -49,6 +50,7 @@
         advance: Callable[[Listing], None],
         relist_pause: Callable[[], timedelta],
         wait: timedelta = WATCH_TIMEOUT,
+        pause: timedelta = timedelta(0),
         last_retry: timedelta = LAST_RETRY,
         reach_changed: Callable[[bool], None] = lambda is_watching: None,
     ) -> None:
@@ -62,8 +64,10 @@
         self._advance = advance
         self._relist_pause = relist_pause
         self._wait = wait
+        self._pause = pause
         self._last_retry = last_retry
         self._reach_changed = reach_changed
+        self._delay = FIRST_RETRY
 
     async def run(self, *, after: int = 0) -> None:
         """List, then watch, for ever.
@@ -71,13 +75,12 @@
         Args:
             after: The version that is known already; 0 to list first.
         """
-        delay = FIRST_RETRY
         must_list = not after
         self.version = after
         while True:
             try:
                 if must_list:
-                    await self._list()
+                    await self.learn()
                     must_list = False
                 await self._watch()
             except TooOldError:
@@ -85,11 +88,23 @@
                 log_event("watch", "Too old, listing again.", prefix=self._prefix)
                 await self._sleep(self._relist_pause())
             except PlatformError as error:
-                if self.is_watching:
-                    delay = FIRST_RETRY
-                self._note_reach(False, why=error)
-                await self._sleep(delay)
-                delay = min(2 * delay, self._last_retry)
+                await self._back_off(error)
+
+    async def learn(self) -> None:
+        """List once; tries until the platform answers."""
+        while True:
+            try:
+                return await self._list()
+            except PlatformError as error:
+                await self._back_off(error)
+
+    async def _back_off(self, error: PlatformError) -> None:
+        """Wait before the next try, longer each time until a watch is up again."""
+        if self.is_watching:
+            self._delay = FIRST_RETRY
+        self._note_reach(False, why=error)
+        await self._sleep(self._delay)
+        self._delay = min(2 * self._delay, self._last_retry)
 
     async def _list(self) -> None:
         listing = await self._platform.list_objects(self._prefix)
@@ -107,6 +122,8 @@
             self._note_reach(True, version=changes.version)
             self.version = max(self.version, changes.version)
             self._advance(changes)
+            if changes.objects and self._pause:
+                await self._clock.sleep(self._pause)
 
     def _note_reach(self, is_watching: bool, **fields: object) -> None:
         if is_watching == self.is_watching:
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -43,6 +43,9 @@
 #: How long one watch waits. A store that compacts its history lets watches hear
 #: nothing, so a quiet watch is renewed often enough to apply a change within 2 s.
 WATCH_WAIT = timedelta(seconds=1.2)
+#: How long changes are gathered before the next watch asks for more. Endpoints come
+#: and go by the dozen, each on its own; a change must be known in two seconds.
+GATHER_FOR = timedelta(milliseconds=250)
 #: The longest pause between two tries to reach the store: the configuration must be
 #: in force two seconds after a store's return.
 LAST_RETRY = timedelta(milliseconds=400)
@@ -287,6 +290,7 @@
             rng=random.Random(),
             relist_pause=lambda: RELIST_PAUSE,
             wait=WATCH_WAIT,
+            pause=GATHER_FOR,
             last_retry=LAST_RETRY,
         )
 
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -20,6 +20,9 @@
 FANOUT = 2
 #: Rows sent along in each message, besides the sender's own.
 SAMPLE = 10
+#: The most rows sent to a host that has just started: all of a fleet of the target's
+#: size, some 25 KB.
+MAX_ROWS = 400
 #: A host that nobody has heard for this long counts as out of reach. Among 55
 #: hosts the oldest word that a host had of another was 15 s old.
 ALIVE_FOR = timedelta(seconds=20)
@@ -218,12 +221,15 @@
         """Return the living host with the highest configuration version."""
         return self.table.newest_config(self._clock.monotonic())
 
-    def _hello(self) -> Hello:
-        rows = self.table.sample(SAMPLE, self._rng)
+    def _hello(self, *, count: int = SAMPLE) -> Hello:
+        rows = self.table.sample(count, self._rng)
         return Hello(rows=rows, departures=self._departures.rows())
 
     async def _answer(self, message: Hello) -> Hello:
         self._merge(message)
+        if len(message.rows) <= SAMPLE:
+            # Who sends so few rows knows no others yet: it gets all at once.
+            return self._hello(count=MAX_ROWS)
         return self._hello()
 
     def _merge(self, message: Hello) -> None:
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -46,6 +46,8 @@
         self._clock = clock
         #: The most hosts that were in reach at once, this one included.
         self.peak = 1
+        #: Whether this host is to be linked to all hosts of its failure domain.
+        self.links_domain = False
         self._linked_ids: set[str] = set()
 
     def others(self) -> list[MemberRow]:
@@ -78,7 +80,8 @@
         """Open links to the hosts that it is this host's part to know."""
         rows = [row for row in self.others() if row.address]
         self.peak = max(self.peak, len(rows) + 1)
-        rows_by_id = {row.host_id: row for row in choose_links(self._table.own, rows)}
+        chosen = choose_links(self._table.own, rows, whole_domain=self.links_domain)
+        rows_by_id = {row.host_id: row for row in chosen}
         self._linked_ids = set(rows_by_id)
         for row in rows_by_id.values():
             address = parse_address(row.address)
@@ -98,8 +101,15 @@
 
     def neighbours(self) -> list[MemberRow]:
         """Return the rows of the linked hosts of this failure domain."""
+        return [row for row in self._domain() if row.host_id in self._linked_ids]
+
+    def domain_ids(self) -> list[str]:
+        """Return the other hosts of this failure domain that are in reach."""
+        return [row.host_id for row in self._domain()]
+
+    def _domain(self) -> list[MemberRow]:
         domain = self._table.own.failure_domain
-        return [row for row in self.linked() if row.failure_domain == domain]
+        return [row for row in self.others() if row.failure_domain == domain]
 
     def linked(self) -> list[MemberRow]:
         """Return the rows of the hosts in reach that this one is linked to."""
@@ -111,12 +121,15 @@
                 self._peers.forget(host_id)
 
 
-def choose_links(own: MemberRow, rows: Sequence[MemberRow]) -> list[MemberRow]:
+def choose_links(
+    own: MemberRow, rows: Sequence[MemberRow], *, whole_domain: bool = False
+) -> list[MemberRow]:
     """Choose the hosts that one host links to. Pure.
 
     Args:
         own: The host's own row.
         rows: The other hosts.
+        whole_domain: Whether it links to all hosts of its failure domain.
     """
     if len(rows) < MAX_LINKS:
         return list(rows)
@@ -127,7 +140,8 @@
         for row in sorted(rows, key=lambda row: _rank(own.host_id, row.host_id))
         if row.failure_domain != own.failure_domain
     }
-    return [*near[:RING_LINKS], *far.values()]
+    near_count = len(near) if whole_domain else RING_LINKS
+    return [*near[:near_count], *far.values()]
 
 
 def _rank(own_id: str, host_id: str) -> bytes:
--- /dev/null
+++ b/passtally/watch_duty.py
@@ -0,0 +1,119 @@
+"""Which hosts of a failure domain watch the platform. Pure; nothing is agreed.
+
+Who watches follows from who is heard watching: a host watches while too few hosts
+before it, in the order of their names, are heard doing so. Each one waits the longer
+the more hosts stand before it, so that one loss does not wake the whole domain. Two
+that both watch cost a little; a host that hears no watcher soon watches itself.
+"""
+
+from collections.abc import Collection
+from datetime import timedelta
+
+import attrs
+
+#: Hosts of a large failure domain that watch. Two, so that one's end is no gap.
+WATCHERS = 2
+#: In a domain of at most so many hosts all watch: little is to be saved.
+SMALL_DOMAIN = 4
+#: How long a host that has just started first listens for others that watch. By
+#: then it has asked its seeds twice; what it listed is younger than that.
+JOIN_WAIT = timedelta(seconds=1.2)
+#: How much longer each host waits than the one before it while one watcher is heard:
+#: changes still arrive, and a beat takes half a second to be heard.
+STEP = timedelta(milliseconds=300)
+#: The same where no watcher is heard, and the longest of these waits: a change must
+#: be in force two seconds after the platform took it.
+URGENT_STEP = timedelta(milliseconds=50)
+LONGEST_URGENT_WAIT = timedelta(milliseconds=500)
+#: How long enough others must be heard before a watch is given up.
+STAND_DOWN_AFTER = timedelta(seconds=3)
+
+
+def should_watch(
+    own_id: str,
+    domain_ids: Collection[str],
+    watching_ids: Collection[str],
+    *,
+    watchers: int = WATCHERS,
+    small_domain: int = SMALL_DOMAIN,
+) -> bool:
+    """Decide whether a host is to watch the platform.
+
+    Args:
+        own_id: The host.
+        domain_ids: The hosts of its failure domain in reach, itself included.
+        watching_ids: Those of its domain that were heard watching a moment ago.
+        watchers: How many are enough.
+        small_domain: Up to how many hosts all watch.
+    """
+    if len(domain_ids) <= small_domain:
+        return True
+    before = [host_id for host_id in watching_ids if host_id < own_id]
+    return len(before) < watchers
+
+
+def waiting_time(
+    own_id: str, domain_ids: Collection[str], watching_ids: Collection[str]
+) -> timedelta:
+    """Return how long a host that is to watch lets the ones before it go first.
+
+    Args:
+        own_id: The host.
+        domain_ids: The hosts of its failure domain in reach, itself included.
+        watching_ids: Those of its domain that were heard watching a moment ago.
+    """
+    if len(domain_ids) <= SMALL_DOMAIN:
+        return timedelta(0)
+    idle = [
+        host_id
+        for host_id in domain_ids
+        if host_id < own_id and host_id not in watching_ids
+    ]
+    if watching_ids:
+        return len(idle) * STEP
+    return min(len(idle) * URGENT_STEP, LONGEST_URGENT_WAIT)
+
+
+@attrs.define(kw_only=True)
+class WatchDuty:
+    """Whether one host watches, from moment to moment.
+
+    Attributes:
+        own_id: The host.
+        started_at: When it started, on the monotonic clock.
+        is_watching: Whether it watches now.
+    """
+
+    own_id: str
+    started_at: timedelta
+    is_watching: bool = False
+    _wanted_since: timedelta | None = None
+    _enough_since: timedelta | None = None
+
+    def decide(
+        self,
+        domain_ids: Collection[str],
+        watching_ids: Collection[str],
+        *,
+        now: timedelta,
+    ) -> bool:
+        """Take in who is there and who watches, and return whether to watch.
+
+        Args:
+            domain_ids: The hosts of its failure domain in reach, itself included.
+            watching_ids: Those of its domain that were heard watching a moment ago.
+            now: The monotonic time.
+        """
+        if should_watch(self.own_id, domain_ids, watching_ids):
+            self._enough_since = None
+            joined_at = self.started_at + JOIN_WAIT
+            self._wanted_since = self._wanted_since or max(now, joined_at)
+            wait = waiting_time(self.own_id, domain_ids, watching_ids)
+            if now - self._wanted_since >= wait:
+                self.is_watching = True
+            return self.is_watching
+        self._wanted_since = None
+        self._enough_since = self._enough_since or now
+        if now - self._enough_since >= STAND_DOWN_AFTER:
+            self.is_watching = False
+        return self.is_watching
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -1,16 +1,14 @@
 """Lets a few hosts of a failure domain watch the platform, and the rest learn.
 
 Each call to the platform is paid for, and each change wakes every watch. In a large
-failure domain a few hosts watch and pass changes on. Who watches follows from who
-is heard watching: a host watches while fewer than enough hosts before it, in the
-order of their names, are heard doing so. Nothing is agreed: two that both watch
-cost a little, and a host that hears no watcher watches itself.
+failure domain a few hosts watch and pass changes on to all others there; each host
+lists once when it starts. :mod:`passtally.watch_duty` decides who watches.
 
 A host whose own watch is down also learns from the others, whatever their domain.
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -31,45 +29,17 @@
     ViewChanges,
 )
 from passtally.roster import Roster
+from passtally.watch_duty import WatchDuty
 
-#: Hosts of a large failure domain that watch. Two, so that one's end is no gap.
-WATCHERS = 2
-#: In a domain of at most so many hosts all watch: little is to be saved.
-SMALL_DOMAIN = 4
 #: How often watchers tell the versions that they know.
 BEAT_INTERVAL = timedelta(milliseconds=500)
 #: A watcher that was not heard for this long counts as gone. A change must be in
 #: force within two seconds, listing included.
 BEAT_TIMEOUT = timedelta(milliseconds=1300)
-#: How long enough others must be heard before a watch is given up.
-STAND_DOWN_AFTER = timedelta(seconds=3)
 CHECK_INTERVAL = timedelta(milliseconds=100)
 FETCH_TIMEOUT = timedelta(seconds=1)
 
 
-def should_watch(
-    own_id: str,
-    domain_ids: Collection[str],
-    watching_ids: Collection[str],
-    *,
-    watchers: int = WATCHERS,
-    small_domain: int = SMALL_DOMAIN,
-) -> bool:
-    """Decide whether a host watches the platform.
-
-    Args:
-        own_id: The host.
-        domain_ids: The hosts of its failure domain in reach, itself included.
-        watching_ids: Those that were heard watching a moment ago.
-        watchers: How many are enough.
-        small_domain: Up to how many hosts all watch.
-    """
-    if len(domain_ids) <= small_domain:
-        return True
-    before = [host_id for host_id in watching_ids if host_id < own_id]
-    return len(before) < watchers
-
-
 @attrs.define(kw_only=True)
 class View:
     """What this host knows of the objects under one prefix.
@@ -79,7 +49,7 @@
         apply: Called with the objects that changed.
         mirror: The objects.
         follower: Follows them at the platform while this host watches.
-        task: The follower's run, while this host watches.
+        task: The follower's run while this host watches, its first listing before.
     """
 
     prefix: str
@@ -128,15 +98,19 @@
         self._heard_by_host: dict[str, _Heard] = {}
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._enough_since: timedelta | None = None
+        self._duty = WatchDuty(own_id=host_id, started_at=clock.monotonic())
         self._is_reached = False
-        self.is_watching = False
         for view in views:
             view.follower = follow(self, view)
         peers.on(FetchConfig, self._answer)
         peers.listen(ViewBeat, self._hear_beat)
         peers.listen(ViewChanges, self._hear_changes)
 
+    @property
+    def is_watching(self) -> bool:
+        """Whether this host is to watch."""
+        return self._duty.is_watching
+
     @property
     def is_up(self) -> bool:
         """Whether this host's own watches are up."""
@@ -156,7 +130,9 @@
         self._take(view, view.mirror.advance(changes), since=since)
 
     async def run(self) -> None:
-        """Watch or stand down as others do, for ever."""
+        """List once, then watch or stand down as others do, for ever."""
+        for view in self._views_by_prefix.values():
+            view.task = self._spawn(view.follower.learn())
         beat_at = timedelta(0)
         while True:
             now = self._clock.monotonic()
@@ -176,27 +152,26 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _decide(self, now: timedelta) -> None:
-        domain_ids = {self._host_id, *self._neighbours()}
-        wants = should_watch(self._host_id, domain_ids, self._watching(now))
-        if wants:
-            self._enough_since = None
-            if not self.is_watching:
-                self._start(f"{len(domain_ids)} hosts here, too few watch")
-            return
-        self._enough_since = self._enough_since or now
-        if self.is_watching and now - self._enough_since >= STAND_DOWN_AFTER:
+        domain_ids = {self._host_id, *self._roster.domain_ids()}
+        watching_ids = domain_ids.intersection(self._watching(now))
+        was_watching = self._duty.is_watching
+        wants = self._duty.decide(domain_ids, watching_ids, now=now)
+        if wants and not was_watching:
+            self._start(len(domain_ids), len(watching_ids))
+        elif was_watching and not wants:
             self._stop()
 
-    def _start(self, reason: str) -> None:
-        self.is_watching = True
-        log_event("watch", "Watching.", why=reason)
+    def _start(self, hosts: int, watching: int) -> None:
+        log_event("watch", "Watching.", hosts=hosts, others_watching=watching)
+        self._roster.links_domain = True
         for view in self._views_by_prefix.values():
+            view.task.cancel()
             run = view.follower.run(after=view.mirror.version)
             view.task = self._spawn(run)
 
     def _stop(self) -> None:
-        self.is_watching = False
         log_event("watch", "Standing down, others watch.")
+        self._roster.links_domain = False
         for view in self._views_by_prefix.values():
             view.task.cancel()
             view.follower.is_watching = False
@@ -205,13 +180,14 @@
         if not changed:
             return
         view.apply(changed)
-        neighbours = self._neighbours()
-        if len(neighbours) + 1 > SMALL_DOMAIN:
+        watching = self._watching(self._clock.monotonic())
+        learners = [name for name in self._neighbours() if name not in watching]
+        if learners:
             listing = Listing(version=view.mirror.version, objects=tuple(changed))
             news = ViewChanges(
                 prefix=view.prefix, since=since, listing=msgspec.json.encode(listing)
             )
-            self._spawn(self._peers.tell(neighbours, news))
+            self._spawn(self._peers.tell(learners, news))
 
     def _hear_changes(self, news: ViewChanges) -> None:
         view = self._views_by_prefix.get(news.prefix)
--- /dev/null
+++ b/tests/test_watch_duty.py
@@ -0,0 +1,145 @@
+"""Which hosts of a failure domain watch the platform."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from passtally.watch_duty import (
+    JOIN_WAIT,
+    LONGEST_URGENT_WAIT,
+    STAND_DOWN_AFTER,
+    STEP,
+    WATCHERS,
+    WatchDuty,
+    should_watch,
+    waiting_time,
+)
+
+NAMES = st.sets(st.integers(0, 30).map(lambda n: f"h{n:02}"), min_size=1, max_size=20)
+ROUND = timedelta(milliseconds=100)
+#: How long a watcher's end takes to be noticed by the others.
+HEARING_LAG = timedelta(milliseconds=1300)
+
+
+class TestShouldWatch:
+    def test_in_a_small_domain_all_watch(self):
+        assert should_watch("z", {"a", "b", "z"}, {"a", "b"})
+
+    def test_in_a_large_one_enough_others_before_are_enough(self):
+        domain = {f"h{n}" for n in range(9)}
+        assert not should_watch("h5", domain, {"h1", "h2"})
+        assert should_watch("h5", domain, {"h1"})
+        assert should_watch("h5", domain, {"h1", "h7", "h8"})
+        assert should_watch("h5", domain, set())
+
+    @given(NAMES, st.integers(1, 4))
+    def test_it_settles_on_the_first_hosts(self, names, watchers):
+        watching: set[str] = set(names)
+        for _ in range(len(names) + 1):
+            watching = {
+                name
+                for name in names
+                if should_watch(
+                    name, names, watching - {name}, watchers=watchers, small_domain=1
+                )
+            }
+        expected = names if len(names) == 1 else set(sorted(names)[:watchers])
+        assert watching == expected
+
+    @given(NAMES, st.data())
+    def test_where_no_watcher_is_heard_everyone_watches(self, names, data):
+        own = data.draw(st.sampled_from(sorted(names)))
+        assert should_watch(own, names, set(), small_domain=1)
+
+
+class TestWaitingTime:
+    DOMAIN = tuple(f"h{n:02}" for n in range(30))
+
+    def test_the_first_host_does_not_wait(self):
+        assert waiting_time("h00", self.DOMAIN, set()) == timedelta(0)
+
+    def test_with_one_watcher_heard_the_hosts_before_go_first(self):
+        assert waiting_time("h04", self.DOMAIN, {"h01"}) == 3 * STEP
+
+    def test_without_any_the_wait_is_short(self):
+        assert waiting_time("h29", self.DOMAIN, set()) == LONGEST_URGENT_WAIT
+
+    def test_in_a_small_domain_nobody_waits(self):
+        assert waiting_time("h3", {"h1", "h2", "h3"}, set()) == timedelta(0)
+
+
+class Domain:
+    """The hosts of one failure domain that hear each other with a lag."""
+
+    def __init__(self, count: int) -> None:
+        self.now = timedelta(seconds=100)
+        self.names = [f"h{n:02}" for n in range(count)]
+        self.duties = {
+            name: WatchDuty(own_id=name, started_at=self.now) for name in self.names
+        }
+        #: Hosts whose own watch is down: the platform turns them away.
+        self.turned_away: set[str] = set()
+        self._heard_at: dict[str, timedelta] = {}
+        self.most = 0
+
+    @property
+    def watching(self) -> set[str]:
+        return {name for name, duty in self.duties.items() if duty.is_watching}
+
+    @property
+    def serving(self) -> set[str]:
+        """The watchers whose watches are up."""
+        return self.watching - self.turned_away
+
+    def run(self, duration: timedelta) -> None:
+        until = self.now + duration
+        while self.now < until:
+            heard = {
+                name
+                for name, at in self._heard_at.items()
+                if self.now - at < HEARING_LAG
+            }
+            for name, duty in self.duties.items():
+                duty.decide(set(self.names), heard - {name}, now=self.now)
+            for name in self.serving:
+                self._heard_at[name] = self.now
+            self.most = max(self.most, len(self.watching))
+            self.now += ROUND
+
+
+class TestWatchDuty:
+    def test_nobody_watches_before_it_has_listened_for_others(self):
+        domain = Domain(30)
+        domain.run(JOIN_WAIT - ROUND)
+        assert not domain.watching
+
+    @given(st.integers(5, 40))
+    def test_a_domain_that_starts_together_soon_has_few_watchers(self, count):
+        domain = Domain(count)
+        domain.run(JOIN_WAIT + timedelta(seconds=1))
+        assert domain.most <= 4
+        domain.run(STAND_DOWN_AFTER + timedelta(seconds=1))
+        assert domain.watching == set(domain.names[:WATCHERS])
+
+    @given(st.integers(8, 40), st.sets(st.integers(0, 7), max_size=4))
+    def test_lost_watchers_are_followed_in_time_and_not_by_all(self, count, lost):
+        domain = Domain(count)
+        domain.run(timedelta(seconds=8))
+        domain.turned_away = {domain.names[n] for n in lost}
+        domain.most = 0
+        domain.run(HEARING_LAG + LONGEST_URGENT_WAIT + 2 * ROUND)
+        assert domain.serving
+        domain.run(timedelta(seconds=12))
+        assert len(domain.serving) >= WATCHERS
+        assert domain.most <= len(lost) + 2 * WATCHERS + 2
+
+    def test_a_watcher_that_is_back_replaces_its_stand_in(self):
+        domain = Domain(20)
+        domain.run(timedelta(seconds=8))
+        domain.turned_away = {"h00"}
+        domain.run(timedelta(seconds=8))
+        assert domain.serving == {"h01", "h02"}
+        domain.turned_away = set()
+        domain.run(timedelta(seconds=8))
+        assert domain.serving == {"h00", "h01"}
