Count retry budgets in a sliding window; start no watch while two are heard

(2) Hosts later in the order of names but heard watching did not count as enough, so others began to watch and stopped again (7 starts in the log of three name groups); learners could not ask a watcher to which they had no link (466 times), and fetched where only the store-wide version had moved.

Change: repeats are counted against the requests of the last 10 s, which keeps the rule for every window; two watchers are enough whoever they are, the last of too many stop; learners link to the watchers that they hear; beats tell the newest version of an object.

The budget's property now holds for each window, which is stricter.

Ruled out: a larger part for each host; all hosts together keep to the rule.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -299,7 +299,11 @@
         settings = self.settings
         budgets = ServiceBudgets(
             share=settings.retry_share,
-            most=lambda: settings.retry_extra / max(self.roster.peak, MIN_BUDGET_HOSTS),
+            extra=lambda: (
+                settings.retry_extra / max(self.roster.peak, MIN_BUDGET_HOSTS)
+            ),
+            window=settings.retry_window,
+            clock=self.clock,
         )
         self.news = NewsExchange(
             host_id=settings.host_id,
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -214,7 +214,7 @@
 
     Attributes:
         host_id: The host.
-        versions_by_prefix: The store-wide version known under each prefix.
+        versions_by_prefix: The newest version of an object under each prefix.
     """
 
     host_id: str
@@ -226,7 +226,7 @@
 
     Attributes:
         prefix: What their keys start with.
-        since: The version after which these are all changes.
+        since: The newest version of an object before; these are all changes after it.
         listing: The JSON of a :class:`passtally.object_store.Listing`.
     """
 
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -1,10 +1,14 @@
 """Lets repeats be a share of the requests, so that they can't pile up. Pure."""
 
+from collections import deque
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Protocol
 
 import attrs
 
+from passtally.clock import Clock
+
 SHARE = 0.1
 MOST = 20.0
 
@@ -85,48 +89,69 @@
 class ServiceBudgets:
     """One host's part of a budget for each service that all hosts share.
 
-    A part of what is saved up is kept back for resumes, so that repeats of new
-    requests can't use up what answers that have begun need.
+    In any window of time the repeats are at most a share of the requests in it, and
+    a fixed number more. What a calm time earned can be spent at once when endpoints
+    are lost. A part of the fixed number is kept back for resumes, so that repeats of
+    new requests can't use up what answers that have begun need.
 
     Args:
         share: How many repeats each request earns.
-        most: Returns how many this host may save up for one service now.
-        resume_part: The part of it that only resumes may use.
+        extra: Returns how many more this host may make for one service.
+        window: The window's length.
+        clock: The clock.
+        resume_part: The part of the extra ones that only resumes may use.
     """
 
     def __init__(
-        self, *, share: float, most: Callable[[], float], resume_part: float = 0.5
+        self,
+        *,
+        share: float,
+        extra: Callable[[], float],
+        window: timedelta,
+        clock: Clock,
+        resume_part: float = 0.5,
     ) -> None:
         self._share = share
-        self._most = most
+        self._extra = extra
+        self._window = window
+        self._clock = clock
         self._resume_part = resume_part
-        self._by_service: dict[str, RetryBudget] = {}
+        self._recent_by_service: dict[str, _Recent] = {}
 
     def earn(self, workspace: str, *, service: str = "") -> None:
         """Count one request."""
-        self._of(service).earn()
+        now = self._clock.monotonic()
+        recent = self._recent(service, now)
+        recent.requests.append(now)
 
     def try_spend(self, workspace: str, *, service: str = "") -> bool:
         """Take a repeat, unless only what is kept back is left."""
-        return self._take(service, above=self._resume_part * self._most())
+        return self._take(service, above=self._resume_part * self._extra())
 
     def try_resume(self, workspace: str, *, service: str = "") -> bool:
         """Take a resume from all that is left."""
         return self._take(service, above=0)
 
     def _take(self, service: str, *, above: float) -> bool:
-        budget = self._of(service)
-        if not budget.has_one(above=above):
+        now = self._clock.monotonic()
+        recent = self._recent(service, now)
+        allowed = self._share * len(recent.requests) + self._extra()
+        if allowed - len(recent.repeats) < 1 + above:
             return False
-        budget.spend()
+        recent.repeats.append(now)
         return True
 
-    def _of(self, service: str) -> RetryBudget:
-        most = self._most()
-        budget = self._by_service.get(service)
-        if budget is None:
-            budget = RetryBudget(share=self._share, most=most, saved=most)
-            self._by_service[service] = budget
-        budget.most = most
-        budget.saved = min(budget.saved, most)
-        return budget
+    def _recent(self, service: str, now: timedelta) -> "_Recent":
+        recent = self._recent_by_service.setdefault(service, _Recent())
+        for times in (recent.requests, recent.repeats):
+            while times and now - times[0] >= self._window:
+                times.popleft()
+        return recent
+
+
+@attrs.define(kw_only=True)
+class _Recent:
+    """When the requests and repeats of the last window came."""
+
+    requests: deque[timedelta] = attrs.field(factory=deque)
+    repeats: deque[timedelta] = attrs.field(factory=deque)
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -1,7 +1,7 @@
 """Finds the other entry hosts: from a few seeds, then from each other."""
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from datetime import timedelta
 
 from passtally.clock import Clock
@@ -48,6 +48,8 @@
         self.peak = 1
         #: Whether this host is to be linked to all hosts of its failure domain.
         self.links_domain = False
+        #: Hosts that this one learns from and so is linked to in any case.
+        self.source_ids: Collection[str] = ()
         self._linked_ids: set[str] = set()
 
     def others(self) -> list[MemberRow]:
@@ -81,6 +83,7 @@
         rows = [row for row in self.others() if row.address]
         self.peak = max(self.peak, len(rows) + 1)
         chosen = choose_links(self._table.own, rows, whole_domain=self.links_domain)
+        chosen += [row for row in rows if row.host_id in self.source_ids]
         rows_by_id = {row.host_id: row for row in chosen}
         self._linked_ids = set(rows_by_id)
         for row in rows_by_id.values():
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -222,7 +222,10 @@
         parse_share, "How many repeats each request to a service earns.", "0.1"
     )
     retry_extra: int = _setting(
-        parse_count, "How many repeats all hosts together may save up.", "200"
+        parse_count, "How many more repeats all hosts together may make.", "200"
+    )
+    retry_window: timedelta = _setting(
+        parse_duration, "The time in which repeats are counted against requests.", "10s"
     )
     statsd: Address | None = _setting(
         parse_optional_address, "Where metrics go, as IP:PORT; empty for nowhere.", ""
--- a/passtally/watch_duty.py
+++ b/passtally/watch_duty.py
@@ -1,9 +1,9 @@
 """Which hosts of a failure domain watch the platform. Pure; nothing is agreed.
 
-Who watches follows from who is heard watching: a host watches while too few hosts
-before it, in the order of their names, are heard doing so. Each one waits the longer
-the more hosts stand before it, so that one loss does not wake the whole domain. Two
-that both watch cost a little; a host that hears no watcher soon watches itself.
+Who watches follows from who is heard watching. Where too few do, each host waits the
+longer the more hosts stand before it in the order of their names, so that one loss
+does not wake the whole domain. Where too many do, the last ones stop. One watcher too
+many costs a little; a host that hears no watcher soon watches itself.
 """
 
 from collections.abc import Collection
@@ -34,20 +34,28 @@
     domain_ids: Collection[str],
     watching_ids: Collection[str],
     *,
+    is_watching: bool,
     watchers: int = WATCHERS,
     small_domain: int = SMALL_DOMAIN,
 ) -> bool:
     """Decide whether a host is to watch the platform.
 
+    One that does not begins only where too few do, whoever they are; one that does
+    stops only where enough before it do. So the first ones never stop, and nobody
+    begins to take over from one that watches well.
+
     Args:
         own_id: The host.
         domain_ids: The hosts of its failure domain in reach, itself included.
         watching_ids: Those of its domain that were heard watching a moment ago.
+        is_watching: Whether it watches now.
         watchers: How many are enough.
         small_domain: Up to how many hosts all watch.
     """
     if len(domain_ids) <= small_domain:
         return True
+    if not is_watching:
+        return len(watching_ids) < watchers
     before = [host_id for host_id in watching_ids if host_id < own_id]
     return len(before) < watchers
 
@@ -104,7 +112,9 @@
             watching_ids: Those of its domain that were heard watching a moment ago.
             now: The monotonic time.
         """
-        if should_watch(self.own_id, domain_ids, watching_ids):
+        if should_watch(
+            self.own_id, domain_ids, watching_ids, is_watching=self.is_watching
+        ):
             self._enough_since = None
             joined_at = self.started_at + JOIN_WAIT
             self._wanted_since = self._wanted_since or max(now, joined_at)
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -119,14 +119,14 @@
 
     def replace(self, view: View, listing: Listing) -> None:
         """Take in a whole listing from the platform."""
-        since = view.mirror.version
+        since = view.mirror.newest
         changed = view.mirror.replace(listing)
         if changed is not None:
             self._take(view, changed, since=since)
 
     def advance(self, view: View, changes: Listing) -> None:
         """Take in changes from the platform."""
-        since = view.mirror.version
+        since = view.mirror.newest
         self._take(view, view.mirror.advance(changes), since=since)
 
     async def run(self) -> None:
@@ -154,6 +154,7 @@
     def _decide(self, now: timedelta) -> None:
         domain_ids = {self._host_id, *self._roster.domain_ids()}
         watching_ids = domain_ids.intersection(self._watching(now))
+        self._roster.source_ids = watching_ids
         was_watching = self._duty.is_watching
         wants = self._duty.decide(domain_ids, watching_ids, now=now)
         if wants and not was_watching:
@@ -192,7 +193,7 @@
     def _hear_changes(self, news: ViewChanges) -> None:
         view = self._views_by_prefix.get(news.prefix)
         # With a gap before them the changes wait for the next beat, which shows it.
-        if view is not None and news.since <= view.mirror.version:
+        if view is not None and news.since <= view.mirror.newest:
             listing = msgspec.json.decode(news.listing, type=Listing)
             view.apply(view.mirror.advance(listing))
 
@@ -214,7 +215,7 @@
         """Return a host that knows a newer version, one of this domain if any."""
         for host_id in self._watching(now):
             versions = self._heard_by_host[host_id].versions_by_prefix
-            if versions.get(view.prefix, 0) > view.mirror.version:
+            if versions.get(view.prefix, 0) > view.mirror.newest:
                 return host_id
         best, version = None, view.mirror.newest
         for row in self._roster.linked():
@@ -224,7 +225,7 @@
 
     async def _fetch(self, view: View, host_id: str) -> None:
         self._fetching.add(view.prefix)
-        message = FetchConfig(after=view.mirror.version, prefix=view.prefix)
+        message = FetchConfig(after=view.mirror.newest, prefix=view.prefix)
         try:
             reply = await self._peers.ask(host_id, message, timeout=FETCH_TIMEOUT)
         except PeerError as error:
@@ -243,7 +244,7 @@
                 "Learned from a peer.",
                 peer=host_id,
                 prefix=view.prefix,
-                version=view.mirror.version,
+                version=view.mirror.newest,
                 changed=len(changed),
             )
 
@@ -261,14 +262,7 @@
             self._reach_changed(is_reached)
 
     def _beat(self) -> ViewBeat:
-        return ViewBeat(host_id=self._host_id, versions_by_prefix=self.versions())
-
-    def versions(self) -> dict[str, int]:
-        """Return the version known under each prefix."""
-        return {
-            prefix: view.mirror.version
-            for prefix, view in self._views_by_prefix.items()
-        }
+        return ViewBeat(host_id=self._host_id, versions_by_prefix=self.newest())
 
     def newest(self) -> dict[str, int]:
         """Return the newest version of an object known under each prefix."""
