--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -16,8 +16,9 @@
 CONNECT_PAUSE = timedelta(milliseconds=50)
 #: Up to so many hosts all link to each other.
 MAX_LINKS = 24
-#: Among more, each links to so many hosts of its failure domain, the next ones in
-#: the order of names, and to one of each other domain: its cost does not grow.
+#: Among more, each links to so many hosts of its failure domain, half of them the
+#: next and half the last ones in the order of names, and to one of each other domain:
+#: its cost does not grow.
 RING_LINKS = 8
 SEED_PREFIX = "seed-"
 
@@ -143,8 +144,9 @@
         for row in sorted(rows, key=lambda row: _rank(own.host_id, row.host_id))
         if row.failure_domain != own.failure_domain
     }
-    near_count = len(near) if whole_domain else RING_LINKS
-    return [*near[:near_count], *far.values()]
+    if not whole_domain:
+        near = [*near[: RING_LINKS // 2], *near[-(RING_LINKS // 2) :]]
+    return [*near, *far.values()]
 
 
 def _rank(own_id: str, host_id: str) -> bytes:
