Tell gauges as they stand when they are read

Whether the platform is away was told by the host's own watch, which most hosts of a large failure domain do not have.

Change: on the platform gauges are computed when the metrics are read; the platform counts as away when no changes arrive, from it or from a host that watches. test_the_metrics_tell_the_version_in_force_at_once failed first.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -26,7 +26,7 @@
 from passtally.http_client import ConnectionPool
 from passtally.http_server import Exchange, Handle, HttpServer, ServerLimits
 from passtally.membership import Gossip, MemberTable
-from passtally.metrics import GAUGE_INTERVAL, Metric, TextMetrics
+from passtally.metrics import Metric, TextMetrics
 from passtally.object_store import Platform, StoredObject
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.peers import MemberRow, Peers
@@ -168,7 +168,6 @@
             ("gossip", self.gossip.run),
             ("roster", lambda: self.roster.run(self.gossip)),
             ("news", self.news.run),
-            ("gauges", self._report_gauges),
         ):
             self._spawn(keep_running(name, work, clock=self.clock))
         self.peers.start()
@@ -371,7 +370,7 @@
 
     async def _answer_metrics(self, exchange: Exchange) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
-        await exchange.answer(200, headers, self.metrics.render())
+        await exchange.answer(200, headers, self.render_metrics())
 
     def _connect(self, endpoint: Endpoint) -> Engine:
         return self._adapter.connect(
@@ -449,14 +448,13 @@
             log_event("endpoints", "Ignored a broken entry.", id=stored.key, why=error)
             return None
 
-    async def _report_gauges(self) -> None:
-        while True:
-            current = self.routes.current
-            self.metrics.gauge(Metric.OPEN, self.drain.open_requests)
-            self.metrics.gauge(Metric.CONFIG_VERSION, current.version if current else 0)
-            is_away = not self.watch.is_up
-            self.metrics.gauge(Metric.PLATFORM_AWAY, int(is_away))
-            await self.clock.sleep(GAUGE_INTERVAL)
+    def render_metrics(self) -> bytes:
+        """Return the metrics as text; gauges as they stand now."""
+        current = self.routes.current
+        self.metrics.gauge(Metric.OPEN, self.drain.open_requests)
+        self.metrics.gauge(Metric.CONFIG_VERSION, current.version if current else 0)
+        self.metrics.gauge(Metric.PLATFORM_AWAY, int(not self.watch.is_reached))
+        return self.metrics.render()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -111,6 +111,11 @@
         """Whether this host is to watch."""
         return self._duty.is_watching
 
+    @property
+    def is_reached(self) -> bool:
+        """Whether changes arrive, from the platform or from a host that watches."""
+        return self._is_reached
+
     @property
     def is_up(self) -> bool:
         """Whether this host's own watches are up."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -147,8 +147,7 @@
             popen.kill()
             await asyncio.to_thread(popen.wait)
         self._note("stop", host.name, began_at, is_planned=True)
-        if not host.is_up:
-            self._world.start_host(host)
+        self._world.start_host(host)
 
     async def _reload(self, lasts: float) -> None:
         host = self._pick_host()
--- a/soak/world.py
+++ b/soak/world.py
@@ -190,7 +190,9 @@
         await runner.stop()
 
     def start_host(self, host: HostProcess) -> None:
-        """Start a host's process."""
+        """Start a host's process, unless another one has done so meanwhile."""
+        if host.is_up:
+            return
         host.life += 1
         log = self._folder / f"{host.name}.{host.life}.log"
         with log.open("wb") as output:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -4,16 +4,9 @@
 
 import pytest
 
+from standins.platform_config import KEY, LOOKUPS, WORKSPACE, make_config
 from standins.runner import PROOF
-from tests.platform_system import (
-    KEY,
-    LOOKUPS,
-    WORKSPACE,
-    PlatformSystem,
-    expected_events,
-    make_config,
-    run,
-)
+from tests.platform_system import PlatformSystem, expected_events, run
 
 
 async def start_lookups(system: PlatformSystem, count: int = 1) -> None:
@@ -237,6 +230,19 @@
 
         run(test)
 
+    def test_the_metrics_tell_the_version_in_force_at_once(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config(3))
+            host = await system.add_host()
+            await system.wait_ready()
+            assert b"config_version 3" in host.render_metrics()
+            system.store.put("config", "main", make_config(8))
+            while host.routes.current.version != 8:
+                await asyncio.sleep(0.01)
+            assert b"config_version 8" in host.render_metrics()
+
+        run(test)
+
     def test_a_broken_configuration_changes_nothing(self):
         async def test(system: PlatformSystem) -> None:
             await start_lookups(system)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from standins.object_store import ObjectStoreStandIn
-from tests.platform_system import free_ports, make_config
+from standins.platform_config import make_config
+from tests.platform_system import free_ports
 
 LINES = """\
 node_name=front-pilar-1
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -19,7 +19,7 @@
 from passtally.platform.settings import parse_lines, read_settings, translate
 from passtally.routes import CallKind
 from passtally.settings import Address, SettingsError
-from tests.platform_system import ENGINE, KEY, LOOKUPS, WORKSPACE, make_config
+from standins.platform_config import ENGINE, KEY, LOOKUPS, WORKSPACE, make_config
 
 LINES = """\
 node_name=front-pilar-1
--- a/tests/test_watch_share.py
+++ b/tests/test_watch_share.py
@@ -6,7 +6,8 @@
 
 from passtally import watch_duty
 from passtally.watch_duty import should_watch
-from tests.platform_system import LOOKUPS, PlatformSystem, make_config, run
+from standins.platform_config import LOOKUPS, make_config
+from tests.platform_system import PlatformSystem, run
 
 
 async def wait_for_version(host, version: int) -> None:
