Let operators hand out the keys for messages between hosts

On the platform the derived key is no secret either.

Change: the product's variable for resume_keys goes before the derived key.

--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -1,10 +1,16 @@
 """Reads the platform's settings file into the product's settings."""
 
 import hashlib
+import os
 from collections.abc import Mapping
 from pathlib import Path
 
-from passtally.settings import Settings, SettingsError, check_settings
+from passtally.settings import (
+    Settings,
+    SettingsError,
+    check_settings,
+    variable_of,
+)
 
 #: The environment variable with the path of the settings file.
 FILE_VARIABLE = "PASSTALLY_CONFIG"
@@ -33,11 +39,15 @@
 def read_settings(path: Path) -> Settings:
     """Read and check a settings file.
 
+    The operators may hand out keys of their own for messages between hosts in the
+    environment, as the product's setting ``resume_keys``.
+
     Raises:
         SettingsError: Some settings are missing or can't be used; all are named.
         OSError: The file can't be read.
     """
-    return translate(parse_lines(path.read_text()))
+    keys = os.environ.get(variable_of("resume_keys"), "")
+    return translate(parse_lines(path.read_text()), resume_keys=keys)
 
 
 def parse_lines(text: str) -> dict[str, str]:
@@ -50,9 +60,13 @@
     return values_by_key
 
 
-def translate(values_by_key: Mapping[str, str]) -> Settings:
+def translate(values_by_key: Mapping[str, str], *, resume_keys: str = "") -> Settings:
     """Turn the platform's values into settings.
 
+    Args:
+        values_by_key: The platform's values.
+        resume_keys: The keys for messages between hosts; derived if empty.
+
     Raises:
         SettingsError: Some are missing or can't be used; all are named.
     """
@@ -66,7 +80,7 @@
     texts["retry_window"] = values_by_key.get("bounds.budget_window_s", "10") + "s"
     texts["apply_within"] = values_by_key.get("bounds.config_apply_ms", "2000") + "ms"
     texts["balancer_lag"] = BALANCER_LAG
-    texts["resume_keys"] = f"platform:{_derive_key(values_by_key)}"
+    texts["resume_keys"] = resume_keys or f"platform:{_derive_key(values_by_key)}"
     try:
         return check_settings(texts)
     except SettingsError as error:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -55,9 +55,15 @@
 
 
 def _make_caller(
-    kind: str, world: World, evidence: Evidence, rng: random.Random
+    kind: str,
+    world: World,
+    evidence: Evidence,
+    rng: random.Random,
+    *,
+    leaves: bool = True,
 ) -> Caller:
     return Caller(
+        leaves=leaves,
         kind=kind,
         ports_by_host=world.ports_by_host,
         evidence=evidence,
@@ -86,9 +92,8 @@
         if version != world.version:
             evidence.report(f"{host.name} has version {version}, not {world.version}")
         for kind in CALLERS_BY_KIND:
-            caller = _make_caller(kind, world, evidence, rng)
-            # A caller may have left by itself, so it asks twice.
-            if not (await caller.ask(host.name) or await caller.ask(host.name)):
+            caller = _make_caller(kind, world, evidence, rng, leaves=False)
+            if not await caller.ask(host.name):
                 evidence.report(f"{host.name} does not serve a {kind} again")
 
 
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -58,6 +58,7 @@
         evidence: Where its tries are noted.
         rng: Decides what it does.
         events: How many events a whole stream has.
+        leaves: Whether it leaves some requests before the end.
     """
 
     def __init__(
@@ -68,7 +69,9 @@
         evidence: Evidence,
         rng: random.Random,
         events: int,
+        leaves: bool = True,
     ) -> None:
+        self._leaves = leaves
         self._kind = kind
         self._ports_by_host = ports_by_host
         self._evidence = evidence
@@ -176,7 +179,7 @@
         await connection.writer.drain()
 
     async def _read(self, connection: _Connection, answer: _Answer) -> None:
-        leaves = self._rng.random() < LEAVING_SHARE
+        leaves = self._leaves and self._rng.random() < LEAVING_SHARE
         machine = connection.machine
         while not answer.is_whole:
             event = machine.next_event()
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -65,6 +65,13 @@
             "bounds.retry_budget_ratio",
         }
 
+    def test_operators_may_hand_out_keys_of_their_own(self, tmp_path, monkeypatch):
+        path = tmp_path / "node.conf"
+        path.write_text(LINES)
+        assert list(read_settings(path).resume_keys) == ["platform"]
+        monkeypatch.setenv("PASSTALLY_RESUME_KEYS", "k7:a-secret-of-the-operators")
+        assert read_settings(path).resume_keys == {"k7": b"a-secret-of-the-operators"}
+
     def test_hosts_of_one_installation_share_a_key_and_others_have_another(self):
         first = translate(parse_lines(LINES))
         other_host = LINES.replace("front-pilar-1", "front-pilar-2")
