Let callers wait and reloads pass while a host loads

Cause: found by the soak, seed 302 (twice): a SIGHUP that reached a host within its first third of a second, before its handler stood, ended the process (status -1), and nothing started it again. Until it had loaded, connections to it were refused: after a kill of all hosts that is a third of a second more without service.

Change: the entry module ignores SIGHUP and listens where callers come in before it imports the rest, with the standard library alone (settings_file); the front server takes that socket over. The settings' time of change is noted before they are read, so that a change in between is seen.

Ruled out: listening early for the balancer's question too; a host that can't serve yet should not look ready.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Callable, Coroutine, Sequence
 from datetime import timedelta
 from typing import Any, Protocol
@@ -142,10 +143,19 @@
         settings: What it was told.
         clock: The clock.
         adapter: Translates for it.
+        front_socket: Listens already where callers come in; None to open one.
     """
 
-    def __init__(self, *, settings: Settings, clock: Clock, adapter: Adapter) -> None:
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        clock: Clock,
+        adapter: Adapter,
+        front_socket: socket.socket | None = None,
+    ) -> None:
         super().__init__()
+        self._front_socket = front_socket
         self.settings = settings
         self._adapter = adapter
         self.clock = clock
@@ -355,10 +365,14 @@
         for server, address in (
             (self.ready_server, self.settings.ready_listen),
             (self.metrics_server, self.settings.metrics_listen),
-            (self.front_server, self.settings.listen),
         ):
             if address is not None:
                 await server.start(address.host, address.port)
+        if self._front_socket is not None:
+            await self.front_server.start_on(self._front_socket)
+        else:
+            front = self.settings.listen
+            await self.front_server.start(front.host, front.port)
 
     def _limits(self) -> ServerLimits:
         current = self.routes.current
--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import re
+import socket
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
 from email.utils import formatdate
@@ -166,6 +167,15 @@
         )
         return self._server.sockets[0].getsockname()[1]
 
+    async def start_on(self, listening: socket.socket) -> None:
+        """Take the connections of a socket that listens already."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(server=self),
+            sock=listening,
+            backlog=LISTEN_BACKLOG,
+        )
+
     async def stop(self) -> None:
         """Stop listening and break off what is open."""
         if self._server is not None:
--- a/passtally/platform/__main__.py
+++ b/passtally/platform/__main__.py
@@ -1,86 +1,21 @@
-"""Starts an entry host from the platform's settings file."""
+"""Starts an entry host: what can't wait for the imports, then the program."""
 
-import asyncio
-import os
 import signal
-import sys
-from datetime import timedelta
-from pathlib import Path
 
-import aiomisc
-import eliot
-import uvloop
-
-from passtally.clock import SystemClock
-from passtally.decision import log_event
-from passtally.front_host import FrontHost
-from passtally.log_output import LogOutput
-from passtally.platform.adapter import PlatformAdapter
-from passtally.platform.settings import FILE_VARIABLE, read_settings
-from passtally.settings import SettingsError
-
-EXIT_USAGE = 2
-FILE_CHECK_INTERVAL = timedelta(seconds=5)
+from passtally.platform.settings_file import listen_early, settings_path
 
 
 def main() -> None:
     """Run an entry host until it is told to stop."""
-    path = Path(os.environ.get(FILE_VARIABLE, ""))
-    try:
-        settings = read_settings(path)
-    except (SettingsError, OSError) as error:
-        print(f"passtally: {path}: {error}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    output = LogOutput(stream=sys.stdout.buffer)
-    eliot.add_destinations(output)
-    host = FrontHost(settings=settings, clock=SystemClock(), adapter=PlatformAdapter())
-    with aiomisc.entrypoint(
-        host,
-        pool_size=1,
-        log_config=False,
-        catch_signals=(),
-        loop_factory=uvloop.new_event_loop,
-    ) as loop:
-        loop.run_until_complete(_wait_for_stop(host, path))
-    output.close()
-
-
-async def _wait_for_stop(host: FrontHost, path: Path) -> None:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
-    watching = loop.create_task(_watch_file(host, path))
-    await stopping.wait()
-    watching.cancel()
-    await host.leave()
-
-
-async def _watch_file(host: FrontHost, path: Path) -> None:
-    """Read the settings again when their file changes without a signal."""
-    known = _modified_at(path)
-    while True:
-        await host.clock.sleep(FILE_CHECK_INTERVAL)
-        modified_at = _modified_at(path)
-        if modified_at != known:
-            known = modified_at
-            _reload(host, path)
-
-
-def _modified_at(path: Path) -> int:
-    try:
-        return path.stat().st_mtime_ns
-    except OSError as error:
-        log_event("daemon", "The settings file can't be seen.", path=path, why=error)
-        return 0
-
-
-def _reload(host: FrontHost, path: Path) -> None:
-    try:
-        host.reload(read_settings(path))
-    except (SettingsError, OSError) as error:
-        log_event("daemon", "Kept the old settings.", path=path, why=error)
+    # The default action would end a process that is told to read its settings again
+    # before it can; they are read after this in any case.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    path = settings_path()
+    front_socket = listen_early(path)
+    # Importing the rest takes a third of a second of a host's processor.
+    from passtally.platform.process import run
+
+    run(path, front_socket)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/passtally/platform/process.py
@@ -0,0 +1,92 @@
+"""Runs an entry host by the platform's settings file."""
+
+import asyncio
+import signal
+import socket
+import sys
+from datetime import timedelta
+from pathlib import Path
+
+import aiomisc
+import eliot
+import uvloop
+
+from passtally.clock import SystemClock
+from passtally.decision import log_event
+from passtally.front_host import FrontHost
+from passtally.log_output import LogOutput
+from passtally.platform.adapter import PlatformAdapter
+from passtally.platform.settings import read_settings
+from passtally.settings import SettingsError
+
+EXIT_USAGE = 2
+FILE_CHECK_INTERVAL = timedelta(seconds=5)
+
+
+def run(path: Path, front_socket: socket.socket | None) -> None:
+    """Run an entry host until it is told to stop.
+
+    Args:
+        path: The settings file.
+        front_socket: Listens already where callers come in, if any does.
+    """
+    modified_at = _modified_at(path)
+    try:
+        settings = read_settings(path)
+    except (SettingsError, OSError) as error:
+        print(f"passtally: {path}: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    output = LogOutput(stream=sys.stdout.buffer)
+    eliot.add_destinations(output)
+    host = FrontHost(
+        settings=settings,
+        clock=SystemClock(),
+        adapter=PlatformAdapter(),
+        front_socket=front_socket,
+    )
+    with aiomisc.entrypoint(
+        host,
+        pool_size=1,
+        log_config=False,
+        catch_signals=(),
+        loop_factory=uvloop.new_event_loop,
+    ) as loop:
+        loop.run_until_complete(_wait_for_stop(host, path, modified_at))
+    output.close()
+
+
+async def _wait_for_stop(host: FrontHost, path: Path, modified_at: int) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
+    watching = loop.create_task(_watch_file(host, path, known=modified_at))
+    await stopping.wait()
+    watching.cancel()
+    await host.leave()
+
+
+async def _watch_file(host: FrontHost, path: Path, *, known: int) -> None:
+    """Read the settings again when their file changes without a signal."""
+    while True:
+        await host.clock.sleep(FILE_CHECK_INTERVAL)
+        modified_at = _modified_at(path)
+        if modified_at != known:
+            known = modified_at
+            _reload(host, path)
+
+
+def _modified_at(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as error:
+        log_event("daemon", "The settings file can't be seen.", path=path, why=error)
+        return 0
+
+
+def _reload(host: FrontHost, path: Path) -> None:
+    try:
+        host.reload(read_settings(path))
+    except (SettingsError, OSError) as error:
+        log_event("daemon", "Kept the old settings.", path=path, why=error)
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from passtally.platform.settings_file import FRONT_KEY, parse_lines
 from passtally.settings import (
     Settings,
     SettingsError,
@@ -12,8 +13,6 @@
     variable_of,
 )
 
-#: The environment variable with the path of the settings file.
-FILE_VARIABLE = "PASSTALLY_CONFIG"
 #: Where a host's metrics are read; deploy/system.toml names the same port.
 METRICS_PORT = 8750
 
@@ -27,7 +26,7 @@
     "host_id": "node_name",
     "region": "region",
     "failure_domain": "zone",
-    "listen": "listen.front",
+    "listen": FRONT_KEY,
     "peer_listen": "listen.control",
     "ready_listen": "listen.ready",
     "seeds": "seeds",
@@ -50,16 +49,6 @@
     return translate(parse_lines(path.read_text()), resume_keys=keys)
 
 
-def parse_lines(text: str) -> dict[str, str]:
-    """Read lines of the form ``a.b=value``; others are passed over."""
-    values_by_key = {}
-    for line in text.splitlines():
-        key, separator, value = line.partition("=")
-        if separator and key.strip():
-            values_by_key[key.strip()] = value.strip()
-    return values_by_key
-
-
 def translate(values_by_key: Mapping[str, str], *, resume_keys: str = "") -> Settings:
     """Turn the platform's values into settings.
 
--- /dev/null
+++ b/passtally/platform/settings_file.py
@@ -0,0 +1,57 @@
+"""The platform's settings file, read with the standard library alone.
+
+It is looked at before the rest of the program is imported: see ``__main__``.
+"""
+
+import os
+import socket
+import sys
+from pathlib import Path
+
+#: The environment variable with the path of the settings file.
+FILE_VARIABLE = "PASSTALLY_CONFIG"
+#: Where callers come in, as IP:PORT.
+FRONT_KEY = "listen.front"
+LISTEN_BACKLOG = 2048
+
+
+def settings_path() -> Path:
+    """Return where the settings file lies."""
+    return Path(os.environ.get(FILE_VARIABLE, ""))
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    """Read lines of the form ``a.b=value``; others are passed over."""
+    values_by_key = {}
+    for line in text.splitlines():
+        key, separator, value = line.partition("=")
+        if separator and key.strip():
+            values_by_key[key.strip()] = value.strip()
+    return values_by_key
+
+
+def listen_early(path: Path) -> socket.socket | None:
+    """Listen where callers come in; None where the settings don't tell or it fails.
+
+    Connections that come now wait until the program is loaded, instead of being
+    refused. What is wrong with the settings is told when they are checked.
+    """
+    try:
+        address = parse_lines(path.read_text()).get(FRONT_KEY, "")
+        host, _, port = address.rpartition(":")
+        return _listen(host, int(port))
+    except (OSError, ValueError) as error:
+        print(f"passtally: {path}: {FRONT_KEY}: {error}", file=sys.stderr)
+        return None
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    front = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        front.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        front.bind((host, port))
+        front.listen(LISTEN_BACKLOG)
+    except OSError:
+        front.close()
+        raise
+    return front
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -88,6 +88,8 @@
     world.change_config()
     await asyncio.sleep(APPLY_SECONDS + MARGIN_SECONDS)
     for host in world.hosts_by_name.values():
+        if not host.is_up:
+            evidence.report(f"{host.name} ended with status {host.popen.poll()}")
         version = await world.read_version(host)
         if version != world.version:
             evidence.report(f"{host.name} has version {version}, not {world.version}")
@@ -111,7 +113,12 @@
     for violation in evidence.violations:
         print(f"  {violation}")
     if evidence.violations:
-        print(f"  logs: {folder}")
+        lines = [
+            f"{fault.began_at:.2f} to {fault.ended_at:.2f} {fault.kind} {fault.target}"
+            for fault in sorted(evidence.troubles, key=lambda fault: fault.began_at)
+        ]
+        (folder / "faults.txt").write_text("\n".join(lines) + "\n")
+        print(f"  logs and faults: {folder}")
     else:
         with contextlib.suppress(OSError):
             shutil.rmtree(folder)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -104,9 +104,9 @@
         host = self._pick_host()
         if host is None:
             return
-        began_at = now()
-        host.popen.kill()
-        await asyncio.to_thread(host.popen.wait)
+        began_at, popen = now(), host.popen
+        popen.kill()
+        await asyncio.to_thread(popen.wait)
         await asyncio.sleep(lasts / 2)
         self._world.start_host(host)
         self._note("kill", host.name, began_at)
@@ -114,10 +114,11 @@
     async def _kill_all(self, lasts: float) -> None:
         began_at = now()
         hosts = [host for host in self._world.hosts_by_name.values() if host.is_up]
-        for host in hosts:
-            host.popen.kill()
-        for host in hosts:
-            await asyncio.to_thread(host.popen.wait)
+        killed = [host.popen for host in hosts]
+        for popen in killed:
+            popen.kill()
+        for popen in killed:
+            await asyncio.to_thread(popen.wait)
         await asyncio.sleep(lasts / 2)
         for host in hosts:
             self._world.start_host(host)
--- a/soak/world.py
+++ b/soak/world.py
@@ -12,7 +12,8 @@
 import attrs
 from aiohttp import web
 
-from passtally.platform.settings import FILE_VARIABLE, METRICS_PORT
+from passtally.platform.settings import METRICS_PORT
+from passtally.platform.settings_file import FILE_VARIABLE
 from passtally.settings import variable_of
 from soak.evidence import Evidence, now
 from soak.link import FaultyLink
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -54,6 +54,17 @@
         await asyncio.sleep(0.05)
 
 
+async def connect(port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect as soon as something listens at a port."""
+    until = time.monotonic() + 20
+    while True:
+        try:
+            return await asyncio.open_connection("127.0.0.1", port)
+        except ConnectionRefusedError:
+            assert time.monotonic() < until
+            await asyncio.sleep(0.002)
+
+
 class TestProcess:
     def test_it_starts_reloads_and_stops(self, tmp_path: Path):
         async def main() -> None:
@@ -89,6 +100,33 @@
 
         asyncio.run(main())
 
+    def test_while_it_loads_callers_wait_and_a_reload_does_not_end_it(self, tmp_path):
+        async def main() -> None:
+            store = ObjectStoreStandIn()
+            store.put("config", "main", make_config())
+            port = await store.start()
+            front, ready, control = free_ports(3)
+            path, log = tmp_path / "node.conf", tmp_path / "log"
+            text = LINES.format(front=front, ready=ready, control=control, store=port)
+            path.write_text(text)
+            process = start(path, log)
+            try:
+                reader, writer = await connect(front)
+                assert not messages(log)
+                process.send_signal(signal.SIGHUP)
+                writer.write(b"GET /none HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert b"HTTP/1.1" in await asyncio.wait_for(reader.readline(), 20)
+                writer.close()
+                await wait_for(log, "config: In force.")
+                assert process.poll() is None
+            finally:
+                process.kill()
+                process.wait()
+                process.stderr.close()
+                await store.stop()
+
+        asyncio.run(main())
+
     def test_settings_that_cant_be_used_are_told_and_end_it(self, tmp_path: Path):
         path = tmp_path / "node.conf"
         path.write_text("zone=pilar\nlisten.front=here\n")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,10 +13,15 @@
 from soak.world import EVENTS
 from standins.runner import PROOF
 
-#: Seeds that once broke a promise, each with a line on the cause. None so far.
-FAILED_SEEDS: dict[int, str] = {}
+#: Seeds that once broke a promise, each with a line on the cause. A seed draws the
+#: same faults again; what the processes do between them may differ.
+FAILED_SEEDS = {
+    302: "a reload that came while a host was starting ended it (20 s of faults)",
+}
 CI_SEED = 7
 CI_SECONDS = 8
+#: As long as when they failed.
+FAILED_SECONDS = 20
 
 
 def seen(**fields) -> Seen:
@@ -159,10 +164,13 @@
 
 
 class TestSeeds:
-    @pytest.mark.parametrize("seed", [CI_SEED, *FAILED_SEEDS])
-    def test_a_seeded_run_breaks_no_promise(self, seed):
+    @pytest.mark.parametrize(
+        ("seed", "seconds"),
+        [(CI_SEED, CI_SECONDS), *((seed, FAILED_SECONDS) for seed in FAILED_SEEDS)],
+    )
+    def test_a_seeded_run_breaks_no_promise(self, seed, seconds):
         done = subprocess.run(
-            [sys.executable, "-m", "soak", f"--seed={seed}", f"--seconds={CI_SECONDS}"],
+            [sys.executable, "-m", "soak", f"--seed={seed}", f"--seconds={seconds}"],
             capture_output=True,
             text=True,
             timeout=120,
