Wait for routes at a cold start; try a platform that is away with few hosts

Change: (1) for 600 ms after its start a host lets requests wait until it knows routes and endpoints; (2) without a watcher heard six hosts of a domain try quickly, the others follow a second apart, and the longest pause between tries is 800 ms; (3) the survey's question names the endpoint that it means, so that another one at its address tells itself without an attempt or a repeat.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -311,8 +311,7 @@
         if gone or loss.kind is RESET:
             self._fleet.note_loss(live, is_gone=gone)
         if loss.kind is LossKind.REPLACED:
-            live.note_ended()
-            self._fleet.note_successor(live, loss.successor)
+            self._fleet.note_replaced(live, loss.successor)
         if is_death(loss.kind, was_attached=was_attached):
             progress.deaths += 1
         holder = _find_holder(generation, attempt, live)
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -139,11 +139,13 @@
     async def probe(self) -> LoadReport | None:
         """Return its load report, or None where none came in time."""
 
-    async def count_unread(self) -> int | None:
+    async def count_unread(self) -> int:
         """Return how many runs there have no output yet, all hosts' together.
 
-        Returns:
-            The number, some hundred milliseconds old; None where none came in time.
+        The number may be some hundred milliseconds old.
+
+        Raises:
+            AttemptLostError: None came in time, or the endpoint has ended.
         """
 
     async def is_reachable(self) -> bool:
@@ -254,10 +256,12 @@
     async def drop_copy(self, replica_ref: str, target: str) -> None:
         """Do nothing: there are no copies."""
 
-    async def count_unread(self) -> int | None:
+    async def count_unread(self) -> int:
         """Return how many runs are queued there."""
         report = await self.probe()
-        return None if report is None else report.queued
+        if report is None:
+            raise self._lost(LossKind.FROZEN, "report", "no answer in time")
+        return report.queued
 
     async def is_reachable(self) -> bool:
         """Return whether it answers a probe."""
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -140,8 +140,9 @@
             live.eject(now)
             log_event("endpoints", "A peer found it gone.", peer=endpoint_id)
 
-    def note_successor(self, live: LiveEndpoint, successor_id: str) -> None:
-        """Take in that another endpoint has the address of one that has ended."""
+    def note_replaced(self, live: LiveEndpoint, successor_id: str) -> None:
+        """Take in that an endpoint has ended, and which one has its address."""
+        live.note_ended()
         if successor_id and successor_id not in self._catalog.endpoints_by_id:
             self._on_successor(live.endpoint, successor_id)
 
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -1,6 +1,7 @@
 """Serves requests that the routes lead to services: calls and resumable streams."""
 
 import asyncio
+import contextlib
 from collections.abc import Sequence
 from datetime import timedelta
 from typing import Protocol
@@ -36,6 +37,10 @@
 #: A repeatable call goes on to another endpoint after this many times its target:
 #: most answers take a quarter of it, and the slowest less than all of it.
 PATIENCE_TARGETS = 2.0
+#: For so long after its start a host lets requests wait until it knows its routes and
+#: endpoints. A listing takes some 10 ms, a peer's answer less than 100 ms; a platform
+#: that has not answered by then is away, and requests are refused at once.
+COLD_START = timedelta(milliseconds=600)
 #: The engines' own default priority.
 PRIORITY = 5
 
@@ -129,6 +134,7 @@
         drain: Counts the requests that are open.
         clock: The clock.
         metrics: Where metrics go.
+        learned: Set once the routes and some endpoints are known.
     """
 
     def __init__(
@@ -141,7 +147,10 @@
         drain: Drain,
         clock: Clock,
         metrics: Metrics,
+        learned: asyncio.Event,
     ) -> None:
+        self._learned = learned
+        self._cold_until = clock.monotonic() + COLD_START
         self._routes = routes
         self._dispatcher = dispatcher
         self._caller = caller
@@ -184,6 +193,7 @@
             )
 
     async def _serve(self, request: FrontRequest, responder: Responder) -> str:
+        await self._wait_for_start()
         admitted = self._admit(request)
         route = admitted.route
         is_stream = route.kind is CallKind.STREAM
@@ -203,6 +213,15 @@
                 return await self._stream(admitted, responder)
             return await self._call(admitted, responder)
 
+    async def _wait_for_start(self) -> None:
+        """Let a request that came while the host starts wait for what it must know."""
+        left = self._cold_until - self._clock.monotonic()
+        if self._learned.is_set() or left <= timedelta(0):
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left.total_seconds()):
+                await self._learned.wait()
+
     def _admit(self, request: FrontRequest) -> _Admitted:
         """Find the route, the workspace and the service of a request.
 
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -49,9 +49,9 @@
 #: How long changes are gathered before the next watch asks for more. Endpoints come
 #: and go by the dozen, each on its own; a change must be known in two seconds.
 GATHER_FOR = timedelta(milliseconds=250)
-#: The longest pause between two tries to reach the store: the configuration must be
-#: in force two seconds after a store's return.
-LAST_RETRY = timedelta(milliseconds=400)
+#: The longest pause between two tries to reach the store. The users count a store as
+#: back three seconds after its return; a change must be in force two seconds later.
+LAST_RETRY = timedelta(milliseconds=800)
 RELIST_PAUSE = timedelta(milliseconds=200)
 #: Left of a stop's grace for breaking off streams and closing connections.
 STOP_MARGIN = timedelta(milliseconds=600)
@@ -164,6 +164,8 @@
         self.catalog = Catalog()
         self.routes = RoutesInForce()
         self.pool = ConnectionPool(clock=clock)
+        #: Set once the routes and some endpoints are known.
+        self._learned = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
@@ -354,6 +356,7 @@
             drain=self.drain,
             clock=self.clock,
             metrics=self.metrics,
+            learned=self._learned,
         )
 
     async def _listen(self) -> None:
@@ -443,6 +446,7 @@
                 )
             self.gossip.config_version = routes.version
             log_event("config", "In force.", version=routes.version)
+            self._note_learned()
 
     def _take_endpoints(self, changed: Sequence[StoredObject]) -> None:
         for stored in changed:
@@ -454,6 +458,11 @@
             endpoint = self._decode_endpoint(stored)
             if endpoint is not None:
                 self.book.put(endpoint)
+        self._note_learned()
+
+    def _note_learned(self) -> None:
+        if self.routes.current is not None and self.catalog.endpoints_by_id:
+            self._learned.set()
 
     def _decode_endpoint(self, stored: StoredObject) -> Endpoint | None:
         try:
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -122,6 +122,7 @@
         timeout: timedelta,
         *,
         address: Address | None = None,
+        names_endpoint: bool = False,
     ) -> bytes:
         """Make a call to the endpoint's own interface and return its answer.
 
@@ -131,6 +132,8 @@
             body: The JSON, or nothing.
             timeout: How long it may take.
             address: Another endpoint's address, to ask that one instead.
+            names_endpoint: Whether another endpoint that has the address by now is
+                to refuse.
 
         Raises:
             AttemptLostError: It was refused, or no answer came.
@@ -140,6 +143,8 @@
             (b"Host", str(address).encode()),
             (b"Content-Type", b"application/json"),
         ]
+        if names_endpoint:
+            headers.append((b"X-Expect-Instance", self.endpoint_id.encode()))
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 connection = await self._pool.take(address)
@@ -154,6 +159,8 @@
         except TimeoutError as error:
             raise self.lost(LossKind.FROZEN, "no answer in time") from error
         self._pool.give_back(address, connection, head)
+        if head.status == 421:
+            raise self._replaced(head)
         if head.status != 200:
             raise self.lost(LossKind.REFUSED, f"status {head.status}")
         return answer
@@ -180,6 +187,17 @@
         kind = LossKind.SEAM if error.is_garbled else LossKind.RESET
         return self.lost(kind, error.detail)
 
+    def _replaced(self, head: ResponseHead) -> AttemptLostError:
+        """Return the error for an address that another endpoint has by now."""
+        successor = head.header(names.ANSWERED_BY) or b""
+        return AttemptLostError(
+            LossKind.REPLACED,
+            step="stream",
+            peer=self.endpoint_id,
+            detail="another endpoint has the address",
+            successor=successor.decode("latin-1"),
+        )
+
     def _system_headers(
         self, workspace: str, deadline: timedelta | None
     ) -> list[tuple[bytes, bytes]]:
@@ -207,14 +225,7 @@
         if head.header(names.REQUEST_ID) not in (None, sent_id):
             raise self.lost(LossKind.SEAM, "the answer belongs to another request")
         if head.status == 421:
-            successor = head.header(names.ANSWERED_BY) or b""
-            raise AttemptLostError(
-                LossKind.REPLACED,
-                step="stream",
-                peer=self.endpoint_id,
-                detail="another endpoint has the address",
-                successor=successor.decode("latin-1"),
-            )
+            raise self._replaced(head)
         if head.header(names.NOT_RUN) is not None:
             raise self.lost(LossKind.REFUSED, f"not run, status {head.status}")
         if head.header(names.CONTENT_ENCODING) is not None:
@@ -345,14 +356,15 @@
             return False
         return is_engine_report(body)
 
-    async def count_unread(self) -> int | None:
+    async def count_unread(self) -> int:
         """Return how many runs there have no output yet."""
+        body = await self._link.order(
+            b"GET", REPORT_PATH, b"", ASK_TIMEOUT, names_endpoint=True
+        )
         try:
-            body = await self._link.order(b"GET", REPORT_PATH, b"", ASK_TIMEOUT)
             return count_unread_runs(body)
-        except (AttemptLostError, ValueError) as error:
-            log_event("survey", "No report.", peer=self._link.endpoint_id, why=error)
-            return None
+        except ValueError as error:
+            raise self._link.lost(LossKind.SEAM, str(error)) from error
 
     async def probe(self) -> LoadReport | None:
         """Return none: reports lag, and each is paid for."""
--- a/passtally/survey.py
+++ b/passtally/survey.py
@@ -9,7 +9,10 @@
 
 import attrs
 
+from passtally.decision import log_event
+from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
+from passtally.retry import LossKind
 
 #: The most endpoints that are asked for one prompt: with two thirds of them idle, one
 #: in 27 prompts finds none idle among three.
@@ -65,6 +68,12 @@
         live = self._fleet.find(endpoint_id)
         if live is None:
             return None
-        unread = await live.engine.count_unread()
+        try:
+            unread = await live.engine.count_unread()
+        except AttemptLostError as loss:
+            log_event("survey", "No report.", peer=endpoint_id, why=loss)
+            if loss.kind is LossKind.REPLACED:
+                self._fleet.note_replaced(live, loss.successor)
+            return None
         # The report may be older than this host's own last runs.
-        return None if unread is None else max(unread, live.unread_streams)
+        return max(unread, live.unread_streams)
--- a/passtally/watch_duty.py
+++ b/passtally/watch_duty.py
@@ -21,10 +21,14 @@
 #: How much longer each host waits than the one before it while one watcher is heard:
 #: changes still arrive, and a beat takes half a second to be heard.
 STEP = timedelta(milliseconds=300)
-#: The same where no watcher is heard, and the longest of these waits: a change must
-#: be in force two seconds after the platform took it.
+#: The same where no watcher is heard: a change must be in force two or three seconds
+#: after the platform took it. Where the platform turns a third of the hosts away, one
+#: of so many almost surely reaches it.
 URGENT_STEP = timedelta(milliseconds=50)
-LONGEST_URGENT_WAIT = timedelta(milliseconds=500)
+URGENT_HOSTS = 6
+#: The step of the hosts behind those: where none of the first ones reaches the
+#: platform it is most likely away, and each try of a further host costs a call.
+LATE_STEP = timedelta(seconds=1)
 #: How long enough others must be heard before a watch is given up.
 STAND_DOWN_AFTER = timedelta(seconds=3)
 
@@ -79,7 +83,8 @@
     ]
     if watching_ids:
         return len(idle) * STEP
-    return min(len(idle) * URGENT_STEP, LONGEST_URGENT_WAIT)
+    urgent = min(len(idle), URGENT_HOSTS - 1)
+    return urgent * URGENT_STEP + (len(idle) - urgent) * LATE_STEP
 
 
 @attrs.define(kw_only=True)
--- a/standins/fake_engine.py
+++ b/standins/fake_engine.py
@@ -147,10 +147,12 @@
     async def drop_copy(self, replica_ref: str, target: str) -> None:
         """Do nothing: there are no copies."""
 
-    async def count_unread(self) -> int | None:
+    async def count_unread(self) -> int:
         """Return how many runs are queued there."""
         report = await self.probe()
-        return None if report is None else report.queued
+        if report is None:
+            raise self._lost(LossKind.FROZEN, "report")
+        return report.queued
 
     async def is_reachable(self) -> bool:
         """Return whether it answers a probe."""
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -196,6 +196,20 @@
 
         run(test)
 
+    def test_while_it_starts_requests_wait_for_what_it_must_know(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            await system.add_runner("i-look", LOOKUPS)
+            system.store.refusal = 503
+            await system.add_host()
+            waiting = asyncio.create_task(system.send("/look/1"))
+            await asyncio.sleep(0.2)
+            assert not waiting.done()
+            system.store.refusal = None
+            assert (await waiting).status == 200
+
+        run(test)
+
     def test_a_revoked_key_is_refused_on_an_open_connection(self):
         async def test(system: PlatformSystem) -> None:
             await start_lookups(system)
