Take answers up where their prompt is kept

Cause: after a kill of all hosts callers take their answers up at hosts that know nothing of them.

Change: a host that is asked for a later part of an answer that it did not begin asks the endpoints for their cache events (free where the call may wait 200 ms; they are told at once) and goes to the one that names the prompt's last part.

Ruled out: placement by a hash of the prompt alone; what is read and held decides the place, so hosts would have to give up the load to find it again.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -14,6 +14,7 @@
 from passtally.live_endpoint import LiveEndpoint
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.prefix_finder import PrefixFinder
 from passtally.relay import Relay, Sink, count_held_tokens, count_resume_tokens
 from passtally.replica import ReplicaKeeper
 from passtally.retry import (
@@ -77,6 +78,7 @@
         keeps_replicas: Tells of a service whether its endpoints keep replicas of
             each other's runs.
         survey: Asks the best candidates for a prompt what waits there.
+        prefixes: Finds where the prompt of an answer that is taken up is kept.
         metrics: Where metrics go.
     """
 
@@ -92,6 +94,7 @@
         choose: Choose = choose_endpoint,
         keeps_replicas: Callable[[str], bool] = lambda service: False,
         survey: Survey | None = None,
+        prefixes: PrefixFinder | None = None,
         metrics: Metrics | None = None,
     ) -> None:
         self._fleet = fleet
@@ -103,6 +106,7 @@
         self._choose = choose
         self._keeps_replicas = keeps_replicas
         self._survey = survey or Survey(fleet=fleet, is_needed=lambda: False)
+        self._prefixes = prefixes or PrefixFinder(fleet=fleet, clock=clock)
         self._metrics = metrics or NoMetrics()
         self._quarantine = Quarantine(limits=limits)
         self._background: set[asyncio.Task[None]] = set()
@@ -230,6 +234,10 @@
         if generation.position < generation.delivered:
             raise self._give_up(generation, progress, "its tokens are not held here")
         request = generation.request
+        if generation.delivered and not generation.attempts:
+            kept_at = await self._find_prompt(generation, progress)
+            if kept_at is not None:
+                return kept_at
         patience = RESUME_PATIENCE if generation.delivered else request.patience
         deadline = self._clock.monotonic() + patience
         while True:
@@ -257,6 +265,23 @@
                 progress.excluded.clear()
             await self._clock.sleep(RESUME_POLL)
 
+    async def _find_prompt(
+        self, generation: Generation, progress: _Progress
+    ) -> str | None:
+        """Return where the prompt of an answer that began at another host is kept."""
+        request = generation.request
+        kept_at = await self._prefixes.find(
+            request.service, request.prompt, exclude=progress.excluded
+        )
+        log_decision(
+            "route",
+            request=request.id,
+            choice=kept_at,
+            reason="its prompt is kept there" if kept_at else "no endpoint keeps it",
+            position=generation.position,
+        )
+        return kept_at
+
     def _place_replica(
         self, generation: Generation, endpoint_id: str, progress: _Progress
     ) -> str:
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -1,7 +1,7 @@
 """Model engines over HTTP; docs/ENGINE.md describes their protocol."""
 
 import contextlib
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Protocol
@@ -148,6 +148,13 @@
             AttemptLostError: None came in time, or the endpoint has ended.
         """
 
+    async def list_kept_prompts(self) -> Collection[str]:
+        """Return what names the prompts that its memory keeps, as far as it tells.
+
+        Raises:
+            AttemptLostError: No answer came in time.
+        """
+
     async def is_reachable(self) -> bool:
         """Return whether it takes a connection; asked of engines without reports."""
 
@@ -263,6 +270,10 @@
             raise self._lost(LossKind.FROZEN, "report", "no answer in time")
         return report.queued
 
+    async def list_kept_prompts(self) -> Collection[str]:
+        """Return none: these engines' cache events are not read."""
+        return ()
+
     async def is_reachable(self) -> bool:
         """Return whether it answers a probe."""
         return await self.probe() is not None
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -98,6 +98,20 @@
     runs: list[_Run] = []
 
 
+class _CacheEvent(msgspec.Struct, array_like=True):
+    number: int
+    #: "+" where a part came into the memory, "-" where it left.
+    sign: str
+    #: Always empty here.
+    text: str
+    #: What names the part of a prompt.
+    part: str
+
+
+class _CacheEvents(msgspec.Struct):
+    events: list[_CacheEvent]
+
+
 class _CopyOrder(msgspec.Struct):
     id: str
     #: The address of the endpoint that is to have the copy; not a version.
@@ -140,6 +154,18 @@
     return report.queued + sum(not run.events for run in report.runs)
 
 
+def decode_kept_parts(body: bytes) -> frozenset[str]:
+    """Return the parts of prompts that an endpoint keeps, by its last cache events.
+
+    Raises:
+        ValueError: The events do not fit.
+    """
+    signs_by_part = {
+        event.part: event.sign for event in _decode(body, _CacheEvents).events
+    }
+    return frozenset(part for part, sign in signs_by_part.items() if sign == "+")
+
+
 def decode_routes(spec: bytes) -> RouteSet:
     """Read the configuration.
 
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -27,6 +27,7 @@
 from passtally.platform.decode import (
     count_unread_runs,
     decode_copy_handle,
+    decode_kept_parts,
     encode_copy_order,
     is_engine_report,
 )
@@ -50,6 +51,10 @@
 #: trips; one that is out of reach is given up as soon as a connection would be.
 ASK_TIMEOUT = timedelta(milliseconds=100)
 REPORT_PATH = b"/api/report"
+#: All cache events that it still has. They are told at once where there are some; a
+#: call that would wait for less than this is paid for as a probe.
+CACHE_EVENTS_PATH = b"/api/kv-events?since=0"
+CACHE_EVENTS_WAIT = ((b"Wait-Ms", b"200"),)
 #: The longest answer of an endpoint's own interface, in bytes.
 MAX_ORDER_BYTES = 1 << 20
 
@@ -123,6 +128,7 @@
         *,
         address: Address | None = None,
         names_endpoint: bool = False,
+        headers: RawHeaders = (),
     ) -> bytes:
         """Make a call to the endpoint's own interface and return its answer.
 
@@ -134,6 +140,7 @@
             address: Another endpoint's address, to ask that one instead.
             names_endpoint: Whether another endpoint that has the address by now is
                 to refuse.
+            headers: More headers.
 
         Raises:
             AttemptLostError: It was refused, or no answer came.
@@ -142,6 +149,7 @@
         headers = [
             (b"Host", str(address).encode()),
             (b"Content-Type", b"application/json"),
+            *headers,
         ]
         if names_endpoint:
             headers.append((b"X-Expect-Instance", self.endpoint_id.encode()))
@@ -366,6 +374,16 @@
         except ValueError as error:
             raise self._link.lost(LossKind.SEAM, str(error)) from error
 
+    async def list_kept_prompts(self) -> frozenset[str]:
+        """Return the parts of prompts that its last cache events name."""
+        body = await self._link.order(
+            b"GET", CACHE_EVENTS_PATH, b"", ASK_TIMEOUT, headers=CACHE_EVENTS_WAIT
+        )
+        try:
+            return decode_kept_parts(body)
+        except ValueError as error:
+            raise self._link.lost(LossKind.SEAM, str(error)) from error
+
     async def probe(self) -> LoadReport | None:
         """Return none: reports lag, and each is paid for."""
         return None
--- a/standins/fake_engine.py
+++ b/standins/fake_engine.py
@@ -154,6 +154,10 @@
             raise self._lost(LossKind.FROZEN, "report")
         return report.queued
 
+    async def list_kept_prompts(self) -> tuple[str, ...]:
+        """Return the prompts that it keeps."""
+        return ()
+
     async def is_reachable(self) -> bool:
         """Return whether it answers a probe."""
         return await self.probe() is not None
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -73,6 +73,7 @@
         self.copies: list[str] = []
         self.attached: list[str] = []
         self.prompts_read = 0
+        self.kept_parts: list[str] = []
         self.closed_early = 0
         self.address = ""
         self._find = find
@@ -83,6 +84,8 @@
         app = web.Application()
         app.router.add_post("/api/kv-move", self._copy)
         app.router.add_delete("/api/kv-handle/{handle}", self._drop)
+        app.router.add_get("/api/report", self._report)
+        app.router.add_get("/api/kv-events", self._tell_events)
         app.router.add_route("*", "/{path:.*}", self._serve)
         self._runner = web.AppRunner(
             app, access_log=None, shutdown_timeout=0.05, handler_cancellation=True
@@ -169,6 +172,8 @@
             self.attached.append(request_id)
         else:
             self.prompts_read += 1
+            parts = request.headers["X-Prefix-Hash"].split(",")
+            self.kept_parts += [part.partition(":")[0] for part in parts]
         replica = self._find(request.headers.get("X-Kv-Backup", ""))
         response = web.StreamResponse(
             headers=self._headers(request) | {"Content-Type": "text/event-stream"}
@@ -204,6 +209,21 @@
                 replica.replicas[f"{replica.address}/{request_id}"] = number
             await asyncio.sleep(self.gap)
 
+    async def _report(self, request: web.Request) -> web.Response:
+        expected = request.headers.get("X-Expect-Instance", self.name)
+        if expected != self.name:
+            return web.Response(status=421, headers={"X-Instance-Id": self.name})
+        return web.json_response({"models": [{"name": "m"}], "queued": 0, "runs": []})
+
+    async def _tell_events(self, request: web.Request) -> web.Response:
+        events = [
+            [number, "+", "", part, 100, "m"]
+            for number, part in enumerate(self.kept_parts)
+        ]
+        return web.json_response(
+            {"epoch": 1, "next_token": len(events), "lost": False, "events": events}
+        )
+
     async def _copy(self, request: web.Request) -> web.Response:
         order = json.loads(await request.read())
         target = self._find(order["target_version"])
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -388,6 +388,20 @@
 
         run(test)
 
+    def test_it_goes_on_where_its_prompt_was_read_also_at_another_host(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            prompt = {"X_Prefix_Hash": "5c1e07a2:200,beef01:300"}
+            await system.stream(**prompt)
+            first = busy(system)
+            second = await system.add_host("front-2")
+            await system.wait_ready()
+            answer = await system.stream(host=second, Last_Event_Id="12", **prompt)
+            assert answer.body == expected_events(20, after=12)
+            assert len(first.ran) == 2
+
+        run(test)
+
     def test_a_caller_that_leaves_ends_the_run(self):
         async def test(system: PlatformSystem) -> None:
             await start_engines(system, gap=0.1)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -12,6 +12,7 @@
     count_unread_runs,
     decode_copy_handle,
     decode_endpoint,
+    decode_kept_parts,
     decode_routes,
     encode_copy_order,
 )
@@ -102,6 +103,18 @@
         with pytest.raises(ValueError, match="runs"):
             count_unread_runs(msgspec.json.encode(report | {"runs": "none"}))
 
+    def test_the_parts_that_are_kept_follow_from_the_events(self):
+        events = [
+            [1, "+", "", "5c1e", 200, "m"],
+            [2, "+", "", "91bd", 410, "m"],
+            [3, "-", "", "5c1e", 0, "m"],
+            [4, "+", "", "e440", 250, "m"],
+        ]
+        body = {"epoch": 3, "next_token": 5, "lost": False, "events": events}
+        assert decode_kept_parts(msgspec.json.encode(body)) == {"91bd", "e440"}
+        with pytest.raises(ValueError, match="events"):
+            decode_kept_parts(b"{}")
+
     def test_a_split_route_has_shares(self):
         config = make_config()
         route = config["routes"][1]
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -181,6 +181,7 @@
         self.hangs = False
         self.replaced_by = ""
         self.unread = 0
+        self.kept_prompts: set[str] = set()
         self.replicas: set[str] = set()
         self.copies = 0
         self.streams: list[ReplicaStream] = []
@@ -217,6 +218,10 @@
         self._check()
         return self.unread
 
+    async def list_kept_prompts(self) -> tuple[str, ...]:
+        self._check()
+        return tuple(self.kept_prompts)
+
     async def is_reachable(self) -> bool:
         await asyncio.sleep(0.001)
         return not self.is_dead
@@ -374,7 +379,7 @@
         )
         self.sink = ByteSink()
 
-    def start(self) -> asyncio.Task[None]:
+    def start(self, *, position: int = 0) -> asyncio.Task[None]:
         self._watch = asyncio.create_task(self.fleet.watch_silence())
         request = GenerationRequest(
             id="g1",
@@ -387,9 +392,10 @@
             priority=5,
             max_attempts=5,
         )
-        self.task = asyncio.create_task(
-            self.dispatcher.run(Generation(request=request), self.sink)
+        generation = Generation(
+            request=request, token_ids=[0] * position, delivered=position
         )
+        self.task = asyncio.create_task(self.dispatcher.run(generation, self.sink))
         return self.task
 
     async def running(self, count: int = 5) -> ReplicaEngine:
@@ -539,6 +545,47 @@
         run_virtually(test())
 
 
+class TestTakenUp:
+    def test_an_answer_goes_on_where_its_prompt_is_kept(self):
+        async def test() -> None:
+            for name in ("a1", "a2", "b1", "b2"):
+                world = World()
+                world.fleet.find(name)
+                world.engines.by_id[name].kept_prompts = {"other", "p1"}
+                world.start(position=7)
+                await world.running(1)
+                assert world.engines.opened == [(name, "read")]
+                world.task.cancel()
+
+        run_virtually(test())
+
+    def test_one_that_does_not_answer_is_not_waited_for(self):
+        async def test() -> None:
+            world = World()
+            world.fleet.find("a1")
+            world.engines.by_id["a1"].kept_prompts = {"p1"}
+            world.engines.by_id["a1"].die()
+            world.start(position=7)
+            await world.running(1)
+            assert world.engines.opened[0][0] != "a1"
+
+        run_virtually(test())
+
+    def test_a_new_prompt_is_not_looked_for(self):
+        async def test() -> None:
+            world = World()
+            for name in ("a1", "a2"):
+                world.fleet.find(name)
+                world.engines.by_id[name].unread = 1
+            world.fleet.find("b1")
+            world.engines.by_id["b1"].kept_prompts = {"p1"}
+            world.start()
+            await world.running(1)
+            assert world.engines.opened[0][0] in ("a1", "a2")
+
+        run_virtually(test())
+
+
 class TestSurvey:
     """The pilar engines a1, a2 go first; the tigre ones b1, b2 count as far."""
 
