--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format bench binary clean
+.PHONY: setup demo test soak lint format bench binary clean
 
 setup: $(VENV)/.done
 
@@ -17,6 +17,9 @@
 test: setup
 	$(BIN)/python -m pytest
 
+soak: setup
+	$(BIN)/python -m soak --seeds 10 --jobs 4
+
 lint: setup
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -55,7 +55,12 @@
     OPEN = "open", "gauge", "1", "Open requests."
     CONFIG_VERSION = "config_version", "gauge", "1", "Configuration version in force."
     PEERS_AWAY = "peers_away", "gauge", "1", "Hosts out of reach."
-    PLATFORM_AWAY = "platform_away", "gauge", "0 or 1", "Whether the watch is down."
+    PLATFORM_AWAY = (
+        "platform_away",
+        "gauge",
+        "0 or 1",
+        "Whether no changes of the platform arrive.",
+    )
     PEER_BYTES = "peer_bytes", "gauge", "bytes", "Sent to peers since the start."
     CLAIM_WRITES = "claim_writes", "gauge", "1", "Claim writes since the start."
 
--- a/passtally/reference.py
+++ b/passtally/reference.py
@@ -39,7 +39,8 @@
     rows = [(f"`{m}`", m.kind, m.unit, m.meaning) for m in Metric]
     return _page(
         "Metrics",
-        f"Sent by statsd as `{PREFIX}.HOST.NAME`. Gauges are sent every 10 s. Where"
+        f"Sent by statsd as `{PREFIX}.HOST.NAME`. Gauges are sent every 10 s; read"
+        " as text, they tell how things stand now. Where"
         f" metrics are read as text, the names are `{PREFIX}_NAME_total`,"
         f" `{PREFIX}_NAME_seconds` for timers and `{PREFIX}_NAME` for gauges.",
         ("Name", "Type", "Unit", "Meaning"),
