--- a/passtally/catalog.py
+++ b/passtally/catalog.py
@@ -12,6 +12,7 @@
 from passtally.follower import Follower
 from passtally.intent import LEDGER_KEY, Ledger, read_ledger
 from passtally.membership import Gossip
+from passtally.messages import ConfigChanges, FetchConfig
 from passtally.mirror import ObjectMirror
 from passtally.object_store import (
     Listing,
@@ -25,7 +26,7 @@
     Workspace,
     decode_object,
 )
-from passtally.peers import ConfigChanges, FetchConfig, PeerError, Peers
+from passtally.peers import PeerError, Peers
 
 CONFIG_PREFIX = "config/"
 RELIST_JITTER = timedelta(seconds=2)
--- a/passtally/claims.py
+++ b/passtally/claims.py
@@ -25,6 +25,7 @@
 )
 from passtally.clock import Clock
 from passtally.decision import log_event
+from passtally.messages import AskClaim, ClaimAnswer
 from passtally.object_store import (
     ConflictError,
     Platform,
@@ -33,7 +34,7 @@
     ThrottledError,
     UnavailableError,
 )
-from passtally.peers import AskClaim, ClaimAnswer, PeerError, Peers
+from passtally.peers import PeerError, Peers
 
 CLAIMS_PREFIX = "claims/"
 #: Shards times this bounds the writes per second, however many hosts there are.
--- a/passtally/copies.py
+++ b/passtally/copies.py
@@ -18,15 +18,8 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.generation import Generation
-from passtally.peers import (
-    CopiedRun,
-    CopiesHeld,
-    CopyFound,
-    FetchCopy,
-    PeerError,
-    Peers,
-    StoreCopies,
-)
+from passtally.messages import CopiedRun, CopiesHeld, CopyFound, FetchCopy, StoreCopies
+from passtally.peers import PeerError, Peers
 
 FLUSH_INTERVAL = timedelta(milliseconds=250)
 #: A tail longer than this is left out of handles: the copy has fallen behind.
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -34,14 +34,16 @@
 from passtally.jobs import Jobs
 from passtally.lease import Lease
 from passtally.membership import Gossip, MemberTable
+from passtally.messages import MemberRow
 from passtally.metrics import Metrics, NoMetrics, StatsdMetrics, report_gauges
 from passtally.object_store import HttpPlatform
 from passtally.objects import Endpoint
 from passtally.once import OnceCaller
 from passtally.operator_api import OperatorApi
 from passtally.orders import HttpOrders
-from passtally.peers import MemberRow, Peers
-from passtally.plain import PlainCaller, PlainHandler, SessionSender, open_session
+from passtally.peers import Peers
+from passtally.plain import PlainCaller
+from passtally.plain_handler import PlainHandler, SessionSender, open_session
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
 from passtally.settings import Settings
--- a/passtally/departures.py
+++ b/passtally/departures.py
@@ -12,9 +12,9 @@
 from passtally.catalog import Catalog
 from passtally.clock import Clock
 from passtally.decision import log_event
+from passtally.messages import DepartureRow
 from passtally.object_store import HostEntry, Platform, PlatformError
 from passtally.objects import Endpoint
-from passtally.peers import DepartureRow
 
 LIST_INTERVAL = timedelta(seconds=10)
 LEAVING = "leaving"
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -12,8 +12,8 @@
 from passtally.departures import Departures
 from passtally.engine import Engine
 from passtally.live_endpoint import WATCH_INTERVAL, LagMeter, LiveEndpoint
+from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointState, is_placed
-from passtally.peers import TokenLoad
 from passtally.routing import EndpointView
 from passtally.silence import (
     DEFAULT_BOUNDS_BY_PHASE,
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -27,10 +27,11 @@
 from passtally.http_client import ConnectionPool
 from passtally.http_server import Exchange, Handle, HttpServer, ServerLimits
 from passtally.membership import Gossip, MemberTable
+from passtally.messages import MemberRow
 from passtally.metrics import Metric, TextMetrics
 from passtally.object_store import Platform, StoredObject
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
-from passtally.peers import MemberRow, Peers
+from passtally.peers import Peers
 from passtally.plain import PlainCaller, Sender
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
--- a/passtally/host_news.py
+++ b/passtally/host_news.py
@@ -12,7 +12,8 @@
 
 from passtally.clock import Clock
 from passtally.fleet import Fleet
-from passtally.peers import HostNews, Peers, TokenLoad
+from passtally.messages import HostNews, TokenLoad
+from passtally.peers import Peers
 from passtally.roster import Roster
 
 #: How long changes are gathered before they are told, where few hosts are told.
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -10,8 +10,8 @@
 from passtally.decision import log_event
 from passtally.departures import Departures
 from passtally.engine import Engine, LoadReport
+from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointState
-from passtally.peers import TokenLoad
 from passtally.retry import LossKind
 from passtally.routing import EndpointView
 from passtally.silence import (
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from passtally.clock import Clock
-from passtally.peers import DepartureRow, Hello, MemberRow, PeerError, Peers
+from passtally.messages import DepartureRow, Hello, MemberRow
+from passtally.peers import PeerError, Peers
 
 GOSSIP_INTERVAL = timedelta(seconds=1)
 #: Peers told in each interval.
--- /dev/null
+++ b/passtally/messages.py
@@ -0,0 +1,213 @@
+"""The messages between entry hosts.
+
+They go over the wire as arrays, without the names of their fields: a field is only
+added at the end, with a default.
+"""
+
+import msgspec
+
+
+class CopiedRun(msgspec.Struct, array_like=True):
+    """Token ids of one copy, from a position on.
+
+    Attributes:
+        copy_id: The copy; a generation has a new one on each entry host.
+        start: The position of the first one.
+        token_ids: The ids, four bytes each, little-endian.
+    """
+
+    copy_id: str
+    start: int
+    token_ids: bytes
+
+
+class StoreCopies(msgspec.Struct, tag="store_copies", array_like=True):
+    """Keep these runs; answered by :class:`CopiesHeld`."""
+
+    runs: list[CopiedRun]
+
+
+class CopiesHeld(msgspec.Struct, tag="copies_held", array_like=True):
+    """How many tokens of each copy are held."""
+
+    counts_by_id: dict[str, int]
+
+
+class FetchCopy(msgspec.Struct, tag="fetch_copy", array_like=True):
+    """Send a copy; answered by :class:`CopyFound`."""
+
+    copy_id: str
+
+
+class CopyFound(msgspec.Struct, tag="copy_found", array_like=True):
+    """A copy's token ids, four bytes each; empty where none is held."""
+
+    token_ids: bytes
+
+
+class AskClaim(msgspec.Struct, tag="ask_claim", array_like=True):
+    """Claim a key in its log; answered by :class:`ClaimAnswer`."""
+
+    shard: int
+    digest: bytes
+    body_digest: bytes
+    nonce: bytes
+    holder: str
+
+
+class ClaimAnswer(msgspec.Struct, tag="claim_answer", array_like=True):
+    """How a claim ended.
+
+    Attributes:
+        verdict: A :class:`passtally.claims.ClaimVerdict`.
+        holder: The host that holds the claim.
+    """
+
+    verdict: str
+    holder: str
+
+
+class FetchResult(msgspec.Struct, tag="fetch_result", array_like=True):
+    """Tell how the call under a key ended; answered by :class:`ResultFound`."""
+
+    digest: bytes
+
+
+class ResultFound(msgspec.Struct, tag="result_found", array_like=True):
+    """How a call ended on the host that held its key.
+
+    Attributes:
+        status: The HTTP status, or 0 where it is not known or not yet.
+        headers: The headers.
+        body: The body.
+        body_digest: What identifies the request's body.
+    """
+
+    status: int
+    headers: list[tuple[str, str]] = []
+    body: bytes = b""
+    body_digest: bytes = b""
+
+
+class MemberRow(msgspec.Struct, array_like=True, frozen=True):
+    """One host's heartbeat.
+
+    Attributes:
+        host_id: Whose it is.
+        failure_domain: Where it stands.
+        counter: Goes up with each heartbeat.
+        config_version: The configuration version in force there.
+        leaving: Whether it is stopping.
+        address: Where its peers reach it; empty where they are told by settings.
+        versions_by_prefix: The newest version known there of the objects under
+            each prefix.
+    """
+
+    host_id: str
+    failure_domain: str
+    counter: int
+    config_version: int
+    leaving: bool
+    address: str = ""
+    versions_by_prefix: dict[str, int] = {}
+
+
+class DepartureRow(msgspec.Struct, array_like=True, frozen=True):
+    """One incarnation of an endpoint that is leaving."""
+
+    endpoint_id: str
+    incarnation: int
+
+
+class Hello(msgspec.Struct, tag="hello", array_like=True):
+    """Some heartbeats and departures; answered by another one of these."""
+
+    rows: list[MemberRow]
+    departures: list[DepartureRow] = []
+
+
+class FetchConfig(msgspec.Struct, tag="fetch_config", array_like=True):
+    """Send what changed after a version; answered by :class:`ConfigChanges`."""
+
+    after: int
+    prefix: str = "config/"
+
+
+class ConfigChanges(msgspec.Struct, tag="config_changes", array_like=True):
+    """Configuration objects, as the platform lists them.
+
+    Attributes:
+        listing: The JSON of a :class:`passtally.object_store.Listing`.
+    """
+
+    listing: bytes
+
+
+class TokenLoad(msgspec.Struct, array_like=True, frozen=True):
+    """What runs take at one endpoint.
+
+    Attributes:
+        held: Tokens in its memory for runs and replicas.
+        reading: Tokens of prompts that it is still to read.
+    """
+
+    held: int = 0
+    reading: int = 0
+
+
+class HostNews(msgspec.Struct, tag="host_news", array_like=True):
+    """What one host's runs take at endpoints, and which endpoints it lost.
+
+    Attributes:
+        host_id: The host.
+        loads_by_endpoint: What its runs take at each endpoint; all that take any.
+        lost: Endpoints that it found gone since its last news.
+    """
+
+    host_id: str
+    loads_by_endpoint: dict[str, TokenLoad]
+    lost: list[str]
+
+
+class ViewBeat(msgspec.Struct, tag="view_beat", array_like=True):
+    """A host watches the platform and knows these versions.
+
+    Attributes:
+        host_id: The host.
+        versions_by_prefix: The newest version of an object under each prefix.
+    """
+
+    host_id: str
+    versions_by_prefix: dict[str, int]
+
+
+class ViewChanges(msgspec.Struct, tag="view_changes", array_like=True):
+    """Objects that changed at the platform.
+
+    Attributes:
+        prefix: What their keys start with.
+        since: The newest version of an object before; these are all changes after it.
+        listing: The JSON of a :class:`passtally.object_store.Listing`.
+    """
+
+    prefix: str
+    since: int
+    listing: bytes
+
+
+Message = (
+    StoreCopies
+    | CopiesHeld
+    | FetchCopy
+    | CopyFound
+    | AskClaim
+    | ClaimAnswer
+    | Hello
+    | FetchConfig
+    | ConfigChanges
+    | FetchResult
+    | ResultFound
+    | HostNews
+    | ViewBeat
+    | ViewChanges
+)
--- a/passtally/once.py
+++ b/passtally/once.py
@@ -11,8 +11,9 @@
 from passtally.claims import ClaimResult, Claims, new_claim
 from passtally.clock import Clock
 from passtally.decision import log_decision
+from passtally.messages import FetchResult, ResultFound
 from passtally.outcome import Code, Outcome, RefusedError, refuse
-from passtally.peers import FetchResult, PeerError, Peers, ResultFound
+from passtally.peers import PeerError, Peers
 from passtally.plain import PlainAnswer, PlainCall, PlainCaller
 
 #: A holder that slept longer than this between claim and send gives the claim
--- /dev/null
+++ b/passtally/plain_handler.py
@@ -0,0 +1,199 @@
+"""Serves plain services over the product's own interface, ``/services/...``."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Protocol
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from passtally.api import bad_header, find_service, find_workspace, read_admission
+from passtally.catalog import Catalog
+from passtally.drain import Drain
+from passtally.gate import Gate
+from passtally.live_endpoint import LiveEndpoint
+from passtally.objects import Service, ServiceKind, Workspace
+from passtally.outcome import Code, refuse
+from passtally.plain import PlainAnswer, PlainCall, lost_call
+from passtally.retry import LossKind
+
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+KEY_HEADER = "Idempotency-Key"
+REPEATABLE_HEADER = "X-Repeatable"
+MAX_KEY_CHARACTERS = 255
+#: Headers of one hop, and those that belong to this system.
+_HOP_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Transfer-Encoding",
+        "TE",
+        "Trailer",
+        "Upgrade",
+        "Proxy-Authorization",
+        "Host",
+        "Content-Length",
+        "Authorization",
+        REPEATABLE_HEADER,
+    )
+)
+
+
+class SessionSender:
+    """Sends calls with the client library's session.
+
+    Args:
+        session: The client session. It must neither repeat a call by itself
+            nor follow a redirect; see :func:`open_session`.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def send(
+        self,
+        call: PlainCall,
+        live: LiveEndpoint,
+        *,
+        before_send: Callable[[], None] | None = None,
+    ) -> PlainAnswer:
+        """Send a call once and return its answer."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
+        )
+        try:
+            async with self._session.request(
+                call.method,
+                f"{live.endpoint.url}/{call.path}",
+                headers=call.headers,
+                data=call.body,
+                timeout=timeout,
+                allow_redirects=False,
+                trace_request_ctx=before_send,
+            ) as response:
+                body = await response.read()
+                headers = _passed_on(response.headers)
+                return PlainAnswer(status=response.status, headers=headers, body=body)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise lost_call(LossKind.UNREACHABLE, live, error) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise lost_call(LossKind.RESET, live, error) from error
+
+
+class Caller(Protocol):
+    """What passes calls on."""
+
+    async def call(self, call: PlainCall) -> PlainAnswer:
+        """Pass one call on; raises RefusedError where it was not answered."""
+
+
+class PlainHandler:
+    """Handles ``/services/{service}/...``.
+
+    Args:
+        catalog: The configuration in force.
+        caller: Passes calls on.
+        drain: Counts the requests that are open.
+        gate: Admits requests.
+    """
+
+    def __init__(
+        self, *, catalog: Catalog, caller: Caller, drain: Drain, gate: Gate
+    ) -> None:
+        self._catalog = catalog
+        self._gate = gate
+        self._caller = caller
+        self._drain = drain
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Serve one call."""
+        workspace = find_workspace(self._catalog, request)
+        service = find_service(
+            self._catalog,
+            workspace,
+            request.match_info["service"],
+            code=Code.UNKNOWN_SERVICE,
+        )
+        if service.kind is not ServiceKind.PLAIN:
+            raise refuse(
+                Code.UNKNOWN_SERVICE,
+                f"{service.id!r} is not a plain service.",
+                status=404,
+                step="authorize",
+            )
+        call = await _read_call(request, workspace, service)
+        admission = read_admission(request, workspace, service, request_id=call.id)
+        with self._drain.track():
+            async with self._gate.enter(service.id, admission):
+                answer = await self._caller.call(call)
+        return web.Response(
+            status=answer.status, headers=answer.headers, body=answer.body
+        )
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a client session that never repeats a call by itself."""
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    session = aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        trace_configs=[_trace_connections()],
+    )
+    # The library repeats GET, PUT and DELETE on a broken connection and has no
+    # public switch for it; tests/test_plain.py proves that this one works.
+    session._retry_connection = False
+    return session
+
+
+def _trace_connections() -> aiohttp.TraceConfig:
+    """Return hooks that call ``before_send`` between connection and first byte."""
+
+    async def check(session: object, context: object, params: object) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(check)
+    return trace
+
+
+async def _read_call(
+    request: web.Request, workspace: Workspace, service: Service
+) -> PlainCall:
+    key = request.headers.get(KEY_HEADER, "")
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise bad_header(KEY_HEADER, f"at most {MAX_KEY_CHARACTERS} characters long")
+    path = request.match_info["path"]
+    if request.query_string:
+        path = f"{path}?{request.query_string}"
+    return PlainCall(
+        id=key or f"call-{id(request):x}",
+        workspace=workspace.id,
+        service=service,
+        method=request.method,
+        path=path,
+        headers=_passed_on(request.headers),
+        body=await request.read(),
+        repeatable=_is_repeatable(request, service),
+        key=key,
+        failure_domain=workspace.placements.get(service.id, ""),
+    )
+
+
+def _is_repeatable(request: web.Request, service: Service) -> bool:
+    text = request.headers.get(REPEATABLE_HEADER, "").lower()
+    if text not in ("", "yes", "no"):
+        raise bad_header(REPEATABLE_HEADER, "'yes' or 'no'")
+    # A caller may forbid a repeat that the service allows, never the reverse.
+    return service.repeatable and text != "no"
+
+
+def _passed_on(headers: "CIMultiDict[str]") -> "CIMultiDict[str]":
+    named = headers.get("Connection", "").lower().split(",")
+    dropped = _HOP_HEADERS | {name.strip() for name in named}
+    return CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() not in dropped
+    )
--- /dev/null
+++ b/passtally/platform/runner_link.py
@@ -0,0 +1,207 @@
+"""Sends requests to one endpoint and checks that the answers are its own."""
+
+import asyncio
+from datetime import timedelta
+
+from passtally.clock import Clock
+from passtally.engine import AttemptLostError
+from passtally.http_client import (
+    ClientConnection,
+    ConnectionPool,
+    ExchangeError,
+    ExchangeStep,
+    RawHeaders,
+    ResponseHead,
+)
+from passtally.objects import Endpoint
+from passtally.platform import names
+from passtally.retry import LossKind
+from passtally.settings import Address, parse_address
+
+#: How long a silent endpoint may take to accept a connection.
+REACH_TIMEOUT = timedelta(milliseconds=80)
+#: Sent where the caller gave no limit.
+NO_DEADLINE = timedelta(seconds=30)
+#: The longest answer of an endpoint's own interface, in bytes.
+MAX_ORDER_BYTES = 1 << 20
+_URL_PREFIX = "http://"
+
+
+class RunnerLink:
+    """Sends requests to one endpoint and checks that the answers are its own.
+
+    Args:
+        endpoint: The endpoint.
+        pool: The connections.
+        clock: The clock.
+    """
+
+    def __init__(
+        self, *, endpoint: Endpoint, pool: ConnectionPool, clock: Clock
+    ) -> None:
+        self.address = parse_address(endpoint.url.removeprefix(_URL_PREFIX))
+        self.endpoint_id = endpoint.id
+        self._pool = pool
+        self._clock = clock
+
+    async def send(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: RawHeaders,
+        body: bytes,
+        *,
+        workspace: str,
+        deadline: timedelta | None,
+    ) -> tuple[ClientConnection, ResponseHead]:
+        """Send a request and return the connection and the answer's head.
+
+        Raises:
+            AttemptLostError: No answer of this endpoint came, or it did not run
+                the request.
+        """
+        try:
+            connection = await self._pool.take(self.address)
+        except ExchangeError as error:
+            raise self.lost(LossKind.UNREACHABLE, error.detail) from error
+        system = self._system_headers(workspace, deadline)
+        try:
+            head = await connection.send(method, target, [*headers, *system], body)
+        except ExchangeError as error:
+            raise self.lost_in_exchange(error) from error
+        except BaseException:
+            connection.abort()
+            raise
+        try:
+            self._check(headers, head)
+        except AttemptLostError:
+            connection.abort()
+            raise
+        return connection, head
+
+    def give_back(self, connection: ClientConnection, head: ResponseHead) -> None:
+        """Keep a connection whose answer was read whole."""
+        self._pool.give_back(self.address, connection, head)
+
+    async def order(
+        self,
+        method: bytes,
+        path: bytes,
+        body: bytes,
+        timeout: timedelta,
+        *,
+        address: Address | None = None,
+        names_endpoint: bool = False,
+        headers: RawHeaders = (),
+    ) -> bytes:
+        """Make a call to the endpoint's own interface and return its answer.
+
+        Args:
+            method: The method.
+            path: The path.
+            body: The JSON, or nothing.
+            timeout: How long it may take.
+            address: Another endpoint's address, to ask that one instead.
+            names_endpoint: Whether another endpoint that has the address by now is
+                to refuse.
+            headers: More headers.
+
+        Raises:
+            AttemptLostError: It was refused, or no answer came.
+        """
+        address = address or self.address
+        headers = [
+            (b"Host", str(address).encode()),
+            (b"Content-Type", b"application/json"),
+            *headers,
+        ]
+        if names_endpoint:
+            headers.append((b"X-Expect-Instance", self.endpoint_id.encode()))
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                connection = await self._pool.take(address)
+                try:
+                    head = await connection.send(method, path, headers, body)
+                    answer = await connection.read_all(MAX_ORDER_BYTES)
+                except BaseException:
+                    connection.abort()
+                    raise
+        except ExchangeError as error:
+            raise self.lost_in_exchange(error) from error
+        except TimeoutError as error:
+            raise self.lost(LossKind.FROZEN, "no answer in time") from error
+        self._pool.give_back(address, connection, head)
+        if head.status == 421:
+            raise self._replaced(head)
+        if head.status != 200:
+            raise self.lost(LossKind.REFUSED, f"status {head.status}")
+        return answer
+
+    async def is_reachable(self) -> bool:
+        """Return whether the endpoint accepts a connection."""
+        try:
+            connection = await self._pool.open(self.address, timeout=REACH_TIMEOUT)
+        except ExchangeError:
+            return False
+        connection.abort()
+        return True
+
+    def lost(self, kind: LossKind, detail: str) -> AttemptLostError:
+        """Return the error for a loss at this endpoint."""
+        return AttemptLostError(
+            kind, step="stream", peer=self.endpoint_id, detail=detail
+        )
+
+    def lost_in_exchange(self, error: ExchangeError) -> AttemptLostError:
+        """Return the error for an exchange that failed."""
+        if error.step is ExchangeStep.CONNECT:
+            return self.lost(LossKind.UNREACHABLE, error.detail)
+        kind = LossKind.SEAM if error.is_garbled else LossKind.RESET
+        return self.lost(kind, error.detail)
+
+    def _replaced(self, head: ResponseHead) -> AttemptLostError:
+        """Return the error for an address that another endpoint has by now."""
+        successor = head.header(names.ANSWERED_BY) or b""
+        return AttemptLostError(
+            LossKind.REPLACED,
+            step="stream",
+            peer=self.endpoint_id,
+            detail="another endpoint has the address",
+            successor=successor.decode("latin-1"),
+        )
+
+    def _system_headers(
+        self, workspace: str, deadline: timedelta | None
+    ) -> list[tuple[bytes, bytes]]:
+        left = NO_DEADLINE
+        if deadline is not None:
+            left = max(deadline - self._clock.monotonic(), timedelta(milliseconds=1))
+        headers = [
+            (b"X-Expect-Instance", self.endpoint_id.encode()),
+            (b"X-Deadline-Ms", str(int(left / timedelta(milliseconds=1))).encode()),
+        ]
+        if workspace:
+            headers.append((b"X-Tenant-Id", workspace.encode()))
+        return headers
+
+    def _check(self, headers: RawHeaders, head: ResponseHead) -> None:
+        """Check that an answer is this endpoint's answer to the request.
+
+        Raises:
+            AttemptLostError: It is not, or the endpoint did not run the request.
+        """
+        sent_id = next(
+            (value for name, value in headers if name.lower() == names.REQUEST_ID),
+            None,
+        )
+        if head.header(names.REQUEST_ID) not in (None, sent_id):
+            raise self.lost(LossKind.SEAM, "the answer belongs to another request")
+        if head.status == 421:
+            raise self._replaced(head)
+        if head.header(names.NOT_RUN) is not None:
+            raise self.lost(LossKind.REFUSED, f"not run, status {head.status}")
+        if head.header(names.CONTENT_ENCODING) is not None:
+            raise self.lost(LossKind.SEAM, "the answer has a content encoding")
+        is_success = 200 <= head.status < 300
+        if is_success and head.header(names.PROOF) is None:
+            raise self.lost(LossKind.SEAM, "a success without proof")
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -89,10 +89,10 @@
 class ServiceBudgets:
     """One host's part of a budget for each service that all hosts share.
 
-    In any window of time the repeats are at most a share of the requests in it, and
-    a fixed number more. What a calm time earned can be spent at once when endpoints
-    are lost. A part of the fixed number is kept back for resumes, so that repeats of
-    new requests can't use up what answers that have begun need.
+    In the window of time that ends with a repeat the repeats are at most a share of the
+    requests in it, and a fixed number more. What a calm time earned can so be spent at
+    once when endpoints are lost. A part of the fixed number is kept back for resumes,
+    so that repeats of new requests can't use up what answers that have begun need.
 
     Args:
         share: How many repeats each request earns.
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -7,7 +7,8 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.membership import Gossip, MemberTable
-from passtally.peers import MemberRow, Peers
+from passtally.messages import MemberRow
+from passtally.peers import Peers
 from passtally.settings import Address, PeerAddress, parse_address
 
 #: How often links are made to hosts that gossip has told of.
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -18,16 +18,10 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.follower import Follower
+from passtally.messages import ConfigChanges, FetchConfig, ViewBeat, ViewChanges
 from passtally.mirror import ObjectMirror
 from passtally.object_store import Listing, StoredObject
-from passtally.peers import (
-    ConfigChanges,
-    FetchConfig,
-    PeerError,
-    Peers,
-    ViewBeat,
-    ViewChanges,
-)
+from passtally.peers import PeerError, Peers
 from passtally.roster import Roster
 from passtally.watch_duty import WatchDuty
 
--- a/tests/test_host_news.py
+++ b/tests/test_host_news.py
@@ -8,7 +8,7 @@
 from passtally.clock import ManualClock
 from passtally.host_news import FORGET_AFTER, LoadBoard
 from passtally.membership import MemberTable
-from passtally.peers import MemberRow, TokenLoad
+from passtally.messages import MemberRow, TokenLoad
 from passtally.roster import MAX_LINKS, RING_LINKS, Roster, choose_links
 from passtally.settings import Address, PeerAddress
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,9 +8,9 @@
 
 from passtally.departures import Departures
 from passtally.membership import ALIVE_FOR, FANOUT, SAMPLE, MemberTable
+from passtally.messages import DepartureRow, MemberRow
 from passtally.object_store import HostEntry
 from passtally.objects import Endpoint, Service, ServiceKind
-from passtally.peers import DepartureRow, MemberRow
 from tests.fakes import make_catalog
 
 NOW = timedelta(0)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from passtally.peers import ConfigChanges, FetchConfig, HostNews, PeerError, Peers
+from passtally.messages import ConfigChanges, FetchConfig, HostNews
+from passtally.peers import PeerError, Peers
 from passtally.settings import Address, PeerAddress
 from tests.platform_system import free_ports
 
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -14,7 +14,7 @@
 
 from passtally.objects import Service, ServiceKind
 from passtally.outcome import Code, Outcome, RefusedError, refuse
-from passtally.plain import open_session
+from passtally.plain_handler import open_session
 from standins.processes import Processes
 from tests.conftest import HOSTS, System
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -12,9 +12,9 @@
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.generation import Attempt, Generation, GenerationRequest, TokenEvent
+from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.outcome import RefusedError
-from passtally.peers import TokenLoad
 from passtally.retry import (
     Holder,
     LossKind,
