Ask for no callers where a host is cut off from a whole service

Change: a host whose far peers are all out of reach, and for which the last word of every endpoint of some service is bad, is not ready and asks kept connections to close, until an endpoint takes connections or a far peer is heard. Both must hold: a service that is lost everywhere sends nobody anywhere.

Tests: test_isolation, eight, failed without the module.

--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -113,6 +113,28 @@
         live = self.find(endpoint_id)
         return live.view().state is EndpointState.ACTIVE and not live.is_ejected
 
+    def is_lost(self, service_id: str) -> bool:
+        """Return whether a service has endpoints, and the last word of all is bad."""
+        in_use = [
+            endpoint.id
+            for endpoint in self._catalog.endpoints_of(service_id)
+            if endpoint.state is EndpointState.ACTIVE
+        ]
+        return bool(in_use) and all(self._is_last_word_bad(name) for name in in_use)
+
+    def _is_last_word_bad(self, endpoint_id: str) -> bool:
+        live = self._live_by_id.get(endpoint_id)
+        return live is not None and live.ejected_until is not None
+
+    async def find_back(self, service_id: str) -> bool:
+        """Look whether an endpoint of a lost service takes connections again."""
+        for view in self.views(service_id):
+            live = self.find(view.id)
+            if live is not None and await live.engine.is_reachable():
+                live.readmit()
+                return True
+        return False
+
     def note_loss(self, live: LiveEndpoint, *, is_gone: bool) -> None:
         """Take in that a run was lost: its whole failure domain may be going.
 
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -26,6 +26,7 @@
 from passtally.host_news import LoadBoard, NewsExchange
 from passtally.http_client import ConnectionPool
 from passtally.http_server import Exchange, Handle, HttpServer, ServerLimits
+from passtally.isolation import Isolation
 from passtally.membership import Gossip, MemberTable
 from passtally.messages import MemberRow
 from passtally.metrics import Metric, TextMetrics
@@ -181,6 +182,7 @@
             ("gossip", self.gossip.run),
             ("roster", lambda: self.roster.run(self.gossip)),
             ("news", self.news.run),
+            ("isolation", self.isolation.run),
         ):
             self._spawn(keep_running(name, work, clock=self.clock))
         self.peers.start()
@@ -228,7 +230,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether this host can serve and is to get new connections."""
-        return self.routes.current is not None and not self.drain.is_stopping
+        return (
+            self.routes.current is not None
+            and not self.drain.is_stopping
+            and not self.isolation.is_isolated
+        )
 
     def _build_knowledge(self) -> None:
         """Build what knows the configuration and the endpoints."""
@@ -328,6 +334,14 @@
             clock=self.clock,
             on_lost=self.fleet.note_peer_loss,
         )
+        self.isolation = Isolation(
+            fleet=self.fleet,
+            peers=self.peers,
+            roster=self.roster,
+            clock=self.clock,
+            services=lambda: self.catalog.services_by_id,
+            changed=self._note_isolation,
+        )
         self.gate = Gate(fleet=self.fleet, clock=self.clock)
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
@@ -360,6 +374,10 @@
             learned=self._learned,
         )
 
+    def _note_isolation(self, is_isolated: bool) -> None:
+        """Send callers on kept connections away too, or keep them again."""
+        self.front_server.is_closing = is_isolated or self.drain.is_stopping
+
     async def _listen(self) -> None:
         self.front_server = HttpServer(
             handle=self._adapter.make_handler(self.front), limits=self._limits
--- /dev/null
+++ b/passtally/isolation.py
@@ -0,0 +1,85 @@
+"""Tells when a host is cut off and has no endpoint of some service in reach.
+
+Callers still reach a host, or a whole failure domain, that is cut off from the others.
+What it can serve it serves; but where it has no endpoint of a service left, hosts that
+are not cut off serve its callers better, so it asks the balancer for no new ones.
+"""
+
+from collections.abc import Callable, Collection
+from datetime import timedelta
+
+from passtally.clock import Clock
+from passtally.decision import log_event
+from passtally.fleet import Fleet
+from passtally.peers import Peers
+from passtally.roster import Roster
+
+#: How often it is looked at. The balancer asks once a second, and lets go of a host
+#: after two answers; a service that is back must be seen well before that.
+CHECK_INTERVAL = timedelta(milliseconds=250)
+
+
+class Isolation:
+    """Whether this host is cut off from what its callers need.
+
+    Args:
+        fleet: The endpoints.
+        peers: The links to other hosts.
+        roster: Who is there.
+        clock: The clock.
+        services: Returns the services that callers may ask for.
+        changed: Called with each new answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        peers: Peers,
+        roster: Roster,
+        clock: Clock,
+        services: Callable[[], Collection[str]],
+        changed: Callable[[bool], None] = lambda is_isolated: None,
+    ) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self._roster = roster
+        self._clock = clock
+        self._services = services
+        self._changed = changed
+        self.is_isolated = False
+
+    async def run(self) -> None:
+        """Look again and again, for ever."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL)
+            await self.look()
+
+    async def look(self) -> None:
+        """Look once."""
+        missing = await self._find_missing()
+        is_isolated = bool(missing)
+        if is_isolated == self.is_isolated:
+            return
+        self.is_isolated = is_isolated
+        sentence = "Cut off." if is_isolated else "Not cut off any more."
+        log_event("isolation", sentence, missing=sorted(missing))
+        self._changed(is_isolated)
+
+    async def _find_missing(self) -> list[str]:
+        """Return the services without an endpoint in reach, if this host is cut off."""
+        lost = [name for name in self._services() if self._fleet.is_lost(name)]
+        if not lost or not self._is_cut():
+            return []
+        if not self.is_isolated:
+            return lost
+        # Without requests nothing else would show that an endpoint is back.
+        return [name for name in lost if not await self._fleet.find_back(name)]
+
+    def _is_cut(self) -> bool:
+        """Return whether no host of another failure domain is in reach."""
+        far = self._roster.far_ids()
+        if not far:
+            # A cut that lasts is forgotten by gossip, not healed by it.
+            return self.is_isolated
+        return all(self._peers.is_out_of_reach(host_id) for host_id in far)
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -136,6 +136,10 @@
         peers = self._peers_by_id.values()
         return [peer.host_id for peer in peers if peer.address == address]
 
+    def is_out_of_reach(self, host_id: str) -> bool:
+        """Return whether the last news for a peer could not be sent."""
+        return host_id in self._unheard
+
     async def stop(self) -> None:
         """Close all links at once; what was not sent is dropped."""
         for task in self._tasks:
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -117,6 +117,11 @@
         """Return the other hosts of this failure domain that are in reach."""
         return [row.host_id for row in self._domain()]
 
+    def far_ids(self) -> list[str]:
+        """Return the linked hosts of other failure domains, heard of not long ago."""
+        domain = self._table.own.failure_domain
+        return [row.host_id for row in self.linked() if row.failure_domain != domain]
+
     def _domain(self) -> list[MemberRow]:
         domain = self._table.own.failure_domain
         return [row for row in self.others() if row.failure_domain == domain]
--- /dev/null
+++ b/tests/test_isolation.py
@@ -0,0 +1,133 @@
+"""When a host that is cut off asks for no new callers."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from passtally.clock import ManualClock
+from passtally.fleet import Fleet
+from passtally.isolation import Isolation
+from passtally.objects import Endpoint, Service, ServiceKind
+from tests.fakes import make_catalog
+
+
+class FakeEngine:
+    """Takes connections or not."""
+
+    def __init__(self) -> None:
+        self.is_there = False
+
+    async def is_reachable(self) -> bool:
+        return self.is_there
+
+
+class FakeRoster:
+    """Hosts of other failure domains."""
+
+    def __init__(self) -> None:
+        self.far = ["far-1", "far-2"]
+
+    def far_ids(self) -> list[str]:
+        return self.far
+
+
+class FakePeers:
+    """Links to them."""
+
+    def __init__(self) -> None:
+        self.out_of_reach: set[str] = set()
+
+    def is_out_of_reach(self, host_id: str) -> bool:
+        return host_id in self.out_of_reach
+
+
+class Cut:
+    """A host with two lookup endpoints, both in other failure domains."""
+
+    def __init__(self) -> None:
+        service = Service(id="look", kind=ServiceKind.PLAIN)
+        endpoints = [
+            Endpoint(
+                id=name,
+                service="look",
+                url=f"http://10.0.0.{number}:1",
+                failure_domain="tigre",
+                max_streams=6,
+            )
+            for number, name in enumerate(("e1", "e2"), start=1)
+        ]
+        self.engines = {name: FakeEngine() for name in ("e1", "e2")}
+        self.clock = ManualClock()
+        self.fleet = Fleet(
+            catalog=make_catalog([service], endpoints),
+            clock=self.clock,
+            connect=lambda endpoint: self.engines[endpoint.id],
+        )
+        self.roster, self.peers = FakeRoster(), FakePeers()
+        self.told: list[bool] = []
+        self.isolation = Isolation(
+            fleet=self.fleet,
+            peers=self.peers,
+            roster=self.roster,
+            clock=self.clock,
+            services=lambda: ["look"],
+            changed=self.told.append,
+        )
+
+    def lose_endpoints(self, *names: str) -> None:
+        for name in names:
+            self.fleet.find(name).eject(self.clock.monotonic())
+
+    def look(self) -> bool:
+        asyncio.run(self.isolation.look())
+        return self.isolation.is_isolated
+
+
+@pytest.fixture
+def cut() -> Cut:
+    """Return a host that is cut off from all that it needs."""
+    made = Cut()
+    made.lose_endpoints("e1", "e2")
+    made.peers.out_of_reach = {"far-1", "far-2"}
+    return made
+
+
+class TestIsolation:
+    def test_a_host_cut_off_from_a_whole_service_is_isolated(self, cut):
+        assert cut.look()
+        assert cut.told == [True]
+
+    def test_one_that_has_an_endpoint_left_is_not(self, cut):
+        cut.fleet.find("e2").readmit()
+        assert not cut.look()
+
+    def test_one_that_hears_another_failure_domain_is_not(self, cut):
+        cut.peers.out_of_reach = {"far-1"}
+        assert not cut.look()
+
+    def test_one_that_knows_no_other_failure_domain_is_not(self, cut):
+        cut.roster.far = []
+        assert not cut.look()
+
+    def test_an_endpoint_that_is_only_passed_over_no_longer_is_still_lost(self, cut):
+        cut.clock.advance(timedelta(seconds=40))
+        assert cut.look()
+
+    def test_it_ends_when_an_endpoint_takes_connections_again(self, cut):
+        cut.look()
+        assert cut.look()
+        cut.engines["e2"].is_there = True
+        assert not cut.look()
+        assert cut.told == [True, False]
+        assert not cut.fleet.is_lost("look")
+
+    def test_it_ends_when_another_failure_domain_is_heard(self, cut):
+        cut.look()
+        cut.peers.out_of_reach = set()
+        assert not cut.look()
+
+    def test_a_cut_that_gossip_forgets_goes_on(self, cut):
+        cut.look()
+        cut.roster.far = []
+        assert cut.look()
