Look for what is in reach while cut off

Change: a link's own heartbeats tell whether a peer is in reach; a host with no far peer in reach connects to up to six endpoints of each service, its own failure domain first, and asks for no callers where none takes the connection.

--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -23,6 +23,9 @@
 
 #: One endpoint is asked for its load this often, whatever their number.
 REFRESH_INTERVAL = timedelta(seconds=1)
+#: The most endpoints of a service that are connected to at once to see whether one is
+#: in reach; endpoints of one failure domain mostly come and go together.
+MAX_REACH_CHECKS = 6
 #: For how long after a loss its failure domain is avoided. Endpoints of one domain
 #: are often lost together, and noticed one after the other.
 SHAKY_FOR = timedelta(seconds=1.5)
@@ -113,27 +116,27 @@
         live = self.find(endpoint_id)
         return live.view().state is EndpointState.ACTIVE and not live.is_ejected
 
-    def is_lost(self, service_id: str) -> bool:
-        """Return whether a service has endpoints, and the last word of all is bad."""
+    async def has_reachable(self, service_id: str, failure_domain: str) -> bool:
+        """Look whether a service has an endpoint that takes connections.
+
+        Asks some endpoints of a failure domain first, then some others.
+
+        Args:
+            service_id: The service.
+            failure_domain: Where an endpoint is most likely in reach.
+        """
         in_use = [
-            endpoint.id
+            endpoint
             for endpoint in self._catalog.endpoints_of(service_id)
             if endpoint.state is EndpointState.ACTIVE
         ]
-        return bool(in_use) and all(self._is_last_word_bad(name) for name in in_use)
-
-    def _is_last_word_bad(self, endpoint_id: str) -> bool:
-        live = self._live_by_id.get(endpoint_id)
-        return live is not None and live.ejected_until is not None
-
-    async def find_back(self, service_id: str) -> bool:
-        """Look whether an endpoint of a lost service takes connections again."""
-        for view in self.views(service_id):
-            live = self.find(view.id)
-            if live is not None and await live.engine.is_reachable():
-                live.readmit()
+        near = [item for item in in_use if item.failure_domain == failure_domain]
+        far = [item for item in in_use if item.failure_domain != failure_domain]
+        for group in (near[:MAX_REACH_CHECKS], far[:MAX_REACH_CHECKS]):
+            engines = [self.find(endpoint.id).engine for endpoint in group]
+            if any(await asyncio.gather(*(item.is_reachable() for item in engines))):
                 return True
-        return False
+        return not in_use
 
     def note_loss(self, live: LiveEndpoint, *, is_gone: bool) -> None:
         """Take in that a run was lost: its whole failure domain may be going.
--- a/passtally/isolation.py
+++ b/passtally/isolation.py
@@ -15,7 +15,8 @@
 from passtally.roster import Roster
 
 #: How often it is looked at. The balancer asks once a second, and lets go of a host
-#: after two answers; a service that is back must be seen well before that.
+#: after two answers; a service that is back must be seen well before that. Endpoints
+#: are connected to only while the host is cut off.
 CHECK_INTERVAL = timedelta(milliseconds=250)
 
 
@@ -68,18 +69,22 @@
 
     async def _find_missing(self) -> list[str]:
         """Return the services without an endpoint in reach, if this host is cut off."""
-        lost = [name for name in self._services() if self._fleet.is_lost(name)]
-        if not lost or not self._is_cut():
+        if not await self._is_cut():
             return []
-        if not self.is_isolated:
-            return lost
-        # Without requests nothing else would show that an endpoint is back.
-        return [name for name in lost if not await self._fleet.find_back(name)]
+        domain = self._roster.failure_domain
+        return [
+            name
+            for name in list(self._services())
+            if not await self._fleet.has_reachable(name, domain)
+        ]
 
-    def _is_cut(self) -> bool:
+    async def _is_cut(self) -> bool:
         """Return whether no host of another failure domain is in reach."""
         far = self._roster.far_ids()
         if not far:
             # A cut that lasts is forgotten by gossip, not healed by it.
             return self.is_isolated
-        return all(self._peers.is_out_of_reach(host_id) for host_id in far)
+        for host_id in far:
+            if await self._peers.is_in_reach(host_id):
+                return False
+        return True
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -136,9 +136,10 @@
         peers = self._peers_by_id.values()
         return [peer.host_id for peer in peers if peer.address == address]
 
-    def is_out_of_reach(self, host_id: str) -> bool:
-        """Return whether the last news for a peer could not be sent."""
-        return host_id in self._unheard
+    async def is_in_reach(self, host_id: str) -> bool:
+        """Return whether the link to a peer is up: its heartbeats are answered."""
+        socket = self._sockets_by_id.get(host_id)
+        return socket is not None and bool(await socket.poll(0, zmq.POLLOUT))
 
     async def stop(self) -> None:
         """Close all links at once; what was not sent is dropped."""
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -117,10 +117,15 @@
         """Return the other hosts of this failure domain that are in reach."""
         return [row.host_id for row in self._domain()]
 
+    @property
+    def failure_domain(self) -> str:
+        """This host's failure domain."""
+        return self._table.own.failure_domain
+
     def far_ids(self) -> list[str]:
         """Return the linked hosts of other failure domains, heard of not long ago."""
-        domain = self._table.own.failure_domain
-        return [row.host_id for row in self.linked() if row.failure_domain != domain]
+        own = self.failure_domain
+        return [row.host_id for row in self.linked() if row.failure_domain != own]
 
     def _domain(self) -> list[MemberRow]:
         domain = self._table.own.failure_domain
