Let the soak play more hosts; end overlapping faults at an endpoint

Of two overlapping faults at one stand-in the second had saved the first as the state to go back to. Not the product's, but it shows one thing: an endpoint that answers each call wrongly is asked again and again, since only calls without an answer count against it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,14 +27,14 @@
 HEAL_SECONDS = 6.0
 
 
-async def play(seed: int, seconds: float, folder: Path) -> Evidence:
+async def play(seed: int, seconds: float, hosts: int, folder: Path) -> Evidence:
     """Play one seed and return what was seen, judged."""
     evidence = Evidence()
     rng = random.Random(seed)
     world = World(folder=folder, evidence=evidence, rng=rng)
     tasks: list[asyncio.Task[None]] = []
     try:
-        await world.start(hosts=HOSTS, engines=ENGINES, lookups=LOOKUPS)
+        await world.start(hosts=hosts, engines=ENGINES, lookups=LOOKUPS)
         callers = [
             _make_caller(kind, world, evidence, random.Random(rng.random()))
             for kind, count in CALLERS_BY_KIND.items()
@@ -99,10 +99,10 @@
                 evidence.report(f"{host.name} does not serve a {kind} again")
 
 
-def play_seed(seed: int, seconds: float) -> bool:
+def play_seed(seed: int, seconds: float, hosts: int) -> bool:
     """Play one seed, print what came of it and return whether all promises held."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    evidence = asyncio.run(play(seed, seconds, folder))
+    evidence = asyncio.run(play(seed, seconds, hosts, folder))
     whole = sum(seen.is_whole for seen in evidence.tries)
     kinds = sorted({trouble.kind for trouble in evidence.troubles})
     print(
@@ -130,29 +130,42 @@
 @click.option("--seeds", type=int, default=1, help="How many fresh seeds to play.")
 @click.option("--first", type=int, help="The first of them; drawn if not given.")
 @click.option("--seconds", type=float, default=20.0, help="How long faults come.")
+@click.option(
+    "--hosts",
+    type=int,
+    default=HOSTS,
+    help="How many hosts; of more than eight some learn from others that watch.",
+)
 @click.option("--jobs", type=int, default=1, help="How many seeds at a time.")
 def main(
-    seed: int | None, seeds: int, first: int | None, seconds: float, jobs: int
+    seed: int | None,
+    seeds: int,
+    first: int | None,
+    seconds: float,
+    hosts: int,
+    jobs: int,
 ) -> None:
     """Play seeds of the soak; fails where a promise was broken."""
     # Stand-ins that are stopped in the middle of an answer are part of the run.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     if seed is not None:
-        sys.exit(0 if play_seed(seed, seconds) else 1)
+        sys.exit(0 if play_seed(seed, seconds, hosts) else 1)
     start = first if first is not None else random.SystemRandom().randrange(1_000_000)
     with ThreadPoolExecutor(max_workers=jobs) as pool:
         results = list(
             pool.map(
-                lambda number: _play_apart(number, seconds), range(start, start + seeds)
+                lambda number: _play_apart(number, seconds, hosts),
+                range(start, start + seeds),
             )
         )
     print(f"{results.count(True)} of {seeds} seeds held")
     sys.exit(0 if all(results) else 1)
 
 
-def _play_apart(seed: int, seconds: float) -> bool:
+def _play_apart(seed: int, seconds: float, hosts: int) -> bool:
     """Play a seed in a process of its own, so that several can run at a time."""
-    command = [sys.executable, "-m", "soak", f"--seed={seed}", f"--seconds={seconds}"]
+    command = [sys.executable, "-m", "soak"]
+    command += [f"--seed={seed}", f"--seconds={seconds}", f"--hosts={hosts}"]
     done = subprocess.run(command, capture_output=True, text=True)
     print(done.stdout + done.stderr, end="", flush=True)
     return done.returncode == 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from soak.evidence import Evidence, Trouble, now
 from soak.link import LinkFault
 from soak.world import GRACE_SECONDS, HostProcess, Place, World
+from standins.runner import RunnerFaults
 
 #: Pauses between two faults, in seconds: some come in series, most overlap.
 SHORTEST_PAUSE, LONGEST_PAUSE = 0.1, 1.5
@@ -242,13 +243,13 @@
                 {"hang_after": self._rng.randint(0, 30)},
             ]
         )
-        fresh = attrs.asdict(faults)
         for name, value in change.items():
             setattr(faults, name, value)
         await asyncio.sleep(lasts)
-        for name, value in fresh.items():
-            setattr(faults, name, value)
-        self._note("wrong answers", place.link.port.__str__(), began_at)
+        sound = RunnerFaults()
+        for name in change:
+            setattr(faults, name, getattr(sound, name))
+        self._note("wrong answers", str(place.link.port), began_at)
 
     async def _configure(self, lasts: float) -> None:
         for _ in range(self._rng.choice((1, 1, 5))):
