Drop what the soak does not use; name the error that a stop's end waits for

From the last reading of the whole change: a constant and a method of the soak's evidence that nothing called; a stop that took any exception for a host that outlasted its grace, where only the time-out means that; the roster's failure domain read in two ways. Behaviour stays as it is.

--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -128,8 +128,8 @@
         return [row.host_id for row in self.linked() if row.failure_domain != own]
 
     def _domain(self) -> list[MemberRow]:
-        domain = self._table.own.failure_domain
-        return [row for row in self.others() if row.failure_domain == domain]
+        own = self.failure_domain
+        return [row for row in self.others() if row.failure_domain == own]
 
     def linked(self) -> list[MemberRow]:
         """Return the rows of the hosts in reach that this one is linked to."""
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -9,13 +9,12 @@
 
 #: Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-#: How long the users let a change, a revoked key or a draining endpoint take effect,
-#: and a margin for this machine, in seconds.
+#: How long the users let a change or a draining endpoint take effect, and a margin for
+#: this machine, in seconds.
 APPLY_SECONDS = 2.0
-REVOKE_SECONDS = 5.0
 DRAIN_SECONDS = 2.0
 MARGIN_SECONDS = 1.0
-#: A host counts as calm this long after trouble at it or at its store.
+#: For so long after a fault its effects may still show.
 CALM_SECONDS = 4.0
 
 
@@ -91,15 +90,6 @@
         """Note a broken promise."""
         self.violations.append(text)
 
-    def is_calm(self, target: str, at: float) -> bool:
-        """Return whether nothing troubled a host, or the store, of late."""
-        return not any(
-            trouble.target in (target, "store", f"store of {target}")
-            and trouble.began_at < at
-            and at < trouble.ended_at + CALM_SECONDS
-            for trouble in self.troubles
-        )
-
     def judge(self) -> list[str]:
         """Judge the whole run and return the broken promises."""
         for seen in self.tries:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import subprocess
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -145,7 +146,7 @@
         popen.send_signal(signal.SIGTERM)
         try:
             await asyncio.to_thread(popen.wait, GRACE_SECONDS)
-        except Exception:
+        except subprocess.TimeoutExpired:
             popen.kill()
             await asyncio.to_thread(popen.wait)
         self._note("stop", host.name, began_at, is_planned=True)
