Hand on no header of a caller that only the system may set

Cause: a caller's reservation (X-Hold), pin (X-Pin-Ms) and expected weights (X-Expect-Version) went on to the endpoint. The first two take memory and places from others; with the last, any caller could make a sound endpoint answer as though another one had its address, so that hosts took it as gone. Ruled out: other paths; calls and streams take their headers from the one table. Change: the three stand in the table of headers that only the system sets. Tests: on both paths end to end, and a property over the whole table.

--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -27,8 +27,15 @@
 #: Where the state of the same run is kept, as IP:PORT/ID.
 STATE_FROM = b"kv-from"
 STATE_FETCH = b"kv-fetch"
+#: A place and memory set aside before; lets a request go ahead of all that wait.
+RESERVATION = b"x-hold"
+#: For how long a prompt stays in the endpoint's memory after a whole run.
+KEEP_PROMPT_MS = b"x-pin-ms"
+#: The version of the model's weights; an endpoint with another one refuses.
+EXPECTED_WEIGHTS = b"x-expect-version"
 
-#: Headers that only this system sets towards endpoints.
+#: Headers that only this system sets towards endpoints. A caller's own are not handed
+#: on: they would take memory or places from others, or make a sound endpoint refuse.
 SYSTEM_HEADERS = (
     TIME_LEFT_MS,
     KEY,
@@ -39,4 +46,7 @@
     REPLICA_AT,
     STATE_FROM,
     STATE_FETCH,
+    RESERVATION,
+    KEEP_PROMPT_MS,
+    EXPECTED_WEIGHTS,
 )
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -8,6 +8,20 @@
 from standins.runner import PROOF
 from tests.platform_system import PlatformSystem, expected_events, run
 
+#: Headers by which a caller could make an endpoint do what only the system may ask.
+SET_BY_THE_SYSTEM = (
+    "x-hold",
+    "X-HOLD",
+    "X-Pin-Ms",
+    "X-Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+    "X-Expect-Version",
+    "X-Expect-Instance",
+    "X-Request-Priority",
+    "X-Tenant-Id",
+)
+
 
 async def start_lookups(system: PlatformSystem, count: int = 1) -> None:
     """Start a host before some endpoints for lookups."""
@@ -57,6 +71,22 @@
 
         run(test)
 
+    @pytest.mark.parametrize("name", SET_BY_THE_SYSTEM)
+    @pytest.mark.parametrize("send", [PlatformSystem.send, PlatformSystem.stream])
+    def test_what_only_the_system_may_set_is_not_taken_from_callers(self, send, name):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            await system.add_runner("i-look", LOOKUPS)
+            await system.wait_ready()
+            path = "/look/1" if send is PlatformSystem.send else "/draft/1"
+            answer = await send(system, path, **{name: "callers-own"})
+            assert answer.status == 200
+            for runner in system.runners.values():
+                for request in runner.requests:
+                    assert request.headers.get(name.upper()) != "callers-own"
+
+        run(test)
+
     def test_the_time_that_is_left_is_handed_on(self):
         async def test(system: PlatformSystem) -> None:
             await start_lookups(system)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -5,9 +5,12 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from passtally.http_server import HttpRequest
 from passtally.objects import EndpointState
+from passtally.platform import names
 from passtally.platform.decode import (
     count_unread_runs,
     decode_copy_handle,
@@ -188,8 +191,8 @@
         assert request.position == 12
         assert request.prompt.last_part == "91bd3f06"
         assert (request.prompt.tokens, request.prompt.max_output) == (1460, 80)
-        names = {name for name, _ in request.raw.headers}
-        assert names == {
+        handed_on = {name for name, _ in request.raw.headers}
+        assert handed_on == {
             b"Host",
             b"X-Request-Id",
             b"X-Token-Usage",
@@ -198,6 +201,21 @@
         }
         assert request.raw.target == b"/draft/1?x"
 
+    @given(
+        name=st.sampled_from(names.SYSTEM_HEADERS),
+        is_upper=st.lists(st.booleans(), min_size=20, max_size=20),
+        times=st.integers(min_value=1, max_value=3),
+    )
+    def test_no_spelling_of_a_system_header_goes_on(self, name, is_upper, times):
+        cased = bytes(
+            letter - 32 if upper and 97 <= letter <= 122 else letter
+            for letter, upper in zip(name, is_upper, strict=False)
+        )
+        cased += name[len(cased) :]
+        headers = [(cased, b"1")] * times + [(b"X-Kept", b"v")]
+        request = HttpRequest(method=b"POST", target=b"/a", headers=headers, body=b"")
+        assert list(decode_request(request).raw.headers) == [(b"X-Kept", b"v")]
+
     @pytest.mark.parametrize("value", [b"soon", b"-1", b"nan", b"1e99"])
     def test_a_number_that_is_none_is_refused(self, value):
         with pytest.raises(ValueError):
