Place a prompt by the streams that its reading would hold up

While an engine reads a prompt, the streams that run there make a step in six times the usual time: some 0.9 s for each prompt read beside them. Placement counted the memory that was held, replicas included, which slow nobody. Ruled out: crowding (a step beside five streams takes 6% longer), slow writing (pauses are 182 ms, six held-up steps). Change: hosts tell how many of their streams run at each endpoint, and a prompt counts four fifths of its own length for each stream that it would hold up, those still being read included; the memory held counts only where it is full.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -50,7 +50,12 @@
 
 def by_load(views: list[EndpointView], prompt: bytes, domain: str) -> str:
     """Place as passtally does."""
-    query = RouteQuery(affinity=prompt, failure_domain=domain, tokens=PROMPT_TOKENS)
+    query = RouteQuery(
+        affinity=prompt,
+        failure_domain=domain,
+        tokens=PROMPT_TOKENS,
+        prompt_tokens=PROMPT_TOKENS,
+    )
     decision = choose_endpoint(query, views, now=timedelta(0))
     return decision.endpoint_id or views[0].id
 
@@ -115,6 +120,7 @@
     fleet: Fleet, runs: list[_Run], host: int, heard: set[int], now: float
 ) -> list[EndpointView]:
     reading = [0] * fleet.endpoints
+    running = [0] * fleet.endpoints
     held = [0] * fleet.endpoints
     for run in runs:
         is_known = run.host in heard and now - run.at >= NEWS_LAG
@@ -123,6 +129,8 @@
         held[run.endpoint] += PROMPT_TOKENS
         if run.read_until > now:
             reading[run.endpoint] += PROMPT_TOKENS
+        else:
+            running[run.endpoint] += 1
     return [
         EndpointView(
             id=f"e{n:03}",
@@ -133,6 +141,7 @@
             own_at_report=0,
             max_streams=64,
             reading_tokens=reading[n],
+            running_streams=running[n],
             held_tokens=held[n],
             capacity_tokens=55_000,
         )
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -15,7 +15,13 @@
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.prefix_finder import PrefixFinder
-from passtally.relay import Relay, Sink, count_held_tokens, count_resume_tokens
+from passtally.relay import (
+    Relay,
+    Sink,
+    count_held_tokens,
+    count_reading_tokens,
+    count_resume_tokens,
+)
 from passtally.replica import ReplicaKeeper
 from passtally.retry import (
     UNRUN_KINDS,
@@ -248,6 +254,7 @@
                     exclude=progress.excluded,
                     resume_tokens=count_resume_tokens(generation),
                     tokens=count_held_tokens(generation),
+                    prompt_tokens=count_reading_tokens(generation),
                 ),
                 self._fleet.views(request.service),
                 now=self._clock.monotonic(),
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -179,7 +179,11 @@
     def loads_by_endpoint(self) -> dict[str, TokenLoad]:
         """Return what this host's runs take at endpoints, where they take any."""
         return {
-            endpoint_id: TokenLoad(held=live.held_tokens, reading=live.reading_tokens)
+            endpoint_id: TokenLoad(
+                held=live.held_tokens,
+                reading=live.reading_tokens,
+                running=live.running_streams,
+            )
             for endpoint_id, live in self._live_by_id.items()
             if live.held_tokens or live.reading_tokens
         }
--- a/passtally/host_news.py
+++ b/passtally/host_news.py
@@ -75,7 +75,9 @@
             for endpoint_id, load in heard.loads_by_endpoint.items():
                 known = self.load(endpoint_id)
                 self._totals[endpoint_id] = TokenLoad(
-                    held=known.held + load.held, reading=known.reading + load.reading
+                    held=known.held + load.held,
+                    reading=known.reading + load.reading,
+                    running=known.running + load.running,
                 )
 
 
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -153,6 +153,11 @@
         """How many of this host's streams there have no output yet."""
         return sum(not guard.reads for guard in self.guards)
 
+    @property
+    def running_streams(self) -> int:
+        """How many of this host's streams there have output already."""
+        return len(self.guards) - self.unread_streams
+
     def enter(self) -> None:
         """Count one more of this host's requests."""
         self.own_streams += 1
@@ -194,6 +199,7 @@
             is_on_trial=self._is_on_trial,
             held_tokens=self.held_tokens + others.held,
             reading_tokens=self.reading_tokens + others.reading,
+            running_streams=self.running_streams + others.running,
             capacity_tokens=self.capacity_tokens,
         )
 
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -149,10 +149,12 @@
     Attributes:
         held: Tokens in its memory for runs and replicas.
         reading: Tokens of prompts that it is still to read.
+        running: Runs that have output already.
     """
 
     held: int = 0
     reading: int = 0
+    running: int = 0
 
 
 class HostNews(msgspec.Struct, tag="host_news", array_like=True):
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -29,6 +29,8 @@
         held_tokens: Tokens in its memory for this host's runs and replicas.
         reading_tokens: Tokens of prompts that it is still to read, all hosts' as far
             as they are known.
+        running_streams: Streams there that have output already, all hosts' as far as
+            they are known.
         capacity_tokens: The tokens that its memory holds; 0 where that is not known.
     """
 
@@ -46,6 +48,7 @@
     is_on_trial: bool = False
     held_tokens: int = 0
     reading_tokens: int = 0
+    running_streams: int = 0
     capacity_tokens: int = 0
 
     @property
@@ -80,6 +83,7 @@
         resume_tokens: The tokens that an endpoint must read to go on with an
             answer; 0 for a new request.
         tokens: What it may take in an endpoint's memory; 0 where that is not known.
+        prompt_tokens: What an endpoint must read; 0 where that is not known.
     """
 
     affinity: bytes
@@ -87,6 +91,7 @@
     exclude: Collection[str] = ()
     resume_tokens: int = 0
     tokens: int = 0
+    prompt_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -117,8 +122,9 @@
 #: before its prefixes go to the next one.
 LOAD_BOUND = 1.2
 SLACK = 0.05
-#: What a token in an endpoint's memory counts against one that is still to be read.
-HELD_WEIGHT = 0.2
+#: What a stream that runs at an endpoint counts there, as a part of the prompt that is
+#: to be read: while an engine reads, a step takes some six times as long.
+HELD_UP_PART = 0.8
 #: Another failure domain counts as so many more tokens to read: a fifth of a prompt.
 FAR_TOKENS = 1_000
 #: Endpoints count as equal within so many tokens.
@@ -230,7 +236,9 @@
     """
 
     def cost(view: EndpointView) -> tuple[int, bytes]:
-        tokens = view.reading_tokens + HELD_WEIGHT * view.held_tokens
+        # What is still being read there will run, and be held up, by its turn.
+        ahead = view.reading_tokens + query.prompt_tokens * view.running_streams
+        tokens = view.reading_tokens + HELD_UP_PART * ahead
         if view.failure_domain != query.failure_domain:
             tokens += FAR_TOKENS
         if view.held_tokens + query.tokens > view.capacity_tokens:
@@ -242,7 +250,7 @@
     return RouteDecision(
         endpoint_id=ranked[0].id,
         candidates=tuple(
-            f"{view.id}:{view.reading_tokens}+{view.held_tokens}"
+            f"{view.id}:{view.reading_tokens}+{view.running_streams}"
             for view in ranked[:MAX_LOGGED]
         ),
         reason="least to read",
--- a/tests/test_host_news.py
+++ b/tests/test_host_news.py
@@ -18,9 +18,11 @@
 class TestLoadBoard:
     def test_loads_of_all_hosts_add_up(self):
         board = LoadBoard()
-        board.take("h1", {"a": TokenLoad(held=10, reading=5)}, now=NOW)
-        board.take("h2", {"a": TokenLoad(held=1), "b": TokenLoad(held=7)}, now=NOW)
-        assert board.load("a") == TokenLoad(held=11, reading=5)
+        board.take("h1", {"a": TokenLoad(held=10, reading=5, running=2)}, now=NOW)
+        board.take(
+            "h2", {"a": TokenLoad(held=1, running=1), "b": TokenLoad(held=7)}, now=NOW
+        )
+        assert board.load("a") == TokenLoad(held=11, reading=5, running=3)
         assert board.load("b") == TokenLoad(held=7)
         assert board.load("c") == TokenLoad()
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -61,6 +62,24 @@
         busy = view("a", reading_tokens=5_000)
         assert self.choose(busy, view("b", held_tokens=9_000)) == "b"
 
+    def test_replicas_in_its_memory_hold_nobody_up_and_streams_do(self):
+        keeper = view("a", held_tokens=40_000)
+        runner = view("b", held_tokens=10_000, running_streams=1)
+        query = attrs.evolve(QUERY, prompt_tokens=5_000)
+        assert self.choose(keeper, runner, query=query) == "a"
+
+    def test_holding_up_many_is_worse_than_waiting_for_one(self):
+        crowded = view("a", running_streams=3)
+        reading = view("b", reading_tokens=5_000)
+        query = attrs.evolve(QUERY, prompt_tokens=5_000)
+        assert self.choose(crowded, reading, query=query) == "b"
+
+    def test_what_is_being_read_will_be_held_up_too(self):
+        running = view("a", running_streams=1)
+        reading = view("b", reading_tokens=3_000)
+        query = attrs.evolve(QUERY, prompt_tokens=5_000)
+        assert self.choose(running, reading, query=query) == "a"
+
     def test_its_own_domain_goes_first_where_all_are_equal(self):
         assert self.choose(view("a", "tigre"), view("b")) == "b"
 
