Load one HTTP library on an entry host of the platform, not two

Ruled out as first: aiomisc (4 MB) and eliot (2 MB) are used throughout; ssl comes with asyncio. Change: what fetches whole answers is a protocol with two implementations, one of them on the connections that carry requests; engines' and the platform's own HTTP clients stand in modules of their own, apart from the types that all need. Tests: a process that has loaded the platform's entry host has no second library; the fetcher against silence, resets and kept connections.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -25,18 +25,18 @@
 from passtally.departures import Departures, HostListReader
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
-from passtally.engine import HttpEngine
 from passtally.executor import LEASE_KEY, Executor
 from passtally.fleet import Fleet
 from passtally.gate import Gate
 from passtally.handle import HandleSigner
+from passtally.http_engine import HttpEngine
+from passtally.http_platform import HttpPlatform
 from passtally.intents import Intents
 from passtally.jobs import Jobs
 from passtally.lease import Lease
 from passtally.membership import Gossip, MemberTable
 from passtally.messages import MemberRow
 from passtally.metrics import Metrics, NoMetrics, StatsdMetrics, report_gauges
-from passtally.object_store import HttpPlatform
 from passtally.objects import Endpoint
 from passtally.once import OnceCaller
 from passtally.operator_api import OperatorApi
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -7,7 +7,6 @@
 from datetime import timedelta
 from typing import Any, Protocol
 
-import aiohttp
 import aiomisc
 import attrs
 
@@ -19,12 +18,13 @@
 from passtally.drain import Drain
 from passtally.endpoint_book import EndpointBook
 from passtally.engine import Engine
+from passtally.fetch import Fetcher
 from passtally.fleet import Fleet
 from passtally.follower import Follower
 from passtally.front import Front
 from passtally.gate import Gate
 from passtally.host_news import LoadBoard, NewsExchange
-from passtally.http_client import ConnectionPool
+from passtally.http_client import ConnectionPool, PoolFetcher
 from passtally.http_server import Exchange, Handle, HttpServer, ServerLimits
 from passtally.isolation import Isolation
 from passtally.membership import Gossip, MemberTable
@@ -98,7 +98,7 @@
     routes_prefix: str
     endpoints_prefix: str
 
-    def open_store(self, session: aiohttp.ClientSession, url: str) -> Platform:
+    def open_store(self, fetcher: Fetcher, url: str) -> Platform:
         """Return the client of the store."""
 
     def decode_routes(self, stored: StoredObject) -> RouteSet | None:
@@ -199,7 +199,6 @@
         await self.watch.stop()
         await self.peers.stop()
         self.pool.close()
-        await self._session.close()
         log_event("daemon", "Stopped.")
 
     async def leave(self) -> None:
@@ -238,11 +237,8 @@
 
     def _build_knowledge(self) -> None:
         """Build what knows the configuration and the endpoints."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
-        self.store = self._adapter.open_store(self._session, self.settings.platform)
+        fetcher = PoolFetcher(pool=self.pool)
+        self.store = self._adapter.open_store(fetcher, self.settings.platform)
         self._build_links()
         self.board = LoadBoard()
         self.fleet = Fleet(
--- a/passtally/http.py
+++ b/passtally/http.py
@@ -1,21 +1,43 @@
-"""One HTTP call whose whole answer is read, with a time limit."""
+"""Calls with the client library's session."""
 
+from collections.abc import Mapping
 from datetime import timedelta
 
 import aiohttp
-import attrs
 
+from passtally.fetch import Fetched, FetchError
 
-class FetchError(Exception):
-    """No whole answer came; whether the call was heard is not known."""
 
+class SessionFetcher:
+    """See :class:`passtally.fetch.Fetcher`.
 
-@attrs.frozen(kw_only=True)
-class Fetched:
-    """An answer: its status and its body."""
+    Args:
+        session: The client session.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self._session = session
 
-    status: int
-    body: bytes
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        *,
+        timeout: timedelta,
+        params: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+        data: bytes = b"",
+    ) -> Fetched:
+        """Make one call."""
+        return await fetch(
+            self._session,
+            method,
+            url,
+            timeout=timeout,
+            params=params,
+            headers=headers,
+            data=data or None,
+        )
 
 
 async def fetch(
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -7,16 +7,18 @@
 import asyncio
 import re
 import socket
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from enum import StrEnum
+from urllib.parse import urlencode, urlsplit
 
 import attrs
 import h11
 
 from passtally.clock import Clock
+from passtally.fetch import Fetched, FetchError
 from passtally.http_server import RawHeaders
-from passtally.settings import Address
+from passtally.settings import Address, parse_address
 
 #: How long a connection may take to come up. Endpoints are a millisecond away; a
 #: full accept queue costs seconds, in which another endpoint answers.
@@ -30,6 +32,9 @@
 #: Unread input above which the peer is made to wait, in bytes.
 READ_HIGH_WATER = 256 * 1024
 
+#: The longest answer that is fetched whole, in bytes; a store's pages have 1 MB.
+MAX_FETCHED = 16 << 20
+
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
@@ -339,6 +344,49 @@
                 del self._idle_by_address[address]
 
 
+class PoolFetcher:
+    """See :class:`passtally.fetch.Fetcher`.
+
+    Args:
+        pool: The connections.
+    """
+
+    def __init__(self, *, pool: ConnectionPool) -> None:
+        self._pool = pool
+
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        *,
+        timeout: timedelta,
+        params: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+        data: bytes = b"",
+    ) -> Fetched:
+        """Make one call."""
+        parts = urlsplit(url)
+        address = parse_address(parts.netloc)
+        target = f"{parts.path}?{urlencode(params)}" if params else parts.path
+        fields = {"Host": parts.netloc} | dict(headers or {})
+        sent = [(name.encode(), value.encode()) for name, value in fields.items()]
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                connection = await self._pool.take(address)
+                try:
+                    head = await connection.send(
+                        method.encode(), target.encode(), sent, data
+                    )
+                    body = await connection.read_all(MAX_FETCHED)
+                except BaseException:
+                    connection.abort()
+                    raise
+        except (ExchangeError, TimeoutError) as error:
+            raise FetchError(str(error) or "no answer in time") from error
+        self._pool.give_back(address, connection, head)
+        return Fetched(status=head.status, body=body)
+
+
 def _to_head(response: h11.Response) -> ResponseHead:
     lengths = (b"content-length", b"transfer-encoding")
     is_framed = any(name in lengths for name, _ in response.headers)
--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -4,15 +4,14 @@
 docs/PLATFORM.md. Sources of every failure are named in the errors.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import Protocol, TypeVar
 
-import aiohttp
 import attrs
 import msgspec
 
-from passtally.http import FetchError, fetch
+from passtally.fetch import Fetcher, FetchError
 
 CALL_TIMEOUT = timedelta(seconds=3)
 WATCH_TIMEOUT = timedelta(seconds=20)
@@ -95,11 +94,6 @@
     state: str
 
 
-@attrs.frozen(kw_only=True)
-class _Written:
-    version: int
-
-
 class Platform(Protocol):
     """The calls that the system makes. Each may raise any PlatformError."""
 
@@ -131,12 +125,12 @@
     """Makes calls to a store over HTTP, and types their failures.
 
     Args:
-        session: The client session; it must not follow redirects by itself.
+        fetcher: Makes the calls.
         url: Where the store listens.
     """
 
-    def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
-        self._session = session
+    def __init__(self, *, fetcher: Fetcher, url: str) -> None:
+        self._fetcher = fetcher
         self._url = url.rstrip("/")
 
     async def call(
@@ -146,7 +140,9 @@
         path: str,
         *,
         timeout: timedelta = CALL_TIMEOUT,
-        **options: object,
+        params: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+        data: bytes = b"",
     ) -> bytes:
         """Make one call and return its body; empty for an object that is not there.
 
@@ -154,8 +150,13 @@
             PlatformError: It failed.
         """
         try:
-            fetched = await fetch(
-                self._session, method, self._url + path, timeout=timeout, **options
+            fetched = await self._fetcher.fetch(
+                method,
+                self._url + path,
+                timeout=timeout,
+                params=params,
+                headers=headers,
+                data=data,
             )
         except FetchError as error:
             raise UnavailableError(str(error), step=step, peer=self._url) from error
@@ -181,67 +182,3 @@
             status, UnavailableError
         )
         raise kind(f"status {status}", step=step, peer=self._url)
-
-
-class HttpPlatform:
-    """The platform over HTTP.
-
-    Args:
-        session: The client session; it must not follow redirects by itself.
-        url: Where the platform listens.
-    """
-
-    def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
-        self._link = StoreLink(session=session, url=url)
-
-    async def list_objects(self, prefix: str) -> Listing:
-        """Return the objects whose keys start with a prefix."""
-        params = {"prefix": prefix}
-        body = await self._link.call("list", "GET", "/v1/objects", params=params)
-        return msgspec.json.decode(body, type=Listing)
-
-    async def get(self, key: str) -> StoredObject | None:
-        """Return one object, or None where there is none."""
-        body = await self._link.call("get", "GET", f"/v1/objects/{key}")
-        return msgspec.json.decode(body, type=StoredObject) if body else None
-
-    async def create(self, key: str, value: bytes) -> int:
-        """Create an object that must not exist; return its version."""
-        headers = {"If-None-Match": "*"}
-        body = await self._link.call(
-            "create", "PUT", f"/v1/objects/{key}", headers=headers, data=value
-        )
-        return msgspec.json.decode(body, type=_Written).version
-
-    async def update(self, key: str, value: bytes, *, version: int) -> int:
-        """Replace an object of exactly this version; return the new one."""
-        headers = {"If-Match": str(version)}
-        body = await self._link.call(
-            "update", "PUT", f"/v1/objects/{key}", headers=headers, data=value
-        )
-        return msgspec.json.decode(body, type=_Written).version
-
-    async def delete(self, key: str, *, version: int) -> None:
-        """Remove an object of exactly this version."""
-        headers = {"If-Match": str(version)}
-        await self._link.call("delete", "DELETE", f"/v1/objects/{key}", headers=headers)
-
-    async def watch(
-        self, prefix: str, *, after: int, wait: timedelta = WATCH_TIMEOUT
-    ) -> Listing:
-        """Wait for changes after a version; an empty listing on a quiet wait."""
-        params = {
-            "prefix": prefix,
-            "after": str(after),
-            "timeout": str(wait.total_seconds()),
-        }
-        limit = CALL_TIMEOUT + 2 * wait
-        body = await self._link.call(
-            "watch", "GET", "/v1/watch", params=params, timeout=limit
-        )
-        return msgspec.json.decode(body, type=Listing)
-
-    async def hosts(self) -> Sequence[HostEntry]:
-        """Return the lagging list of hosts."""
-        body = await self._link.call("hosts", "GET", "/v1/hosts")
-        return msgspec.json.decode(body, type=tuple[HostEntry, ...])
--- a/passtally/orders.py
+++ b/passtally/orders.py
@@ -7,7 +7,8 @@
 import aiohttp
 import msgspec
 
-from passtally.http import FetchError, fetch
+from passtally.fetch import FetchError
+from passtally.http import fetch
 from passtally.objects import Endpoint
 
 ORDER_TIMEOUT = timedelta(seconds=3)
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Callable
 
-import aiohttp
-
 from passtally.clock import Clock
+from passtally.fetch import Fetcher
 from passtally.front import Front
 from passtally.http_client import ConnectionPool
 from passtally.http_server import Handle
@@ -27,9 +26,9 @@
     #: The platform's "servers" are our endpoints.
     endpoints_prefix = "servers/"
 
-    def open_store(self, session: aiohttp.ClientSession, url: str) -> PlatformStore:
+    def open_store(self, fetcher: Fetcher, url: str) -> PlatformStore:
         """Return the client of the store."""
-        return PlatformStore(session=session, url=url)
+        return PlatformStore(fetcher=fetcher, url=url)
 
     def decode_routes(self, stored: StoredObject) -> RouteSet | None:
         """Read the routes; None for an object that holds none."""
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -3,9 +3,9 @@
 from datetime import timedelta
 from urllib.parse import quote
 
-import aiohttp
 import msgspec
 
+from passtally.fetch import Fetcher
 from passtally.object_store import (
     REMOVED,
     WATCH_TIMEOUT,
@@ -51,12 +51,12 @@
     """Lists and watches the objects of one kind; their keys are ``KIND/NAME``.
 
     Args:
-        session: The client session.
+        fetcher: Makes the calls.
         url: Where the store listens.
     """
 
-    def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
-        self._link = StoreLink(session=session, url=url)
+    def __init__(self, *, fetcher: Fetcher, url: str) -> None:
+        self._link = StoreLink(fetcher=fetcher, url=url)
         self.calls = 0
 
     async def list_objects(self, prefix: str) -> Listing:
--- a/standins/fake_engine.py
+++ b/standins/fake_engine.py
@@ -10,8 +10,9 @@
 import attrs
 
 from passtally.clock import Clock
-from passtally.engine import PROBE_TIMEOUT, AttemptLostError, LoadReport
+from passtally.engine import AttemptLostError, LoadReport
 from passtally.generation import Attempt, GenerationRequest, TokenEvent
+from passtally.http_engine import PROBE_TIMEOUT
 from passtally.retry import LossKind
 
 PREFIX_CHARACTERS = 256
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -4,14 +4,17 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 import pytest
 
 from passtally.clock import SystemClock
+from passtally.fetch import FetchError
 from passtally.http_client import (
     ConnectionPool,
     ExchangeError,
     ExchangeStep,
+    PoolFetcher,
     drop_connection_headers,
 )
 from passtally.settings import Address
@@ -223,3 +226,56 @@
         ]
         kept = drop_connection_headers(headers, extra=(b"x-own",))
         assert kept == [(b"X-End", b"2")]
+
+
+class TestFetching:
+    SECOND = timedelta(seconds=1)
+
+    def test_a_call_is_made_on_a_kept_connection(self):
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        peer = Peer(answer, answer)
+
+        async def test(pool: ConnectionPool) -> None:
+            fetcher = PoolFetcher(pool=pool)
+            url = f"http://{peer.address}/api/objects/a"
+            for _ in range(2):
+                fetched = await fetcher.fetch(
+                    "GET", url, timeout=self.SECOND, params={"watch": "3", "x": "a b"}
+                )
+                assert (fetched.status, fetched.body) == (200, b"ok")
+            assert peer.connections == 1
+            head = peer.received.decode().split("\r\n")
+            assert head[0] == "GET /api/objects/a?watch=3&x=a+b HTTP/1.1"
+            assert f"Host: {peer.address}" in head
+
+        run(peer, test)
+
+    def test_an_answer_that_does_not_come_is_told_and_its_connection_closed(self):
+        peer = Peer()
+
+        async def test(pool: ConnectionPool) -> None:
+            fetcher = PoolFetcher(pool=pool)
+            for _ in range(2):
+                with pytest.raises(FetchError, match="in time"):
+                    await fetcher.fetch(
+                        "GET",
+                        f"http://{peer.address}/",
+                        timeout=timedelta(milliseconds=50),
+                    )
+            assert peer.connections == 2
+
+        run(peer, test)
+
+    @pytest.mark.parametrize("reset", [True, False])
+    def test_an_answer_that_breaks_off_is_none(self, reset):
+        peer = Peer(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", reset=reset, stay=False
+        )
+
+        async def test(pool: ConnectionPool) -> None:
+            with pytest.raises(FetchError):
+                await PoolFetcher(pool=pool).fetch(
+                    "GET", f"http://{peer.address}/", timeout=self.SECOND
+                )
+
+        run(peer, test)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,6 +1,8 @@
 """What the hosts forbid: child processes, io_uring, shared memory."""
 
 import os
+import subprocess
+import sys
 from pathlib import Path
 
 from tests.conftest import EXPECTED, System
@@ -36,3 +38,13 @@
         maps = Path(f"/proc/{pid}/maps").read_text()
         assert "/dev/shm" not in maps
         assert "libc.so" in maps
+
+
+class TestImports:
+    def test_an_entry_host_on_the_platform_loads_one_http_library(self):
+        """Each takes memory on every host, and time at each of its starts."""
+        program = (
+            "import sys, passtally.platform.process;sys.exit('aiohttp' in sys.modules)"
+        )
+        done = subprocess.run([sys.executable, "-c", program], check=False, timeout=60)
+        assert done.returncode == 0
