--- a/passtally/drain.py
+++ b/passtally/drain.py
@@ -25,6 +25,8 @@
         self._max_open = max_open
         self.open_requests = 0
         self.is_stopping = False
+        #: Whether the time for a stop has run out, and what is open is broken off.
+        self.is_over = False
         #: Whether requests that may take long are refused: they would be cut off.
         self.refuses_long = False
         self._idle = asyncio.Event()
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -180,6 +180,10 @@
                 why=error.failure.message,
             )
             await responder.refuse(error.failure)
+        except (asyncio.CancelledError, ConnectionError):
+            if self._drain.is_over:
+                result = "broken off: the host stops"
+            raise
         finally:
             took = self._clock.monotonic() - began
             self._metrics.time(Metric.ANSWER, took)
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -214,6 +214,7 @@
                     takes_long_for=TAKES_STREAMS_FOR,
                 )
         except TimeoutError:
+            self.drain.is_over = True
             log_event("daemon", "Out of grace.", open=self.drain.open_requests)
 
     async def _close_idle_later(self) -> None:
