Refuse at once what has too little time left for a short answer

Cause: after a loss of power callers notice after 18 s and come back with 1 to 7 s left. Change: a host learns from the answers it passes on how fast prompts are read, how long answers are and how long a step takes (deciles of the last 32, nothing under 4). What could not be whole in its time even if it were short and read quickly is refused before it is sent; nothing is forecast on a fixed figure. Ruled out: refusing new requests by it (their time is five times what they need).

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -10,6 +10,7 @@
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
+from passtally.forecast import Forecast
 from passtally.generation import Attempt, Generation, SeamError
 from passtally.live_endpoint import LiveEndpoint
 from passtally.metrics import Metric, Metrics, NoMetrics
@@ -66,6 +67,7 @@
     unreached: int = 0
     excluded: set[str] = attrs.field(factory=set)
     reached: bool = False
+    first_at: timedelta | None = None
     waiting_since: timedelta
     last_error: AttemptLostError | None = None
 
@@ -114,6 +116,7 @@
         self._survey = survey or Survey(fleet=fleet, is_needed=lambda: False)
         self._prefixes = prefixes or PrefixFinder(fleet=fleet, clock=clock)
         self._metrics = metrics or NoMetrics()
+        self._forecast = Forecast()
         self._quarantine = Quarantine(limits=limits)
         self._background: set[asyncio.Task[None]] = set()
 
@@ -172,6 +175,7 @@
                     progress,
                     attach=step is NextStep.ATTACH,
                 )
+                self._note_whole(generation, progress)
                 return
             except AttemptLostError as loss:
                 decision = self._take_loss(generation, attempt, live, loss, progress)
@@ -244,6 +248,7 @@
             kept_at = await self._find_prompt(generation, progress)
             if kept_at is not None:
                 return kept_at
+        self._refuse_too_late(generation, progress)
         patience = RESUME_PATIENCE if generation.delivered else request.patience
         deadline = self._clock.monotonic() + patience
         while True:
@@ -382,9 +387,23 @@
 
     def _time_first(self, generation: Generation, progress: _Progress) -> None:
         """Record how long the caller waited for an attempt's first output."""
-        metric = Metric.RESUME if generation.delivered else Metric.FIRST_TOKEN
-        waited = self._clock.monotonic() - progress.waiting_since
-        self._metrics.time(metric, waited)
+        now = self._clock.monotonic()
+        waited = now - progress.waiting_since
+        if generation.delivered:
+            self._metrics.time(Metric.RESUME, waited)
+            return
+        self._metrics.time(Metric.FIRST_TOKEN, waited)
+        progress.first_at = now
+        tokens = count_reading_tokens(generation)
+        self._forecast.note_first(generation.request.service, tokens, waited)
+
+    def _note_whole(self, generation: Generation, progress: _Progress) -> None:
+        """Learn how long answers are, and last, from one that began here."""
+        if progress.first_at is None:
+            return
+        lasted = self._clock.monotonic() - progress.first_at
+        service = generation.request.service
+        self._forecast.note_whole(service, generation.position, lasted)
 
     def _may_repeat(self, generation: Generation) -> bool:
         """Take a repeat, or a resume, from the budget."""
@@ -414,6 +433,21 @@
             position=generation.delivered if begun else None,
         )
 
+    def _refuse_too_late(self, generation: Generation, progress: _Progress) -> None:
+        """Refuse what could not be whole before its caller stops waiting."""
+        request = generation.request
+        if request.deadline is None:
+            return
+        left = request.deadline - self._clock.monotonic()
+        needed = self._forecast.least_time(
+            request.service,
+            tokens=count_reading_tokens(generation),
+            position=generation.position,
+        )
+        if left < needed:
+            reason = f"{left} are left, and a short answer needs {needed}"
+            raise self._give_up(generation, progress, reason)
+
     def _refuse_quarantined(self, generation: Generation) -> None:
         request = generation.request
         remaining = self._quarantine.remaining(
--- /dev/null
+++ b/tests/test_forecast.py
@@ -0,0 +1,65 @@
+"""What the rest of an answer takes at least."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from passtally.forecast import LEAST_SEEN, Forecast
+
+SERVICE = "s"
+SECOND = timedelta(seconds=1)
+
+
+def make_forecast(answers: int = LEAST_SEEN) -> Forecast:
+    """Return one that saw answers of 101 positions, 10 ms each, after 5,000 tokens."""
+    forecast = Forecast()
+    for _ in range(answers):
+        forecast.note_first(SERVICE, 5_000, SECOND)
+        forecast.note_whole(SERVICE, 101, SECOND)
+    return forecast
+
+
+class TestForecast:
+    def test_reading_and_the_rest_of_a_short_answer_are_counted(self):
+        least = make_forecast().least_time(SERVICE, tokens=10_000, position=51)
+        assert abs(least - timedelta(seconds=2.5)) < timedelta(milliseconds=1)
+
+    def test_an_answer_that_is_long_already_still_has_to_be_read(self):
+        least = make_forecast().least_time(SERVICE, tokens=5_000, position=400)
+        assert least == SECOND
+
+    def test_nothing_is_forecast_from_few_answers_or_for_another_service(self):
+        few = make_forecast(answers=LEAST_SEEN - 1)
+        assert not few.least_time(SERVICE, tokens=5_000, position=0)
+        assert not make_forecast().least_time("other", tokens=5_000, position=0)
+
+    def test_one_answer_out_of_the_ordinary_changes_little(self):
+        forecast = make_forecast(answers=20)
+        before = forecast.least_time(SERVICE, tokens=5_000, position=0)
+        forecast.note_first(SERVICE, 5_000, timedelta(milliseconds=1))
+        forecast.note_whole(SERVICE, 2, timedelta(0))
+        assert forecast.least_time(SERVICE, tokens=5_000, position=0) == before
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(1, 10_000), st.integers(1, 500), st.integers(1, 5_000)
+            ),
+            min_size=LEAST_SEEN,
+            max_size=60,
+        ),
+        st.integers(0, 600),
+    )
+    def test_it_is_never_more_than_the_slowest_and_longest_took(self, seen, position):
+        forecast = Forecast()
+        for tokens, positions, ms in seen:
+            took = timedelta(milliseconds=ms)
+            forecast.note_first(SERVICE, tokens, took)
+            forecast.note_whole(SERVICE, positions, took)
+        least = forecast.least_time(SERVICE, tokens=1_000, position=position)
+        slowest = max(1_000 / tokens * ms for tokens, _, ms in seen)
+        steps = [ms / (positions - 1) for _, positions, ms in seen if positions > 1]
+        longest = max(positions for _, positions, _ in seen)
+        most = slowest + longest * max(steps, default=0)
+        assert least <= timedelta(milliseconds=most + 1)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -12,6 +12,7 @@
 from passtally.dispatcher import Dispatcher
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
+from passtally.forecast import LEAST_SEEN
 from passtally.generation import Attempt, Generation, GenerationRequest, TokenEvent
 from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
@@ -398,7 +399,9 @@
         )
         self.sink = ByteSink()
 
-    def start(self, *, position: int = 0) -> asyncio.Task[None]:
+    def start(
+        self, *, position: int = 0, time_left: timedelta | None = None
+    ) -> asyncio.Task[None]:
         self._watch = asyncio.create_task(self.fleet.watch_silence())
         request = GenerationRequest(
             id="g1",
@@ -410,6 +413,7 @@
             prompt_tokens=5_000,
             priority=5,
             max_attempts=5,
+            deadline=time_left and self.clock.monotonic() + time_left,
         )
         generation = Generation(
             request=request, token_ids=[0] * position, delivered=position
@@ -590,6 +594,31 @@
 
         run_virtually(test())
 
+    def test_one_with_too_little_time_left_is_refused_at_once(self):
+        async def test() -> None:
+            world = World()
+            for _ in range(LEAST_SEEN):
+                await world.start()
+            opened = len(world.engines.opened)
+            began = world.clock.monotonic()
+            with pytest.raises(RefusedError) as refusal:
+                await world.start(position=10, time_left=timedelta(seconds=1))
+            assert refusal.value.failure.status == 503
+            assert world.clock.monotonic() == began
+            assert len(world.engines.opened) == opened
+
+        run_virtually(test())
+
+    def test_one_with_time_enough_is_gone_on_with(self):
+        async def test() -> None:
+            world = World()
+            for _ in range(LEAST_SEEN):
+                await world.start()
+            await world.start(position=10, time_left=timedelta(seconds=3))
+            assert world.sink.data.endswith(b"60 ")
+
+        run_virtually(test())
+
     def test_a_new_prompt_is_not_looked_for(self):
         async def test() -> None:
             world = World()
