Keep a run or its replica in the host's own failure domain

Cause: where a failure domain is cut off, its hosts lose each run whose endpoint and replica are both outside. Change: of a run elsewhere the replica goes to the host's own domain, unless that is crowded; of a run at home it goes elsewhere, as before.

--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -197,7 +197,8 @@
     """Choose where a replica of a run is kept; empty where nothing can keep it.
 
     Another failure domain than the run's goes first, since endpoints of one domain
-    are often lost together; then the least loaded.
+    are often lost together; then the host's own, so that it reaches the run or the
+    replica if its domain is cut off from the others; then the least loaded.
 
     Args:
         primary_id: Where the run is.
@@ -216,10 +217,12 @@
         and not _is_ejected(view, now)
     ]
 
-    def cost(view: EndpointView) -> tuple[bool, bool, float, bytes]:
+    def cost(view: EndpointView) -> tuple[bool, bool, bool, bool, float, bytes]:
         shares_domain = view.failure_domain == domain
+        is_far = view.failure_domain != query.failure_domain
+        is_busy = view.load >= BUSY_LOAD
         rank = _affinity_rank(query.affinity, view.id)
-        return shares_domain, view.is_shaky, view.load, rank
+        return shares_domain, view.is_shaky, is_busy, is_far, view.load, rank
 
     return min(usable, key=cost).id if usable else ""
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -116,6 +116,19 @@
     def test_another_failure_domain_goes_first(self):
         assert self.place("a", view("a"), view("b"), view("c", "tigre")) == "c"
 
+    def test_of_a_run_elsewhere_the_hosts_own_domain_keeps_it(self):
+        """Whichever side of a cut the host is on, it reaches one of the two."""
+        views = [
+            view("a", "tigre"),
+            view("b", "escobar"),
+            view("c", held_tokens=20_000),
+        ]
+        assert self.place("a", *views) == "c"
+
+    def test_a_crowded_own_domain_keeps_no_more(self):
+        crowded = view("c", held_tokens=50_000)
+        assert self.place("a", view("a", "tigre"), view("b", "escobar"), crowded) == "b"
+
     def test_its_own_domain_is_better_than_none(self):
         assert self.place("a", view("a"), view("b")) == "b"
 
