Bring links up soon after a cut, and tell loads to whom they were not told

A link that was being opened waited for TCP's own tries at 1, 3, 7 and 15 s; and loads were told again only when they changed, or after two seconds. Change: a link that does not come up within 300 ms is tried anew; a host remembers whom it has told its loads as they are, and tells the others within 200 ms of their return; the first news of a host that starts asks for the others' loads. Ruled out: asking endpoints what waits there while blind, which costs a probe each.

--- a/passtally/host_news.py
+++ b/passtally/host_news.py
@@ -22,6 +22,9 @@
 TELL_PER_HOST = timedelta(milliseconds=4)
 #: Loads that did not change are told again this often, for peers that missed them.
 REPEAT_INTERVAL = timedelta(seconds=2)
+#: Hosts that could not be told, or have just come, are told this soon: until then they
+#: take endpoints for idle that are not.
+CATCH_UP_INTERVAL = timedelta(milliseconds=200)
 #: Loads that were not told again are forgotten: their host may be gone.
 FORGET_AFTER = timedelta(seconds=5)
 NO_LOAD = TokenLoad()
@@ -114,6 +117,9 @@
         self._on_lost = on_lost
         self._told: Mapping[str, TokenLoad] = {}
         self._told_at = timedelta(0)
+        #: The hosts that were told the loads as they are now.
+        self._told_ids: set[str] = set()
+        self._is_first = True
         peers.listen(HostNews, self._hear)
 
     async def run(self) -> None:
@@ -127,7 +133,7 @@
 
     async def _wait_for_change(self) -> None:
         try:
-            async with asyncio.timeout(REPEAT_INTERVAL.total_seconds()):
+            async with asyncio.timeout(CATCH_UP_INTERVAL.total_seconds()):
                 await self._fleet.load_changed.wait()
         except TimeoutError:
             return
@@ -142,14 +148,25 @@
         lost = self._fleet.take_losses()
         now = self._clock.monotonic()
         is_due = bool(loads) and now - self._told_at > REPEAT_INTERVAL
-        if loads == self._told and not lost and not is_due:
-            return
-        self._told, self._told_at = loads, now
-        news = HostNews(host_id=self._host_id, loads_by_endpoint=loads, lost=lost)
-        await self._peers.tell(host_ids, news)
+        if loads != self._told or lost or is_due:
+            self._told, self._told_at = loads, now
+            self._told_ids.clear()
+        missing = [host_id for host_id in host_ids if host_id not in self._told_ids]
+        if missing:
+            news = HostNews(
+                host_id=self._host_id,
+                loads_by_endpoint=loads,
+                lost=lost,
+                is_first=self._is_first,
+            )
+            told = await self._peers.tell(missing, news)
+            self._told_ids |= told
+            self._is_first = self._is_first and not told
 
     def _hear(self, news: HostNews) -> None:
         now = self._clock.monotonic()
         self._board.take(news.host_id, news.loads_by_endpoint, now=now)
+        if news.is_first:
+            self._told_ids.discard(news.host_id)
         for endpoint_id in news.lost:
             self._on_lost(endpoint_id)
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -164,11 +164,13 @@
         host_id: The host.
         loads_by_endpoint: What its runs take at each endpoint; all that take any.
         lost: Endpoints that it found gone since its last news.
+        is_first: Whether the host has just started, and knows nobody's loads.
     """
 
     host_id: str
     loads_by_endpoint: dict[str, TokenLoad]
     lost: list[str]
+    is_first: bool = False
 
 
 class ViewBeat(msgspec.Struct, tag="view_beat", array_like=True):
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -27,6 +27,11 @@
 #: milliseconds.
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 1500
+#: How long a link may take to come up before it is tried anew, in milliseconds. Left
+#: to itself TCP asks a host that was cut off after 1, 3, 7 and 15 seconds only.
+CONNECT_TIMEOUT_MS = 300
+#: The longest pause between two tries, in milliseconds.
+RECONNECT_MS = 500
 
 _ASK = b"?"
 _REPLY = b"!"
@@ -148,8 +153,13 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._context.destroy(linger=0)
 
-    async def tell(self, host_ids: Sequence[str], message: Message) -> None:
-        """Send a message that needs no answer; it may be lost."""
+    async def tell(self, host_ids: Sequence[str], message: Message) -> set[str]:
+        """Send a message that needs no answer; it may be lost.
+
+        Returns:
+            The hosts whose links took it.
+        """
+        told: set[str] = set()
         for host_id in host_ids:
             socket = self._sockets_by_id.get(host_id)
             if socket is None:
@@ -162,6 +172,8 @@
                 self._unheard.add(host_id)
             else:
                 self._unheard.discard(host_id)
+                told.add(host_id)
+        return told
 
     async def ask(
         self, host_id: str, message: Message, *, timeout: timedelta = ASK_TIMEOUT
@@ -200,7 +212,8 @@
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
         socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         # What could not be sent while a peer was out of reach is dropped: it would
         # be taken for news when the peer is back.
         socket.setsockopt(zmq.IMMEDIATE, 1)
--- a/tests/test_host_news.py
+++ b/tests/test_host_news.py
@@ -1,16 +1,24 @@
 """What hosts tell each other of loads; how budgets are divided among them."""
 
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from passtally.clock import ManualClock
-from passtally.host_news import FORGET_AFTER, LoadBoard
+from passtally.host_news import (
+    CATCH_UP_INTERVAL,
+    FORGET_AFTER,
+    LoadBoard,
+    NewsExchange,
+)
 from passtally.membership import MemberTable
-from passtally.messages import MemberRow, TokenLoad
+from passtally.messages import HostNews, MemberRow, TokenLoad
 from passtally.roster import MAX_LINKS, RING_LINKS, Roster, choose_links
 from passtally.settings import Address, PeerAddress
+from standins.virtual import VirtualClock, run_virtually
 
 NOW = timedelta(0)
 
@@ -40,6 +48,133 @@
         assert board.load("a") == TokenLoad(held=1)
 
 
+class NewsNet:
+    """Hosts that tell each other news; links may be down."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self.hosts: dict[str, NewsHost] = {}
+        self.down: set[frozenset[str]] = set()
+        self.sent = 0
+
+    def add(self, name: str) -> "NewsHost":
+        """Start a host, or start one anew."""
+        host = self.hosts[name] = NewsHost(name, self)
+        return host
+
+
+class NewsHost:
+    """One host: the fleet, the roster and the links that its exchange asks."""
+
+    def __init__(self, name: str, net: NewsNet) -> None:
+        self.name = name
+        self.net = net
+        self.load_changed = asyncio.Event()
+        self.loads: dict[str, TokenLoad] = {}
+        self.board = LoadBoard()
+        self.exchange = NewsExchange(
+            host_id=name,
+            board=self.board,
+            fleet=self,
+            peers=self,
+            roster=self,
+            clock=net.clock,
+            on_lost=lambda endpoint_id: None,
+        )
+        self.task = asyncio.create_task(self.exchange.run())
+
+    def put(self, **loads: int) -> None:
+        self.loads = {name: TokenLoad(held=held) for name, held in loads.items()}
+        self.load_changed.set()
+
+    def loads_by_endpoint(self) -> dict[str, TokenLoad]:
+        return dict(self.loads)
+
+    def take_losses(self) -> list[str]:
+        return []
+
+    def linked(self) -> list[MemberRow]:
+        return [
+            MemberRow(name, "pilar", 1, 0, False, "x")
+            for name in self.net.hosts
+            if name != self.name
+        ]
+
+    def listen(self, kind: type, listener: Callable[[HostNews], None]) -> None:
+        self.hear = listener
+
+    async def tell(self, host_ids: Sequence[str], news: HostNews) -> set[str]:
+        up = {
+            name
+            for name in host_ids
+            if frozenset((name, self.name)) not in self.net.down
+        }
+        for name in up:
+            self.net.sent += 1
+            self.net.hosts[name].hear(news)
+        return up
+
+
+class TestNewsExchange:
+    SOON = 2 * CATCH_UP_INTERVAL
+
+    def play(self, test: Callable[[NewsNet], Awaitable[None]]) -> None:
+        async def main() -> None:
+            net = NewsNet()
+            await test(net)
+            for host in net.hosts.values():
+                host.task.cancel()
+
+        run_virtually(main())
+
+    def test_a_change_is_told_to_all(self):
+        async def test(net: NewsNet) -> None:
+            first, second = net.add("h1"), net.add("h2")
+            first.put(a=10)
+            await net.clock.sleep(self.SOON)
+            assert second.board.load("a") == TokenLoad(held=10)
+
+        self.play(test)
+
+    def test_a_host_that_was_cut_off_is_told_soon_after(self):
+        async def test(net: NewsNet) -> None:
+            first, second = net.add("h1"), net.add("h2")
+            await net.clock.sleep(self.SOON)
+            net.down.add(frozenset(("h1", "h2")))
+            first.put(a=10)
+            await net.clock.sleep(timedelta(seconds=6))
+            assert second.board.load("a") == TokenLoad()
+            net.down.clear()
+            await net.clock.sleep(self.SOON)
+            assert second.board.load("a") == TokenLoad(held=10)
+
+        self.play(test)
+
+    def test_a_host_that_started_anew_is_told_soon_after(self):
+        async def test(net: NewsNet) -> None:
+            first = net.add("h1")
+            net.add("h2")
+            first.put(a=10)
+            await net.clock.sleep(self.SOON)
+            net.hosts["h2"].task.cancel()
+            again = net.add("h2")
+            await net.clock.sleep(self.SOON)
+            assert again.board.load("a") == TokenLoad(held=10)
+
+        self.play(test)
+
+    def test_what_does_not_change_is_told_seldom(self):
+        async def test(net: NewsNet) -> None:
+            net.add("h1").put(a=10)
+            net.add("h2")
+            await net.clock.sleep(self.SOON)
+            before = net.sent
+            await net.clock.sleep(timedelta(seconds=10))
+            assert net.sent - before <= 5
+
+        self.play(test)
+
+
 class FakeLinks:
     """The links to peers, without any network."""
 
