Judge a first output by all that is known to wait at its endpoint

Cause: the limit after which a prompt is given up though its endpoint lives counted this host's own prompts only, read at a fixed 5,000 tokens a second. Change: what other hosts are known to read there counts too, at the speed that is seen (the slowest decile; 5,000 is a start value).

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -205,6 +205,7 @@
             replica=self._fleet.find(attempt.replica_id),
             load_changed=self._fleet.load_changed.set,
             on_first=lambda: self._time_first(generation, progress),
+            first_limit=None if attach else self._first_limit(generation, live),
         )
         keeper = ReplicaKeeper(
             generation=generation,
@@ -225,6 +226,17 @@
             self._cancel(live, generation, attempt, after=self._linger)
             raise
 
+    def _first_limit(
+        self, generation: Generation, live: LiveEndpoint
+    ) -> timedelta | None:
+        """Return how long an attempt's first output may take, by what waits there."""
+        own = count_reading_tokens(generation)
+        if not own:
+            return None
+        view = self._fleet.view(live.endpoint.id)
+        service = generation.request.service
+        return self._forecast.first_limit(service, own + view.reading_tokens)
+
     async def _recover_tokens(
         self, generation: Generation, recover: Recovery | None, progress: _Progress
     ) -> None:
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -210,15 +210,15 @@
             for endpoint in self._catalog.endpoints_of(service_id)
             if is_placed(endpoint, service)
         )
-        found = (self.find(endpoint.id) for endpoint in placed)
-        return [
-            live.view(
-                is_shaky=self._is_shaky(live.endpoint.failure_domain),
-                others=self._others_load(live.endpoint.id),
-            )
-            for live in found
-            if live is not None
-        ]
+        return [self.view(endpoint.id) for endpoint in placed]
+
+    def view(self, endpoint_id: str) -> EndpointView:
+        """Return what decisions read of an endpoint that :meth:`find` finds."""
+        live = self.find(endpoint_id)
+        return live.view(
+            is_shaky=self._is_shaky(live.endpoint.failure_domain),
+            others=self._others_load(endpoint_id),
+        )
 
     def service_capacity(self, service_id: str) -> "Capacity":
         """Return the places of a service's endpoints in use, and how many are taken."""
--- a/passtally/forecast.py
+++ b/passtally/forecast.py
@@ -17,11 +17,18 @@
 LEAST_SEEN = 4
 #: The quantiles are deciles; the first is the lowest.
 _DECILES = 10
+#: Prompt tokens that an engine reads in a second, until it was seen: the sheets of the
+#: first users.
+START_SPEED = 5_000.0
+#: How much longer than twice the reading a first output may take.
+FIRST_SLACK = timedelta(seconds=1.5)
 #: A short answer: nine in ten were longer.
 _SHORT = 0
 #: A quick step, and a quick reading: four in five were slower.
 _QUICK_STEP = 1
 _QUICK_READING = 7
+#: A slow reading: nine in ten were quicker.
+_SLOW_READING = 0
 
 
 @attrs.define(kw_only=True)
@@ -76,6 +83,25 @@
         reading = tokens / _decile(seen.speeds, _QUICK_READING)
         return timedelta(seconds=reading + left * _decile(seen.steps, _QUICK_STEP))
 
+    def first_limit(self, service: str, tokens: int) -> timedelta | None:
+        """Return how long a first output may take at an endpoint that lives.
+
+        Args:
+            service: The service.
+            tokens: All that the endpoint is known to read before it; 0 where that is
+                not known.
+
+        Returns:
+            The limit, or None where there is nothing to judge it by.
+        """
+        if not tokens:
+            return None
+        seen = self._seen(service)
+        speed = START_SPEED
+        if len(seen.speeds) >= LEAST_SEEN:
+            speed = min(speed, _decile(seen.speeds, _SLOW_READING))
+        return FIRST_SLACK + timedelta(seconds=2 * tokens / speed)
+
     def _seen(self, service: str) -> _Seen:
         return self._seen_by_service.setdefault(service, _Seen())
 
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -21,10 +21,6 @@
 
 #: An estimate is enough for a budget.
 CHARACTERS_A_TOKEN = 4
-#: Prompt tokens that an engine reads in a second: the users' sheets.
-TOKENS_READ_A_SECOND = 5_000
-#: How much longer than twice the reading a first output may take.
-FIRST_SLACK = timedelta(seconds=1.5)
 #: Engines take lower numbers first; new requests have 10 or more.
 RESUME_PRIORITY = 0
 
@@ -55,6 +51,8 @@
         replica: Where a replica of its state is kept, if anywhere.
         load_changed: Called when what it takes at endpoints has changed.
         on_first: Called before its first output is passed on.
+        first_limit: How long its first output may take though its endpoint lives;
+            None for the endpoint's own limit.
     """
 
     def __init__(
@@ -68,6 +66,7 @@
         replica: LiveEndpoint | None = None,
         load_changed: Callable[[], None],
         on_first: Callable[[], None],
+        first_limit: timedelta | None = None,
     ) -> None:
         self._generation = generation
         self._attempt = attempt
@@ -76,7 +75,9 @@
         self._replica = replica
         self._load_changed = load_changed
         self._on_first = on_first
-        self._guard = StreamGuard(quiet_since=clock.monotonic())
+        self._guard = StreamGuard(
+            quiet_since=clock.monotonic(), first_limit=first_limit
+        )
         self._resuming = 0
         self._reading = 0
 
@@ -95,7 +96,6 @@
         if not attach:
             self._resuming = count_resume_tokens(self._generation)
             self._reading = count_reading_tokens(self._generation)
-            self._guard.first_limit = _first_limit(live.reading_tokens + self._reading)
         live.enter()
         live.resume_tokens += self._resuming
         live.reading_tokens += self._reading
@@ -195,13 +195,6 @@
     return prompt_tokens + generation.position if prompt_tokens else 0
 
 
-def _first_limit(tokens: int) -> timedelta | None:
-    """Return how long a first output may take after so many tokens to read."""
-    if not tokens:
-        return None
-    return FIRST_SLACK + 2 * tokens / TOKENS_READ_A_SECOND * timedelta(seconds=1)
-
-
 def count_resume_tokens(generation: Generation) -> int:
     """Return the tokens to read before an answer that has begun goes on."""
     if not generation.delivered:
