Split placement from the dispatcher; wait for a first output by what waits now

With it one change of policy: the limit of a first output counts the most that waited at its endpoint since the prompt was sent, not what waited then. Cause: prompts that come later, and resumes that go first, were not counted.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -23,6 +23,7 @@
 from passtally.generation import Generation, GenerationRequest
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.outcome import RefusedError
+from passtally.placement import Placement
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
 from passtally.routing import (
@@ -181,10 +182,14 @@
             dispatcher = Dispatcher(
                 fleet=fleet,
                 clock=clock,
-                failure_domain=DOMAINS[n],
+                placement=Placement(
+                    fleet=fleet,
+                    clock=clock,
+                    failure_domain=DOMAINS[n],
+                    choose=choose,
+                ),
                 limits=RetryLimits(),
                 budgets=RetryBudgets(),
-                choose=choose,
             )
             gate = Gate(fleet=fleet, clock=clock)
             self.fleets.append(fleet)
--- a/bench/silence.py
+++ b/bench/silence.py
@@ -18,6 +18,7 @@
 from passtally.metrics import Metric, NoMetrics
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.outcome import RefusedError
+from passtally.placement import Placement
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
 from passtally.silence import Phase, SilenceBounds
@@ -149,7 +150,7 @@
     dispatcher = Dispatcher(
         fleet=fleet,
         clock=clock,
-        failure_domain="d",
+        placement=Placement(fleet=fleet, clock=clock, failure_domain="d"),
         limits=RetryLimits(max_attempts=50, max_deaths=50),
         budgets=RetryBudgets(),
         metrics=_CountingMetrics(result),
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -42,6 +42,7 @@
 from passtally.operator_api import OperatorApi
 from passtally.orders import HttpOrders
 from passtally.peers import Peers
+from passtally.placement import Placement
 from passtally.plain import PlainCaller
 from passtally.plain_handler import PlainHandler, SessionSender, open_session
 from passtally.retry import RetryLimits
@@ -179,7 +180,11 @@
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clock=self.clock,
-            failure_domain=settings.failure_domain,
+            placement=Placement(
+                fleet=self.fleet,
+                clock=self.clock,
+                failure_domain=settings.failure_domain,
+            ),
             limits=RetryLimits(),
             metrics=self.metrics,
             budgets=budgets,
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
+from functools import partial
 
 import attrs
 
@@ -15,14 +16,8 @@
 from passtally.live_endpoint import LiveEndpoint
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
-from passtally.prefix_finder import PrefixFinder
-from passtally.relay import (
-    Relay,
-    Sink,
-    count_held_tokens,
-    count_reading_tokens,
-    count_resume_tokens,
-)
+from passtally.placement import NoPlaceError, Placement
+from passtally.relay import Relay, Sink, count_reading_tokens
 from passtally.replica import ReplicaKeeper
 from passtally.retry import (
     UNRUN_KINDS,
@@ -37,22 +32,10 @@
     is_gone,
 )
 from passtally.retry_budget import Budgets
-from passtally.routing import (
-    Choose,
-    RouteDecision,
-    RouteQuery,
-    choose_endpoint,
-    choose_replica,
-)
-from passtally.survey import Survey
 
-#: How long an answer that has begun waits for an endpoint to go on with.
-RESUME_PATIENCE = timedelta(seconds=4)
-RESUME_POLL = timedelta(milliseconds=50)
 #: How long a stream is left with its engine for a caller to reconnect.
 LINGER = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
-PREFIX_CHARACTERS = 256
 RESET = LossKind.RESET
 
 
@@ -78,16 +61,11 @@
     Args:
         fleet: The endpoints.
         clock: The clock.
-        failure_domain: This host's own.
+        placement: Chooses endpoints.
         limits: Where resuming ends.
         budgets: How many repeats are left.
         linger: How long a left stream stays with its engine.
-        choose: The routing policy.
-        keeps_replicas: Tells of a service whether its endpoints keep replicas of
-            each other's runs.
-        survey: Asks the best candidates for a prompt what waits there.
-        prefixes: Finds where the prompt of an answer that is taken up is kept.
-        forecast: Learns how long answers take, and judges by it.
+        forecast: Learns how long answers take.
         metrics: Where metrics go.
     """
 
@@ -96,27 +74,19 @@
         *,
         fleet: Fleet,
         clock: Clock,
-        failure_domain: str,
+        placement: Placement,
         limits: RetryLimits,
         budgets: Budgets,
         linger: timedelta = LINGER,
-        choose: Choose = choose_endpoint,
-        keeps_replicas: Callable[[str], bool] = lambda service: False,
-        survey: Survey | None = None,
-        prefixes: PrefixFinder | None = None,
         forecast: Forecast | None = None,
         metrics: Metrics | None = None,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
-        self._failure_domain = failure_domain
+        self._placement = placement
         self._limits = limits
         self._budgets = budgets
         self._linger = linger
-        self._choose = choose
-        self._keeps_replicas = keeps_replicas
-        self._survey = survey or Survey(fleet=fleet, is_needed=lambda: False)
-        self._prefixes = prefixes or PrefixFinder(fleet=fleet, clock=clock)
         self._metrics = metrics or NoMetrics()
         self._forecast = forecast or Forecast()
         self._quarantine = Quarantine(limits=limits)
@@ -165,7 +135,9 @@
             attempt = generation.start_attempt(
                 endpoint_id,
                 attach=step is NextStep.ATTACH,
-                replica_id=self._place_replica(generation, endpoint_id, progress),
+                replica_id=self._placement.place_replica(
+                    generation, endpoint_id, progress.excluded
+                ),
                 resume_ref=resume_ref,
             )
             try:
@@ -207,7 +179,7 @@
             replica=self._fleet.find(attempt.replica_id),
             load_changed=self._fleet.load_changed.set,
             on_first=lambda: self._time_first(generation, progress),
-            first_limit=None if attach else self._first_limit(generation, live),
+            first_limit=partial(self._forecast.first_limit, generation.request.service),
         )
         keeper = ReplicaKeeper(
             generation=generation,
@@ -215,7 +187,9 @@
             live=live,
             fleet=self._fleet,
             clock=self._clock,
-            place=lambda: self._place_replica(generation, live.endpoint.id, progress),
+            place=lambda: self._placement.place_replica(
+                generation, live.endpoint.id, progress.excluded
+            ),
         )
         try:
             async with keeper:
@@ -228,17 +202,6 @@
             self._cancel(live, generation, attempt, after=self._linger)
             raise
 
-    def _first_limit(
-        self, generation: Generation, live: LiveEndpoint
-    ) -> timedelta | None:
-        """Return how long an attempt's first output may take, by what waits there."""
-        own = count_reading_tokens(generation)
-        if not own:
-            return None
-        view = self._fleet.view(live.endpoint.id)
-        service = generation.request.service
-        return self._forecast.first_limit(service, own + view.reading_tokens)
-
     async def _recover_tokens(
         self, generation: Generation, recover: Recovery | None, progress: _Progress
     ) -> None:
@@ -254,94 +217,17 @@
             raise self._give_up(generation, progress, str(error)) from error
 
     async def _place(self, generation: Generation, progress: _Progress) -> str:
-        """Choose an endpoint, and wait for one a while where there is none."""
+        """Choose where the next attempt runs.
+
+        Raises:
+            RefusedError: It can't go on here, or there is no endpoint for it.
+        """
         if generation.position < generation.delivered:
             raise self._give_up(generation, progress, "its tokens are not held here")
-        request = generation.request
-        if generation.delivered and not generation.attempts:
-            kept_at = await self._find_prompt(generation, progress)
-            if kept_at is not None:
-                return kept_at
-        self._refuse_too_late(generation, progress)
-        patience = RESUME_PATIENCE if generation.delivered else request.patience
-        deadline = self._clock.monotonic() + patience
-        while True:
-            decision = self._choose(
-                RouteQuery(
-                    affinity=request.prompt[:PREFIX_CHARACTERS].encode(),
-                    failure_domain=request.failure_domain or self._failure_domain,
-                    exclude=progress.excluded,
-                    resume_tokens=count_resume_tokens(generation),
-                    tokens=count_held_tokens(generation),
-                    prompt_tokens=count_reading_tokens(generation),
-                ),
-                self._fleet.views(request.service),
-                now=self._clock.monotonic(),
-            )
-            if decision.endpoint_id is not None:
-                ranked = decision.ranked or (decision.endpoint_id,)
-                found = await self._survey.choose(ranked)
-                asked = [f"{name}:{n}" for name, n in found.unread_by_id.items()]
-                self._log_route(generation, found.endpoint_id, decision, asked=asked)
-                return found.endpoint_id
-            if self._clock.monotonic() >= deadline:
-                self._log_route(generation, None, decision)
-                raise self._give_up(generation, progress, decision.reason)
-            if generation.delivered:
-                progress.excluded.clear()
-            await self._clock.sleep(RESUME_POLL)
-
-    async def _find_prompt(
-        self, generation: Generation, progress: _Progress
-    ) -> str | None:
-        """Return where the prompt of an answer that began at another host is kept."""
-        request = generation.request
-        kept_at = await self._prefixes.find(
-            request.service, request.prompt, exclude=progress.excluded
-        )
-        log_decision(
-            "route",
-            request=request.id,
-            choice=kept_at,
-            reason="its prompt is kept there" if kept_at else "no endpoint keeps it",
-            position=generation.position,
-        )
-        return kept_at
-
-    def _place_replica(
-        self, generation: Generation, endpoint_id: str, progress: _Progress
-    ) -> str:
-        """Choose where a replica of the next attempt is kept; empty for nowhere."""
-        request = generation.request
-        if not self._keeps_replicas(request.service):
-            return ""
-        return choose_replica(
-            endpoint_id,
-            RouteQuery(
-                affinity=request.prompt[:PREFIX_CHARACTERS].encode(),
-                failure_domain=self._failure_domain,
-                exclude=progress.excluded,
-            ),
-            self._fleet.views(request.service),
-            now=self._clock.monotonic(),
-        )
-
-    def _log_route(
-        self,
-        generation: Generation,
-        choice: str | None,
-        decision: RouteDecision,
-        **fields: object,
-    ) -> None:
-        log_decision(
-            "route",
-            request=generation.request.id,
-            choice=choice,
-            reason=decision.reason,
-            candidates=decision.candidates,
-            position=generation.position,
-            **fields,
-        )
+        try:
+            return await self._placement.place(generation, progress.excluded)
+        except NoPlaceError as error:
+            raise self._give_up(generation, progress, str(error)) from error
 
     def _take_loss(
         self,
@@ -447,21 +333,6 @@
             position=generation.delivered if begun else None,
         )
 
-    def _refuse_too_late(self, generation: Generation, progress: _Progress) -> None:
-        """Refuse what could not be whole before its caller stops waiting."""
-        request = generation.request
-        if request.deadline is None:
-            return
-        left = request.deadline - self._clock.monotonic()
-        needed = self._forecast.least_time(
-            request.service,
-            tokens=count_reading_tokens(generation),
-            position=generation.position,
-        )
-        if left < needed:
-            reason = f"{left} are left, and a short answer needs {needed}"
-            raise self._give_up(generation, progress, reason)
-
     def _refuse_quarantined(self, generation: Generation) -> None:
         request = generation.request
         remaining = self._quarantine.remaining(
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 import attrs
 
@@ -103,6 +104,7 @@
                 lag=self._lag,
                 departures=self._departures,
                 bounds_by_phase=self._bounds_by_phase,
+                others_load=partial(self._others_load, endpoint_id),
             )
             self._live_by_id[endpoint_id] = live
         live.endpoint = endpoint
@@ -215,10 +217,7 @@
     def view(self, endpoint_id: str) -> EndpointView:
         """Return what decisions read of an endpoint that :meth:`find` finds."""
         live = self.find(endpoint_id)
-        return live.view(
-            is_shaky=self._is_shaky(live.endpoint.failure_domain),
-            others=self._others_load(endpoint_id),
-        )
+        return live.view(is_shaky=self._is_shaky(live.endpoint.failure_domain))
 
     def service_capacity(self, service_id: str) -> "Capacity":
         """Return the places of a service's endpoints in use, and how many are taken."""
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -34,6 +34,7 @@
 from passtally.object_store import Platform, StoredObject
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.peers import Peers
+from passtally.placement import Placement
 from passtally.plain import PlainCaller, Sender
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
@@ -342,15 +343,20 @@
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clock=self.clock,
-            failure_domain=settings.failure_domain,
+            placement=Placement(
+                fleet=self.fleet,
+                clock=self.clock,
+                failure_domain=settings.failure_domain,
+                keeps_replicas=self._keeps_replicas,
+                survey=Survey(
+                    fleet=self.fleet, is_needed=lambda: not self.roster.hears_all
+                ),
+                forecast=forecast,
+            ),
             limits=RetryLimits(max_deaths=MAX_DEATHS),
             budgets=budgets,
             linger=timedelta(0),
-            keeps_replicas=self._keeps_replicas,
             forecast=forecast,
-            survey=Survey(
-                fleet=self.fleet, is_needed=lambda: not self.roster.hears_all
-            ),
             metrics=self.metrics,
         )
         caller = PlainCaller(
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -41,8 +41,11 @@
 
     Attributes:
         quiet_since: Since when no read was seen.
-        first_limit: When it is given up before its first output though its endpoint
-            lives; None for the endpoint's own limit.
+        first_limit: Returns when it is given up before its first output though its
+            endpoint lives, by the most tokens that waited there to be read; None for
+            the endpoint's own limit.
+        most_reading: The most tokens of prompts, all hosts' as far as they are known,
+            that its endpoint had still to read since it was sent there.
         reads: How many reads brought output.
         is_waiting: Whether it waits for output; not while the caller is written to.
         seen_reads: The reads that the watch has seen.
@@ -52,7 +55,8 @@
     """
 
     quiet_since: timedelta
-    first_limit: timedelta | None = None
+    first_limit: Callable[[int], timedelta | None] = lambda tokens: None
+    most_reading: int = 0
     reads: int = 0
     is_waiting: bool = True
     seen_reads: int = 0
@@ -104,6 +108,7 @@
         lag: Tells whether this host can judge.
         departures: Where its own reports of leaving are noted.
         bounds_by_phase: Where its silence limits may move.
+        others_load: Returns what other hosts' runs take there.
     """
 
     def __init__(
@@ -115,7 +120,9 @@
         lag: LagMeter,
         departures: Departures,
         bounds_by_phase: dict[Phase, SilenceBounds],
+        others_load: Callable[[], TokenLoad] = TokenLoad,
     ) -> None:
+        self._others_load = others_load
         self.endpoint = endpoint
         self.engine = engine
         self._clock = clock
@@ -174,16 +181,13 @@
         if not self.own_streams:
             self._is_on_trial = False
 
-    def view(
-        self, *, is_shaky: bool = False, others: TokenLoad | None = None
-    ) -> EndpointView:
+    def view(self, *, is_shaky: bool = False) -> EndpointView:
         """Return what decisions read.
 
         Args:
             is_shaky: Whether a run was lost in its failure domain a moment ago.
-            others: What other hosts' runs take there.
         """
-        others = others or TokenLoad()
+        others = self._others_load()
         return EndpointView(
             id=self.endpoint.id,
             failure_domain=self.endpoint.failure_domain,
@@ -251,10 +255,17 @@
         """Start a probe if a stream has been silent for too long."""
         if self._probe is not None and not self._probe.done():
             return
+        self._note_reading()
         silent = [guard for guard in self.guards if self._is_silent(guard, now)]
         if silent:
             self._probe = asyncio.create_task(self._probe_until_decided(silent))
 
+    def _note_reading(self) -> None:
+        """Take in how much waits to be read, for the streams that wait with it."""
+        reading = self.reading_tokens + self._others_load().reading
+        for guard in self.guards:
+            guard.most_reading = max(guard.most_reading, reading)
+
     def excuse_silence(self, now: timedelta) -> None:
         """Count silence anew: this host was too busy to hear."""
         for guard in self.guards:
@@ -322,8 +333,9 @@
             guard.spared_since = guard.spared_since or guard.quiet_since
             guard.quiet_since = now
             stuck_after = self.limits_by_phase[guard.phase].stuck_after
-            if guard.phase is Phase.FIRST_TOKEN and guard.first_limit is not None:
-                stuck_after = guard.first_limit
+            if guard.phase is Phase.FIRST_TOKEN:
+                own_limit = guard.first_limit(guard.most_reading)
+                stuck_after = stuck_after if own_limit is None else own_limit
             if stuck_after is not None and now - guard.spared_since > stuck_after:
                 self._log_stuck(guard, now)
                 guard.end(LossKind.RESET)
--- /dev/null
+++ b/passtally/placement.py
@@ -0,0 +1,201 @@
+"""Where the next attempt of a generation runs, and where its replica is kept."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from passtally.clock import Clock
+from passtally.decision import log_decision
+from passtally.fleet import Fleet
+from passtally.forecast import Forecast
+from passtally.generation import Generation
+from passtally.prefix_finder import PrefixFinder
+from passtally.relay import (
+    count_held_tokens,
+    count_reading_tokens,
+    count_resume_tokens,
+)
+from passtally.routing import (
+    Choose,
+    RouteDecision,
+    RouteQuery,
+    choose_endpoint,
+    choose_replica,
+)
+from passtally.survey import Survey
+
+#: How long an answer that has begun waits for an endpoint to go on with.
+RESUME_PATIENCE = timedelta(seconds=4)
+RESUME_POLL = timedelta(milliseconds=50)
+PREFIX_CHARACTERS = 256
+
+
+class NoPlaceError(Exception):
+    """No endpoint is to run a generation; the text says why."""
+
+
+class Placement:
+    """Chooses endpoints for generations.
+
+    Args:
+        fleet: The endpoints.
+        clock: The clock.
+        failure_domain: This host's own.
+        choose: The routing policy.
+        keeps_replicas: Tells of a service whether its endpoints keep replicas of
+            each other's runs.
+        survey: Asks the best candidates for a prompt what waits there.
+        prefixes: Finds where the prompt of an answer that is taken up is kept.
+        forecast: Tells what an answer still needs.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        clock: Clock,
+        failure_domain: str,
+        choose: Choose = choose_endpoint,
+        keeps_replicas: Callable[[str], bool] = lambda service: False,
+        survey: Survey | None = None,
+        prefixes: PrefixFinder | None = None,
+        forecast: Forecast | None = None,
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._choose = choose
+        self._keeps_replicas = keeps_replicas
+        self._survey = survey or Survey(fleet=fleet, is_needed=lambda: False)
+        self._prefixes = prefixes or PrefixFinder(fleet=fleet, clock=clock)
+        self._forecast = forecast or Forecast()
+
+    async def place(self, generation: Generation, excluded: set[str]) -> str:
+        """Choose an endpoint, and wait for one a while where there is none.
+
+        Args:
+            generation: What is to run.
+            excluded: Endpoints that lost it; cleared while an answer that has begun
+                waits, since there may be no others.
+
+        Raises:
+            NoPlaceError: There is none, or the answer could not be whole in time.
+        """
+        request = generation.request
+        if generation.delivered and not generation.attempts:
+            kept_at = await self._find_prompt(generation, excluded)
+            if kept_at is not None:
+                return kept_at
+        self._check_time(generation)
+        patience = RESUME_PATIENCE if generation.delivered else request.patience
+        deadline = self._clock.monotonic() + patience
+        while True:
+            decision = self._decide(generation, excluded)
+            if decision.endpoint_id is not None:
+                return await self._survey_and_log(generation, decision)
+            if self._clock.monotonic() >= deadline:
+                self._log(generation, None, decision)
+                raise NoPlaceError(decision.reason)
+            if generation.delivered:
+                excluded.clear()
+            await self._clock.sleep(RESUME_POLL)
+
+    def place_replica(
+        self, generation: Generation, endpoint_id: str, excluded: set[str]
+    ) -> str:
+        """Choose where a replica of the next attempt is kept; empty for nowhere.
+
+        Args:
+            generation: What is to run.
+            endpoint_id: Where it runs.
+            excluded: Endpoints that lost it.
+        """
+        request = generation.request
+        if not self._keeps_replicas(request.service):
+            return ""
+        return choose_replica(
+            endpoint_id,
+            RouteQuery(
+                affinity=_affinity(generation),
+                failure_domain=self._failure_domain,
+                exclude=excluded,
+            ),
+            self._fleet.views(request.service),
+            now=self._clock.monotonic(),
+        )
+
+    def _decide(self, generation: Generation, excluded: set[str]) -> RouteDecision:
+        request = generation.request
+        return self._choose(
+            RouteQuery(
+                affinity=_affinity(generation),
+                failure_domain=request.failure_domain or self._failure_domain,
+                exclude=excluded,
+                resume_tokens=count_resume_tokens(generation),
+                tokens=count_held_tokens(generation),
+                prompt_tokens=count_reading_tokens(generation),
+            ),
+            self._fleet.views(request.service),
+            now=self._clock.monotonic(),
+        )
+
+    async def _survey_and_log(
+        self, generation: Generation, decision: RouteDecision
+    ) -> str:
+        ranked = decision.ranked or (decision.endpoint_id,)
+        found = await self._survey.choose(ranked)
+        asked = [f"{name}:{n}" for name, n in found.unread_by_id.items()]
+        self._log(generation, found.endpoint_id, decision, asked=asked)
+        return found.endpoint_id
+
+    async def _find_prompt(
+        self, generation: Generation, excluded: set[str]
+    ) -> str | None:
+        """Return where the prompt of an answer that began at another host is kept."""
+        request = generation.request
+        kept_at = await self._prefixes.find(
+            request.service, request.prompt, exclude=excluded
+        )
+        log_decision(
+            "route",
+            request=request.id,
+            choice=kept_at,
+            reason="its prompt is kept there" if kept_at else "no endpoint keeps it",
+            position=generation.position,
+        )
+        return kept_at
+
+    def _check_time(self, generation: Generation) -> None:
+        """Refuse what could not be whole before its caller stops waiting."""
+        request = generation.request
+        if request.deadline is None:
+            return
+        left = request.deadline - self._clock.monotonic()
+        needed = self._forecast.least_time(
+            request.service,
+            tokens=count_reading_tokens(generation),
+            position=generation.position,
+        )
+        if left < needed:
+            raise NoPlaceError(f"{left} are left, and a short answer needs {needed}")
+
+    def _log(
+        self,
+        generation: Generation,
+        choice: str | None,
+        decision: RouteDecision,
+        **fields: object,
+    ) -> None:
+        log_decision(
+            "route",
+            request=generation.request.id,
+            choice=choice,
+            reason=decision.reason,
+            candidates=decision.candidates,
+            position=generation.position,
+            **fields,
+        )
+
+
+def _affinity(generation: Generation) -> bytes:
+    """Return what decides where a prompt's prefix is likely cached."""
+    return generation.request.prompt[:PREFIX_CHARACTERS].encode()
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -51,8 +51,7 @@
         replica: Where a replica of its state is kept, if anywhere.
         load_changed: Called when what it takes at endpoints has changed.
         on_first: Called before its first output is passed on.
-        first_limit: How long its first output may take though its endpoint lives;
-            None for the endpoint's own limit.
+        first_limit: See :class:`passtally.live_endpoint.StreamGuard`.
     """
 
     def __init__(
@@ -66,7 +65,7 @@
         replica: LiveEndpoint | None = None,
         load_changed: Callable[[], None],
         on_first: Callable[[], None],
-        first_limit: timedelta | None = None,
+        first_limit: Callable[[int], timedelta | None] = lambda tokens: None,
     ) -> None:
         self._generation = generation
         self._attempt = attempt
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -12,11 +12,12 @@
 from passtally.dispatcher import Dispatcher
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
-from passtally.forecast import LEAST_SEEN
+from passtally.forecast import LEAST_SEEN, Forecast
 from passtally.generation import Attempt, Generation, GenerationRequest, TokenEvent
 from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.outcome import RefusedError
+from passtally.placement import Placement
 from passtally.retry import (
     Holder,
     LossKind,
@@ -395,10 +396,18 @@
             on_successor=lambda ended, successor: self.successors.append(successor),
         )
         self.fleet.views("s")
+        forecast = Forecast()
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clock=self.clock,
-            failure_domain="pilar",
+            placement=Placement(
+                fleet=self.fleet,
+                clock=self.clock,
+                failure_domain="pilar",
+                keeps_replicas=lambda service: True,
+                survey=Survey(fleet=self.fleet, is_needed=lambda: asks),
+                forecast=forecast,
+            ),
             limits=RetryLimits(max_deaths=1000),
             budgets=ServiceBudgets(
                 share=0.8,
@@ -407,8 +416,7 @@
                 clock=self.clock,
             ),
             linger=timedelta(0),
-            keeps_replicas=lambda service: True,
-            survey=Survey(fleet=self.fleet, is_needed=lambda: asks),
+            forecast=forecast,
         )
         self.sink = ByteSink()
 
