Let a pause last as long as callers allow before a live stream is given up

Cause: a stream whose endpoint lives was given up after 420 ms of silence, whatever its callers allow. While engines of 3 tokens a ms read, a pause of 340 ms is ordinary.

--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -60,6 +60,8 @@
         max_attempts: The dispatches it may have, where it has a limit of its own.
         deadline: When its caller stops waiting, on the monotonic clock.
         patience: How long it may wait for an endpoint before it has begun.
+        max_gap: The longest pause between two outputs that its caller allows, if it
+            is known.
         raw: What to hand on, where the content is not read.
     """
 
@@ -80,6 +82,7 @@
     max_attempts: int | None = None
     deadline: timedelta | None = None
     patience: timedelta = timedelta(0)
+    max_gap: timedelta | None = None
     raw: RawCall | None = None
 
 
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -28,6 +28,9 @@
 LONGEST_REPORT_LAG = timedelta(seconds=2)
 #: A timer of this host that is later than this shows that it can't judge others.
 MAX_OWN_LAG = timedelta(milliseconds=100)
+#: Left of the longest pause that a caller allows for going on elsewhere: a look each
+#: 50 ms, a connection within 80 ms, and up to 60 ms until the replica's first output.
+GOING_ON = timedelta(milliseconds=200)
 FIRST_EJECTION = timedelta(seconds=1)
 LAST_EJECTION = timedelta(seconds=30)
 
@@ -46,6 +49,8 @@
             the endpoint's own limit.
         most_reading: The most tokens of prompts, all hosts' as far as they are known,
             that its endpoint had still to read since it was sent there.
+        max_gap: The longest pause between two outputs that its caller allows, if it
+            is known.
         reads: How many reads brought output.
         is_waiting: Whether it waits for output; not while the caller is written to.
         seen_reads: The reads that the watch has seen.
@@ -57,6 +62,7 @@
     quiet_since: timedelta
     first_limit: Callable[[int], timedelta | None] = lambda tokens: None
     most_reading: int = 0
+    max_gap: timedelta | None = None
     reads: int = 0
     is_waiting: bool = True
     seen_reads: int = 0
@@ -64,6 +70,18 @@
     trip: Callable[[], None] = lambda: None
     tripped: LossKind | None = None
 
+    def stuck_after(self, usual: timedelta | None) -> timedelta | None:
+        """Return how long it may be silent though its endpoint lives.
+
+        Args:
+            usual: The endpoint's own limit for its phase.
+        """
+        if self.phase is Phase.FIRST_TOKEN:
+            return self.first_limit(self.most_reading) or usual
+        if self.max_gap is None or usual is None:
+            return usual
+        return max(usual, self.max_gap - GOING_ON)
+
     @property
     def phase(self) -> Phase:
         """What the stream waits for."""
@@ -332,10 +350,9 @@
         for guard in guards:
             guard.spared_since = guard.spared_since or guard.quiet_since
             guard.quiet_since = now
-            stuck_after = self.limits_by_phase[guard.phase].stuck_after
-            if guard.phase is Phase.FIRST_TOKEN:
-                own_limit = guard.first_limit(guard.most_reading)
-                stuck_after = stuck_after if own_limit is None else own_limit
+            stuck_after = guard.stuck_after(
+                self.limits_by_phase[guard.phase].stuck_after
+            )
             if stuck_after is not None and now - guard.spared_since > stuck_after:
                 self._log_stuck(guard, now)
                 guard.end(LossKind.RESET)
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -75,7 +75,9 @@
         self._load_changed = load_changed
         self._on_first = on_first
         self._guard = StreamGuard(
-            quiet_since=clock.monotonic(), first_limit=first_limit
+            quiet_since=clock.monotonic(),
+            first_limit=first_limit,
+            max_gap=generation.request.max_gap,
         )
         self._resuming = 0
         self._reading = 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,12 @@
 from passtally.clock import ManualClock
 from passtally.departures import Departures
 from passtally.engine import LoadReport
-from passtally.live_endpoint import LagMeter, LiveEndpoint
+from passtally.live_endpoint import (
+    GOING_ON,
+    LagMeter,
+    LiveEndpoint,
+    StreamGuard,
+)
 from passtally.objects import Endpoint
 from passtally.silence import DEFAULT_BOUNDS_BY_PHASE
 
@@ -48,3 +53,28 @@
         clock.advance(timedelta(seconds=10))
         live.take_report(LoadReport(running=3, queued=0, step=1))
         assert live.view().taken == 3
+
+
+class TestStreamGuard:
+    SECOND = timedelta(seconds=1)
+
+    def test_a_first_output_is_waited_for_by_what_was_read_before_it(self):
+        guard = StreamGuard(
+            quiet_since=timedelta(0), first_limit=lambda tokens: tokens * self.SECOND
+        )
+        guard.most_reading = 7
+        assert guard.stuck_after(self.SECOND) == 7 * self.SECOND
+
+    def test_where_nothing_is_known_the_endpoints_own_limit_holds(self):
+        guard = StreamGuard(quiet_since=timedelta(0))
+        assert guard.stuck_after(self.SECOND) == self.SECOND
+
+    def test_a_pause_may_last_as_long_as_its_caller_allows(self):
+        usual = timedelta(milliseconds=420)
+        guard = StreamGuard(quiet_since=timedelta(0), max_gap=2 * self.SECOND)
+        guard.seen_reads = 1
+        assert guard.stuck_after(usual) == 2 * self.SECOND - GOING_ON
+        guard.max_gap = usual
+        assert guard.stuck_after(usual) == usual
+        guard.max_gap = None
+        assert guard.stuck_after(usual) == usual
