--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -244,8 +244,10 @@
         tokens = view.reading_tokens + HELD_UP_PART * ahead
         if view.failure_domain != query.failure_domain:
             tokens += FAR_TOKENS
-        if view.held_tokens + query.tokens > view.capacity_tokens:
-            tokens += view.capacity_tokens
+        overflow = view.held_tokens + query.tokens - view.capacity_tokens
+        if overflow > 0:
+            # It waits until runs have ended there, or makes one be read again.
+            tokens += overflow + query.prompt_tokens
         rank = _affinity_rank(query.affinity, view.id)
         return round(tokens / EQUAL_TOKENS), rank
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -92,6 +92,12 @@
         full = view("b", held_tokens=52_000)
         assert self.choose(view("a", "tigre", held_tokens=30_000), full) == "a"
 
+    def test_a_little_too_much_in_a_memory_is_better_than_a_long_wait(self):
+        full = view("b", held_tokens=52_000, running_streams=3)
+        waiting = view("a", reading_tokens=28_000, running_streams=1)
+        query = attrs.evolve(QUERY, prompt_tokens=5_000)
+        assert self.choose(waiting, full, query=query) == "b"
+
     def test_a_domain_with_a_loss_is_avoided_while_another_is_calm(self):
         assert self.choose(view("a", "tigre"), view("b", is_shaky=True)) == "a"
         assert self.choose(view("b", is_shaky=True)) == "b"
