Refuse at once a new stream that could not begin within its target

Change: where the best endpoint could not give the first output within the route's target, even reading quickly by what is seen, a new stream is refused before it is sent, and its caller comes back after a second. Streams that have begun always go on; a host that has seen fewer than four first outputs refuses nothing.

--- a/passtally/forecast.py
+++ b/passtally/forecast.py
@@ -90,6 +90,17 @@
         reading = tokens / _decile(seen.speeds, _QUICK_READING)
         return timedelta(seconds=reading + left * _decile(seen.steps, _QUICK_STEP))
 
+    def reading_time(self, service: str, tokens: int) -> timedelta:
+        """Return the least time in which so many tokens are likely to be read.
+
+        Returns:
+            The time for a quick reading; 0 where too little was seen.
+        """
+        seen = self._seen(service)
+        if len(seen.speeds) < LEAST_SEEN:
+            return timedelta(0)
+        return timedelta(seconds=tokens / _decile(seen.speeds, _QUICK_READING))
+
     def usual_time(self, service: str, *, tokens: int) -> timedelta:
         """Return the time in which four answers in five are likely to be whole.
 
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -413,6 +413,7 @@
         max_attempts=admitted.route.max_attempts if admitted.route.is_resumable else 1,
         deadline=admitted.deadline,
         patience=ADMISSION_PART * admitted.route.target,
+        target=admitted.route.target,
         max_gap=admitted.route.max_gap,
         raw=request.raw,
     )
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -60,6 +60,7 @@
         max_attempts: The dispatches it may have, where it has a limit of its own.
         deadline: When its caller stops waiting, on the monotonic clock.
         patience: How long it may wait for an endpoint before it has begun.
+        target: Within what time its first output is to come, if it is known.
         max_gap: The longest pause between two outputs that its caller allows, if it
             is known.
         raw: What to hand on, where the content is not read.
@@ -82,6 +83,7 @@
     max_attempts: int | None = None
     deadline: timedelta | None = None
     patience: timedelta = timedelta(0)
+    target: timedelta | None = None
     max_gap: timedelta | None = None
     raw: RawCall | None = None
 
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -91,6 +91,7 @@
         while True:
             decision = self._decide(generation, excluded)
             if decision.endpoint_id is not None:
+                self._check_target(generation, decision.endpoint_id)
                 return await self._survey_and_log(generation, decision)
             if self._clock.monotonic() >= deadline:
                 self._log(generation, None, decision)
@@ -178,6 +179,20 @@
         if left < needed:
             raise NoPlaceError(f"{left} are left, and a short answer needs {needed}")
 
+    def _check_target(self, generation: Generation, endpoint_id: str) -> None:
+        """Refuse a new stream whose first output would come too late.
+
+        It would hold up others, which can still be in time, and serve its caller late.
+        """
+        request = generation.request
+        if request.target is None or generation.delivered or generation.attempts:
+            return
+        ahead = self._fleet.view(endpoint_id).reading_tokens
+        tokens = ahead + count_reading_tokens(generation)
+        needed = self._forecast.reading_time(request.service, tokens)
+        if needed > request.target:
+            raise NoPlaceError(f"its first output would take {needed} at least")
+
     def _log(
         self,
         generation: Generation,
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -66,6 +66,10 @@
 
 
 class TestLimits:
+    def test_the_least_time_of_reading_is_that_of_a_quick_one(self):
+        assert make_forecast().reading_time(SERVICE, 10_000) == 2 * SECOND
+        assert not Forecast().reading_time(SERVICE, 10_000)
+
     def test_a_first_output_may_take_longer_the_more_is_read_before_it(self):
         forecast = make_forecast()
         short = forecast.first_limit(SERVICE, 5_000)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -16,7 +16,7 @@
 from passtally.generation import Attempt, Generation, GenerationRequest, TokenEvent
 from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
-from passtally.outcome import RefusedError
+from passtally.outcome import Outcome, RefusedError
 from passtally.placement import Placement
 from passtally.retry import (
     Holder,
@@ -357,6 +357,8 @@
         self.data += b"".join(delivery.payload for delivery in deliveries)
 
 
+#: Within what time a first output is to come; 5,000 tokens take 0.2 s.
+TARGET = timedelta(seconds=1)
 WHOLE = b"".join(b"%d " % number for number in range(1, EVENTS + 1))
 BOUNDS = {
     Phase.FIRST_TOKEN: SilenceBounds(
@@ -392,13 +394,15 @@
         self.engines = Engines()
         self.catalog = make_catalog([service], endpoints)
         self.successors: list[str] = []
+        #: What other hosts' runs take at each endpoint.
+        self.others_load = TokenLoad()
         self.fleet = Fleet(
             catalog=self.catalog,
             clock=self.clock,
             connect=self.engines.connect,
             bounds_by_phase=BOUNDS,
             capacity_of=lambda service: 55_000,
-            others_load=lambda endpoint_id: TokenLoad(),
+            others_load=lambda endpoint_id: self.others_load,
             on_successor=lambda ended, successor: self.successors.append(successor),
         )
         self.fleet.views("s")
@@ -441,6 +445,7 @@
             priority=5,
             max_attempts=5,
             deadline=time_left and self.clock.monotonic() + time_left,
+            target=TARGET,
         )
         generation = Generation(
             request=request, token_ids=[0] * position, delivered=position
@@ -661,6 +666,58 @@
         run_virtually(test())
 
 
+class TestCrowded:
+    """Each endpoint reads a whole second's prompts of other hosts."""
+
+    async def make_world(self) -> World:
+        world = World()
+        for _ in range(LEAST_SEEN):
+            await world.start()
+        world.others_load = TokenLoad(reading=25_000)
+        return world
+
+    def test_a_new_stream_that_could_not_begin_in_time_is_refused_at_once(self):
+        async def test() -> None:
+            world = await self.make_world()
+            opened = len(world.engines.opened)
+            began = world.clock.monotonic()
+            with pytest.raises(RefusedError) as refusal:
+                await world.start()
+            failure = refusal.value.failure
+            assert (failure.status, failure.outcome) == (503, Outcome.NOT_RUN)
+            assert failure.retry_after >= TARGET / 2
+            assert world.clock.monotonic() == began
+            assert len(world.engines.opened) == opened
+
+        run_virtually(test())
+
+    def test_one_that_has_begun_goes_on(self):
+        async def test() -> None:
+            world = await self.make_world()
+            await world.start(position=10)
+            assert world.sink.data.endswith(b"60 ")
+
+        run_virtually(test())
+
+    def test_one_that_can_begin_in_time_is_taken(self):
+        async def test() -> None:
+            world = await self.make_world()
+            world.others_load = TokenLoad(reading=15_000)
+            await world.start()
+            assert world.sink.data.endswith(WHOLE)
+
+        run_virtually(test())
+
+    def test_a_host_that_has_seen_nothing_refuses_nothing(self):
+        async def test() -> None:
+            world = World()
+            world.others_load = TokenLoad(reading=25_000)
+            await world.start()
+            assert world.sink.data == WHOLE
+
+        run_virtually(test())
+
+
 class TestSurvey:
     """The pilar engines a1, a2 go first; the tigre ones b1, b2 count as far."""
 
