--- a/standins/runner.py
+++ b/standins/runner.py
@@ -28,6 +28,7 @@
         extra: Bytes sent after each plain answer.
         unframed: Whether plain answers come without a length.
         answer_delay: How long a plain call takes, in seconds.
+        first_delay: How long a stream's first event takes, in seconds.
     """
 
     refusals: int = 0
@@ -42,6 +43,7 @@
     extra: bytes = b""
     unframed: bool = False
     answer_delay: float = 0.0
+    first_delay: float = 0.0
 
 
 class RunnerStandIn:
@@ -140,7 +142,11 @@
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
         self.ran.append(request.headers["X-Request-Id"])
-        await asyncio.sleep(self.faults.answer_delay)
+        try:
+            await asyncio.sleep(self.faults.answer_delay)
+        except asyncio.CancelledError:
+            self.closed_early += 1
+            raise
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
             request.transport.abort()
@@ -195,6 +201,7 @@
         replica: "RunnerStandIn | None",
     ) -> None:
         request_id = request.headers["X-Request-Id"]
+        await asyncio.sleep(self.faults.first_delay)
         for number in range(start + 1, self.events + 1):
             if self.faults.break_after == number - 1:
                 if self.faults.break_inside:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -445,6 +445,26 @@
 
         run(test)
 
+    @pytest.mark.parametrize("send", [PlatformSystem.send, PlatformSystem.stream])
+    def test_a_caller_that_leaves_before_its_answer_ends_the_work(self, send):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            await system.add_runner("i-look", LOOKUPS)
+            await system.wait_ready()
+            for runner in system.runners.values():
+                runner.faults.first_delay = runner.faults.answer_delay = 60
+            path = "/look/1" if send is PlatformSystem.send else "/draft/1"
+            task = asyncio.create_task(send(system, path))
+            while not any(runner.requests for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            task.cancel()
+            # Without the close it would be at work for longer than the test may take.
+            while not any(runner.closed_early for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+            assert system.hosts[0].drain.open_requests == 0
+
+        run(test)
+
     def test_where_nothing_can_take_it_the_refusal_says_when_to_come_back(self):
         async def test(system: PlatformSystem) -> None:
             system.store.put("config", "main", make_config())
