--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -34,7 +34,8 @@
 from passtally.intents import Intents
 from passtally.jobs import Jobs
 from passtally.lease import Lease
-from passtally.membership import Gossip, MemberTable
+from passtally.member_table import MemberTable
+from passtally.membership import Gossip
 from passtally.messages import MemberRow
 from passtally.metrics import Metrics, NoMetrics, StatsdMetrics, report_gauges
 from passtally.objects import Endpoint
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -28,7 +28,8 @@
 from passtally.http_client import ConnectionPool, PoolFetcher
 from passtally.http_server import Exchange, Handle, HttpServer, ServerLimits
 from passtally.isolation import Isolation
-from passtally.membership import Gossip, MemberTable
+from passtally.member_table import MemberTable
+from passtally.membership import Gossip
 from passtally.messages import MemberRow
 from passtally.metrics import Metric, TextMetrics
 from passtally.object_store import Platform, StoredObject
@@ -62,9 +63,6 @@
 #: A host counts on at least this many that share a budget: it may have just started,
 #: or be cut off from most.
 MIN_BUDGET_HOSTS = 8
-#: Hosts tell of themselves each second; one that was not heard of for this long is
-#: out of reach. Word of a host may take 15 s to reach all of 55.
-ALIVE_FOR = timedelta(seconds=20)
 #: No request is refused for the endpoints that died under it: here they die in
 #: groups, whatever they run.
 MAX_DEATHS = 1000
@@ -285,7 +283,7 @@
             leaving=False,
             address=str(settings.peer_listen),
         )
-        table = MemberTable(own=own, alive_for=ALIVE_FOR)
+        table = MemberTable(own=own)
         self.gossip = Gossip(
             table=table,
             peers=self.peers,
--- /dev/null
+++ b/passtally/member_table.py
@@ -0,0 +1,279 @@
+"""Who is there: what one host knows of the others. Pure.
+
+A host counts as in reach until it was found not to answer, and did not contradict that
+for a while. Only changes are spread: that a host came, is suspected, was found gone, or
+says that it is there after all. So what each host sends and keeps does not grow with
+the number of hosts, but for one row each, and no word has to be renewed in time.
+"""
+
+import math
+import random
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from datetime import timedelta
+from enum import IntEnum
+
+import attrs
+import msgspec
+
+from passtally.messages import MemberRow
+
+#: A host that is suspected has so long to contradict it. Word reaches all of 1,000
+#: hosts in 4 s, and its answer takes as long; cuts of a failure domain that the users
+#: play last 5 to 6 s, after which nothing has to be undone.
+SUSPECT_FOR = timedelta(seconds=12)
+#: Rows of hosts that are gone are kept for so long, so that late word of them is known
+#: to be old, and a failure domain that comes back is found.
+FORGET_AFTER = timedelta(minutes=5)
+#: Each change is told so many times by each host, times the logarithm of their number.
+TOLD_PER_LOG = 3
+
+
+class MemberState(IntEnum):
+    """What a row says of its host; of two rows of one counter the higher one counts."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    GONE = 2
+
+
+@attrs.define(kw_only=True)
+class _Known:
+    """One host.
+
+    Attributes:
+        row: The newest row.
+        heard_at: When the host itself, or a change, was heard of last.
+        state_since: Since when it is in its state.
+    """
+
+    row: MemberRow
+    heard_at: timedelta
+    state_since: timedelta
+
+
+@attrs.frozen(kw_only=True)
+class MemberView:
+    """What is known of one host.
+
+    Attributes:
+        id: Its name.
+        failure_domain: Where it stands.
+        config_version: The configuration version in force there, as last heard.
+        leaving: Whether it is stopping.
+        heard_ago: How long ago it was heard of; None if never.
+        alive: Whether it is in reach.
+    """
+
+    id: str
+    failure_domain: str
+    config_version: int
+    leaving: bool
+    heard_ago: timedelta | None
+    alive: bool
+
+
+class MemberTable:
+    """The newest row of each host, and the changes that are still to be told.
+
+    Args:
+        own: This host's first row.
+        suspect_for: How long a host is suspected before it counts as gone.
+    """
+
+    def __init__(self, *, own: MemberRow, suspect_for: timedelta = SUSPECT_FOR) -> None:
+        self.own = own
+        #: Goes up whenever a host comes, goes, or changes its state.
+        self.revision = 0
+        self._suspect_for = suspect_for
+        self._known_by_id: dict[str, _Known] = {}
+        #: How many times each change was told, by the host that it is about.
+        self._told_by_id: dict[str, int] = {own.host_id: 0}
+
+    def update_own(
+        self,
+        *,
+        config_version: int,
+        leaving: bool,
+        versions_by_prefix: Mapping[str, int] | None = None,
+    ) -> None:
+        """Take in this host's own state; only what all must know is news."""
+        own = self.own
+        if (config_version, leaving) != (own.config_version, own.leaving):
+            own = msgspec.structs.replace(
+                own,
+                counter=own.counter + 1,
+                config_version=config_version,
+                leaving=leaving,
+            )
+            self._told_by_id[own.host_id] = 0
+        versions = dict(versions_by_prefix or {})
+        self.own = msgspec.structs.replace(own, versions_by_prefix=versions)
+
+    def merge(self, rows: Iterable[MemberRow], now: timedelta) -> None:
+        """Take in rows from a peer; older ones change nothing."""
+        for row in rows:
+            if row.host_id == self.own.host_id:
+                self._contradict(row)
+            else:
+                self._merge_other(row, now)
+
+    def note_heard(self, host_id: str, now: timedelta) -> None:
+        """Take in that a host itself was heard."""
+        known = self._known_by_id.get(host_id)
+        if known is not None:
+            known.heard_at = now
+
+    def suspect(self, host_id: str, now: timedelta) -> None:
+        """Take in that a host did not answer."""
+        known = self._known_by_id.get(host_id)
+        if known is not None and known.row.state == MemberState.ALIVE:
+            self._change(known.row, MemberState.SUSPECT, now)
+
+    def expire(self, now: timedelta) -> None:
+        """Give up hosts that were suspected for long, and forget those long gone."""
+        for host_id, known in list(self._known_by_id.items()):
+            lasted = now - known.state_since
+            if known.row.state == MemberState.SUSPECT and lasted >= self._suspect_for:
+                self._change(known.row, MemberState.GONE, now)
+            elif known.row.state == MemberState.GONE and lasted >= FORGET_AFTER:
+                del self._known_by_id[host_id]
+                self._told_by_id.pop(host_id, None)
+                self.revision += 1
+
+    @property
+    def has_news(self) -> bool:
+        """Whether changes are still to be told."""
+        return bool(self._told_by_id)
+
+    def take_news(self, most: int) -> list[MemberRow]:
+        """Return changes to tell, those told least first, and count them as told.
+
+        Args:
+            most: How many at the most.
+        """
+        limit = TOLD_PER_LOG * math.ceil(math.log2(len(self._known_by_id) + 2))
+        chosen = sorted(self._told_by_id, key=self._told_by_id.__getitem__)[:most]
+        rows = [row for name in chosen if (row := self.find(name)) is not None]
+        for name in chosen:
+            self._told_by_id[name] += 1
+            if self._told_by_id[name] >= limit:
+                del self._told_by_id[name]
+        return rows
+
+    def sample(self, count: int, rng: random.Random) -> list[MemberRow]:
+        """Return some rows of other hosts, taken at random."""
+        known = list(self._known_by_id.values())
+        return [item.row for item in rng.sample(known, min(count, len(known)))]
+
+    def find(self, host_id: str) -> MemberRow | None:
+        """Return the row of a host, or None."""
+        if host_id == self.own.host_id:
+            return self.own
+        known = self._known_by_id.get(host_id)
+        return known.row if known is not None else None
+
+    def in_reach(self) -> list[MemberRow]:
+        """Return the rows of the other hosts that are in reach."""
+        return self._rows(lambda state: state != MemberState.GONE)
+
+    def gone(self) -> list[MemberRow]:
+        """Return the rows of the hosts that were found gone not long ago."""
+        return self._rows(lambda state: state == MemberState.GONE)
+
+    def views(self, names: Collection[str], now: timedelta) -> list[MemberView]:
+        """Return what is known of the hosts named and of all others heard of."""
+        everyone = sorted({*names, *self._known_by_id} - {self.own.host_id})
+        return [self._view(name, now) for name in everyone]
+
+    def newest_config(self) -> tuple[str, int]:
+        """Return the host in reach with the highest configuration version."""
+        best = ("", 0)
+        for row in self.in_reach():
+            if row.config_version > best[1]:
+                best = (row.host_id, row.config_version)
+        return best
+
+    def _rows(self, wanted) -> list[MemberRow]:
+        rows = (known.row for known in self._known_by_id.values())
+        return [row for row in rows if wanted(row.state)]
+
+    def _merge_other(self, row: MemberRow, now: timedelta) -> None:
+        known = self._known_by_id.get(row.host_id)
+        if known is None:
+            self._put(row, now)
+        elif (row.counter, row.state) > (known.row.counter, known.row.state):
+            is_sudden = (
+                row.state == MemberState.GONE
+                and row.counter == known.row.counter
+                and known.row.state == MemberState.ALIVE
+            )
+            if is_sudden:
+                # It may be a host beyond a cut that has ended: let it contradict.
+                row = msgspec.structs.replace(row, state=MemberState.SUSPECT)
+            self._put(row, now)
+        elif row.counter == known.row.counter:
+            known.row = _with_newest_versions(known.row, row)
+
+    def _put(self, row: MemberRow, now: timedelta) -> None:
+        self._known_by_id[row.host_id] = _Known(row=row, heard_at=now, state_since=now)
+        self._told_by_id[row.host_id] = 0
+        self.revision += 1
+
+    def _change(self, row: MemberRow, state: MemberState, now: timedelta) -> None:
+        known = self._known_by_id[row.host_id]
+        known.row = msgspec.structs.replace(row, state=state)
+        known.state_since = now
+        self._told_by_id[row.host_id] = 0
+        self.revision += 1
+
+    def _contradict(self, row: MemberRow) -> None:
+        """Outrun word of this host that is not its own: of a past life, or wrong."""
+        is_other_life = row.counter > self.own.counter
+        is_wrong = row.counter == self.own.counter and row.state != MemberState.ALIVE
+        if is_other_life or is_wrong:
+            self.own = msgspec.structs.replace(self.own, counter=row.counter + 1)
+            self._told_by_id[self.own.host_id] = 0
+
+    def _view(self, name: str, now: timedelta) -> MemberView:
+        known = self._known_by_id.get(name)
+        if known is None:
+            return MemberView(
+                id=name,
+                failure_domain="",
+                config_version=0,
+                leaving=False,
+                heard_ago=None,
+                alive=False,
+            )
+        return MemberView(
+            id=name,
+            failure_domain=known.row.failure_domain,
+            config_version=known.row.config_version,
+            leaving=known.row.leaving,
+            heard_ago=now - known.heard_at,
+            alive=known.row.state != MemberState.GONE,
+        )
+
+
+def _with_newest_versions(row: MemberRow, other: MemberRow) -> MemberRow:
+    """Return a row with the higher version of each prefix in two of one counter."""
+    versions = dict(row.versions_by_prefix)
+    for prefix, version in other.versions_by_prefix.items():
+        versions[prefix] = max(version, versions.get(prefix, 0))
+    if versions == row.versions_by_prefix:
+        return row
+    return msgspec.structs.replace(row, versions_by_prefix=versions)
+
+
+def pick_found_gone(rows: Sequence[MemberRow], alive: Sequence[MemberRow]) -> list:
+    """Return one host that is gone for each failure domain without one in reach.
+
+    They are asked now and then, so that the end of a long cut is seen.
+    """
+    domains = {row.failure_domain for row in alive}
+    one_by_domain = {
+        row.failure_domain: row
+        for row in sorted(rows, key=lambda row: row.host_id)
+        if row.failure_domain not in domains
+    }
+    return list(one_by_domain.values())
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -1,154 +1,41 @@
-"""Who else is there: heartbeats that spread by gossip. Nothing is agreed by it.
+"""Asks other hosts whether they are there, and spreads what has changed.
 
-Each host tells a few random peers a second what it knows, so a host's bytes do
-not grow with the number of hosts; how long news takes grows with its logarithm.
+Each host asks a few of the hosts that it is linked to. One that does not answer twice
+is suspected; word of it spreads with the questions and answers, and the suspected host
+contradicts it when it hears of it (the SWIM protocol, over the links that there are).
+Nothing is agreed by it.
 """
 
+import asyncio
 import random
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 from typing import Protocol
 
-import attrs
-import msgspec
-
 from passtally.clock import Clock
+from passtally.decision import log_event
+from passtally.member_table import MemberTable, MemberView
 from passtally.messages import DepartureRow, Hello, MemberRow
 from passtally.peers import PeerError, Peers
 
 GOSSIP_INTERVAL = timedelta(seconds=1)
-#: Peers told in each interval.
+#: The same while there are changes to tell: all of 195 hosts know of one within 2 s.
+NEWS_INTERVAL = timedelta(milliseconds=300)
+#: Peers asked in each interval.
 FANOUT = 2
-#: Rows sent along in each message, besides the sender's own.
-SAMPLE = 10
-#: The most rows sent to a host that has just started: all of a fleet of the target's
-#: size, some 25 KB.
+#: How often a peer is asked before it is suspected. Where 3 in 100 messages get lost,
+#: one in 5,000 questions ends in a wrong suspicion, and each is told to all hosts.
+TRIES = 3
+#: The most changes told in one message, some 2.5 KB.
+NEWS_ROWS = 30
+#: Rows of others sent along where there are few changes, for hosts that missed some.
+FILL_ROWS = 2
+#: The most rows sent to a host that knows few: all of a fleet of the target's size,
+#: some 30 KB.
 MAX_ROWS = 400
-#: A host that nobody has heard for this long counts as out of reach. Among 55
-#: hosts the oldest word that a host had of another was 15 s old.
-ALIVE_FOR = timedelta(seconds=20)
-
-
-@attrs.define(kw_only=True)
-class _Known:
-    row: MemberRow
-    heard_at: timedelta
-
-
-@attrs.frozen(kw_only=True)
-class MemberView:
-    """What is known of one host.
-
-    Attributes:
-        id: Its name.
-        failure_domain: Where it stands.
-        config_version: The configuration version in force there, as last heard.
-        leaving: Whether it is stopping.
-        heard_ago: How long ago it was heard of; None if never.
-        alive: Whether it is in reach.
-    """
-
-    id: str
-    failure_domain: str
-    config_version: int
-    leaving: bool
-    heard_ago: timedelta | None
-    alive: bool
-
-
-class MemberTable:
-    """The newest heartbeat of each host. Pure.
-
-    Args:
-        own: This host's first row.
-        alive_for: A host that nobody has heard for this long is out of reach.
-    """
-
-    def __init__(self, *, own: MemberRow, alive_for: timedelta = ALIVE_FOR) -> None:
-        self.own = own
-        self._alive_for = alive_for
-        self._known_by_id: dict[str, _Known] = {}
-
-    def beat(
-        self,
-        *,
-        config_version: int,
-        leaving: bool,
-        versions_by_prefix: Mapping[str, int] | None = None,
-    ) -> MemberRow:
-        """Count this host's own heartbeat up and return its row."""
-        self.own = msgspec.structs.replace(
-            self.own,
-            counter=self.own.counter + 1,
-            config_version=config_version,
-            leaving=leaving,
-            versions_by_prefix=dict(versions_by_prefix or {}),
-        )
-        return self.own
-
-    def merge(self, rows: Sequence[MemberRow], now: timedelta) -> None:
-        """Take in rows from a peer; older ones change nothing."""
-        for row in rows:
-            if row.host_id == self.own.host_id:
-                self._outrun(row)
-                continue
-            known = self._known_by_id.get(row.host_id)
-            if known is None or row.counter > known.row.counter:
-                self._known_by_id[row.host_id] = _Known(row=row, heard_at=now)
-
-    def sample(self, count: int, rng: random.Random) -> list[MemberRow]:
-        """Return this host's row and some others, taken at random."""
-        known = list(self._known_by_id.values())
-        picked = rng.sample(known, min(count, len(known)))
-        return [self.own, *(item.row for item in picked)]
-
-    def views(self, names: Collection[str], now: timedelta) -> list[MemberView]:
-        """Return what is known of the hosts named and of all others heard of."""
-        everyone = sorted({*names, *self._known_by_id} - {self.own.host_id})
-        return [self._view(name, now) for name in everyone]
-
-    def newest_config(self, now: timedelta) -> tuple[str, int]:
-        """Return the living host with the highest configuration version."""
-        best = ("", 0)
-        for name, known in self._known_by_id.items():
-            is_alive = now - known.heard_at < self._alive_for
-            if is_alive and known.row.config_version > best[1]:
-                best = (name, known.row.config_version)
-        return best
-
-    def alive_rows(self, now: timedelta) -> list[MemberRow]:
-        """Return the rows of the other hosts that are in reach."""
-        return [
-            known.row
-            for known in self._known_by_id.values()
-            if now - known.heard_at < self._alive_for
-        ]
-
-    def _outrun(self, row: MemberRow) -> None:
-        """Go above a counter from before a restart, so that news is not ignored."""
-        if row.counter > self.own.counter:
-            self.own = msgspec.structs.replace(self.own, counter=row.counter + 1)
-
-    def _view(self, name: str, now: timedelta) -> MemberView:
-        known = self._known_by_id.get(name)
-        if known is None:
-            return MemberView(
-                id=name,
-                failure_domain="",
-                config_version=0,
-                leaving=False,
-                heard_ago=None,
-                alive=False,
-            )
-        ago = now - known.heard_at
-        return MemberView(
-            id=name,
-            failure_domain=known.row.failure_domain,
-            config_version=known.row.config_version,
-            leaving=known.row.leaving,
-            heard_ago=ago,
-            alive=ago < self._alive_for,
-        )
+#: How many hosts are told all rows in a second: when all hosts of a fleet start at
+#: once, what their seeds send is bounded, and the others tell the rest.
+FULL_ANSWERS = 5
 
 
 class DepartureNews(Protocol):
@@ -162,7 +49,7 @@
 
 
 class Gossip:
-    """Spreads and gathers heartbeats.
+    """Asks and tells other hosts.
 
     Args:
         table: What is known.
@@ -185,54 +72,100 @@
         self._departures = departures
         self.config_version = 0
         self.leaving = False
-        #: Returns the newest version known under each prefix, to be spread along.
+        #: Returns the newest version known under each prefix, to be told along.
         self.versions: Callable[[], Mapping[str, int]] = dict
         self._peers = peers
         self._clock = clock
         self._rng = rng
+        self._full_answers_at: list[timedelta] = []
         peers.on(Hello, self._answer)
 
     async def run(self) -> None:
-        """Tell a few peers, every interval, for ever."""
+        """Ask and tell a few peers, every interval, for ever."""
         while True:
-            await self._clock.sleep(GOSSIP_INTERVAL)
+            has_news = self.table.has_news
+            await self._clock.sleep(NEWS_INTERVAL if has_news else GOSSIP_INTERVAL)
             await self.tell()
 
     async def tell(self) -> None:
-        """Exchange rows with a few random peers."""
-        self.table.beat(
+        """Ask a few random peers, and tell them what has changed."""
+        self._update()
+        ids = self._peers.ids
+        chosen = self._rng.sample(ids, min(FANOUT, len(ids)))
+        await asyncio.gather(*(self._ask(host_id) for host_id in chosen))
+
+    def views(self) -> list[MemberView]:
+        """Return what is known of all hosts."""
+        return self.table.views(self._peers.ids, self._clock.monotonic())
+
+    def newest_config(self) -> tuple[str, int]:
+        """Return the host in reach with the highest configuration version."""
+        return self.table.newest_config()
+
+    def _update(self) -> None:
+        self.table.update_own(
             config_version=self.config_version,
             leaving=self.leaving,
             versions_by_prefix=self.versions(),
         )
-        ids = self._peers.ids
-        for host_id in self._rng.sample(ids, min(FANOUT, len(ids))):
+        self.table.expire(self._clock.monotonic())
+
+    async def _ask(self, host_id: str) -> None:
+        """Ask one peer; suspect it where it does not answer."""
+        for _ in range(TRIES):
             try:
                 reply = await self._peers.ask(host_id, self._hello())
-            except PeerError:
+            except PeerError as error:
+                why = error
                 continue
             if isinstance(reply, Hello):
                 self._merge(reply)
-
-    def views(self) -> list[MemberView]:
-        """Return what is known of all hosts."""
-        return self.table.views(self._peers.ids, self._clock.monotonic())
-
-    def newest_config(self) -> tuple[str, int]:
-        """Return the living host with the highest configuration version."""
-        return self.table.newest_config(self._clock.monotonic())
-
-    def _hello(self, *, count: int = SAMPLE) -> Hello:
-        rows = self.table.sample(count, self._rng)
-        return Hello(rows=rows, departures=self._departures.rows())
+            return
+        if host_id in self._peers.ids and self.table.find(host_id) is not None:
+            log_event("members", "Does not answer.", peer=host_id, why=why)
+            self.table.suspect(host_id, self._clock.monotonic())
+
+    def _hello(self, *, first: Sequence[MemberRow] = ()) -> Hello:
+        """Return this host's row, changes to tell, and some rows of others.
+
+        Args:
+            first: Rows to be told in any case.
+        """
+        news = self.table.take_news(NEWS_ROWS)
+        fill = self.table.sample(max(0, FILL_ROWS - len(news)), self._rng)
+        rows_by_id = {row.host_id: row for row in (*first, *news, *fill)}
+        rows_by_id.pop(self.table.own.host_id, None)
+        return Hello(
+            rows=[self.table.own, *rows_by_id.values()],
+            departures=self._departures.rows(),
+            known=len(self.table.in_reach()),
+        )
 
     async def _answer(self, message: Hello) -> Hello:
         self._merge(message)
-        if len(message.rows) <= SAMPLE:
-            # Who sends so few rows knows no others yet: it gets all at once.
-            return self._hello(count=MAX_ROWS)
-        return self._hello()
+        self._update()
+        if self._should_tell_all(message):
+            return self._hello(first=self.table.sample(MAX_ROWS, self._rng))
+        # Whoever holds the asker for gone, or knows it from a past life, says so.
+        asker = self.table.find(message.rows[0].host_id)
+        return self._hello(first=() if asker is None else (asker,))
+
+    def _should_tell_all(self, message: Hello) -> bool:
+        """Return whether the asker knows few hosts, and its turn has come."""
+        if 2 * message.known >= len(self.table.in_reach()):
+            return False
+        now = self._clock.monotonic()
+        second = timedelta(seconds=1)
+        self._full_answers_at = [
+            at for at in self._full_answers_at if now - at < second
+        ]
+        if len(self._full_answers_at) >= FULL_ANSWERS:
+            return False
+        self._full_answers_at.append(now)
+        return True
 
     def _merge(self, message: Hello) -> None:
-        self.table.merge(message.rows, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self.table.merge(message.rows, now)
+        self.table.note_heard(message.rows[0].host_id, now)
         self._departures.merge(message.departures)
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -90,17 +90,19 @@
 
 
 class MemberRow(msgspec.Struct, array_like=True, frozen=True):
-    """One host's heartbeat.
+    """What is known of one host.
 
     Attributes:
         host_id: Whose it is.
         failure_domain: Where it stands.
-        counter: Goes up with each heartbeat.
+        counter: Goes up whenever the host changes what all must know of it, or
+            contradicts what others say of it.
         config_version: The configuration version in force there.
         leaving: Whether it is stopping.
         address: Where its peers reach it; empty where they are told by settings.
         versions_by_prefix: The newest version known there of the objects under
-            each prefix.
+            each prefix, as heard from the host itself or soon after.
+        state: A :class:`passtally.member_table.MemberState`.
     """
 
     host_id: str
@@ -110,6 +112,7 @@
     leaving: bool
     address: str = ""
     versions_by_prefix: dict[str, int] = {}
+    state: int = 0
 
 
 class DepartureRow(msgspec.Struct, array_like=True, frozen=True):
@@ -120,10 +123,17 @@
 
 
 class Hello(msgspec.Struct, tag="hello", array_like=True):
-    """Some heartbeats and departures; answered by another one of these."""
+    """What changed among the hosts; answered by another one of these.
+
+    Attributes:
+        rows: The sender's own row, and some of others.
+        departures: Endpoints that are leaving.
+        known: How many other hosts the sender knows to be in reach.
+    """
 
     rows: list[MemberRow]
     departures: list[DepartureRow] = []
+    known: int = 0
 
 
 class FetchConfig(msgspec.Struct, tag="fetch_config", array_like=True):
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -6,7 +6,8 @@
 
 from passtally.clock import Clock
 from passtally.decision import log_event
-from passtally.membership import Gossip, MemberTable
+from passtally.member_table import MemberTable, pick_found_gone
+from passtally.membership import Gossip
 from passtally.messages import MemberRow
 from passtally.peers import Peers
 from passtally.settings import Address, PeerAddress, parse_address
@@ -53,10 +54,12 @@
         #: Hosts that this one learns from and so is linked to in any case.
         self.source_ids: Collection[str] = ()
         self._linked_ids: set[str] = set()
+        #: What the links were last chosen by.
+        self._chosen_by: tuple[int, bool, frozenset[str]] | None = None
 
     def others(self) -> list[MemberRow]:
         """Return the rows of the other hosts that are in reach."""
-        return self._table.alive_rows(self._clock.monotonic())
+        return self._table.in_reach()
 
     def meet_seeds(self) -> None:
         """Open links to the seeds, by their addresses alone."""
@@ -82,11 +85,17 @@
 
     def meet(self) -> None:
         """Open links to the hosts that it is this host's part to know."""
+        sources = frozenset(self.source_ids)
+        chosen_by = (self._table.revision, self.links_domain, sources)
+        if chosen_by == self._chosen_by and self._linked_ids:
+            return
+        self._chosen_by = chosen_by
         rows = [row for row in self.others() if row.address]
         self.peak = max(self.peak, len(rows) + 1)
         chosen = choose_links(self._table.own, rows, whole_domain=self.links_domain)
         chosen += [row for row in rows if row.host_id in self.source_ids]
-        rows_by_id = {row.host_id: row for row in chosen}
+        chosen += pick_found_gone(self._table.gone(), [self._table.own, *rows])
+        rows_by_id = {row.host_id: row for row in chosen if row.address}
         self._linked_ids = set(rows_by_id)
         for row in rows_by_id.values():
             address = parse_address(row.address)
@@ -101,7 +110,7 @@
             if host_id not in rows_by_id and not host_id.startswith(SEED_PREFIX):
                 log_event("roster", "Let go.", peer=host_id)
                 self._peers.forget(host_id)
-        if not rows_by_id:
+        if not rows:
             self.meet_seeds()
 
     @property
--- a/passtally/status.py
+++ b/passtally/status.py
@@ -8,7 +8,8 @@
 from passtally.catalog import Catalog
 from passtally.drain import Drain
 from passtally.fleet import Fleet
-from passtally.membership import Gossip, MemberView
+from passtally.member_table import MemberView
+from passtally.membership import Gossip
 from passtally.peers import Peers
 from passtally.routing import EndpointView
 
