--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -18,6 +18,7 @@
     Choose,
     RouteDecision,
     RouteQuery,
+    affinity_of,
     choose_endpoint,
     choose_replica,
 )
@@ -26,7 +27,6 @@
 #: How long an answer that has begun waits for an endpoint to go on with.
 RESUME_PATIENCE = timedelta(seconds=4)
 RESUME_POLL = timedelta(milliseconds=50)
-PREFIX_CHARACTERS = 256
 
 
 class NoPlaceError(Exception):
@@ -66,7 +66,9 @@
         self._choose = choose
         self._keeps_replicas = keeps_replicas
         self._survey = survey or Survey(fleet=fleet, is_needed=lambda: False)
-        self._prefixes = prefixes or PrefixFinder(fleet=fleet, clock=clock)
+        self._prefixes = prefixes or PrefixFinder(
+            fleet=fleet, clock=clock, failure_domain=failure_domain
+        )
         self._forecast = forecast or Forecast()
 
     async def place(self, generation: Generation, excluded: set[str]) -> str:
@@ -116,7 +118,7 @@
         return choose_replica(
             endpoint_id,
             RouteQuery(
-                affinity=_affinity(generation),
+                affinity=affinity_of(generation.request.prompt),
                 failure_domain=self._failure_domain,
                 exclude=excluded,
             ),
@@ -128,7 +130,7 @@
         request = generation.request
         return self._choose(
             RouteQuery(
-                affinity=_affinity(generation),
+                affinity=affinity_of(generation.request.prompt),
                 failure_domain=request.failure_domain or self._failure_domain,
                 exclude=excluded,
                 resume_tokens=count_resume_tokens(generation),
@@ -209,8 +211,3 @@
             position=generation.position,
             **fields,
         )
-
-
-def _affinity(generation: Generation) -> bytes:
-    """Return what decides where a prompt's prefix is likely cached."""
-    return generation.request.prompt[:PREFIX_CHARACTERS].encode()
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -133,6 +133,8 @@
 MAX_RANKED = 4
 #: Candidates named in a decision's log line.
 MAX_LOGGED = 4
+#: The part of a prompt that decides its affinity, in characters.
+PREFIX_CHARACTERS = 256
 #: Above this load an endpoint is passed over while another is below it.
 BUSY_LOAD = 0.8
 
@@ -173,7 +175,7 @@
         if view.failure_domain == query.failure_domain and view.load < BUSY_LOAD
     ]
     pool = local or with_room
-    ranked = sorted(pool, key=lambda view: _affinity_rank(query.affinity, view.id))
+    ranked = sorted(pool, key=lambda view: affinity_rank(query.affinity, view.id))
     bound = LOAD_BOUND * (sum(view.load for view in pool) / len(pool)) + SLACK
     compared = [view for view in ranked if view.load <= bound] or ranked
     choice = compared[0]
@@ -221,7 +223,7 @@
         shares_domain = view.failure_domain == domain
         is_far = view.failure_domain != query.failure_domain
         is_busy = view.load >= BUSY_LOAD
-        rank = _affinity_rank(query.affinity, view.id)
+        rank = affinity_rank(query.affinity, view.id)
         return shares_domain, view.is_shaky, is_busy, is_far, view.load, rank
 
     return min(usable, key=cost).id if usable else ""
@@ -248,7 +250,7 @@
         if overflow > 0:
             # It waits until runs have ended there, or makes one be read again.
             tokens += overflow + query.prompt_tokens
-        rank = _affinity_rank(query.affinity, view.id)
+        rank = affinity_rank(query.affinity, view.id)
         return round(tokens / EQUAL_TOKENS), rank
 
     ranked = sorted(usable, key=cost)
@@ -285,7 +287,7 @@
     def cost(view: EndpointView) -> tuple[float, bool, bytes]:
         is_far = view.failure_domain != query.failure_domain
         reading = view.resume_tokens / RESUME_BUDGET
-        return view.load + reading, is_far, _affinity_rank(query.affinity, view.id)
+        return view.load + reading, is_far, affinity_rank(query.affinity, view.id)
 
     choice = min(open_views, key=cost)
     return RouteDecision(
@@ -302,5 +304,11 @@
     return view.ejected_until is not None and view.ejected_until > now
 
 
-def _affinity_rank(affinity: bytes, endpoint_id: str) -> bytes:
+def affinity_of(prompt: str) -> bytes:
+    """Return what decides where a prompt's prefix is likely cached."""
+    return prompt[:PREFIX_CHARACTERS].encode()
+
+
+def affinity_rank(affinity: bytes, endpoint_id: str) -> bytes:
+    """Return an endpoint's place in the order that a prefix decides."""
     return hashlib.blake2b(endpoint_id.encode() + affinity, digest_size=8).digest()
