--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -23,6 +23,12 @@
 NEWS_INTERVAL = timedelta(milliseconds=300)
 #: Peers asked in each interval.
 FANOUT = 2
+#: Among so many hosts those of the own failure domain are asked first: bytes between
+#: failure domains are dear.
+MANY = 24
+#: The part of the rounds in which one of another failure domain is asked: 39 words a
+#: second come from each domain of 39 hosts while there is something to tell.
+FAR_PART = 0.3
 #: How often a peer is asked before it is suspected. Where 3 in 100 messages get lost,
 #: one in 5,000 questions ends in a wrong suspicion, and each is told to all hosts.
 TRIES = 3
@@ -93,8 +99,7 @@
     async def tell(self) -> None:
         """Ask a few random peers, and tell them what has changed."""
         self._update()
-        ids = self._peers.ids
-        chosen = self._rng.sample(ids, min(FANOUT, len(ids)))
+        chosen = choose_asked(self._peers.ids, self.table, self._rng)
         await asyncio.gather(*(self._ask(host_id) for host_id in chosen))
 
     def views(self) -> list[MemberView]:
@@ -175,3 +180,28 @@
         self.table.merge(message.rows, now)
         self.table.note_heard(message.rows[0].host_id, now)
         self._departures.merge(message.departures)
+
+
+def choose_asked(
+    host_ids: Sequence[str], table: MemberTable, rng: random.Random
+) -> list[str]:
+    """Choose whom to ask: among many mostly hosts of the own failure domain. Pure.
+
+    Args:
+        host_ids: The linked hosts.
+        table: What is known of them.
+        rng: Where the choice comes from.
+    """
+    near = [host_id for host_id in host_ids if _is_near(table, host_id)]
+    far = [host_id for host_id in host_ids if not _is_near(table, host_id)]
+    if len(table.in_reach()) < MANY or not near:
+        near, far = list(host_ids), []
+    chosen = rng.sample(near, min(FANOUT, len(near)))
+    if far and rng.random() < FAR_PART:
+        chosen[-1] = rng.choice(far)
+    return chosen
+
+
+def _is_near(table: MemberTable, host_id: str) -> bool:
+    row = table.find(host_id)
+    return row is not None and row.failure_domain == table.own.failure_domain
