--- a/bench/losses.py
+++ b/bench/losses.py
@@ -25,7 +25,6 @@
 _LINE = re.compile(r"\s*(-?[\d.]+) (\S+) (\{.*\})\s*$")
 _STREAMED = re.compile(r"first after (\d+) ms, longest pause (\d+) ms")
 _NUMBERS = re.compile(r"\d[\d:.]*")
-_FRONT = "passtally:front"
 _ROUTE = "passtally:route"
 _RETRY = "passtally:retry"
 
--- /dev/null
+++ b/passtally/connection_pool.py
@@ -0,0 +1,207 @@
+"""The connections to other processes, kept for further requests."""
+
+import asyncio
+from collections.abc import Mapping
+from datetime import timedelta
+from functools import partial
+from urllib.parse import urlencode, urlsplit
+
+import attrs
+
+from passtally.clock import Clock
+from passtally.fetch import Fetched, FetchError
+from passtally.http_client import (
+    ClientConnection,
+    ExchangeError,
+    ExchangeStep,
+    ResponseHead,
+)
+from passtally.http_server import RawHeaders
+from passtally.settings import Address, parse_address
+
+#: How long a connection may take to come up. Endpoints are a millisecond away; a
+#: full accept queue costs seconds, in which another endpoint answers.
+CONNECT_TIMEOUT = timedelta(milliseconds=150)
+#: How long the next part of an answer that is fetched whole may take. A store's largest
+#: value, 1 MB, takes 0.8 s of a link of 10 Mbit/s that has nothing else to carry: it is
+#: not given up while it comes.
+PART_TIMEOUT = timedelta(seconds=1)
+#: The longest answer that is fetched whole, in bytes; a store's pages have 1 MB.
+MAX_FETCHED = 16 << 20
+
+
+@attrs.frozen(kw_only=True)
+class WholeAnswer:
+    """An answer that was read to its end."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class ConnectionPool:
+    """The idle connections to each address.
+
+    Args:
+        clock: The clock.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._idle_by_address: dict[Address, list[ClientConnection]] = {}
+        self.opened = 0
+
+    async def take(self, address: Address) -> ClientConnection:
+        """Return an idle connection, or a new one.
+
+        Args:
+            address: The peer.
+
+        Raises:
+            ExchangeError: None came up.
+        """
+        idle = self._idle_by_address.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable:
+                return connection
+            connection.abort()
+        return await self.open(address)
+
+    async def open(
+        self, address: Address, *, timeout: timedelta = CONNECT_TIMEOUT
+    ) -> ClientConnection:
+        """Return a new connection.
+
+        Raises:
+            ExchangeError: None came up in time.
+        """
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(clock=self._clock),
+                    address.host,
+                    address.port,
+                )
+        except (OSError, TimeoutError) as error:
+            detail = str(error) or type(error).__name__
+            raise ExchangeError(ExchangeStep.CONNECT, detail) from error
+        return connection
+
+    async def exchange(
+        self,
+        address: Address,
+        method: bytes,
+        target: bytes,
+        headers: RawHeaders,
+        body: bytes,
+        *,
+        most: int,
+        timeout: timedelta,
+        part_timeout: timedelta | None = None,
+    ) -> "WholeAnswer":
+        """Send a request and read its whole answer.
+
+        Args:
+            address: The peer.
+            method: The method.
+            target: The path and query, byte for byte.
+            headers: The headers; the body's length is added.
+            body: The body.
+            most: The longest answer that is taken, in bytes.
+            timeout: The time limit for all of it.
+            part_timeout: How long each further part may take once the answer has
+                begun, beyond that limit; None for no longer.
+
+        Raises:
+            ExchangeError: No whole answer came.
+            TimeoutError: None came in time.
+        """
+        async with asyncio.timeout(timeout.total_seconds()) as limit:
+            extend = partial(_extend, limit, part_timeout or timedelta(0))
+            connection = await self.take(address)
+            try:
+                head = await connection.send(method, target, headers, body)
+                extend()
+                answer = await connection.read_all(most, on_part=extend)
+            except BaseException:
+                connection.abort()
+                raise
+        self.give_back(address, connection, head)
+        return WholeAnswer(head=head, body=answer)
+
+    def give_back(
+        self, address: Address, connection: ClientConnection, head: ResponseHead
+    ) -> None:
+        """Keep a connection whose answer was read whole, if it may be used again."""
+        if connection.rest(head.header(b"keep-alive")):
+            self._drop_unusable()
+            self._idle_by_address.setdefault(address, []).append(connection)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                connection.abort()
+        self._idle_by_address.clear()
+
+    def _drop_unusable(self) -> None:
+        """Close idle connections that are too old, so that they don't pile up."""
+        for address, idle in list(self._idle_by_address.items()):
+            usable = [connection for connection in idle if connection.is_usable]
+            for connection in idle:
+                if not connection.is_usable:
+                    connection.abort()
+            if usable:
+                self._idle_by_address[address] = usable
+            else:
+                del self._idle_by_address[address]
+
+
+class PoolFetcher:
+    """See :class:`passtally.fetch.Fetcher`.
+
+    Args:
+        pool: The connections.
+    """
+
+    def __init__(self, *, pool: ConnectionPool) -> None:
+        self._pool = pool
+
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        *,
+        timeout: timedelta,
+        params: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+        data: bytes = b"",
+    ) -> Fetched:
+        """Make one call."""
+        parts = urlsplit(url)
+        address = parse_address(parts.netloc)
+        target = f"{parts.path}?{urlencode(params)}" if params else parts.path
+        fields = {"Host": parts.netloc} | dict(headers or {})
+        sent = [(name.encode(), value.encode()) for name, value in fields.items()]
+        try:
+            answer = await self._pool.exchange(
+                address,
+                method.encode(),
+                target.encode(),
+                sent,
+                data,
+                most=MAX_FETCHED,
+                timeout=timeout,
+                part_timeout=PART_TIMEOUT,
+            )
+        except (ExchangeError, TimeoutError) as error:
+            raise FetchError(str(error) or "no answer in time") from error
+        return Fetched(status=answer.head.status, body=answer.body)
+
+
+def _extend(limit: asyncio.Timeout, part_timeout: timedelta) -> None:
+    """Let a time limit last until the next part is due, if it would end before."""
+    next_due = asyncio.get_running_loop().time() + part_timeout.total_seconds()
+    limit.reschedule(max(limit.when(), next_due))
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -11,7 +11,6 @@
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
-from passtally.forecast import Forecast
 from passtally.generation import Attempt, Generation, SeamError
 from passtally.live_endpoint import LiveEndpoint
 from passtally.metrics import Metric, Metrics, NoMetrics
@@ -61,11 +60,10 @@
     Args:
         fleet: The endpoints.
         clock: The clock.
-        placement: Chooses endpoints.
+        placement: Chooses endpoints, by the forecast that answers teach here.
         limits: Where resuming ends.
         budgets: How many repeats are left.
         linger: How long a left stream stays with its engine.
-        forecast: Learns how long answers take.
         metrics: Where metrics go.
     """
 
@@ -78,7 +76,6 @@
         limits: RetryLimits,
         budgets: Budgets,
         linger: timedelta = LINGER,
-        forecast: Forecast | None = None,
         metrics: Metrics | None = None,
     ) -> None:
         self._fleet = fleet
@@ -88,7 +85,7 @@
         self._budgets = budgets
         self._linger = linger
         self._metrics = metrics or NoMetrics()
-        self._forecast = forecast or Forecast()
+        self._forecast = placement.forecast
         self._quarantine = Quarantine(limits=limits)
         self._background: set[asyncio.Task[None]] = set()
 
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -13,6 +13,7 @@
 from passtally.budget_loans import BudgetLoans
 from passtally.catalog import Catalog
 from passtally.clock import Clock
+from passtally.connection_pool import ConnectionPool, PoolFetcher
 from passtally.decision import log_event
 from passtally.departures import Departures
 from passtally.dispatcher import Dispatcher
@@ -26,7 +27,6 @@
 from passtally.front import Front
 from passtally.gate import Gate
 from passtally.host_news import LoadBoard, NewsExchange
-from passtally.http_client import ConnectionPool, PoolFetcher
 from passtally.http_server import Exchange, Handle, HttpServer, ServerLimits
 from passtally.isolation import Isolation
 from passtally.member_table import MemberTable
@@ -364,7 +364,6 @@
             limits=RetryLimits(max_deaths=MAX_DEATHS),
             budgets=budgets,
             linger=timedelta(0),
-            forecast=forecast,
             metrics=self.metrics,
         )
         caller = PlainCaller(
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -7,22 +7,16 @@
 import asyncio
 import re
 import socket
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from enum import StrEnum
-from urllib.parse import urlencode, urlsplit
 
 import attrs
 import h11
 
 from passtally.clock import Clock
-from passtally.fetch import Fetched, FetchError
 from passtally.http_server import RawHeaders
-from passtally.settings import Address, parse_address
 
-#: How long a connection may take to come up. Endpoints are a millisecond away; a
-#: full accept queue costs seconds, in which another endpoint answers.
-CONNECT_TIMEOUT = timedelta(milliseconds=150)
 #: An idle connection is used again for this long, unless the peer says less.
 MAX_IDLE = timedelta(seconds=4)
 #: The part of the peer's own idle limit after which a connection is not used again.
@@ -32,13 +26,6 @@
 #: Unread input above which the peer is made to wait, in bytes.
 READ_HIGH_WATER = 256 * 1024
 
-#: How long the next part of an answer that is fetched whole may take. A store's largest
-#: value, 1 MB, takes 0.8 s of a link of 10 Mbit/s that has nothing else to carry: it is
-#: not given up while it comes.
-PART_TIMEOUT = timedelta(seconds=1)
-#: The longest answer that is fetched whole, in bytes; a store's pages have 1 MB.
-MAX_FETCHED = 16 << 20
-
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
@@ -273,137 +260,6 @@
         return ExchangeError(self._step, detail, is_garbled=is_garbled)
 
 
-class ConnectionPool:
-    """The idle connections to each address.
-
-    Args:
-        clock: The clock.
-    """
-
-    def __init__(self, *, clock: Clock) -> None:
-        self._clock = clock
-        self._idle_by_address: dict[Address, list[ClientConnection]] = {}
-        self.opened = 0
-
-    async def take(self, address: Address) -> ClientConnection:
-        """Return an idle connection, or a new one.
-
-        Args:
-            address: The peer.
-
-        Raises:
-            ExchangeError: None came up.
-        """
-        idle = self._idle_by_address.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable:
-                return connection
-            connection.abort()
-        return await self.open(address)
-
-    async def open(
-        self, address: Address, *, timeout: timedelta = CONNECT_TIMEOUT
-    ) -> ClientConnection:
-        """Return a new connection.
-
-        Raises:
-            ExchangeError: None came up in time.
-        """
-        loop = asyncio.get_running_loop()
-        self.opened += 1
-        try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(clock=self._clock),
-                    address.host,
-                    address.port,
-                )
-        except (OSError, TimeoutError) as error:
-            detail = str(error) or type(error).__name__
-            raise ExchangeError(ExchangeStep.CONNECT, detail) from error
-        return connection
-
-    def give_back(
-        self, address: Address, connection: ClientConnection, head: ResponseHead
-    ) -> None:
-        """Keep a connection whose answer was read whole, if it may be used again."""
-        if connection.rest(head.header(b"keep-alive")):
-            self._drop_unusable()
-            self._idle_by_address.setdefault(address, []).append(connection)
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle_by_address.values():
-            for connection in idle:
-                connection.abort()
-        self._idle_by_address.clear()
-
-    def _drop_unusable(self) -> None:
-        """Close idle connections that are too old, so that they don't pile up."""
-        for address, idle in list(self._idle_by_address.items()):
-            usable = [connection for connection in idle if connection.is_usable]
-            for connection in idle:
-                if not connection.is_usable:
-                    connection.abort()
-            if usable:
-                self._idle_by_address[address] = usable
-            else:
-                del self._idle_by_address[address]
-
-
-class PoolFetcher:
-    """See :class:`passtally.fetch.Fetcher`.
-
-    Args:
-        pool: The connections.
-    """
-
-    def __init__(self, *, pool: ConnectionPool) -> None:
-        self._pool = pool
-
-    async def fetch(
-        self,
-        method: str,
-        url: str,
-        *,
-        timeout: timedelta,
-        params: Mapping[str, str] | None = None,
-        headers: Mapping[str, str] | None = None,
-        data: bytes = b"",
-    ) -> Fetched:
-        """Make one call."""
-        parts = urlsplit(url)
-        address = parse_address(parts.netloc)
-        target = f"{parts.path}?{urlencode(params)}" if params else parts.path
-        fields = {"Host": parts.netloc} | dict(headers or {})
-        sent = [(name.encode(), value.encode()) for name, value in fields.items()]
-        try:
-            async with asyncio.timeout(timeout.total_seconds()) as limit:
-                connection = await self._pool.take(address)
-                try:
-                    head = await connection.send(
-                        method.encode(), target.encode(), sent, data
-                    )
-                    _extend(limit)
-                    body = await connection.read_all(
-                        MAX_FETCHED, on_part=lambda: _extend(limit)
-                    )
-                except BaseException:
-                    connection.abort()
-                    raise
-        except (ExchangeError, TimeoutError) as error:
-            raise FetchError(str(error) or "no answer in time") from error
-        self._pool.give_back(address, connection, head)
-        return Fetched(status=head.status, body=body)
-
-
-def _extend(limit: asyncio.Timeout) -> None:
-    """Let a time limit last until the next part is due, if it would end before."""
-    next_due = asyncio.get_running_loop().time() + PART_TIMEOUT.total_seconds()
-    limit.reschedule(max(limit.when(), next_due))
-
-
 def _to_head(response: h11.Response) -> ResponseHead:
     lengths = (b"content-length", b"transfer-encoding")
     is_framed = any(name in lengths for name, _ in response.headers)
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -45,7 +45,7 @@
             each other's runs.
         survey: Asks the best candidates for a prompt what waits there.
         prefixes: Finds where the prompt of an answer that is taken up is kept.
-        forecast: Tells what an answer still needs.
+        forecast: Tells what an answer still needs; who runs answers teaches it.
     """
 
     def __init__(
@@ -69,7 +69,7 @@
         self._prefixes = prefixes or PrefixFinder(
             fleet=fleet, clock=clock, failure_domain=failure_domain
         )
-        self._forecast = forecast or Forecast()
+        self.forecast = forecast or Forecast()
 
     async def place(self, generation: Generation, excluded: set[str]) -> str:
         """Choose an endpoint, and wait for one a while where there is none.
@@ -173,7 +173,7 @@
         if request.deadline is None:
             return
         left = request.deadline - self._clock.monotonic()
-        needed = self._forecast.least_time(
+        needed = self.forecast.least_time(
             request.service,
             tokens=count_reading_tokens(generation),
             position=generation.position,
@@ -191,7 +191,7 @@
             return
         ahead = self._fleet.view(endpoint_id).reading_tokens
         tokens = ahead + count_reading_tokens(generation)
-        needed = self._forecast.reading_time(request.service, tokens)
+        needed = self.forecast.reading_time(request.service, tokens)
         if needed > request.target:
             raise NoPlaceError(f"its first output would take {needed} at least")
 
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from passtally.clock import Clock
+from passtally.connection_pool import ConnectionPool
 from passtally.fetch import Fetcher
 from passtally.front import Front
-from passtally.http_client import ConnectionPool
 from passtally.http_server import Handle
 from passtally.object_store import StoredObject
 from passtally.objects import Endpoint
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -6,11 +6,11 @@
 from multidict import CIMultiDict
 
 from passtally.clock import Clock
+from passtally.connection_pool import ConnectionPool
 from passtally.decision import log_event
 from passtally.engine import AttemptLostError, LoadReport
 from passtally.generation import Attempt, GenerationRequest
 from passtally.http_client import (
-    ConnectionPool,
     ExchangeError,
     RawHeaders,
     drop_connection_headers,
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -1,13 +1,12 @@
 """Sends requests to one endpoint and checks that the answers are its own."""
 
-import asyncio
 from datetime import timedelta
 
 from passtally.clock import Clock
+from passtally.connection_pool import ConnectionPool
 from passtally.engine import AttemptLostError
 from passtally.http_client import (
     ClientConnection,
-    ConnectionPool,
     ExchangeError,
     ExchangeStep,
     RawHeaders,
@@ -118,24 +117,25 @@
         if names_endpoint:
             headers.append((b"X-Expect-Instance", self.endpoint_id.encode()))
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                connection = await self._pool.take(address)
-                try:
-                    head = await connection.send(method, path, headers, body)
-                    answer = await connection.read_all(MAX_ORDER_BYTES)
-                except BaseException:
-                    connection.abort()
-                    raise
+            answer = await self._pool.exchange(
+                address,
+                method,
+                path,
+                headers,
+                body,
+                most=MAX_ORDER_BYTES,
+                timeout=timeout,
+            )
         except ExchangeError as error:
             raise self.lost_in_exchange(error) from error
         except TimeoutError as error:
             raise self.lost(LossKind.FROZEN, "no answer in time") from error
-        self._pool.give_back(address, connection, head)
+        head = answer.head
         if head.status == 421:
             raise self._replaced(head)
         if head.status != 200:
             raise self.lost(LossKind.REFUSED, f"status {head.status}")
-        return answer
+        return answer.body
 
     async def is_reachable(self) -> bool:
         """Return whether the endpoint accepts a connection."""
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -8,14 +8,13 @@
 
 import pytest
 
-from passtally import http_client
+from passtally import connection_pool
 from passtally.clock import SystemClock
+from passtally.connection_pool import ConnectionPool, PoolFetcher
 from passtally.fetch import FetchError
 from passtally.http_client import (
-    ConnectionPool,
     ExchangeError,
     ExchangeStep,
-    PoolFetcher,
     drop_connection_headers,
 )
 from passtally.settings import Address
@@ -276,7 +275,9 @@
         run(peer, test)
 
     def test_a_body_that_stops_is_given_up(self, monkeypatch):
-        monkeypatch.setattr(http_client, "PART_TIMEOUT", timedelta(milliseconds=200))
+        monkeypatch.setattr(
+            connection_pool, "PART_TIMEOUT", timedelta(milliseconds=200)
+        )
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"
         peer = SlowPeer(head, b"ab")
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -426,7 +426,6 @@
                 clock=self.clock,
             ),
             linger=timedelta(0),
-            forecast=forecast,
         )
         self.sink = ByteSink()
 
