--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -309,7 +309,7 @@
             rng=random.Random(),
             relist_pause=lambda: RELIST_PAUSE,
             wait=WATCH_WAIT_PART * self.settings.apply_within,
-            pause=GATHER_FOR,
+            pause=GATHER_PART * self.settings.apply_within,
             last_retry=LAST_RETRY,
         )
 
