--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -52,9 +52,10 @@
 #: A store that compacts its history lets watches hear nothing, and does not always
 #: cut them, so a quiet watch is renewed in time to list and apply what it missed.
 WATCH_WAIT_PART = 0.6
-#: How long changes are gathered before the next watch asks for more. Endpoints come
-#: and go by the dozen, each on its own; a change must be known in two seconds.
-GATHER_FOR = timedelta(milliseconds=250)
+#: The part of that time for which changes are gathered before the next watch asks for
+#: them. Endpoints come and go by the dozen, each on its own, and each watch that they
+#: wake is paid for: of 2,035 to 3,418 calls a day of 74 hosts some 500 were listings.
+GATHER_PART = 0.125
 #: The longest pause between two tries to reach the store. The users count a store as
 #: back three seconds after its return; a change must be in force two seconds later.
 LAST_RETRY = timedelta(milliseconds=800)
