--- a/passtally/departures.py
+++ b/passtally/departures.py
@@ -18,8 +18,10 @@
 
 LIST_INTERVAL = timedelta(seconds=10)
 LEAVING = "leaving"
-#: Departures told to peers in one message, the newest first.
+#: Departures told to peers in one message, those told least first.
 MAX_TOLD = 10
+#: While one was told fewer times than this, peers are told at shorter intervals.
+TOLD_SOON = 16
 
 
 class Departures:
@@ -27,26 +29,37 @@
 
     def __init__(self) -> None:
         self._incarnations_by_id: dict[str, int] = {}
+        self._told_by_id: dict[str, int] = {}
 
     def note(self, endpoint_id: str, incarnation: int, *, channel: str) -> None:
         """Take in that one incarnation of an endpoint is leaving."""
         known = self._incarnations_by_id.get(endpoint_id, -1)
         if incarnation <= known:
             return
-        self._incarnations_by_id.pop(endpoint_id, None)
         self._incarnations_by_id[endpoint_id] = incarnation
+        self._told_by_id[endpoint_id] = 0
         log_event("departures", "Leaving.", peer=endpoint_id, channel=channel)
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether this incarnation of an endpoint is leaving."""
         return self._incarnations_by_id.get(endpoint.id, -1) >= endpoint.incarnation
 
-    def rows(self) -> list[DepartureRow]:
-        """Return the newest departures, to tell peers."""
-        newest = list(self._incarnations_by_id.items())[-MAX_TOLD:]
+    @property
+    def has_news(self) -> bool:
+        """Whether peers have hardly been told of some departure."""
+        return any(told < TOLD_SOON for told in self._told_by_id.values())
+
+    def take_rows(self) -> list[DepartureRow]:
+        """Return departures to tell peers, and count them as told."""
+        chosen = sorted(self._told_by_id, key=self._told_by_id.__getitem__)[:MAX_TOLD]
+        for endpoint_id in chosen:
+            self._told_by_id[endpoint_id] += 1
         return [
-            DepartureRow(endpoint_id=endpoint_id, incarnation=incarnation)
-            for endpoint_id, incarnation in newest
+            DepartureRow(
+                endpoint_id=endpoint_id,
+                incarnation=self._incarnations_by_id[endpoint_id],
+            )
+            for endpoint_id in chosen
         ]
 
     def merge(self, rows: Iterable[DepartureRow]) -> None:
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -167,6 +167,9 @@
         self.drain = Drain(max_open=settings.max_streams)
         self.catalog = Catalog()
         self.routes = RoutesInForce()
+        #: Endpoints that ended for good, which hosts tell each other: a replica there
+        #: is lost, also while the platform can't say so.
+        self.departures = Departures()
         self.pool = ConnectionPool(clock=clock)
         #: Set once the routes and some endpoints are known.
         self._learned = asyncio.Event()
@@ -245,6 +248,7 @@
         self._build_links()
         self.board = LoadBoard()
         self.fleet = Fleet(
+            departures=self.departures,
             others_load=self.board.load,
             on_successor=self._meet_successor,
             catalog=self.catalog,
@@ -294,7 +298,7 @@
             peers=self.peers,
             clock=self.clock,
             rng=random.Random(),
-            departures=Departures(),
+            departures=self.departures,
         )
         self.roster = Roster(
             seeds=settings.seeds, table=table, peers=self.peers, clock=self.clock
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -50,8 +50,12 @@
 class DepartureNews(Protocol):
     """The departures that are spread along."""
 
-    def rows(self) -> list[DepartureRow]:
-        """Return the newest ones."""
+    @property
+    def has_news(self) -> bool:
+        """Whether peers have hardly been told of some departure."""
+
+    def take_rows(self) -> list[DepartureRow]:
+        """Return some to tell, and count them as told."""
 
     def merge(self, rows: Sequence[DepartureRow]) -> None:
         """Take in what a peer tells."""
@@ -92,7 +96,7 @@
     async def run(self) -> None:
         """Ask and tell a few peers, every interval, for ever."""
         while True:
-            has_news = self.table.has_news
+            has_news = self.table.has_news or self._departures.has_news
             await self._clock.sleep(NEWS_INTERVAL if has_news else GOSSIP_INTERVAL)
             await self.tell()
 
@@ -145,7 +149,7 @@
         rows_by_id.pop(self.table.own.host_id, None)
         return Hello(
             rows=[self.table.own, *rows_by_id.values()],
-            departures=self._departures.rows(),
+            departures=self._departures.take_rows(),
             known=len(self.table.in_reach()),
         )
 
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -153,12 +153,13 @@
         self.fleet = fleet
         self.links = Links(fleet=fleet, host_id=own.host_id)
         self.table = MemberTable(own=own)
+        self.departures = Departures()
         self.gossip = Gossip(
             table=self.table,
             peers=self.links,
             clock=fleet.clock,
             rng=random.Random(own.host_id),
-            departures=Departures(),
+            departures=self.departures,
         )
         seeds = [parse_address(item.address) for item in fleet.rows[: fleet.SEEDS]]
         self.roster = Roster(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -39,9 +39,9 @@
     )
 
 
-def make_endpoint(incarnation: int = 0) -> Endpoint:
+def make_endpoint(incarnation: int = 0, *, id: str = "r") -> Endpoint:
     return Endpoint(
-        id="r",
+        id=id,
         service="s",
         url="http://r",
         failure_domain="p",
@@ -216,6 +216,29 @@
 
         run_virtually(test())
 
+    def test_endpoints_that_ended_are_known_to_all_soon(self):
+        # Sixteen are taken away while the platform can't say so; one host or another
+        # is told by their addresses' new owners.
+        async def test() -> None:
+            fleet = Fleet(hosts=74, domains=4)
+            fleet.start(fleet.rows)
+            fleet.know_all()
+            ended = [make_endpoint(id=f"e{number}") for number in range(16)]
+            for number, endpoint in enumerate(ended):
+                node = fleet.nodes[number % 5]
+                node.departures.note(endpoint.id, 0, channel="its address")
+
+            def all_told() -> bool:
+                return all(
+                    node.departures.is_leaving(endpoint)
+                    for node in fleet.nodes
+                    for endpoint in ended
+                )
+
+            assert await fleet.wait_until(all_told, limit=20) <= 6
+
+        run_virtually(test())
+
     def test_all_start_at_once_and_a_quarter_joins(self):
         async def test() -> None:
             fleet = Fleet(hosts=195, domains=5)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -9,12 +9,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from passtally.departures import Departures
 from passtally.dispatcher import Dispatcher
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.forecast import LEAST_SEEN, Forecast
 from passtally.generation import Attempt, Generation, GenerationRequest, TokenEvent
-from passtally.messages import TokenLoad
+from passtally.messages import DepartureRow, TokenLoad
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.outcome import Outcome, RefusedError
 from passtally.placement import Placement
@@ -396,10 +397,12 @@
         self.successors: list[str] = []
         #: What other hosts' runs take at each endpoint.
         self.others_load = TokenLoad()
+        self.departures = Departures()
         self.fleet = Fleet(
             catalog=self.catalog,
             clock=self.clock,
             connect=self.engines.connect,
+            departures=self.departures,
             bounds_by_phase=BOUNDS,
             capacity_of=lambda service: 55_000,
             others_load=lambda endpoint_id: self.others_load,
@@ -511,6 +514,25 @@
 
         run_virtually(test())
 
+    def test_word_that_the_replicas_endpoint_ended_brings_a_copy(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            keeper = world.keeper()
+            keeper.die()
+            row = DepartureRow(endpoint_id=keeper.name, incarnation=0)
+            world.departures.merge([row])
+            while not first.copies:
+                assert not task.done()
+                await asyncio.sleep(0.01)
+            first.die()
+            await task
+            assert world.sink.data == WHOLE
+            assert world.engines.read_prompts == 1
+
+        run_virtually(test())
+
     def test_a_lost_copy_is_replaced_without_waiting_for_its_renewal(self):
         async def test() -> None:
             world = World()
