--- a/passtally/member_table.py
+++ b/passtally/member_table.py
@@ -87,6 +87,8 @@
         self.revision = 0
         self._suspect_for = suspect_for
         self._known_by_id: dict[str, _Known] = {}
+        #: The hosts that are suspected or gone; few, so that looking at them is cheap.
+        self._failing_ids: set[str] = set()
         #: How many times each change was told, by the host that it is about.
         self._told_by_id: dict[str, int] = {own.host_id: 0}
 
@@ -132,12 +134,14 @@
 
     def expire(self, now: timedelta) -> None:
         """Give up hosts that were suspected for long, and forget those long gone."""
-        for host_id, known in list(self._known_by_id.items()):
+        for host_id in list(self._failing_ids):
+            known = self._known_by_id[host_id]
             lasted = now - known.state_since
             if known.row.state == MemberState.SUSPECT and lasted >= self._suspect_for:
                 self._change(known.row, MemberState.GONE, now)
             elif known.row.state == MemberState.GONE and lasted >= FORGET_AFTER:
                 del self._known_by_id[host_id]
+                self._failing_ids.discard(host_id)
                 self._told_by_id.pop(host_id, None)
                 self.revision += 1
 
@@ -173,14 +177,20 @@
         known = self._known_by_id.get(host_id)
         return known.row if known is not None else None
 
+    def count_in_reach(self) -> int:
+        """Return how many other hosts are in reach."""
+        return len(self._known_by_id) - len(self.gone())
+
     def in_reach(self) -> list[MemberRow]:
         """Return the rows of the other hosts that are in reach."""
         rows = [known.row for known in self._known_by_id.values()]
+        if not self._failing_ids:
+            return rows
         return [row for row in rows if row.state != MemberState.GONE]
 
     def gone(self) -> list[MemberRow]:
         """Return the rows of the hosts that were found gone not long ago."""
-        rows = [known.row for known in self._known_by_id.values()]
+        rows = [self._known_by_id[host_id].row for host_id in self._failing_ids]
         return [row for row in rows if row.state == MemberState.GONE]
 
     def views(self, names: Collection[str], now: timedelta) -> list[MemberView]:
@@ -215,13 +225,20 @@
 
     def _put(self, row: MemberRow, now: timedelta) -> None:
         self._known_by_id[row.host_id] = _Known(row=row, heard_at=now, state_since=now)
-        self._told_by_id[row.host_id] = 0
-        self.revision += 1
+        self._note_state(row)
 
     def _change(self, row: MemberRow, state: MemberState, now: timedelta) -> None:
         known = self._known_by_id[row.host_id]
         known.row = msgspec.structs.replace(row, state=state)
         known.state_since = now
+        self._note_state(known.row)
+
+    def _note_state(self, row: MemberRow) -> None:
+        """Take in that a host has a new row, which is to be told."""
+        if row.state == MemberState.ALIVE:
+            self._failing_ids.discard(row.host_id)
+        else:
+            self._failing_ids.add(row.host_id)
         self._told_by_id[row.host_id] = 0
         self.revision += 1
 
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -150,7 +150,7 @@
         return Hello(
             rows=[self.table.own, *rows_by_id.values()],
             departures=self._departures.take_rows(),
-            known=len(self.table.in_reach()),
+            known=self.table.count_in_reach(),
         )
 
     async def _answer(self, message: Hello) -> Hello:
@@ -164,7 +164,7 @@
 
     def _should_tell_all(self, message: Hello) -> bool:
         """Return whether the asker knows few hosts, and its turn has come."""
-        if 2 * message.known >= len(self.table.in_reach()):
+        if 2 * message.known >= self.table.count_in_reach():
             return False
         is_near = message.rows[0].failure_domain == self.table.own.failure_domain
         if not is_near and message.known > FEW:
@@ -198,7 +198,7 @@
     """
     near = [host_id for host_id in host_ids if _is_near(table, host_id)]
     far = [host_id for host_id in host_ids if not _is_near(table, host_id)]
-    if len(table.in_reach()) < MANY or not near:
+    if table.count_in_reach() < MANY or not near:
         near, far = list(host_ids), []
     chosen = rng.sample(near, min(FANOUT, len(near)))
     if far and rng.random() < FAR_PART:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -147,6 +147,7 @@
             fleet.know_all()
             for node in fleet.nodes:
                 del node.table._known_by_id[fleet.rows[-1].host_id]
+                node.table.revision += 1
             fleet.start(fleet.rows[-1:])
             limit = 8
             took = await fleet.wait_until(
