--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -91,20 +91,40 @@
         self._clock = clock
         self._rng = rng
         self._full_answers_at: list[timedelta] = []
+        #: The questions that are under way.
+        self._asked: dict[str, asyncio.Task[None]] = {}
         peers.on(Hello, self._answer)
 
     async def run(self) -> None:
         """Ask and tell a few peers, every interval, for ever."""
-        while True:
-            has_news = self.table.has_news or self._departures.has_news
-            await self._clock.sleep(NEWS_INTERVAL if has_news else GOSSIP_INTERVAL)
-            await self.tell()
+        try:
+            while True:
+                has_news = self.table.has_news or self._departures.has_news
+                await self._clock.sleep(NEWS_INTERVAL if has_news else GOSSIP_INTERVAL)
+                await self.tell()
+        finally:
+            for task in list(self._asked.values()):
+                task.cancel()
 
     async def tell(self) -> None:
-        """Ask a few random peers, and tell them what has changed."""
+        """Ask a few random peers, and tell them what has changed.
+
+        Waits for their answers, but not long for one that does not come: the others
+        are met meanwhile.
+        """
         self._update()
-        chosen = choose_asked(self._peers.ids, self.table, self._rng)
-        await asyncio.gather(*(self._ask(host_id) for host_id in chosen))
+        free = [host_id for host_id in self._peers.ids if host_id not in self._asked]
+        chosen = choose_asked(free, self.table, self._rng)
+        if not chosen:
+            return
+        for host_id in chosen:
+            task = asyncio.create_task(self._ask(host_id))
+            self._asked[host_id] = task
+            task.add_done_callback(lambda _, name=host_id: self._asked.pop(name))
+        await asyncio.wait(
+            [self._asked[host_id] for host_id in chosen],
+            timeout=NEWS_INTERVAL.total_seconds(),
+        )
 
     def views(self) -> list[MemberView]:
         """Return what is known of all hosts."""
