--- a/passtally/budget_loans.py
+++ b/passtally/budget_loans.py
@@ -2,7 +2,7 @@
 
 The budget of a service is shared by all hosts. Among 195 of them a host sees one stream
 in ten seconds, which earns it 0.8 of a repeat: a stream that is lost twice would end,
-while all hosts together use a tenth of what they may.
+while all hosts together use an eighth of what they may.
 """
 
 import random
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -30,7 +30,7 @@
     is_death,
     is_gone,
 )
-from passtally.retry_budget import Budgets
+from passtally.retry_budget import Budgets, take_repeat
 
 #: How long a stream is left with its engine for a caller to reconnect.
 LINGER = timedelta(seconds=2)
@@ -306,12 +306,13 @@
 
     async def _may_repeat(self, generation: Generation) -> bool:
         """Take a repeat, or a resume, from the budget, or from other hosts'."""
-        budgets, request = self._budgets, generation.request
-        is_resume = generation.delivered > 0
-        take = budgets.try_resume if is_resume else budgets.try_spend
-        if take(request.workspace, service=request.service):
-            return True
-        return await budgets.borrow(service=request.service, is_resume=is_resume)
+        request = generation.request
+        return await take_repeat(
+            self._budgets,
+            request.workspace,
+            service=request.service,
+            is_resume=generation.delivered > 0,
+        )
 
     def _give_up(
         self, generation: Generation, progress: _Progress, reason: str
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -1,8 +1,9 @@
 """Asks other hosts whether they are there, and spreads what has changed.
 
-Each host asks a few of the hosts that it is linked to. One that does not answer twice
-is suspected; word of it spreads with the questions and answers, and the suspected host
-contradicts it when it hears of it (the SWIM protocol, over the links that there are).
+Each host asks a few of the hosts that it is linked to. One that does not answer three
+times is suspected; word of it spreads with the questions and answers, and the suspected
+host contradicts it when it hears of it (the SWIM protocol, over the links that there
+are).
 Nothing is agreed by it.
 """
 
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -16,7 +16,7 @@
 from passtally.objects import Service
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.retry import UNRUN_KINDS, LossKind
-from passtally.retry_budget import Budgets
+from passtally.retry_budget import Budgets, take_repeat
 from passtally.routing import RouteQuery, choose_endpoint
 
 CALL_TIMEOUT = timedelta(seconds=30)
@@ -184,10 +184,9 @@
             return False
         if failure.failure.step == UNSENT_STEP:
             return True
-        service = call.service.id
-        if self._budgets.try_spend(call.workspace, service=service):
-            return True
-        return await self._budgets.borrow(service=service, is_resume=False)
+        return await take_repeat(
+            self._budgets, call.workspace, service=call.service.id, is_resume=False
+        )
 
     def _route(self, call: PlainCall, excluded: set[str]) -> str | None:
         decision = choose_endpoint(
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -31,6 +31,23 @@
         """Take a repeat or a resume with the help of what other hosts have left."""
 
 
+async def take_repeat(
+    budgets: Budgets, workspace: str, *, service: str, is_resume: bool
+) -> bool:
+    """Take a repeat or a resume, from the own part or with what others have left.
+
+    Args:
+        budgets: How many are left.
+        workspace: Whose request it is.
+        service: The service.
+        is_resume: Whether its answer has begun.
+    """
+    take = budgets.try_resume if is_resume else budgets.try_spend
+    if take(workspace, service=service):
+        return True
+    return await budgets.borrow(service=service, is_resume=is_resume)
+
+
 @attrs.define(kw_only=True)
 class RetryBudget:
     """The repeats that one workspace, service or failure domain may still make.
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -80,12 +80,6 @@
     behind_since: timedelta | None = None
 
 
-@attrs.frozen(kw_only=True)
-class _Heard:
-    versions_by_prefix: Mapping[str, int]
-    at: timedelta
-
-
 class WatchShare:
     """Keeps views up to date, from the platform or from peers.
 
@@ -119,7 +113,8 @@
         self._roster = roster
         self._clock = clock
         self._reach_changed = reach_changed
-        self._heard_by_host: dict[str, _Heard] = {}
+        #: When each host was last heard to watch.
+        self._watching_at_by_host: dict[str, timedelta] = {}
         #: What hosts of this domain were last heard to know, watching or not.
         self._versions_by_host: dict[str, Mapping[str, int]] = {}
         self._fetching: set[str] = set()
@@ -245,9 +240,7 @@
     def _hear_beat(self, beat: ViewBeat) -> None:
         self._note_versions(beat.host_id, beat.versions_by_prefix)
         if beat.is_watching:
-            self._heard_by_host[beat.host_id] = _Heard(
-                versions_by_prefix=beat.versions_by_prefix, at=self._clock.monotonic()
-            )
+            self._watching_at_by_host[beat.host_id] = self._clock.monotonic()
 
     def _note_versions(self, host_id: str, versions: Mapping[str, int]) -> None:
         known = self._versions_by_host.get(host_id, {})
@@ -406,8 +399,8 @@
     def _watching(self, now: timedelta) -> list[str]:
         return [
             host_id
-            for host_id, heard in self._heard_by_host.items()
-            if now - heard.at < BEAT_TIMEOUT
+            for host_id, heard_at in self._watching_at_by_host.items()
+            if now - heard_at < BEAT_TIMEOUT
         ]
 
     def _neighbours(self) -> list[str]:
--- a/tests/test_service_budgets.py
+++ b/tests/test_service_budgets.py
@@ -9,7 +9,7 @@
 
 from passtally.clock import ManualClock
 from passtally.front_host import BUDGET_WARM_UP, MIN_BUDGET_HOSTS
-from passtally.retry_budget import ServiceBudgets
+from passtally.retry_budget import ServiceBudgets, take_repeat
 from standins.virtual import run_virtually
 from tests.gossip_fleet import Fleet, Node
 
@@ -121,10 +121,7 @@
 
 async def take(budgets: ServiceBudgets, *, is_resume: bool) -> bool:
     """Take a repeat as requests do: from the own part, or borrowed."""
-    own = budgets.try_resume if is_resume else budgets.try_spend
-    if own("w", service="s"):
-        return True
-    return await budgets.borrow(service="s", is_resume=is_resume)
+    return await take_repeat(budgets, "w", service="s", is_resume=is_resume)
 
 
 def make_started(node: Node, *, like: ServiceBudgets | None = None) -> ServiceBudgets:
