Let only the end that opened a link ask whether it lives

Cause: both ends of each of a host's 26 links asked each second and were answered, 104 messages a second, each a wake-up of an idle host. Ruled out: longer intervals at the end that opens a link (a cut would be seen later).

--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -27,6 +27,12 @@
 #: milliseconds.
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 1500
+#: The same where other hosts' links come in, in milliseconds. Whoever opened a link
+#: sees to it; here its end is only noted, so that a link whose host is gone is closed.
+#: With both ends asking each second, a host with 26 links sent and heard 104 of these
+#: a second, each a wake-up.
+INCOMING_HEARTBEAT_MS = 10_000
+INCOMING_TIMEOUT_MS = 15_000
 #: How long a link may take to come up before it is tried anew, in milliseconds. Left
 #: to itself TCP asks a host that was cut off after 1, 3, 7 and 15 seconds only.
 CONNECT_TIMEOUT_MS = 300
@@ -115,6 +121,8 @@
     def start(self) -> None:
         """Listen, and open a link to each peer."""
         router = self._open(zmq.ROUTER)
+        router.setsockopt(zmq.HEARTBEAT_IVL, INCOMING_HEARTBEAT_MS)
+        router.setsockopt(zmq.HEARTBEAT_TIMEOUT, INCOMING_TIMEOUT_MS)
         router.bind(f"tcp://{self._listen}")
         self._spawn(self._serve(router))
         for peer in self._peers_by_id.values():
--- /dev/null
+++ b/tests/test_idle_hosts.py
@@ -0,0 +1,147 @@
+"""What a host does while nothing is asked of it.
+
+The pattern: among hundreds of hosts nearly all are idle nearly always, on half a core
+each that is paid for. What they do then, they all do: wake-ups of one host count 195
+times, or 330.
+"""
+
+import asyncio
+from datetime import timedelta
+from types import SimpleNamespace
+
+from passtally.fleet import Capacity, Fleet
+from passtally.gate import Gate
+from passtally.messages import ConfigChanges, FetchConfig
+from passtally.peers import HEARTBEAT_MS
+from passtally.settings import Address, PeerAddress
+from standins.virtual import VirtualClock, run_virtually
+from tests.fakes import make_catalog
+from tests.platform_system import free_ports
+from tests.test_admission import ask_for
+from tests.test_peers import answer, make_peers
+
+SECONDS = 10
+
+
+class CountingClock(VirtualClock):
+    """Counts how often it was slept on."""
+
+    def __init__(self) -> None:
+        self.sleeps = 0
+
+    async def sleep(self, duration: timedelta) -> None:
+        self.sleeps += 1
+        await super().sleep(duration)
+
+
+def count_sleeps(make_work) -> float:
+    """Return how often a task sleeps in a second of virtual time."""
+
+    async def main() -> float:
+        clock = CountingClock()
+        task = asyncio.create_task(make_work(clock))
+        await asyncio.sleep(SECONDS)
+        task.cancel()
+        return clock.sleeps / SECONDS
+
+    return run_virtually(main())
+
+
+class TestSilence:
+    def make_fleet(self, clock) -> Fleet:
+        return Fleet(catalog=make_catalog([]), clock=clock, connect=None)
+
+    def test_without_streams_a_host_hardly_looks(self):
+        assert count_sleeps(lambda clock: self.make_fleet(clock).watch_silence()) < 5
+
+    def test_with_a_stream_it_looks_each_50_ms(self):
+        def watch(clock):
+            fleet = self.make_fleet(clock)
+            live = SimpleNamespace(
+                guards={"one"},
+                check_silence=lambda now: None,
+                excuse_silence=lambda now: None,
+            )
+            fleet._live_by_id["i"] = live
+            return fleet.watch_silence()
+
+        assert count_sleeps(watch) > 19
+
+
+class TestGate:
+    def test_it_looks_only_while_requests_wait(self):
+        async def main() -> None:
+            clock = CountingClock()
+            fleet = SimpleNamespace(
+                service_capacity=lambda name: Capacity(places=1, taken=1)
+            )
+            gate = Gate(fleet=fleet, clock=clock)
+            running = asyncio.create_task(gate.run())
+            await asyncio.sleep(SECONDS)
+            assert clock.sleeps == 0
+
+            async def enter() -> None:
+                async with gate.enter("s", ask_for()):
+                    pass
+
+            entering = asyncio.create_task(enter())
+            await asyncio.sleep(1)
+            assert clock.sleeps > 10
+            entering.cancel()
+            await asyncio.sleep(1)
+            looks = clock.sleeps
+            await asyncio.sleep(SECONDS)
+            assert clock.sleeps == looks
+            running.cancel()
+
+        run_virtually(main())
+
+
+class TestLinks:
+    def test_only_the_end_that_opened_a_link_asks_whether_it_lives(self):
+        async def main() -> None:
+            port_a, port_b, port_between = free_ports(3)
+            sent_at: list[float] = []
+            loop = asyncio.get_running_loop()
+
+            async def carry(reader, writer, note) -> None:
+                while data := await reader.read(65536):
+                    note()
+                    writer.write(data)
+                writer.close()
+
+            async def relay(reader, writer) -> None:
+                far_reader, far_writer = await asyncio.open_connection(
+                    "127.0.0.1", port_b
+                )
+                await asyncio.gather(
+                    carry(reader, far_writer, lambda: None),
+                    carry(far_reader, writer, lambda: sent_at.append(loop.time())),
+                )
+
+            first, second = make_peers("a", port_a), make_peers("b", port_b)
+            second.on(FetchConfig, answer)
+            first.start()
+            second.start()
+            between = await asyncio.start_server(relay, "127.0.0.1", port_between)
+            first.meet(
+                PeerAddress(
+                    host_id="b",
+                    failure_domain="pilar",
+                    address=Address(host="127.0.0.1", port=port_between),
+                )
+            )
+            asked = await first.ask(
+                "b", FetchConfig(after=0), timeout=timedelta(seconds=5)
+            )
+            assert isinstance(asked, ConfigChanges)
+            began, seconds = loop.time(), 3.5 * HEARTBEAT_MS / 1000
+            await asyncio.sleep(seconds)
+            # One answer for each question of the other end, and no question.
+            heard = [at for at in sent_at if at > began]
+            assert 2 <= len(heard) <= 4
+            await first.stop()
+            await second.stop()
+            between.close()
+
+        asyncio.run(main())
