Look for silent streams and waiting requests only where there are some

Cause: 40 looks a second on each host, with a stream open or not, a request waiting or not. A stream that begins while a host looks rarely is first looked at 250 ms later at most; its first output may be missing for 0.8 s before that matters.

--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -12,7 +12,12 @@
 from passtally.decision import log_event
 from passtally.departures import Departures
 from passtally.engine import Engine
-from passtally.live_endpoint import WATCH_INTERVAL, LagMeter, LiveEndpoint
+from passtally.live_endpoint import (
+    IDLE_WATCH_INTERVAL,
+    WATCH_INTERVAL,
+    LagMeter,
+    LiveEndpoint,
+)
 from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointState, is_placed
 from passtally.routing import EndpointView
@@ -256,8 +261,10 @@
     async def watch_silence(self) -> None:
         """Look for silent streams, for ever."""
         while True:
-            due = self._clock.monotonic() + WATCH_INTERVAL
-            await self._clock.sleep(WATCH_INTERVAL)
+            has_streams = any(live.guards for live in self._live_by_id.values())
+            interval = WATCH_INTERVAL if has_streams else IDLE_WATCH_INTERVAL
+            due = self._clock.monotonic() + interval
+            await self._clock.sleep(interval)
             now = self._clock.monotonic()
             self._lag.tick(now - due)
             for live in list(self._live_by_id.values()):
--- a/passtally/gate.py
+++ b/passtally/gate.py
@@ -39,6 +39,10 @@
         self._limits = limits or AdmissionLimits()
         self._queues_by_service: dict[str, AdmissionQueue] = {}
         self._futures: dict[Waiting, asyncio.Future[None]] = {}
+        #: Set while requests wait. A host that holds none back has nothing to look at:
+        #: among hundreds of hosts nearly all are idle nearly always, and each look
+        #: is a wake-up, 20 a second.
+        self._has_waiting = asyncio.Event()
 
     @asynccontextmanager
     async def enter(
@@ -67,9 +71,12 @@
     async def run(self) -> None:
         """Let waiting requests in, or refuse them, for ever."""
         while True:
+            await self._has_waiting.wait()
             await self._clock.sleep(TICK)
             for service_id in list(self._queues_by_service):
                 self._tick(service_id)
+            if not self._futures:
+                self._has_waiting.clear()
 
     def _tick(self, service_id: str) -> None:
         queue = self._queues_by_service[service_id]
@@ -108,6 +115,7 @@
     async def _wait(self, queue: AdmissionQueue, waiting: Waiting) -> None:
         future = asyncio.get_running_loop().create_future()
         self._futures[waiting] = future
+        self._has_waiting.set()
         try:
             await future
         except asyncio.CancelledError:
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -24,6 +24,9 @@
 
 #: How often a look for silent streams is taken.
 WATCH_INTERVAL = timedelta(milliseconds=50)
+#: The same while no stream is open: 4 wake-ups a second and not 20. The first output of
+#: a stream that begins meanwhile may be missing for 0.8 s at least before it matters.
+IDLE_WATCH_INTERVAL = timedelta(milliseconds=250)
 #: Load reports are not older than this.
 LONGEST_REPORT_LAG = timedelta(seconds=2)
 #: A timer of this host that is later than this shows that it can't judge others.
