--- /dev/null
+++ b/tests/test_gathered_changes.py
@@ -0,0 +1,57 @@
+"""Changes of one object that come in one answer of the platform.
+
+The pattern: an operator changes the configuration every 200 ms while hosts that watch
+gather changes for 375 ms, so an answer holds one object twice or three times. Nobody
+holds any but its newest state, so only that one is asked for.
+"""
+
+import asyncio
+
+import pytest
+
+from passtally import watch_share
+from standins.virtual import run_virtually
+from tests.test_large_changes import THIN, Fleet, make_config
+
+HOSTS = 18
+#: What a change takes to all hosts of a domain without a second word of it, in
+#: seconds: beats come every 0.5 s.
+LEARNED_WITHIN = 0.25
+
+
+class TestGatheredChanges:
+    @pytest.fixture
+    def failures(self, monkeypatch) -> list[str]:
+        """What hosts could not learn."""
+        found: list[str] = []
+
+        def note(part: str, sentence: str, **fields: object) -> None:
+            if sentence == "Not learned.":
+                found.append(str(fields["why"]))
+
+        monkeypatch.setattr(watch_share, "log_event", note)
+        return found
+
+    def test_only_the_newest_of_two_states_is_asked_for(self, failures):
+        async def test() -> None:
+            fleet = Fleet(hosts=HOSTS, bits_per_second=THIN)
+            await fleet.platform.create("config/main", make_config(7, routes=40))
+            for row in fleet.rows:
+                fleet.start(row)
+            await asyncio.sleep(8)
+            for version in range(8, 20, 2):
+                newest = make_config(version + 1, routes=40)
+                await change(fleet, make_config(version, routes=40))
+                await change(fleet, newest)
+                began = asyncio.get_running_loop().time()
+                took = await fleet.wait_for(newest, hosts=HOSTS) - began
+                assert took < LEARNED_WITHIN
+                await asyncio.sleep(0.7)
+
+        run_virtually(test())
+        assert failures == []
+
+
+async def change(fleet: Fleet, value: bytes) -> None:
+    version = fleet.platform.objects_by_key["config/main"].version
+    await fleet.platform.update("config/main", value, version=version)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -38,6 +38,13 @@
         assert mirror.advance(listing(2, stored("a", 2))) == []
         assert mirror.current_versions() == {}
 
+    def test_of_an_object_that_changed_twice_only_the_newest_state_is_told(self):
+        mirror = ObjectMirror()
+        newest = stored("a", 4)
+        changes = listing(5, stored("a", 2), stored("b", 3), newest)
+        assert mirror.advance(changes) == [newest, stored("b", 3)]
+        assert mirror.newest == 4
+
     def test_another_mirror_takes_all_from_its_changes(self):
         mirror, other = ObjectMirror(), ObjectMirror()
         mirror.replace(listing(3, stored("a", 1), stored("b", 3)))
