--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -230,7 +230,7 @@
         if view is None or news.since > view.mirror.newest:
             return
         if not news.large:
-            view.apply(view.mirror.advance(unpack_listing(news.listing)))
+            self._learn(view, unpack_listing(news.listing))
             return
         newest = max(ref.version for ref in news.large)
         self._note_versions(news.host_id, {news.prefix: newest})
@@ -340,8 +340,7 @@
         finally:
             self._fetching.discard(view.prefix)
         objects = (*listing.objects, *fetched)
-        changed = view.mirror.advance(Listing(version=listing.version, objects=objects))
-        view.apply(changed)
+        changed = self._learn(view, Listing(version=listing.version, objects=objects))
         log_event(
             "watch",
             "Learned from a peer.",
@@ -353,6 +352,13 @@
         if large:
             await self._peers.tell(self._neighbours(), self._beat(is_watching=False))
 
+    def _learn(self, view: View, changes: Listing) -> list[StoredObject]:
+        """Put changes that a peer told in force, and return what was new."""
+        changed = view.mirror.advance(changes)
+        view.follower.skip_to(view.mirror.version)
+        view.apply(changed)
+        return changed
+
     def _holders(self, prefix: str, ref: ObjectRef, first_id: str) -> set[str]:
         """Return the hosts that are likely to hold a state of an object.
 
