--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -23,7 +23,14 @@
 
     After an outage the watch goes on where it was: a listing is asked for only
     where the platform no longer keeps the changes in between, so that hosts do
-    not all list at once.
+    not all list at once, and while changes pile up.
+
+    A watch brings each state of an object that changes often, a listing its newest
+    one. Where the configuration changes every 200 ms for 14 s (test_piled_changes),
+    states of 100 KB fill a link of 5 Mbit/s, and the slowest change takes 3.0 s to
+    come; with 527 KB over 10 Mbit/s it takes 23.4 s. By listings these are 0.8 and
+    2.3 s, and half of the bytes. So while an answer with states that are superseded is
+    larger than a listing, listings are asked for, and no longer than half of the time.
 
     Args:
         prefix: What the keys start with.
@@ -68,6 +75,8 @@
         self._last_retry = last_retry
         self._reach_changed = reach_changed
         self._delay = FIRST_RETRY
+        self._listed_bytes = 0
+        self._piles_up = False
 
     async def run(self, *, after: int = 0) -> None:
         """List, then watch, for ever.
@@ -94,7 +103,8 @@
         """List once; tries until the platform answers."""
         while True:
             try:
-                return await self._list()
+                await self._list()
+                return
             except PlatformError as error:
                 await self._back_off(error)
 
@@ -115,24 +125,46 @@
         await self._sleep(self._delay)
         self._delay = min(2 * self._delay, self._last_retry)
 
-    async def _list(self) -> None:
+    async def _list(self) -> bool:
+        """List, and return whether anything is new since the last answer."""
         listing = await self._platform.list_objects(self._prefix)
-        self.version = listing.version
+        known, self.version = self.version, listing.version
+        self._listed_bytes = _count_bytes(listing)
         self._replace(listing)
+        return any(stored.version > known for stored in listing.objects)
 
     async def _watch(self) -> None:
         # The first one does not wait, to tell that the platform is back.
         wait = timedelta(0)
         while True:
-            changes = await self._platform.watch(
-                self._prefix, after=self.version, wait=wait
-            )
+            if self._piles_up:
+                pause = await self._list_piled()
+            else:
+                pause = await self._ask(wait)
             wait = self._wait
-            self._note_reach(True, version=changes.version)
-            self.version = max(self.version, changes.version)
-            self._advance(changes)
-            if changes.objects and self._pause:
-                await self._clock.sleep(self._pause)
+            if pause:
+                await self._clock.sleep(pause)
+
+    async def _ask(self, wait: timedelta) -> timedelta:
+        """Watch once, and return how long to gather changes before the next time."""
+        changes = await self._platform.watch(
+            self._prefix, after=self.version, wait=wait
+        )
+        self._note_reach(True, version=changes.version)
+        self.version = max(self.version, changes.version)
+        self._piles_up = (
+            _has_superseded(changes) and _count_bytes(changes) > self._listed_bytes
+        )
+        self._advance(changes)
+        return self._pause if changes.objects else timedelta(0)
+
+    async def _list_piled(self) -> timedelta:
+        """List once, and return how long to leave the link to others."""
+        began = self._clock.monotonic()
+        self._piles_up = await self._list()
+        took = self._clock.monotonic() - began
+        self._note_reach(True, version=self.version)
+        return max(self._pause, took) if self._piles_up else timedelta(0)
 
     def _note_reach(self, is_watching: bool, **fields: object) -> None:
         if is_watching == self.is_watching:
@@ -144,3 +176,12 @@
 
     async def _sleep(self, longest: timedelta) -> None:
         await self._clock.sleep(self._rng.uniform(0.5, 1) * longest)
+
+
+def _count_bytes(listing: Listing) -> int:
+    return sum(len(bytes(stored.value)) for stored in listing.objects)
+
+
+def _has_superseded(changes: Listing) -> bool:
+    """Return whether there is more than one state of some object."""
+    return len({stored.key for stored in changes.objects}) < len(changes.objects)
