--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -166,6 +166,20 @@
         domain.run(STAND_DOWN_AFTER + timedelta(seconds=2))
         assert domain.watching == set(domain.names[:WATCHERS])
 
+    def test_when_the_platform_is_back_for_one_after_the_other_no_more_begin(self):
+        domain = Domain(30)
+        domain.run(timedelta(seconds=8))
+        domain.turned_away = set(domain.names)
+        domain.run(timedelta(seconds=7))
+        tried = domain.watching
+        domain.most = 0
+        for name in sorted(tried):
+            domain.turned_away.discard(name)
+            domain.run(3 * ROUND)
+        domain.turned_away = set()
+        domain.run(timedelta(seconds=2))
+        assert domain.most == len(tried)
+
     def test_a_watcher_that_is_back_ends_with_as_few_as_before(self):
         domain = Domain(20)
         domain.run(timedelta(seconds=8))
