--- a/passtally/watch_duty.py
+++ b/passtally/watch_duty.py
@@ -102,6 +102,7 @@
     started_at: timedelta
     is_watching: bool = False
     _wanted_since: timedelta | None = None
+    _heard_any: bool = False
     _enough_since: timedelta | None = None
 
     def decide(
@@ -118,6 +119,12 @@
             watching_ids: Those of its domain that were heard watching a moment ago.
             now: The monotonic time.
         """
+        # A wait that began while no watcher was heard has other steps. Once one is
+        # heard again it begins anew: after an outage of 5.5 s the waits of all 19 hosts
+        # of a domain were over, and all of them asked for all changes at once.
+        if watching_ids and not self._heard_any:
+            self._wanted_since = None
+        self._heard_any = bool(watching_ids)
         if should_watch(
             self.own_id, domain_ids, watching_ids, is_watching=self.is_watching
         ):
