--- /dev/null
+++ b/tests/test_domain_return.py
@@ -0,0 +1,90 @@
+"""A failure domain that reaches the platform again while the configuration changes.
+
+The pattern: 19 hosts on links of 5 Mbit/s (or 10) were cut off for 5.5 s beside a
+change every 200 ms. What they lack must not fill their links: the newest state must be
+on each within 2 s, of the 4 s after which a change must be in force.
+"""
+
+import asyncio
+import random
+from datetime import timedelta
+
+import pytest
+
+from passtally.follower import Follower
+from passtally.watch_share import View, WatchShare
+from standins.virtual import run_virtually
+from tests.test_large_changes import Fleet, make_config
+from tests.test_piled_changes import RatedStore
+
+HOSTS = 19
+GAP_S = 0.2
+BEFORE_S = 2.0
+AWAY_S = 5.5
+BACK_WITHIN = 2.0
+KEY = "config/main"
+
+
+class CutDomain(Fleet):
+    """A domain whose hosts' links also carry what the platform answers."""
+
+    def __init__(self, *, bits_per_second: float) -> None:
+        super().__init__(hosts=HOSTS, bits_per_second=bits_per_second)
+        self.rate = bits_per_second
+        self.ways: list[RatedStore] = []
+
+    def start_all(self) -> None:
+        for row in self.rows:
+            way = RatedStore(platform=self.platform, bits_per_second=self.rate)
+            self.start(row, platform=way)
+            way.down = self.network.peers_by_id[row.host_id].down
+            self.ways.append(way)
+
+    def shut(self, is_shut: bool) -> None:
+        for way in self.ways:
+            way.is_shut = is_shut
+
+    def _follow(self, host_id: str, share: WatchShare, view: View) -> Follower:
+        return Follower(
+            prefix=view.prefix,
+            platform=self.stores_by_host[host_id],
+            replace=lambda listing: share.replace(view, listing),
+            advance=lambda changes: share.advance(view, changes),
+            clock=self.clock,
+            rng=random.Random(host_id),
+            relist_pause=lambda: timedelta(milliseconds=200),
+            wait=timedelta(seconds=1.8),
+            pause=timedelta(milliseconds=375),
+            last_retry=timedelta(milliseconds=800),
+        )
+
+
+class TestDomainReturn:
+    @pytest.mark.parametrize(("routes", "rate"), [(50, 5e6), (380, 5e6), (1980, 10e6)])
+    def test_each_host_soon_has_the_newest_state(self, routes, rate):
+        async def test() -> None:
+            domain = CutDomain(bits_per_second=rate)
+            values = [make_config(number, routes=routes) for number in range(80)]
+            number_by_value = {value: at for at, value in enumerate(values)}
+            await domain.platform.create(KEY, values[0])
+            domain.start_all()
+            await asyncio.sleep(8)
+            storm = asyncio.create_task(change_often(domain, values[1:]))
+            await asyncio.sleep(BEFORE_S)
+            domain.shut(True)
+            await asyncio.sleep(AWAY_S)
+            domain.shut(False)
+            newest = bytes(domain.platform.objects_by_key[KEY].value)
+            await asyncio.sleep(BACK_WITHIN)
+            held = [number_by_value[value] for value in domain.values_by_host.values()]
+            assert min(held) >= number_by_value[newest]
+            storm.cancel()
+
+        run_virtually(test())
+
+
+async def change_often(domain: Fleet, values: list[bytes]) -> None:
+    for value in values:
+        version = domain.platform.objects_by_key[KEY].version
+        await domain.platform.update(KEY, value, version=version)
+        await asyncio.sleep(GAP_S)
