A host without news for a second lists when the platform is back

The listing takes the place of the first watch, so there are as many calls. Only hosts on the users' platform do so; the catalogue of all configuration goes on where it was, as before.

A listing now has 1 s to begin to come, not 2: it may be the first call to a store that was silent.

In the test of two hosts the second one may begin to watch before it has heard of the first; the test now waits until it has.

--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -23,7 +23,7 @@
 
     After an outage the watch goes on where it was: a listing is asked for only
     where the platform no longer keeps the changes in between, so that hosts do
-    not all list at once, and while changes pile up.
+    not all list at once, after a long outage if so told, and while changes pile up.
 
     A watch brings each state of an object that changes often, a listing its newest
     one. Where the configuration changes every 200 ms for 14 s (test_piled_changes),
@@ -43,6 +43,8 @@
         wait: How long one watch waits for a change.
         pause: How long changes are gathered before the next watch asks for them.
         last_retry: The longest pause between two tries.
+        out_of_date_after: After how long without news a listing takes the place of the
+            first watch; None for never. A watch brings all states since then.
         reach_changed: Called when the watch goes down or up.
     """
 
@@ -59,6 +61,7 @@
         wait: timedelta = WATCH_TIMEOUT,
         pause: timedelta = timedelta(0),
         last_retry: timedelta = LAST_RETRY,
+        out_of_date_after: timedelta | None = None,
         reach_changed: Callable[[bool], None] = lambda is_watching: None,
     ) -> None:
         self.is_watching = False
@@ -73,8 +76,10 @@
         self._wait = wait
         self._pause = pause
         self._last_retry = last_retry
+        self._out_of_date_after = out_of_date_after
         self._reach_changed = reach_changed
         self._delay = FIRST_RETRY
+        self._known_at: timedelta | None = None
         self._listed_bytes = 0
         self._piles_up = False
 
@@ -116,6 +121,7 @@
         of a link of 5 Mbit/s in which the next change waits.
         """
         self.version = max(self.version, version)
+        self._known_at = self._clock.monotonic()
 
     async def _back_off(self, error: PlatformError) -> None:
         """Wait before the next try, longer each time until a watch is up again."""
@@ -129,6 +135,7 @@
         """List, and return whether anything is new since the last answer."""
         listing = await self._platform.list_objects(self._prefix)
         known, self.version = self.version, listing.version
+        self._known_at = self._clock.monotonic()
         self._listed_bytes = _count_bytes(listing)
         self._replace(listing)
         return any(stored.version > known for stored in listing.objects)
@@ -139,6 +146,10 @@
         while True:
             if self._piles_up:
                 pause = await self._list_piled()
+            elif self._is_out_of_date():
+                await self._list()
+                self._note_reach(True, version=self.version)
+                pause = self._pause
             else:
                 pause = await self._ask(wait)
             wait = self._wait
@@ -152,6 +163,7 @@
         )
         self._note_reach(True, version=changes.version)
         self.version = max(self.version, changes.version)
+        self._known_at = self._clock.monotonic()
         self._piles_up = (
             _has_superseded(changes) and _count_bytes(changes) > self._listed_bytes
         )
@@ -166,6 +178,12 @@
         self._note_reach(True, version=self.version)
         return max(self._pause, took) if self._piles_up else timedelta(0)
 
+    def _is_out_of_date(self) -> bool:
+        if self._out_of_date_after is None or self._known_at is None:
+            return False
+        age = self._clock.monotonic() - self._known_at
+        return age > self._out_of_date_after
+
     def _note_reach(self, is_watching: bool, **fields: object) -> None:
         if is_watching == self.is_watching:
             return
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -59,6 +59,10 @@
 #: The longest pause between two tries to reach the store. The users count a store as
 #: back three seconds after its return; a change must be in force two seconds later.
 LAST_RETRY = timedelta(milliseconds=800)
+#: A host that had no news for this long lists rather than asks for all states since.
+#: 19 hosts on links of 5 Mbit/s that return after 5.5 s, beside a change of 110 KB each
+#: 200 ms, have the newest state within 0.4 s, and otherwise within 6.1 s.
+OUT_OF_DATE_AFTER = timedelta(seconds=1)
 RELIST_PAUSE = timedelta(milliseconds=200)
 #: Left of a stop's grace for breaking off streams and closing connections.
 STOP_MARGIN = timedelta(milliseconds=600)
@@ -316,6 +320,7 @@
             wait=WATCH_WAIT_PART * self.settings.apply_within,
             pause=GATHER_PART * self.settings.apply_within,
             last_retry=LAST_RETRY,
+            out_of_date_after=OUT_OF_DATE_AFTER,
         )
 
     def _build_serving(self) -> None:
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -17,8 +17,10 @@
 #: How much later than it was asked to a watch may answer. A store that is slow
 #: takes 60 times its usual 4 ms.
 WATCH_SLACK = timedelta(milliseconds=400)
-#: How long a listing may take; a slow store takes 50 times its usual 4 ms.
-LIST_TIMEOUT = timedelta(seconds=2)
+#: How long a listing may take to begin to come; a slow store takes 60 times its usual
+#: 4 ms. Hosts list first when a store that was silent may be back, and each try that
+#: does not end makes the next one later.
+LIST_TIMEOUT = timedelta(seconds=1)
 
 
 class _Metadata(msgspec.Struct):
--- a/tests/test_domain_return.py
+++ b/tests/test_domain_return.py
@@ -12,6 +12,7 @@
 import pytest
 
 from passtally.follower import Follower
+from passtally.front_host import LAST_RETRY, OUT_OF_DATE_AFTER
 from passtally.watch_share import View, WatchShare
 from standins.virtual import run_virtually
 from tests.test_large_changes import Fleet, make_config
@@ -55,7 +56,8 @@
             relist_pause=lambda: timedelta(milliseconds=200),
             wait=timedelta(seconds=1.8),
             pause=timedelta(milliseconds=375),
-            last_retry=timedelta(milliseconds=800),
+            last_retry=LAST_RETRY,
+            out_of_date_after=OUT_OF_DATE_AFTER,
         )
 
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -12,7 +12,7 @@
 class Followed:
     """A follower of a fake platform, and what it brought."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, out_of_date_after: timedelta | None = None) -> None:
         self.platform = FakePlatform()
         self.reach: list[bool] = []
         self.versions_by_key: dict[str, int] = {}
@@ -27,6 +27,7 @@
             relist_pause=lambda: timedelta(milliseconds=200),
             wait=timedelta(seconds=1),
             last_retry=timedelta(milliseconds=400),
+            out_of_date_after=out_of_date_after,
             reach_changed=self.reach.append,
         )
 
@@ -72,6 +73,31 @@
 
         run_virtually(test())
 
+    def test_after_a_long_outage_it_lists_in_place_of_the_first_watch(self):
+        async def test() -> None:
+            followed = Followed(out_of_date_after=timedelta(seconds=1.5))
+            await followed.start()
+            followed.platform.is_down = True
+            await asyncio.sleep(3)
+            followed.platform.is_down = False
+            await followed.platform.create("config/a", b"1")
+            followed.platform.calls.clear()
+            await asyncio.sleep(0.6)
+            assert followed.versions_by_key == {"config/a": 1}
+            assert followed.platform.calls == ["list", "watch"]
+            assert followed.reach == [True, False, True]
+
+        run_virtually(test())
+
+    def test_in_a_quiet_time_it_does_not_list_again(self):
+        async def test() -> None:
+            followed = Followed(out_of_date_after=timedelta(seconds=1.5))
+            await followed.start()
+            await asyncio.sleep(20)
+            assert followed.listings == 1
+
+        run_virtually(test())
+
     def test_a_watch_that_is_too_old_lists_again(self):
         async def test() -> None:
             followed = Followed()
--- a/tests/test_watch_share.py
+++ b/tests/test_watch_share.py
@@ -16,6 +16,12 @@
             await asyncio.sleep(0.01)
 
 
+def is_steady(watcher, learner) -> bool:
+    """Whether one host watches, and the other one has heard of it and does not."""
+    learns = learner.watch.is_reached and not learner.watch.is_watching
+    return watcher.watch.is_up and learns
+
+
 class TestOutages:
     def test_a_host_cut_off_from_the_store_learns_from_a_peer(self):
         async def test(system: PlatformSystem) -> None:
@@ -61,7 +67,7 @@
             second = await system.add_host("front-2", str(first.settings.peer_listen))
             await system.wait_ready()
             async with asyncio.timeout(10):
-                while not first.watch.is_up or second.watch.is_watching:
+                while not is_steady(first, second):
                     await asyncio.sleep(0.05)
             calls = second.store.calls
             system.store.put("config", "main", make_config(5))
