--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -23,7 +23,14 @@
 
     After an outage the watch goes on where it was: a listing is asked for only
     where the platform no longer keeps the changes in between, so that hosts do
-    not all list at once.
+    not all list at once, after a long outage if so told, and while changes pile up.
+
+    A watch brings each state of an object that changes often, a listing its newest
+    one. Where the configuration changes every 200 ms for 14 s (test_piled_changes),
+    states of 100 KB fill a link of 5 Mbit/s, and the slowest change takes 3.0 s to
+    come; with 527 KB over 10 Mbit/s it takes 23.4 s. By listings these are 0.8 and
+    2.3 s, and half of the bytes. So while an answer with states that are superseded is
+    larger than a listing, listings are asked for, and no longer than half of the time.
 
     Args:
         prefix: What the keys start with.
@@ -36,6 +43,8 @@
         wait: How long one watch waits for a change.
         pause: How long changes are gathered before the next watch asks for them.
         last_retry: The longest pause between two tries.
+        out_of_date_after: After how long without news a listing takes the place of the
+            first watch; None for never. A watch brings all states since then.
         reach_changed: Called when the watch goes down or up.
     """
 
@@ -52,6 +61,7 @@
         wait: timedelta = WATCH_TIMEOUT,
         pause: timedelta = timedelta(0),
         last_retry: timedelta = LAST_RETRY,
+        out_of_date_after: timedelta | None = None,
         reach_changed: Callable[[bool], None] = lambda is_watching: None,
     ) -> None:
         self.is_watching = False
@@ -66,8 +76,12 @@
         self._wait = wait
         self._pause = pause
         self._last_retry = last_retry
+        self._out_of_date_after = out_of_date_after
         self._reach_changed = reach_changed
         self._delay = FIRST_RETRY
+        self._known_at: timedelta | None = None
+        self._listed_bytes = 0
+        self._piles_up = False
 
     async def run(self, *, after: int = 0) -> None:
         """List, then watch, for ever.
@@ -94,10 +108,21 @@
         """List once; tries until the platform answers."""
         while True:
             try:
-                return await self._list()
+                await self._list()
+                return
             except PlatformError as error:
                 await self._back_off(error)
 
+    def skip_to(self, version: int) -> None:
+        """Watch from a version on: all changes up to it came by another way.
+
+        An answer holds each state of each object since then. After 9 s without the
+        platform, beside a change of 14 KB every 200 ms, these are 45 states, a second
+        of a link of 5 Mbit/s in which the next change waits.
+        """
+        self.version = max(self.version, version)
+        self._known_at = self._clock.monotonic()
+
     async def _back_off(self, error: PlatformError) -> None:
         """Wait before the next try, longer each time until a watch is up again."""
         if self.is_watching:
@@ -106,24 +131,58 @@
         await self._sleep(self._delay)
         self._delay = min(2 * self._delay, self._last_retry)
 
-    async def _list(self) -> None:
+    async def _list(self) -> bool:
+        """List, and return whether anything is new since the last answer."""
         listing = await self._platform.list_objects(self._prefix)
-        self.version = listing.version
+        known, self.version = self.version, listing.version
+        self._known_at = self._clock.monotonic()
+        self._listed_bytes = _count_bytes(listing)
         self._replace(listing)
+        return any(stored.version > known for stored in listing.objects)
 
     async def _watch(self) -> None:
         # The first one does not wait, to tell that the platform is back.
         wait = timedelta(0)
         while True:
-            changes = await self._platform.watch(
-                self._prefix, after=self.version, wait=wait
-            )
+            if self._piles_up:
+                pause = await self._list_piled()
+            elif self._is_out_of_date():
+                await self._list()
+                self._note_reach(True, version=self.version)
+                pause = self._pause
+            else:
+                pause = await self._ask(wait)
             wait = self._wait
-            self._note_reach(True, version=changes.version)
-            self.version = max(self.version, changes.version)
-            self._advance(changes)
-            if changes.objects and self._pause:
-                await self._clock.sleep(self._pause)
+            if pause:
+                await self._clock.sleep(pause)
+
+    async def _ask(self, wait: timedelta) -> timedelta:
+        """Watch once, and return how long to gather changes before the next time."""
+        changes = await self._platform.watch(
+            self._prefix, after=self.version, wait=wait
+        )
+        self._note_reach(True, version=changes.version)
+        self.version = max(self.version, changes.version)
+        self._known_at = self._clock.monotonic()
+        self._piles_up = (
+            _has_superseded(changes) and _count_bytes(changes) > self._listed_bytes
+        )
+        self._advance(changes)
+        return self._pause if changes.objects else timedelta(0)
+
+    async def _list_piled(self) -> timedelta:
+        """List once, and return how long to leave the link to others."""
+        began = self._clock.monotonic()
+        self._piles_up = await self._list()
+        took = self._clock.monotonic() - began
+        self._note_reach(True, version=self.version)
+        return max(self._pause, took) if self._piles_up else timedelta(0)
+
+    def _is_out_of_date(self) -> bool:
+        if self._out_of_date_after is None or self._known_at is None:
+            return False
+        age = self._clock.monotonic() - self._known_at
+        return age > self._out_of_date_after
 
     def _note_reach(self, is_watching: bool, **fields: object) -> None:
         if is_watching == self.is_watching:
@@ -135,3 +194,12 @@
 
     async def _sleep(self, longest: timedelta) -> None:
         await self._clock.sleep(self._rng.uniform(0.5, 1) * longest)
+
+
+def _count_bytes(listing: Listing) -> int:
+    return sum(len(bytes(stored.value)) for stored in listing.objects)
+
+
+def _has_superseded(changes: Listing) -> bool:
+    """Return whether there is more than one state of some object."""
+    return len({stored.key for stored in changes.objects}) < len(changes.objects)
