A host that does not answer keeps no news of others out

While a question to a host without a link was open, and for 0.5 s after it, a host took in nothing else: 1.5 s for each, and gossip may tell for longer that just that host has the newest state. News is taken in beside a question; a question is given up after 0.4 s and a part after 0.5 s; who was silent is asked last for 2 s.

--- a/passtally/object_transfer.py
+++ b/passtally/object_transfer.py
@@ -19,6 +19,7 @@
 from passtally.messages import FetchPart, ObjectPart, ObjectRef
 from passtally.object_store import Listing, StoredObject
 from passtally.peers import PeerError, Peers
+from passtally.silent_hosts import SilentHosts
 
 #: Objects whose JSON is longer than this are fetched in parts, in bytes. Entries of
 #: endpoints have some 300; a configuration of a dozen routes has 5,000.
@@ -36,8 +37,9 @@
 #: and its question take 40 ms on a link that three share.
 SERVED_FOR = timedelta(milliseconds=300)
 #: How long a part may take. Each part has its own limit: an object that comes slowly,
-#: but comes, is not begun anew.
-PART_TIMEOUT = timedelta(seconds=1)
+#: but comes, is not begun anew. Three parts at once take 80 ms of a link of 5 Mbit/s,
+#: and other traffic delays them by 180 ms.
+PART_TIMEOUT = timedelta(milliseconds=500)
 #: How long a host waits, at most, before it asks again where all were busy.
 BUSY_PAUSE = timedelta(milliseconds=80)
 #: Packed states that are kept of one object: one that is being handed on while the next
@@ -113,6 +115,8 @@
         peers: The links.
         clock: The clock.
         rng: Where the choice of a host comes from.
+        silent: Hosts that did not answer; they are asked only where no other holds
+            the object.
         find: Returns an object by its key as this host knows it, or None.
     """
 
@@ -123,12 +127,14 @@
         peers: Peers,
         clock: Clock,
         rng: random.Random,
+        silent: SilentHosts,
         find: Callable[[str], StoredObject | None],
     ) -> None:
         self._host_id = host_id
         self._peers = peers
         self._clock = clock
         self._rng = rng
+        self._silent = silent
         self._find = find
         self._packed_by_ref: dict[ObjectRef, bytes] = {}
         self._parts_by_ref: dict[ObjectRef, bytearray] = {}
@@ -156,7 +162,7 @@
             if not candidates:
                 raise TransferError(ref, received=len(received))
             if host_id not in candidates:
-                host_id = self._rng.choice(candidates)
+                host_id = self._choose(candidates)
             part = await self._ask(host_id, ref, len(received))
             if part is None or not part.size:
                 useless.add(host_id)
@@ -168,6 +174,11 @@
                 if len(received) >= part.size:
                     return self._complete(ref, bytes(received))
 
+    def _choose(self, candidates: Sequence[str]) -> str:
+        now = self._clock.monotonic()
+        heard = [name for name in candidates if not self._silent.is_silent(name, now)]
+        return self._rng.choice(heard or candidates)
+
     def _complete(self, ref: ObjectRef, packed: bytes) -> StoredObject:
         self._parts_by_ref.pop(ref, None)
         value = unpack(packed)
@@ -182,6 +193,7 @@
         try:
             reply = await self._peers.ask(host_id, message, timeout=PART_TIMEOUT)
         except PeerError as error:
+            self._silent.note(host_id, self._clock.monotonic())
             log_event(
                 "transfer",
                 "No part came.",
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -41,6 +41,7 @@
 )
 from passtally.peers import PeerError, Peers
 from passtally.roster import Roster
+from passtally.silent_hosts import SilentHosts
 from passtally.watch_duty import WatchDuty
 
 #: How often watchers tell the versions that they know.
@@ -49,8 +50,9 @@
 #: force within two seconds, listing included.
 BEAT_TIMEOUT = timedelta(milliseconds=1300)
 CHECK_INTERVAL = timedelta(milliseconds=100)
-#: How long an answer that holds no large object may take.
-FETCH_TIMEOUT = timedelta(seconds=1)
+#: How long an answer that holds no large object may take. A link of 5 Mbit/s that is
+#: full delays it by 180 ms.
+FETCH_TIMEOUT = timedelta(milliseconds=400)
 #: How much longer each host of a failure domain waits than the one before it until it
 #: learns from another domain: one copy crosses the border, and the others take theirs
 #: from it. A configuration of 2,000 routes crosses in 40 ms.
@@ -117,9 +119,19 @@
         self._watching_at_by_host: dict[str, timedelta] = {}
         #: What hosts of this domain were last heard to know, watching or not.
         self._versions_by_host: dict[str, Mapping[str, int]] = {}
+        self._silent = SilentHosts()
+        #: Prefixes of which a host is being asked for changes.
+        self._asking: set[str] = set()
+        #: Prefixes of which large objects are on their way. News of another host is
+        #: taken in beside a question, not beside these.
         self._fetching: set[str] = set()
         self._transfer = ObjectTransfer(
-            host_id=host_id, peers=peers, clock=clock, rng=rng, find=self._find
+            host_id=host_id,
+            peers=peers,
+            clock=clock,
+            rng=rng,
+            silent=self._silent,
+            find=self._find,
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._duty = WatchDuty(own_id=host_id, started_at=clock.monotonic())
@@ -257,7 +269,7 @@
         if self.is_up:
             return
         for view in self._views_by_prefix.values():
-            if view.prefix in self._fetching:
+            if view.prefix in self._asking or view.prefix in self._fetching:
                 continue
             host_id = self._choose_source(view, now)
             if host_id is not None:
@@ -272,11 +284,14 @@
             view.behind_since = None
             return None
         view.behind_since = view.behind_since or now
-        if near:
-            return self._rng.choice(near)
         if now - view.behind_since < self._far_wait():
-            return None
-        return max(far, key=lambda row: row.versions_by_prefix[view.prefix]).host_id
+            far = []
+        far.sort(key=lambda row: row.versions_by_prefix[view.prefix], reverse=True)
+        self._rng.shuffle(near)
+        candidates = [*near, *(row.host_id for row in far)]
+        # One that was silent is asked where there is no other.
+        candidates.sort(key=lambda name: self._silent.is_silent(name, now))
+        return candidates[0] if candidates else None
 
     def _newer_near(self, prefix: str, newest: int) -> list[str]:
         """Return the linked hosts of this domain that know a newer version."""
@@ -306,18 +321,18 @@
         return min(len(before), FAR_HOSTS) * FAR_STEP
 
     async def _fetch(self, view: View, host_id: str) -> None:
-        self._fetching.add(view.prefix)
+        self._asking.add(view.prefix)
         message = FetchConfig(after=view.mirror.newest, prefix=view.prefix)
         try:
             reply = await self._peers.ask(host_id, message, timeout=FETCH_TIMEOUT)
         except PeerError as error:
             log_event("watch", "Peer did not answer.", peer=host_id, why=error)
             self._versions_by_host.pop(host_id, None)
-            await self._clock.sleep(BEAT_INTERVAL)
+            self._silent.note(host_id, self._clock.monotonic())
             return
         finally:
-            self._fetching.discard(view.prefix)
-        if isinstance(reply, ConfigChanges):
+            self._asking.discard(view.prefix)
+        if isinstance(reply, ConfigChanges) and view.prefix not in self._fetching:
             await self._take_in(view, host_id, reply.listing, reply.large)
 
     async def _take_in(
