--- a/passtally/object_transfer.py
+++ b/passtally/object_transfer.py
@@ -18,7 +18,7 @@
 from passtally.decision import log_event
 from passtally.messages import FetchPart, ObjectPart, ObjectRef
 from passtally.object_store import Listing, StoredObject
-from passtally.peers import PeerError, Peers
+from passtally.peers import PeerError, Peers, UnknownPeerError
 from passtally.silent_hosts import SilentHosts
 
 #: Objects whose JSON is longer than this are fetched in parts, in bytes. Entries of
@@ -193,7 +193,8 @@
         try:
             reply = await self._peers.ask(host_id, message, timeout=PART_TIMEOUT)
         except PeerError as error:
-            self._silent.note(host_id, self._clock.monotonic())
+            if not isinstance(error, UnknownPeerError):
+                self._silent.note(host_id, self._clock.monotonic())
             log_event(
                 "transfer",
                 "No part came.",
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -53,6 +53,18 @@
         super().__init__(f"{step} with {peer}: {message}")
 
 
+class UnknownPeerError(PeerError):
+    """There is no link to a peer, or none yet; it may well answer others.
+
+    Args:
+        step: What was asked.
+        peer: The peer's name.
+    """
+
+    def __init__(self, *, step: str, peer: str) -> None:
+        super().__init__("there is no such peer", step=step, peer=peer)
+
+
 Answerer = Callable[[Any], Awaitable[Message]]
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -186,7 +198,7 @@
         step = type(message).__name__
         socket = self._sockets_by_id.get(host_id)
         if socket is None:
-            raise PeerError("there is no such peer", step=step, peer=host_id)
+            raise UnknownPeerError(step=step, peer=host_id)
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._waiting_by_number[number] = future
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -39,7 +39,7 @@
     split_large,
     unpack_listing,
 )
-from passtally.peers import PeerError, Peers
+from passtally.peers import PeerError, Peers, UnknownPeerError
 from passtally.roster import Roster
 from passtally.silent_hosts import SilentHosts
 from passtally.watch_duty import WatchDuty
@@ -328,7 +328,8 @@
         except PeerError as error:
             log_event("watch", "Peer did not answer.", peer=host_id, why=error)
             self._versions_by_host.pop(host_id, None)
-            self._silent.note(host_id, self._clock.monotonic())
+            if not isinstance(error, UnknownPeerError):
+                self._silent.note(host_id, self._clock.monotonic())
             return
         finally:
             self._asking.discard(view.prefix)
