--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -114,6 +114,20 @@
         table.merge([first, second, first], NOW)
         assert table.find("a").versions_by_prefix == {"x": 5, "y": 1}
 
+    def test_a_configuration_heard_later_of_one_counter_is_taken(self):
+        table = MemberTable(own=row("me", 1))
+        table.merge([row("a", 1, version=3), row("a", 1, version=5)], NOW)
+        table.merge([row("a", 1, version=4)], NOW)
+        assert table.newest_config() == ("a", 5)
+
+    def test_a_new_configuration_is_no_news(self):
+        table = MemberTable(own=row("me", 1))
+        while table.has_news:
+            table.take_news(NEWS_ROWS)
+        table.update_own(config_version=5, leaving=False)
+        assert (table.own.config_version, table.own.counter) == (5, 1)
+        assert not table.has_news
+
     def test_a_change_is_told_a_number_of_times_and_no_more(self):
         table = MemberTable(own=row("me", 1))
         table.merge([row(f"h{n}", 1) for n in range(30)], NOW)
@@ -167,6 +181,32 @@
 
         run_virtually(test())
 
+    @pytest.mark.parametrize(("hosts", "domains"), [(74, 4), (195, 5)])
+    def test_a_join_and_a_death_while_the_configuration_changes(self, hosts, domains):
+        async def test() -> None:
+            fleet = Fleet(hosts=hosts, domains=domains, loss=0.03)
+            fleet.start(fleet.rows[:-1])
+            fleet.know_all()
+            for node in fleet.nodes:
+                del node.table._known_by_id[fleet.rows[-1].host_id]
+                node.table.revision += 1
+            changing = asyncio.create_task(change_often(fleet))
+            await asyncio.sleep(3)
+            fleet.start(fleet.rows[-1:])
+            await fleet.wait_until(lambda: fleet.all_know(hosts - 1), limit=8)
+            sent = sum(node.links.bytes_sent for node in fleet.nodes)
+            seconds = 5
+            await asyncio.sleep(seconds)
+            sent = sum(node.links.bytes_sent for node in fleet.nodes) - sent
+            assert sent / hosts / seconds < 2_000
+            ended = fleet.rows[hosts // 2]
+            fleet.stop([ended])
+            await fleet.wait_until(lambda: all_suspect(fleet, ended.host_id), limit=8)
+            assert fleet.count_wrong() == 0
+            changing.cancel()
+
+        run_virtually(test())
+
     @pytest.mark.parametrize(("hosts", "domains"), SIZES[:2])
     def test_a_domain_cut_for_a_while_is_not_given_up(self, hosts, domains):
         async def test() -> None:
@@ -269,6 +309,19 @@
         run_virtually(test())
 
 
+async def change_often(fleet: Fleet) -> None:
+    """Put a new configuration in force on all hosts, every 400 ms."""
+    for version in range(1, 1000):
+        for node in fleet.nodes:
+            node.gossip.config_version = version
+        await asyncio.sleep(0.4)
+
+
+def all_suspect(fleet: Fleet, host_id: str) -> bool:
+    rows = [node.table.find(host_id) for node in fleet.nodes]
+    return all(row is None or row.state != MemberState.ALIVE for row in rows)
+
+
 class TestDepartures:
     def test_each_channel_alone_takes_an_endpoint_out(self):
         catalog = make_catalog([SERVICE], [make_endpoint()])
