--- a/tests/rated_network.py
+++ b/tests/rated_network.py
@@ -1,6 +1,7 @@
 """Links of bounded rate between hosts of one test, in virtual time."""
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
@@ -22,6 +23,8 @@
         self.bits_per_second = bits_per_second
         self.bytes = 0
         self.longest_wait = 0.0
+        #: The longest that a message sent at any moment would have waited.
+        self.longest_backlog = 0.0
         self._free_at = 0.0
 
     async def carry(self, size: int) -> None:
@@ -30,6 +33,7 @@
         self.bytes += size
         self.longest_wait = max(self.longest_wait, self._free_at - now)
         self._free_at = max(now, self._free_at) + size * 8 / self.bits_per_second
+        self.longest_backlog = max(self.longest_backlog, self._free_at - now)
         await asyncio.sleep(self._free_at - now)
 
 
@@ -42,9 +46,12 @@
         #: Hosts that no message reaches or leaves.
         self.cut: set[str] = set()
 
-    def add(self, host_id: str) -> "RatedPeers":
-        """Add a host."""
-        peers = RatedPeers(network=self, host_id=host_id)
+    def add(
+        self, host_id: str, *, bits_per_second: float | None = None
+    ) -> "RatedPeers":
+        """Add a host, whose link may have a rate of its own."""
+        rate = bits_per_second or self.bits_per_second
+        peers = RatedPeers(network=self, host_id=host_id, bits_per_second=rate)
         self.peers_by_id[host_id] = peers
         return peers
 
@@ -62,10 +69,12 @@
 class RatedPeers:
     """Stands in for :class:`passtally.peers.Peers`."""
 
-    def __init__(self, *, network: RatedNetwork, host_id: str) -> None:
+    def __init__(
+        self, *, network: RatedNetwork, host_id: str, bits_per_second: float
+    ) -> None:
         self.host_id = host_id
-        self.up = Wire(bits_per_second=network.bits_per_second)
-        self.down = Wire(bits_per_second=network.bits_per_second)
+        self.up = Wire(bits_per_second=bits_per_second)
+        self.down = Wire(bits_per_second=bits_per_second)
         self._network = network
         self._answerers: dict[type, Callable[[Any], Any]] = {}
         self._listeners: dict[type, Callable[[Any], None]] = {}
@@ -152,7 +161,7 @@
         far: dict[str, MemberRow] = {}
         for row in self.rows:
             if row.failure_domain != self.failure_domain:
-                rank = random.Random(f"{self.own.host_id} {row.host_id}").random()
+                rank = _rank(self.own.host_id, row.host_id)
                 known = far.get(row.failure_domain)
                 if known is None or rank > 0.9:
                     far[row.failure_domain] = row
@@ -165,3 +174,8 @@
             if row.failure_domain == self.failure_domain
             and row.host_id != self.own.host_id
         ]
+
+
+@functools.cache
+def _rank(own_id: str, host_id: str) -> float:
+    return random.Random(f"{own_id} {host_id}").random()
--- a/tests/test_large_changes.py
+++ b/tests/test_large_changes.py
@@ -9,18 +9,11 @@
 """
 
 import asyncio
-import json
-import random
-import string
-from collections.abc import Sequence
 from datetime import timedelta
-from functools import partial
 
 import pytest
 
-from passtally.follower import Follower
 from passtally.messages import MemberRow
-from passtally.object_store import StoredObject
 from passtally.object_transfer import (
     KEPT_STATES,
     PART_BYTES,
@@ -30,120 +23,16 @@
     pack,
     unpack,
 )
-from passtally.watch_share import View, WatchShare
-from standins.virtual import VirtualClock, run_virtually
+from standins.virtual import run_virtually
 from tests.fakes import FakePlatform
-from tests.rated_network import FixedRoster, RatedNetwork
+from tests.rated_fleet import Fleet, make_config
 
 THIN = 10e6
 USUAL = 20e6
-ROUTES = 1980
 APPLY_WITHIN = 4.0
 PASS_WITHIN = 0.2
 
 
-def make_config(version: int, *, routes: int = ROUTES) -> bytes:
-    rng = random.Random(version)
-
-    def word(length: int) -> str:
-        letters = string.ascii_lowercase + string.digits
-        return "".join(rng.choice(letters) for _ in range(length))
-
-    listed = [
-        {
-            "name": f"r-{word(7)}",
-            "hostname": f"{word(6)}.example",
-            "path_prefix": f"/{word(7)}/",
-            "kind": "stream",
-            "timeout_ms": 25000,
-            "target_latency_ms": 4510,
-            "priority": 1,
-            "service": "modelo",
-            "max_attempts": 5,
-            "public": False,
-            "session_affinity": True,
-            "resume_streams": True,
-            "target_gap_ms": 700,
-        }
-        for _ in range(routes)
-    ]
-    return json.dumps({"version": version, "routes": listed}).encode()
-
-
-class Fleet:
-    """Hosts of one failure domain, or of more, before one store."""
-
-    def __init__(
-        self, *, hosts: int, bits_per_second: float, domains: Sequence[str] = ("d",)
-    ) -> None:
-        self.platform = FakePlatform()
-        self.network = RatedNetwork(bits_per_second=bits_per_second)
-        self.clock = VirtualClock()
-        self.values_by_host: dict[str, bytes] = {}
-        self.took_at_by_host: dict[str, float] = {}
-        self.shares_by_host: dict[str, WatchShare] = {}
-        self.stores_by_host: dict[str, FakePlatform] = {}
-        self.tasks: list[asyncio.Task] = []
-        self.rows = [
-            MemberRow(
-                host_id=f"{domain}-{number:02}",
-                failure_domain=domain,
-                counter=1,
-                config_version=0,
-                leaving=False,
-            )
-            for domain in domains
-            for number in range(hosts)
-        ]
-
-    def start(self, row: MemberRow, *, platform: FakePlatform | None = None) -> None:
-        host_id = row.host_id
-        self.stores_by_host[host_id] = platform or self.platform
-        share = WatchShare(
-            host_id=host_id,
-            views=(View(prefix="config/", apply=self._applier(host_id)),),
-            follow=partial(self._follow, host_id),
-            peers=self.network.add(host_id),
-            roster=FixedRoster(own=row, rows=self.rows),
-            clock=self.clock,
-            rng=random.Random(host_id),
-            reach_changed=lambda is_reached: None,
-        )
-        self.shares_by_host[host_id] = share
-        self.tasks.append(asyncio.create_task(share.run()))
-
-    def _applier(self, host_id: str):
-        def apply(changed: Sequence[StoredObject]) -> None:
-            for stored in changed:
-                self.values_by_host[host_id] = bytes(stored.value)
-                self.took_at_by_host[host_id] = asyncio.get_running_loop().time()
-
-        return apply
-
-    def _follow(self, host_id: str, share: WatchShare, view: View) -> Follower:
-        return Follower(
-            prefix=view.prefix,
-            platform=self.stores_by_host[host_id],
-            replace=lambda listing: share.replace(view, listing),
-            advance=lambda changes: share.advance(view, changes),
-            clock=self.clock,
-            rng=random.Random(1),
-            relist_pause=lambda: timedelta(milliseconds=200),
-            wait=timedelta(seconds=2),
-        )
-
-    async def wait_for(self, value: bytes, *, hosts: int) -> float:
-        """Return once so many hosts have a value, and the time."""
-        async with asyncio.timeout(60):
-            while list(self.values_by_host.values()).count(value) < hosts:
-                await asyncio.sleep(0.01)
-        return asyncio.get_running_loop().time()
-
-    @property
-    def watchers(self) -> list[str]:
-        return [name for name, share in self.shares_by_host.items() if share.is_up]
-
-
 class TestChangeInLargeDomains:
     @pytest.mark.parametrize(("hosts", "rate"), [(42, USUAL), (42, THIN), (55, THIN)])
     def test_it_is_in_force_in_time_and_callers_hardly_wait(self, hosts, rate):
