--- a/tests/test_change_storms.py
+++ b/tests/test_change_storms.py
@@ -33,7 +33,7 @@
 #: Of each domain so many hosts, the last ones, have fast links.
 FAST_HOSTS = 2
 #: Trouble begins at some moments between two changes and between two beats.
-TROUBLE_AFTER = (4.0, 4.2, 4.35)
+TROUBLE_AFTER = (4.0, 4.2, 4.35, 4.42)
 SMALL = [make_config(version, routes=44, workspaces=24) for version in range(12)]
 LARGE = [make_config(version) for version in range(4)]
 
@@ -121,6 +121,18 @@
 
         assert lag_with(cut_watchers) < APPLY_WITHIN * 2 / 3
 
+    def test_half_of_those_that_a_refused_domain_learns_from_end_at_once(self):
+        async def refuse_and_kill(fleet: Fleet) -> None:
+            for host_id in in_domain("a", fleet.stores_by_host):
+                fleet.stores_by_host[host_id].is_refused = True
+            await asyncio.sleep(2.5)
+            rows = list(fleet.rows)
+            for host_id in in_domain("b", fleet.stores_by_host)[::2]:
+                await fleet.stop(host_id)
+            fleet.rows[:] = rows
+
+        assert lag_with(refuse_and_kill) < APPLY_WITHIN * 2 / 3
+
     def test_a_third_of_the_hosts_starts(self):
         async def restart(fleet: Fleet) -> None:
             rows = [row for row in fleet.rows if int(row.host_id[-2:]) % 3 == 2]
