Tell others at once that a watch is down

Cause: a watcher that the store refuses or leaves without an answer just fell silent, and others began to watch 1.3 s later.

--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -175,8 +175,12 @@
         for view in self._views_by_prefix.values():
             view.task = self._spawn(view.follower.learn())
         beat_at = timedelta(0)
+        was_up = False
         while True:
             now = self._clock.monotonic()
+            if was_up and not self.is_up:
+                await self._tell_down()
+            was_up = self.is_up
             self._decide(now)
             # Only who hears changes has something to tell to its whole domain.
             self._roster.links_domain = self._duty.is_watching and self.is_up
@@ -194,6 +198,14 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _tell_down(self) -> None:
+        """Tell that this host's watch is down.
+
+        Others need not find that out by its silence, which takes 1.3 s: where the store
+        refuses all that watch, a domain is behind for 0.8 s and not 1.8 s.
+        """
+        await self._peers.tell(self._neighbours(), self._beat(is_watching=False))
+
     def _decide(self, now: timedelta) -> None:
         domain_ids = {self._host_id, *self._roster.domain_ids()}
         watching_ids = domain_ids.intersection(self._watching(now))
@@ -253,6 +265,8 @@
         self._note_versions(beat.host_id, beat.versions_by_prefix)
         if beat.is_watching:
             self._watching_at_by_host[beat.host_id] = self._clock.monotonic()
+        else:
+            self._watching_at_by_host.pop(beat.host_id, None)
 
     def _note_versions(self, host_id: str, versions: Mapping[str, int]) -> None:
         known = self._versions_by_host.get(host_id, {})
