Count the pause into a watch's wait

Cause: a store that falls silent in a series of changes is noticed only after the pause, the whole wait and its slack: 375 + 1,800 + 400 ms, and the domain needs some 0.5 s more.

--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -40,7 +40,7 @@
         replace: Called with each whole listing.
         advance: Called with the changes that each watch brings, also when none.
         relist_pause: Returns within which time hosts list again.
-        wait: How long one watch waits for a change.
+        wait: How long one watch waits for a change, a pause before it included.
         pause: How long changes are gathered before the next watch asks for them.
         last_retry: The longest pause between two tries.
         out_of_date_after: After how long without news a listing takes the place of the
@@ -155,6 +155,9 @@
             wait = self._wait
             if pause:
                 await self._clock.sleep(pause)
+                # The pause counts: a store that falls silent is noticed as soon after
+                # the last answer as if nothing had changed.
+                wait = max(self._wait - pause, timedelta(0))
 
     async def _ask(self, wait: timedelta) -> timedelta:
         """Watch once, and return how long to gather changes before the next time."""
