Hand an object of a single part to a few hosts at a time, too

Cause: a host's place was free as soon as its last part had been handed to the link, so that an object of a single part went to all hosts of a domain at once.

--- a/passtally/object_transfer.py
+++ b/passtally/object_transfer.py
@@ -33,6 +33,11 @@
 #: How many hosts are served at once. With one part each under way, a caller's event
 #: waits behind 40 ms of a link of 10 Mbit/s at most.
 SERVED_AT_ONCE = 3
+#: The rate of the thinnest links, in bytes a second (5 Mbit/s). A host that was sent
+#: its last part keeps its place for as long as the part takes there. Otherwise all of
+#: a domain of 55 are sent an object of one part (12 KB) at once, and a caller's event
+#: waits behind them for 337 ms on a link of 10 Mbit/s; so it waits for 33 ms.
+THIN_BYTES_PER_SECOND = 625_000
 #: A host that has not asked for its next part for this long is no longer served. A part
 #: and its question take 40 ms on a link that three share.
 SERVED_FOR = timedelta(milliseconds=300)
@@ -215,9 +220,11 @@
         if not self._served.admit(message.host_id, now):
             return ObjectPart(size=len(packed))
         end = message.offset + PART_BYTES
+        data = packed[message.offset : end]
         if end >= len(packed):
-            self._served.leave(message.host_id)
-        return ObjectPart(size=len(packed), data=packed[message.offset : end])
+            takes = SERVED_AT_ONCE * len(data) / THIN_BYTES_PER_SECOND
+            self._served.leave(message.host_id, now + timedelta(seconds=takes))
+        return ObjectPart(size=len(packed), data=data)
 
     def _pack(self, ref: ObjectRef) -> bytes | None:
         """Return the packed object; None where this host does not hold it."""
@@ -246,7 +253,7 @@
 class ServedHosts:
     """The hosts that an object is being handed to. Pure."""
 
-    _asked_at_by_host: dict[str, timedelta] = attrs.field(factory=dict)
+    _until_by_host: dict[str, timedelta] = attrs.field(factory=dict)
 
     def admit(self, host_id: str, now: timedelta) -> bool:
         """Return whether a host's question is answered with a part now.
@@ -255,18 +262,23 @@
             host_id: Who asks.
             now: The monotonic time.
         """
-        for name, asked_at in list(self._asked_at_by_host.items()):
-            if now - asked_at > SERVED_FOR:
-                del self._asked_at_by_host[name]
-        is_served = host_id in self._asked_at_by_host
-        if not is_served and len(self._asked_at_by_host) >= SERVED_AT_ONCE:
+        for name, until in list(self._until_by_host.items()):
+            if until <= now:
+                del self._until_by_host[name]
+        is_served = host_id in self._until_by_host
+        if not is_served and len(self._until_by_host) >= SERVED_AT_ONCE:
             return False
-        self._asked_at_by_host[host_id] = now
+        self._until_by_host[host_id] = now + SERVED_FOR
         return True
 
-    def leave(self, host_id: str) -> None:
-        """Take in that a host has all that it asked for."""
-        self._asked_at_by_host.pop(host_id, None)
+    def leave(self, host_id: str, at: timedelta = timedelta(0)) -> None:
+        """Take in that a host is sent the last of what it asked for.
+
+        Args:
+            host_id: The host.
+            at: When that will have come, on the monotonic clock.
+        """
+        self._until_by_host[host_id] = at
 
 
 def _is_large(stored: StoredObject) -> bool:
