Failing tests: a silent stream that may not go on elsewhere is broken off

A stream that its host takes for frozen is closed at its endpoint before its host asks whether it may go on elsewhere.

The engines of tests/test_replicas.py may now wake from silence, and may take no connections while their streams go on, as seen by a host whose own link is full.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -220,6 +220,8 @@
         self.engines = engines
         self.is_dead = False
         self.hangs = False
+        #: Whether it takes no connections, while its streams go on.
+        self.is_deaf = False
         self.replaced_by = ""
         self.unread = 0
         self.kept_prompts: set[str] = set()
@@ -265,7 +267,7 @@
 
     async def is_reachable(self) -> bool:
         await asyncio.sleep(0.001)
-        return not self.is_dead
+        return not (self.is_dead or self.is_deaf)
 
     def die(self) -> None:
         self.is_dead = True
@@ -317,7 +319,7 @@
         await asyncio.sleep(0.2 if self._first else 0.03)
         self._first = False
         while self.engine.hangs:
-            await asyncio.sleep(3600)
+            await asyncio.sleep(0.01)
         if self.engine.is_dead:
             raise self.engine.lost(LossKind.RESET)
         self.position += 1
@@ -432,8 +434,17 @@
         )
         self.sink = ByteSink()
 
+    @property
+    def budgets(self) -> ServiceBudgets:
+        return self.dispatcher._budgets
+
     def start(
-        self, *, position: int = 0, time_left: timedelta | None = None
+        self,
+        *,
+        position: int = 0,
+        time_left: timedelta | None = None,
+        max_attempts: int = 5,
+        max_gap: timedelta | None = None,
     ) -> asyncio.Task[None]:
         self._watch = asyncio.create_task(self.fleet.watch_silence())
         request = GenerationRequest(
@@ -445,7 +456,8 @@
             max_tokens=700,
             prompt_tokens=5_000,
             priority=5,
-            max_attempts=5,
+            max_attempts=max_attempts,
+            max_gap=max_gap,
             deadline=time_left and self.clock.monotonic() + time_left,
             target=TARGET,
         )
