Give a silent endpoint up only where its answer may go on elsewhere

Cause: silence ended an attempt, closed its connection, and only then was asked whether a repeat or a further attempt was left. Without one the answer was broken off, though its endpoint might be alive. A host whose own link is full sees just that: nothing arrives, and no endpoint takes a connection within 80 ms. Streams that may not be resumed were broken off at every such alarm.

Now the repeat is taken before the endpoint is given up. Without one the answer waits on at its endpoint, is judged again after each usual limit (0.2 to 0.3 s between outputs), and leaves as soon as a repeat is earned or lent; the endpoint gets no new work until it is heard. An answer that has left its endpoint and then lacks a repeat waits for one as long as its caller does (2 s, 4 targets or 8 pauses, the longest); one that its endpoint broke off waits as long as the pause still is in time, since its caller is better off at another host then. Where no limit of the caller's is known, all is as before.

Ruled out: more repeats (the budget is the users' own), a longer limit for silence (an endpoint that did freeze would cost each of its callers that much).

In virtual time a stream at an endpoint that is silent for 3 s is whole instead of broken off after 0.25 s, with no repeat taken; with one earned after 2 s it goes on elsewhere within 0.7 s of it.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -11,7 +11,12 @@
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
-from passtally.generation import Attempt, Generation, SeamError
+from passtally.generation import (
+    Attempt,
+    Generation,
+    GenerationRequest,
+    SeamError,
+)
 from passtally.live_endpoint import LiveEndpoint
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
@@ -36,6 +41,14 @@
 LINGER = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
 RESET = LossKind.RESET
+#: How often an answer that waits for a repeat looks for one: each look may ask four
+#: hosts, and callers notice a pause of 700 ms.
+REPEAT_POLL = timedelta(milliseconds=200)
+#: Callers give a stream up after the longest of these gaps: so much, so many times its
+#: target, or so many times the longest pause that still keeps an answer in time.
+LEAST_GIVE_UP = timedelta(seconds=2)
+GIVE_UP_TARGETS = 4
+GIVE_UP_PAUSES = 8
 
 
 Recovery = Callable[[], Awaitable[Sequence[int] | None]]
@@ -43,7 +56,19 @@
 
 @attrs.define(kw_only=True)
 class _Progress:
-    """What the losses of one generation on this host add up to."""
+    """What the losses of one generation on this host add up to.
+
+    Attributes:
+        deaths: The endpoints that died or froze under it.
+        unreached: The attempts that reached no endpoint.
+        excluded: The endpoints that lost it.
+        reached: Whether it may have run somewhere.
+        first_at: When its first output came.
+        waiting_since: Since when its caller waits for an attempt's first output.
+        heard_at: When its last output came, or when it began.
+        has_repeat: Whether the repeat for its next loss is taken already.
+        last_error: How its last attempt was lost.
+    """
 
     deaths: int = 0
     unreached: int = 0
@@ -51,6 +76,8 @@
     reached: bool = False
     first_at: timedelta | None = None
     waiting_since: timedelta
+    heard_at: timedelta
+    has_repeat: bool = False
     last_error: AttemptLostError | None = None
 
 
@@ -110,9 +137,8 @@
             RefusedError: It could not be run, or not to its end.
             ConnectionError: The caller left.
         """
-        progress = _Progress(
-            reached=bool(held_by), waiting_since=self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        progress = _Progress(reached=bool(held_by), waiting_since=now, heard_at=now)
         step = NextStep.ATTACH if held_by else NextStep.RESUME
         endpoint_id = held_by
         resume_ref = ""
@@ -179,6 +205,7 @@
             load_changed=self._fleet.load_changed.set,
             on_first=lambda: self._time_first(generation, progress),
             first_limit=partial(self._forecast.first_limit, generation.request.service),
+            may_leave=partial(self._may_leave, generation, attempt, live, progress),
         )
         keeper = ReplicaKeeper(
             generation=generation,
@@ -195,6 +222,7 @@
                 await relay.run(attach=attach)
         except AttemptLostError as loss:
             progress.reached = progress.reached or loss.kind not in UNRUN_KINDS
+            progress.heard_at = relay.heard_at or progress.heard_at
             raise
         except (ConnectionError, asyncio.CancelledError):
             generation.abandon()
@@ -266,7 +294,7 @@
             holder=holder,
         )
         if decision.step is not NextStep.GIVE_UP and not (
-            is_unreached or await self._may_repeat(generation)
+            is_unreached or await self._take_repeat(generation, progress, loss.kind)
         ):
             decision = RetryDecision(
                 step=NextStep.GIVE_UP, reason="the retry budget is spent"
@@ -304,6 +332,56 @@
         service = generation.request.service
         self._forecast.note_whole(service, generation.position, lasted)
 
+    async def _may_leave(
+        self,
+        generation: Generation,
+        attempt: Attempt,
+        live: LiveEndpoint,
+        progress: _Progress,
+        kind: LossKind,
+    ) -> bool:
+        """Return whether an answer may go on elsewhere than at a silent endpoint.
+
+        The repeat for that is taken here, before the endpoint is given up: without one
+        the answer would be broken off, though it may still come. Where nothing tells
+        how long a caller waits, none is kept waiting.
+        """
+        if generation.request.deadline is None:
+            return True
+        decision = decide_after_loss(
+            kind,
+            attempts=generation.attempt_count - progress.unreached,
+            deaths=progress.deaths + is_death(kind, was_attached=False),
+            was_attached=False,
+            limits=_limits_of(generation, self._limits),
+            holder=_find_holder(generation, attempt, live),
+        )
+        if decision.step is not NextStep.GIVE_UP and not progress.has_repeat:
+            progress.has_repeat = await self._may_repeat(generation)
+        may_leave = decision.step is not NextStep.GIVE_UP and progress.has_repeat
+        if not may_leave and kind is LossKind.FROZEN and not live.is_ejected:
+            live.eject(self._clock.monotonic())
+        return may_leave
+
+    async def _take_repeat(
+        self, generation: Generation, progress: _Progress, kind: LossKind
+    ) -> bool:
+        """Take the repeat for a loss; an answer that has begun waits for one.
+
+        Each request earns a part of one, here and at the hosts that lend.
+        """
+        if progress.has_repeat:
+            progress.has_repeat = False
+            return True
+        until = progress.heard_at
+        if generation.delivered and generation.request.deadline is not None:
+            until += _longest_wait(generation.request, kind)
+        while not await self._may_repeat(generation):
+            if self._clock.monotonic() >= until:
+                return False
+            await self._clock.sleep(REPEAT_POLL)
+        return True
+
     async def _may_repeat(self, generation: Generation) -> bool:
         """Take a repeat, or a resume, from the budget, or from other hosts'."""
         request = generation.request
@@ -388,3 +466,17 @@
     """Return the limits for one generation, which may have its own."""
     own = generation.request.max_attempts
     return limits if own is None else attrs.evolve(limits, max_attempts=own)
+
+
+def _longest_wait(request: GenerationRequest, kind: LossKind) -> timedelta:
+    """Return how long after its last output an answer may wait for a repeat.
+
+    One whose endpoint broke it off waits while the pause is in time: after that its
+    caller is better off at another host, as soon as it hears of it. One that this host
+    took from its endpoint waits as long as its caller.
+    """
+    max_gap = request.max_gap or timedelta(0)
+    if kind is RESET:
+        return max_gap
+    target = request.target or timedelta(0)
+    return max(LEAST_GIVE_UP, GIVE_UP_TARGETS * target, GIVE_UP_PAUSES * max_gap)
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -55,8 +55,10 @@
         is_waiting: Whether it waits for output; not while the caller is written to.
         seen_reads: The reads that the watch has seen.
         spared_since: Since when it is silent though its endpoint was found alive.
-        trip: Called to end the attempt.
+        trip: Called when the attempt is to end.
         tripped: How the attempt was lost, once it was.
+        is_held: Whether it waits on at an endpoint that was found silent, since it may
+            go on nowhere else.
     """
 
     quiet_since: timedelta
@@ -69,6 +71,7 @@
     spared_since: timedelta | None = None
     trip: Callable[[], None] = lambda: None
     tripped: LossKind | None = None
+    is_held: bool = False
 
     def stuck_after(self, usual: timedelta | None) -> timedelta | None:
         """Return how long it may be silent though its endpoint lives.
@@ -87,12 +90,28 @@
         """What the stream waits for."""
         return Phase.NEXT_TOKEN if self.seen_reads else Phase.FIRST_TOKEN
 
+    @property
+    def silent_since(self) -> timedelta:
+        """Since when there is no output, as far as the watch has seen."""
+        return self.spared_since or self.quiet_since
+
     def end(self, kind: LossKind) -> None:
-        """End the attempt as lost."""
+        """End the attempt as lost, unless its answer may go on nowhere else."""
         if self.tripped is None:
             self.tripped = kind
             self.trip()
 
+    def hold(self, now: timedelta) -> None:
+        """Let the attempt go on; its silence is judged again a little later.
+
+        Args:
+            now: The monotonic time.
+        """
+        self.tripped = None
+        self.is_held = True
+        self.spared_since = self.spared_since or self.quiet_since
+        self.quiet_since = now
+
 
 class LagMeter:
     """Tells whether this host itself was too busy, or paused, to judge others.
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -1,13 +1,14 @@
 """Passes one attempt's output on, under the watch for silence."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Protocol
 
 import attrs
 
 from passtally.clock import Clock
+from passtally.decision import log_event
 from passtally.engine import AttemptLostError, TokenStream
 from passtally.generation import (
     Attempt,
@@ -39,9 +40,21 @@
         """
 
 
+MayLeave = Callable[[LossKind], Awaitable[bool]]
+
+
+async def always_leave(kind: LossKind) -> bool:
+    """Let every answer go on elsewhere."""
+    return True
+
+
 class Relay:
     """One attempt, from its dispatch to its end or loss.
 
+    Silence does not tell that an endpoint is lost: a host whose own link is full
+    reaches none of them. An attempt is so given up for silence only where its answer
+    may go on elsewhere; else it waits on, until output comes or its caller leaves.
+
     Args:
         generation: What runs.
         attempt: The attempt.
@@ -52,6 +65,8 @@
         load_changed: Called when what it takes at endpoints has changed.
         on_first: Called before its first output is passed on.
         first_limit: See :class:`passtally.live_endpoint.StreamGuard`.
+        may_leave: Returns whether the answer may go on elsewhere once its endpoint is
+            given up for silence, by how the attempt is lost then.
     """
 
     def __init__(
@@ -66,14 +81,18 @@
         load_changed: Callable[[], None],
         on_first: Callable[[], None],
         first_limit: Callable[[int], timedelta | None] = lambda tokens: None,
+        may_leave: MayLeave = always_leave,
     ) -> None:
         self._generation = generation
         self._attempt = attempt
         self._live = live
         self._sink = sink
+        self._clock = clock
         self._replica = replica
         self._load_changed = load_changed
         self._on_first = on_first
+        self._may_leave = may_leave
+        self._leaving: asyncio.Task[None] | None = None
         self._guard = StreamGuard(
             quiet_since=clock.monotonic(),
             first_limit=first_limit,
@@ -82,6 +101,11 @@
         self._resuming = 0
         self._reading = 0
 
+    @property
+    def heard_at(self) -> timedelta | None:
+        """When the last output came; None before the first."""
+        return self._guard.silent_since if self._guard.reads else None
+
     async def run(self, *, attach: bool) -> None:
         """Pass the output on until the answer ends.
 
@@ -119,20 +143,43 @@
             self._load_changed()
 
     async def _pass_on(self, *, attach: bool) -> None:
-        loop = asyncio.get_running_loop()
         stream: TokenStream | None = None
         try:
             async with asyncio.timeout(None) as scope:
-                self._guard.trip = lambda: scope.reschedule(loop.time())
+                self._guard.trip = lambda: self._begin_leaving(scope)
                 stream = await self._open(attach=attach)
                 await self._read(stream)
         except TimeoutError as error:
             kind = self._guard.tripped or LossKind.FROZEN
             raise self._lost(kind, "stream", "silence") from error
         finally:
+            if self._leaving is not None:
+                self._leaving.cancel()
             if stream is not None:
                 stream.close()
 
+    def _begin_leaving(self, scope: asyncio.Timeout) -> None:
+        self._leaving = asyncio.create_task(self._leave(scope))
+
+    async def _leave(self, scope: asyncio.Timeout) -> None:
+        """Give a silent endpoint up, or wait on there."""
+        guard = self._guard
+        reads = guard.reads
+        may_leave = await self._may_leave(guard.tripped)
+        if may_leave and guard.reads == reads:
+            scope.reschedule(asyncio.get_running_loop().time())
+            return
+        if not guard.is_held:
+            log_event(
+                "silence",
+                "Waiting on.",
+                request=self._generation.request.id,
+                peer=self._live.endpoint.id,
+                loss=guard.tripped,
+                position=self._generation.position,
+            )
+        guard.hold(self._clock.monotonic())
+
     async def _open(self, *, attach: bool) -> TokenStream:
         generation, engine = self._generation, self._live.engine
         request = generation.request
@@ -151,6 +198,9 @@
             guard.reads += 1
             if guard.reads == 1:
                 self._note_first()
+            if guard.is_held:
+                guard.is_held = False
+                self._live.readmit()
             guard.is_waiting = False
             await self._deliver(events)
             guard.is_waiting = True
