Failing tests: an answer that ends its connection loses what is not yet sent

Where a caller asks for Connection: close, or the host is stopping or cut off, an answer that its caller takes slowly loses all that its socket had not yet taken, up to 64 KB; so does every answer that is on its way when the server stops. 4 of 5 new tests fail.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """The raw HTTP server: bytes kept, ambiguous framing refused, leavers noticed."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -260,6 +261,90 @@
         serve(test)
 
 
+#: Fits below what a writer waits for, and is far more than the sockets take.
+BODY = b"a" * 50_000
+SMALL_BUFFER = 4096
+
+
+class SlowReader:
+    """A caller on a slow link: little of an answer is under way at once."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.answered = asyncio.Event()
+        server.handle = self.answer
+
+    async def answer(self, exchange: Exchange) -> None:
+        transport = exchange._connection._transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        await exchange.answer(200, [], BODY)
+        assert transport.get_write_buffer_size() > len(BODY) / 2
+        self.answered.set()
+
+    async def ask(self, headers: bytes) -> asyncio.StreamReader:
+        """Send a request and return once its answer is made, though not yet read."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        sock.connect(("127.0.0.1", self.server.port))
+        reader, self.writer = await asyncio.open_connection(sock=sock, limit=1024)
+        self.writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n" + headers + b"\r\n")
+        await self.answered.wait()
+        await asyncio.sleep(0)
+        return reader
+
+
+async def read_body(reader: asyncio.StreamReader) -> bytes:
+    answer = b""
+    while data := await asyncio.wait_for(reader.read(1024), 5):
+        answer += data
+    return answer.partition(b"\r\n\r\n")[2]
+
+
+class TestUnsentAnswers:
+    """An answer that is made is sent whole, however slowly its caller takes it."""
+
+    def test_one_that_ends_its_connection_is_sent_whole(self):
+        async def test(server: Server) -> None:
+            caller = SlowReader(server)
+            reader = await caller.ask(b"Connection: close\r\n")
+            assert await read_body(reader) == BODY
+            caller.writer.close()
+
+        serve(test)
+
+    def test_one_of_a_closing_server_is_sent_whole(self):
+        async def test(server: Server) -> None:
+            server.http.is_closing = True
+            caller = SlowReader(server)
+            reader = await caller.ask(b"")
+            assert await read_body(reader) == BODY
+            caller.writer.close()
+
+        serve(test)
+
+    @pytest.mark.parametrize("headers", [b"", b"Connection: close\r\n"])
+    def test_one_of_a_server_that_stops_is_sent_whole(self, headers):
+        async def test(server: Server) -> None:
+            caller = SlowReader(server)
+            reader = await caller.ask(headers)
+            stopping = asyncio.create_task(server.http.stop())
+            assert await read_body(reader) == BODY
+            await stopping
+            caller.writer.close()
+
+        serve(test)
+
+    def test_a_stop_does_not_wait_for_callers_that_read_nothing(self):
+        async def test(server: Server) -> None:
+            caller = SlowReader(server)
+            await caller.ask(b"")
+            await asyncio.wait_for(server.http.stop(), 1)
+            caller.writer.transport.abort()
+
+        serve(test)
+
+
 class TestCallers:
     def test_a_caller_that_leaves_cancels_its_request(self):
         async def test(server: Server) -> None:
