Failing tests: calls given up for nothing, and a 503 after a stream ran

A repeatable call whose endpoint takes longer than twice its target is taken from it before it is known whether it may go on elsewhere: without a repeat, or without another endpoint, its caller gets a 504 though the endpoint was at work.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -11,14 +11,21 @@
 import pytest
 from multidict import CIMultiDict
 
-from passtally.clock import ManualClock
+from passtally.clock import Clock, ManualClock
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.outcome import RefusedError
-from passtally.plain import MAX_CONNECTS, PlainAnswer, PlainCall, PlainCaller
+from passtally.plain import (
+    MAX_CONNECTS,
+    PlainAnswer,
+    PlainCall,
+    PlainCaller,
+    Sender,
+)
 from passtally.retry import LossKind
-from passtally.retry_budget import RetryBudgets
+from passtally.retry_budget import Budgets, RetryBudgets, ServiceBudgets
+from standins.virtual import VirtualClock, run_virtually
 from tests.fakes import make_catalog
 
 SERVICE = Service(id="s", kind=ServiceKind.PLAIN)
@@ -40,33 +47,38 @@
         return PlainAnswer(status=200, headers=CIMultiDict(), body=b"ok")
 
 
-def run_call(
-    sender: LossySender, *, repeatable: bool = False, max_attempts: int = 1
-) -> PlainAnswer:
-    endpoints = [
-        Endpoint(
-            id=f"e{number}",
-            service="s",
-            url=f"http://10.0.0.{number}:1",
-            failure_domain=f"d{number}",
-            host="",
-        )
-        for number in range(8)
-    ]
-    clock = ManualClock()
+def make_caller(
+    sender: Sender, *, clock: Clock, budgets: Budgets, endpoints: int = 8
+) -> PlainCaller:
     fleet = Fleet(
-        catalog=make_catalog([SERVICE], endpoints),
+        catalog=make_catalog(
+            [SERVICE],
+            [
+                Endpoint(
+                    id=f"e{number}",
+                    service="s",
+                    url=f"http://10.0.0.{number}:1",
+                    failure_domain=f"d{number}",
+                    host="",
+                )
+                for number in range(endpoints)
+            ],
+        ),
         clock=clock,
         connect=lambda endpoint: None,
     )
-    caller = PlainCaller(
-        fleet=fleet,
-        clock=clock,
-        failure_domain="d1",
-        budgets=RetryBudgets(),
-        sender=sender,
+    return PlainCaller(
+        fleet=fleet, clock=clock, failure_domain="d1", budgets=budgets, sender=sender
     )
-    call = PlainCall(
+
+
+def make_call(
+    *,
+    repeatable: bool = False,
+    max_attempts: int = 1,
+    patience: timedelta | None = None,
+) -> PlainCall:
+    return PlainCall(
         id="c",
         workspace="w",
         service=SERVICE,
@@ -78,7 +90,15 @@
         key="",
         max_attempts=max_attempts,
         deadline=timedelta(seconds=4),
+        patience=patience,
     )
+
+
+def run_call(
+    sender: LossySender, *, repeatable: bool = False, max_attempts: int = 1
+) -> PlainAnswer:
+    caller = make_caller(sender, clock=ManualClock(), budgets=RetryBudgets())
+    call = make_call(repeatable=repeatable, max_attempts=max_attempts)
     return asyncio.run(caller.call(call))
 
 
@@ -104,3 +124,79 @@
         with pytest.raises(RefusedError):
             run_call(sender)
         assert len(sender.asked) == 1
+
+
+class SlowSender:
+    """Takes long over the first call, and answers the others at once."""
+
+    TAKES = timedelta(seconds=3)
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+        self.cancelled: list[str] = []
+
+    async def send(self, call, live, *, before_send=None) -> PlainAnswer:
+        self.asked.append(live.endpoint.id)
+        try:
+            if len(self.asked) == 1:
+                await asyncio.sleep(self.TAKES.total_seconds())
+        except asyncio.CancelledError:
+            self.cancelled.append(live.endpoint.id)
+            raise
+        return PlainAnswer(status=200, headers=CIMultiDict(), body=b"ok")
+
+
+class TestPatience:
+    """A repeatable call that its endpoint takes long over.
+
+    It goes on elsewhere where that is possible; else what its endpoint has done for it
+    would be lost, and its caller is told that nothing answered.
+    """
+
+    PATIENCE = timedelta(milliseconds=600)
+
+    def run(self, *, most: float, endpoints: int = 8, earn_at: float | None = None):
+        """Run a slow call; return its sender, and when it was answered."""
+
+        async def test() -> tuple[SlowSender, float]:
+            clock, sender = VirtualClock(), SlowSender()
+            budgets = ServiceBudgets(
+                share=0.5,
+                extra=lambda: most,
+                window=timedelta(seconds=10),
+                clock=clock,
+            )
+            caller = make_caller(
+                sender, clock=clock, budgets=budgets, endpoints=endpoints
+            )
+            call = make_call(repeatable=True, max_attempts=3, patience=self.PATIENCE)
+            loop = asyncio.get_running_loop()
+            if earn_at is not None:
+                for _ in range(2):
+                    loop.call_later(earn_at, lambda: budgets.earn("w", service="s"))
+            answer = await caller.call(call)
+            assert answer.status == 200
+            return sender, loop.time()
+
+        return run_virtually(test())
+
+    def test_it_goes_on_elsewhere(self):
+        sender, ended = self.run(most=20)
+        assert len(set(sender.asked)) == 2
+        assert sender.cancelled == sender.asked[:1]
+        assert ended == pytest.approx(0.6, abs=0.01)
+
+    def test_without_a_repeat_it_waits_on(self):
+        sender, ended = self.run(most=0)
+        assert len(sender.asked) == 1
+        assert ended == pytest.approx(3, abs=0.01)
+
+    def test_without_another_endpoint_it_waits_on(self):
+        sender, ended = self.run(most=20, endpoints=1)
+        assert len(sender.asked) == 1
+        assert ended == pytest.approx(3, abs=0.01)
+
+    def test_it_goes_on_elsewhere_once_a_repeat_is_earned(self):
+        sender, ended = self.run(most=0, earn_at=1)
+        assert len(set(sender.asked)) == 2
+        assert ended == pytest.approx(1.2, abs=0.21)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -305,6 +305,17 @@
         assert failure.outcome is Outcome.NOT_RUN
         assert failure.retry_after
 
+    def test_where_it_may_have_run_nothing_is_promised(self):
+        async def run():
+            FaultyEngine.plan = [Fault("reset", 0)] * 2
+            with pytest.raises(RefusedError) as caught:
+                await Bench(FaultyEngine, max_attempts=1).run(make_short_generation())
+            return caught.value.failure
+
+        failure = run_virtually(run())
+        assert failure.outcome is Outcome.UNKNOWN
+        assert failure.status == 502, "503 promises that it has not run"
+
     def test_a_poison_prompt_is_stopped_and_quarantined(self):
         class PoisonedEngine(FakeEngine):
             async def _produce(self, request, prior):
