Take a call from a slow endpoint only once it can go on elsewhere

Cause: the time limit of one send ended it at twice the route's target, and only then was it asked whether there is a repeat and another endpoint. Without them the caller got a 504 though its endpoint was at work and 1.5 to 3 times as long was left, and what the endpoint had done was lost.

Now the call waits on at its endpoint, and goes on elsewhere as soon as both are there; the repeat is taken before. In virtual time a call that takes 3 s of its 4 s is answered after 3 s instead of refused after 0.6 s; one for which a repeat is earned after 1 s goes on elsewhere within 0.2 s of it.

A stream that was sent to an endpoint by this host and can't go on ends with 502 and no more with 503, which promises that it has not run; 503 stays where nothing ran. That matters to streams that may not be resumed: their callers send a 503 once more.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -35,15 +35,12 @@
     is_death,
     is_gone,
 )
-from passtally.retry_budget import Budgets, take_repeat
+from passtally.retry_budget import REPEAT_POLL, Budgets, take_repeat
 
 #: How long a stream is left with its engine for a caller to reconnect.
 LINGER = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
 RESET = LossKind.RESET
-#: How often an answer that waits for a repeat looks for one: each look may ask four
-#: hosts, and callers notice a pause of 700 ms.
-REPEAT_POLL = timedelta(milliseconds=200)
 #: Callers give a stream up after the longest of these gaps: so much, so many times its
 #: target, or so many times the longest pause that still keeps an answer in time.
 LEAST_GIVE_UP = timedelta(seconds=2)
@@ -405,7 +402,7 @@
         return refuse(
             Code.RESUME_IMPOSSIBLE if begun else Code.NO_ENDPOINT,
             f"No endpoint can take this request: {reason}.",
-            status=503,
+            status=502 if progress.reached else 503,
             step="resume" if begun else "route",
             peer=progress.last_error.peer if progress.last_error else request.service,
             outcome=Outcome.UNKNOWN if ran else Outcome.NOT_RUN,
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -16,8 +16,8 @@
 from passtally.objects import Service
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.retry import UNRUN_KINDS, LossKind
-from passtally.retry_budget import Budgets, take_repeat
-from passtally.routing import RouteQuery, choose_endpoint
+from passtally.retry_budget import REPEAT_POLL, Budgets, take_repeat
+from passtally.routing import RouteDecision, RouteQuery, choose_endpoint
 
 CALL_TIMEOUT = timedelta(seconds=30)
 MAX_ATTEMPTS = 3
@@ -51,7 +51,7 @@
         max_attempts: How many endpoints it may be sent to.
         deadline: When it is given up, on the monotonic clock.
         patience: After what time without an answer a repeatable call goes on to
-            another endpoint, if it may be sent once more.
+            another endpoint, if there is one and it may be sent once more.
     """
 
     id: str
@@ -87,6 +87,23 @@
     is_framed: bool = True
 
 
+@attrs.define(kw_only=True)
+class _Tries:
+    """What one call may still do.
+
+    Attributes:
+        sends_left: How many endpoints it may still be sent to.
+        connects_left: How many endpoints may still take no connection.
+        excluded: The endpoints that lost it.
+        has_repeat: Whether the repeat for its next send is taken already.
+    """
+
+    sends_left: int
+    connects_left: int = MAX_CONNECTS
+    excluded: set[str] = attrs.field(factory=set)
+    has_repeat: bool = False
+
+
 class Sender(Protocol):
     """Sends a call to one endpoint."""
 
@@ -145,27 +162,24 @@
             RefusedError: No endpoint answered; its outcome tells whether one
                 may have run it.
         """
-        excluded: set[str] = set()
+        tries = _Tries(sends_left=call.max_attempts)
         failure: RefusedError | None = None
         service = call.service.id
         self._budgets.earn(call.workspace, service=service)
-        sends_left, connects_left = call.max_attempts, MAX_CONNECTS
         while True:
-            endpoint_id = self._route(call, excluded)
+            endpoint_id = self._route(call, tries.excluded)
             if endpoint_id is None:
                 break
             try:
-                return await self._send(
-                    call, endpoint_id, before_send, has_more=sends_left - 1
-                )
+                return await self._send(call, endpoint_id, before_send, tries)
             except RefusedError as error:
-                excluded.add(endpoint_id)
+                tries.excluded.add(endpoint_id)
                 failure = _worse(failure, error)
                 is_unsent = error.failure.step == UNSENT_STEP
-                connects_left -= is_unsent
-                sends_left -= not is_unsent
-            is_over = not sends_left or not connects_left
-            if is_over or not await self._may_repeat(call, failure):
+                tries.connects_left -= is_unsent
+                tries.sends_left -= not is_unsent
+            is_over = not tries.sends_left or not tries.connects_left
+            if is_over or not await self._may_repeat(call, failure, tries):
                 break
         raise failure or refuse(
             Code.NO_ENDPOINT,
@@ -176,7 +190,9 @@
             retry_after=RETRY_AFTER,
         )
 
-    async def _may_repeat(self, call: PlainCall, failure: RefusedError) -> bool:
+    async def _may_repeat(
+        self, call: PlainCall, failure: RefusedError, tries: _Tries
+    ) -> bool:
         ran = failure.failure.outcome is Outcome.UNKNOWN
         if ran and not call.repeatable:
             return False
@@ -184,12 +200,18 @@
             return False
         if failure.failure.step == UNSENT_STEP:
             return True
+        if tries.has_repeat:
+            tries.has_repeat = False
+            return True
+        return await self._take_repeat(call)
+
+    async def _take_repeat(self, call: PlainCall) -> bool:
         return await take_repeat(
             self._budgets, call.workspace, service=call.service.id, is_resume=False
         )
 
-    def _route(self, call: PlainCall, excluded: set[str]) -> str | None:
-        decision = choose_endpoint(
+    def _choose(self, call: PlainCall, excluded: set[str]) -> RouteDecision:
+        return choose_endpoint(
             RouteQuery(
                 affinity=call.id.encode(),
                 failure_domain=call.failure_domain or self._failure_domain,
@@ -198,6 +220,9 @@
             self._fleet.views(call.service.id),
             now=self._clock.monotonic(),
         )
+
+    def _route(self, call: PlainCall, excluded: set[str]) -> str | None:
+        decision = self._choose(call, excluded)
         log_decision(
             "route",
             request=call.id,
@@ -217,24 +242,18 @@
         call: PlainCall,
         endpoint_id: str,
         before_send: Callable[[], None] | None,
-        *,
-        has_more: int,
+        tries: _Tries,
     ) -> PlainAnswer:
-        """Send the call once, and learn of the endpoint from how that ends.
-
-        Args:
-            call: What to send.
-            endpoint_id: Where to.
-            before_send: Called before the first byte.
-            has_more: How many more times it may be sent.
-        """
+        """Send the call once, and learn of the endpoint from how that ends."""
         live = self._fleet.find(endpoint_id)
         limit = self._remaining(call)
-        if has_more and call.repeatable and call.patience is not None:
-            limit = min(limit, call.patience)
+        losing: asyncio.Task[None] | None = None
         live.enter()
         try:
-            async with asyncio.timeout(limit.total_seconds()):
+            async with asyncio.timeout(limit.total_seconds()) as scope:
+                if tries.sends_left > 1 and call.repeatable and call.patience:
+                    work = self._lose_patience(call, endpoint_id, tries, scope)
+                    losing = asyncio.create_task(work)
                 answer = await self._sender.send(call, live, before_send=before_send)
         except AttemptLostError as loss:
             raise self._take_loss(call, live, loss) from loss
@@ -243,9 +262,28 @@
             raise self._take_loss(call, live, loss) from error
         finally:
             live.leave()
+            if losing is not None:
+                losing.cancel()
         live.readmit()
         return answer
 
+    async def _lose_patience(
+        self, call: PlainCall, endpoint_id: str, tries: _Tries, scope: asyncio.Timeout
+    ) -> None:
+        """Take a call from a slow endpoint once it can go on elsewhere.
+
+        Its repeat is taken first: without one, or without another endpoint, what was
+        done for it would be lost, and its caller told that nothing answered.
+        """
+        await self._clock.sleep(call.patience)
+        excluded = tries.excluded | {endpoint_id}
+        while not (
+            self._choose(call, excluded).endpoint_id and await self._take_repeat(call)
+        ):
+            await self._clock.sleep(REPEAT_POLL)
+        tries.has_repeat = True
+        scope.reschedule(asyncio.get_running_loop().time())
+
     def _take_loss(
         self, call: PlainCall, live: LiveEndpoint, loss: AttemptLostError
     ) -> RefusedError:
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -11,6 +11,9 @@
 
 SHARE = 0.1
 MOST = 20.0
+#: How often who waits for a repeat looks for one: each look may ask four hosts, and
+#: callers notice a pause of 700 ms.
+REPEAT_POLL = timedelta(milliseconds=200)
 #: Parts of a repeat that are lent add up to whole ones but for so much.
 ROUNDING = 1e-9
 
