--- a/standins/runner.py
+++ b/standins/runner.py
@@ -29,6 +29,9 @@
         unframed: Whether plain answers come without a length.
         answer_delay: How long a plain call takes, in seconds.
         first_delay: How long a stream's first event takes, in seconds.
+        head_delay: How long the head of an answer takes, in seconds.
+        report_delay: How long a report takes, in seconds.
+        event_bytes: How many bytes more each event of a stream has.
     """
 
     refusals: int = 0
@@ -44,6 +47,9 @@
     unframed: bool = False
     answer_delay: float = 0.0
     first_delay: float = 0.0
+    head_delay: float = 0.0
+    report_delay: float = 0.0
+    event_bytes: int = 0
 
 
 class RunnerStandIn:
@@ -77,6 +83,9 @@
         self.prompts_read = 0
         self.kept_parts: list[str] = []
         self.closed_early = 0
+        #: How many requests it works on, and how many reports it was asked for.
+        self.working = 0
+        self.reports = 0
         self.address = ""
         self._find = find
         self._runner: web.AppRunner | None = None
@@ -127,9 +136,14 @@
         if self.faults.refusals:
             self.faults.refusals -= 1
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
-        if "X-Prefix-Hash" in request.headers:
-            return await self._stream(request)
-        return await self._call(request)
+        self.working += 1
+        try:
+            await asyncio.sleep(self.faults.head_delay)
+            if "X-Prefix-Hash" in request.headers:
+                return await self._stream(request)
+            return await self._call(request)
+        finally:
+            self.working -= 1
 
     def _headers(self, request: web.Request) -> dict[str, str]:
         request_id = request.headers["X-Request-Id"]
@@ -211,12 +225,16 @@
                 return
             if self.faults.hang_after == number - 1:
                 await asyncio.sleep(3600)
-            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            padding = "." * self.faults.event_bytes
+            event = f"id: {number}\ndata: piece {number}{padding}\n\n"
+            await response.write(event.encode())
             if replica is not None:
                 replica.replicas[f"{replica.address}/{request_id}"] = number
             await asyncio.sleep(self.gap)
 
     async def _report(self, request: web.Request) -> web.Response:
+        self.reports += 1
+        await asyncio.sleep(self.faults.report_delay)
         expected = request.headers.get("X-Expect-Instance", self.name)
         if expected != self.name:
             return web.Response(status=421, headers={"X-Instance-Id": self.name})
