Send nothing for callers that left before they were read

Cause: a request and the close behind it are read in two passes of the loop, and a request whose endpoint has a kept connection is sent within the first. A host that was busy, or whose queue of new connections was long, so sent on requests that their callers had given up, and broke them off a moment later.

A caller that closes its own direction only, and takes no output, was let go once its output was sent, which may be never. It is let go at once.

Ruled out: looking at the socket itself, which the loops' transports do not allow.

--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -253,7 +253,9 @@
         self._feed(data)
 
     def eof_received(self) -> bool:
-        """Take the caller's close as its leaving."""
+        """Take the caller's close as its leaving, also where it takes no output."""
+        if self._is_serving:
+            self.abort()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -360,6 +362,7 @@
         except TimeoutError:
             raise BadRequestError(408, "the request came too slowly") from None
         self._is_serving = True
+        await self._look_for_close()
         exchange = Exchange(request=request, connection=self)
         await self._server.handle(exchange)
         if self._parser.our_state not in _ANSWERED:
@@ -367,6 +370,18 @@
             return False
         return self._start_next_cycle()
 
+    async def _look_for_close(self) -> None:
+        """Hear a close that came right behind the request.
+
+        A host that was busy reads requests whose callers gave up meanwhile. Without
+        this pass of the loop they would be sent on before their close is read.
+
+        Raises:
+            ConnectionError: The caller left.
+        """
+        await asyncio.sleep(0)
+        self._check_open()
+
     def _start_next_cycle(self) -> bool:
         if self._parser.states != {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             return False
