--- a/soak/link.py
+++ b/soak/link.py
@@ -35,6 +35,7 @@
         self._healed = asyncio.Event()
         self._healed.set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> int:
@@ -63,6 +64,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_open(self) -> None:
+        """Swallow for good what open connections carry; new ones work."""
+        self._silent |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -84,6 +89,7 @@
             )
         finally:
             self._writers -= {writer, far_writer}
+            self._silent -= {writer, far_writer}
 
     async def _pump(
         self,
@@ -99,6 +105,8 @@
                     await asyncio.sleep(DELAY_SECONDS)
                 if is_answer or self.fault is LinkFault.SILENT:
                     await self._healed.wait()
+                if writer in self._silent:
+                    continue
                 writer.write(chunk)
                 await writer.drain()
             writer.close()
