Trust no kept connection as old as one that was found silent

Cause: a request that got no answer on a silent connection was repeated on the next kept one, which may have fallen silent with it; each cost the whole limit again.

- A call to the store, or an endpoint's own interface, that gets no answer in time closes the other idle connections there; so does a request that an endpoint leaves unanswered.
- A call that was taken from a slow endpoint goes on over a new connection.
- A stream that is stuck though its endpoint takes new connections shows that open ones fell silent: all that were last used before are closed.
Not where an endpoint takes none: a full link of our own looks like that, and kept connections serve best there.

Ruled out: keep-alive probes of TCP, which cost each idle connection packets and do not tell where the far kernel answers.

--- a/passtally/connection_pool.py
+++ b/passtally/connection_pool.py
@@ -1,4 +1,9 @@
-"""The connections to other processes, kept for further requests."""
+"""The connections to other processes, kept for further requests.
+
+Open connections may fall silent for good, many at once, while new ones work. Neither
+side hears of it: a kept connection is found silent only by a request that gets no
+answer. Then others that may be silent too are used no more.
+"""
 
 import asyncio
 from collections.abc import Mapping
@@ -50,15 +55,20 @@
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
         self.opened = 0
 
-    async def take(self, address: Address) -> ClientConnection:
+    async def take(
+        self, address: Address, *, must_be_new: bool = False
+    ) -> ClientConnection:
         """Return an idle connection, or a new one.
 
         Args:
             address: The peer.
+            must_be_new: Whether the idle ones may be silent; they are closed.
 
         Raises:
             ExchangeError: None came up.
         """
+        if must_be_new:
+            self.distrust(address)
         idle = self._idle_by_address.get(address, [])
         while idle:
             connection = idle.pop()
@@ -118,6 +128,25 @@
             ExchangeError: No whole answer came.
             TimeoutError: None came in time.
         """
+        try:
+            return await self._exchange(
+                address, method, target, headers, body, most, timeout, part_timeout
+            )
+        except TimeoutError:
+            self.distrust(address)
+            raise
+
+    async def _exchange(
+        self,
+        address: Address,
+        method: bytes,
+        target: bytes,
+        headers: RawHeaders,
+        body: bytes,
+        most: int,
+        timeout: timedelta,
+        part_timeout: timedelta | None,
+    ) -> "WholeAnswer":
         async with asyncio.timeout(timeout.total_seconds()) as limit:
             extend = partial(_extend, limit, part_timeout or timedelta(0))
             connection = await self.take(address)
@@ -139,6 +168,22 @@
             self._drop_unusable()
             self._idle_by_address.setdefault(address, []).append(connection)
 
+    def distrust(self, address: Address) -> None:
+        """Close the idle connections to a peer that did not answer on one."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.abort()
+
+    def distrust_older(self, since: timedelta) -> None:
+        """Close the idle connections to all peers that were last used before a moment.
+
+        Args:
+            since: Since when one is silent though its peer answers on new ones.
+        """
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                if connection.rested_at < since:
+                    connection.abort()
+
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle_by_address.values():
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -59,6 +59,7 @@
         others_load: Returns what other hosts' runs take at an endpoint.
         on_successor: Called with an endpoint that has ended and the id of the one
             that has its address now.
+        on_silent: See :class:`passtally.live_endpoint.LiveEndpoint`.
     """
 
     def __init__(
@@ -74,7 +75,9 @@
         on_successor: Callable[[Endpoint, str], None] = lambda endpoint, successor: (
             None
         ),
+        on_silent: Callable[[timedelta], None] = lambda since: None,
     ) -> None:
+        self._on_silent = on_silent
         self._catalog = catalog
         self._clock = clock
         self._connect = connect
@@ -105,6 +108,7 @@
                 departures=self._departures,
                 bounds_by_phase=self._bounds_by_phase,
                 others_load=partial(self._others_load, endpoint_id),
+                on_silent=self._on_silent,
             )
             self._live_by_id[endpoint_id] = live
         live.endpoint = endpoint
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -251,6 +251,7 @@
             departures=self.departures,
             others_load=self.board.load,
             on_successor=self._meet_successor,
+            on_silent=self.pool.distrust_older,
             catalog=self.catalog,
             clock=self.clock,
             connect=self._connect,
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -100,6 +100,8 @@
         self._is_resting = False
         self._error: Exception | None = None
         self._usable_until = timedelta(0)
+        #: When it last became ready for another request.
+        self.rested_at = timedelta(0)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Make a dead peer show itself."""
@@ -230,7 +232,8 @@
         self._parser.start_next_cycle()
         self._buffered = 0
         self._is_resting = True
-        self._usable_until = self._clock.monotonic() + _idle_limit(keep_alive)
+        self.rested_at = self._clock.monotonic()
+        self._usable_until = self.rested_at + _idle_limit(keep_alive)
         return True
 
     def abort(self) -> None:
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -146,6 +146,8 @@
         departures: Where its own reports of leaving are noted.
         bounds_by_phase: Where its silence limits may move.
         others_load: Returns what other hosts' runs take there.
+        on_silent: Called with the moment since which a connection to it is silent
+            though it takes new ones.
     """
 
     def __init__(
@@ -158,7 +160,9 @@
         departures: Departures,
         bounds_by_phase: dict[Phase, SilenceBounds],
         others_load: Callable[[], TokenLoad] = TokenLoad,
+        on_silent: Callable[[timedelta], None] = lambda since: None,
     ) -> None:
+        self._on_silent = on_silent
         self._others_load = others_load
         self.endpoint = endpoint
         self.engine = engine
@@ -374,6 +378,7 @@
             )
             if stuck_after is not None and now - guard.spared_since > stuck_after:
                 self._log_stuck(guard, now)
+                self._on_silent(guard.spared_since)
                 guard.end(LossKind.RESET)
 
     def _log_stuck(self, guard: StreamGuard, now: timedelta) -> None:
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -52,6 +52,8 @@
         deadline: When it is given up, on the monotonic clock.
         patience: After what time without an answer a repeatable call goes on to
             another endpoint, if there is one and it may be sent once more.
+        must_connect: Whether it is to be sent on a new connection, since one was
+            silent.
     """
 
     id: str
@@ -67,6 +69,7 @@
     max_attempts: int = MAX_ATTEMPTS
     deadline: timedelta | None = None
     patience: timedelta | None = None
+    must_connect: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -96,12 +99,14 @@
         connects_left: How many endpoints may still take no connection.
         excluded: The endpoints that lost it.
         has_repeat: Whether the repeat for its next send is taken already.
+        must_connect: Whether its next sends are to go on new connections.
     """
 
     sends_left: int
     connects_left: int = MAX_CONNECTS
     excluded: set[str] = attrs.field(factory=set)
     has_repeat: bool = False
+    must_connect: bool = False
 
 
 class Sender(Protocol):
@@ -181,6 +186,7 @@
             is_over = not tries.sends_left or not tries.connects_left
             if is_over or not await self._may_repeat(call, failure, tries):
                 break
+            call = attrs.evolve(call, must_connect=tries.must_connect)
         raise failure or refuse(
             Code.NO_ENDPOINT,
             "No endpoint of the service can take the call.",
@@ -281,7 +287,7 @@
             self._choose(call, excluded).endpoint_id and await self._take_repeat(call)
         ):
             await self._clock.sleep(REPEAT_POLL)
-        tries.has_repeat = True
+        tries.has_repeat = tries.must_connect = True
         scope.reschedule(asyncio.get_running_loop().time())
 
     def _take_loss(
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -80,13 +80,14 @@
             call.body,
             workspace=call.workspace,
             deadline=call.deadline,
+            must_connect=call.must_connect,
         )
         try:
             body = await connection.read_all(MAX_ANSWER_BYTES)
         except ExchangeError as error:
             raise link.lost_in_exchange(error) from error
         except BaseException:
-            connection.abort()
+            link.abandon(connection)
             raise
         link.give_back(connection, head)
         headers = CIMultiDict(
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -52,15 +52,25 @@
         *,
         workspace: str,
         deadline: timedelta | None,
+        must_connect: bool = False,
     ) -> tuple[ClientConnection, ResponseHead]:
         """Send a request and return the connection and the answer's head.
 
+        Args:
+            method: The method.
+            target: The path and query, byte for byte.
+            headers: The headers; those of the system are added.
+            body: The body.
+            workspace: Whose it is.
+            deadline: When it is given up, on the monotonic clock.
+            must_connect: Whether it is to be sent on a new connection.
+
         Raises:
             AttemptLostError: No answer of this endpoint came, or it did not run
                 the request.
         """
         try:
-            connection = await self._pool.take(self.address)
+            connection = await self._pool.take(self.address, must_be_new=must_connect)
         except ExchangeError as error:
             raise self.lost(LossKind.UNREACHABLE, error.detail) from error
         system = self._system_headers(workspace, deadline)
@@ -69,7 +79,7 @@
         except ExchangeError as error:
             raise self.lost_in_exchange(error) from error
         except BaseException:
-            connection.abort()
+            self.abandon(connection)
             raise
         try:
             self._check(headers, head)
@@ -82,6 +92,11 @@
         """Keep a connection whose answer was read whole."""
         self._pool.give_back(self.address, connection, head)
 
+    def abandon(self, connection: ClientConnection) -> None:
+        """Close a connection that is waited for no more, and what may be as silent."""
+        connection.abort()
+        self._pool.distrust(self.address)
+
     async def order(
         self,
         method: bytes,
