End each request with one line that says how

A fault of the host's own is answered with 500 and told as such: its caller was left with a connection that closed without an answer, and the log told of a caller that left. A request with a header that can't be read has an end line as well, and a stop without a grace is told as what it is.

--- a/passtally/front.py
+++ b/passtally/front.py
@@ -191,17 +191,14 @@
             if self._drain.is_over:
                 result = "broken off: the host stops"
             raise
+        except Exception as error:
+            result = f"failed: {error!r}"
+            # A caller whose connection closes without an answer learns less.
+            await responder.refuse(_failed().failure)
         finally:
             took = self._clock.monotonic() - began
             self._metrics.time(Metric.ANSWER, took)
-            log_event(
-                "front",
-                "Ended.",
-                request=request.id,
-                path=request.path,
-                result=result,
-                ms=round(took.total_seconds() * 1000),
-            )
+            log_end(request.id, request.path, result, took)
 
     async def _serve(self, request: FrontRequest, responder: Responder) -> str:
         await self._wait_for_start()
@@ -385,6 +382,28 @@
             self._first_pause = pause
 
 
+def log_end(request_id: str, path: str, result: str, took: timedelta) -> None:
+    """Log how a request ended: once for each that was read."""
+    log_event(
+        "front",
+        "Ended.",
+        request=request_id,
+        path=path,
+        result=result,
+        ms=round(took.total_seconds() * 1000),
+    )
+
+
+def _failed() -> RefusedError:
+    return refuse(
+        Code.INTERNAL,
+        "This host failed on the request.",
+        status=500,
+        step="serve",
+        outcome=Outcome.UNKNOWN,
+    )
+
+
 def _not_yet(message: str, *, step: str) -> RefusedError:
     return refuse(
         Code.NO_CONFIG, message, status=503, step=step, retry_after=RETRY_AFTER
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -196,6 +196,7 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close what start opened."""
+        self.drain.is_over = True
         for server in (self.front_server, self.ready_server, self.metrics_server):
             await server.stop()
         for task in self._tasks:
--- a/passtally/platform/ingress.py
+++ b/passtally/platform/ingress.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passtally.front import Front, FrontRequest, Prompt
+from passtally.front import Front, FrontRequest, Prompt, log_end
 from passtally.generation import RawCall
 from passtally.http_client import ResponseHead, drop_connection_headers
 from passtally.http_server import Exchange, HttpRequest
@@ -29,6 +29,12 @@
             request = decode_request(exchange.request)
         except ValueError as error:
             body = str(error).encode()
+            log_end(
+                _text(exchange.request, names.REQUEST_ID) or "",
+                _path_of(exchange.request),
+                f"refused: bad_request, {error}",
+                timedelta(0),
+            )
             await exchange.answer(400, [(b"Content-Type", b"text/plain")], body)
             return
         await self._front.serve(request, IngressResponder(exchange=exchange))
@@ -98,11 +104,10 @@
     request_id = _text(request, names.REQUEST_ID)
     time_left = _number(request, names.TIME_LEFT_MS)
     headers = drop_connection_headers(request.headers, extra=names.SYSTEM_HEADERS)
-    path, _, _ = request.target.partition(b"?")
     return FrontRequest(
         id=request_id or "",
         host=(_text(request, names.HOST) or "").partition(":")[0],
-        path=path.decode("latin-1"),
+        path=_path_of(request),
         key=_text(request, names.KEY),
         time_left=None if time_left is None else timedelta(milliseconds=time_left),
         position=int(_number(request, names.LAST_EVENT_ID) or 0),
@@ -116,6 +121,11 @@
     )
 
 
+def _path_of(request: HttpRequest) -> str:
+    path, _, _ = request.target.partition(b"?")
+    return path.decode("latin-1")
+
+
 def _decode_prompt(request: HttpRequest) -> Prompt | None:
     parts = _text(request, names.PROMPT_PARTS)
     if not parts:
