Failing test: a stream is taken from a silent endpoint though it has no time elsewhere

Its prompt would have to be read again, which takes longer than its caller waits: it is broken off, though its endpoint would have gone on within 0.3 s.

--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from passtally.forecast import LEAST_SEEN
 from passtally.outcome import RefusedError
 from standins.virtual import run_virtually
 from tests.test_replicas import WHOLE, ReplicaEngine, World
@@ -96,6 +97,27 @@
 
         run_virtually(test())
 
+    def test_where_it_could_not_be_whole_elsewhere_it_waits_for_its_endpoint(self):
+        """Its prompt would have to be read again, for which no time is left."""
+
+        async def test() -> None:
+            world = World()
+            for _ in range(LEAST_SEEN):
+                await world.start()
+            world.dispatcher._placement._keeps_replicas = lambda service: False
+            world.sink.data = b""
+            opened = len(world.engines.opened)
+            task = world.start(time_left=timedelta(seconds=2.6))
+            first = await world.running(40)
+            first.hangs = True
+            await asyncio.sleep(0.55)
+            wake(first)
+            await task
+            assert world.sink.data == WHOLE
+            assert len(world.engines.opened) == opened + 1
+
+        run_virtually(test())
+
     def test_it_takes_one_repeat_for_one_loss(self):
         async def test() -> None:
             world = World(most=ONE_REPEAT)
