Leave a silent endpoint only where its answer can be placed and has time to be whole

Cause: the repeat was taken and the endpoint given up before placement looked for an endpoint and for the time that reading the prompt again takes; where either lacked, the stream was broken off. Placement is now asked first. An endpoint that takes new connections may be its own successor: one of its connections fell silent. The failing test passes; a stream at the only engine of a service goes on there.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -353,9 +353,15 @@
             limits=_limits_of(generation, self._limits),
             holder=_find_holder(generation, attempt, live),
         )
-        if decision.step is not NextStep.GIVE_UP and not progress.has_repeat:
-            progress.has_repeat = await self._may_repeat(generation)
-        may_leave = decision.step is not NextStep.GIVE_UP and progress.has_repeat
+        excluded = set(progress.excluded)
+        if kind is LossKind.FROZEN or not generation.delivered:
+            excluded.add(live.endpoint.id)
+        may_leave = decision.step is NextStep.ATTACH or (
+            decision.step is NextStep.RESUME
+            and self._placement.can_place(generation, excluded)
+        )
+        if may_leave and not progress.has_repeat:
+            may_leave = progress.has_repeat = await self._may_repeat(generation)
         if not may_leave and kind is LossKind.FROZEN and not live.is_ejected:
             live.eject(self._clock.monotonic())
         return may_leave
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -102,6 +102,19 @@
                 excluded.clear()
             await self._clock.sleep(RESUME_POLL)
 
+    def can_place(self, generation: Generation, excluded: set[str]) -> bool:
+        """Return whether there is an endpoint now, and time to be whole there.
+
+        Args:
+            generation: What is to run.
+            excluded: Endpoints that are not asked.
+        """
+        try:
+            self._check_time(generation)
+        except NoPlaceError:
+            return False
+        return self._decide(generation, excluded).endpoint_id is not None
+
     def place_replica(
         self, generation: Generation, endpoint_id: str, excluded: set[str]
     ) -> str:
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -205,6 +205,22 @@
 
         run_linked(test)
 
+    def test_one_at_the_only_engine_goes_on_there(self):
+        async def test(linked: LinkedSystem) -> None:
+            await linked.start(engines=1)
+            engine = linked.system.runners["i-0"]
+            task = asyncio.create_task(linked.system.stream())
+            while not engine.working:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.2)
+            linked.silence_endpoints()
+            answer = await task
+            assert answer.is_whole
+            assert answer.body == expected_events(EVENTS)
+            assert len(engine.ran) == 2
+
+        run_linked(test)
+
     def test_one_before_its_first_output_goes_on(self):
         async def test(linked: LinkedSystem) -> None:
             await self.warm(linked)
