--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -25,7 +25,9 @@
         refusal: A status with which every call is refused, or None.
         is_silent: Whether calls get no answer.
         is_deaf: Whether watches hear nothing.
+        list_delay: How long a listing takes, in seconds.
         calls: How many calls were made.
+        listings: How many listings are under way.
     """
 
     def __init__(self) -> None:
@@ -33,7 +35,9 @@
         self.refusal: int | None = None
         self.is_silent = False
         self.is_deaf = False
+        self.list_delay = 0.0
         self.calls = 0
+        self.listings = 0
         self.revision = 0
         self._oldest = 0
         self._items: dict[tuple[str, str], dict[str, Any]] = {}
@@ -94,6 +98,11 @@
         kind = request.match_info["kind"]
         if "watch" in request.query:
             return await self._watch(kind, request)
+        self.listings += 1
+        try:
+            await asyncio.sleep(self.list_delay)
+        finally:
+            self.listings -= 1
         names = sorted(name for known, name in self._items if known == kind)
         names = [name for name in names if name > request.query.get("after", "")]
         items = [self._items[kind, name] for name in names[: self.page]]
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -151,6 +151,61 @@
         run(peer, test)
 
 
+class TestTrust:
+    """Which kept connections are used after one was found silent."""
+
+    async def keep_two(self, pool: ConnectionPool, peer: Peer) -> None:
+        await asyncio.gather(call(pool, peer), call(pool, peer))
+        assert peer.connections == 2
+
+    def test_those_to_a_peer_that_did_not_answer_are_closed(self):
+        peer = Peer(OK, OK, b"", OK)
+
+        async def test(pool: ConnectionPool) -> None:
+            await self.keep_two(pool, peer)
+            with pytest.raises(TimeoutError):
+                await pool.exchange(
+                    peer.address,
+                    b"GET",
+                    b"/",
+                    HEADERS,
+                    b"",
+                    most=10,
+                    timeout=timedelta(milliseconds=50),
+                )
+            assert await call(pool, peer) == b"ok"
+            assert peer.connections == 3
+
+        run(peer, test)
+
+    def test_those_used_since_a_moment_are_kept(self):
+        peer = Peer(*[OK] * 5)
+
+        async def test(pool: ConnectionPool) -> None:
+            await self.keep_two(pool, peer)
+            since = SystemClock().monotonic()
+            await call(pool, peer)
+            pool.distrust_older(since)
+            await call(pool, peer)
+            assert peer.connections == 2
+            pool.distrust_older(SystemClock().monotonic())
+            await call(pool, peer)
+            assert peer.connections == 3
+
+        run(peer, test)
+
+    def test_a_new_one_is_opened_where_that_is_asked_for(self):
+        peer = Peer(OK)
+
+        async def test(pool: ConnectionPool) -> None:
+            await call(pool, peer)
+            connection = await pool.take(peer.address, must_be_new=True)
+            connection.abort()
+            assert pool.opened == 2
+
+        run(peer, test)
+
+
 class TestFailures:
     def test_no_connection_is_told_as_such(self):
         async def main() -> None:
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -266,19 +266,25 @@
         run_linked(test)
 
     def test_a_listing_that_hears_nothing_is_asked_for_again(self):
+        """The changes since the last watch are forgotten, and the listing is silent."""
+
         async def test(linked: LinkedSystem) -> None:
             host = await linked.start()
-            system = linked.system
-            listing = asyncio.create_task(host.store.list_objects("config/"))
-            await asyncio.sleep(0)
-            system.store.forget_history()
+            store = linked.system.store
+            while not host.watch.is_up:
+                await asyncio.sleep(0.01)
+            store.list_delay = 0.2
+            store.put("config", "main", make_config(7))
+            store.forget_history()
+            while store.listings < 1:
+                await asyncio.sleep(0.005)
             linked.store_link.silence_open()
-            listing.cancel()
-            system.store.put("config", "main", make_config(7))
-            system.store.forget_history()
-            async with asyncio.timeout(3):
-                while host.routes.current.version != 7:
-                    await asyncio.sleep(0.01)
+            store.list_delay = 0
+            began = now()
+            while host.routes.current.version != 7:
+                await asyncio.sleep(0.01)
+            # Two seconds for the listing, a pause before the next, and that one.
+            assert 1.5 < now() - began < 2.5
 
         run_linked(test)
 
