--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -200,6 +200,7 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close what start opened."""
+        self.drain.is_over = True
         for server in (self.front_server, self.ready_server, self.metrics_server):
             await server.stop()
         for task in self._tasks:
@@ -255,6 +256,7 @@
             departures=self.departures,
             others_load=self.board.load,
             on_successor=self._meet_successor,
+            on_silent=self.pool.distrust_older,
             catalog=self.catalog,
             clock=self.clock,
             connect=self._connect,
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -34,6 +34,10 @@
 #: Left of the longest pause that a caller allows for going on elsewhere: a look each
 #: 50 ms, a connection within 80 ms, and up to 60 ms until the replica's first output.
 GOING_ON = timedelta(milliseconds=200)
+#: How long a stream that waits on at a silent endpoint is not judged again. Each time
+#: costs a connection to the endpoint and up to four messages to other hosts: a stream
+#: that is silent for 10 s costs that 15 times, and 39 times without this pause.
+HELD_PAUSE = timedelta(milliseconds=600)
 FIRST_EJECTION = timedelta(seconds=1)
 LAST_EJECTION = timedelta(seconds=30)
 
@@ -58,8 +62,11 @@
         is_waiting: Whether it waits for output; not while the caller is written to.
         seen_reads: The reads that the watch has seen.
         spared_since: Since when it is silent though its endpoint was found alive.
-        trip: Called to end the attempt.
+        trip: Called when the attempt is to end.
         tripped: How the attempt was lost, once it was.
+        is_held: Whether it waits on at an endpoint that was found silent, since it may
+            go on nowhere else.
+        judged_from: From when on its silence is judged.
     """
 
     quiet_since: timedelta
@@ -72,6 +79,8 @@
     spared_since: timedelta | None = None
     trip: Callable[[], None] = lambda: None
     tripped: LossKind | None = None
+    is_held: bool = False
+    judged_from: timedelta = timedelta(0)
 
     def stuck_after(self, usual: timedelta | None) -> timedelta | None:
         """Return how long it may be silent though its endpoint lives.
@@ -90,12 +99,29 @@
         """What the stream waits for."""
         return Phase.NEXT_TOKEN if self.seen_reads else Phase.FIRST_TOKEN
 
+    @property
+    def silent_since(self) -> timedelta:
+        """Since when there is no output, as far as the watch has seen."""
+        return self.spared_since or self.quiet_since
+
     def end(self, kind: LossKind) -> None:
-        """End the attempt as lost."""
+        """End the attempt as lost, unless its answer may go on nowhere else."""
         if self.tripped is None:
             self.tripped = kind
             self.trip()
 
+    def hold(self, now: timedelta) -> None:
+        """Let the attempt go on; its silence is judged again a little later.
+
+        Args:
+            now: The monotonic time.
+        """
+        self.tripped = None
+        self.is_held = True
+        self.spared_since = self.spared_since or self.quiet_since
+        self.quiet_since = now
+        self.judged_from = now + HELD_PAUSE
+
 
 class LagMeter:
     """Tells whether this host itself was too busy, or paused, to judge others.
@@ -130,6 +156,8 @@
         departures: Where its own reports of leaving are noted.
         bounds_by_phase: Where its silence limits may move.
         others_load: Returns what other hosts' runs take there.
+        on_silent: Called with the moment since which a connection to it is silent
+            though it takes new ones.
     """
 
     def __init__(
@@ -142,7 +170,9 @@
         departures: Departures,
         bounds_by_phase: dict[Phase, SilenceBounds],
         others_load: Callable[[], TokenLoad] = TokenLoad,
+        on_silent: Callable[[timedelta], None] = lambda since: None,
     ) -> None:
+        self._on_silent = on_silent
         self._others_load = others_load
         self.endpoint = endpoint
         self.engine = engine
@@ -302,8 +332,10 @@
             guard.seen_reads = guard.reads
             guard.quiet_since = now
             guard.spared_since = None
+            guard.judged_from = now
             return False
-        return now - guard.quiet_since > limit.current()
+        is_judged = now >= guard.judged_from
+        return is_judged and now - guard.quiet_since > limit.current()
 
     async def _probe_until_decided(self, silent: list[StreamGuard]) -> None:
         if not self.engine.reports_load:
@@ -358,6 +390,7 @@
             )
             if stuck_after is not None and now - guard.spared_since > stuck_after:
                 self._log_stuck(guard, now)
+                self._on_silent(guard.spared_since)
                 guard.end(LossKind.RESET)
 
     def _log_stuck(self, guard: StreamGuard, now: timedelta) -> None:
