Give statsd metrics and text metrics a module each

Cause: an entry host on the platform keeps its metrics as text, yet the module that names the metrics loaded statsd and, for the gauges the product sends, passtally.status.

Change: `metrics` has the names and the Protocol, `statsd_metrics` what the daemon uses, `text_metrics` what an entry host on the platform uses. No line of the classes changed.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -37,7 +37,7 @@
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
-from passtally.metrics import Metrics, NoMetrics, StatsdMetrics, report_gauges
+from passtally.metrics import Metrics, NoMetrics
 from passtally.objects import Endpoint
 from passtally.once import OnceCaller
 from passtally.operator_api import OperatorApi
@@ -49,6 +49,7 @@
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
 from passtally.settings import Settings
+from passtally.statsd_metrics import StatsdMetrics, report_gauges
 from passtally.status import StatusReader
 from passtally.supervisor import keep_running
 
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -32,7 +32,7 @@
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
-from passtally.metrics import Metric, TextMetrics
+from passtally.metrics import Metric
 from passtally.object_store import Platform, StoredObject
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.peers import Peers
@@ -46,6 +46,7 @@
 from passtally.silence import Phase, SilenceBounds
 from passtally.supervisor import keep_running
 from passtally.survey import Survey
+from passtally.text_metrics import TextMetrics
 from passtally.watch_share import View, WatchShare
 
 #: The part of the time in which a change must be in force for which one watch waits.
