Keep the services and endpoints apart from the product's catalog

Cause: an entry host on the platform keeps its endpoints in the product's catalog, which knows the ledger of intents too, and so loads intents, plans and steps that it never has.

Change: ServiceIndex (module service_index) has the services and their endpoints; Catalog adds to it what comes from the product's configuration: the mirror, workspaces, the ledger. Fleet, EndpointBook and Departures need no more than the index. The methods moved as they were.

Ruled out: a module for the ledger alone: its two classes would still be built on each host.

--- a/passtally/catalog.py
+++ b/passtally/catalog.py
@@ -21,12 +21,11 @@
 )
 from passtally.objects import (
     CONFIG_KINDS,
-    Endpoint,
-    Service,
     Workspace,
     decode_object,
 )
 from passtally.peers import PeerError, Peers
+from passtally.service_index import ServiceIndex
 
 CONFIG_PREFIX = "config/"
 RELIST_JITTER = timedelta(seconds=2)
@@ -37,23 +36,18 @@
 
 
 @attrs.define(kw_only=True)
-class Catalog:
+class Catalog(ServiceIndex):
     """The services, endpoints and workspaces in force on this host.
 
     Attributes:
         mirror: The objects as the platform keeps them.
-        services_by_id: The services.
-        endpoints_by_id: The endpoints.
         workspaces_by_id: The workspaces.
         ledger: The intents under way.
     """
 
     mirror: ObjectMirror = attrs.field(factory=ObjectMirror)
-    services_by_id: dict[str, Service] = attrs.field(factory=dict)
-    endpoints_by_id: dict[str, Endpoint] = attrs.field(factory=dict)
     workspaces_by_id: dict[str, Workspace] = attrs.field(factory=dict)
     ledger: Ledger = attrs.field(factory=Ledger)
-    _endpoint_ids_by_service: dict[str, dict[str, None]] = attrs.field(factory=dict)
     _workspaces_by_token: dict[str, Workspace] = attrs.field(factory=dict)
 
     @property
@@ -90,25 +84,6 @@
         """Return the versions of the objects that exist."""
         return self.mirror.current_versions()
 
-    def endpoints_of(self, service_id: str) -> list[Endpoint]:
-        """Return the endpoints of one service."""
-        ids = self._endpoint_ids_by_service.get(service_id, ())
-        return [self.endpoints_by_id[endpoint_id] for endpoint_id in ids]
-
-    def put_endpoint(self, endpoint: Endpoint) -> None:
-        """Add or replace an endpoint that registered itself."""
-        before = self.endpoints_by_id.get(endpoint.id)
-        self.endpoints_by_id[endpoint.id] = endpoint
-        self._index_service(before, endpoint)
-
-    def drop_endpoint(self, endpoint_id: str) -> None:
-        """Remove an endpoint that registered itself."""
-        self._index_service(self.endpoints_by_id.pop(endpoint_id, None), None)
-
-    def put_service(self, service: Service) -> None:
-        """Add or replace a service that the configuration in force names."""
-        self.services_by_id[service.id] = service
-
     def find_workspace(self, token_sha256: str) -> Workspace | None:
         """Return whose token has this digest, or None."""
         return self._workspaces_by_token.get(token_sha256)
@@ -144,13 +119,6 @@
             # Keeping the last good object serves callers better than none.
             log_event("config", "Ignored a broken object.", id=object_id, why=error)
 
-    def _index_service(self, before: Endpoint | None, after: Endpoint | None) -> None:
-        if before is not None:
-            del self._endpoint_ids_by_service[before.service][before.id]
-        if after is not None:
-            ids = self._endpoint_ids_by_service.setdefault(after.service, {})
-            ids[after.id] = None
-
     def _index_token(self, before: Workspace | None, after: Workspace | None) -> None:
         if before is not None:
             known = self._workspaces_by_token.get(before.token_sha256)
--- a/passtally/departures.py
+++ b/passtally/departures.py
@@ -9,12 +9,12 @@
 from collections.abc import Iterable, Sequence
 from datetime import timedelta
 
-from passtally.catalog import Catalog
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.messages import DepartureRow
 from passtally.object_store import HostEntry, Platform, PlatformError
 from passtally.objects import Endpoint
+from passtally.service_index import ServiceIndex
 
 LIST_INTERVAL = timedelta(seconds=10)
 LEAVING = "leaving"
@@ -67,7 +67,7 @@
         for row in rows:
             self.note(row.endpoint_id, row.incarnation, channel="peer")
 
-    def take_list(self, hosts: Sequence[HostEntry], catalog: Catalog) -> None:
+    def take_list(self, hosts: Sequence[HostEntry], catalog: ServiceIndex) -> None:
         """Take in the platform's list of hosts."""
         leaving = {entry.id for entry in hosts if entry.state == LEAVING}
         for endpoint in catalog.endpoints_by_id.values():
@@ -89,7 +89,7 @@
         self,
         *,
         departures: Departures,
-        catalog: Catalog,
+        catalog: ServiceIndex,
         platform: Platform,
         clock: Clock,
     ) -> None:
--- a/passtally/endpoint_book.py
+++ b/passtally/endpoint_book.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from passtally.catalog import Catalog
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.objects import Endpoint, EndpointState
+from passtally.service_index import ServiceIndex
 
 #: How long after the platform's return a missing entry is still kept. The users'
 #: letter: lapsed entries are back within about two seconds.
@@ -32,7 +32,7 @@
     def __init__(
         self,
         *,
-        catalog: Catalog,
+        catalog: ServiceIndex,
         clock: Clock,
         settle: timedelta = SETTLE,
         gone: Callable[[str], None] = lambda endpoint_id: None,
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from passtally.catalog import Catalog
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.departures import Departures
@@ -21,6 +20,7 @@
 from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointState, is_placed
 from passtally.routing import EndpointView
+from passtally.service_index import ServiceIndex
 from passtally.silence import (
     DEFAULT_BOUNDS_BY_PHASE,
     Phase,
@@ -70,7 +70,7 @@
     def __init__(
         self,
         *,
-        catalog: Catalog,
+        catalog: ServiceIndex,
         clock: Clock,
         connect: Callable[[Endpoint], Engine],
         departures: Departures | None = None,
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -11,7 +11,6 @@
 import attrs
 
 from passtally.budget_loans import BudgetLoans
-from passtally.catalog import Catalog
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool, PoolFetcher
 from passtally.decision import log_event
@@ -42,6 +41,7 @@
 from passtally.retry_budget import ServiceBudgets
 from passtally.roster import Roster
 from passtally.routes import RouteSet, RoutesInForce, ServiceInfo
+from passtally.service_index import ServiceIndex
 from passtally.settings import Address, Settings, parse_address
 from passtally.silence import Phase, SilenceBounds
 from passtally.supervisor import keep_running
@@ -170,7 +170,7 @@
         self.clock = clock
         self.metrics = TextMetrics()
         self.drain = Drain(max_open=settings.max_streams)
-        self.catalog = Catalog()
+        self.catalog = ServiceIndex()
         self.routes = RoutesInForce()
         #: Endpoints that ended for good, which hosts tell each other: a replica there
         #: is lost, also while the platform can't say so.
