Let no pause follow an answer in whose time changes gathered

Cause: the first large answer of a series takes 0.4 s of a link of 10 Mbit/s, and after the pause the next one brought four states of 527 KB, 1.85 s. Longest lag in 12 s of a change of 527 KB every 200 ms, at 10 Mbit/s: 19 hosts 2.91 -> 1.74 s, 55 hosts 3.06 -> 1.89 s; at 5 Mbit/s 7.2 -> 5.15 s. Ruled out: a shorter pause between two listings (no difference).

--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -16,6 +16,10 @@
 
 FIRST_RETRY = timedelta(milliseconds=100)
 LAST_RETRY = timedelta(seconds=2)
+#: An answer of more bytes takes a tenth of a second of a link of 10 Mbit/s, or longer.
+#: Changes gather while it comes, so no pause follows it: where 527 KB change every
+#: 200 ms a host is 1.6 s behind, and 2.9 s with a pause.
+LARGE_ANSWER = 128 * 1024
 
 
 class Follower:
@@ -171,7 +175,8 @@
             _has_superseded(changes) and _count_bytes(changes) > self._listed_bytes
         )
         self._advance(changes)
-        return self._pause if changes.objects else timedelta(0)
+        gathers = bool(changes.objects) and _count_bytes(changes) <= LARGE_ANSWER
+        return self._pause if gathers else timedelta(0)
 
     async def _list_piled(self) -> timedelta:
         """List once, and return how long to leave the link to others."""
--- a/tests/test_change_storms.py
+++ b/tests/test_change_storms.py
@@ -191,7 +191,7 @@
         async def test() -> None:
             fleet = await start_fleet(domains="a", rate=10e6)
             lag = await ride_out(fleet, values=LARGE)
-            assert lag < APPLY_WITHIN
+            assert lag < APPLY_WITHIN * 2 / 3
             assert fleet.longest_wait() < PASS_WITHIN / 2
 
         run_virtually(test())
