--- a/tests/test_change_storms.py
+++ b/tests/test_change_storms.py
@@ -118,10 +118,16 @@
 
     def test_the_watchers_of_a_domain_are_cut_off_from_the_others(self):
         async def cut_watchers(fleet: Fleet) -> None:
-            fleet.network.cut.update(in_domain("a", fleet.watchers))
+            fleet.network.cut_off(in_domain("a", fleet.watchers))
 
         assert lag_with(cut_watchers) < APPLY_WITHIN * 2 / 3
 
+    def test_hosts_that_do_not_watch_are_cut_off_from_the_others(self):
+        async def cut_learners(fleet: Fleet) -> None:
+            fleet.network.cut_off(["a-05", "a-10", "a-16"])
+
+        assert lag_with(cut_learners) < APPLY_WITHIN
+
     def test_half_of_those_that_a_refused_domain_learns_from_end_at_once(self):
         async def refuse_and_kill(fleet: Fleet) -> None:
             for host_id in in_domain("a", fleet.stores_by_host):
