Tell in metrics how long a host is behind, and how hosts stand before what they did

Cause: the record of hosts that fell behind held the first 4,000 bytes of each host's metrics. Buckets of histograms came first, so of 1,922 texts 249 told the version in force, and nothing told whether a newer one was known or what went to other hosts. Now gauges come first, with how long a newer configuration has been known elsewhere and what was sent to peers. Since when that is so is noted at each look, not only where a host is free to ask.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -520,6 +520,9 @@
         current = self.routes.current
         self.metrics.gauge(Metric.OPEN, self.drain.open_requests)
         self.metrics.gauge(Metric.CONFIG_VERSION, current.version if current else 0)
+        behind = self.watch.behind_for(self._adapter.routes_prefix)
+        self.metrics.gauge(Metric.CONFIG_BEHIND, round(behind.total_seconds() * 1000))
+        self.metrics.gauge(Metric.PEER_BYTES, self.peers.bytes_sent)
         self.metrics.gauge(Metric.PLATFORM_AWAY, int(not self.watch.is_reached))
         return self.metrics.render()
 
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -29,15 +29,16 @@
         metric.meaning = meaning
         return metric
 
-    REQUESTS = "requests", "counter", "1", "Generations taken or taken up."
-    REFUSED = "refused", "counter", "1", "Refusals; the error code follows the name."
-    ATTEMPTS = "attempts", "counter", "1", "Attempts started."
-    LOST = "lost", "counter", "1", "Attempts lost; the kind follows the name."
-    FIRST_TOKEN = "first_token", "timer", "ms", "From dispatch to the first token."
-    RESUME = "resume", "timer", "ms", "From an attempt's loss to the next token."
-    ANSWER = "answer", "timer", "ms", "From a request's arrival to its end."
+    # Gauges come first: whoever collects metrics may keep only the first few thousand
+    # bytes of a text, and these tell how the host stands now.
     OPEN = "open", "gauge", "1", "Open requests."
     CONFIG_VERSION = "config_version", "gauge", "1", "Configuration version in force."
+    CONFIG_BEHIND = (
+        "config_behind",
+        "gauge",
+        "ms",
+        "For how long a newer configuration has been known elsewhere.",
+    )
     PEERS_AWAY = "peers_away", "gauge", "1", "Hosts out of reach."
     PLATFORM_AWAY = (
         "platform_away",
@@ -47,6 +48,13 @@
     )
     PEER_BYTES = "peer_bytes", "gauge", "bytes", "Sent to peers since the start."
     CLAIM_WRITES = "claim_writes", "gauge", "1", "Claim writes since the start."
+    REQUESTS = "requests", "counter", "1", "Generations taken or taken up."
+    REFUSED = "refused", "counter", "1", "Refusals; the error code follows the name."
+    ATTEMPTS = "attempts", "counter", "1", "Attempts started."
+    LOST = "lost", "counter", "1", "Attempts lost; the kind follows the name."
+    FIRST_TOKEN = "first_token", "timer", "ms", "From dispatch to the first token."
+    RESUME = "resume", "timer", "ms", "From an attempt's loss to the next token."
+    ANSWER = "answer", "timer", "ms", "From a request's arrival to its end."
 
 
 class Metrics(Protocol):
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -314,12 +314,17 @@
         newest = view.mirror.newest
         return bool(self._newer_near(prefix, newest) or self._newer_far(prefix, newest))
 
+    def behind_for(self, prefix: str) -> timedelta:
+        """Return for how long another host has been known to have a newer version."""
+        since = self._views_by_prefix[prefix].behind_since
+        return timedelta(0) if since is None else self._clock.monotonic() - since
+
     def _catch_up(self, now: timedelta) -> None:
         """Fetch what others know and this host, whose own watch is down, does not."""
-        if self.is_up:
-            return
         for view in self._views_by_prefix.values():
-            if view.prefix in self._asking or view.prefix in self._fetching:
+            is_behind = not self.is_up and self.is_behind(view.prefix)
+            view.behind_since = (view.behind_since or now) if is_behind else None
+            if not is_behind or view.prefix in self._asking | self._fetching:
                 continue
             host_id = self._choose_source(view, now)
             if host_id is not None:
@@ -330,10 +335,6 @@
         newest = view.mirror.newest
         near = self._newer_near(view.prefix, newest)
         far = self._newer_far(view.prefix, newest)
-        if not near and not far:
-            view.behind_since = None
-            return None
-        view.behind_since = view.behind_since or now
         if now - view.behind_since < self._far_wait():
             far = []
         far.sort(key=lambda row: row.versions_by_prefix[view.prefix], reverse=True)
--- a/tests/test_large_changes.py
+++ b/tests/test_large_changes.py
@@ -126,6 +126,30 @@
 
         run_virtually(test())
 
+    def test_it_tells_for_how_long(self):
+        async def test() -> None:
+            fleet = Fleet(hosts=10, bits_per_second=THIN / 10)
+            await fleet.platform.create("config/main", make_config(7, routes=20))
+            for row in fleet.rows:
+                fleet.start(row)
+            await asyncio.sleep(8)
+            learner = next(
+                share for share in fleet.shares_by_host.values() if not share.is_up
+            )
+            assert not learner.behind_for("config/")
+            last = make_config(9)
+            await fleet.platform.update(
+                "config/main", last, version=fleet.platform.version
+            )
+            longest = timedelta(0)
+            for _ in range(2000):
+                await asyncio.sleep(0.002)
+                longest = max(longest, learner.behind_for("config/"))
+            assert timedelta(0) < longest < timedelta(seconds=APPLY_WITHIN / 2)
+            assert not learner.behind_for("config/")
+
+        run_virtually(test())
+
 
 class TestWithoutThePlatform:
     def test_a_quarter_of_a_domain_joins_while_it_is_away(self):
