--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -47,7 +47,8 @@
 from passtally.supervisor import keep_running
 from passtally.survey import Survey
 from passtally.text_metrics import TextMetrics
-from passtally.watch_share import View, WatchShare
+from passtally.view import View
+from passtally.watch_share import WatchShare
 
 #: The part of the time in which a change must be in force for which one watch waits.
 #: A store that compacts its history lets watches hear nothing, and does not always
--- a/tests/rated_fleet.py
+++ b/tests/rated_fleet.py
@@ -13,7 +13,8 @@
 from passtally.follower import LAST_RETRY, Follower
 from passtally.messages import MemberRow
 from passtally.object_store import Listing, StoredObject, UnavailableError
-from passtally.watch_share import View, WatchShare
+from passtally.view import View
+from passtally.watch_share import WatchShare
 from standins.virtual import VirtualClock
 from tests.fakes import FakePlatform
 from tests.rated_network import FixedRoster, RatedNetwork, Wire
--- a/tests/test_domain_return.py
+++ b/tests/test_domain_return.py
@@ -13,7 +13,8 @@
 
 from passtally.follower import Follower
 from passtally.front_host import LAST_RETRY, OUT_OF_DATE_AFTER
-from passtally.watch_share import View, WatchShare
+from passtally.view import View
+from passtally.watch_share import WatchShare
 from standins.virtual import run_virtually
 from tests.test_large_changes import Fleet, make_config
 from tests.test_piled_changes import RatedStore
--- a/tests/test_gathered_changes.py
+++ b/tests/test_gathered_changes.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from passtally import watch_share
+from passtally import view_learner
 from standins.virtual import run_virtually
 from tests.test_large_changes import THIN, Fleet, make_config
 
@@ -29,7 +29,7 @@
             if sentence == "Not learned.":
                 found.append(str(fields["why"]))
 
-        monkeypatch.setattr(watch_share, "log_event", note)
+        monkeypatch.setattr(view_learner, "log_event", note)
         return found
 
     def test_only_the_newest_of_two_states_is_asked_for(self, failures):
