--- a/tests/test_versions_told.py
+++ b/tests/test_versions_told.py
@@ -1,7 +1,7 @@
 """How soon a domain that the store turns away hears which versions others have.
 
 It learns from another domain, and only from hosts of which it has heard that they
-have a newer version. Among hosts that learn small changes from others gossip alone tells.
+have a newer version. Of small changes that others learned gossip alone tells.
 """
 
 import asyncio
