Watch from what the store told, not from what others told

Cause: a host that started after an object was removed can't tell of its removal. Who learned from it went on behind it (skip_to, advance's max), and kept the object for good.

--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -117,16 +117,6 @@
             except PlatformError as error:
                 await self._back_off(error)
 
-    def skip_to(self, version: int) -> None:
-        """Watch from a version on: all changes up to it came by another way.
-
-        An answer holds each state of each object since then. After 9 s without the
-        platform, beside a change of 14 KB every 200 ms, these are 45 states, a second
-        of a link of 5 Mbit/s in which the next change waits.
-        """
-        self.version = max(self.version, version)
-        self._known_at = self._clock.monotonic()
-
     async def _back_off(self, error: PlatformError) -> None:
         """Wait before the next try, longer each time until a watch is up again."""
         if self.is_watching:
--- a/passtally/view_learner.py
+++ b/passtally/view_learner.py
@@ -243,7 +243,6 @@
     def _learn(self, view: View, changes: Listing) -> list[StoredObject]:
         """Put changes that a peer told in force, and return what was new."""
         changed = view.mirror.advance(changes)
-        view.follower.skip_to(view.mirror.version)
         view.apply(changed)
         return changed
 
