Say in each word of versions whether this host's watch is up

Cause: a host whose watch came up while parts of an object were on their way told at their end that it does not watch; since that counts as an end, its domain lost it for up to half a second, and the first hosts in order began to watch.

--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -90,7 +90,7 @@
             clock=clock,
             rng=rng,
             is_up=lambda: self.is_up,
-            learned_large=partial(self._tell, is_watching=False),
+            learned_large=self._tell,
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._duty = WatchDuty(own_id=host_id, started_at=clock.monotonic())
@@ -143,7 +143,7 @@
                 # Others need not find that out by this host's silence, which takes 1.3
                 # s: where the store refuses all that watch, a domain is behind for 0.8
                 # s and not 1.8 s.
-                await self._tell(is_watching=False)
+                await self._tell()
             was_up = self.is_up
             self._look_for_others(now)
             self._decide(now)
@@ -152,7 +152,7 @@
             self._note_reach(now)
             if self.is_up and now - beat_at >= BEAT_INTERVAL:
                 beat_at = now
-                await self._tell(is_watching=True)
+                await self._tell()
             self._learner.catch_up(now)
             await self._clock.sleep(CHECK_INTERVAL)
 
@@ -251,12 +251,12 @@
             self._is_reached = is_reached
             self._reach_changed(is_reached)
 
-    async def _tell(self, *, is_watching: bool) -> None:
-        """Tell the linked hosts of this domain what this host knows."""
+    async def _tell(self) -> None:
+        """Tell the linked hosts of this domain what this host knows, and if it is up."""
         beat = ViewBeat(
             host_id=self._host_id,
             versions_by_prefix=self.newest(),
-            is_watching=is_watching,
+            is_watching=self.is_up,
         )
         await self._peers.tell(self._neighbours(), beat)
 
