Tell who asks a host that is let go of that it is unknown

Cause: closing a socket cancels the futures that wait for it, and the cancel went up into whoever asked: a stream's look for a repeat ended without a word (and its endpoint was judged no more), or the stream itself, as if its caller had left.

--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -217,6 +217,11 @@
                 return await future
         except TimeoutError as error:
             raise PeerError("no answer in time", step=step, peer=host_id) from error
+        except asyncio.CancelledError as error:
+            # Letting go of a link cancels what waits for it, not who asked.
+            if asyncio.current_task().cancelling():
+                raise
+            raise UnknownPeerError(step=step, peer=host_id) from error
         finally:
             del self._waiting_by_number[number]
 
