Follow the store again after a failure, and judge an endpoint again where asking failed

Cause: a follower that ended with an exception left the host believing that it watches, for good; a look for a repeat that ended with one left its stream at a silent endpoint.

--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -160,6 +160,14 @@
 
     def _begin_leaving(self, scope: asyncio.Timeout) -> None:
         self._leaving = asyncio.create_task(self._leave(scope))
+        self._leaving.add_done_callback(self._note_left)
+
+    def _note_left(self, leaving: asyncio.Task[None]) -> None:
+        """Judge the endpoint again where asking whether to leave it failed."""
+        error = None if leaving.cancelled() else leaving.exception()
+        if leaving.cancelled() or error is not None:
+            log_event("silence", "Not decided.", peer=self._live.endpoint.id, why=error)
+            self._guard.hold(self._clock.monotonic())
 
     async def _leave(self, scope: asyncio.Timeout) -> None:
         """Give a silent endpoint up, or wait on there."""
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -30,6 +30,7 @@
 )
 from passtally.peers import PeerError, Peers
 from passtally.roster import Roster
+from passtally.supervisor import Work, keep_running
 from passtally.view import View
 from passtally.view_learner import ViewLearner
 from passtally.watch_duty import WatchDuty
@@ -134,7 +135,7 @@
     async def run(self) -> None:
         """List once, then watch or stand down as others do, for ever."""
         for view in self._views_by_prefix.values():
-            view.task = self._spawn(view.follower.learn())
+            view.task = self._keep_running(view, view.follower.learn)
         beat_at = timedelta(0)
         was_up = False
         while True:
@@ -211,8 +212,8 @@
         log_event("watch", "Watching.", hosts=hosts, others_watching=watching)
         for view in self._views_by_prefix.values():
             view.task.cancel()
-            run = view.follower.run(after=view.mirror.version)
-            view.task = self._spawn(run)
+            run = partial(view.follower.run, after=view.mirror.version)
+            view.task = self._keep_running(view, run)
 
     def _stop(self) -> None:
         log_event("watch", "Standing down, others watch.")
@@ -276,6 +277,10 @@
     def _neighbours(self) -> list[str]:
         return [row.host_id for row in self._roster.neighbours()]
 
+    def _keep_running(self, view: View, work: Work) -> asyncio.Task[None]:
+        name = f"follow {view.prefix}"
+        return self._spawn(keep_running(name, work, clock=self._clock))
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
