--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -224,7 +224,9 @@
         except (ConnectionError, asyncio.CancelledError):
             generation.abandon()
             self._cancel(live, generation, attempt, after=self._linger)
+            self._give_back_repeat(generation, progress)
             raise
+        self._give_back_repeat(generation, progress)
 
     async def _recover_tokens(
         self, generation: Generation, recover: Recovery | None, progress: _Progress
@@ -321,6 +323,12 @@
         tokens = count_reading_tokens(generation)
         self._forecast.note_first(generation.request.service, tokens, waited)
 
+    def _give_back_repeat(self, generation: Generation, progress: _Progress) -> None:
+        """Leave a repeat that was taken ahead to others: its endpoint was heard."""
+        if progress.has_repeat:
+            progress.has_repeat = False
+            self._budgets.give_back(service=generation.request.service)
+
     def _note_whole(self, generation: Generation, progress: _Progress) -> None:
         """Learn how long answers are, and last, from one that began here."""
         if progress.first_at is None:
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -31,6 +31,9 @@
     def try_resume(self, workspace: str, *, service: str = "") -> bool:
         """Take the resume of an answer that has begun, if there is one left."""
 
+    def give_back(self, *, service: str) -> None:
+        """Leave to others a repeat or a resume that was taken and not needed."""
+
     async def borrow(self, *, service: str, is_resume: bool) -> bool:
         """Take a repeat or a resume with the help of what other hosts have left."""
 
@@ -133,6 +136,9 @@
         """Allow it: the resume budget of each endpoint bounds resumes instead."""
         return True
 
+    def give_back(self, *, service: str) -> None:
+        """Do nothing: resumes, which alone are taken ahead, are not counted here."""
+
     async def borrow(self, *, service: str, is_resume: bool) -> bool:
         """Take none: this budget is shared with nobody."""
         return False
@@ -207,6 +213,12 @@
         """Take a resume from all that is left."""
         return self._take(service, above=0)
 
+    def give_back(self, *, service: str) -> None:
+        """Leave to others a repeat or a resume that was taken and not needed."""
+        recent = self._recent(service, self._clock.monotonic())
+        if recent.repeats:
+            recent.repeats.pop()
+
     async def borrow(self, *, service: str, is_resume: bool) -> bool:
         """Take a repeat or a resume with the help of what other hosts have left."""
         above = 0.0 if is_resume else self._kept_back()
