Ask for versions at once where the platform turns a failure domain away

Found in review: since versions are told along and are no news, all hosts of a domain of 74 that is turned away had heard of a version after 3.8 s, in 20 changes with 3 in 100 messages lost. Such hosts now ask as if there were news, each time also another domain. Ruled out: rounds without a pause for all after each version (2,001 bytes a second a host in a series of changes, of 2,000). test_versions_told.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -282,6 +282,7 @@
             reach_changed=self.book.note_reach,
         )
         self.gossip.versions = self.watch.newest
+        self.gossip.seeks_versions = lambda: not self.watch.is_reached
 
     def _build_links(self) -> None:
         """Build what leads to the other hosts."""
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -88,6 +88,11 @@
         self.leaving = False
         #: Returns the newest version known under each prefix, to be told along.
         self.versions: Callable[[], Mapping[str, int]] = dict
+        #: Returns whether this host hears of changes of the configuration by gossip
+        #: alone: its failure domain is turned away by the platform. It then asks as if
+        #: there were news, and each time one host of another domain, so that all 74
+        #: hosts' versions are known in it within 2 s and not 3.8 s.
+        self.seeks_versions: Callable[[], bool] = lambda: False
         self._peers = peers
         self._clock = clock
         self._rng = rng
@@ -100,13 +105,17 @@
         """Ask and tell a few peers, every interval, for ever."""
         try:
             while True:
-                has_news = self.table.has_news or self._departures.has_news
-                await self._clock.sleep(NEWS_INTERVAL if has_news else GOSSIP_INTERVAL)
+                await self._clock.sleep(self._interval())
                 await self.tell()
         finally:
             for task in list(self._asked.values()):
                 task.cancel()
 
+    def _interval(self) -> timedelta:
+        has_news = self.table.has_news or self._departures.has_news
+        is_urgent = has_news or self.seeks_versions()
+        return NEWS_INTERVAL if is_urgent else GOSSIP_INTERVAL
+
     async def tell(self) -> None:
         """Ask a few random peers, and tell them what has changed.
 
@@ -115,7 +124,8 @@
         """
         self._update()
         free = [host_id for host_id in self._peers.ids if host_id not in self._asked]
-        chosen = choose_asked(free, self.table, self._rng)
+        far_part = 1.0 if self.seeks_versions() else FAR_PART
+        chosen = choose_asked(free, self.table, self._rng, far_part=far_part)
         if not chosen:
             return
         for host_id in chosen:
@@ -208,7 +218,11 @@
 
 
 def choose_asked(
-    host_ids: Sequence[str], table: MemberTable, rng: random.Random
+    host_ids: Sequence[str],
+    table: MemberTable,
+    rng: random.Random,
+    *,
+    far_part: float = FAR_PART,
 ) -> list[str]:
     """Choose whom to ask: among many mostly hosts of the own failure domain. Pure.
 
@@ -222,7 +236,7 @@
     if table.count_in_reach() < MANY or not near:
         near, far = list(host_ids), []
     chosen = rng.sample(near, min(FANOUT, len(near)))
-    if far and rng.random() < FAR_PART:
+    if far and rng.random() < far_part:
         chosen[-1] = rng.choice(far)
     return chosen
 
