--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -25,16 +25,15 @@
 class Follower:
     """Keeps a view of all objects under one prefix up to date.
 
-    After an outage the watch goes on where it was: a listing is asked for only
-    where the platform no longer keeps the changes in between, so that hosts do
-    not all list at once, after a long outage if so told, and while changes pile up.
+    After an outage the watch goes on where it was: a listing is asked for only where
+    the platform no longer keeps the changes in between, so that hosts do not all list
+    at once; after a long outage, if so told; and while changes pile up.
 
-    A watch brings each state of an object that changes often, a listing its newest
-    one. Where the configuration changes every 200 ms for 14 s (test_piled_changes),
-    states of 100 KB fill a link of 5 Mbit/s, and the slowest change takes 3.0 s to
-    come; with 527 KB over 10 Mbit/s it takes 23.4 s. By listings these are 0.8 and
-    2.3 s, and half of the bytes. So while an answer with states that are superseded is
-    larger than a listing, listings are asked for, and no longer than half of the time.
+    Changes pile up where a watch brings states that others in the same answer replace,
+    and more bytes than a listing, which has only the newest state of each object. Where
+    the configuration changes every 200 ms, the slowest change takes 0.8 s by listings
+    and 3.0 s by watches (100 KB, 5 Mbit/s), or 2.3 s and 23.4 s (527 KB, 10 Mbit/s;
+    test_piled_changes). Listings are asked for no longer than half of the time.
 
     Args:
         prefix: What the keys start with.
@@ -169,7 +168,7 @@
         return self._pause if gathers else timedelta(0)
 
     async def _list_piled(self) -> timedelta:
-        """List once, and return how long to leave the link to others."""
+        """List once, and return how long to leave the link to others then."""
         began = self._clock.monotonic()
         self._piles_up = await self._list()
         took = self._clock.monotonic() - began
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -154,6 +154,7 @@
             raise self._lost(kind, "stream", "silence") from error
         finally:
             if self._leaving is not None:
+                self._leaving.remove_done_callback(self._note_left)
                 self._leaving.cancel()
             if stream is not None:
                 stream.close()
