--- a/passtally/connection_pool.py
+++ b/passtally/connection_pool.py
@@ -129,34 +129,19 @@
             TimeoutError: None came in time.
         """
         try:
-            return await self._exchange(
-                address, method, target, headers, body, most, timeout, part_timeout
-            )
+            async with asyncio.timeout(timeout.total_seconds()) as limit:
+                extend = partial(_extend, limit, part_timeout or timedelta(0))
+                connection = await self.take(address)
+                try:
+                    head = await connection.send(method, target, headers, body)
+                    extend()
+                    answer = await connection.read_all(most, on_part=extend)
+                except BaseException:
+                    connection.abort()
+                    raise
         except TimeoutError:
             self.distrust(address)
             raise
-
-    async def _exchange(
-        self,
-        address: Address,
-        method: bytes,
-        target: bytes,
-        headers: RawHeaders,
-        body: bytes,
-        most: int,
-        timeout: timedelta,
-        part_timeout: timedelta | None,
-    ) -> "WholeAnswer":
-        async with asyncio.timeout(timeout.total_seconds()) as limit:
-            extend = partial(_extend, limit, part_timeout or timedelta(0))
-            connection = await self.take(address)
-            try:
-                head = await connection.send(method, target, headers, body)
-                extend()
-                answer = await connection.read_all(most, on_part=extend)
-            except BaseException:
-                connection.abort()
-                raise
         self.give_back(address, connection, head)
         return WholeAnswer(head=head, body=answer)
 
