Tell two starts of an endpoint apart where both have its id

Cause: an endpoint may start again under the id that it had, and holds nothing of before. All that hosts hold by an id was held of the wrong start: one whose end was told once (421 at its address, its own report, a peer's word) stayed shut out for good; ejection, silence limits and others' loads went on counting; idle connections of before were used, and a call that may not be repeated was lost on one; a replica at the start before was taken for one that is still there; and where it started at another address, nothing watched the streams at the old one, which hung until their callers gave up.

Change: an endpoint tells the time of its start (born), which becomes its incarnation; EndpointStart names which start of which endpoint. Departures, losses and loads that hosts tell each other name the start; the book says when a start is new, and the fleet forgets what it learned, the pool its idle connections. Streams at an address that the endpoint left are ended and go on elsewhere; others are not ended by the news, since they may have reached the new start before its entry told of it. Missing: the start that is known. Of another type: no entry. Earlier than known: ignored, and logged.

Ruled out: that an expected id alone lets a call that may not be repeated run twice: each call is sent on one connection, which belongs to one start, and goes on elsewhere only where nothing of it was sent or the endpoint said that it did not run it.

--- a/passtally/departures.py
+++ b/passtally/departures.py
@@ -13,7 +13,7 @@
 from passtally.decision import log_event
 from passtally.messages import DepartureRow
 from passtally.object_store import HostEntry, Platform, PlatformError
-from passtally.objects import Endpoint
+from passtally.objects import Endpoint, EndpointStart
 from passtally.service_index import ServiceIndex
 
 LIST_INTERVAL = timedelta(seconds=10)
@@ -31,12 +31,13 @@
         self._incarnations_by_id: dict[str, int] = {}
         self._told_by_id: dict[str, int] = {}
 
-    def note(self, endpoint_id: str, incarnation: int, *, channel: str) -> None:
-        """Take in that one incarnation of an endpoint is leaving."""
+    def note(self, start: EndpointStart, *, channel: str) -> None:
+        """Take in that one start of an endpoint is leaving or has ended."""
+        endpoint_id = start.endpoint_id
         known = self._incarnations_by_id.get(endpoint_id, -1)
-        if incarnation <= known:
+        if start.incarnation <= known:
             return
-        self._incarnations_by_id[endpoint_id] = incarnation
+        self._incarnations_by_id[endpoint_id] = start.incarnation
         self._told_by_id[endpoint_id] = 0
         log_event("departures", "Leaving.", peer=endpoint_id, channel=channel)
 
@@ -65,14 +66,17 @@
     def merge(self, rows: Iterable[DepartureRow]) -> None:
         """Take in what a peer tells."""
         for row in rows:
-            self.note(row.endpoint_id, row.incarnation, channel="peer")
+            start = EndpointStart(
+                endpoint_id=row.endpoint_id, incarnation=row.incarnation
+            )
+            self.note(start, channel="peer")
 
     def take_list(self, hosts: Sequence[HostEntry], catalog: ServiceIndex) -> None:
         """Take in the platform's list of hosts."""
         leaving = {entry.id for entry in hosts if entry.state == LEAVING}
         for endpoint in catalog.endpoints_by_id.values():
             if endpoint.host in leaving:
-                self.note(endpoint.id, endpoint.incarnation, channel="host list")
+                self.note(endpoint.start, channel="host list")
 
 
 class HostListReader:
--- a/passtally/endpoint_book.py
+++ b/passtally/endpoint_book.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
+import attrs
+
 from passtally.clock import Clock
 from passtally.decision import log_event
-from passtally.objects import Endpoint, EndpointState
+from passtally.objects import UNTOLD_START, Endpoint, EndpointState
 from passtally.service_index import ServiceIndex
 
 #: How long after the platform's return a missing entry is still kept. The users'
@@ -27,6 +29,8 @@
         clock: The clock.
         settle: How long after the platform's return a missing entry is kept.
         gone: Called with the id of each endpoint that is taken as gone.
+        came: Called with each entry that is new or tells of another start, before it
+            is put in the catalog.
     """
 
     def __init__(
@@ -36,11 +40,13 @@
         clock: Clock,
         settle: timedelta = SETTLE,
         gone: Callable[[str], None] = lambda endpoint_id: None,
+        came: Callable[[Endpoint], None] = lambda endpoint: None,
     ) -> None:
         self._catalog = catalog
         self._clock = clock
         self._settle = settle
         self._gone = gone
+        self._came = came
         self._is_away = False
         self._back_at: timedelta | None = None
         self._missing: set[str] = set()
@@ -51,6 +57,15 @@
         before = self._catalog.endpoints_by_id.get(endpoint.id)
         if before == endpoint:
             return
+        if before is not None and endpoint.start.is_followed_by(before.start):
+            # Entries come in the store's order. An endpoint whose clock went back
+            # is reached by the same id all the same.
+            log_event("endpoints", "Ignored an earlier start.", peer=endpoint.id)
+            return
+        if before is not None and endpoint.incarnation == UNTOLD_START:
+            endpoint = attrs.evolve(endpoint, incarnation=before.incarnation)
+        if before is None or before.start != endpoint.start:
+            self._came(endpoint)
         self._drop_predecessor(endpoint)
         self._catalog.put_endpoint(endpoint)
         log_event(
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
-from functools import partial
 
 import attrs
 
@@ -18,7 +17,7 @@
     LiveEndpoint,
 )
 from passtally.messages import TokenLoad
-from passtally.objects import Endpoint, EndpointState, is_placed
+from passtally.objects import Endpoint, EndpointStart, EndpointState, is_placed
 from passtally.routing import EndpointView
 from passtally.service_index import ServiceIndex
 from passtally.silence import (
@@ -61,7 +60,7 @@
         bounds_by_phase: Where silence limits may move.
         capacity_of: Returns the tokens that an endpoint's memory holds, by its
             service; 0 where that is not known.
-        others_load: Returns what other hosts' runs take at an endpoint.
+        others_load: Returns what other hosts' runs take at one start of an endpoint.
         on_successor: Called with an endpoint that has ended and the id of the one
             that has its address now.
         on_silent: See :class:`passtally.live_endpoint.LiveEndpoint`.
@@ -76,7 +75,7 @@
         departures: Departures | None = None,
         bounds_by_phase: dict[Phase, SilenceBounds] | None = None,
         capacity_of: Callable[[str], int] = lambda service: 0,
-        others_load: Callable[[str], TokenLoad] = lambda endpoint_id: TokenLoad(),
+        others_load: Callable[[EndpointStart], TokenLoad] = lambda start: TokenLoad(),
         on_successor: Callable[[Endpoint, str], None] = lambda endpoint, successor: (
             None
         ),
@@ -95,7 +94,9 @@
         self._on_successor = on_successor
         #: Set when what this host's runs take at endpoints has changed.
         self.load_changed = asyncio.Event()
-        self._losses: list[str] = []
+        self._losses: set[EndpointStart] = set()
+        #: Endpoints under addresses that they left, while streams are open there.
+        self._former: list[LiveEndpoint] = []
         self._lost_at_by_domain: dict[str, timedelta] = {}
 
     def find(self, endpoint_id: str) -> LiveEndpoint | None:
@@ -105,6 +106,8 @@
             return self._live_by_id.get(endpoint_id)
         live = self._live_by_id.get(endpoint_id)
         if live is None or live.endpoint.url != endpoint.url:
+            if live is not None:
+                self._leave_address(live)
             live = LiveEndpoint(
                 endpoint=endpoint,
                 engine=self._connect(endpoint),
@@ -112,7 +115,7 @@
                 lag=self._lag,
                 departures=self._departures,
                 bounds_by_phase=self._bounds_by_phase,
-                others_load=partial(self._others_load, endpoint_id),
+                others_load=self._others_load,
                 on_silent=self._on_silent,
             )
             self._live_by_id[endpoint_id] = live
@@ -159,15 +162,38 @@
         domain = live.endpoint.failure_domain
         self._lost_at_by_domain[domain] = self._clock.monotonic()
         if is_gone:
-            self._losses.append(live.endpoint.id)
+            self._losses.add(live.endpoint.start)
             self.load_changed.set()
 
-    def note_peer_loss(self, endpoint_id: str) -> None:
+    def note_start(self, endpoint: Endpoint) -> None:
+        """Take in an endpoint's entry: it may have started again under its id.
+
+        Nothing that was learned of the start before holds for the new one. What is
+        under way there is not ended: the endpoint may have been reached since it
+        started, before its entry told of that. Its connections and their silence tell.
+        """
+        live = self._live_by_id.get(endpoint.id)
+        if live is None or not live.endpoint.start.is_followed_by(endpoint.start):
+            return
+        live.start_again(self._bounds_by_phase)
+        log_event(
+            "endpoints", "Started again.", peer=endpoint.id, open=live.own_streams
+        )
+
+    def start_of(self, endpoint_id: str) -> EndpointStart:
+        """Return which start of an endpoint is known."""
+        endpoint = self._catalog.endpoints_by_id.get(endpoint_id)
+        return endpoint.start if endpoint else EndpointStart(endpoint_id=endpoint_id)
+
+    def note_peer_loss(self, start: EndpointStart) -> None:
         """Take in that a peer found an endpoint gone.
 
-        Where this host's own runs go on there, it knows better.
+        Where this host's own runs go on there, it knows better. One that has started
+        again since is not the one that was lost.
         """
-        if endpoint_id not in self._catalog.endpoints_by_id:
+        endpoint_id = start.endpoint_id
+        endpoint = self._catalog.endpoints_by_id.get(endpoint_id)
+        if endpoint is None or start.is_followed_by(endpoint.start):
             return
         live = self.find(endpoint_id)
         now = self._clock.monotonic()
@@ -182,10 +208,10 @@
         if successor_id and successor_id not in self._catalog.endpoints_by_id:
             self._on_successor(live.endpoint, successor_id)
 
-    def take_losses(self) -> list[str]:
-        """Return the endpoints found gone since the last call."""
-        losses, self._losses = self._losses, []
-        return sorted(set(losses))
+    def take_losses(self) -> list[EndpointStart]:
+        """Return the starts of endpoints found gone since the last call."""
+        losses, self._losses = self._losses, set()
+        return sorted(losses, key=lambda start: start.endpoint_id)
 
     def loads_by_endpoint(self) -> dict[str, TokenLoad]:
         """Return what this host's runs take at endpoints, where they take any."""
@@ -194,6 +220,7 @@
                 held=live.held_tokens,
                 reading=live.reading_tokens,
                 running=live.running_streams,
+                incarnation=live.endpoint.incarnation,
             )
             for endpoint_id, live in self._live_by_id.items()
             if live.held_tokens or live.reading_tokens
@@ -248,6 +275,15 @@
         view = live.view()
         return max(view.own_streams, view.reported_streams)
 
+    def _leave_address(self, live: LiveEndpoint) -> None:
+        """Go on watching the streams of an endpoint that has another address now.
+
+        It started anew there, and holds nothing of them.
+        """
+        if live.guards:
+            self._former.append(live)
+        live.lose_streams()
+
     async def refresh_reports(self) -> None:
         """Ask one endpoint at a time for its load, the one heard of longest ago."""
         while True:
@@ -265,13 +301,15 @@
     async def watch_silence(self) -> None:
         """Look for silent streams, for ever."""
         while True:
-            has_streams = any(live.guards for live in self._live_by_id.values())
+            self._former = [live for live in self._former if live.guards]
+            lives = self._live_by_id.values()
+            has_streams = self._former or any(live.guards for live in lives)
             interval = WATCH_INTERVAL if has_streams else IDLE_WATCH_INTERVAL
             due = self._clock.monotonic() + interval
             await self._clock.sleep(interval)
             now = self._clock.monotonic()
             self._lag.tick(now - due)
-            for live in list(self._live_by_id.values()):
+            for live in [*self._live_by_id.values(), *self._former]:
                 if self._lag.is_lagging:
                     live.excuse_silence(now)
                 else:
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -33,7 +33,13 @@
 from passtally.messages import MemberRow
 from passtally.metrics import Metric
 from passtally.object_store import Platform, StoredObject
-from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
+from passtally.objects import (
+    UNTOLD_START,
+    Endpoint,
+    EndpointState,
+    Service,
+    ServiceKind,
+)
 from passtally.peers import Peers
 from passtally.placement import Placement
 from passtally.plain import PlainCaller, Sender
@@ -267,7 +273,10 @@
             capacity_of=self._capacity_of,
         )
         self.book = EndpointBook(
-            catalog=self.catalog, clock=self.clock, gone=self.fleet.forget
+            catalog=self.catalog,
+            clock=self.clock,
+            gone=self.fleet.forget,
+            came=self._meet_start,
         )
         self.watch = WatchShare(
             host_id=self.settings.host_id,
@@ -453,18 +462,28 @@
         routes = self.routes.current
         engines = [info.id for info in routes.services if info.capacity_tokens]
         if engines == [ended.service]:
-            successor = attrs.evolve(ended, id=successor_id, state=EndpointState.ACTIVE)
+            successor = attrs.evolve(
+                ended,
+                id=successor_id,
+                state=EndpointState.ACTIVE,
+                incarnation=UNTOLD_START,
+            )
             self._spawn(self._adopt(successor))
 
     async def _adopt(self, successor: Endpoint) -> None:
         if await self._adapter.is_engine(self._connect(successor)):
             self.book.put(successor)
 
+    def _meet_start(self, endpoint: Endpoint) -> None:
+        """Use no connection of the start before: a call sent on one is lost there."""
+        self.fleet.note_start(endpoint)
+        self.pool.distrust(_address_of(endpoint))
+
     def _find_address(self, endpoint_id: str) -> Address | None:
         endpoint = self.catalog.endpoints_by_id.get(endpoint_id)
         if endpoint is None:
             return None
-        return parse_address(endpoint.url.removeprefix("http://"))
+        return _address_of(endpoint)
 
     def _keeps_replicas(self, service: str) -> bool:
         info = self._find_service(service)
@@ -533,3 +552,7 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _address_of(endpoint: Endpoint) -> Address:
+    return parse_address(endpoint.url.removeprefix("http://"))
--- a/passtally/host_news.py
+++ b/passtally/host_news.py
@@ -13,6 +13,7 @@
 from passtally.clock import Clock
 from passtally.fleet import Fleet
 from passtally.messages import HostNews, TokenLoad
+from passtally.objects import EndpointStart
 from passtally.peers import Peers
 from passtally.roster import Roster
 
@@ -41,7 +42,7 @@
 
     def __init__(self) -> None:
         self._heard_by_host: dict[str, _Heard] = {}
-        self._totals: dict[str, TokenLoad] = {}
+        self._totals_by_start: dict[EndpointStart, TokenLoad] = {}
 
     def take(
         self,
@@ -68,19 +69,23 @@
         if old:
             self._sum()
 
-    def load(self, endpoint_id: str) -> TokenLoad:
-        """Return what the others' runs take at an endpoint."""
-        return self._totals.get(endpoint_id, NO_LOAD)
+    def load(self, start: EndpointStart) -> TokenLoad:
+        """Return what the others' runs take at one start of an endpoint."""
+        return self._totals_by_start.get(start, NO_LOAD)
 
     def _sum(self) -> None:
-        self._totals = {}
+        self._totals_by_start = {}
         for heard in self._heard_by_host.values():
             for endpoint_id, load in heard.loads_by_endpoint.items():
-                known = self.load(endpoint_id)
-                self._totals[endpoint_id] = TokenLoad(
+                start = EndpointStart(
+                    endpoint_id=endpoint_id, incarnation=load.incarnation
+                )
+                known = self.load(start)
+                self._totals_by_start[start] = TokenLoad(
                     held=known.held + load.held,
                     reading=known.reading + load.reading,
                     running=known.running + load.running,
+                    incarnation=load.incarnation,
                 )
 
 
@@ -94,7 +99,7 @@
         peers: The links.
         roster: Who is there.
         clock: The clock.
-        on_lost: Called with each endpoint that a peer found gone.
+        on_lost: Called with each start of an endpoint that a peer found gone.
     """
 
     def __init__(
@@ -106,7 +111,7 @@
         peers: Peers,
         roster: Roster,
         clock: Clock,
-        on_lost: Callable[[str], None],
+        on_lost: Callable[[EndpointStart], None],
     ) -> None:
         self._host_id = host_id
         self._board = board
@@ -156,7 +161,8 @@
             news = HostNews(
                 host_id=self._host_id,
                 loads_by_endpoint=loads,
-                lost=lost,
+                lost=[start.endpoint_id for start in lost],
+                lost_incarnations=[start.incarnation for start in lost],
                 is_first=self._is_first,
             )
             told = await self._peers.tell(missing, news)
@@ -168,5 +174,5 @@
         self._board.take(news.host_id, news.loads_by_endpoint, now=now)
         if news.is_first:
             self._told_ids.discard(news.host_id)
-        for endpoint_id in news.lost:
-            self._on_lost(endpoint_id)
+        for start in news.lost_starts():
+            self._on_lost(start)
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -11,7 +11,7 @@
 from passtally.departures import Departures
 from passtally.engine import Engine, LoadReport
 from passtally.messages import TokenLoad
-from passtally.objects import Endpoint, EndpointState
+from passtally.objects import Endpoint, EndpointStart, EndpointState
 from passtally.retry import LossKind
 from passtally.routing import EndpointView
 from passtally.silence import (
@@ -64,6 +64,7 @@
         spared_since: Since when it is silent though its endpoint was found alive.
         trip: Called when the attempt is to end.
         tripped: How the attempt was lost, once it was.
+        is_lost: Whether its endpoint holds it no more, so that nothing waits for it.
         is_held: Whether it waits on at an endpoint that was found silent, since it may
             go on nowhere else.
         judged_from: From when on its silence is judged.
@@ -79,6 +80,7 @@
     spared_since: timedelta | None = None
     trip: Callable[[], None] = lambda: None
     tripped: LossKind | None = None
+    is_lost: bool = False
     is_held: bool = False
     judged_from: timedelta = timedelta(0)
 
@@ -110,6 +112,11 @@
             self.tripped = kind
             self.trip()
 
+    def lose(self) -> None:
+        """End the attempt also where its answer may go on nowhere else."""
+        self.is_lost = True
+        self.end(LossKind.RESET)
+
     def hold(self, now: timedelta) -> None:
         """Let the attempt go on; its silence is judged again a little later.
 
@@ -155,7 +162,7 @@
         lag: Tells whether this host can judge.
         departures: Where its own reports of leaving are noted.
         bounds_by_phase: Where its silence limits may move.
-        others_load: Returns what other hosts' runs take there.
+        others_load: Returns what other hosts' runs take at one start of it.
         on_silent: Called with the moment since which a connection to it is silent
             though it takes new ones.
     """
@@ -169,7 +176,7 @@
         lag: LagMeter,
         departures: Departures,
         bounds_by_phase: dict[Phase, SilenceBounds],
-        others_load: Callable[[], TokenLoad] = TokenLoad,
+        others_load: Callable[[EndpointStart], TokenLoad] = lambda start: TokenLoad(),
         on_silent: Callable[[timedelta], None] = lambda since: None,
     ) -> None:
         self._on_silent = on_silent
@@ -189,15 +196,9 @@
         #: Calls in a row that were not answered in time.
         self.unanswered_calls = 0
         self.guards: set[StreamGuard] = set()
-        self.limits_by_phase = {
-            phase: SilenceLimit(bounds=bounds)
-            for phase, bounds in bounds_by_phase.items()
-        }
         self.ejected_until: timedelta | None = None
-        self._ejection = FIRST_EJECTION
         #: Whether a request is under way that shows whether it is back.
         self._is_on_trial = False
-        self._report = LoadReport(running=0, queued=0, step=0)
         self._own_at_report = 0
         self._peak = 0
         self._peak_at = timedelta(0)
@@ -205,6 +206,25 @@
         #: Whether it has reported its load; plain endpoints never do.
         self.has_engine = False
         self._probe: asyncio.Task[None] | None = None
+        self.start_again(bounds_by_phase)
+
+    def start_again(self, bounds_by_phase: dict[Phase, SilenceBounds]) -> None:
+        """Forget what was learned of the start before.
+
+        Args:
+            bounds_by_phase: Where its silence limits may move.
+        """
+        self.limits_by_phase = {
+            phase: SilenceLimit(bounds=bounds)
+            for phase, bounds in bounds_by_phase.items()
+        }
+        self._report = LoadReport(running=0, queued=0, step=0)
+        self.readmit()
+
+    def lose_streams(self) -> None:
+        """End all streams there: nothing holds them any more."""
+        for guard in list(self.guards):
+            guard.lose()
 
     @property
     def unread_streams(self) -> int:
@@ -238,7 +258,7 @@
         Args:
             is_shaky: Whether a run was lost in its failure domain a moment ago.
         """
-        others = self._others_load()
+        others = self._others_load(self.endpoint.start)
         return EndpointView(
             id=self.endpoint.id,
             failure_domain=self.endpoint.failure_domain,
@@ -268,10 +288,7 @@
         self._own_at_report = max(self.own_streams, own_then)
         self.reported_at = self._clock.monotonic()
         if report.draining:
-            endpoint = self.endpoint
-            self._departures.note(
-                endpoint.id, endpoint.incarnation, channel="its own report"
-            )
+            self._departures.note(self.endpoint.start, channel="its own report")
 
     def _state(self) -> EndpointState:
         if self._departures.is_leaving(self.endpoint):
@@ -280,9 +297,7 @@
 
     def note_ended(self) -> None:
         """Take in that it has ended for good, whatever the configuration says."""
-        self._departures.note(
-            self.endpoint.id, self.endpoint.incarnation, channel="its address"
-        )
+        self._departures.note(self.endpoint.start, channel="its address")
 
     @property
     def is_ejected(self) -> bool:
@@ -313,7 +328,8 @@
 
     def _note_reading(self) -> None:
         """Take in how much waits to be read, for the streams that wait with it."""
-        reading = self.reading_tokens + self._others_load().reading
+        others = self._others_load(self.endpoint.start)
+        reading = self.reading_tokens + others.reading
         for guard in self.guards:
             guard.most_reading = max(guard.most_reading, reading)
 
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from passtally.objects import UNTOLD_START, EndpointStart
+
 
 class CopiedRun(msgspec.Struct, array_like=True):
     """Token ids of one copy, from a position on.
@@ -201,11 +203,13 @@
         held: Tokens in its memory for runs and replicas.
         reading: Tokens of prompts that it is still to read.
         running: Runs that have output already.
+        incarnation: Which start of it, see :class:`passtally.objects.Endpoint`.
     """
 
     held: int = 0
     reading: int = 0
     running: int = 0
+    incarnation: int = 0
 
 
 class HostNews(msgspec.Struct, tag="host_news", array_like=True):
@@ -216,12 +220,26 @@
         loads_by_endpoint: What its runs take at each endpoint; all that take any.
         lost: Endpoints that it found gone since its last news.
         is_first: Whether the host has just started, and knows nobody's loads.
+        lost_incarnations: Which starts of the lost endpoints, in the same order.
     """
 
     host_id: str
     loads_by_endpoint: dict[str, TokenLoad]
     lost: list[str]
     is_first: bool = False
+    lost_incarnations: list[int] = []
+
+    def lost_starts(self) -> list[EndpointStart]:
+        """Return the starts of endpoints that it found gone.
+
+        A host of an earlier version tells no incarnations.
+        """
+        untold = [UNTOLD_START] * (len(self.lost) - len(self.lost_incarnations))
+        incarnations = [*self.lost_incarnations, *untold]
+        return [
+            EndpointStart(endpoint_id=endpoint_id, incarnation=incarnation)
+            for endpoint_id, incarnation in zip(self.lost, incarnations, strict=False)
+        ]
 
 
 class ViewBeat(msgspec.Struct, tag="view_beat", array_like=True):
--- a/passtally/objects.py
+++ b/passtally/objects.py
@@ -11,6 +11,8 @@
 
 SERVE_ROLE = "serve"
 TOKEN_DIGEST_CHARACTERS = 64
+#: The incarnation of an endpoint that does not tell when it started.
+UNTOLD_START = 0
 REQUEST_CLASSES = ("lookup", "interactive", "job")
 
 
@@ -71,6 +73,29 @@
     request_class: str = "interactive"
 
 
+@attrs.frozen(kw_only=True)
+class EndpointStart:
+    """One start of one endpoint.
+
+    An endpoint that starts again may keep its id, and even its address, but holds
+    nothing of before. What was learned of one start says nothing of the next.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: See :class:`Endpoint`.
+    """
+
+    endpoint_id: str
+    incarnation: int = UNTOLD_START
+
+    def is_followed_by(self, other: "EndpointStart") -> bool:
+        """Return whether another start of the same endpoint came after this one.
+
+        An endpoint that does not tell its start may be the same as before.
+        """
+        return UNTOLD_START < self.incarnation < other.incarnation
+
+
 @attrs.frozen(kw_only=True)
 class Endpoint:
     """One back end of a service.
@@ -84,7 +109,8 @@
         checks_fencing: Whether it refuses orders with an old fencing number.
         max_streams: How many requests it takes at once.
         host: The host it runs on, as the platform's list names it, or empty.
-        incarnation: Counts how often it was brought back into use.
+        incarnation: Goes up each time it is brought back into use, or started again
+            where it tells its starts; 0 where nothing tells.
         role: What it is for; only ``serve`` gets requests.
         versions: The model versions and adapters that it has loaded.
     """
@@ -97,10 +123,15 @@
     checks_fencing: bool = True
     max_streams: int = 64
     host: str = ""
-    incarnation: int = 0
+    incarnation: int = UNTOLD_START
     role: str = SERVE_ROLE
     versions: tuple[str, ...] = ()
 
+    @property
+    def start(self) -> EndpointStart:
+        """Which start of it this is."""
+        return EndpointStart(endpoint_id=self.id, incarnation=self.incarnation)
+
 
 @attrs.frozen(kw_only=True)
 class Workspace:
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -1,12 +1,12 @@
 """Decodes the platform's objects into the product's types."""
 
 from datetime import timedelta
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from passtally.http_server import ServerLimits
-from passtally.objects import Endpoint, EndpointState
+from passtally.objects import UNTOLD_START, Endpoint, EndpointState
 from passtally.routes import (
     CallKind,
     Route,
@@ -21,6 +21,9 @@
 
 T = TypeVar("T")
 
+#: Hosts tell each other incarnations as integers of 64 bits.
+_Incarnation = Annotated[int, msgspec.Meta(ge=UNTOLD_START, le=(1 << 63) - 1)]
+
 
 class _Split(msgspec.Struct):
     service: str
@@ -82,6 +85,8 @@
     zone: str
     state: str
     slots: int = DEFAULT_SLOTS
+    #: The Unix time of its start in milliseconds. It may start again under its id.
+    born: _Incarnation = UNTOLD_START
 
 
 class _Run(msgspec.Struct, array_like=True):
@@ -209,6 +214,7 @@
         failure_domain=server.zone,
         state=EndpointState.ACTIVE if is_ready else EndpointState.DRAINING,
         max_streams=max(server.slots, 1),
+        incarnation=server.born,
     )
 
 
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -174,8 +174,8 @@
         """Give a silent endpoint up, or wait on there."""
         guard = self._guard
         reads = guard.reads
-        may_leave = await self._may_leave(guard.tripped)
-        if may_leave and guard.reads == reads:
+        may_leave = guard.is_lost or await self._may_leave(guard.tripped)
+        if guard.is_lost or (may_leave and guard.reads == reads):
             scope.reschedule(asyncio.get_running_loop().time())
             return
         if not guard.is_held:
--- a/passtally/replica.py
+++ b/passtally/replica.py
@@ -53,6 +53,8 @@
         self._fleet = fleet
         self._clock = clock
         self._place = place
+        #: Which start of its endpoint the replica was placed at.
+        self._kept_at = fleet.start_of(attempt.replica_id)
         #: When the replica was copied last; None while the engine sends it on itself.
         self._copied_at: timedelta | None = None
         self._task: asyncio.Task[None] | None = None
@@ -99,10 +101,19 @@
         return self._clock.monotonic() - self._copied_at >= RENEW_INTERVAL
 
     def _is_lost(self) -> bool:
-        return not self._fleet.is_usable(self._attempt.replica_id)
+        """Return whether its endpoint is gone, or holds it no more.
+
+        Where the endpoint started again before the replica was placed, and its entry
+        told so later, one copy is made that was not needed.
+        """
+        replica_id = self._attempt.replica_id
+        if self._kept_at.is_followed_by(self._fleet.start_of(replica_id)):
+            return True
+        return not self._fleet.is_usable(replica_id)
 
     async def _copy(self, target: str) -> None:
         attempt = self._attempt
+        start = self._fleet.start_of(target)
         try:
             ref = await self._live.engine.copy_run(self._generation.request.id, target)
         except (AttemptLostError, ValueError) as error:
@@ -124,6 +135,7 @@
                 lost=attempt.replica_id,
             )
         attempt.replica_id, attempt.replica_ref = target, ref
+        self._kept_at = start
         self._copied_at = self._clock.monotonic()
 
     async def _drop(self) -> None:
--- a/tests/test_host_news.py
+++ b/tests/test_host_news.py
@@ -16,11 +16,13 @@
 )
 from passtally.member_table import SUSPECT_FOR, MemberTable
 from passtally.messages import HostNews, MemberRow, TokenLoad
+from passtally.objects import EndpointStart
 from passtally.roster import MAX_LINKS, RING_LINKS, Roster, choose_links
 from passtally.settings import Address, PeerAddress
 from standins.virtual import VirtualClock, run_virtually
 
 NOW = timedelta(0)
+A = EndpointStart(endpoint_id="a")
 
 
 class TestLoadBoard:
@@ -30,22 +32,22 @@
         board.take(
             "h2", {"a": TokenLoad(held=1, running=1), "b": TokenLoad(held=7)}, now=NOW
         )
-        assert board.load("a") == TokenLoad(held=11, reading=5, running=3)
-        assert board.load("b") == TokenLoad(held=7)
-        assert board.load("c") == TokenLoad()
+        assert board.load(A) == TokenLoad(held=11, reading=5, running=3)
+        assert board.load(EndpointStart(endpoint_id="b")) == TokenLoad(held=7)
+        assert board.load(EndpointStart(endpoint_id="c")) == TokenLoad()
 
     def test_newer_news_replaces_older(self):
         board = LoadBoard()
         board.take("h1", {"a": TokenLoad(held=10)}, now=NOW)
         board.take("h1", {}, now=NOW)
-        assert board.load("a") == TokenLoad()
+        assert board.load(A) == TokenLoad()
 
     def test_a_host_that_is_silent_is_forgotten(self):
         board = LoadBoard()
         board.take("h1", {"a": TokenLoad(held=10)}, now=NOW)
         board.take("h2", {"a": TokenLoad(held=1)}, now=NOW + FORGET_AFTER)
         board.forget_old(NOW + FORGET_AFTER + timedelta(milliseconds=1))
-        assert board.load("a") == TokenLoad(held=1)
+        assert board.load(A) == TokenLoad(held=1)
 
 
 class NewsNet:
@@ -79,7 +81,7 @@
             peers=self,
             roster=self,
             clock=net.clock,
-            on_lost=lambda endpoint_id: None,
+            on_lost=lambda start: None,
         )
         self.task = asyncio.create_task(self.exchange.run())
 
@@ -90,7 +92,7 @@
     def loads_by_endpoint(self) -> dict[str, TokenLoad]:
         return dict(self.loads)
 
-    def take_losses(self) -> list[str]:
+    def take_losses(self) -> list[EndpointStart]:
         return []
 
     def linked(self) -> list[MemberRow]:
@@ -132,7 +134,7 @@
             first, second = net.add("h1"), net.add("h2")
             first.put(a=10)
             await net.clock.sleep(self.SOON)
-            assert second.board.load("a") == TokenLoad(held=10)
+            assert second.board.load(A) == TokenLoad(held=10)
 
         self.play(test)
 
@@ -143,10 +145,10 @@
             net.down.add(frozenset(("h1", "h2")))
             first.put(a=10)
             await net.clock.sleep(timedelta(seconds=6))
-            assert second.board.load("a") == TokenLoad()
+            assert second.board.load(A) == TokenLoad()
             net.down.clear()
             await net.clock.sleep(self.SOON)
-            assert second.board.load("a") == TokenLoad(held=10)
+            assert second.board.load(A) == TokenLoad(held=10)
 
         self.play(test)
 
@@ -159,7 +161,7 @@
             net.hosts["h2"].task.cancel()
             again = net.add("h2")
             await net.clock.sleep(self.SOON)
-            assert again.board.load("a") == TokenLoad(held=10)
+            assert again.board.load(A) == TokenLoad(held=10)
 
         self.play(test)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -19,7 +19,7 @@
 from passtally.membership import NEWS_ROWS
 from passtally.messages import DepartureRow, MemberRow
 from passtally.object_store import HostEntry
-from passtally.objects import Endpoint, Service, ServiceKind
+from passtally.objects import Endpoint, EndpointStart, Service, ServiceKind
 from standins.virtual import run_virtually
 from tests.fakes import make_catalog
 from tests.gossip_fleet import Fleet
@@ -267,7 +267,7 @@
             ended = [make_endpoint(id=f"e{number}") for number in range(16)]
             for number, endpoint in enumerate(ended):
                 node = fleet.nodes[number % 5]
-                node.departures.note(endpoint.id, 0, channel="its address")
+                node.departures.note(endpoint.start, channel="its address")
 
             def all_told() -> bool:
                 return all(
@@ -336,8 +336,8 @@
 
     def test_only_a_newer_incarnation_brings_it_back(self):
         departures = Departures()
-        departures.note("r", 3, channel="test")
-        departures.note("r", 1, channel="late")
+        departures.note(make_endpoint(3).start, channel="test")
+        departures.note(make_endpoint(1).start, channel="late")
         live = [HostEntry(id="h1", failure_domain="p", state="live")]
         departures.take_list(live, make_catalog([SERVICE], [make_endpoint(3)]))
         assert departures.is_leaving(make_endpoint(3))
@@ -348,7 +348,8 @@
     def test_any_order_ends_at_the_highest(self, incarnations):
         departures = Departures()
         for incarnation in incarnations:
-            departures.note("r", incarnation, channel="test")
+            start = EndpointStart(endpoint_id="r", incarnation=incarnation)
+            departures.note(start, channel="test")
         top = max(incarnations)
         assert departures.is_leaving(make_endpoint(top))
         assert not departures.is_leaving(make_endpoint(top + 1))
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -605,7 +605,10 @@
             while "front-2" not in first.peers.ids:
                 await asyncio.sleep(0.02)
             task = asyncio.create_task(system.stream(host=first))
-            while not any(second.board.load(name).held for name in system.runners):
+            while not any(
+                second.board.load(second.fleet.start_of(name)).held
+                for name in system.runners
+            ):
                 await asyncio.sleep(0.01)
             lost = next(r for r in system.runners.values() if not r.ran)
             first.fleet.note_loss(first.fleet.find(lost.name), is_gone=True)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -407,7 +407,7 @@
             departures=self.departures,
             bounds_by_phase=BOUNDS,
             capacity_of=lambda service: 55_000,
-            others_load=lambda endpoint_id: self.others_load,
+            others_load=lambda start: self.others_load,
             on_successor=lambda ended, successor: self.successors.append(successor),
         )
         self.fleet.views("s")
@@ -515,7 +515,7 @@
             first = await world.running()
             keeper = world.keeper()
             keeper.die()
-            world.fleet.note_peer_loss(keeper.name)
+            world.fleet.note_peer_loss(world.fleet.start_of(keeper.name))
             while not first.copies:
                 assert not task.done()
                 await asyncio.sleep(0.01)
@@ -554,7 +554,7 @@
                 await asyncio.sleep(0.3)
                 keeper = world.keeper()
                 keeper.die()
-                world.fleet.note_peer_loss(keeper.name)
+                world.fleet.note_peer_loss(world.fleet.start_of(keeper.name))
                 lost_at = asyncio.get_running_loop().time()
                 while first.copies < copies:
                     assert not task.done()
@@ -572,7 +572,7 @@
             first = await world.running()
             keeper = world.keeper()
             keeper.die()
-            world.fleet.note_peer_loss(keeper.name)
+            world.fleet.note_peer_loss(world.fleet.start_of(keeper.name))
             while not first.copies:
                 assert not task.done()
                 await asyncio.sleep(0.01)
