Let an entry of another writer name no endpoint, and take nothing from the others

Cause: entries may come from another writer: fields missing or of another type, a state or service that is not named, bytes that can't be read. Found by tests: a state that is not named was taken for draining, and an address that is none for an endpoint, whose first choice then failed the request; a known endpoint whose entry became unreadable stayed in use; an entry of a service that nobody names, at the address of an endpoint, dropped that endpoint; and one object that can't be read failed its whole page or watch, so that a host listed again and again and learned nothing (half a character as an escape, metadata of another type, deep nesting).

Change: state and address are checked where entries are decoded; a known endpoint whose entry can't be read gets no new work until it can be, and what runs there goes on; an entry of an unnamed service takes no one's address. Objects of a page or watch are read one by one, and what the decoder can't take of one is replaced in the text before (readable_json). A page of which nothing can be read is no end of a listing.

test_endpoint_book's catalog now names its service, since taking over an address needs one; its assertions are unchanged.

--- a/passtally/endpoint_book.py
+++ b/passtally/endpoint_book.py
@@ -77,6 +77,23 @@
             url=endpoint.url,
         )
 
+    def withhold(self, endpoint_id: str, *, reason: str) -> None:
+        """Take in an entry that can't be read: it names no endpoint to use.
+
+        An endpoint that is known gets no new work until it can be read again; what
+        runs there goes on.
+
+        Args:
+            endpoint_id: Whose entry it is.
+            reason: Why it can't be read.
+        """
+        self._missing.discard(endpoint_id)
+        known = self._catalog.endpoints_by_id.get(endpoint_id)
+        if known is not None:
+            withheld = attrs.evolve(known, state=EndpointState.DRAINING)
+            self._catalog.put_endpoint(withheld)
+        log_event("endpoints", "Ignored a broken entry.", peer=endpoint_id, why=reason)
+
     def remove(self, endpoint_ids: Iterable[str]) -> None:
         """Take in that entries are not there any more."""
         for endpoint_id in list(endpoint_ids):
@@ -109,7 +126,12 @@
                 self._drop(endpoint_id, reason="missing since an outage")
 
     def _drop_predecessor(self, endpoint: Endpoint) -> None:
-        """Drop the endpoint that had the address before: it must have ended."""
+        """Drop the endpoint that had the address before: it must have ended.
+
+        An entry of a service that no configuration names says nothing of the others.
+        """
+        if endpoint.service not in self._catalog.services_by_id:
+            return
         for known in list(self._catalog.endpoints_by_id.values()):
             if known.url == endpoint.url and known.id != endpoint.id:
                 self._drop(known.id, reason="another endpoint has its address")
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -516,27 +516,20 @@
 
     def _take_endpoints(self, changed: Sequence[StoredObject]) -> None:
         for stored in changed:
+            endpoint_id = stored.key.removeprefix(self._adapter.endpoints_prefix)
             if stored.is_removed:
-                self.book.remove(
-                    [stored.key.removeprefix(self._adapter.endpoints_prefix)]
-                )
+                self.book.remove([endpoint_id])
                 continue
-            endpoint = self._decode_endpoint(stored)
-            if endpoint is not None:
-                self.book.put(endpoint)
+            try:
+                self.book.put(self._adapter.decode_endpoint(stored))
+            except ValueError as error:
+                self.book.withhold(endpoint_id, reason=str(error))
         self._note_learned()
 
     def _note_learned(self) -> None:
         if self.routes.current is not None and self.catalog.endpoints_by_id:
             self._learned.set()
 
-    def _decode_endpoint(self, stored: StoredObject) -> Endpoint | None:
-        try:
-            return self._adapter.decode_endpoint(stored)
-        except ValueError as error:
-            log_event("endpoints", "Ignored a broken entry.", id=stored.key, why=error)
-            return None
-
     def render_metrics(self) -> bytes:
         """Return the metrics as text; gauges as they stand now."""
         current = self.routes.current
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -1,7 +1,7 @@
 """Decodes the platform's objects into the product's types."""
 
 from datetime import timedelta
-from typing import Annotated, TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -15,6 +15,7 @@
     ServiceShare,
     WorkspaceKeys,
 )
+from passtally.settings import parse_address
 
 #: Endpoints of services without an engine take this many requests if not told.
 DEFAULT_SLOTS = 1
@@ -83,7 +84,7 @@
     service: str
     address: str
     zone: str
-    state: str
+    state: Literal["ready", "draining"]
     slots: int = DEFAULT_SLOTS
     #: The Unix time of its start in milliseconds. It may start again under its id.
     born: _Incarnation = UNTOLD_START
@@ -203,14 +204,14 @@
     """Read an endpoint's entry.
 
     Raises:
-        ValueError: It does not fit.
+        ValueError: It does not fit; it may come from another writer.
     """
     server = _decode(spec, _Server)
     is_ready = server.state == "ready"
     return Endpoint(
         id=endpoint_id,
         service=server.service,
-        url=f"http://{server.address}",
+        url=f"http://{parse_address(server.address)}",
         failure_domain=server.zone,
         state=EndpointState.ACTIVE if is_ready else EndpointState.DRAINING,
         max_streams=max(server.slots, 1),
@@ -257,5 +258,5 @@
 def _decode(spec: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(spec, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise ValueError(str(error)) from error
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -1,10 +1,13 @@
 """The platform's object store, as far as the product reads it on the platform."""
 
+from collections.abc import Sequence
 from datetime import timedelta
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
 
+from passtally.decision import log_event
 from passtally.fetch import Fetcher
 from passtally.object_store import (
     REMOVED,
@@ -12,6 +15,11 @@
     Listing,
     StoredObject,
     StoreLink,
+    UnavailableError,
+)
+from passtally.platform.readable_json import (
+    leave_out_deep_values,
+    replace_half_characters,
 )
 
 #: How much later than it was asked to a watch may answer. A store that is slow
@@ -22,6 +30,8 @@
 #: does not end makes the next one later.
 LIST_TIMEOUT = timedelta(seconds=1)
 
+T = TypeVar("T")
+
 
 class _Metadata(msgspec.Struct):
     name: str
@@ -39,13 +49,15 @@
 
 
 class _Page(msgspec.Struct):
-    items: list[_Object]
+    #: Each an :class:`_Object`; other writers' may not be.
+    items: list[msgspec.Raw]
     store_revision: int
     has_more: bool = False
 
 
 class _Changes(msgspec.Struct):
-    events: list[_Event]
+    #: Each an :class:`_Event`; other writers' may not be.
+    events: list[msgspec.Raw]
     store_revision: int
 
 
@@ -73,10 +85,16 @@
             params = {"after": after} if after else {}
             page = await self._get("list", prefix, params, LIST_TIMEOUT, _Page)
             version = page.store_revision if version is None else version
-            objects += [_to_stored(prefix, item) for item in page.items]
+            items = _read_each(prefix, page.items, _Object)
+            objects += [_to_stored(prefix, item) for item in items]
             if not page.has_more or not page.items:
                 return Listing(version=version, objects=tuple(objects))
-            after = page.items[-1].metadata.name
+            if not items:
+                # A listing that leaves the rest out would take it for removed.
+                raise UnavailableError(
+                    "no object of a page can be read", step="list", peer=prefix
+                )
+            after = items[-1].metadata.name
 
     async def watch(
         self, prefix: str, *, after: int, wait: timedelta = WATCH_TIMEOUT
@@ -87,7 +105,7 @@
         changes = await self._get("watch", prefix, params, limit, _Changes)
         objects = tuple(
             _to_stored(prefix, event.object, is_removed=event.removed)
-            for event in changes.events
+            for event in _read_each(prefix, changes.events, _Event)
         )
         return Listing(version=changes.store_revision, objects=objects)
 
@@ -102,7 +120,23 @@
         self.calls += 1
         path = f"/api/objects/{quote(prefix.rstrip('/'))}"
         body = await self._link.call(step, "GET", path, params=params, timeout=timeout)
-        return self._link.decode(step, body, kind)
+        body = replace_half_characters(body)
+        try:
+            return self._link.decode(step, body, kind)
+        except RecursionError:
+            log_event("store", "Left out what is nested too deep.", prefix=prefix)
+            return self._link.decode(step, leave_out_deep_values(body), kind)
+
+
+def _read_each(prefix: str, raws: Sequence[msgspec.Raw], kind: type[T]) -> list[T]:
+    """Return the objects that can be read; another writer's may not be."""
+    read: list[T] = []
+    for raw in raws:
+        try:
+            read.append(msgspec.json.decode(raw, type=kind))
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            log_event("store", "Passed over an object.", prefix=prefix, why=error)
+    return read
 
 
 def _to_stored(prefix: str, item: _Object, *, is_removed: bool = False) -> StoredObject:
--- a/tests/test_endpoint_book.py
+++ b/tests/test_endpoint_book.py
@@ -7,7 +7,7 @@
 from passtally.catalog import Catalog
 from passtally.clock import ManualClock
 from passtally.endpoint_book import SETTLE, EndpointBook
-from passtally.objects import Endpoint, EndpointState
+from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 
 
 class Book:
@@ -15,6 +15,7 @@
 
     def __init__(self) -> None:
         self.catalog = Catalog()
+        self.catalog.put_service(Service(id="s", kind=ServiceKind.MODEL))
         self.clock = ManualClock()
         self.gone: list[str] = []
         self.book = EndpointBook(
