Judge a new version by its answers, at any moment

What is asked: a new version that fails a share of its answers or takes several times as long, at once or later, or on one route, is to be told from a good one, from what all hosts see of it, and however often they look.

--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -281,10 +281,12 @@
     Attributes:
         service: Of which service.
         amount: How many, or what part of one.
+        scope: Of which budgets; empty for those of repeats.
     """
 
     service: str
     amount: float
+    scope: str = ""
 
 
 class RepeatsLent(msgspec.Struct, tag="repeats_lent", array_like=True):
@@ -293,6 +295,56 @@
     amount: float
 
 
+class AnswerCounts(msgspec.Struct, array_like=True, frozen=True):
+    """What one host counted of one route's answers; see :mod:`version_evidence`.
+
+    Attributes:
+        route: The route, or a measure of it.
+        endpoint_id: The endpoint of the new version; empty for the version before.
+        answers: How many came, or should have.
+        failures: How many of them failed or did not come whole.
+        times: How many took how long, by the number of the time's bucket.
+    """
+
+    route: str
+    endpoint_id: str
+    answers: int = 0
+    failures: int = 0
+    times: dict[int, int] = {}
+
+
+class HostEvidence(msgspec.Struct, array_like=True, frozen=True):
+    """What one host tells of a roll-out.
+
+    Attributes:
+        host_id: The host.
+        life: What tells its start from its earlier ones.
+        revision: Goes up with each change.
+        counts: What it counted.
+        state: The state that the roll-out has there.
+        open_before: Its requests that are open at the version before.
+    """
+
+    host_id: str
+    life: int
+    revision: int
+    counts: list[AnswerCounts] = []
+    state: str = ""
+    open_before: int = 0
+
+
+class RolloutNews(msgspec.Struct, tag="rollout_news", array_like=True):
+    """What hosts tell of a roll-out, each of itself, handed on by others.
+
+    Attributes:
+        order_id: The roll-out.
+        hosts: What they tell.
+    """
+
+    order_id: str
+    hosts: list[HostEvidence]
+
+
 Message = (
     StoreCopies
     | CopiesHeld
@@ -312,4 +364,5 @@
     | ObjectPart
     | BorrowRepeats
     | RepeatsLent
+    | RolloutNews
 )
--- /dev/null
+++ b/passtally/sequential_test.py
@@ -0,0 +1,106 @@
+"""Tests of a rate that may be looked at after every answer. Pure.
+
+A test that is made for one look errs far more often than it says when it is looked at
+again and again. Both of these keep their bound however often they are looked at:
+
+- Wald's sequential probability ratio test, Annals of Mathematical Statistics 16 (1945),
+  weighs two single rates against each other. Between them it decides soonest, and it
+  says little of rates that are neither.
+- A mixture of likelihood ratios (Robbins, Annals of Mathematical Statistics 41, 1970;
+  Howard et al., Annals of Statistics 49, 2021) weighs one rate against all that are
+  above or below it. It needs no guess of how bad a bad one is.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+from enum import StrEnum
+from typing import Protocol
+
+import attrs
+
+#: How many rates stand for all that are above or below the one in question.
+MIXED_RATES = 16
+
+
+class Finding(StrEnum):
+    """What a test has found."""
+
+    HIGH = "high"
+    LOW = "low"
+    OPEN = "open"
+
+
+class RateTest(Protocol):
+    """Whether a rate is above what is usual, or surely not far above it."""
+
+    def judge(self, trials: int, hits: int) -> Finding:
+        """Return what so many hits of so many trials show."""
+
+
+@attrs.frozen(kw_only=True)
+class MixtureTest:
+    """Weighs one rate against all above it, and another against all below it.
+
+    Attributes:
+        usual: The rate that is not held against what is tested.
+        tolerated: The rate that must be ruled out before it is found low.
+        error: The chance to find a rate high that is at most the usual one, or low
+            that is at least the tolerated one, at any look.
+    """
+
+    usual: float
+    tolerated: float
+    error: float
+
+    def judge(self, trials: int, hits: int) -> Finding:
+        """Return what so many hits of so many trials show."""
+        needed = math.log(1 / self.error)
+        above = (self.usual + (1 - self.usual) * part for part in _PARTS)
+        if _log_mixture(above, self.usual, trials, hits) >= needed:
+            return Finding.HIGH
+        below = (self.tolerated * part for part in _PARTS)
+        if _log_mixture(below, self.tolerated, trials, hits) >= needed:
+            return Finding.LOW
+        return Finding.OPEN
+
+
+@attrs.frozen(kw_only=True)
+class RatioTest:
+    """Wald's test of two rates.
+
+    Attributes:
+        usual: The one rate.
+        high: The other.
+        error: The chance of either error.
+    """
+
+    usual: float
+    high: float
+    error: float
+
+    def judge(self, trials: int, hits: int) -> Finding:
+        """Return what so many hits of so many trials show."""
+        ratio = _log_ratio(self.high, self.usual, trials, hits)
+        bound = math.log((1 - self.error) / self.error)
+        if ratio >= bound:
+            return Finding.HIGH
+        return Finding.LOW if ratio <= -bound else Finding.OPEN
+
+
+#: Halfway into each of so many equal parts of what lies above or below a rate.
+_PARTS: Sequence[float] = tuple(
+    (number + 0.5) / MIXED_RATES for number in range(MIXED_RATES)
+)
+
+
+def _log_mixture(rates: Iterable[float], base: float, trials: int, hits: int) -> float:
+    """Return the logarithm of the mean likelihood ratio of some rates to one."""
+    ratios = [_log_ratio(rate, base, trials, hits) for rate in rates]
+    top = max(ratios)
+    mean = sum(math.exp(ratio - top) for ratio in ratios) / len(ratios)
+    return top + math.log(mean)
+
+
+def _log_ratio(rate: float, base: float, trials: int, hits: int) -> float:
+    on_hits = hits * math.log(rate / base)
+    return on_hits + (trials - hits) * math.log((1 - rate) / (1 - base))
