--- a/passtally/budget_loans.py
+++ b/passtally/budget_loans.py
@@ -1,4 +1,4 @@
-"""Lets a host borrow repeats from the hosts that it is linked to.
+"""Lets a host borrow from the budgets of the hosts that it is linked to.
 
 The budget of a service is shared by all hosts. Among 195 of them a host sees one stream
 in ten seconds, which earns it 0.8 of a repeat: a stream that is lost twice would end,
@@ -35,34 +35,55 @@
         self._peers = peers
         self._roster = roster
         self._rng = rng
+        self._budgets_by_scope: dict[str, ServiceBudgets] = {}
+        peers.on(BorrowRepeats, self._answer)
 
-    def lend_from(self, budgets: ServiceBudgets) -> None:
-        """Answer other hosts with what a budget has left."""
+    def lend_from(self, budgets: ServiceBudgets, *, scope: str = "") -> None:
+        """Answer other hosts with what a budget has left.
 
-        async def answer(message: BorrowRepeats) -> RepeatsLent:
-            return RepeatsLent(amount=budgets.lend(message.service, message.amount))
+        Args:
+            budgets: The budget.
+            scope: What it is of; empty for repeats.
+        """
+        self._budgets_by_scope[scope] = budgets
+
+    def stop_lending(self, scope: str) -> None:
+        """Answer no more for a budget."""
+        self._budgets_by_scope.pop(scope, None)
 
-        self._peers.on(BorrowRepeats, answer)
+    async def _answer(self, message: BorrowRepeats) -> RepeatsLent:
+        budgets = self._budgets_by_scope.get(message.scope)
+        if budgets is None:
+            return RepeatsLent(amount=0.0)
+        return RepeatsLent(amount=budgets.lend(message.service, message.amount))
 
-    async def ask(self, service: str, amount: float) -> float:
+    async def ask(self, service: str, amount: float, *, scope: str = "") -> float:
         """Ask some hosts, one after the other, and return what they lent.
 
         Args:
             service: The service.
             amount: The repeats, or the part of one, that this host lacks.
+            scope: Of which budgets; empty for those of repeats.
         """
         lent = 0.0
         host_ids = [row.host_id for row in self._roster.neighbours()]
         self._rng.shuffle(host_ids)
         for host_id in host_ids[:MAX_ASKED]:
-            lent += await self._ask_one(host_id, service, amount - lent)
+            message = BorrowRepeats(service=service, amount=amount - lent, scope=scope)
+            lent += await self._ask_one(host_id, message)
             if lent >= amount:
                 break
-        log_event("budget", "Borrowed.", service=service, wanted=amount, lent=lent)
+        log_event(
+            "budget",
+            "Borrowed.",
+            service=service,
+            scope=scope,
+            wanted=amount,
+            lent=lent,
+        )
         return lent
 
-    async def _ask_one(self, host_id: str, service: str, amount: float) -> float:
-        message = BorrowRepeats(service=service, amount=amount)
+    async def _ask_one(self, host_id: str, message: BorrowRepeats) -> float:
         try:
             reply = await self._peers.ask(host_id, message, timeout=ASK_TIMEOUT)
         except PeerError as error:
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -169,7 +169,7 @@
                     progress,
                     attach=step is NextStep.ATTACH,
                 )
-                self._note_whole(generation, progress)
+                self._note_whole(generation, progress, live)
                 return
             except AttemptLostError as loss:
                 decision = await self._take_loss(
@@ -200,7 +200,7 @@
             clock=self._clock,
             replica=self._fleet.find(attempt.replica_id),
             load_changed=self._fleet.load_changed.set,
-            on_first=lambda: self._time_first(generation, progress),
+            on_first=lambda: self._time_first(generation, progress, live),
             first_limit=partial(self._forecast.first_limit, generation.request.service),
             may_leave=partial(self._may_leave, generation, attempt, live, progress),
         )
@@ -220,6 +220,7 @@
         except AttemptLostError as loss:
             progress.reached = progress.reached or loss.kind not in UNRUN_KINDS
             progress.heard_at = relay.heard_at or progress.heard_at
+            self._note_failure(generation, live, loss, has_begun=relay.has_begun)
             raise
         except (ConnectionError, asyncio.CancelledError):
             generation.abandon()
@@ -311,11 +312,38 @@
         )
         return decision
 
-    def _time_first(self, generation: Generation, progress: _Progress) -> None:
+    def _note_failure(
+        self,
+        generation: Generation,
+        live: LiveEndpoint,
+        loss: AttemptLostError,
+        *,
+        has_begun: bool,
+    ) -> None:
+        """Count an attempt that failed after it may have run."""
+        if loss.kind in UNRUN_KINDS:
+            return
+        self._fleet.versions.note_answer(
+            live.endpoint,
+            route=generation.request.route,
+            answers=int(not has_begun),
+            failures=1,
+        )
+
+    def _time_first(
+        self, generation: Generation, progress: _Progress, live: LiveEndpoint
+    ) -> None:
         """Record how long the caller waited for an attempt's first output."""
         now = self._clock.monotonic()
         waited = now - progress.waiting_since
-        if generation.delivered:
+        is_new = not generation.delivered
+        self._fleet.versions.note_answer(
+            live.endpoint,
+            route=generation.request.route,
+            answers=1,
+            took=waited if is_new else None,
+        )
+        if not is_new:
             self._metrics.time(Metric.RESUME, waited)
             return
         self._metrics.time(Metric.FIRST_TOKEN, waited)
@@ -329,13 +357,21 @@
             progress.has_repeat = False
             self._budgets.give_back(service=generation.request.service)
 
-    def _note_whole(self, generation: Generation, progress: _Progress) -> None:
+    def _note_whole(
+        self, generation: Generation, progress: _Progress, live: LiveEndpoint
+    ) -> None:
         """Learn how long answers are, and last, from one that began here."""
         if progress.first_at is None:
             return
         lasted = self._clock.monotonic() - progress.first_at
         service = generation.request.service
         self._forecast.note_whole(service, generation.position, lasted)
+        if len(generation.attempts) == 1:
+            self._fleet.versions.note_answer(
+                live.endpoint,
+                route=f"{generation.request.route} pace",
+                took=lasted / max(generation.position, 1),
+            )
 
     async def _may_leave(
         self,
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -25,6 +25,7 @@
     Phase,
     SilenceBounds,
 )
+from passtally.versions import AnyVersion, Versions
 
 #: One endpoint is asked for its load this often, whatever their number.
 REFRESH_INTERVAL = timedelta(seconds=1)
@@ -64,6 +65,7 @@
         on_successor: Called with an endpoint that has ended and the id of the one
             that has its address now.
         on_silent: See :class:`passtally.live_endpoint.LiveEndpoint`.
+        versions: Which versions get requests.
     """
 
     def __init__(
@@ -80,7 +82,9 @@
             None
         ),
         on_silent: Callable[[timedelta], None] = lambda since: None,
+        versions: Versions | None = None,
     ) -> None:
+        self.versions = versions or AnyVersion()
         self._on_silent = on_silent
         self._catalog = catalog
         self._clock = clock
@@ -124,6 +128,13 @@
         return live
 
     def is_usable(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint may get requests that try no new version."""
+        endpoint = self._catalog.endpoints_by_id.get(endpoint_id)
+        if endpoint is None or not self.versions.allows(endpoint):
+            return False
+        return self.is_sound(endpoint_id)
+
+    def is_sound(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is known, and neither leaving nor ejected."""
         if endpoint_id not in self._catalog.endpoints_by_id:
             return False
@@ -238,15 +249,22 @@
         if live is not None and not live.own_streams:
             del self._live_by_id[endpoint_id]
 
-    def views(self, service_id: str) -> list[EndpointView]:
-        """Return what decisions read of one service's endpoints."""
+    def views(self, service_id: str, *, is_trial: bool = False) -> list[EndpointView]:
+        """Return what decisions read of one service's endpoints.
+
+        Args:
+            service_id: The service.
+            is_trial: Whether for a request that tries a new version; else those are
+                left out whose version is not to get requests.
+        """
         service = self._catalog.services_by_id.get(service_id)
         if service is None:
             return []
+        is_open = self.versions.is_tried if is_trial else self.versions.allows
         placed = (
             endpoint
             for endpoint in self._catalog.endpoints_of(service_id)
-            if is_placed(endpoint, service)
+            if is_placed(endpoint, service) and is_open(endpoint)
         )
         return [self.view(endpoint.id) for endpoint in placed]
 
@@ -284,6 +302,17 @@
             self._former.append(live)
         live.lose_streams()
 
+    def count_open(
+        self, service_id: str, is_counted: Callable[[Endpoint], bool]
+    ) -> int:
+        """Return this host's open requests at some endpoints of a service."""
+        lives = [*self._live_by_id.values(), *self._former]
+        return sum(
+            live.own_streams
+            for live in lives
+            if live.endpoint.service == service_id and is_counted(live.endpoint)
+        )
+
     async def refresh_reports(self) -> None:
         """Ask one endpoint at a time for its load, the one heard of longest ago."""
         while True:
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -429,6 +429,7 @@
         max_attempts=route.max_attempts,
         deadline=admitted.deadline,
         patience=PATIENCE_TARGETS * route.target,
+        route=route.name,
     )
 
 
@@ -450,6 +451,7 @@
         target=admitted.route.target,
         max_gap=admitted.route.max_gap,
         raw=request.raw,
+        route=admitted.route.name,
     )
 
 
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable, Coroutine, Sequence
 from datetime import timedelta
+from functools import partial
 from typing import Any, Protocol
 
 import aiomisc
@@ -45,6 +46,8 @@
 from passtally.plain import PlainCaller, Sender
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
+from passtally.rollout import RecordedState, RolloutRecord
+from passtally.rollouts import Rollouts
 from passtally.roster import Roster
 from passtally.routes import RouteSet, RoutesInForce, ServiceInfo
 from passtally.service_index import ServiceIndex
@@ -107,10 +110,12 @@
     Attributes:
         routes_prefix: What the keys of the configuration start with.
         endpoints_prefix: What the keys of endpoints' entries start with.
+        rollouts_prefix: What the keys of orders to move to new versions start with.
     """
 
     routes_prefix: str
     endpoints_prefix: str
+    rollouts_prefix: str
 
     def open_store(self, fetcher: Fetcher, url: str) -> Platform:
         """Return the client of the store."""
@@ -129,6 +134,22 @@
             ValueError: It can't be read.
         """
 
+    def decode_rollout(self, stored: StoredObject) -> RolloutRecord:
+        """Read an order to move a service to another version.
+
+        Raises:
+            ValueError: It can't be read.
+        """
+
+    async def record_rollout(
+        self, store: Platform, record: RolloutRecord, state: RecordedState
+    ) -> None:
+        """Record the state of a roll-out, unless its order has changed.
+
+        Raises:
+            PlatformError: It was not recorded, or that is not known.
+        """
+
     def connect(
         self,
         endpoint: Endpoint,
@@ -202,6 +223,9 @@
             ("isolation", self.isolation.run),
         ):
             self._spawn(keep_running(name, work, clock=self.clock))
+        if self.rollouts is not None:
+            work = self.rollouts.run
+            self._spawn(keep_running("roll-outs", work, clock=self.clock))
         self.peers.start()
         await self._listen()
         log_event("daemon", "Started.", listen=self.settings.listen)
@@ -261,7 +285,9 @@
         self.store = self._adapter.open_store(fetcher, self.settings.platform)
         self._build_links()
         self.board = LoadBoard()
+        self.rollouts = self._build_rollouts()
         self.fleet = Fleet(
+            versions=self.rollouts,
             departures=self.departures,
             others_load=self.board.load,
             on_successor=self._meet_successor,
@@ -278,12 +304,17 @@
             gone=self.fleet.forget,
             came=self._meet_start,
         )
+        views = [
+            View(prefix=self._adapter.routes_prefix, apply=self._take_routes),
+            View(prefix=self._adapter.endpoints_prefix, apply=self._take_endpoints),
+        ]
+        if self.rollouts is not None:
+            self.rollouts.use(self.fleet)
+            orders = self._adapter.rollouts_prefix
+            views.insert(0, View(prefix=orders, apply=self._take_rollouts))
         self.watch = WatchShare(
             host_id=self.settings.host_id,
-            views=(
-                View(prefix=self._adapter.routes_prefix, apply=self._take_routes),
-                View(prefix=self._adapter.endpoints_prefix, apply=self._take_endpoints),
-            ),
+            views=views,
             follow=self._follow,
             peers=self.peers,
             roster=self.roster,
@@ -294,6 +325,27 @@
         self.gossip.versions = self.watch.newest
         self.gossip.seeks_versions = lambda: not self.watch.is_reached
 
+    def _build_rollouts(self) -> Rollouts | None:
+        """Build what tries new versions, where that is asked for."""
+        settings = self.settings
+        if not settings.trial_share:
+            return None
+        return Rollouts(
+            host_id=settings.host_id,
+            life=int(self.clock.now().timestamp() * 1000),
+            share=settings.trial_share,
+            slack=settings.trial_extra,
+            least_hosts=MIN_BUDGET_HOSTS,
+            catalog=self.catalog,
+            loans=self.loans,
+            peers=self.peers,
+            roster=self.roster,
+            clock=self.clock,
+            rng=random.Random(),
+            record=partial(self._adapter.record_rollout, self.store),
+            metrics=self.metrics,
+        )
+
     def _build_links(self) -> None:
         """Build what leads to the other hosts."""
         settings = self.settings
@@ -322,6 +374,9 @@
         self.roster = Roster(
             seeds=settings.seeds, table=table, peers=self.peers, clock=self.clock
         )
+        self.loans = BudgetLoans(
+            peers=self.peers, roster=self.roster, rng=random.Random()
+        )
 
     def _follow(self, share: WatchShare, view: View) -> Follower:
         return Follower(
@@ -341,7 +396,7 @@
     def _build_serving(self) -> None:
         """Build what carries requests."""
         settings = self.settings
-        loans = BudgetLoans(peers=self.peers, roster=self.roster, rng=random.Random())
+        loans = self.loans
         budgets = ServiceBudgets(
             share=settings.retry_share,
             extra=lambda: (
@@ -477,6 +532,8 @@
     def _meet_start(self, endpoint: Endpoint) -> None:
         """Use no connection of the start before: a call sent on one is lost there."""
         self.fleet.note_start(endpoint)
+        if self.rollouts is not None:
+            self.rollouts.meet(endpoint)
         self.pool.distrust(_address_of(endpoint))
 
     def _find_address(self, endpoint_id: str) -> Address | None:
@@ -526,6 +583,17 @@
                 self.book.withhold(endpoint_id, reason=str(error))
         self._note_learned()
 
+    def _take_rollouts(self, changed: Sequence[StoredObject]) -> None:
+        for stored in changed:
+            name = stored.key.removeprefix(self._adapter.rollouts_prefix)
+            if stored.is_removed:
+                self.rollouts.drop(name)
+                continue
+            try:
+                self.rollouts.take(self._adapter.decode_rollout(stored))
+            except ValueError as error:
+                log_event("rollout", "Ignored a broken order.", service=name, why=error)
+
     def _note_learned(self) -> None:
         if self.routes.current is not None and self.catalog.endpoints_by_id:
             self._learned.set()
@@ -538,6 +606,8 @@
         behind = self.watch.behind_for(self._adapter.routes_prefix)
         self.metrics.gauge(Metric.CONFIG_BEHIND, round(behind.total_seconds() * 1000))
         self.metrics.gauge(Metric.PEER_BYTES, self.peers.bytes_sent)
+        if self.rollouts is not None:
+            self.metrics.gauge(Metric.ROLLOUTS, self.rollouts.under_way)
         self.metrics.gauge(Metric.PLATFORM_AWAY, int(not self.watch.is_reached))
         return self.metrics.render()
 
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -64,6 +64,7 @@
         max_gap: The longest pause between two outputs that its caller allows, if it
             is known.
         raw: What to hand on, where the content is not read.
+        route: The route that led to the service, or empty.
     """
 
     id: str
@@ -86,6 +87,7 @@
     target: timedelta | None = None
     max_gap: timedelta | None = None
     raw: RawCall | None = None
+    route: str = ""
 
 
 class TokenEvent(msgspec.Struct, kw_only=True):
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -48,6 +48,19 @@
     )
     PEER_BYTES = "peer_bytes", "gauge", "bytes", "Sent to peers since the start."
     CLAIM_WRITES = "claim_writes", "gauge", "1", "Claim writes since the start."
+    ROLLOUTS = "rollouts", "gauge", "1", "Roll-outs of new versions under way."
+    TRIALS = (
+        "trials",
+        "counter",
+        "1",
+        "Requests that tried a new version; the service follows the name.",
+    )
+    TRIAL_FAILURES = (
+        "trial_failures",
+        "counter",
+        "1",
+        "Answers of a new version that failed; the service follows the name.",
+    )
     REQUESTS = "requests", "counter", "1", "Generations taken or taken up."
     REFUSED = "refused", "counter", "1", "Refusals; the error code follows the name."
     ATTEMPTS = "attempts", "counter", "1", "Attempts started."
--- a/passtally/objects.py
+++ b/passtally/objects.py
@@ -113,6 +113,8 @@
             where it tells its starts; 0 where nothing tells.
         role: What it is for; only ``serve`` gets requests.
         versions: The model versions and adapters that it has loaded.
+        software: The version of its software, or empty.
+        is_cold: Whether it is still slow from its start.
     """
 
     id: str
@@ -126,6 +128,8 @@
     incarnation: int = UNTOLD_START
     role: str = SERVE_ROLE
     versions: tuple[str, ...] = ()
+    software: str = ""
+    is_cold: bool = False
 
     @property
     def start(self) -> EndpointStart:
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -88,6 +88,9 @@
             if kept_at is not None:
                 return kept_at
         self._check_time(generation)
+        tried = await self._place_trial(generation, excluded)
+        if tried is not None:
+            return tried
         patience = RESUME_PATIENCE if generation.delivered else request.patience
         deadline = self._clock.monotonic() + patience
         while True:
@@ -102,6 +105,21 @@
                 excluded.clear()
             await self._clock.sleep(RESUME_POLL)
 
+    async def _place_trial(
+        self, generation: Generation, excluded: set[str]
+    ) -> str | None:
+        """Return an endpoint of a new version, for a request that is to try it."""
+        versions = self._fleet.versions
+        service = generation.request.service
+        is_new = not generation.attempts and not generation.delivered
+        if not is_new or not versions.take_trial(service):
+            return None
+        decision = self._decide(generation, excluded, is_trial=True)
+        if decision.endpoint_id is None:
+            versions.give_back(service)
+            return None
+        return await self._survey_and_log(generation, decision)
+
     def can_place(self, generation: Generation, excluded: set[str]) -> bool:
         """Return whether there is an endpoint now, and time to be whole there.
 
@@ -139,7 +157,9 @@
             now=self._clock.monotonic(),
         )
 
-    def _decide(self, generation: Generation, excluded: set[str]) -> RouteDecision:
+    def _decide(
+        self, generation: Generation, excluded: set[str], *, is_trial: bool = False
+    ) -> RouteDecision:
         request = generation.request
         return self._choose(
             RouteQuery(
@@ -150,7 +170,7 @@
                 tokens=count_held_tokens(generation),
                 prompt_tokens=count_reading_tokens(generation),
             ),
-            self._fleet.views(request.service),
+            self._fleet.views(request.service, is_trial=is_trial),
             now=self._clock.monotonic(),
         )
 
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -31,6 +31,8 @@
 #: once, one is likely reached by then; a host that is cut off reaches none.
 MAX_CONNECTS = 4
 RETRY_AFTER = timedelta(seconds=1)
+#: From this status on an answer tells that its endpoint failed.
+FAILURE_STATUS = 500
 
 
 @attrs.frozen(kw_only=True)
@@ -54,6 +56,7 @@
             another endpoint, if there is one and it may be sent once more.
         must_connect: Whether it is to be sent on a new connection, since one was
             silent.
+        route: The route that led to the service, or empty.
     """
 
     id: str
@@ -70,6 +73,7 @@
     deadline: timedelta | None = None
     patience: timedelta | None = None
     must_connect: bool = False
+    route: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -171,10 +175,8 @@
         failure: RefusedError | None = None
         service = call.service.id
         self._budgets.earn(call.workspace, service=service)
-        while True:
-            endpoint_id = self._route(call, tries.excluded)
-            if endpoint_id is None:
-                break
+        endpoint_id = self._route_first(call)
+        while endpoint_id is not None:
             try:
                 return await self._send(call, endpoint_id, before_send, tries)
             except RefusedError as error:
@@ -187,6 +189,7 @@
             if is_over or not await self._may_repeat(call, failure, tries):
                 break
             call = attrs.evolve(call, must_connect=tries.must_connect)
+            endpoint_id = self._route(call, tries.excluded)
         raise failure or refuse(
             Code.NO_ENDPOINT,
             "No endpoint of the service can take the call.",
@@ -216,19 +219,33 @@
             self._budgets, call.workspace, service=call.service.id, is_resume=False
         )
 
-    def _choose(self, call: PlainCall, excluded: set[str]) -> RouteDecision:
+    def _choose(
+        self, call: PlainCall, excluded: set[str], *, is_trial: bool = False
+    ) -> RouteDecision:
         return choose_endpoint(
             RouteQuery(
                 affinity=call.id.encode(),
                 failure_domain=call.failure_domain or self._failure_domain,
                 exclude=excluded,
             ),
-            self._fleet.views(call.service.id),
+            self._fleet.views(call.service.id, is_trial=is_trial),
             now=self._clock.monotonic(),
         )
 
-    def _route(self, call: PlainCall, excluded: set[str]) -> str | None:
-        decision = self._choose(call, excluded)
+    def _route_first(self, call: PlainCall) -> str | None:
+        """Choose the first endpoint; some requests try a new version."""
+        versions = self._fleet.versions
+        if versions.take_trial(call.service.id):
+            endpoint_id = self._route(call, set(), is_trial=True)
+            if endpoint_id is not None:
+                return endpoint_id
+            versions.give_back(call.service.id)
+        return self._route(call, set())
+
+    def _route(
+        self, call: PlainCall, excluded: set[str], *, is_trial: bool = False
+    ) -> str | None:
+        decision = self._choose(call, excluded, is_trial=is_trial)
         log_decision(
             "route",
             request=call.id,
@@ -254,6 +271,7 @@
         live = self._fleet.find(endpoint_id)
         limit = self._remaining(call)
         losing: asyncio.Task[None] | None = None
+        began = self._clock.monotonic()
         live.enter()
         try:
             async with asyncio.timeout(limit.total_seconds()) as scope:
@@ -271,6 +289,13 @@
             if losing is not None:
                 losing.cancel()
         live.readmit()
+        self._fleet.versions.note_answer(
+            live.endpoint,
+            route=call.route,
+            answers=1,
+            failures=int(answer.status >= FAILURE_STATUS),
+            took=self._clock.monotonic() - began,
+        )
         return answer
 
     async def _lose_patience(
@@ -312,6 +337,9 @@
         )
         if loss.kind in UNRUN_KINDS:
             return _not_sent(loss)
+        self._fleet.versions.note_answer(
+            live.endpoint, route=call.route, answers=1, failures=1
+        )
         return _maybe_run(loss)
 
 
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -11,8 +11,10 @@
 from passtally.objects import Endpoint
 from passtally.platform.decode import decode_endpoint, decode_routes
 from passtally.platform.ingress import Ingress, encode_ready
+from passtally.platform.rollout_object import decode_rollout, encode_status
 from passtally.platform.runner import RunnerEngine, RunnerSender
 from passtally.platform.store import PlatformStore
+from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
 from passtally.settings import Address
 
@@ -25,10 +27,13 @@
     routes_prefix = "config/"
     #: The platform's "servers" are our endpoints.
     endpoints_prefix = "servers/"
+    rollouts_prefix = "rollouts/"
 
     def open_store(self, fetcher: Fetcher, url: str) -> PlatformStore:
         """Return the client of the store."""
-        return PlatformStore(fetcher=fetcher, url=url)
+        return PlatformStore(
+            fetcher=fetcher, url=url, whole_prefixes=(self.rollouts_prefix,)
+        )
 
     def decode_routes(self, stored: StoredObject) -> RouteSet | None:
         """Read the routes; None for an object that holds none."""
@@ -41,6 +46,18 @@
         endpoint_id = stored.key.removeprefix(self.endpoints_prefix)
         return decode_endpoint(endpoint_id, bytes(stored.value))
 
+    def decode_rollout(self, stored: StoredObject) -> RolloutRecord:
+        """Read an order to move a service to another version."""
+        return decode_rollout(stored)
+
+    async def record_rollout(
+        self, store: PlatformStore, record: RolloutRecord, state: RecordedState
+    ) -> None:
+        """Record the state of a roll-out, unless its order has changed."""
+        name = record.order.service
+        body = encode_status(name, record, state)
+        await store.write_status(self.rollouts_prefix + name, body)
+
     def connect(
         self,
         endpoint: Endpoint,
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -88,6 +88,10 @@
     slots: int = DEFAULT_SLOTS
     #: The Unix time of its start in milliseconds. It may start again under its id.
     born: _Incarnation = UNTOLD_START
+    #: The version of its software; not of what it has loaded, nor of this entry.
+    version: str = ""
+    #: For how much longer it is slow from its start, at the last change of the entry.
+    cold_remaining_ms: float = 0
 
 
 class _Run(msgspec.Struct, array_like=True):
@@ -216,6 +220,8 @@
         state=EndpointState.ACTIVE if is_ready else EndpointState.DRAINING,
         max_streams=max(server.slots, 1),
         incarnation=server.born,
+        software=server.version,
+        is_cold=server.cold_remaining_ms > 0,
     )
 
 
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -32,6 +32,8 @@
     "seeds": "seeds",
     "retry_share": "bounds.retry_budget_ratio",
     "retry_extra": "bounds.budget_extra",
+    "trial_share": "bounds.exposure_share",
+    "trial_extra": "bounds.exposure_slack",
 }
 
 
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -1,6 +1,6 @@
 """The platform's object store, as far as the product reads it on the platform."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from datetime import timedelta
 from typing import TypeVar
 from urllib.parse import quote
@@ -29,6 +29,8 @@
 #: 4 ms. Hosts list first when a store that was silent may be back, and each try that
 #: does not end makes the next one later.
 LIST_TIMEOUT = timedelta(seconds=1)
+#: How long writing a status may take; a slow store takes 60 times its usual 4 ms.
+STATUS_TIMEOUT = timedelta(seconds=1)
 
 T = TypeVar("T")
 
@@ -36,11 +38,14 @@
 class _Metadata(msgspec.Struct):
     name: str
     revision: int
+    created: int = 0
 
 
 class _Object(msgspec.Struct):
     metadata: _Metadata
     spec: msgspec.Raw = msgspec.Raw(REMOVED)
+    #: Written by whoever carries out what the content asks for.
+    status: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Event(msgspec.Struct):
@@ -67,10 +72,15 @@
     Args:
         fetcher: Makes the calls.
         url: Where the store listens.
+        whole_prefixes: What the keys of those objects start with whose value is all
+            that the store keeps of them, not their content alone.
     """
 
-    def __init__(self, *, fetcher: Fetcher, url: str) -> None:
+    def __init__(
+        self, *, fetcher: Fetcher, url: str, whole_prefixes: Collection[str] = ()
+    ) -> None:
         self._link = StoreLink(fetcher=fetcher, url=url)
+        self._whole_prefixes = whole_prefixes
         self.calls = 0
 
     async def list_objects(self, prefix: str) -> Listing:
@@ -86,7 +96,7 @@
             page = await self._get("list", prefix, params, LIST_TIMEOUT, _Page)
             version = page.store_revision if version is None else version
             items = _read_each(prefix, page.items, _Object)
-            objects += [_to_stored(prefix, item) for item in items]
+            objects += [self._to_stored(prefix, item) for item in items]
             if not page.has_more or not page.items:
                 return Listing(version=version, objects=tuple(objects))
             if not items:
@@ -104,11 +114,43 @@
         limit = wait + WATCH_SLACK
         changes = await self._get("watch", prefix, params, limit, _Changes)
         objects = tuple(
-            _to_stored(prefix, event.object, is_removed=event.removed)
+            self._to_stored(prefix, event.object, is_removed=event.removed)
             for event in _read_each(prefix, changes.events, _Event)
         )
         return Listing(version=changes.store_revision, objects=objects)
 
+    async def write_status(self, key: str, body: bytes) -> None:
+        """Replace an object's status, unless the object has changed.
+
+        Args:
+            key: The object.
+            body: The status, and the version of the object that it was made from.
+
+        Raises:
+            PlatformError: It was not done, or it is not known whether it was.
+        """
+        self.calls += 1
+        await self._link.call(
+            "status",
+            "PUT",
+            f"/api/objects/{quote(key)}/status",
+            headers={"Content-Type": "application/json"},
+            timeout=STATUS_TIMEOUT,
+            data=body,
+        )
+
+    def _to_stored(
+        self, prefix: str, item: _Object, *, is_removed: bool = False
+    ) -> StoredObject:
+        value = item.spec
+        if prefix in self._whole_prefixes:
+            value = msgspec.Raw(msgspec.json.encode(item))
+        return StoredObject(
+            key=prefix + item.metadata.name,
+            version=item.metadata.revision,
+            value=msgspec.Raw(REMOVED) if is_removed else value,
+        )
+
     async def _get(
         self,
         step: str,
@@ -137,11 +179,3 @@
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             log_event("store", "Passed over an object.", prefix=prefix, why=error)
     return read
-
-
-def _to_stored(prefix: str, item: _Object, *, is_removed: bool = False) -> StoredObject:
-    return StoredObject(
-        key=prefix + item.metadata.name,
-        version=item.metadata.revision,
-        value=msgspec.Raw(REMOVED) if is_removed else item.spec,
-    )
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -106,6 +106,11 @@
         """When the last output came; None before the first."""
         return self._guard.silent_since if self._guard.reads else None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether output has come."""
+        return self._guard.reads > 0
+
     async def run(self, *, attach: bool) -> None:
         """Pass the output on until the answer ends.
 
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -190,7 +190,7 @@
         warm_up: timedelta = timedelta(0),
         ask_others: Lend = lend_nothing,
     ) -> None:
-        self._share = share
+        self.share = share
         self._extra = extra
         self._window = window
         self._clock = clock
@@ -258,7 +258,7 @@
 
     def _left(self, service: str) -> float:
         recent = self._recent(service, self._clock.monotonic())
-        allowed = self._share * len(recent.requests) + self._extra_now()
+        allowed = self.share * len(recent.requests) + self._extra_now()
         borrowed = sum(amount for _, amount in recent.borrowed)
         lent = sum(amount for _, amount in recent.lent)
         return allowed + borrowed - lent - len(recent.repeats)
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -227,6 +227,15 @@
     retry_window: timedelta = _setting(
         parse_duration, "The time in which repeats are counted against requests.", "10s"
     )
+    trial_share: float = _setting(
+        parse_share,
+        "The share of a service's requests that may go to a new version before it was"
+        " found good; 0 where new versions are not tried.",
+        "0",
+    )
+    trial_extra: int = _setting(
+        parse_count, "How many more may, of all hosts together.", "50"
+    )
     apply_within: timedelta = _setting(
         parse_duration, "How soon a change of configuration must be in force.", "2s"
     )
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -28,6 +28,7 @@
         list_delay: How long a listing takes, in seconds.
         calls: How many calls were made.
         listings: How many listings are under way.
+        statuses: The statuses that were written, of any object.
     """
 
     def __init__(self) -> None:
@@ -39,6 +40,7 @@
         self.calls = 0
         self.listings = 0
         self.revision = 0
+        self.statuses: list[Any] = []
         self._oldest = 0
         self._items: dict[tuple[str, str], dict[str, Any]] = {}
         self._changes: list[_Change] = []
@@ -49,6 +51,7 @@
         """Listen on the loopback and return the port."""
         app = web.Application()
         app.router.add_get("/api/objects/{kind}", self._serve)
+        app.router.add_put("/api/objects/{kind}/{name}/status", self._put_status)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
@@ -62,10 +65,15 @@
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Create or replace an object."""
+        known = self._items.get((kind, name), {})
+        self._store(kind, name, spec, status=known.get("status"))
+
+    def _store(self, kind: str, name: str, spec: Any, *, status: Any) -> None:
         self.revision += 1
         item = {
             "metadata": {"name": name, "revision": self.revision, "created": 1},
             "spec": spec,
+            "status": status,
         }
         self._items[kind, name] = item
         self._note(_Change(revision=self.revision, kind=kind, item=item, removed=False))
@@ -114,6 +122,21 @@
             }
         )
 
+    async def _put_status(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        if self.refusal is not None:
+            return web.Response(status=self.refusal)
+        key = request.match_info["kind"], request.match_info["name"]
+        item = self._items.get(key)
+        if item is None:
+            return web.Response(status=404)
+        change = await request.json()
+        if change["metadata"]["revision"] != item["metadata"]["revision"]:
+            return web.json_response(item, status=409)
+        self.statuses.append(change["status"])
+        self._store(*key, item["spec"], status=change["status"])
+        return web.json_response(self._items[key])
+
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
         after = int(request.query["watch"])
         wait = int(request.query.get("wait_ms", "0")) / 1000
--- /dev/null
+++ b/standins/rollout_fleet.py
@@ -0,0 +1,446 @@
+"""Hosts that try a new version of a service, with callers, versions and faults played.
+
+Everything but the roll-outs themselves is a model, in virtual time: callers, answers,
+links between hosts, the store and its watch.
+"""
+
+import asyncio
+import random
+from collections.abc import Collection, Sequence
+from datetime import timedelta
+
+import attrs
+
+from passtally.budget_loans import BudgetLoans
+from passtally.messages import MemberRow, Message, RolloutNews
+from passtally.object_store import ConflictError, UnavailableError
+from passtally.objects import Endpoint, Service, ServiceKind
+from passtally.peers import Answerer, PeerError
+from passtally.rollout import RecordedState, RolloutOrder, RolloutRecord
+from passtally.rollouts import Rollouts
+from passtally.roster import choose_links
+from passtally.service_index import ServiceIndex
+from passtally.version_judge import VersionJudge
+from standins.virtual import VirtualClock, run_virtually
+
+SERVICE = "s"
+OLD, NEW = "v1", "v2"
+DOMAINS = ("pilar", "tigre", "escobar")
+#: The bounds of the deployment that asks for roll-outs first.
+SHARE = 0.1
+SLACK = 50
+#: How long before its entries the order is there, in seconds.
+BOOT_SECONDS = 0.8
+
+
+@attrs.frozen(kw_only=True)
+class VersionBehaviour:
+    """How the endpoints of a version answer.
+
+    Attributes:
+        failing: The part of its answers that fail.
+        slower: How many times as long as usual it takes.
+        slow_part: The part of its answers that take so long.
+        from_second: From when after the order on that is so.
+        on_route: The only route on which it is so; empty for all.
+    """
+
+    failing: float = 0.0
+    slower: float = 1.0
+    slow_part: float = 1.0
+    from_second: float = 0.0
+    on_route: str = ""
+
+    @property
+    def is_bad(self) -> bool:
+        """Whether callers are worse off with it."""
+        return self.failing > 0 or self.slower > 1
+
+
+@attrs.frozen(kw_only=True)
+class RolloutPlay:
+    """One roll-out to be played.
+
+    Attributes:
+        seed: What all chance comes from.
+        hosts: How many hosts there are.
+        endpoints: How many endpoints each version has.
+        per_second: How many requests come a second.
+        within: The order's time, in seconds.
+        version: How the new version answers.
+        usual_failing: The part of answers that fail whatever runs them.
+        kills: How many hosts end and start anew, one after the other.
+        cut_hosts: The part of the hosts that is cut off from all, for three seconds.
+        store_down: For how long the store is away, from the second second on.
+        grey: How many endpoints of the new version fail by themselves.
+    """
+
+    seed: int
+    hosts: int = 6
+    endpoints: int = 12
+    per_second: float = 60.0
+    within: float = 12.0
+    version: VersionBehaviour = VersionBehaviour()
+    usual_failing: float = 0.02
+    kills: int = 0
+    cut_hosts: float = 0.0
+    store_down: float = 0.0
+    grey: int = 0
+
+
+@attrs.define(kw_only=True)
+class RolloutResult:
+    """What came of it.
+
+    Attributes:
+        requests: How many requests there were within the order's time.
+        sent_new: How many of them the new version got before it was recorded as good.
+        bad: How many answers of it failed or were slow, its own fault.
+        after_limit: How many requests it got later than five seconds after the 50th.
+        state: What was recorded at the end, if anything.
+        ended_at: When, in seconds after the order.
+        states: What was recorded, one after the other.
+        open_at_end: Requests at the version before when it was stopped.
+    """
+
+    requests: int = 0
+    sent_new: int = 0
+    bad: int = 0
+    after_limit: int = 0
+    state: RecordedState | None = None
+    ended_at: float = 0.0
+    states: list[RecordedState] = attrs.field(factory=list)
+    open_at_end: int = 0
+
+    @property
+    def is_over_bound(self) -> bool:
+        """Whether the new version got more than a bad one may."""
+        return self.sent_new > SHARE * self.requests + SLACK
+
+
+class ModelHost:
+    """One host: its roll-outs, and what they ask of fleet, links and roster."""
+
+    def __init__(self, model: "RolloutModel", name: str, life: int) -> None:
+        self.model = model
+        self.name = name
+        self.domain = DOMAINS[int(name[1:]) % len(DOMAINS)]
+        self.is_up = True
+        self.open_at_old = 0
+        self._row = MemberRow(name, self.domain, life, 0, False, "x")
+        self._answerers: dict[type, Answerer] = {}
+        self.rollouts = Rollouts(
+            host_id=name,
+            life=life,
+            share=SHARE,
+            slack=SLACK,
+            least_hosts=8,
+            catalog=model.catalog,
+            loans=BudgetLoans(
+                peers=self, roster=self, rng=random.Random(model.rng.random())
+            ),
+            peers=self,
+            roster=self,
+            clock=model.clock,
+            rng=random.Random(model.rng.random()),
+            record=self.record,
+            judge=model.judge,
+        )
+        self.rollouts.use(self)
+        self.task = asyncio.create_task(self.rollouts.run())
+
+    # What roll-outs ask of a fleet.
+
+    def is_sound(self, endpoint_id: str) -> bool:
+        return True
+
+    def count_open(self, service_id: str, is_counted) -> int:
+        return self.open_at_old
+
+    # What they ask of links and of a roster.
+
+    @property
+    def peak(self) -> int:
+        return len(self.model.hosts)
+
+    @property
+    def row(self) -> MemberRow:
+        return self._row
+
+    def others(self) -> list[MemberRow]:
+        return [
+            host.row
+            for host in self.model.hosts.values()
+            if host is not self and host.is_up
+        ]
+
+    def linked(self) -> list[MemberRow]:
+        is_watching = int(self.name[1:]) < 2 * len(DOMAINS)
+        return choose_links(self._row, self.others(), whole_domain=is_watching)
+
+    def listen(self, kind: type, listener) -> None:
+        self.hear = listener
+
+    async def tell(self, host_ids: Sequence[str], news: RolloutNews) -> set[str]:
+        for host_id in host_ids:
+            self.model.deliver(self, host_id, news)
+        return set(host_ids)
+
+    def neighbours(self) -> list[MemberRow]:
+        return [row for row in self.linked() if row.failure_domain == self.domain]
+
+    def on(self, kind: type, answerer: Answerer) -> None:
+        self._answerers[kind] = answerer
+
+    async def ask(self, host_id: str, message: Message, *, timeout: timedelta):
+        await asyncio.sleep(0.002)
+        asked = self.model.hosts[host_id]
+        is_cut = self.name in self.model.cut or host_id in self.model.cut
+        if is_cut or not asked.is_up:
+            raise PeerError("no answer", step="ask", peer=host_id)
+        return await asked.answer(message)
+
+    async def answer(self, message: Message) -> Message:
+        return await self._answerers[type(message)](message)
+
+    async def record(self, record: RolloutRecord, state: RecordedState) -> None:
+        await self.model.write(self, record, state)
+
+
+class RolloutModel:
+    """Plays one roll-out."""
+
+    def __init__(self, play: RolloutPlay, *, judge: VersionJudge | None = None) -> None:
+        self.play = play
+        self.judge = judge or VersionJudge()
+        self.rng = random.Random(play.seed)
+        self.clock = VirtualClock()
+        self.catalog = ServiceIndex()
+        self.catalog.put_service(Service(id=SERVICE, kind=ServiceKind.MODEL))
+        self.hosts: dict[str, ModelHost] = {}
+        self.result = RolloutResult()
+        self.cut: Collection[str] = ()
+        self.is_store_down = False
+        self.record: RolloutRecord | None = None
+        self.ordered_at = 0.0
+        self._limit_at: float | None = None
+        self._greys: Collection[str] = ()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> RolloutResult:
+        """Play it to two seconds after its time."""
+        play = self.play
+        for number in range(play.hosts):
+            self._start_host(f"h{number}", life=1)
+        self._add_endpoints(OLD)
+        self._spawn(self._send_requests())
+        await asyncio.sleep(3)
+        self._order()
+        self._spawn(self._trouble())
+        await asyncio.sleep(BOOT_SECONDS)
+        self._add_endpoints(NEW)
+        await asyncio.sleep(play.within + 2 - BOOT_SECONDS)
+        return self.result
+
+    # The order and its store.
+
+    def _order(self) -> None:
+        order = RolloutOrder(
+            id="o",
+            service=SERVICE,
+            version=NEW,
+            within=timedelta(seconds=self.play.within),
+        )
+        self.ordered_at = self._now()
+        self.record = RolloutRecord(order=order, state=None, object_version=1)
+        self._publish()
+
+    async def write(
+        self, host: ModelHost, record: RolloutRecord, state: RecordedState
+    ) -> None:
+        """Take a record, unless the order has changed since it was made."""
+        await asyncio.sleep(self.rng.uniform(0.004, 0.05))
+        if self.is_store_down or host.name in self.cut:
+            raise UnavailableError("down", step="status", peer="model")
+        if record.object_version != self.record.object_version:
+            raise ConflictError("changed", step="status", peer="model")
+        self.record = attrs.evolve(
+            self.record, state=state, object_version=record.object_version + 1
+        )
+        self.result.states.append(state)
+        self.result.state = state
+        self.result.ended_at = self._now() - self.ordered_at
+        if state is RecordedState.COMPLETED:
+            self.result.open_at_end = sum(
+                host.open_at_old for host in self.hosts.values()
+            )
+        self._publish()
+
+    def _publish(self) -> None:
+        for host in self.hosts.values():
+            self._spawn(self._inform(host, self.record))
+
+    async def _inform(self, host: ModelHost, record: RolloutRecord) -> None:
+        await asyncio.sleep(self.rng.uniform(0.02, 0.5))
+        while host.is_up and host.name in self.cut:
+            await asyncio.sleep(0.2)
+        trial_version = record.object_version
+        if host.is_up and trial_version >= getattr(host, "version", 0):
+            host.version = trial_version
+            host.rollouts.take(record)
+
+    # Hosts and what goes wrong with them.
+
+    def deliver(self, sender: ModelHost, host_id: str, news: RolloutNews) -> None:
+        """Carry a message, unless one of the two is cut off."""
+        receiver = self.hosts[host_id]
+        if sender.name in self.cut or host_id in self.cut:
+            return
+        delay = self.rng.uniform(0.001, 0.02)
+        asyncio.get_running_loop().call_later(delay, self._arrive, receiver, news)
+
+    @staticmethod
+    def _arrive(receiver: ModelHost, news: RolloutNews) -> None:
+        if receiver.is_up:
+            receiver.hear(news)
+
+    def _start_host(self, name: str, *, life: int) -> None:
+        self.hosts[name] = ModelHost(self, name, life)
+        if self.record is not None:
+            self._spawn(self._inform(self.hosts[name], self.record))
+
+    async def _trouble(self) -> None:
+        play = self.play
+        if play.store_down:
+            self._spawn(self._lose_store())
+        if play.cut_hosts:
+            self._spawn(self._cut())
+        for number in range(play.kills):
+            await asyncio.sleep(self.rng.uniform(0.3, 1.2))
+            name = self.rng.choice(list(self.hosts))
+            host = self.hosts[name]
+            host.is_up = False
+            host.task.cancel()
+            await asyncio.sleep(0.3)
+            self._start_host(name, life=number + 2)
+
+    async def _lose_store(self) -> None:
+        await asyncio.sleep(2)
+        self.is_store_down = True
+        await asyncio.sleep(self.play.store_down)
+        self.is_store_down = False
+
+    async def _cut(self) -> None:
+        await asyncio.sleep(self.rng.uniform(0, 4))
+        names = sorted(self.hosts)
+        count = round(self.play.cut_hosts * len(names))
+        self.cut = frozenset(self.rng.sample(names, count))
+        await asyncio.sleep(3)
+        self.cut = ()
+
+    # Callers and answers.
+
+    def _add_endpoints(self, software: str) -> None:
+        names = [f"{software}-{number}" for number in range(self.play.endpoints)]
+        for name in names:
+            self.catalog.put_endpoint(
+                Endpoint(
+                    id=name,
+                    service=SERVICE,
+                    url=f"http://{name}",
+                    failure_domain=self.rng.choice(DOMAINS),
+                    software=software,
+                )
+            )
+        if software == NEW:
+            self._greys = frozenset(self.rng.sample(names, self.play.grey))
+
+    async def _send_requests(self) -> None:
+        while True:
+            await asyncio.sleep(self.rng.expovariate(self.play.per_second))
+            host = self.rng.choice(list(self.hosts.values()))
+            if host.is_up:
+                self._spawn(self._send(host))
+
+    async def _send(self, host: ModelHost) -> None:
+        route = self.rng.choice(("r1", "r2"))
+        endpoint = self._choose(host)
+        if endpoint is None:
+            return
+        self._count(endpoint)
+        usual = self.rng.lognormvariate(0, 0.5) * 0.05
+        is_bad, took = self._answer(endpoint, route, usual)
+        is_old = endpoint.software == OLD
+        host.open_at_old += is_old
+        await asyncio.sleep(took)
+        host.open_at_old -= is_old
+        fails = is_bad or self.rng.random() < self.play.usual_failing
+        if host.is_up:
+            host.rollouts.note_answer(
+                endpoint,
+                route=route,
+                answers=1,
+                failures=int(fails),
+                took=timedelta(seconds=took),
+            )
+
+    def _choose(self, host: ModelHost) -> Endpoint | None:
+        endpoints = self.catalog.endpoints_of(SERVICE)
+        if host.rollouts.take_trial(SERVICE):
+            tried = [item for item in endpoints if host.rollouts.is_tried(item)]
+            return self.rng.choice(tried)
+        allowed = [item for item in endpoints if host.rollouts.allows(item)]
+        return self.rng.choice(allowed) if allowed else None
+
+    def _answer(
+        self, endpoint: Endpoint, route: str, usual: float
+    ) -> tuple[bool, float]:
+        """Return whether the endpoint fails a request, and how long it takes."""
+        if endpoint.software == OLD:
+            return False, usual
+        if endpoint.id in self._greys and self.rng.random() < 0.4:
+            return True, usual
+        version = self.play.version
+        age = self._now() - self.ordered_at
+        if age < version.from_second or version.on_route not in ("", route):
+            return False, usual
+        fails = self.rng.random() < version.failing
+        is_slow = version.slower > 1 and self.rng.random() < version.slow_part
+        if fails or is_slow:
+            self._note_bad()
+        return fails, usual * (version.slower if is_slow else 1)
+
+    def _count(self, endpoint: Endpoint) -> None:
+        if not self.ordered_at or self._now() > self.ordered_at + self.play.within:
+            return
+        self.result.requests += 1
+        if endpoint.software == OLD:
+            return
+        self.result.sent_new += 1
+        limit = self._limit_at
+        if limit is not None and self._now() > limit + 5:
+            self.result.after_limit += 1
+
+    def _note_bad(self) -> None:
+        self.result.bad += 1
+        if self.result.bad == 50:
+            self._limit_at = self._now()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def play_rollout(
+    play: RolloutPlay, *, judge: VersionJudge | None = None
+) -> RolloutResult:
+    """Play a roll-out in virtual time."""
+
+    async def main() -> RolloutResult:
+        return await RolloutModel(play, judge=judge).run()
+
+    return run_virtually(main())
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -55,7 +55,12 @@
         return runner
 
     async def add_host(
-        self, name: str = "front-1", seeds: str = "", *, store_port: int = 0
+        self,
+        name: str = "front-1",
+        seeds: str = "",
+        *,
+        store_port: int = 0,
+        **bounds: str,
     ) -> FrontHost:
         """Start a host.
 
@@ -63,6 +68,7 @@
             name: Its name.
             seeds: Where it finds others.
             store_port: Where it looks for the store, if not where the store is.
+            bounds: More bounds that it is told.
         """
         if not self._store_port:
             self._store_port = await self.store.start()
@@ -82,6 +88,7 @@
                 "bounds.retry_budget_ratio": "0.8",
                 "bounds.budget_extra": "150",
             }
+            | {f"bounds.{bound}": value for bound, value in bounds.items()}
         )
         settings = attrs.evolve(settings, metrics_listen=None)
         if store_port:
--- /dev/null
+++ b/tests/test_rollouts_on_platform.py
@@ -0,0 +1,209 @@
+"""Roll-outs end to end: orders in the store, endpoints of two versions, one host."""
+
+import asyncio
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from passtally.object_store import StoredObject
+from passtally.platform.rollout_object import decode_rollout, encode_status
+from passtally.rollout import RecordedState, RolloutState
+from passtally.rollouts import HELD_FOR
+from standins.platform_config import LOOKUPS, make_config
+from tests.platform_system import PlatformSystem, run
+
+BOUNDS = {"exposure_share": "0.1", "exposure_slack": "50"}
+ORDER = {"service": LOOKUPS, "target_version": "v2", "duration_s": 4}
+
+
+def stored(spec: object, status: object = None, **metadata) -> StoredObject:
+    head = {"name": LOOKUPS, "revision": 7, "created": 3} | metadata
+    value = msgspec.json.encode({"metadata": head, "spec": spec, "status": status})
+    return StoredObject(key=f"rollouts/{LOOKUPS}", version=7, value=msgspec.Raw(value))
+
+
+class TestOrder:
+    def test_it_is_read(self):
+        record = decode_rollout(stored(ORDER))
+        assert record.state is None
+        assert record.object_version == 7
+        assert record.order.version == "v2"
+        assert record.order.within == timedelta(seconds=4)
+
+    @pytest.mark.parametrize(
+        ("word", "state"),
+        [
+            ("running", RecordedState.MOVING),
+            ("completed", RecordedState.COMPLETED),
+            ("rolled_back", RecordedState.ROLLED_BACK),
+            ("resting", None),
+        ],
+    )
+    def test_what_was_recorded_is_read(self, word, state):
+        status = {"state": word, "target_version": "v2"}
+        assert decode_rollout(stored(ORDER, status)).state is state
+
+    @pytest.mark.parametrize(
+        "status", [{"state": "completed", "target_version": "v1"}, {}, 7, "done"]
+    )
+    def test_a_status_of_another_order_or_writer_says_nothing(self, status):
+        assert decode_rollout(stored(ORDER, status)).state is None
+
+    def test_an_order_under_an_old_name_is_another_one(self):
+        first = decode_rollout(stored(ORDER))
+        again = decode_rollout(stored(ORDER, created=9))
+        changed = decode_rollout(stored(ORDER, revision=8))
+        assert first.order != again.order
+        assert first.order == changed.order
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"service": "other"},
+            {"service": None},
+            {"target_version": ""},
+            {"target_version": 2},
+            {"duration_s": 0},
+            {"duration_s": -1},
+            {"duration_s": "soon"},
+            {"duration_s": 1e300},
+        ],
+    )
+    def test_one_that_can_not_be_meant_is_refused(self, change):
+        with pytest.raises(ValueError, match=r"."):
+            decode_rollout(stored(ORDER | change))
+
+    def test_a_record_names_the_version_that_it_was_made_from(self):
+        body = encode_status(
+            LOOKUPS, decode_rollout(stored(ORDER)), RecordedState.ROLLED_BACK
+        )
+        assert msgspec.json.decode(body) == {
+            "metadata": {"name": LOOKUPS, "revision": 7},
+            "status": {"state": "rolled_back", "target_version": "v2"},
+        }
+
+
+async def start(system: PlatformSystem, **faults) -> None:
+    """Start a host before endpoints of two versions, and order the new one."""
+    system.store.put("config", "main", make_config())
+    for name in ("i-old1", "i-old2"):
+        await system.add_runner(name, LOOKUPS)
+    host = await system.add_host(**BOUNDS)
+    await system.wait_ready()
+    system.store.put("rollouts", LOOKUPS, ORDER)
+    while not host.rollouts.states_by_service:
+        await asyncio.sleep(0.01)
+    for name in ("i-new1", "i-new2", "i-new3"):
+        runner = await system.add_runner(name, LOOKUPS)
+        entry = runner.entry(LOOKUPS) | {"version": "v2"}
+        system.store.put("servers", name, entry)
+        for fault, value in faults.items():
+            setattr(runner.faults, fault, value)
+
+
+async def send_until(system: PlatformSystem, states: set[RolloutState]) -> int:
+    """Send requests until a roll-out is in one of some states; return how many."""
+    host = system.hosts[0]
+    sent = 0
+    while host.rollouts.states_by_service[LOOKUPS] not in states:
+        await asyncio.gather(*(system.send("/look/1") for _ in range(4)))
+        await asyncio.sleep(0.02)
+        sent += 4
+    return sent
+
+
+def count_ran(system: PlatformSystem, prefix: str) -> int:
+    runners = system.runners.values()
+    return sum(len(item.ran) for item in runners if item.name.startswith(prefix))
+
+
+class TestOnThePlatform:
+    def test_a_bad_version_is_taken_out_and_that_is_recorded_once(self):
+        async def test(system: PlatformSystem) -> None:
+            await start(system, own_status=500)
+            sent = await send_until(system, {RolloutState.ROLLED_BACK})
+            ran = count_ran(system, "i-new")
+            assert 0 < ran <= 0.1 * sent + 50
+            assert system.store.statuses == [
+                {"state": "rolled_back", "target_version": "v2"}
+            ]
+            for _ in range(20):
+                assert (await system.send("/look/1")).status == 200
+            assert count_ran(system, "i-new") == ran
+
+        run(test)
+
+    def test_a_good_version_takes_all_over_before_the_old_one_is_stopped(self):
+        async def test(system: PlatformSystem) -> None:
+            await start(system)
+            await send_until(system, {RolloutState.COMPLETING})
+            old = count_ran(system, "i-old")
+            await send_until(system, {RolloutState.COMPLETED})
+            assert count_ran(system, "i-old") <= old + 4
+            assert [item["state"] for item in system.store.statuses] == [
+                "running",
+                "completed",
+            ]
+            for name in ("i-old1", "i-old2"):
+                await system.runners[name].stop()
+            for _ in range(20):
+                assert (await system.send("/look/1")).status == 200
+
+        run(test)
+
+    def test_an_order_that_is_taken_back_lets_both_versions_serve(self):
+        async def test(system: PlatformSystem) -> None:
+            await start(system)
+            host = system.hosts[0]
+            system.store.remove("rollouts", LOOKUPS)
+            while host.rollouts.states_by_service:
+                await asyncio.sleep(0.01)
+            while not host.fleet.is_usable("i-new1"):
+                await asyncio.sleep(0.05)
+            assert host.fleet.is_usable("i-old1")
+
+        run(test)
+
+    def test_an_order_that_can_not_be_read_changes_nothing(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            await system.add_runner("i-old1", LOOKUPS)
+            host = await system.add_host(**BOUNDS)
+            await system.wait_ready()
+            system.store.put("rollouts", LOOKUPS, {"service": 7})
+            system.store.put("rollouts", "other", ORDER | {"service": "other"})
+            while "other" not in host.rollouts.states_by_service:
+                await asyncio.sleep(0.01)
+            assert LOOKUPS not in host.rollouts.states_by_service
+            assert (await system.send("/look/1")).status == 200
+
+        run(test)
+
+    def test_a_version_that_was_not_seen_before_waits_for_word_of_an_order(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            await system.add_runner("i-old1", LOOKUPS)
+            host = await system.add_host(**BOUNDS)
+            await system.wait_ready()
+            assert (await system.send("/look/1")).status == 200
+            await asyncio.sleep(HELD_FOR.total_seconds())
+            entry = system.runners["i-old1"].entry(LOOKUPS) | {"version": "v2"}
+            system.store.put("servers", "i-new1", entry | {"address": "127.0.0.1:1"})
+            while "i-new1" not in host.catalog.endpoints_by_id:
+                await asyncio.sleep(0.01)
+            assert not host.fleet.is_usable("i-new1")
+            while not host.fleet.is_usable("i-new1"):
+                await asyncio.sleep(0.05)
+
+        run(test)
+
+    def test_where_no_versions_are_tried_orders_are_not_followed(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            await system.add_runner("i-old1", LOOKUPS)
+            host = await system.add_host()
+            await system.wait_ready()
+            assert host.rollouts is None
+
+        run(test)
