Ask for orders of new versions seldom, by the hosts that watch alone

Change: a view may be one that each host neither lists nor needs to count as watching. Those that watch ask for it every 10 s, the others learn of changes. Until a host knows what others know it uses only the version that started first. Found by a test that failed first: after an order was taken back, the version before waited as a new one.

Before and after: test_rollouts_on_platform.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -67,6 +67,10 @@
 #: them. Endpoints come and go by the dozen, each on its own, and each watch that they
 #: wake is paid for: of 2,035 to 3,418 calls a day of 74 hosts some 500 were listings.
 GATHER_PART = 0.125
+#: How long a watch waits for what changes a few times a day. Each call is paid for: by
+#: the shorter wait, and a listing at each start, orders of new versions would take a
+#: quarter of the calls of 90 hosts in a quiet minute (256 beside 789).
+LONG_WATCH = timedelta(seconds=10)
 #: The longest pause between two tries to reach the store. The users count a store as
 #: back three seconds after its return; a change must be in force two seconds later.
 LAST_RETRY = timedelta(milliseconds=800)
@@ -311,7 +315,7 @@
         if self.rollouts is not None:
             self.rollouts.use(self.fleet)
             orders = self._adapter.rollouts_prefix
-            views.insert(0, View(prefix=orders, apply=self._take_rollouts))
+            views.append(View(prefix=orders, apply=self._take_rollouts, is_vital=False))
         self.watch = WatchShare(
             host_id=self.settings.host_id,
             views=views,
@@ -342,10 +346,16 @@
             roster=self.roster,
             clock=self.clock,
             rng=random.Random(),
+            is_current=self._knows_orders,
             record=partial(self._adapter.record_rollout, self.store),
             metrics=self.metrics,
         )
 
+    def _knows_orders(self) -> bool:
+        """Return whether all orders of new versions are known that others know."""
+        orders = self._adapter.rollouts_prefix
+        return self.watch.is_reached and not self.watch.is_behind(orders)
+
     def _build_links(self) -> None:
         """Build what leads to the other hosts."""
         settings = self.settings
@@ -387,7 +397,11 @@
             clock=self.clock,
             rng=random.Random(),
             relist_pause=lambda: RELIST_PAUSE,
-            wait=WATCH_WAIT_PART * self.settings.apply_within,
+            wait=(
+                WATCH_WAIT_PART * self.settings.apply_within
+                if view.is_vital
+                else LONG_WATCH
+            ),
             pause=GATHER_PART * self.settings.apply_within,
             last_retry=LAST_RETRY,
             out_of_date_after=OUT_OF_DATE_AFTER,
--- a/passtally/rollouts.py
+++ b/passtally/rollouts.py
@@ -65,6 +65,7 @@
         clock: The clock.
         rng: Where the choice of hosts that are told comes from.
         record: Records a state, unless the order has changed meanwhile.
+        is_current: Returns whether this host knows all orders that others know.
         judge: Judges the answers.
         metrics: Where metrics go.
     """
@@ -84,6 +85,7 @@
         clock: Clock,
         rng: random.Random,
         record: Record,
+        is_current: Callable[[], bool] = lambda: True,
         judge: VersionJudge | None = None,
         metrics: Metrics | None = None,
     ) -> None:
@@ -99,13 +101,14 @@
         self._clock = clock
         self._rng = rng
         self._record = record
+        self._is_current = is_current
         self._judge = judge or VersionJudge()
         self._metrics = metrics or NoMetrics()
         self._fleet: Fleet | None = None
         self._trials_by_service: dict[str, RolloutTrial] = {}
-        #: From when on each version of a service may be used without an order.
-        self._open_at_by_version: dict[tuple[str, str], timedelta] = {}
-        self._started_at = clock.monotonic()
+        #: The endpoint of each service that started first, of those seen.
+        self._oldest_by_service: dict[str, Endpoint] = {}
+        self._seen_at_by_version: dict[tuple[str, str], timedelta] = {}
         self._has_order = asyncio.Event()
         #: How often each host's evidence is still to be told, by order and host.
         self._steps_left: dict[tuple[str, str, int], int] = {}
@@ -305,21 +308,26 @@
             log_event("rollout", "Recorded.", **fields)
 
     def meet(self, endpoint: Endpoint) -> None:
-        """Take in an endpoint that is new, or started again.
-
-        A version that was not seen before waits a moment for word of an order. What a
-        host finds when it starts does not wait: orders are listed along with it.
-        """
+        """Take in an endpoint that is new, or started again."""
+        known = self._oldest_by_service.get(endpoint.service)
+        if known is None or endpoint.incarnation < known.incarnation:
+            self._oldest_by_service[endpoint.service] = endpoint
         key = (endpoint.service, endpoint.software)
-        if key not in self._open_at_by_version:
-            now = self._clock.monotonic()
-            is_start = now - self._started_at < HELD_FOR
-            self._open_at_by_version[key] = now if is_start else now + HELD_FOR
+        self._seen_at_by_version.setdefault(key, self._clock.monotonic())
 
     def _is_held(self, endpoint: Endpoint) -> bool:
-        """Return whether an order for an endpoint's version may be on its way."""
-        open_at = self._open_at_by_version.get((endpoint.service, endpoint.software))
-        return open_at is not None and self._clock.monotonic() < open_at
+        """Return whether an order for an endpoint's version may be on its way.
+
+        Of several versions only the one that started first is used while this host may
+        lack an order, and for a moment after a version was seen first.
+        """
+        oldest = self._oldest_by_service.get(endpoint.service)
+        if oldest is None or oldest.software == endpoint.software:
+            return False
+        key = (endpoint.service, endpoint.software)
+        seen_at = self._seen_at_by_version.get(key, timedelta(0))
+        is_fresh = self._clock.monotonic() - seen_at < HELD_FOR
+        return is_fresh or not self._is_current()
 
     def _tell_state(self, trial: RolloutTrial) -> None:
         """Tell the others where this host stands, and now and then what it counted."""
--- a/passtally/view.py
+++ b/passtally/view.py
@@ -22,6 +22,9 @@
         follower: Follows them at the platform while this host watches.
         task: The follower's run while this host watches, its first listing before.
         behind_since: Since when a newer version is known elsewhere.
+        is_vital: Whether each host lists it when it starts, and counts as watching only
+            while this watch is up. What changes a few times a day need not be asked for
+            by each host: it learns of that from those that watch.
     """
 
     prefix: str
@@ -30,3 +33,4 @@
     follower: Follower | None = None
     task: asyncio.Task[None] | None = None
     behind_since: timedelta | None = None
+    is_vital: bool = True
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -119,7 +119,7 @@
     def is_up(self) -> bool:
         """Whether this host's own watches are up."""
         views = self._views_by_prefix.values()
-        return all(view.follower.is_watching for view in views)
+        return all(view.follower.is_watching for view in views if view.is_vital)
 
     def replace(self, view: View, listing: Listing) -> None:
         """Take in a whole listing from the platform."""
@@ -136,7 +136,8 @@
     async def run(self) -> None:
         """List once, then watch or stand down as others do, for ever."""
         for view in self._views_by_prefix.values():
-            view.task = self._keep_running(view, view.follower.learn)
+            if view.is_vital:
+                view.task = self._keep_running(view, view.follower.learn)
         beat_at = timedelta(0)
         was_up = False
         while True:
@@ -212,7 +213,8 @@
     def _start(self, hosts: int, watching: int) -> None:
         log_event("watch", "Watching.", hosts=hosts, others_watching=watching)
         for view in self._views_by_prefix.values():
-            view.task.cancel()
+            if view.task is not None:
+                view.task.cancel()
             run = partial(view.follower.run, after=view.mirror.version)
             view.task = self._keep_running(view, run)
 
