--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -3,14 +3,15 @@
 import asyncio
 import random
 import socket
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Coroutine
 from datetime import timedelta
 from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
 import aiomisc
 import attrs
 
+from passtally.adapter import Adapter
 from passtally.budget_loans import BudgetLoans
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool, PoolFetcher
@@ -20,36 +21,32 @@
 from passtally.drain import Drain
 from passtally.endpoint_book import EndpointBook
 from passtally.engine import Engine
-from passtally.fetch import Fetcher
 from passtally.fleet import Fleet
 from passtally.follower import Follower
 from passtally.forecast import Forecast
 from passtally.front import Front
 from passtally.gate import Gate
 from passtally.host_news import LoadBoard, NewsExchange
-from passtally.http_server import Exchange, Handle, HttpServer, ServerLimits
+from passtally.http_server import Exchange, HttpServer, ServerLimits
 from passtally.isolation import Isolation
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
 from passtally.metrics import Metric
-from passtally.object_store import Platform, StoredObject
+from passtally.object_intake import ObjectIntake
 from passtally.objects import (
     UNTOLD_START,
     Endpoint,
     EndpointState,
-    Service,
-    ServiceKind,
 )
 from passtally.peers import Peers
 from passtally.placement import Placement
-from passtally.plain import PlainCaller, Sender
+from passtally.plain import PlainCaller
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
-from passtally.rollout import RecordedState, RolloutRecord
 from passtally.rollouts import Rollouts
 from passtally.roster import Roster
-from passtally.routes import RouteSet, RoutesInForce, ServiceInfo
+from passtally.routes import RoutesInForce, ServiceInfo
 from passtally.service_index import ServiceIndex
 from passtally.settings import Address, Settings, parse_address
 from passtally.silence import Phase, SilenceBounds
@@ -108,75 +105,6 @@
 }
 
 
-class Adapter(Protocol):
-    """Translates between a host and what surrounds it; it decides nothing.
-
-    Attributes:
-        routes_prefix: What the keys of the configuration start with.
-        endpoints_prefix: What the keys of endpoints' entries start with.
-        rollouts_prefix: What the keys of orders to move to new versions start with.
-    """
-
-    routes_prefix: str
-    endpoints_prefix: str
-    rollouts_prefix: str
-
-    def open_store(self, fetcher: Fetcher, url: str) -> Platform:
-        """Return the client of the store."""
-
-    def decode_routes(self, stored: StoredObject) -> RouteSet | None:
-        """Read the routes; None for an object that holds none.
-
-        Raises:
-            ValueError: They can't be read.
-        """
-
-    def decode_endpoint(self, stored: StoredObject) -> Endpoint:
-        """Read an endpoint's entry.
-
-        Raises:
-            ValueError: It can't be read.
-        """
-
-    def decode_rollout(self, stored: StoredObject) -> RolloutRecord:
-        """Read an order to move a service to another version.
-
-        Raises:
-            ValueError: It can't be read.
-        """
-
-    async def record_rollout(
-        self, store: Platform, record: RolloutRecord, state: RecordedState
-    ) -> None:
-        """Record the state of a roll-out, unless its order has changed.
-
-        Raises:
-            PlatformError: It was not recorded, or that is not known.
-        """
-
-    def connect(
-        self,
-        endpoint: Endpoint,
-        *,
-        pool: ConnectionPool,
-        clock: Clock,
-        find_address: Callable[[str], Address | None],
-    ) -> Engine:
-        """Return the client of an endpoint's engine."""
-
-    async def is_engine(self, engine: Engine) -> bool:
-        """Return whether a model engine answers there."""
-
-    def make_sender(self, *, pool: ConnectionPool, clock: Clock) -> Sender:
-        """Return what sends plain calls."""
-
-    def make_handler(self, front: Front) -> Handle:
-        """Return what hands callers' requests to the front."""
-
-    def encode_ready(self, is_ready: bool) -> tuple[int, bytes]:
-        """Return the status and body for the balancer's question."""
-
-
 class FrontHost(aiomisc.Service):
     """Everything that runs on one entry host.
 
@@ -308,14 +236,25 @@
             gone=self.fleet.forget,
             came=self._meet_start,
         )
+        intake = ObjectIntake(
+            adapter=self._adapter,
+            routes=self.routes,
+            catalog=self.catalog,
+            book=self.book,
+            rollouts=self.rollouts,
+            learned=self._learned,
+            routes_changed=self._tell_routes,
+        )
         views = [
-            View(prefix=self._adapter.routes_prefix, apply=self._take_routes),
-            View(prefix=self._adapter.endpoints_prefix, apply=self._take_endpoints),
+            View(prefix=self._adapter.routes_prefix, apply=intake.take_routes),
+            View(prefix=self._adapter.endpoints_prefix, apply=intake.take_endpoints),
         ]
         if self.rollouts is not None:
             self.rollouts.use(self.fleet)
             orders = self._adapter.rollouts_prefix
-            views.append(View(prefix=orders, apply=self._take_rollouts, is_vital=False))
+            views.append(
+                View(prefix=orders, apply=intake.take_rollouts, is_vital=False)
+            )
         self.watch = WatchShare(
             host_id=self.settings.host_id,
             views=views,
@@ -351,6 +290,9 @@
             metrics=self.metrics,
         )
 
+    def _tell_routes(self, version: int) -> None:
+        self.gossip.config_version = version
+
     def _knows_orders(self) -> bool:
         """Return whether all orders of new versions are known that others know."""
         orders = self._adapter.rollouts_prefix
@@ -568,50 +510,6 @@
         routes = self.routes.current
         return routes.services_by_id.get(service) if routes else None
 
-    def _take_routes(self, changed: Sequence[StoredObject]) -> None:
-        for stored in changed:
-            try:
-                routes = self._adapter.decode_routes(stored)
-            except ValueError as error:
-                log_event("config", "Ignored a broken configuration.", why=error)
-                continue
-            if routes is None or not self.routes.take(routes):
-                continue
-            for service in routes.services:
-                self.catalog.put_service(
-                    Service(id=service.id, kind=ServiceKind.MODEL, model=service.id)
-                )
-            self.gossip.config_version = routes.version
-            log_event("config", "In force.", version=routes.version)
-            self._note_learned()
-
-    def _take_endpoints(self, changed: Sequence[StoredObject]) -> None:
-        for stored in changed:
-            endpoint_id = stored.key.removeprefix(self._adapter.endpoints_prefix)
-            if stored.is_removed:
-                self.book.remove([endpoint_id])
-                continue
-            try:
-                self.book.put(self._adapter.decode_endpoint(stored))
-            except ValueError as error:
-                self.book.withhold(endpoint_id, reason=str(error))
-        self._note_learned()
-
-    def _take_rollouts(self, changed: Sequence[StoredObject]) -> None:
-        for stored in changed:
-            name = stored.key.removeprefix(self._adapter.rollouts_prefix)
-            if stored.is_removed:
-                self.rollouts.drop(name)
-                continue
-            try:
-                self.rollouts.take(self._adapter.decode_rollout(stored))
-            except ValueError as error:
-                log_event("rollout", "Ignored a broken order.", service=name, why=error)
-
-    def _note_learned(self) -> None:
-        if self.routes.current is not None and self.catalog.endpoints_by_id:
-            self._learned.set()
-
     def render_metrics(self) -> bytes:
         """Return the metrics as text; gauges as they stand now."""
         current = self.routes.current
--- /dev/null
+++ b/passtally/object_intake.py
@@ -0,0 +1,93 @@
+"""Takes the platform's objects in: routes, endpoints, orders of new versions."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from passtally.adapter import Adapter
+from passtally.decision import log_event
+from passtally.endpoint_book import EndpointBook
+from passtally.object_store import StoredObject
+from passtally.objects import Service, ServiceKind
+from passtally.rollouts import Rollouts
+from passtally.routes import RoutesInForce
+from passtally.service_index import ServiceIndex
+
+
+class ObjectIntake:
+    """Puts objects that changed in force. One that can't be read changes no other.
+
+    Args:
+        adapter: Reads the objects.
+        routes: The routes in force.
+        catalog: The services and endpoints.
+        book: The endpoints that registered themselves.
+        rollouts: The orders of new versions; None where they are not followed.
+        learned: Set once the routes and some endpoints are known.
+        routes_changed: Called with the version of routes that are newly in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        adapter: Adapter,
+        routes: RoutesInForce,
+        catalog: ServiceIndex,
+        book: EndpointBook,
+        rollouts: Rollouts | None,
+        learned: asyncio.Event,
+        routes_changed: Callable[[int], None],
+    ) -> None:
+        self._adapter = adapter
+        self._routes = routes
+        self._catalog = catalog
+        self._book = book
+        self._rollouts = rollouts
+        self._learned = learned
+        self._routes_changed = routes_changed
+
+    def take_routes(self, changed: Sequence[StoredObject]) -> None:
+        """Put the newest routes in force."""
+        for stored in changed:
+            try:
+                routes = self._adapter.decode_routes(stored)
+            except ValueError as error:
+                log_event("config", "Ignored a broken configuration.", why=error)
+                continue
+            if routes is None or not self._routes.take(routes):
+                continue
+            for service in routes.services:
+                self._catalog.put_service(
+                    Service(id=service.id, kind=ServiceKind.MODEL, model=service.id)
+                )
+            self._routes_changed(routes.version)
+            log_event("config", "In force.", version=routes.version)
+            self._note_learned()
+
+    def take_endpoints(self, changed: Sequence[StoredObject]) -> None:
+        """Take in endpoints that came, changed or went."""
+        for stored in changed:
+            endpoint_id = stored.key.removeprefix(self._adapter.endpoints_prefix)
+            if stored.is_removed:
+                self._book.remove([endpoint_id])
+                continue
+            try:
+                self._book.put(self._adapter.decode_endpoint(stored))
+            except ValueError as error:
+                self._book.withhold(endpoint_id, reason=str(error))
+        self._note_learned()
+
+    def take_rollouts(self, changed: Sequence[StoredObject]) -> None:
+        """Take in orders of new versions, and what was recorded of them."""
+        for stored in changed:
+            name = stored.key.removeprefix(self._adapter.rollouts_prefix)
+            if stored.is_removed:
+                self._rollouts.drop(name)
+                continue
+            try:
+                self._rollouts.take(self._adapter.decode_rollout(stored))
+            except ValueError as error:
+                log_event("rollout", "Ignored a broken order.", service=name, why=error)
+
+    def _note_learned(self) -> None:
+        if self._routes.current is not None and self._catalog.endpoints_by_id:
+            self._learned.set()
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -22,7 +22,7 @@
 
 
 class PlatformAdapter:
-    """See :class:`passtally.front_host.Adapter`."""
+    """See :class:`passtally.adapter.Adapter`."""
 
     routes_prefix = "config/"
     #: The platform's "servers" are our endpoints.
