Count a prompt that is being read where an endpoint is asked what waits there

Cause: among many hosts endpoints are asked what waits there before a prompt is placed, and 93 in 100 choices were told that nothing does, while a quarter of the endpoints was reading. So an endpoint that reads passed for an idle one.

Change: what waits is what is queued and all that runs without output. Where no runs are listed at all, as before, only what is queued counts.

Ruled out as the cause: the age of reports and the order of endpoints; neither is needed for what was seen, and neither is measured by itself.

--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -105,7 +105,10 @@
 class _Report(msgspec.Struct):
     models: list[msgspec.Raw]
     queued: int = 0
-    runs: list[_Run] = []
+    #: All runs that have a place, those whose prompt is still being read too.
+    running: int = 0
+    #: Only the runs that have output, not all that are running; None where untold.
+    runs: list[_Run] | None = None
 
 
 class _CacheEvent(msgspec.Struct, array_like=True):
@@ -161,7 +164,10 @@
         ValueError: The report does not fit.
     """
     report = _decode(body, _Report)
-    return report.queued + sum(not run.events for run in report.runs)
+    if report.runs is None:
+        return report.queued
+    with_output = sum(run.events > 0 for run in report.runs)
+    return report.queued + max(report.running, len(report.runs)) - with_output
 
 
 def decode_kept_parts(body: bytes) -> frozenset[str]:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -106,6 +106,22 @@
         with pytest.raises(ValueError, match="runs"):
             count_unread_runs(msgspec.json.encode(report | {"runs": "none"}))
 
+    @pytest.mark.parametrize(
+        ("queued", "running", "with_output", "unread"),
+        [(0, 1, 0, 1), (0, 3, 3, 0), (2, 1, 0, 3), (1, 4, 3, 2), (0, 0, 0, 0)],
+    )
+    def test_a_run_whose_prompt_is_being_read_counts_and_is_not_listed(
+        self, queued, running, with_output, unread
+    ):
+        """Endpoints list only runs that have output.
+
+        Without it a host that asks takes an endpoint that reads for an idle one, and a
+        prompt waits there for a second.
+        """
+        runs = [["r", 8300, 12, 5]] * with_output
+        body = {"models": [], "queued": queued, "running": running, "runs": runs}
+        assert count_unread_runs(msgspec.json.encode(body)) == unread
+
     def test_the_parts_that_are_kept_follow_from_the_events(self):
         events = [
             [1, "+", "", "5c1e", 200, "m"],
