Hold a new version back only while another is there, and for three seconds at most

Found in reading the change: after a release without an order, once all endpoints of the version before were gone, a host that may lack orders (an outage of the store, a cut) held the only version that there was, so that the whole service had no endpoint; and a version that was rolled back stayed out for ever, also where only it is left, long after its order. Tests of both, and of how long a version waits.

--- a/passtally/rollout_trial.py
+++ b/passtally/rollout_trial.py
@@ -4,7 +4,7 @@
 import hashlib
 import math
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 
 from passtally.clock import Clock
@@ -12,7 +12,7 @@
 from passtally.messages import HostEvidence
 from passtally.objects import Endpoint, EndpointState
 from passtally.retry_budget import Lend, ServiceBudgets, lend_nothing
-from passtally.rollout import Rollout, RolloutRecord, RolloutState
+from passtally.rollout import GRACE, Rollout, RolloutRecord, RolloutState
 from passtally.version_evidence import Evidence, EvidenceBoard
 from passtally.version_judge import Verdict, VersionJudge
 
@@ -98,7 +98,7 @@
         passed = (self._clock.monotonic() - rollout.began_at) / trial
         return SLACK_PART * self._slack * min(passed, 1.0) / self._hosts()
 
-    def look(self, endpoints: Sequence[Endpoint], usable: Sequence[str]) -> None:
+    def look(self, endpoints: Sequence[Endpoint], usable: Collection[str]) -> None:
         """Choose which endpoints are tried.
 
         All hosts choose alike: a few endpoints get as much each as those of the version
@@ -168,6 +168,12 @@
             return True
         return self.rollout.allows(endpoint, now=self._clock.monotonic())
 
+    @property
+    def is_past(self) -> bool:
+        """Whether the order's time, and some more, is over."""
+        past = self.rollout.began_at + self.order.within + GRACE
+        return self._clock.monotonic() > past
+
     def note_answer(
         self,
         endpoint: Endpoint,
--- a/passtally/rollouts.py
+++ b/passtally/rollouts.py
@@ -43,6 +43,11 @@
 #: For how long a version that was not seen before waits for word of an order, which
 #: comes by another way, and a moment earlier.
 HELD_FOR = timedelta(seconds=1)
+#: How long it waits where this host may lack orders: one that has just started hears of
+#: them within a second or two from the hosts that watch.
+HELD_LONGEST = timedelta(seconds=3)
+#: Stands for a moment long ago.
+NEVER = timedelta(days=-1)
 #: How long all hosts have to hear of a move before it can be over.
 LEAST_MOVE = timedelta(seconds=1)
 
@@ -168,9 +173,12 @@
     def allows(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get requests that are not counted."""
         trial = self._trials_by_service.get(endpoint.service)
-        if trial is not None:
-            return trial.allows(endpoint)
-        return not self._is_held(endpoint)
+        if trial is None:
+            return not self._is_held(endpoint)
+        if trial.allows(endpoint):
+            return True
+        # Long after an order no version is kept out where there is no other.
+        return trial.is_past and not self._has_other_version(endpoint)
 
     def is_tried(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get requests that try a new version."""
@@ -241,7 +249,7 @@
 
     async def _look(self, trial: RolloutTrial) -> None:
         endpoints = self._catalog.endpoints_of(trial.order.service)
-        usable = [item.id for item in endpoints if self._fleet.is_sound(item.id)]
+        usable = {item.id for item in endpoints if self._fleet.is_sound(item.id)}
         trial.look(endpoints, usable)
         verdict = trial.judge()
         if verdict.is_bad:
@@ -318,16 +326,26 @@
     def _is_held(self, endpoint: Endpoint) -> bool:
         """Return whether an order for an endpoint's version may be on its way.
 
-        Of several versions only the one that started first is used while this host may
-        lack an order, and for a moment after a version was seen first.
+        Of several versions that are there only the one that started first is used for a
+        moment after another was seen, and a little longer while this host may lack an
+        order. It is no longer than that: what is held serves nobody.
         """
         oldest = self._oldest_by_service.get(endpoint.service)
         if oldest is None or oldest.software == endpoint.software:
             return False
         key = (endpoint.service, endpoint.software)
-        seen_at = self._seen_at_by_version.get(key, timedelta(0))
-        is_fresh = self._clock.monotonic() - seen_at < HELD_FOR
-        return is_fresh or not self._is_current()
+        seen_for = self._clock.monotonic() - self._seen_at_by_version.get(key, NEVER)
+        if seen_for >= HELD_LONGEST or (seen_for >= HELD_FOR and self._is_current()):
+            return False
+        return self._has_version(endpoint.service, oldest.software)
+
+    def _has_version(self, service: str, software: str) -> bool:
+        endpoints = self._catalog.endpoints_of(service)
+        return any(item.software == software for item in endpoints)
+
+    def _has_other_version(self, endpoint: Endpoint) -> bool:
+        endpoints = self._catalog.endpoints_of(endpoint.service)
+        return any(item.software != endpoint.software for item in endpoints)
 
     def _tell_state(self, trial: RolloutTrial) -> None:
         """Tell the others where this host stands, and now and then what it counted."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -5,13 +5,17 @@
 fiftieth bad answer. The figures are those of the deployment that asked for it first.
 """
 
+import random
 from datetime import timedelta
 
+import attrs
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from passtally.budget_loans import BudgetLoans
+from passtally.clock import ManualClock
 from passtally.objects import Endpoint
 from passtally.rollout import (
     GRACE,
@@ -21,6 +25,8 @@
     RolloutRecord,
     RolloutState,
 )
+from passtally.rollouts import HELD_FOR, HELD_LONGEST, Rollouts
+from passtally.service_index import ServiceIndex
 from standins.rollout_fleet import (
     RolloutPlay,
     RolloutResult,
@@ -216,3 +222,93 @@
         result = play(endpoints=0)
         assert result.state is RecordedState.ROLLED_BACK
         assert result.ended_at < 12
+
+
+class Versions:
+    """Roll-outs of one host that hears of nobody, and the endpoints that it knows."""
+
+    def __init__(self, *, is_current: bool = True) -> None:
+        self.clock = ManualClock()
+        self.catalog = ServiceIndex()
+        self.is_current = is_current
+        net = FakeLinks()
+        self.rollouts = Rollouts(
+            host_id="h0",
+            life=1,
+            share=0.1,
+            slack=50,
+            least_hosts=8,
+            catalog=self.catalog,
+            loans=BudgetLoans(peers=net, roster=net, rng=random.Random(1)),
+            peers=net,
+            roster=net,
+            clock=self.clock,
+            rng=random.Random(1),
+            record=net.record,
+            is_current=lambda: self.is_current,
+        )
+
+    def put(self, software: str, born: int) -> None:
+        item = attrs.evolve(endpoint(software), incarnation=born)
+        self.rollouts.meet(item)
+        self.catalog.put_endpoint(item)
+
+    def allows(self, software: str) -> bool:
+        return self.rollouts.allows(endpoint(software))
+
+    def wait(self, time: timedelta) -> None:
+        self.clock.advance(time)
+
+
+class FakeLinks:
+    """No other host."""
+
+    peak = 1
+
+    def on(self, kind, answerer) -> None:
+        pass
+
+    def listen(self, kind, listener) -> None:
+        pass
+
+    async def record(self, record, state) -> None:
+        pass
+
+
+class TestVersionsWithoutAnOrder:
+    def test_a_version_that_was_not_seen_before_waits_a_moment(self):
+        versions = Versions()
+        versions.put("v1", born=1)
+        versions.wait(timedelta(seconds=5))
+        versions.put("v2", born=2)
+        assert versions.allows("v1")
+        assert not versions.allows("v2")
+        versions.wait(HELD_FOR)
+        assert versions.allows("v2")
+
+    def test_it_waits_longer_where_an_order_may_be_missing_and_not_for_ever(self):
+        versions = Versions(is_current=False)
+        versions.put("v1", born=1)
+        versions.put("v2", born=2)
+        versions.wait(HELD_FOR)
+        assert not versions.allows("v2")
+        versions.wait(HELD_LONGEST)
+        assert versions.allows("v2")
+
+    def test_the_only_version_that_is_there_never_waits(self):
+        """Else all of a service would be held, in an outage right after a release."""
+        versions = Versions(is_current=False)
+        versions.put("v1", born=1)
+        versions.put("v2", born=2)
+        versions.catalog.drop_endpoint("v1")
+        assert versions.allows("v2")
+
+    def test_long_after_a_roll_back_its_version_serves_where_there_is_no_other(self):
+        versions = Versions()
+        versions.put("v1", born=1)
+        versions.put("v2", born=2)
+        versions.rollouts.take(recorded(RecordedState.ROLLED_BACK))
+        versions.wait(ORDER.within + GRACE + timedelta(seconds=1))
+        assert not versions.allows("v2")
+        versions.catalog.drop_endpoint("v1")
+        assert versions.allows("v2")
