--- a/passtally/version_judge.py
+++ b/passtally/version_judge.py
@@ -38,7 +38,11 @@
 
 
 def make_mixture_test(usual: float, tolerated: float, error: float) -> RateTest:
-    """Return the test that is used: in 011 it errs less than Wald's and misses less."""
+    """Return the test that is used.
+
+    It needs no rate to be named for a bad version. Of 40 roll-outs a kind, played in
+    virtual time, it and Wald's test complete about as many good and bad ones.
+    """
     return MixtureTest(usual=usual, tolerated=tolerated, error=error)
 
 
