--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -22,7 +22,7 @@
 node_name=front-pilar-1
 zone=pilar
 region=ba-norte
-ip=127.0.0.1
+ip={ip}
 listen.front=127.0.0.1:{front}
 listen.ready=127.0.0.1:{ready}
 listen.control=127.0.0.1:{control}
@@ -69,6 +69,16 @@
             await asyncio.sleep(0.002)
 
 
+def own_address() -> str:
+    """Return a loopback address of this run alone.
+
+    Metrics are read at a port that is the same on each host, so that a second run of
+    these tests on one machine would find it taken, and its host would not start.
+    """
+    number = os.getpid()
+    return f"127.{number // 250 % 200 + 20}.{number % 250 + 1}.9"
+
+
 @attrs.frozen(kw_only=True)
 class Running:
     """One host process and where it is reached."""
@@ -88,7 +98,9 @@
     port = await store.start()
     front, ready, control = free_ports(3)
     path, log = folder / "node.conf", folder / "log"
-    text = LINES.format(front=front, ready=ready, control=control, store=port)
+    text = LINES.format(
+        ip=own_address(), front=front, ready=ready, control=control, store=port
+    )
     path.write_text(text)
     process = start(path, log)
     try:
