--- /dev/null
+++ b/tests/host_process.py
@@ -0,0 +1,203 @@
+"""One host on the platform as a process of its own, beside a store."""
+
+import asyncio
+import contextlib
+import os
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import attrs
+import msgspec
+
+from passtally.platform.settings import METRICS_PORT
+from passtally.platform.settings_file import FILE_VARIABLE
+from standins.object_store import ObjectStoreStandIn
+from standins.platform_config import make_config
+from tests.platform_system import free_ports
+
+LINES = """\
+node_name=front-pilar-1
+zone=pilar
+region=ba-norte
+ip={ip}
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+listen.control=127.0.0.1:{control}
+bounds.grace_s=3
+bounds.retry_budget_ratio=0.8
+bounds.budget_extra=150
+platform.address=127.0.0.1:{store}
+"""
+
+
+#: What a host gets of its caller's variables.
+_ENVIRONMENT = {
+    name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+}
+
+
+def start(
+    path: Path, log: Path, *, prepare: Callable[[], None] | None = None
+) -> subprocess.Popen:
+    """Start the process as the deploy file does.
+
+    Args:
+        path: Its settings file.
+        log: Where its standard output goes.
+        prepare: Called in the new process before the program is loaded.
+    """
+    with log.open("wb") as output:
+        return subprocess.Popen(
+            [sys.executable, "-m", "passtally.platform"],
+            env=_ENVIRONMENT | {FILE_VARIABLE: str(path)},
+            stdout=output,
+            stderr=subprocess.PIPE,
+            preexec_fn=prepare,
+        )
+
+
+def messages(log: Path) -> list[str]:
+    """Return what the process has logged."""
+    lines = log.read_bytes().splitlines()
+    return [msgspec.json.decode(line)["message"] for line in lines]
+
+
+async def wait_for(log: Path, text: str) -> None:
+    """Wait until the process has logged something."""
+    until = time.monotonic() + 20
+    while not any(text in message for message in messages(log)):
+        assert time.monotonic() < until, messages(log)
+        await asyncio.sleep(0.05)
+
+
+async def connect(
+    port: int, host: str = "127.0.0.1"
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect as soon as something listens at a port."""
+    until = time.monotonic() + 20
+    while True:
+        try:
+            return await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            assert time.monotonic() < until
+            await asyncio.sleep(0.002)
+
+
+def own_address() -> str:
+    """Return a loopback address of this run alone.
+
+    Metrics are read at a port that is the same on each host, so that a second run of
+    these tests on one machine would find it taken, and its host would not start.
+    """
+    number = os.getpid()
+    return f"127.{number // 250 % 200 + 20}.{number % 250 + 1}.9"
+
+
+@attrs.frozen(kw_only=True)
+class Place:
+    """Where one host is to run.
+
+    Attributes:
+        path: Its settings file.
+        log: Where its log goes.
+        front: The port for callers.
+        ready: The port for the balancer.
+        control: The port for other hosts.
+        ip: The address of its metrics.
+    """
+
+    path: Path
+    log: Path
+    front: int
+    ready: int
+    control: int
+    ip: str
+
+    @property
+    def addresses_by_name(self) -> dict[str, tuple[str, int]]:
+        """All that it listens at."""
+        return {
+            "callers": ("127.0.0.1", self.front),
+            "readiness": ("127.0.0.1", self.ready),
+            "other hosts": ("127.0.0.1", self.control),
+            "metrics": (self.ip, METRICS_PORT),
+        }
+
+
+@attrs.frozen(kw_only=True)
+class Running(Place):
+    """One host process and where it is reached."""
+
+    process: subprocess.Popen
+
+
+@contextlib.asynccontextmanager
+async def settled(folder: Path) -> AsyncIterator[Place]:
+    """Write the settings of a host beside a store that has a configuration."""
+    store = ObjectStoreStandIn()
+    store.put("config", "main", make_config())
+    port = await store.start()
+    front, ready, control = free_ports(3)
+    place = Place(
+        path=folder / "node.conf",
+        log=folder / "log",
+        front=front,
+        ready=ready,
+        control=control,
+        ip=own_address(),
+    )
+    text = LINES.format(
+        ip=place.ip, front=front, ready=ready, control=control, store=port
+    )
+    place.path.write_text(text)
+    try:
+        yield place
+    finally:
+        await store.stop()
+
+
+@contextlib.asynccontextmanager
+async def running(
+    folder: Path, *, prepare: Callable[[], None] | None = None
+) -> AsyncIterator[Running]:
+    """Start a host beside a store that has a configuration."""
+    async with settled(folder) as place, started(place, prepare=prepare) as host:
+        yield host
+
+
+@contextlib.asynccontextmanager
+async def started(
+    place: Place, *, prepare: Callable[[], None] | None = None
+) -> AsyncIterator[Running]:
+    """Start a host's process; it is ended in any case."""
+    process = start(place.path, place.log, prepare=prepare)
+    try:
+        yield Running(process=process, **attrs.asdict(place, recurse=False))
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        process.stderr.close()
+
+
+async def is_ready(host: Place) -> bool:
+    """Ask once, as the balancer does."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", host.ready)
+        writer.write(b"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        line = await asyncio.wait_for(reader.readline(), 5)
+        writer.close()
+    except OSError:
+        return False
+    return b" 200 " in line
+
+
+async def wait_ready(host: Place) -> None:
+    """Wait until the balancer would send callers to a host."""
+    until = time.monotonic() + 20
+    while not await is_ready(host):
+        assert time.monotonic() < until, messages(host.log)
+        await asyncio.sleep(0.05)
