Wait for a listening address that is in use instead of ending the host

Cause: each of a host's addresses was taken in one try; any that failed, be it only the metrics', ended the process with status 1. Ruled out: drawing ports better, which mends the soak only, and ending with a clear line, after which nobody may start the host again. The same cause stood in the product's own daemon, for its two addresses, and is mended there by the same class. In the test of addresses the set-up had let go of its process too early; it waits for the same lines and answers as before.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -34,6 +34,7 @@
 from passtally.intents import Intents
 from passtally.jobs import Jobs
 from passtally.lease import Lease
+from passtally.listeners import CALLERS, PEERS, Listeners
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
@@ -71,6 +72,7 @@
         self.drain = Drain(max_open=settings.max_streams)
         self.metrics = _open_metrics(settings)
         self.catalog = Catalog()
+        self._listeners = Listeners(clock=clock)
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
@@ -101,6 +103,7 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close what start opened; requests were waited for before."""
+        await self._listeners.stop()
         await self._site_runner.cleanup()
         for task in self._tasks:
             task.cancel()
@@ -294,11 +297,21 @@
             self._build_app(), access_log=None, handle_signals=False
         )
         await self._site_runner.setup()
+        settings = self.settings
+        await self._listeners.open(PEERS, settings.peer_listen, self.peers.bind)
+        await self._listeners.open(CALLERS, settings.listen, self._open_site)
+
+    async def _open_site(self) -> None:
         listen = self.settings.listen
         site = web.TCPSite(
             self._site_runner, listen.host, listen.port, backlog=LISTEN_BACKLOG
         )
-        await site.start()
+        try:
+            await site.start()
+        except OSError:
+            # Unknown to its runner again, so that another one may be tried.
+            await site.stop()
+            raise
 
     def _build_app(self) -> web.Application:
         app = web.Application(
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -29,6 +29,7 @@
 from passtally.host_news import LoadBoard, NewsExchange
 from passtally.http_server import Exchange, HttpServer, ServerLimits
 from passtally.isolation import Isolation
+from passtally.listeners import CALLERS, PEERS, Listeners
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
@@ -138,6 +139,7 @@
         self.pool = ConnectionPool(clock=clock)
         #: Set once the routes and some endpoints are known.
         self._learned = asyncio.Event()
+        self._listeners = Listeners(clock=clock)
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
@@ -165,6 +167,7 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Close what start opened."""
         self.drain.is_over = True
+        await self._listeners.stop()
         # Together: each may take 400 ms for what it has answered, of the 600 ms left.
         servers = (self.front_server, self.ready_server, self.metrics_server)
         await asyncio.gather(*(server.stop() for server in servers))
@@ -176,10 +179,14 @@
         self.pool.close()
         log_event("daemon", "Stopped.")
 
-    async def leave(self) -> None:
-        """Leave the balancer and finish what is open within the grace."""
+    async def leave(self, *, waited: timedelta = timedelta(0)) -> None:
+        """Leave the balancer and finish what is open within the grace.
+
+        Args:
+            waited: How long ago the host was told to stop.
+        """
         self.front_server.is_closing = True
-        limit = self.settings.grace - STOP_MARGIN
+        limit = self.settings.grace - STOP_MARGIN - waited
         log_event("daemon", "Stopping.", open=self.drain.open_requests)
         self._spawn(self._close_idle_later())
         try:
@@ -207,6 +214,7 @@
         """Whether this host can serve and is to get new connections."""
         return (
             self.routes.current is not None
+            and self._listeners.is_open(CALLERS)
             and not self.drain.is_stopping
             and not self.isolation.is_isolated
         )
@@ -432,17 +440,19 @@
         )
         self.ready_server = HttpServer(handle=self._answer_ready)
         self.metrics_server = HttpServer(handle=self._answer_metrics)
-        for server, address in (
-            (self.ready_server, self.settings.ready_listen),
-            (self.metrics_server, self.settings.metrics_listen),
+        settings = self.settings
+        await self._listeners.open(PEERS, settings.peer_listen, self.peers.bind)
+        for name, server, address in (
+            ("readiness", self.ready_server, settings.ready_listen),
+            ("metrics", self.metrics_server, settings.metrics_listen),
+            (CALLERS, self.front_server, settings.listen),
         ):
-            if address is not None:
-                await server.start(address.host, address.port)
-        if self._front_socket is not None:
-            await self.front_server.start_on(self._front_socket)
-        else:
-            front = self.settings.listen
-            await self.front_server.start(front.host, front.port)
+            if address is None:
+                continue
+            start = partial(server.start, address.host, address.port)
+            if name == CALLERS and self._front_socket is not None:
+                start = partial(server.start_on, self._front_socket)
+            await self._listeners.open(name, address, start)
 
     def _limits(self) -> ServerLimits:
         current = self.routes.current
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -101,6 +101,7 @@
         self._peers_by_id = dict(peers_by_id)
         self._keys = [key[:64] for key in keys]
         self._context = zmq.asyncio.Context()
+        self._router: zmq.asyncio.Socket | None = None
         self._sockets_by_id: dict[str, zmq.asyncio.Socket] = {}
         self._unheard: set[str] = set()
         self._readers_by_id: dict[str, asyncio.Task[None]] = {}
@@ -131,15 +132,25 @@
         self._listeners_by_type[kind] = listener
 
     def start(self) -> None:
-        """Listen, and open a link to each peer."""
-        router = self._open(zmq.ROUTER)
-        router.setsockopt(zmq.HEARTBEAT_IVL, INCOMING_HEARTBEAT_MS)
-        router.setsockopt(zmq.HEARTBEAT_TIMEOUT, INCOMING_TIMEOUT_MS)
-        router.bind(f"tcp://{self._listen}")
-        self._spawn(self._serve(router))
+        """Open a link to each peer; others come in once the address is bound."""
+        self._router = self._open(zmq.ROUTER)
+        self._router.setsockopt(zmq.HEARTBEAT_IVL, INCOMING_HEARTBEAT_MS)
+        self._router.setsockopt(zmq.HEARTBEAT_TIMEOUT, INCOMING_TIMEOUT_MS)
+        self._spawn(self._serve(self._router))
         for peer in self._peers_by_id.values():
             self._connect(peer)
 
+    async def bind(self) -> None:
+        """Listen for other hosts.
+
+        Raises:
+            OSError: The address can't be had now.
+        """
+        try:
+            self._router.bind(f"tcp://{self._listen}")
+        except zmq.ZMQError as error:
+            raise OSError(error.errno, error.strerror) from error
+
     def meet(self, peer: PeerAddress) -> None:
         """Open a link to a peer that was not known, or whose address changed."""
         known = self._peers_by_id.get(peer.host_id)
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,115 @@
+"""Listening addresses are taken as soon as they are free; none ends its host."""
+
+import asyncio
+import errno
+import socket
+
+import pytest
+
+from passtally.clock import ManualClock
+from passtally.listeners import LOG_INTERVAL, RETRY_PAUSE, Listeners
+from passtally.settings import Address
+from standins.processes import Processes, call_json, free_port
+
+ADDRESS = Address(host="127.0.0.1", port=8740)
+
+
+class Door:
+    """An address that can be had from one try on.
+
+    Args:
+        clock: The clock.
+        free_at: The number of the first try that opens it.
+    """
+
+    def __init__(self, *, clock: ManualClock, free_at: int) -> None:
+        self.tries: list[float] = []
+        self._clock = clock
+        self._free_at = free_at
+
+    async def open(self) -> None:
+        """Open it or fail."""
+        self.tries.append(self._clock.monotonic().total_seconds())
+        if len(self.tries) < self._free_at:
+            raise OSError(errno.EADDRINUSE, "Address already in use")
+
+
+@pytest.fixture
+def events(monkeypatch) -> list[str]:
+    """The log events of the module under test."""
+    logged: list[str] = []
+    monkeypatch.setattr(
+        "passtally.listeners.log_event",
+        lambda part, sentence, **fields: logged.append(f"{part}: {sentence}"),
+    )
+    return logged
+
+
+async def open_door(free_at: int) -> tuple[Listeners, Door]:
+    """Open a door and wait until it is open."""
+    clock = ManualClock()
+    listeners, door = Listeners(clock=clock), Door(clock=clock, free_at=free_at)
+    await listeners.open("callers", ADDRESS, door.open)
+    if free_at > 1:
+        assert not listeners.is_open("callers")
+    while not listeners.is_open("callers"):
+        await asyncio.sleep(0)
+    return listeners, door
+
+
+class TestListeners:
+    def test_a_free_address_is_open_at_once(self, events):
+        listeners, door = asyncio.run(open_door(1))
+        assert listeners.is_open("callers")
+        assert not listeners.is_open("metrics")
+        assert len(door.tries) == 1
+        assert events == []
+
+    def test_one_in_use_is_tried_until_it_is_free(self, events):
+        _, door = asyncio.run(open_door(4))
+        pause = RETRY_PAUSE.total_seconds()
+        assert door.tries == pytest.approx([0, pause, 2 * pause, 3 * pause])
+        assert events == ["listen: Not open, trying again.", "listen: Open."]
+
+    def test_one_that_stays_in_use_is_told_now_and_then(self, events):
+        times = 3
+        tries = 2 + times * (LOG_INTERVAL // RETRY_PAUSE)
+        asyncio.run(open_door(tries))
+        assert events.count("listen: Not open, trying again.") == 1 + times
+
+    def test_a_stop_ends_the_tries(self, events):
+        async def main() -> int:
+            clock = ManualClock()
+            listeners, door = Listeners(clock=clock), Door(clock=clock, free_at=1000)
+            await listeners.open("callers", ADDRESS, door.open)
+            await listeners.stop()
+            tried = len(door.tries)
+            await asyncio.sleep(0.01)
+            assert len(door.tries) == tried
+            return tried
+
+        assert asyncio.run(main()) < 1000
+
+
+class TestServe:
+    def test_the_command_waits_for_its_addresses_too(self, tmp_path):
+        port, peer_port = free_port(), free_port()
+        with Processes(tmp_path) as processes:
+            processes.start_platform()
+            processes.put_config("workspaces", "w", {"id": "w", "token_sha256": "0"})
+            with (
+                socket.create_server(("127.0.0.1", port)),
+                socket.create_server(("127.0.0.1", peer_port)),
+            ):
+                host = processes.start_host(
+                    "entry-a",
+                    failure_domain="pilar",
+                    listen=f"127.0.0.1:{port}",
+                    peer_listen=f"127.0.0.1:{peer_port}",
+                )
+                log = tmp_path / "entry-a.log"
+                while not log.exists() or log.read_text().count("trying again") < 2:
+                    assert host.popen.poll() is None
+            host.url = f"http://127.0.0.1:{port}"
+            processes.wait_ready()
+            assert call_json("GET", f"{host.url}/readyz")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -46,6 +46,7 @@
             await asyncio.sleep(0.2)
             second.on(FetchConfig, answer)
             second.start()
+            await second.bind()
             assert await asking == ConfigChanges(listing=b"[]")
             await first.stop()
             await second.stop()
@@ -78,6 +79,7 @@
             second.listen(HostNews, heard.append)
             second.on(FetchConfig, answer)
             second.start()
+            await second.bind()
             await first.ask("b", FetchConfig(after=0), timeout=timedelta(seconds=5))
             await asyncio.sleep(0.1)
             assert heard == []
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -67,27 +67,20 @@
     def test_a_host_waits_for_its_address_and_serves_then(self, tmp_path, name):
         async def main() -> None:
             async with settled(tmp_path) as place:
-                address = place.addresses_by_name[name]
-                with held(address):
-                    async with contextlib.AsyncExitStack() as stack:
-                        host = await stack.enter_async_context(started(place))
+                holding = contextlib.ExitStack()
+                holding.enter_context(held(place.addresses_by_name[name]))
+                async with started(place) as host:
+                    with holding:
                         await wait_for(host.log, "listen: Not open, trying again.")
-                        stack.pop_all()
-                try:
                     await wait_for(host.log, "listen: Open.")
                     await wait_ready(host)
                     assert b"HTTP/1.1" in await ask(("127.0.0.1", host.front))
                     metrics = host.addresses_by_name["metrics"]
-                    assert b"200" in await ask(
-                        metrics, b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
-                    )
+                    request = REQUEST.replace(b"/none", b"/metrics")
+                    assert b"200" in await ask(metrics, request)
                     host.process.send_signal(signal.SIGTERM)
                     await asyncio.to_thread(host.process.wait, 10)
                     assert host.process.returncode == 0
-                finally:
-                    host.process.kill()
-                    host.process.wait()
-                    host.process.stderr.close()
 
         asyncio.run(main())
 
@@ -146,11 +139,13 @@
 
         asyncio.run(main())
 
-    def test_a_log_whose_reader_is_gone_does_not_spoil_a_stop(self, tmp_path):
+    @pytest.mark.parametrize("numbers", [(1,), (1, 2)])
+    def test_a_log_whose_reader_is_gone_does_not_spoil_a_stop(self, tmp_path, numbers):
         def lose_reader() -> None:
             reader, writer = os.pipe()
             os.close(reader)
-            os.dup2(writer, 1)
+            for number in numbers:
+                os.dup2(writer, number)
 
         async def main() -> None:
             async with running(tmp_path, prepare=lose_reader) as host:
