Take a stop that comes while the program is loading

Cause: the handlers of SIGTERM and SIGINT were set once the host had started, 0.6 s after the process; until then the default action ended it, with callers' connections waiting at the socket that is opened early. A second stop in the last moments ended it likewise. Change: a stop is noted from the process's first lines and handed over to the loop, the time that it waited comes off the grace, and once the host has stopped another is passed over. The product's own command takes it as well. A stop in the first 60 ms or so, before Python runs a line of ours, still ends it by the signal; nothing listens by then.

--- a/passtally/cli.py
+++ b/passtally/cli.py
@@ -16,6 +16,7 @@
     flag_of,
     variable_of,
 )
+from passtally.stop_signals import StopSignals
 from passtally.trace import trace
 
 EXIT_USAGE = 2
@@ -57,10 +58,12 @@
     except SettingsError as error:
         click.echo(f"passtally serve: {error}", err=True)
         sys.exit(EXIT_USAGE)
+    signals = StopSignals()
+    signals.catch()
     # Imported late: the operators' commands must not pay for the daemon.
     from passtally.daemon import run_daemon
 
-    run_daemon(settings)
+    run_daemon(settings, signals)
 
 
 @main.command("trace")
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 from collections.abc import Coroutine
 from contextlib import ExitStack
@@ -52,6 +51,7 @@
 from passtally.settings import Settings
 from passtally.statsd_metrics import StatsdMetrics, report_gauges
 from passtally.status import StatusReader
+from passtally.stop_signals import StopSignals
 from passtally.supervisor import keep_running
 
 LISTEN_BACKLOG = 2048
@@ -354,17 +354,22 @@
     return StatsdMetrics(address=settings.statsd, host_id=settings.host_id)
 
 
-def run_daemon(settings: Settings) -> None:
-    """Run an entry host until it is told to stop and its last request is done."""
+def run_daemon(settings: Settings, signals: StopSignals) -> None:
+    """Run an entry host until it is told to stop and its last request is done.
+
+    Args:
+        settings: What it is told.
+        signals: Notes a stop that comes before the loop takes them.
+    """
     with ExitStack() as stack:
         log = sys.stdout
         if settings.log != "-":
             log = stack.enter_context(open(settings.log, "a"))
         to_file(log)
-        _run_host(settings)
+        _run_host(settings, signals)
 
 
-def _run_host(settings: Settings) -> None:
+def _run_host(settings: Settings, signals: StopSignals) -> None:
     host = EntryHost(settings=settings, clock=SystemClock())
     with aiomisc.entrypoint(
         host,
@@ -373,14 +378,13 @@
         catch_signals=(),
         loop_factory=uvloop.new_event_loop,
     ) as loop:
-        loop.run_until_complete(_wait_for_stop(host))
+        loop.run_until_complete(_wait_for_stop(host, signals))
+    signals.ignore()
 
 
-async def _wait_for_stop(host: EntryHost) -> None:
+async def _wait_for_stop(host: EntryHost, signals: StopSignals) -> None:
     stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+    signals.hand_over(asyncio.get_running_loop(), stopping.set)
     await stopping.wait()
     log_event("daemon", "Stopping.", open=host.drain.open_requests)
     await host.leave()
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -18,17 +18,19 @@
 from passtally.platform.adapter import PlatformAdapter
 from passtally.platform.settings import read_settings
 from passtally.settings import SettingsError
+from passtally.stop_signals import StopSignals
 
 EXIT_USAGE = 2
 FILE_CHECK_INTERVAL = timedelta(seconds=5)
 
 
-def run(path: Path, front_socket: socket.socket | None) -> None:
+def run(path: Path, front_socket: socket.socket | None, signals: StopSignals) -> None:
     """Run an entry host until it is told to stop.
 
     Args:
         path: The settings file.
         front_socket: Listens already where callers come in, if any does.
+        signals: Notes a stop that comes before the loop takes them.
     """
     modified_at = _modified_at(path)
     try:
@@ -51,20 +53,22 @@
         catch_signals=(),
         loop_factory=uvloop.new_event_loop,
     ) as loop:
-        loop.run_until_complete(_wait_for_stop(host, path, modified_at))
+        loop.run_until_complete(_wait_for_stop(host, path, modified_at, signals))
+    signals.ignore()
     output.close()
 
 
-async def _wait_for_stop(host: FrontHost, path: Path, modified_at: int) -> None:
+async def _wait_for_stop(
+    host: FrontHost, path: Path, modified_at: int, signals: StopSignals
+) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+    signals.hand_over(loop, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
     watching = loop.create_task(_watch_file(host, path, known=modified_at))
     await stopping.wait()
     watching.cancel()
-    await host.leave()
+    await host.leave(waited=signals.waited())
 
 
 async def _watch_file(host: FrontHost, path: Path, *, known: int) -> None:
--- /dev/null
+++ b/passtally/stop_signals.py
@@ -0,0 +1,61 @@
+"""Stops that come before a host's loop can take them, or after it has ended.
+
+Imports little, since it is needed before the rest of the program is loaded.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from types import FrameType
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from asyncio import AbstractEventLoop
+
+NUMBERS = (signal.SIGTERM, signal.SIGINT)
+
+
+class StopSignals:
+    """Takes the place of the default actions, which end a process on the spot.
+
+    Loading takes half a second or more. Callers' connections that wait meanwhile would
+    be reset by a stop in that time, and the end would look like a failure.
+    """
+
+    def __init__(self) -> None:
+        self._asked_at: float | None = None
+
+    def catch(self) -> None:
+        """Note a stop from now on."""
+        for number in NUMBERS:
+            signal.signal(number, self._note)
+
+    def hand_over(self, loop: AbstractEventLoop, stop: Callable[[], None]) -> None:
+        """Let a loop take stops from now on.
+
+        Args:
+            loop: The loop.
+            stop: Called for each stop; at once if one was noted.
+        """
+        for number in NUMBERS:
+            loop.add_signal_handler(number, stop)
+        if self._asked_at is not None:
+            stop()
+
+    def ignore(self) -> None:
+        """Pass over stops from now on: the host has stopped and is about to end."""
+        for number in NUMBERS:
+            signal.signal(number, signal.SIG_IGN)
+
+    def waited(self) -> timedelta:
+        """Return for how long a stop has been noted; none for no time."""
+        if self._asked_at is None:
+            return timedelta(0)
+        return timedelta(seconds=time.monotonic() - self._asked_at)
+
+    def _note(self, number: int, frame: FrameType | None) -> None:
+        if self._asked_at is None:
+            self._asked_at = time.monotonic()
--- /dev/null
+++ b/tests/test_stop_signals.py
@@ -0,0 +1,57 @@
+"""No stop is lost between a process's first lines and its last."""
+
+import asyncio
+import os
+import signal
+from collections.abc import Iterator
+from datetime import timedelta
+
+import pytest
+
+from passtally.stop_signals import NUMBERS, StopSignals
+
+
+@pytest.fixture(autouse=True)
+def handlers() -> Iterator[None]:
+    """Put the test process's own handlers back."""
+    before = {number: signal.getsignal(number) for number in NUMBERS}
+    yield
+    for number, handler in before.items():
+        signal.signal(number, handler)
+
+
+@pytest.mark.parametrize("number", NUMBERS)
+class TestStopSignals:
+    def test_a_stop_before_the_loop_is_handed_over(self, number):
+        signals = StopSignals()
+        signals.catch()
+        os.kill(os.getpid(), number)
+
+        async def main() -> None:
+            stopping = asyncio.Event()
+            signals.hand_over(asyncio.get_running_loop(), stopping.set)
+            assert stopping.is_set()
+
+        asyncio.run(main())
+        assert signals.waited() > timedelta(0)
+
+    def test_a_stop_of_a_running_loop_has_waited_for_no_time(self, number):
+        signals = StopSignals()
+        signals.catch()
+
+        async def main() -> None:
+            stopping = asyncio.Event()
+            signals.hand_over(asyncio.get_running_loop(), stopping.set)
+            assert not stopping.is_set()
+            os.kill(os.getpid(), number)
+            await asyncio.wait_for(stopping.wait(), 10)
+
+        asyncio.run(main())
+        assert signals.waited() == timedelta(0)
+
+    def test_a_stop_of_a_host_that_has_stopped_changes_nothing(self, number):
+        signals = StopSignals()
+        signals.catch()
+        signals.ignore()
+        os.kill(os.getpid(), number)
+        assert signals.waited() == timedelta(0)
