--- a/passtally/log_output.py
+++ b/passtally/log_output.py
@@ -4,7 +4,9 @@
 log is slower than the host, lines are dropped and counted, and the count is logged.
 """
 
-import sys
+import contextlib
+import errno
+import os
 import threading
 from collections import deque
 from typing import Any, BinaryIO
@@ -13,6 +15,7 @@
 
 #: Lines that may wait. At 300 bytes each they take a third of a megabyte.
 MAX_WAITING = 1000
+STANDARD_ERROR = 2
 
 
 class LogOutput:
@@ -61,12 +64,21 @@
                 self._write(b"".join(lines))
 
     def _write(self, data: bytes) -> None:
+        rest = memoryview(data)
         try:
-            self._stream.write(data)
+            while rest:
+                # A stream without a buffer may take a part of it.
+                written = self._stream.write(rest)
+                if written is None:
+                    raise BlockingIOError(errno.EAGAIN, "the stream is full")
+                rest = rest[written:]
             self._stream.flush()
         except OSError as error:
-            # There is nowhere else to tell it.
-            print(f"passtally: the log can't be written: {error}", file=sys.stderr)
+            # There is nowhere else to tell it, and standard error may be gone too: a
+            # line that waits in its buffer would make the process end as failed.
+            with contextlib.suppress(OSError):
+                line = f"passtally: the log can't be written: {error}\n"
+                os.write(STANDARD_ERROR, line.encode())
 
 
 def _encode(message: dict[str, Any]) -> bytes:
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -6,6 +6,7 @@
 import sys
 from datetime import timedelta
 from pathlib import Path
+from typing import BinaryIO
 
 import aiomisc
 import eliot
@@ -21,6 +22,7 @@
 from passtally.stop_signals import StopSignals
 
 EXIT_USAGE = 2
+STANDARD_OUTPUT = 1
 FILE_CHECK_INTERVAL = timedelta(seconds=5)
 
 
@@ -38,7 +40,7 @@
     except (SettingsError, OSError) as error:
         print(f"passtally: {path}: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    output = LogOutput(stream=sys.stdout.buffer)
+    output = LogOutput(stream=open_log())
     eliot.add_destinations(output)
     host = FrontHost(
         settings=settings,
@@ -58,6 +60,15 @@
     output.close()
 
 
+def open_log() -> BinaryIO:
+    """Return standard output for log lines.
+
+    Nothing of it is kept in a buffer: what could not be written when the program ends
+    would turn its status into a failure.
+    """
+    return open(STANDARD_OUTPUT, "wb", buffering=0, closefd=False)
+
+
 async def _wait_for_stop(
     host: FrontHost, path: Path, modified_at: int, signals: StopSignals
 ) -> None:
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -15,9 +15,10 @@
         self.written = b""
         self.open = threading.Event()
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes) -> int:
         self.open.wait(10)
         self.written += data
+        return len(data)
 
     def flush(self) -> None:
         pass
