Wait two seconds at the start for settings that are being written

A host that read an empty or half written file ended with status 2 at once. Change: it reads the file again for two seconds, then tells all problems and ends with status 2 as before; a stop that comes meanwhile ends the wait. The metrics' address is opened last, since its port is fixed and another address of the host may have it.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -444,8 +444,9 @@
         await self._listeners.open(PEERS, settings.peer_listen, self.peers.bind)
         for name, server, address in (
             ("readiness", self.ready_server, settings.ready_listen),
-            ("metrics", self.metrics_server, settings.metrics_listen),
             (CALLERS, self.front_server, settings.listen),
+            # Last: their port is fixed, and another address may have it.
+            ("metrics", self.metrics_server, settings.metrics_listen),
         ):
             if address is None:
                 continue
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import sys
+import time
 from datetime import timedelta
 from pathlib import Path
 from typing import BinaryIO
@@ -18,11 +19,15 @@
 from passtally.log_output import LogOutput
 from passtally.platform.adapter import PlatformAdapter
 from passtally.platform.settings import read_settings
-from passtally.settings import SettingsError
+from passtally.settings import Settings, SettingsError
 from passtally.stop_signals import StopSignals
 
 EXIT_USAGE = 2
 STANDARD_OUTPUT = 1
+#: How long to wait at the start for settings that can be used: a file of 3 KB is
+#: written in a millisecond, and a busy machine may hold its writer up for a second.
+SETTINGS_PATIENCE = timedelta(seconds=2)
+SETTINGS_PAUSE = timedelta(milliseconds=50)
 FILE_CHECK_INTERVAL = timedelta(seconds=5)
 
 
@@ -36,7 +41,7 @@
     """
     modified_at = _modified_at(path)
     try:
-        settings = read_settings(path)
+        settings = _read_when_whole(path, signals)
     except (SettingsError, OSError) as error:
         print(f"passtally: {path}: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
@@ -69,6 +74,26 @@
     return open(STANDARD_OUTPUT, "wb", buffering=0, closefd=False)
 
 
+def _read_when_whole(path: Path, signals: StopSignals) -> Settings:
+    """Read the settings, and again for a while where they can't be used.
+
+    They may be written anew at the moment of a start, and be empty or half there.
+
+    Raises:
+        SettingsError: They can't be used after all.
+        OSError: They can't be read after all.
+    """
+    clock = SystemClock()
+    until = clock.monotonic() + SETTINGS_PATIENCE
+    while True:
+        try:
+            return read_settings(path)
+        except (SettingsError, OSError):
+            if clock.monotonic() >= until or signals.waited():
+                raise
+        time.sleep(SETTINGS_PAUSE.total_seconds())
+
+
 async def _wait_for_stop(
     host: FrontHost, path: Path, modified_at: int, signals: StopSignals
 ) -> None:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -105,6 +105,24 @@
         asyncio.run(main())
 
 
+class TestSettingsBeingWritten:
+    @pytest.mark.parametrize("part", [0.0, 0.5])
+    def test_a_host_waits_until_they_are_whole(self, tmp_path, part):
+        async def main() -> None:
+            async with settled(tmp_path) as place:
+                text = place.path.read_text()
+                place.path.write_text(text[: int(part * len(text))])
+                async with started(place) as host:
+                    # Long enough for the first look, which comes after 0.3 s.
+                    await asyncio.sleep(0.8)
+                    assert host.process.poll() is None
+                    place.path.write_text(text)
+                    await wait_ready(host)
+                    assert b"HTTP/1.1" in await ask(("127.0.0.1", host.front))
+
+        asyncio.run(main())
+
+
 class TestStopWhileLoading:
     @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
     def test_it_stops_as_planned_and_answers_who_waits(self, tmp_path, number):
