--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -4,10 +4,11 @@
 processes ended by themselves, and once too little was served. In series of starts of
 our own, 2 of 22 runs had a host that ended with a traceback, `Address already in use`.
 
-How it came about: between two lives of a host, or between drawing a port and binding
-it, another socket had one of its addresses: an older process that had not quite ended,
-a connection that was given the port as its own, or a second installation on the
-machine, whose metrics are at the same port.
+How it came about: another socket had one of a host's addresses when it started: an
+older process that had not quite ended, a connection that was given the port as its own,
+a second installation on the machine. The port of the metrics is the same for all hosts,
+so that of six hosts that share an address five ended, each time, and all six where that
+port is one that they are told for something else.
 
 The cause: a host took each listening address in one try, and the first that failed, be
 it only that of the metrics, ended the whole process. The same class, a passing state of
@@ -18,6 +19,7 @@
 
 What proved it: each address held by another socket for the first seconds of a host's
 life, with nothing else changed; each of the four ended it, and the log names the one.
+Six hosts on one address: one of six ready, on this and three earlier landings.
 """
 
 import asyncio
@@ -29,6 +31,7 @@
 
 import pytest
 
+from passtally.platform.settings import METRICS_PORT
 from tests.host_process import (
     connect,
     is_ready,
@@ -94,6 +97,36 @@
 
         asyncio.run(main())
 
+    def test_the_port_of_the_metrics_may_be_one_that_the_host_is_told(self, tmp_path):
+        async def main() -> None:
+            async with settled(tmp_path) as place:
+                told = place.path.read_text()
+                own = f"listen.ready=127.0.0.1:{place.ready}"
+                place.path.write_text(
+                    told.replace(own, f"listen.ready={place.ip}:{METRICS_PORT}")
+                )
+                async with started(place) as host:
+                    await wait_for(host.log, "config: In force.")
+                    ready = REQUEST.replace(b"/none", b"/api/ready")
+                    assert b"200" in await ask((place.ip, METRICS_PORT), ready)
+                    assert b"HTTP/1.1" in await ask(("127.0.0.1", host.front))
+
+        asyncio.run(main())
+
+    def test_hosts_that_share_an_address_all_serve(self, tmp_path):
+        async def main() -> None:
+            async with contextlib.AsyncExitStack() as stack:
+                hosts = []
+                for name in ("first", "second", "third"):
+                    folder = tmp_path / name
+                    folder.mkdir()
+                    hosts.append(await stack.enter_async_context(running(folder)))
+                for host in hosts:
+                    await wait_ready(host)
+                    assert b"HTTP/1.1" in await ask(("127.0.0.1", host.front))
+
+        asyncio.run(main())
+
     def test_a_host_that_callers_cant_reach_is_not_ready(self, tmp_path):
         async def main() -> None:
             async with settled(tmp_path) as place:
