Links that can't be opened are tried again; one to itself is opened anew

Cause: a peer counted as known before its socket was open. Without descriptors for a moment it was never linked again, and letting it go raised KeyError each second. And a client connected to itself (a local port given to the one who tries it) has its heartbeats answered by itself: it was in reach for ever, never answered, and kept its peer from listening at that port.

Now a peer is known with its link only, the roster notes its choice once all links are open and lets go first, and a question that comes back shows such a link.

--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -152,13 +152,18 @@
             raise OSError(error.errno, error.strerror) from error
 
     def meet(self, peer: PeerAddress) -> None:
-        """Open a link to a peer that was not known, or whose address changed."""
+        """Open a link to a peer that was not known, or whose address changed.
+
+        Raises:
+            zmq.ZMQError: None can be opened now, for want of descriptors.
+        """
         known = self._peers_by_id.get(peer.host_id)
         if peer == known:
             return
         self.forget(peer.host_id)
-        self._peers_by_id[peer.host_id] = peer
+        # A peer counts as known only with a link: the next try opens what is missing.
         self._connect(peer)
+        self._peers_by_id[peer.host_id] = peer
 
     def forget(self, host_id: str) -> None:
         """Close the link to a peer."""
@@ -240,7 +245,7 @@
         dealer = self._open(zmq.DEALER)
         dealer.connect(f"tcp://{peer.address}")
         self._sockets_by_id[peer.host_id] = dealer
-        reader = self._spawn(self._receive_replies(dealer))
+        reader = self._spawn(self._receive_replies(dealer, peer))
         self._readers_by_id[peer.host_id] = reader
 
     def _open(self, kind: int) -> zmq.asyncio.Socket:
@@ -289,9 +294,14 @@
             return
         await self._send(router, [frames[0], _REPLY, frames[2]], reply)
 
-    async def _receive_replies(self, dealer: zmq.asyncio.Socket) -> None:
+    async def _receive_replies(
+        self, dealer: zmq.asyncio.Socket, peer: PeerAddress
+    ) -> None:
         while True:
             frames = await dealer.recv_multipart()
+            if frames[0] in (_ASK, _TELL):
+                _open_anew(dealer, peer)
+                continue
             if len(frames) != 4 or frames[0] != _REPLY:
                 continue
             message = self._read(frames)
@@ -332,6 +342,18 @@
         return task
 
 
+def _open_anew(dealer: zmq.asyncio.Socket, peer: PeerAddress) -> None:
+    """Leave a connection that sends back what is sent: it leads to itself.
+
+    A client that tries a local port where nobody listens can be given that very port.
+    Heartbeats are answered, so the connection would last, and keep the peer from
+    listening there.
+    """
+    log_event("peers", "A link leads to itself, opening it anew.", peer=peer.host_id)
+    dealer.disconnect(f"tcp://{peer.address}")
+    dealer.connect(f"tcp://{peer.address}")
+
+
 def _pack_number(number: int) -> bytes:
     return number.to_bytes(8)
 
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -89,29 +89,37 @@
         chosen_by = (self._table.revision, self.links_domain, sources)
         if chosen_by == self._chosen_by and self._linked_ids:
             return
-        self._chosen_by = chosen_by
         rows = [row for row in self.others() if row.address]
         self.peak = max(self.peak, len(rows) + 1)
         chosen = choose_links(self._table.own, rows, whole_domain=self.links_domain)
         chosen += [row for row in rows if row.host_id in self.source_ids]
         chosen += pick_found_gone(self._table.gone(), [self._table.own, *rows])
         rows_by_id = {row.host_id: row for row in chosen if row.address}
-        self._linked_ids = set(rows_by_id)
+        self._let_go(rows_by_id)
         for row in rows_by_id.values():
-            address = parse_address(row.address)
-            peer = PeerAddress(
+            self._link(row)
+        self._linked_ids = set(rows_by_id)
+        # Noted last: what could not be opened is tried again.
+        self._chosen_by = chosen_by
+        if not rows:
+            self.meet_seeds()
+
+    def _link(self, row: MemberRow) -> None:
+        address = parse_address(row.address)
+        self._forget_seed(address)
+        if row.host_id not in self._peers.ids:
+            log_event("roster", "Met.", peer=row.host_id, address=row.address)
+        self._peers.meet(
+            PeerAddress(
                 host_id=row.host_id, failure_domain=row.failure_domain, address=address
             )
-            self._forget_seed(address)
-            if row.host_id not in self._peers.ids:
-                log_event("roster", "Met.", peer=row.host_id, address=row.address)
-            self._peers.meet(peer)
+        )
+
+    def _let_go(self, kept_ids: Collection[str]) -> None:
         for host_id in self._peers.ids:
-            if host_id not in rows_by_id and not host_id.startswith(SEED_PREFIX):
+            if host_id not in kept_ids and not host_id.startswith(SEED_PREFIX):
                 log_event("roster", "Let go.", peer=host_id)
                 self._peers.forget(host_id)
-        if not rows:
-            self.meet_seeds()
 
     @property
     def hears_all(self) -> bool:
