All threads of a host share one arena of memory

Cause: the C library reserves 64 MB of address space for each thread that allocates. Under a limit of 300 MB of it (RLIMIT_AS), a host that uses 48 MB had 290 MB reserved and was ended by libzmq (status -6) under 600 callers with bodies of 60 KB.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from eliot import to_file
 
+from passtally.address_space import limit_arenas
 from passtally.api import METRICS_KEY, answer_failures
 from passtally.catalog import Catalog, CatalogKeeper
 from passtally.claims import Claims
@@ -361,6 +362,7 @@
         settings: What it is told.
         signals: Notes a stop that comes before the loop takes them.
     """
+    limit_arenas()
     with ExitStack() as stack:
         log = sys.stdout
         if settings.log != "-":
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -13,6 +13,7 @@
 import eliot
 import uvloop
 
+from passtally.address_space import limit_arenas
 from passtally.clock import SystemClock
 from passtally.decision import log_event
 from passtally.front_host import FrontHost
@@ -39,6 +40,8 @@
         front_socket: Listens already where callers come in, if any does.
         signals: Notes a stop that comes before the loop takes them.
     """
+    # Before the first thread is started.
+    limit_arenas()
     modified_at = _modified_at(path)
     try:
         settings = _read_when_whole(path, signals)
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -5,6 +5,8 @@
 import os
 import resource
 import signal
+import subprocess
+import sys
 from collections.abc import AsyncIterator, Iterator
 from datetime import timedelta
 
@@ -196,6 +198,32 @@
 
 
 class TestAddressSpace:
+    def test_threads_reserve_none_of_their_own(self):
+        program = """
+import threading
+from passtally.address_space import limit_arenas
+
+def read_peak() -> int:
+    with open("/proc/self/status") as status:
+        return next(int(line.split()[1]) for line in status if "VmPeak" in line)
+
+assert limit_arenas()
+threading.stack_size(256 * 1024)
+before = read_peak()
+barrier = threading.Barrier(4)
+work = lambda: (bytearray(100_000), barrier.wait())
+threads = [threading.Thread(target=work) for _ in range(4)]
+for thread in threads:
+    thread.start()
+for thread in threads:
+    thread.join()
+print(read_peak() - before)
+"""
+        command = [sys.executable, "-c", program]
+        ran = subprocess.run(command, capture_output=True, check=True)
+        # One arena alone would take 64 MB; these are in kB.
+        assert int(ran.stdout) < 32 * 1024
+
     def test_callers_with_bodies_fit_in_a_limited_one(self, tmp_path):
         callers = 600
         body = b"x" * 60_000
