Callers take at most half of a host's descriptors

Cause: idle callers took all of them: 256 of 256 beside 300 connections. Then the host opens none to an endpoint, the platform or another host, and libzmq's thread takes a whole core for as long as another host's link waits to be accepted (trial: 2.3 s of processor in 2.3 s).

Tests of the server, of callers that are slow or idle, and of the process pass.

--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -9,7 +9,9 @@
 import asyncio
 import contextlib
 import re
+import resource
 import socket
+import sys
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
 from email.utils import formatdate
@@ -29,6 +31,10 @@
 #: How long a server that stops goes on sending answers that are made: what a writer
 #: does not wait for, 64 KB, takes 105 ms of an idle link of 5 Mbit/s.
 SEND_REST = timedelta(milliseconds=400)
+#: The part of the process's descriptors that callers' connections may take. Each open
+#: request needs one more, to an endpoint; links to other hosts and the platform need
+#: some, too, and libzmq's thread takes a whole core while it can't accept one of them.
+CALLERS_PART = 0.5
 #: The states after a whole answer; in the second its connection is to be closed.
 _ANSWERED = (h11.DONE, h11.MUST_CLOSE)
 
@@ -162,6 +168,7 @@
         #: Whether every answer asks its caller to open a new connection.
         self.is_closing = False
         self._connections: set[ServerConnection] = set()
+        self._most_connections = _count_most_connections()
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
@@ -202,9 +209,13 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def add(self, connection: "ServerConnection") -> None:
-        """Take in a new connection."""
+    def add(self, connection: "ServerConnection") -> bool:
+        """Take in a new connection; return whether there is room for it."""
+        if len(self._connections) >= self._most_connections:
+            log_event("http", "Closed a connection, too many are open.")
+            return False
         self._connections.add(connection)
+        return True
 
     def remove(self, connection: "ServerConnection") -> None:
         """Forget a connection."""
@@ -240,7 +251,9 @@
         """Begin to serve."""
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
-        self._server.add(self)
+        if not self._server.add(self):
+            self.abort()
+            return
         self.task = asyncio.get_running_loop().create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
@@ -486,6 +499,13 @@
             self._send(h11.EndOfMessage())
 
 
+def _count_most_connections() -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return int(CALLERS_PART * soft)
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuse a request whose end two parsers could see in two places."""
     names = [name for name, _ in head.headers]
