A host starts with bounds that are 0 or empty, without an own address, with odd seeds

Cause: of 75 variants of the settings file that were tried with a process each, those with an empty bound, budget_extra or exposure_slack of 0 or 1.5, no ip, a blank behind a comma of the seeds or one seed that is a name ended the host at its start with status 2. None of these is needed to serve: an empty bound has its default, 0 and fractions are amounts, metrics are left out, and seeds that are no address are passed over.

--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the platform's settings file into the product's settings."""
 
+import contextlib
 import hashlib
 import os
 from collections.abc import Mapping
@@ -10,6 +11,7 @@
     Settings,
     SettingsError,
     check_settings,
+    parse_address,
     variable_of,
 )
 
@@ -36,6 +38,9 @@
     "trial_extra": "bounds.exposure_slack",
 }
 
+#: What the platform's keys with a default begin with.
+_KEYS_WITH_DEFAULTS = ("bounds.", "region")
+
 
 def read_settings(path: Path) -> Settings:
     """Read and check a settings file.
@@ -61,12 +66,15 @@
     Raises:
         SettingsError: Some are missing or can't be used; all are named.
     """
+    values_by_key = _leave_out_empty(values_by_key)
     texts = {
         name: values_by_key.get(key, None) for name, key in _KEYS_BY_SETTING.items()
     }
+    texts["seeds"] = _pick_addresses(values_by_key.get("seeds", ""))
     store = values_by_key.get("platform.address")
     texts["platform"] = None if store is None else f"http://{store}"
-    texts["metrics_listen"] = f"{values_by_key.get('ip', '')}:{METRICS_PORT}"
+    ip = values_by_key.get("ip", "")
+    texts["metrics_listen"] = f"{ip}:{METRICS_PORT}" if ip else ""
     texts["grace"] = values_by_key.get("bounds.grace_s", "8") + "s"
     texts["retry_window"] = values_by_key.get("bounds.budget_window_s", "10") + "s"
     texts["apply_within"] = values_by_key.get("bounds.config_apply_ms", "2000") + "ms"
@@ -78,6 +86,24 @@
         raise _name_keys(error) from error
 
 
+def _leave_out_empty(values_by_key: Mapping[str, str]) -> dict[str, str]:
+    """Leave out what is empty and has a default: the platform may know no value."""
+    return {
+        key: value
+        for key, value in values_by_key.items()
+        if value or not key.startswith(_KEYS_WITH_DEFAULTS)
+    }
+
+
+def _pick_addresses(text: str) -> str:
+    """Leave out what is no address: stale seeds must not keep a host from starting."""
+    picked: list[str] = []
+    for item in text.split(","):
+        with contextlib.suppress(ValueError):
+            picked.append(str(parse_address(item.strip())))
+    return ",".join(picked)
+
+
 def _derive_key(values_by_key: Mapping[str, str]) -> str:
     """Return a key that all hosts of one installation have, and others don't.
 
--- a/passtally/rollouts.py
+++ b/passtally/rollouts.py
@@ -81,7 +81,7 @@
         host_id: str,
         life: int,
         share: float,
-        slack: int,
+        slack: float,
         least_hosts: int,
         catalog: ServiceIndex,
         loans: BudgetLoans,
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -1,5 +1,6 @@
 """The daemon's settings: flags and environment variables, checked at the start."""
 
+import math
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from ipaddress import ip_address
@@ -136,6 +137,17 @@
     return int(text)
 
 
+def parse_amount(text: str) -> float:
+    """Read a number from 0 on."""
+    try:
+        number = float(text)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < math.inf:
+        raise ValueError(f"{text!r} is not a number from 0 on")
+    return number
+
+
 def parse_share(text: str) -> float:
     """Read a number from 0 to 10."""
     try:
@@ -221,8 +233,8 @@
     retry_share: float = _setting(
         parse_share, "How many repeats each request to a service earns.", "0.1"
     )
-    retry_extra: int = _setting(
-        parse_count, "How many more repeats all hosts together may make.", "200"
+    retry_extra: float = _setting(
+        parse_amount, "How many more repeats all hosts together may make.", "200"
     )
     retry_window: timedelta = _setting(
         parse_duration, "The time in which repeats are counted against requests.", "10s"
@@ -233,8 +245,8 @@
         " found good; 0 where new versions are not tried.",
         "0",
     )
-    trial_extra: int = _setting(
-        parse_count, "How many more may, of all hosts together.", "50"
+    trial_extra: float = _setting(
+        parse_amount, "How many more may, of all hosts together.", "50"
     )
     apply_within: timedelta = _setting(
         parse_duration, "How soon a change of configuration must be in force.", "2s"
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -69,6 +69,34 @@
             "bounds.retry_budget_ratio",
         }
 
+    @pytest.mark.parametrize(
+        "line",
+        [
+            "ip=",
+            "region=",
+            "bounds.grace_s=",
+            "bounds.retry_budget_ratio=",
+            "bounds.retry_budget_ratio=0",
+            "bounds.budget_extra=",
+            "bounds.budget_extra=0",
+            "bounds.budget_extra=1.5",
+            "bounds.budget_window_s=",
+            "bounds.config_apply_ms=",
+            "bounds.exposure_share=",
+            "bounds.exposure_slack=0",
+            "bounds.exposure_slack=",
+            "seeds=10.2.0.13:8748, 10.1.0.19:8748",
+            "seeds=10.2.0.13:8748,front-1:8748,,10.1.0.19:8748",
+        ],
+    )
+    def test_values_that_say_little_dont_keep_a_host_from_starting(self, line):
+        settings = translate(parse_lines(LINES + line))
+        assert settings.grace == timedelta(seconds=8)
+        assert len(settings.seeds) == 2
+
+    def test_without_an_own_address_there_are_no_metrics(self):
+        assert translate(parse_lines(LINES + "ip=")).metrics_listen is None
+
     def test_operators_may_hand_out_keys_of_their_own(self, tmp_path, monkeypatch):
         path = tmp_path / "node.conf"
         path.write_text(LINES)
