Bytes of the settings file that are no text don't hide the rest

Cause: one byte that is not UTF-8, in a field that a host does not even know, ended it with a traceback (status 1) at the start; after a change of the file it ended the task that watches the file, so that no change was read without a signal any more. A byte order mark hid the first field (status 2).

3 of the 4 new cases failed before, none after; those of the process pass.

--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -53,7 +53,9 @@
         OSError: The file can't be read.
     """
     keys = os.environ.get(variable_of("resume_keys"), "")
-    return translate(parse_lines(path.read_text()), resume_keys=keys)
+    # A host can do without what is no text; fields that it does not know may hold any.
+    text = path.read_text(encoding="utf-8-sig", errors="replace")
+    return translate(parse_lines(text), resume_keys=keys)
 
 
 def translate(values_by_key: Mapping[str, str], *, resume_keys: str = "") -> Settings:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -56,6 +56,21 @@
         assert settings.retry_extra == 150
         assert len(settings.seeds) == 2
 
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"\xef\xbb\xbf" + LINES.encode(),
+            LINES.encode() + b"other.name=\xe9\n",
+            LINES.encode() + b"\x00\xff\xfe",
+            LINES.replace("\n", "\r\n").encode(),
+        ],
+        ids=["byte order mark", "not utf-8", "no text", "crlf"],
+    )
+    def test_bytes_that_are_no_text_dont_hide_the_rest(self, tmp_path, data):
+        path = tmp_path / "node.conf"
+        path.write_bytes(data)
+        assert read_settings(path) == translate(parse_lines(LINES))
+
     def test_all_faults_are_told_at_once_by_the_files_own_names(self):
         values = parse_lines(LINES)
         del values["zone"]
