--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -1,12 +1,12 @@
 """Reads the platform's settings file into the product's settings."""
 
-import contextlib
 import hashlib
 import os
 from collections.abc import Mapping
 from pathlib import Path
 
-from passtally.platform.settings_file import FRONT_KEY, parse_lines
+from passtally.decision import log_event
+from passtally.platform.settings_file import FRONT_KEY, read_values
 from passtally.settings import (
     Settings,
     SettingsError,
@@ -53,9 +53,7 @@
         OSError: The file can't be read.
     """
     keys = os.environ.get(variable_of("resume_keys"), "")
-    # A host can do without what is no text; fields that it does not know may hold any.
-    text = path.read_text(encoding="utf-8-sig", errors="replace")
-    return translate(parse_lines(text), resume_keys=keys)
+    return translate(read_values(path), resume_keys=keys)
 
 
 def translate(values_by_key: Mapping[str, str], *, resume_keys: str = "") -> Settings:
@@ -101,8 +99,12 @@
     """Leave out what is no address: stale seeds must not keep a host from starting."""
     picked: list[str] = []
     for item in text.split(","):
-        with contextlib.suppress(ValueError):
+        if not item.strip():
+            continue
+        try:
             picked.append(str(parse_address(item.strip())))
+        except ValueError as error:
+            log_event("daemon", "Passed over a seed.", seed=item, why=error)
     return ",".join(picked)
 
 
--- a/passtally/platform/settings_file.py
+++ b/passtally/platform/settings_file.py
@@ -20,6 +20,17 @@
     return Path(os.environ.get(FILE_VARIABLE, ""))
 
 
+def read_values(path: Path) -> dict[str, str]:
+    """Read a settings file; bytes that are no text stand for nothing in particular.
+
+    A host can do without them: fields that it does not know may hold any.
+
+    Raises:
+        OSError: The file can't be read.
+    """
+    return parse_lines(path.read_text(encoding="utf-8-sig", errors="replace"))
+
+
 def parse_lines(text: str) -> dict[str, str]:
     """Read lines of the form ``a.b=value``; others are passed over."""
     values_by_key = {}
@@ -37,7 +48,7 @@
     refused. What is wrong with the settings is told when they are checked.
     """
     try:
-        address = parse_lines(path.read_text()).get(FRONT_KEY, "")
+        address = read_values(path).get(FRONT_KEY, "")
         host, _, port = address.rpartition(":")
         return _listen(host, int(port))
     except (OSError, ValueError) as error:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -20,7 +20,8 @@
     encode_copy_order,
 )
 from passtally.platform.ingress import decode_request
-from passtally.platform.settings import parse_lines, read_settings, translate
+from passtally.platform.settings import read_settings, translate
+from passtally.platform.settings_file import parse_lines
 from passtally.routes import CallKind
 from passtally.settings import Address, SettingsError
 from standins.platform_config import ENGINE, KEY, LOOKUPS, WORKSPACE, make_config
