Soak: judge how hosts start and end

Cause: a host that did not start was a traceback of the soak, without seed and logs, and a host that ended by itself while faults were played was not counted if something started it again.

Change: each process of a host is a life that notes the signals it was sent. An end that was not told, or a stop with another status than 0, is a violation with host, status and last log line; so is a host without the configuration in time (20 s, as before). A host that ended by itself is started again after a second, as the platform does. What fails in the soak itself is a violation too; faults.txt and logs are kept. A signal that comes before the program's first line (no log, front address refuses) may end the process by that signal: SIGINT at 15 to 20 ms ends Python's own start with status 1.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import traceback
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -27,20 +28,24 @@
 HEAL_SECONDS = 6.0
 
 
-async def play(seed: int, seconds: float, hosts: int, folder: Path) -> Evidence:
-    """Play one seed and return what was seen, judged."""
-    evidence = Evidence()
+async def play(
+    seed: int, seconds: float, hosts: int, folder: Path, evidence: Evidence
+) -> None:
+    """Play one seed and judge what was seen."""
     rng = random.Random(seed)
     world = World(folder=folder, evidence=evidence, rng=rng)
     tasks: list[asyncio.Task[None]] = []
     try:
         await world.start(hosts=hosts, engines=ENGINES, lookups=LOOKUPS)
+        tasks.append(asyncio.create_task(world.restart_ended()))
+        if not await world.wait_configured():
+            return
         callers = [
             _make_caller(kind, world, evidence, random.Random(rng.random()))
             for kind, count in CALLERS_BY_KIND.items()
             for _ in range(count)
         ]
-        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        tasks += [asyncio.create_task(caller.run()) for caller in callers]
         tasks.append(asyncio.create_task(_read_versions(world, evidence)))
         await Saboteur(world=world, evidence=evidence, rng=rng).run(seconds)
         await asyncio.sleep(HEAL_SECONDS)
@@ -50,8 +55,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await world.stop()
-    evidence.judge()
-    return evidence
+        evidence.judge()
 
 
 def _make_caller(
@@ -76,10 +80,10 @@
     """Read the version in force at each host, for ever."""
     while True:
         for host in world.hosts_by_name.values():
-            life = f"{host.name}.{host.life}"
+            life = host.life
             version = await world.read_version(host)
-            if version and life == f"{host.name}.{host.life}":
-                evidence.versions_by_life.setdefault(life, []).append(version)
+            if version and life is host.life:
+                evidence.versions_by_life.setdefault(life.name, []).append(version)
         await asyncio.sleep(POLL_SECONDS)
 
 
@@ -89,7 +93,7 @@
     await asyncio.sleep(APPLY_SECONDS + MARGIN_SECONDS)
     for host in world.hosts_by_name.values():
         if not host.is_up:
-            evidence.report(f"{host.name} ended with status {host.popen.poll()}")
+            evidence.report(f"{host.name} ended with status {host.life.popen.poll()}")
         version = await world.read_version(host)
         if version != world.version:
             evidence.report(f"{host.name} has version {version}, not {world.version}")
@@ -102,7 +106,11 @@
 def play_seed(seed: int, seconds: float, hosts: int) -> bool:
     """Play one seed, print what came of it and return whether all promises held."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    evidence = asyncio.run(play(seed, seconds, hosts, folder))
+    evidence = Evidence()
+    try:
+        asyncio.run(play(seed, seconds, hosts, folder, evidence))
+    except Exception:
+        evidence.report(f"the soak itself failed: {traceback.format_exc()}")
     whole = sum(seen.is_whole for seen in evidence.tries)
     kinds = sorted({trouble.kind for trouble in evidence.troubles})
     print(
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from soak.ends import End
 from standins.runner import PROOF
 
 #: Statuses that promise that a request has not run and never will.
@@ -75,6 +76,7 @@
         troubles: The faults.
         draining_since: When the platform took that an endpoint drains.
         versions_by_life: The configuration versions read from each process.
+        ends: How the processes of hosts ended.
         violations: What promises were broken.
     """
 
@@ -84,6 +86,7 @@
     troubles: list[Trouble] = attrs.field(factory=list)
     draining_since: dict[str, float] = attrs.field(factory=dict)
     versions_by_life: dict[str, list[int]] = attrs.field(factory=dict)
+    ends: list[End] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
 
     def report(self, text: str) -> None:
@@ -97,6 +100,9 @@
         for life, versions in self.versions_by_life.items():
             if versions != sorted(versions):
                 self.report(f"{life}: the configuration went back: {versions}")
+        for end in self.ends:
+            if not end.is_allowed:
+                self.report(end.describe())
         self._judge_drains()
         self._judge_stops()
         return self.violations
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,8 +9,9 @@
 import attrs
 
 from soak.evidence import Evidence, Trouble, now
+from soak.host import HostProcess, Life
 from soak.link import LinkFault
-from soak.world import GRACE_SECONDS, HostProcess, Place, World
+from soak.world import GRACE_SECONDS, Place, World
 from standins.runner import RunnerFaults
 
 #: Pauses between two faults, in seconds: some come in series, most overlap.
@@ -106,9 +107,9 @@
         host = self._pick_host()
         if host is None:
             return
-        began_at, popen = now(), host.popen
-        popen.kill()
-        await asyncio.to_thread(popen.wait)
+        began_at, life = now(), host.life
+        life.kill()
+        await asyncio.to_thread(life.popen.wait)
         await asyncio.sleep(lasts / 2)
         self._world.start_host(host)
         self._note("kill", host.name, began_at)
@@ -116,11 +117,11 @@
     async def _kill_all(self, lasts: float) -> None:
         began_at = now()
         hosts = [host for host in self._world.hosts_by_name.values() if host.is_up]
-        killed = [host.popen for host in hosts]
-        for popen in killed:
-            popen.kill()
-        for popen in killed:
-            await asyncio.to_thread(popen.wait)
+        killed = [host.life for host in hosts]
+        for life in killed:
+            life.kill()
+        for life in killed:
+            await asyncio.to_thread(life.popen.wait)
         await asyncio.sleep(lasts / 2)
         for host in hosts:
             self._world.start_host(host)
@@ -130,7 +131,7 @@
         host = self._pick_host()
         if host is None:
             return
-        began_at, popen = now(), host.popen
+        began_at, popen = now(), host.life.popen
         popen.send_signal(signal.SIGSTOP)
         await asyncio.sleep(lasts)
         if popen.poll() is None:
@@ -142,23 +143,27 @@
         host = self._pick_host()
         if host is None:
             return
-        began_at, popen = now(), host.popen
-        popen.send_signal(signal.SIGTERM)
-        try:
-            await asyncio.to_thread(popen.wait, GRACE_SECONDS)
-        except subprocess.TimeoutExpired:
-            popen.kill()
-            await asyncio.to_thread(popen.wait)
+        began_at, life = now(), host.life
+        life.send(signal.SIGTERM)
+        await self._wait_stopped(life)
         self._note("stop", host.name, began_at, is_planned=True)
         self._world.start_host(host)
 
+    async def _wait_stopped(self, life: Life) -> None:
+        """Wait for the end of a planned stop; what outlasts its grace is killed."""
+        try:
+            await asyncio.to_thread(life.popen.wait, GRACE_SECONDS)
+        except subprocess.TimeoutExpired:
+            life.kill()
+            await asyncio.to_thread(life.popen.wait)
+
     async def _reload(self, lasts: float) -> None:
         host = self._pick_host()
         if host is None:
             return
         began_at = now()
         host.path.write_text(host.path.read_text() + f"soak.note={began_at}\n")
-        host.popen.send_signal(signal.SIGHUP)
+        host.life.send(signal.SIGHUP)
         await asyncio.sleep(lasts / 4)
         self._note("reload", host.name, began_at, is_planned=True)
 
--- /dev/null
+++ b/soak/host.py
@@ -0,0 +1,158 @@
+"""One host: where it is reached, and the processes that ran it in turn."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+
+import attrs
+
+from passtally.platform.settings_file import FILE_VARIABLE
+from soak.ends import ENDING_SIGNALS, End, Told
+from soak.evidence import now
+from soak.link import FaultyLink
+
+#: How long a connection on the loopback may take, in seconds.
+CONNECT_SECONDS = 0.5
+LAST_LINE_BYTES = 2000
+
+
+@attrs.define(kw_only=True)
+class Life:
+    """One process of a host, from its start to its end.
+
+    Attributes:
+        host: The host's name.
+        number: Which of the host's lives.
+        popen: The process.
+        log: Where its output goes.
+        front: Where callers reach it.
+        started_at: When, on the monotonic clock, in seconds.
+        ended_at: When it was seen to have ended; None while it runs.
+        told: What the soak has sent it.
+    """
+
+    host: str
+    number: int
+    popen: subprocess.Popen
+    log: Path
+    front: tuple[str, int]
+    started_at: float = attrs.field(factory=now)
+    ended_at: float | None = None
+    told: list[Told] = attrs.field(factory=list)
+
+    @property
+    def name(self) -> str:
+        """What it is called in what is reported."""
+        return f"{self.host}.{self.number}"
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the process has ended."""
+        if self.popen.poll() is None:
+            return False
+        self.ended_at = self.ended_at or now()
+        return True
+
+    @property
+    def was_told_to_end(self) -> bool:
+        """Whether who told it to end will start the host again."""
+        return any(told.number in ENDING_SIGNALS for told in self.told)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        had_begun = self._has_begun()
+        if self.is_over:
+            return
+        self.told.append(Told(number=number, had_begun=had_begun))
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End it without notice."""
+        self.send(signal.SIGKILL)
+
+    def end(self) -> End:
+        """Return how it ended; it has to be over."""
+        return End(
+            host=self.host,
+            life=self.number,
+            status=self.popen.wait(),
+            told=tuple(self.told),
+            lasted=(self.ended_at or now()) - self.started_at,
+            last_line=self.last_line(),
+        )
+
+    def last_line(self) -> str:
+        """Return the last line of its log."""
+        tail = self.log.read_bytes()[-LAST_LINE_BYTES:].decode(errors="replace")
+        return (tail.strip().splitlines() or [""])[-1]
+
+    def _has_begun(self) -> bool:
+        """Whether the program ran so far that it has a log or can be reached."""
+        if self.log.stat().st_size:
+            return True
+        try:
+            socket.create_connection(self.front, timeout=CONNECT_SECONDS).close()
+        except OSError:
+            return False
+        return True
+
+
+@attrs.define(kw_only=True)
+class HostProcess:
+    """One host.
+
+    Attributes:
+        name: Its name.
+        path: Its settings file.
+        front: The port that callers use.
+        ip: The loopback address of its metrics; their port is the same everywhere.
+        store_link: Leads to the store.
+        lives: Its processes, the last one last.
+    """
+
+    name: str
+    path: Path
+    front: int
+    ip: str
+    store_link: FaultyLink
+    lives: list[Life] = attrs.field(factory=list)
+
+    @property
+    def life(self) -> Life:
+        """Its process of now, or the last one."""
+        return self.lives[-1]
+
+    @property
+    def is_up(self) -> bool:
+        """Whether its process runs."""
+        return bool(self.lives) and not self.life.is_over
+
+    def start(self, environment: Mapping[str, str]) -> None:
+        """Start a process, unless one runs.
+
+        Args:
+            environment: Variables beside those of this process.
+        """
+        if self.is_up:
+            return
+        number = len(self.lives) + 1
+        log = self.path.with_name(f"{self.name}.{number}.log")
+        with log.open("wb") as output:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", "passtally.platform"],
+                env=os.environ | environment | {FILE_VARIABLE: str(self.path)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        life = Life(
+            host=self.name,
+            number=number,
+            popen=popen,
+            log=log,
+            front=("127.0.0.1", self.front),
+        )
+        self.lives.append(life)
--- a/soak/world.py
+++ b/soak/world.py
@@ -4,8 +4,6 @@
 import os
 import random
 import signal
-import subprocess
-import sys
 from pathlib import Path
 
 import aiohttp
@@ -13,9 +11,9 @@
 from aiohttp import web
 
 from passtally.platform.settings import METRICS_PORT
-from passtally.platform.settings_file import FILE_VARIABLE
 from passtally.settings import variable_of
 from soak.evidence import Evidence, now
+from soak.host import HostProcess
 from soak.link import FaultyLink
 from standins.object_store import ObjectStoreStandIn
 from standins.platform_config import ENGINE, LOOKUPS, make_config
@@ -28,6 +26,9 @@
 #: How long a planned stop may take, in seconds.
 GRACE_SECONDS = 6
 START_SECONDS = 20.0
+#: The platform starts a host that ended by itself again after this, in seconds.
+RESTART_SECONDS = 1.0
+WATCH_SECONDS = 0.05
 VERSION_METRIC = "config_version"
 
 #: Hosts reach the store over links of their own, so they can't derive one key.
@@ -84,34 +85,6 @@
     runner: SeenRunner | None = None
 
 
-@attrs.define(kw_only=True)
-class HostProcess:
-    """One host.
-
-    Attributes:
-        name: Its name.
-        path: Its settings file.
-        front: The port that callers use.
-        ip: The loopback address of its metrics; their port is the same everywhere.
-        store_link: Leads to the store.
-        popen: Its process.
-        life: How often it was started.
-    """
-
-    name: str
-    path: Path
-    front: int
-    ip: str
-    store_link: FaultyLink
-    popen: subprocess.Popen | None = None
-    life: int = 0
-
-    @property
-    def is_up(self) -> bool:
-        """Whether its process runs."""
-        return self.popen is not None and self.popen.poll() is None
-
-
 class World:
     """Hosts, endpoints and the store of one run.
 
@@ -127,7 +100,7 @@
         self.places: list[Place] = []
         self.version = 1
         self._folder = folder
-        self._evidence = evidence
+        self.evidence = evidence
         self._rng = rng
         # Runs at the same time have loopback networks of their own.
         self._net = os.getpid() % 60_000 + 250
@@ -137,7 +110,7 @@
         return {name: host.front for name, host in self.hosts_by_name.items()}
 
     async def start(self, *, hosts: int, engines: int, lookups: int) -> None:
-        """Start everything and wait until all hosts are ready."""
+        """Start everything; hosts may take a while to be ready."""
         self.store.put("config", "main", make_config(self.version))
         store_port = await self.store.start()
         for number in range(engines + lookups):
@@ -150,19 +123,48 @@
         seeds = [free_port() for _ in range(hosts)]
         for number in range(hosts):
             await self._add_host(number, seeds, store_port)
-        async with asyncio.timeout(START_SECONDS):
+
+    async def wait_configured(self) -> bool:
+        """Wait until all hosts have the configuration, and report those that don't.
+
+        Returns:
+            Whether all have it.
+        """
+        waiting = list(self.hosts_by_name.values())
+        until = now() + START_SECONDS
+        while waiting and now() < until:
+            versions = [await self.read_version(host) for host in waiting]
+            waiting = [
+                host
+                for host, version in zip(waiting, versions, strict=True)
+                if version != self.version
+            ]
+            await asyncio.sleep(WATCH_SECONDS)
+        for host in waiting:
+            self.evidence.report(
+                f"{host.name} has no configuration {START_SECONDS:.0f} s after the"
+                f" start: {host.life.last_line() or 'no line'}"
+            )
+        return not waiting
+
+    async def restart_ended(self) -> None:
+        """Start hosts that ended by themselves again, as the platform does."""
+        while True:
             for host in self.hosts_by_name.values():
-                while await self.read_version(host) != self.version:
-                    await asyncio.sleep(0.05)
+                life = host.life
+                if not life.is_over or life.was_told_to_end:
+                    continue
+                if now() > life.ended_at + RESTART_SECONDS:
+                    self.start_host(host)
+            await asyncio.sleep(WATCH_SECONDS)
 
     async def stop(self) -> None:
         """End every process that was started here, and all stand-ins."""
         for host in self.hosts_by_name.values():
             if host.is_up:
-                host.popen.send_signal(signal.SIGCONT)
-                host.popen.kill()
-            if host.popen is not None:
-                host.popen.wait()
+                host.life.popen.send_signal(signal.SIGCONT)
+                host.life.kill()
+            self.evidence.ends += [life.end() for life in host.lives]
             host.store_link.stop()
         for place in self.places:
             place.link.stop()
@@ -174,7 +176,7 @@
         """Start a new endpoint at a place and enter it in the store."""
         name = f"i-{self._rng.getrandbits(40):010x}"
         runner = SeenRunner(name, events=EVENTS, gap=GAP_SECONDS, find=self._find)
-        runner.evidence = self._evidence
+        runner.evidence = self.evidence
         address = await runner.start()
         place.link.target = int(address.rpartition(":")[2])
         runner.address = f"127.0.0.1:{place.link.port}"
@@ -195,17 +197,7 @@
 
     def start_host(self, host: HostProcess) -> None:
         """Start a host's process, unless another one has done so meanwhile."""
-        if host.is_up:
-            return
-        host.life += 1
-        log = self._folder / f"{host.name}.{host.life}.log"
-        with log.open("wb") as output:
-            host.popen = subprocess.Popen(
-                [sys.executable, "-m", "passtally.platform"],
-                env=os.environ | _ENVIRONMENT | {FILE_VARIABLE: str(host.path)},
-                stdout=output,
-                stderr=subprocess.STDOUT,
-            )
+        host.start(_ENVIRONMENT)
 
     def change_config(self) -> None:
         """Accept a new version of the configuration; versions rise unevenly."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,16 +1,24 @@
 """The soak finds broken promises, and a short seeded run of it holds."""
 
 import asyncio
+import contextlib
+import os
 import random
+import signal
 import subprocess
 import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
 
+import attrs
 import pytest
 
+from soak.__main__ import play_seed
 from soak.caller import Caller
+from soak.ends import End, Told
 from soak.evidence import Evidence, Seen, Trouble, find_problem
 from soak.link import FaultyLink, LinkFault
-from soak.world import EVENTS
+from soak.world import EVENTS, World
 from standins.runner import PROOF
 
 #: Seeds that once broke a promise, each with a line on the cause. A seed draws the
@@ -100,6 +108,130 @@
         assert find_problem("call", 503, {}, b"{}") == ""
 
 
+def end(status: int, *told: Told) -> End:
+    return End(host="host-0", life=2, status=status, told=told, last_line="why")
+
+
+class TestEnds:
+    @pytest.mark.parametrize(
+        ("status", "told"),
+        [
+            (0, [Told(number=signal.SIGTERM)]),
+            (0, [Told(number=signal.SIGINT), Told(number=signal.SIGTERM)]),
+            (-9, [Told(number=signal.SIGKILL)]),
+            (-9, [Told(number=signal.SIGTERM), Told(number=signal.SIGKILL)]),
+            (-15, [Told(number=signal.SIGTERM, had_begun=False)]),
+            (-1, [Told(number=signal.SIGHUP, had_begun=False)]),
+        ],
+    )
+    def test_an_end_that_was_told_is_allowed(self, status, told):
+        assert Evidence(ends=[end(status, *told)]).judge() == []
+
+    @pytest.mark.parametrize(
+        ("had_begun", "line", "found"),
+        [
+            (False, "KeyboardInterrupt", 0),
+            (True, "KeyboardInterrupt", 1),
+            (False, "why", 1),
+        ],
+    )
+    def test_an_interrupt_of_the_interpreters_own_start_is_allowed(
+        self, had_begun, line, found
+    ):
+        told = Told(number=signal.SIGINT, had_begun=had_begun)
+        ended = attrs.evolve(end(1, told), last_line=line)
+        assert len(Evidence(ends=[ended]).judge()) == found
+
+    @pytest.mark.parametrize(
+        ("status", "told", "how"),
+        [
+            (1, [], "ended by itself with status 1"),
+            (0, [], "ended by itself with status 0"),
+            (-9, [], "ended by itself with status -9"),
+            (-1, [Told(number=signal.SIGHUP)], "ended by itself with status -1"),
+            (1, [Told(number=signal.SIGKILL)], "ended by itself with status 1"),
+            (120, [Told(number=signal.SIGTERM)], "stopped with status 120"),
+            (-15, [Told(number=signal.SIGTERM)], "stopped with status -15"),
+            (-2, [Told(number=signal.SIGTERM, had_begun=False)], "status -2"),
+            (
+                -15,
+                [
+                    Told(number=signal.SIGHUP, had_begun=False),
+                    Told(number=signal.SIGTERM),
+                ],
+                "status -15",
+            ),
+        ],
+    )
+    def test_any_other_is_found_with_its_last_line(self, status, told, how):
+        (found,) = Evidence(ends=[end(status, *told)]).judge()
+        assert found.startswith("host-0.2") and how in found and "why" in found
+
+
+@contextlib.asynccontextmanager
+async def started_world(folder: Path) -> AsyncIterator[World]:
+    """Start one host beside a store, and let the platform watch it."""
+    world = World(folder=folder, evidence=Evidence(), rng=random.Random(1))
+    await world.start(hosts=1, engines=1, lookups=1)
+    watching = asyncio.create_task(world.restart_ended())
+    try:
+        yield world
+    finally:
+        watching.cancel()
+        await world.stop()
+
+
+class TestStarts:
+    def test_a_host_that_ends_by_itself_is_started_again_and_found(self, tmp_path):
+        async def main() -> list[str]:
+            async with started_world(tmp_path) as world:
+                assert await world.wait_configured()
+                host = world.hosts_by_name["host-0"]
+                os.kill(host.life.popen.pid, signal.SIGKILL)
+                async with asyncio.timeout(20):
+                    while len(host.lives) < 2:
+                        await asyncio.sleep(0.01)
+                assert await world.wait_configured()
+            return world.evidence.judge()
+
+        (found,) = asyncio.run(main())
+        assert found.startswith("host-0.1 ended by itself with status -9")
+
+    def test_a_host_without_the_configuration_in_time_is_found(
+        self, tmp_path, monkeypatch
+    ):
+        monkeypatch.setattr("soak.world.START_SECONDS", 2.0)
+
+        async def main() -> list[str]:
+            async with started_world(tmp_path) as world:
+                world.store.refusal = 503
+                assert not await world.wait_configured()
+            return world.evidence.judge()
+
+        (found,) = asyncio.run(main())
+        assert found.startswith("host-0 has no configuration 2 s after the start: {")
+
+    def test_a_run_that_did_not_start_prints_its_seed_and_keeps_its_logs(
+        self, tmp_path, monkeypatch, capsys
+    ):
+        monkeypatch.setattr("soak.world.START_SECONDS", 0.0)
+        monkeypatch.setattr("tempfile.mkdtemp", lambda prefix: str(tmp_path))
+        assert not play_seed(CI_SEED, seconds=1, hosts=2)
+        printed = capsys.readouterr().out
+        assert printed.startswith(f"seed {CI_SEED}: 0 tries")
+        assert "2 broken" in printed and f"logs and faults: {tmp_path}" in printed
+        assert (tmp_path / "faults.txt").exists()
+        assert (tmp_path / "host-1.1.log").exists()
+
+    def test_a_run_that_fails_itself_prints_its_seed(
+        self, tmp_path, monkeypatch, capsys
+    ):
+        monkeypatch.setattr("tempfile.mkdtemp", lambda prefix: str(tmp_path))
+        monkeypatch.setattr("soak.world.make_config", lambda version: 1 / 0)
+        assert not play_seed(CI_SEED, seconds=1, hosts=2)
+        assert "the soak itself failed" in capsys.readouterr().out
+
+
 class TestJoin:
     def join(self, *numbers: int, position: int = 0, is_whole: bool = False):
         caller = Caller(
