Soak: hosts listen in a loopback network that their run has for itself

Cause: the ports of a run's hosts were drawn, freed and only then bound by the hosts, and drawn once for all lives: any process could be given one in between. Networks for the metrics came from the process id alone.

Change: a run claims a network 127.X.Y.0/24 by holding a port at its first address, and looks whether the addresses of its hosts are free there; each host has an address of its own with fixed ports below the ephemeral range, and connections to it leave from 127.0.0.1.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -69,7 +69,7 @@
     return Caller(
         leaves=leaves,
         kind=kind,
-        ports_by_host=world.ports_by_host,
+        addresses_by_host=world.addresses_by_host,
         evidence=evidence,
         rng=rng,
         events=EVENTS,
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -54,7 +54,7 @@
 
     Args:
         kind: ``stream``, ``call`` or ``booking``.
-        ports_by_host: Where the hosts are reached.
+        addresses_by_host: Where the hosts are reached.
         evidence: Where its tries are noted.
         rng: Decides what it does.
         events: How many events a whole stream has.
@@ -65,7 +65,7 @@
         self,
         *,
         kind: str,
-        ports_by_host: Callable[[], Mapping[str, int]],
+        addresses_by_host: Callable[[], Mapping[str, tuple[str, int]]],
         evidence: Evidence,
         rng: random.Random,
         events: int,
@@ -73,7 +73,7 @@
     ) -> None:
         self._leaves = leaves
         self._kind = kind
-        self._ports_by_host = ports_by_host
+        self._addresses_by_host = addresses_by_host
         self._evidence = evidence
         self._rng = rng
         self._events = events
@@ -97,7 +97,7 @@
         """
         position = 0
         for _ in range(MAX_TRIES):
-            names = list(self._ports_by_host())
+            names = list(self._addresses_by_host())
             name = host or self._rng.choice(names)
             seen, answer = await self._try(name, position)
             if self._kind == "stream":
@@ -147,8 +147,8 @@
         return seen, answer
 
     async def _open(self, host: str) -> _Connection:
-        port = self._ports_by_host()[host]
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        ip, port = self._addresses_by_host()[host]
+        reader, writer = await asyncio.open_connection(ip, port)
         machine = h11.Connection(our_role=h11.CLIENT)
         return _Connection(reader=reader, writer=writer, machine=machine)
 
--- a/soak/host.py
+++ b/soak/host.py
@@ -14,6 +14,7 @@
 from soak.ends import ENDING_SIGNALS, End, Told
 from soak.evidence import now
 from soak.link import FaultyLink
+from soak.network import FRONT_PORT
 
 #: How long a connection on the loopback may take, in seconds.
 CONNECT_SECONDS = 0.5
@@ -108,19 +109,22 @@
     Attributes:
         name: Its name.
         path: Its settings file.
-        front: The port that callers use.
-        ip: The loopback address of its metrics; their port is the same everywhere.
+        ip: The loopback address that it has for itself.
         store_link: Leads to the store.
         lives: Its processes, the last one last.
     """
 
     name: str
     path: Path
-    front: int
     ip: str
     store_link: FaultyLink
     lives: list[Life] = attrs.field(factory=list)
 
+    @property
+    def front(self) -> tuple[str, int]:
+        """Where callers reach it."""
+        return self.ip, FRONT_PORT
+
     @property
     def life(self) -> Life:
         """Its process of now, or the last one."""
@@ -153,6 +157,6 @@
             number=number,
             popen=popen,
             log=log,
-            front=("127.0.0.1", self.front),
+            front=self.front,
         )
         self.lives.append(life)
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,7 +1,6 @@
 """The processes and stand-ins of one run, and the links between them."""
 
 import asyncio
-import os
 import random
 import signal
 from pathlib import Path
@@ -15,9 +14,9 @@
 from soak.evidence import Evidence, now
 from soak.host import HostProcess
 from soak.link import FaultyLink
+from soak.network import CONTROL_PORT, FRONT_PORT, READY_PORT, LoopbackNetwork
 from standins.object_store import ObjectStoreStandIn
 from standins.platform_config import ENGINE, LOOKUPS, make_config
-from standins.processes import free_port
 from standins.runner import RunnerStandIn
 
 #: Events of one stream, and the pause between two: a run takes 1.2 s.
@@ -26,6 +25,8 @@
 #: How long a planned stop may take, in seconds.
 GRACE_SECONDS = 6
 START_SECONDS = 20.0
+#: How many hosts the others are told of.
+SEEDS = 3
 #: The platform starts a host that ended by itself again after this, in seconds.
 RESTART_SECONDS = 1.0
 WATCH_SECONDS = 0.05
@@ -38,9 +39,9 @@
 zone={domain}
 region=soak
 ip={ip}
-listen.front=127.0.0.1:{front}
-listen.ready=127.0.0.1:{ready}
-listen.control=127.0.0.1:{peers}
+listen.front={ip}:{front}
+listen.ready={ip}:{ready}
+listen.control={ip}:{control}
 seeds={seeds}
 bounds.grace_s={grace}
 bounds.retry_budget_ratio=0.8
@@ -102,10 +103,9 @@
         self._folder = folder
         self.evidence = evidence
         self._rng = rng
-        # Runs at the same time have loopback networks of their own.
-        self._net = os.getpid() % 60_000 + 250
+        self._network: LoopbackNetwork | None = None
 
-    def ports_by_host(self) -> dict[str, int]:
+    def addresses_by_host(self) -> dict[str, tuple[str, int]]:
         """Return where callers reach the hosts, running or not."""
         return {name: host.front for name, host in self.hosts_by_name.items()}
 
@@ -120,9 +120,11 @@
             await place.link.start()
             self.places.append(place)
             await self.start_runner(place)
-        seeds = [free_port() for _ in range(hosts)]
-        for number in range(hosts):
-            await self._add_host(number, seeds, store_port)
+        self._network = LoopbackNetwork(hosts=hosts)
+        ips = [self._network.ip(number) for number in range(hosts)]
+        seeds = ",".join(f"{ip}:{CONTROL_PORT}" for ip in ips[:SEEDS])
+        for number, ip in enumerate(ips):
+            await self._add_host(number, ip, seeds, store_port)
 
     async def wait_configured(self) -> bool:
         """Wait until all hosts have the configuration, and report those that don't.
@@ -171,6 +173,8 @@
             if place.runner is not None:
                 await place.runner.stop()
         await self.store.stop()
+        if self._network is not None:
+            self._network.release()
 
     async def start_runner(self, place: Place) -> None:
         """Start a new endpoint at a place and enter it in the store."""
@@ -221,25 +225,25 @@
                 return int(float(line.split()[-1]))
         return None
 
-    async def _add_host(self, number: int, seeds: list[int], store_port: int) -> None:
+    async def _add_host(
+        self, number: int, ip: str, seeds: str, store_port: int
+    ) -> None:
         name = f"host-{number}"
         link = FaultyLink(target=store_port)
-        front = free_port()
-        ip = f"127.{self._net // 250}.{self._net % 250 + 1}.{number + 2}"
         text = _SETTINGS.format(
             name=name,
             ip=ip,
             domain=("pilar", "tigre")[number % 2],
-            front=front,
-            ready=free_port(),
-            peers=seeds[number],
-            seeds=",".join(f"127.0.0.1:{port}" for port in seeds[:3]),
+            front=FRONT_PORT,
+            ready=READY_PORT,
+            control=CONTROL_PORT,
+            seeds=seeds,
             grace=GRACE_SECONDS,
             store=await link.start(),
         )
         path = self._folder / f"{name}.conf"
         path.write_text(text)
-        host = HostProcess(name=name, path=path, front=front, ip=ip, store_link=link)
+        host = HostProcess(name=name, path=path, ip=ip, store_link=link)
         self.hosts_by_name[name] = host
         self.start_host(host)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -18,6 +19,7 @@
 from soak.ends import End, Told
 from soak.evidence import Evidence, Seen, Trouble, find_problem
 from soak.link import FaultyLink, LinkFault
+from soak.network import CLAIM_PORT, HOST_PORTS, LoopbackNetwork
 from soak.world import EVENTS, World
 from standins.runner import PROOF
 
@@ -236,7 +238,7 @@
     def join(self, *numbers: int, position: int = 0, is_whole: bool = False):
         caller = Caller(
             kind="stream",
-            ports_by_host=dict,
+            addresses_by_host=dict,
             evidence=Evidence(),
             rng=random.Random(1),
             events=EVENTS,
@@ -295,6 +297,40 @@
         assert asyncio.run(main()) == expected
 
 
+class TestNetwork:
+    def test_runs_that_begin_at_one_number_get_networks_of_their_own(self):
+        networks = [LoopbackNetwork(hosts=2, first=7) for _ in range(3)]
+        try:
+            assert len({network.ip(0) for network in networks}) == 3
+        finally:
+            for network in networks:
+                network.release()
+
+    def test_a_network_with_an_address_in_use_is_passed_over(self):
+        network = LoopbackNetwork(hosts=1, first=7)
+        ip = network.ip(0)
+        network.release()
+        for port in HOST_PORTS:
+            with socket.create_server((ip, port)):
+                other = LoopbackNetwork(hosts=1, first=7)
+                assert other.ip(0) != ip
+                other.release()
+
+    def test_the_kernel_gives_these_ports_to_nobody(self):
+        text = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text()
+        assert max(CLAIM_PORT, *HOST_PORTS) < int(text.split()[0])
+
+    def test_connections_to_a_host_take_no_address_of_the_network(self):
+        network = LoopbackNetwork(hosts=1)
+        try:
+            with socket.create_server((network.ip(0), HOST_PORTS[0])) as server:
+                address = server.getsockname()
+                with socket.create_connection(address) as connection:
+                    assert connection.getsockname()[0] == "127.0.0.1"
+        finally:
+            network.release()
+
+
 class TestSeeds:
     @pytest.mark.parametrize(
         ("seed", "seconds"),
