Soak: judge whether requests are served and hosts answer

Change: a request that can have felt no fault (none within 4 s before its first try until the end of its last) and is not served in the end is a violation; callers retry as before (streams and calls six times, bookings what was refused with 503). A try without an answer's head at a host that has been up for 4 s, with no fault of its own within 4 s, is one too, whatever else goes on. Callers don't ask on connections that they know to be closed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -112,9 +112,10 @@
     except Exception:
         evidence.report(f"the soak itself failed: {traceback.format_exc()}")
     whole = sum(seen.is_whole for seen in evidence.tries)
+    quiet = sum(evidence.is_quiet(asked) for asked in evidence.asked)
     kinds = sorted({trouble.kind for trouble in evidence.troubles})
     print(
-        f"seed {seed}: {len(evidence.tries)} tries, {whole} answered,"
+        f"seed {seed}: {len(evidence.tries)} tries, {whole} answered, {quiet} in quiet,"
         f" {len(evidence.troubles)} faults ({', '.join(kinds)}),"
         f" {len(evidence.violations)} broken"
     )
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -9,7 +9,7 @@
 import attrs
 import h11
 
-from soak.evidence import Evidence, Seen, find_problem, now
+from soak.evidence import Asked, Evidence, Seen, find_problem, now
 from standins.platform_config import KEY
 
 READ_BYTES = 1 << 16
@@ -36,6 +36,11 @@
     writer: asyncio.StreamWriter
     machine: h11.Connection
 
+    @property
+    def is_gone(self) -> bool:
+        """Whether the far side has closed it."""
+        return self.reader.at_eof() or self.reader.exception() is not None
+
     def close(self) -> None:
         self.writer.transport.abort()
 
@@ -95,6 +100,12 @@
         Returns:
             Whether it was served in the end.
         """
+        tries: list[Seen] = []
+        is_served = await self._ask(host, tries)
+        self._evidence.asked.append(Asked(tries=tuple(tries), is_served=is_served))
+        return is_served
+
+    async def _ask(self, host: str, tries: list[Seen]) -> bool:
         position = 0
         for _ in range(MAX_TRIES):
             names = list(self._addresses_by_host())
@@ -104,6 +115,7 @@
                 position, problem = self._join(answer.body, position, answer.is_whole)
                 seen = attrs.evolve(seen, problem=problem or seen.problem)
             self._evidence.tries.append(seen)
+            tries.append(seen)
             if answer.is_whole and 200 <= answer.status < 300:
                 self.served += 1
                 return True
@@ -116,7 +128,7 @@
         request_id = f"q{next(_numbers)}-{self._kind}"
         sent_at = now()
         answer = _Answer()
-        connection = self._kept.pop(host, None)
+        connection = self._take_kept(host)
         try:
             async with asyncio.timeout(PATIENCE_SECONDS):
                 if connection is None:
@@ -146,6 +158,14 @@
         )
         return seen, answer
 
+    def _take_kept(self, host: str) -> _Connection | None:
+        """Return a kept connection; one that the host has closed is of no use."""
+        connection = self._kept.pop(host, None)
+        if connection is None or not connection.is_gone:
+            return connection
+        connection.close()
+        return None
+
     async def _open(self, host: str) -> _Connection:
         ip, port = self._addresses_by_host()[host]
         reader, writer = await asyncio.open_connection(ip, port)
--- a/soak/ends.py
+++ b/soak/ends.py
@@ -37,6 +37,7 @@
         life: Which of its lives.
         status: Its exit status; negative for the signal that ended it.
         told: What the soak had sent it.
+        began_at: When it was started, on the monotonic clock, in seconds.
         lasted: How long it lived, in seconds.
         last_line: The last line of its log.
     """
@@ -45,6 +46,7 @@
     life: int
     status: int
     told: tuple[Told, ...] = ()
+    began_at: float = 0.0
     lasted: float = 0.0
     last_line: str = ""
 
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -46,6 +46,19 @@
     left: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class Asked:
+    """How one request ended, with all its tries.
+
+    Attributes:
+        tries: Its tries, at least one.
+        is_served: Whether a try was served.
+    """
+
+    tries: tuple[Seen, ...]
+    is_served: bool
+
+
 @attrs.frozen(kw_only=True)
 class Trouble:
     """One fault, for as long as it lasted.
@@ -64,6 +77,10 @@
     ended_at: float
     is_planned: bool = False
 
+    def is_felt(self, since: float, until: float) -> bool:
+        """Whether it went on, or its effects may have shown, in a stretch of time."""
+        return self.began_at < until and self.ended_at + CALM_SECONDS > since
+
 
 @attrs.define(kw_only=True)
 class Evidence:
@@ -71,6 +88,7 @@
 
     Attributes:
         tries: The callers' tries.
+        asked: The callers' requests; each has some of the tries.
         arrivals: When each request id reached which endpoint.
         ran: How often each request id ran, over all endpoints.
         troubles: The faults.
@@ -81,6 +99,7 @@
     """
 
     tries: list[Seen] = attrs.field(factory=list)
+    asked: list[Asked] = attrs.field(factory=list)
     arrivals: list[tuple[float, str, str]] = attrs.field(factory=list)
     ran: Counter[str] = attrs.field(factory=Counter)
     troubles: list[Trouble] = attrs.field(factory=list)
@@ -97,12 +116,15 @@
         """Judge the whole run and return the broken promises."""
         for seen in self.tries:
             self._judge_try(seen)
+            self._judge_answered(seen)
         for life, versions in self.versions_by_life.items():
             if versions != sorted(versions):
                 self.report(f"{life}: the configuration went back: {versions}")
         for end in self.ends:
             if not end.is_allowed:
                 self.report(end.describe())
+        for asked in self.asked:
+            self._judge_served(asked)
         self._judge_drains()
         self._judge_stops()
         return self.violations
@@ -118,6 +140,43 @@
         if seen.status in NOT_RUN_STATUSES and seen.is_whole and runs:
             self.report(f"booking {seen.id}: {seen.status}, but it ran")
 
+    def _judge_served(self, asked: Asked) -> None:
+        """Look for a request that was not served though nothing was wrong."""
+        first, last = asked.tries[0], asked.tries[-1]
+        if asked.is_served or last.left:
+            return
+        if self.is_quiet(asked):
+            ends = ", ".join(f"{seen.host} {seen.status}" for seen in asked.tries)
+            self.report(f"{first.kind} {first.id} not served in quiet: {ends}")
+
+    def is_quiet(self, asked: Asked) -> bool:
+        """Whether a request can have felt no fault."""
+        since, until = asked.tries[0].sent_at, asked.tries[-1].ended_at
+        return not any(trouble.is_felt(since, until) for trouble in self.troubles)
+
+    def _judge_answered(self, seen: Seen) -> None:
+        """Look for a host that was up and untroubled and did not answer at all."""
+        if seen.status or seen.left:
+            return
+        if not self._was_up(seen.host, seen.sent_at):
+            return
+        if not any(
+            trouble.target == seen.host and trouble.is_felt(seen.sent_at, seen.ended_at)
+            for trouble in self.troubles
+        ):
+            took = seen.ended_at - seen.sent_at
+            self.report(
+                f"{seen.host} up, {seen.kind} {seen.id} unanswered after {took:.2f} s"
+            )
+
+    def _was_up(self, host: str, at: float) -> bool:
+        """Whether a host had been up for long enough to answer."""
+        return any(
+            end.host == host
+            and end.began_at + CALM_SECONDS <= at <= end.began_at + end.lasted
+            for end in self.ends
+        )
+
     def _judge_drains(self) -> None:
         """Look for work that reached an endpoint long after it began to drain."""
         for at, endpoint_id, request_id in self.arrivals:
@@ -125,9 +184,7 @@
             if since is None or at <= since + DRAIN_SECONDS + MARGIN_SECONDS:
                 continue
             is_troubled = any(
-                trouble.began_at < at
-                and trouble.ended_at + CALM_SECONDS > since
-                and not trouble.is_planned
+                trouble.is_felt(since, at) and not trouble.is_planned
                 for trouble in self.troubles
             )
             if not is_troubled:
@@ -142,9 +199,7 @@
             others = (
                 trouble
                 for trouble in self.troubles
-                if trouble is not stop
-                and trouble.began_at < stop.ended_at
-                and trouble.ended_at + CALM_SECONDS > stop.began_at
+                if trouble is not stop and trouble.is_felt(stop.began_at, stop.ended_at)
             )
             if any(others):
                 continue
--- a/soak/host.py
+++ b/soak/host.py
@@ -82,6 +82,7 @@
             life=self.number,
             status=self.popen.wait(),
             told=tuple(self.told),
+            began_at=self.started_at,
             lasted=(self.ended_at or now()) - self.started_at,
             last_line=self.last_line(),
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,7 @@
 from soak.__main__ import play_seed
 from soak.caller import Caller
 from soak.ends import End, Told
-from soak.evidence import Evidence, Seen, Trouble, find_problem
+from soak.evidence import CALM_SECONDS, Asked, Evidence, Seen, Trouble, find_problem
 from soak.link import FaultyLink, LinkFault
 from soak.network import CLAIM_PORT, HOST_PORTS, LoopbackNetwork
 from soak.world import EVENTS, World
@@ -234,6 +234,107 @@
         assert "the soak itself failed" in capsys.readouterr().out
 
 
+def asked(*tries: Seen, is_served: bool = False) -> Asked:
+    return Asked(tries=tries, is_served=is_served)
+
+
+class TestServed:
+    @pytest.mark.parametrize(
+        "tries",
+        [
+            [seen(status=503)],
+            [seen(status=502), seen(status=0, is_whole=False)],
+            [seen(kind="stream", status=200, is_whole=False)],
+        ],
+    )
+    def test_a_request_that_is_not_served_in_quiet_is_found(self, tries):
+        (found,) = Evidence(asked=[asked(*tries)]).judge()
+        assert "q1 not served in quiet: host-0" in found
+
+    def test_a_request_that_was_served_in_the_end_is_well(self):
+        request = asked(seen(status=503), seen(), is_served=True)
+        assert Evidence(asked=[request]).judge() == []
+
+    def test_a_caller_that_left_is_owed_nothing(self):
+        request = asked(seen(status=200, is_whole=False, left=True))
+        assert Evidence(asked=[request]).judge() == []
+
+    @pytest.mark.parametrize(
+        ("began_at", "ended_at", "found"),
+        [
+            (1.0, 10.0 - CALM_SECONDS - 0.1, 1),
+            (1.0, 10.0 - CALM_SECONDS + 0.1, 0),
+            (11.9, 20.0, 0),
+            (12.1, 20.0, 1),
+        ],
+    )
+    def test_a_fault_excuses_what_may_have_felt_it(self, began_at, ended_at, found):
+        request = asked(seen(status=503), seen(status=503, ended_at=12.0))
+        fault = stop(target="store", began_at=began_at, ended_at=ended_at)
+        evidence = Evidence(asked=[request], troubles=[fault])
+        assert len(evidence.judge()) == found
+
+
+class TestAnswered:
+    def judge(self, *troubles: Trouble, **fields) -> list[str]:
+        life = attrs.evolve(
+            end(0, Told(number=signal.SIGTERM)), began_at=0.0, lasted=30.0
+        )
+        refused = seen(**({"kind": "call", "status": 0, "is_whole": False} | fields))
+        return Evidence(tries=[refused], ends=[life], troubles=[*troubles]).judge()
+
+    def test_a_host_that_is_up_and_does_not_answer_is_found(self):
+        assert "host-0 up, call q1 unanswered" in self.judge()[0]
+
+    def test_trouble_elsewhere_is_no_excuse(self):
+        assert self.judge(stop(target="host-1")) != []
+
+    def test_trouble_of_its_own_is_one(self):
+        assert self.judge(stop()) == []
+
+    @pytest.mark.parametrize("sent_at", [CALM_SECONDS - 0.1, 30.1])
+    def test_a_host_that_is_not_up_for_long_owes_nothing(self, sent_at):
+        assert self.judge(sent_at=sent_at) == []
+
+    def test_a_refusal_and_a_caller_that_left_are_answers(self):
+        assert self.judge(status=503) == []
+        assert self.judge(left=True) == []
+
+
+class TestCaller:
+    def test_it_asks_on_no_connection_that_the_host_has_closed(self):
+        async def main() -> None:
+            connections = []
+
+            async def answer(reader, writer):
+                connections.append(writer)
+                await reader.readuntil(b"\r\n\r\n")
+                lines = ["HTTP/1.1 200 OK", "Content-Length: 3"]
+                lines += [f"X-Response-Stamp: {PROOF}", "", "i-1"]
+                writer.write("\r\n".join(lines).encode())
+
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()
+            evidence = Evidence()
+            caller = Caller(
+                kind="booking",
+                addresses_by_host=lambda: {"host-0": address},
+                evidence=evidence,
+                rng=random.Random(2),
+                events=EVENTS,
+                leaves=False,
+            )
+            for number in range(10):
+                assert await caller.ask()
+                connections[-1].close()
+                await asyncio.sleep(0.01)
+                assert len(connections) == number + 1
+            assert evidence.judge() == []
+            server.close()
+
+        asyncio.run(main())
+
+
 class TestJoin:
     def join(self, *numbers: int, position: int = 0, is_whole: bool = False):
         caller = Caller(
