What is told never waits behind a question, and no cancelled message ends a task

Cause: while a question waits for a link that is down, libzmq's asyncio layer queues what is told behind it instead of dropping it. The endless task that tells (watch duty, load news, roll-outs) then stood still for as long as the peer was away, and when the link was let go its message was cancelled: keep_running took that for its own end, without a line in the log. The host went on serving with what it knew.

--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -8,6 +8,7 @@
 import hashlib
 import hmac
 import itertools
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from datetime import timedelta
 from typing import Any
@@ -104,6 +105,8 @@
         self._router: zmq.asyncio.Socket | None = None
         self._sockets_by_id: dict[str, zmq.asyncio.Socket] = {}
         self._unheard: set[str] = set()
+        #: How many questions wait for each link to come up.
+        self._waiting_by_host: Counter[str] = Counter()
         self._readers_by_id: dict[str, asyncio.Task[None]] = {}
         self._answerers_by_type: dict[type, Answerer] = {}
         self._listeners_by_type: dict[type, Callable[[Any], None]] = {}
@@ -201,6 +204,10 @@
             if socket is None:
                 continue
             try:
+                # Behind a question that waits, this would wait as well, and be
+                # cancelled with the link: an endless task that tells would end.
+                if self._waiting_by_host[host_id]:
+                    raise zmq.Again
                 await self._send(socket, [_TELL, _pack_number(0)], message)
             except zmq.Again:
                 if host_id not in self._unheard:
@@ -220,16 +227,14 @@
             PeerError: There is no such peer, or none answered in time.
         """
         step = type(message).__name__
-        socket = self._sockets_by_id.get(host_id)
-        if socket is None:
+        if host_id not in self._sockets_by_id:
             raise UnknownPeerError(step=step, peer=host_id)
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._waiting_by_number[number] = future
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                # A link that is coming up is waited for.
-                await self._send(socket, [_ASK, _pack_number(number)], message, flags=0)
+                await self._send_when_up(host_id, [_ASK, _pack_number(number)], message)
                 return await future
         except TimeoutError as error:
             raise PeerError("no answer in time", step=step, peer=host_id) from error
@@ -241,6 +246,18 @@
         finally:
             del self._waiting_by_number[number]
 
+    async def _send_when_up(
+        self, host_id: str, head: list[bytes], message: Message
+    ) -> None:
+        """Send a message; a link that is coming up is waited for."""
+        self._waiting_by_host[host_id] += 1
+        try:
+            await self._send(self._sockets_by_id[host_id], head, message, flags=0)
+        finally:
+            self._waiting_by_host[host_id] -= 1
+            if not self._waiting_by_host[host_id]:
+                del self._waiting_by_host[host_id]
+
     def _connect(self, peer: PeerAddress) -> None:
         dealer = self._open(zmq.DEALER)
         dealer.connect(f"tcp://{peer.address}")
--- a/passtally/supervisor.py
+++ b/passtally/supervisor.py
@@ -1,5 +1,6 @@
 """Keeps the daemon's endless tasks running when one of them fails."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -23,6 +24,13 @@
         try:
             await work()
             return
+        except asyncio.CancelledError:
+            # What the work waits for may be cancelled, such as a message on a link that
+            # is let go; only the task's own cancellation ends it.
+            if asyncio.current_task().cancelling():
+                raise
+            why = "what it waited for was cancelled"
         except Exception as error:
-            log_event("daemon", "Task failed, starting again.", task=name, why=error)
+            why = repr(error)
+        log_event("daemon", "Task failed, starting again.", task=name, why=why)
         await clock.sleep(RESTART_PAUSE)
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -126,6 +126,30 @@
         asyncio.run(main())
 
 
+class TestTellingBehindAQuestion:
+    """A question waits for a link that is coming up; what is told must not."""
+
+    def test_it_is_dropped_at_once_where_a_question_waits(self):
+        async def main() -> None:
+            port_a, port_b = free_ports(2)
+            a = make_peers("a", port_a)
+            address = Address(host="127.0.0.1", port=port_b)
+            a.meet(PeerAddress(host_id="b", failure_domain="pilar", address=address))
+            question = asyncio.create_task(a.ask("b", FetchConfig(after=0)))
+            try:
+                # Its first step is to hand the question to the link.
+                await asyncio.sleep(0)
+                telling = asyncio.create_task(a.tell(["b"], FetchConfig(after=0)))
+                await asyncio.wait([telling, question], return_when="FIRST_COMPLETED")
+                assert telling.done()
+                assert telling.result() == set()
+            finally:
+                await asyncio.gather(question, return_exceptions=True)
+                await a.stop()
+
+        asyncio.run(main())
+
+
 class TestLinksWithoutDescriptors:
     def test_a_host_is_met_once_there_are_some_again(self):
         async def main() -> None:
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -19,6 +19,20 @@
         pause = RESTART_PAUSE.total_seconds()
         assert starts == [0, pause, 2 * pause]
 
+    def test_work_whose_answer_is_cancelled_is_started_again(self):
+        starts = []
+
+        async def work() -> None:
+            starts.append(asyncio.get_running_loop().time())
+            if len(starts) < 3:
+                answer = asyncio.get_running_loop().create_future()
+                answer.cancel()
+                await answer
+
+        run_virtually(keep_running("work", work, clock=VirtualClock()))
+        pause = RESTART_PAUSE.total_seconds()
+        assert starts == [0, pause, 2 * pause]
+
     def test_a_cancelled_one_stays_cancelled(self):
         async def run():
             async def work() -> None:
