Pass over signals from the end of a stop until the process is gone

Cause: a loop that closes gives SIGTERM, SIGINT and SIGHUP their default action back, some 50 ms before the process ends; one more of them ended a planned stop by the signal. Change: once the host has left they are ignored, with no moment between; the ignoring after the loop that stood there came too late and missed SIGHUP. Tests of links call bind where they listen, now that it is a step of its own.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -381,12 +381,13 @@
         loop_factory=uvloop.new_event_loop,
     ) as loop:
         loop.run_until_complete(_wait_for_stop(host, signals))
-    signals.ignore()
 
 
 async def _wait_for_stop(host: EntryHost, signals: StopSignals) -> None:
     stopping = asyncio.Event()
-    signals.hand_over(asyncio.get_running_loop(), stopping.set)
+    loop = asyncio.get_running_loop()
+    signals.hand_over(loop, stopping.set)
     await stopping.wait()
     log_event("daemon", "Stopping.", open=host.drain.open_requests)
     await host.leave()
+    signals.ignore(loop)
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -64,7 +64,6 @@
         loop_factory=uvloop.new_event_loop,
     ) as loop:
         loop.run_until_complete(_wait_for_stop(host, path, modified_at, signals))
-    signals.ignore()
     output.close()
 
 
@@ -108,6 +107,7 @@
     await stopping.wait()
     watching.cancel()
     await host.leave(waited=signals.waited())
+    signals.ignore(loop)
 
 
 async def _watch_file(host: FrontHost, path: Path, *, known: int) -> None:
--- a/passtally/stop_signals.py
+++ b/passtally/stop_signals.py
@@ -45,10 +45,19 @@
         if self._asked_at is not None:
             stop()
 
-    def ignore(self) -> None:
-        """Pass over stops from now on: the host has stopped and is about to end."""
-        for number in NUMBERS:
+    def ignore(self, loop: AbstractEventLoop) -> None:
+        """Pass over signals from now on: the host is about to end.
+
+        A loop that closes gives them their default action back, and whoever stops a
+        process may say so until it is gone.
+        """
+        numbers = (*NUMBERS, signal.SIGHUP)
+        # Held back for this moment, in which they have their default action.
+        signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+        for number in numbers:
+            loop.remove_signal_handler(number)
             signal.signal(number, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
 
     def waited(self) -> timedelta:
         """Return for how long a stop has been noted; none for no time."""
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -165,6 +165,7 @@
             b.listen(FetchConfig, hear)
             a.start()
             b.start()
+            await b.bind()
             address = Address(host="127.0.0.1", port=port_b)
             a.meet(PeerAddress(host_id="b", failure_domain="pilar", address=address))
             try:
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -14,7 +14,8 @@
 @pytest.fixture(autouse=True)
 def handlers() -> Iterator[None]:
     """Put the test process's own handlers back."""
-    before = {number: signal.getsignal(number) for number in NUMBERS}
+    numbers = (*NUMBERS, signal.SIGHUP)
+    before = {number: signal.getsignal(number) for number in numbers}
     yield
     for number, handler in before.items():
         signal.signal(number, handler)
@@ -52,6 +53,16 @@
     def test_a_stop_of_a_host_that_has_stopped_changes_nothing(self, number):
         signals = StopSignals()
         signals.catch()
-        signals.ignore()
+
+        async def main() -> None:
+            loop = asyncio.get_running_loop()
+            stops = []
+            signals.hand_over(loop, lambda: stops.append(number))
+            signals.ignore(loop)
+            os.kill(os.getpid(), number)
+            await asyncio.sleep(0)
+            assert stops == []
+
+        asyncio.run(main())
         os.kill(os.getpid(), number)
         assert signals.waited() == timedelta(0)
