--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -332,3 +332,22 @@
                 assert host.process.returncode == 0
 
         asyncio.run(main())
+
+
+class TestSignalsBlockedByWhoStartsIt:
+    """A process inherits which signals are blocked; a thread that starts it may wait
+    for its own signals and block them.
+    """
+
+    def test_it_hears_of_a_stop(self, tmp_path):
+        def block() -> None:
+            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+
+        async def main() -> None:
+            async with running(tmp_path, prepare=block) as host:
+                await wait_ready(host)
+                host.process.send_signal(signal.SIGTERM)
+                await asyncio.to_thread(host.process.wait, 10)
+                assert host.process.returncode == 0
+
+        asyncio.run(main())
