Refuse what comes between the last request of a stop and its sockets' end

Cause: a stopping host waits until no request is open, and closes its sockets some 30 ms later, in which it still took requests and handed them on: those it broke off 2 ms later, with an endpoint at work. Ruled out: the end of the grace (no "Out of grace" in the logs), endpoints (no other fault).

Change: once the last request is done, or the grace has run out, new ones are refused with 503, which tells callers that they may ask another host at once.

--- a/passtally/drain.py
+++ b/passtally/drain.py
@@ -5,7 +5,7 @@
 from contextlib import contextmanager
 from datetime import timedelta
 
-from passtally.outcome import Code, refuse
+from passtally.outcome import Code, RefusedError, refuse
 
 #: How long a stopping host still takes requests while the balancer lags.
 BALANCER_LAG = timedelta(seconds=5)
@@ -25,7 +25,8 @@
         self._max_open = max_open
         self.open_requests = 0
         self.is_stopping = False
-        #: Whether the time for a stop has run out, and what is open is broken off.
+        #: Whether a stop is at its end: what is still open is broken off, and no
+        #: request is taken any more.
         self.is_over = False
         #: When what is still open is broken off, on the monotonic clock; None while the
         #: host is not stopping, or waits for as long as it takes.
@@ -57,6 +58,15 @@
             if not self.open_requests:
                 self._idle.set()
 
+    def check_open(self) -> None:
+        """Refuse a request that the host would take only to break it off.
+
+        Raises:
+            RefusedError: The host's stop is at its end; its sockets are being closed.
+        """
+        if self.is_over:
+            raise _stopping()
+
     def check_time(self, needed: timedelta, *, now: timedelta) -> None:
         """Refuse a request that could not be finished before the host ends.
 
@@ -68,13 +78,7 @@
             RefusedError: The host is about to stop.
         """
         if self.ends_at is not None and now + needed > self.ends_at:
-            raise refuse(
-                Code.STOPPING,
-                "This host is about to stop; ask another.",
-                status=503,
-                step="admit",
-                retry_after=RETRY_ELSEWHERE,
-            )
+            raise _stopping()
 
     async def stop(
         self,
@@ -94,3 +98,13 @@
         await asyncio.sleep(balancer_lag.total_seconds())
         while self.open_requests:
             await self._idle.wait()
+
+
+def _stopping() -> RefusedError:
+    return refuse(
+        Code.STOPPING,
+        "This host is about to stop; ask another.",
+        status=503,
+        step="admit",
+        retry_after=RETRY_ELSEWHERE,
+    )
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -201,6 +201,7 @@
             log_end(request.id, request.path, result, took)
 
     async def _serve(self, request: FrontRequest, responder: Responder) -> str:
+        self._drain.check_open()
         await self._wait_for_start()
         admitted = self._admit(request)
         route = admitted.route
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -196,8 +196,10 @@
                     ends_at=self.clock.monotonic() + limit,
                 )
         except TimeoutError:
-            self.drain.is_over = True
             log_event("daemon", "Out of grace.", open=self.drain.open_requests)
+        finally:
+            # Some requests may yet come in before the sockets are closed.
+            self.drain.is_over = True
 
     async def _close_idle_later(self) -> None:
         """Close idle connections once the balancer sends no new ones."""
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -1,7 +1,9 @@
 """A host on the platform, end to end before stand-ins."""
 
 import asyncio
+from datetime import timedelta
 
+import attrs
 import pytest
 
 from passtally.forecast import START_LASTS
@@ -571,6 +573,22 @@
 
         run(test)
 
+    def test_after_the_last_request_it_hands_on_no_more(self):
+        async def test(system: PlatformSystem) -> None:
+            await system.add_runner("i-look", LOOKUPS)
+            await start_engines(system)
+            host = system.hosts[0]
+            host.settings = attrs.evolve(host.settings, balancer_lag=timedelta(0))
+            await host.leave()
+            # Its sockets are closed only after this.
+            for path in ("/draft/1", "/look/1", "/book/1"):
+                answer = await system.stream(path)
+                assert answer.status == 503, path
+                assert float(answer.headers["retry-after"]) < 0.1
+            assert not any(runner.ran for runner in system.runners.values())
+
+        run(test)
+
     def test_late_in_a_stop_streams_are_sent_elsewhere(self):
         async def test(system: PlatformSystem) -> None:
             await start_engines(system)
