Hear of stops where whoever starts a host blocks signals

Cause: the set of blocked signals is inherited through a new program; a host started with SIGTERM blocked never heard of a stop and was killed after its grace. Change: a host unblocks what it handles.

--- a/passtally/stop_signals.py
+++ b/passtally/stop_signals.py
@@ -16,6 +16,8 @@
     from asyncio import AbstractEventLoop
 
 NUMBERS = (signal.SIGTERM, signal.SIGINT)
+#: With the one by which a host reads its settings again.
+_ALL = (*NUMBERS, signal.SIGHUP)
 
 
 class StopSignals:
@@ -32,6 +34,9 @@
         """Note a stop from now on."""
         for number in NUMBERS:
             signal.signal(number, self._note)
+        # Whoever starts a host may block signals for itself, which is inherited: they
+        # would never arrive.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, _ALL)
 
     def hand_over(self, loop: AbstractEventLoop, stop: Callable[[], None]) -> None:
         """Let a loop take stops from now on.
@@ -51,13 +56,12 @@
         A loop that closes gives them their default action back, and whoever stops a
         process may say so until it is gone.
         """
-        numbers = (*NUMBERS, signal.SIGHUP)
         # Held back for this moment, in which they have their default action.
-        signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
-        for number in numbers:
+        signal.pthread_sigmask(signal.SIG_BLOCK, _ALL)
+        for number in _ALL:
             loop.remove_signal_handler(number)
             signal.signal(number, signal.SIG_IGN)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, _ALL)
 
     def waited(self) -> timedelta:
         """Return for how long a stop has been noted; none for no time."""
