Soak: note the kill where an address could not be held

Cause: where another fault had started the host meanwhile, its kill was not noted, and what it cut could have been taken for a fault of the host's.

Change: it is noted as a kill. What a seed plays stands in a function of its own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -64,16 +64,7 @@
         ]
         tasks += [asyncio.create_task(caller.run()) for caller in callers]
         tasks.append(asyncio.create_task(_read_versions(world, evidence)))
-        series = [Saboteur(world=world, evidence=evidence, rng=rng).run(setup.seconds)]
-        # Not of the same numbers: what else a seed draws stays as it is.
-        own = random.Random(f"starts of {setup.seed}")
-        starts = StartSaboteur(world=world, evidence=evidence, rng=own)
-        if setup.starts:
-            series.append(starts.run(setup.seconds))
-        await asyncio.gather(*series)
-        await asyncio.sleep(HEAL_SECONDS)
-        if setup.starts:
-            await starts.stop_in_quiet()
+        await _bring_trouble(setup, world, evidence, rng)
         await _last_round(world, evidence, rng)
     finally:
         for task in tasks:
@@ -83,6 +74,22 @@
         evidence.judge()
 
 
+async def _bring_trouble(
+    setup: Setup, world: World, evidence: Evidence, rng: random.Random
+) -> None:
+    """Play the faults of a seed, then let all heal."""
+    series = [Saboteur(world=world, evidence=evidence, rng=rng).run(setup.seconds)]
+    # Not of the same numbers: what else a seed draws stays as it is.
+    own = random.Random(f"starts of {setup.seed}")
+    starts = StartSaboteur(world=world, evidence=evidence, rng=own)
+    if setup.starts:
+        series.append(starts.run(setup.seconds))
+    await asyncio.gather(*series)
+    await asyncio.sleep(HEAL_SECONDS)
+    if setup.starts:
+        await starts.stop_in_quiet()
+
+
 def _make_caller(
     kind: str,
     world: World,
--- a/soak/starts.py
+++ b/soak/starts.py
@@ -106,6 +106,7 @@
         except OSError:
             # Another fault has started the host meanwhile, or holds the address.
             self._world.start_host(host)
+            self._note("kill in a row", host.name, began_at)
             return
         with holder:
             host.held.append(name)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -340,6 +340,27 @@
         assert held[-1] == host.addresses_by_name[name] and not host.held
         assert kinds == [f"address in use ({name})"]
 
+    def test_an_address_that_cant_be_held_leaves_a_kill(self, tmp_path, monkeypatch):
+        def refuse(address):
+            raise OSError("in use")
+
+        async def main() -> World:
+            async with started_world(tmp_path) as world:
+                assert await world.wait_configured()
+                monkeypatch.setattr("soak.starts.socket.create_server", refuse)
+                faults = StartSaboteur(
+                    world=world, evidence=world.evidence, rng=random.Random(1)
+                )
+                await faults.faults_by_name["address in use"].run(0.5)
+                assert await world.wait_configured()
+            return world
+
+        world = asyncio.run(main())
+        assert self.told(world) == [[signal.SIGKILL], []]
+        assert [trouble.kind for trouble in world.evidence.troubles] == [
+            "kill in a row"
+        ]
+
     def test_a_stop_in_quiet_ends_with_the_host_back(self, tmp_path):
         async def main() -> World:
             async with started_world(tmp_path) as world:
