Endpoints that fail calls are put out of use, held against their neighbours

Cause: only a call without an answer counted against an endpoint for calls. One of four that reset each call, or answered each with an error, kept its quarter of them; a call that may run once was lost there.

Change: resets, garbled answers and the statuses 500 and 502 are counted by service. After one, the endpoint is passed over for 1.5 s, which shows how its neighbours do; if it fails more often than they do by the sequential test of versions, since its first failure within 10 s, it gets nothing for 1 s, then one call at a time, each failure doubling the pause. At most half of a service's endpoints in use, and none while no neighbour answers well.

--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -10,6 +10,7 @@
 from passtally.decision import log_event
 from passtally.departures import Departures
 from passtally.engine import Engine
+from passtally.failing_endpoints import CallRecord
 from passtally.live_endpoint import (
     IDLE_WATCH_INTERVAL,
     WATCH_INTERVAL,
@@ -102,6 +103,7 @@
         #: Endpoints under addresses that they left, while streams are open there.
         self._former: list[LiveEndpoint] = []
         self._lost_at_by_domain: dict[str, timedelta] = {}
+        self._calls_by_service: dict[str, CallRecord] = {}
 
     def find(self, endpoint_id: str) -> LiveEndpoint | None:
         """Return a configured endpoint's live state, or None."""
@@ -176,6 +178,48 @@
             self._losses.add(live.endpoint.start)
             self.load_changed.set()
 
+    def note_call(self, live: LiveEndpoint, *, is_fault: bool) -> None:
+        """Take in how a plain call ended; an endpoint that fails many is left alone.
+
+        Args:
+            live: Where it was sent.
+            is_fault: Whether it was lost, or answered with a failure of the endpoint.
+        """
+        now = self._clock.monotonic()
+        endpoint = live.endpoint
+        record = self._calls_by_service.setdefault(endpoint.service, CallRecord())
+        record.note(endpoint.id, is_failure=is_fault, now=now)
+        if not is_fault:
+            live.readmit()
+            return
+        live.doubt(now)
+        others = self.list_failing(endpoint.service) - {endpoint.id}
+        if self._may_leave_alone(endpoint.service, len(others) + 1) and (
+            record.is_failing(endpoint.id, left_out=others, now=now)
+        ):
+            live.eject_failing(now)
+            log_event("endpoints", "It fails calls.", peer=endpoint.id)
+
+    def list_failing(self, service_id: str) -> frozenset[str]:
+        """Return the endpoints of a service that are out of use for failed calls."""
+        return frozenset(
+            endpoint.id
+            for endpoint in self._catalog.endpoints_of(service_id)
+            if self.find(endpoint.id).is_failing
+        )
+
+    def _may_leave_alone(self, service_id: str, count: int) -> bool:
+        """Return whether so many endpoints of a service may be put out of use.
+
+        Half of those in use: the others can take their calls, and what fails at more
+        of them is no fault of one.
+        """
+        in_use = sum(
+            endpoint.state is EndpointState.ACTIVE and self.versions.allows(endpoint)
+            for endpoint in self._catalog.endpoints_of(service_id)
+        )
+        return 2 * count <= in_use
+
     def note_start(self, endpoint: Endpoint) -> None:
         """Take in an endpoint's entry: it may have started again under its id.
 
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -38,6 +38,9 @@
 #: costs a connection to the endpoint and up to four messages to other hosts: a stream
 #: that is silent for 10 s costs that 15 times, and 39 times without this pause.
 HELD_PAUSE = timedelta(milliseconds=600)
+#: For how long an endpoint that failed a call is passed over where another can take the
+#: next one: so a host that used it alone learns how its neighbours do.
+DOUBT_FOR = timedelta(seconds=1.5)
 FIRST_EJECTION = timedelta(seconds=1)
 LAST_EJECTION = timedelta(seconds=30)
 
@@ -199,6 +202,8 @@
         self.ejected_until: timedelta | None = None
         #: Whether a request is under way that shows whether it is back.
         self._is_on_trial = False
+        #: Whether it was put out of use for its failures and has not answered since.
+        self.is_failing = False
         self._own_at_report = 0
         self._peak = 0
         self._peak_at = timedelta(0)
@@ -219,6 +224,7 @@
             for phase, bounds in bounds_by_phase.items()
         }
         self._report = LoadReport(running=0, queued=0, step=0)
+        self._doubted_until = timedelta(0)
         self.readmit()
 
     def lose_streams(self) -> None:
@@ -239,7 +245,7 @@
     def enter(self) -> None:
         """Count one more of this host's requests."""
         self.own_streams += 1
-        if self.is_ejected:
+        if self.is_ejected or self.is_failing:
             self._is_on_trial = True
 
     def leave(self) -> None:
@@ -259,6 +265,7 @@
             is_shaky: Whether a run was lost in its failure domain a moment ago.
         """
         others = self._others_load(self.endpoint.start)
+        is_doubted = self._clock.monotonic() < self._doubted_until
         return EndpointView(
             id=self.endpoint.id,
             failure_domain=self.endpoint.failure_domain,
@@ -270,7 +277,7 @@
             max_streams=self.endpoint.max_streams,
             ejected_until=self.ejected_until,
             resume_tokens=self.resume_tokens,
-            is_shaky=is_shaky,
+            is_shaky=is_shaky or is_doubted,
             is_on_trial=self._is_on_trial,
             held_tokens=self.held_tokens + others.held,
             reading_tokens=self.reading_tokens + others.reading,
@@ -310,9 +317,19 @@
         self.ejected_until = now + self._ejection
         self._ejection = min(2 * self._ejection, LAST_EJECTION)
 
+    def eject_failing(self, now: timedelta) -> None:
+        """Give it no new work for a while; then one call at a time until it is well."""
+        self.eject(now)
+        self.is_failing = True
+
+    def doubt(self, now: timedelta) -> None:
+        """Pass it over for a moment where another can take a call."""
+        self._doubted_until = now + DOUBT_FOR
+
     def readmit(self) -> None:
         """Forget past ejections and unanswered calls, after an answer."""
         self.unanswered_calls = 0
+        self.is_failing = False
         self._is_on_trial = False
         self.ejected_until = None
         self._ejection = FIRST_EJECTION
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -33,6 +33,11 @@
 RETRY_AFTER = timedelta(seconds=1)
 #: From this status on an answer tells that its endpoint failed.
 FAILURE_STATUS = 500
+#: Answers by which an endpoint is held against its neighbours: it, or what it needs,
+#: failed. Not 503 or 504: it may be full, or the call's own time too short.
+FAULT_STATUSES = frozenset((500, 502))
+#: Losses that count like such answers. Calls without an answer are counted apart.
+FAULT_KINDS = frozenset((LossKind.RESET, LossKind.SEAM))
 
 
 @attrs.frozen(kw_only=True)
@@ -288,7 +293,7 @@
             live.leave()
             if losing is not None:
                 losing.cancel()
-        live.readmit()
+        self._fleet.note_call(live, is_fault=answer.status in FAULT_STATUSES)
         self._fleet.versions.note_answer(
             live.endpoint,
             route=call.route,
@@ -322,6 +327,8 @@
     ) -> RefusedError:
         is_frozen = loss.kind is LossKind.FROZEN
         live.unanswered_calls += is_frozen
+        if loss.kind in FAULT_KINDS:
+            self._fleet.note_call(live, is_fault=True)
         is_gone = loss.kind is LossKind.UNREACHABLE
         if loss.kind is LossKind.REPLACED:
             live.note_ended()
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -24,7 +24,8 @@
         max_streams: How many it takes at once.
         ejected_until: Until when it gets no new work, on the monotonic clock.
         resume_tokens: Tokens that this host's resumes still make it read.
-        is_shaky: Whether a run was lost in its failure domain a moment ago.
+        is_shaky: Whether a run was lost in its failure domain a moment ago, or a call
+            by the endpoint itself.
         is_on_trial: Whether a request is under way that shows whether it is back.
         held_tokens: Tokens in its memory for this host's runs and replicas.
         reading_tokens: Tokens of prompts that it is still to read, all hosts' as far
