Tests of failing endpoints over connections, of the last one, of all at once; docs

After: an endpoint that resets calls, answers 500 or leaves its proof out gets at most two calls and one a second; all four that lose answers at once are used on; one that fails is tried at once where its neighbour is gone.

--- a/tests/test_failing_endpoints.py
+++ b/tests/test_failing_endpoints.py
@@ -55,6 +55,10 @@
     return 504
 
 
+def unreachable_from(start: float) -> Fault:
+    return lambda now, luck: LossKind.UNREACHABLE if now >= start else None
+
+
 def reset_part(part: float) -> Fault:
     return lambda now, luck: LossKind.RESET if luck < part else None
 
@@ -114,13 +118,18 @@
     def served(self) -> float:
         return self.statuses[200] / self.statuses.total()
 
+    def sends(self, *, after: float = 0.0) -> list[tuple[str, str]]:
+        """Return which calls were sent where after some second."""
+        return [
+            (call, name)
+            for host in self.hosts
+            for at, call, name in host.sender.sent
+            if at >= after
+        ]
+
     def arrivals(self, endpoint: str, *, after: float = 0.0) -> int:
         """Return how many calls an endpoint got after some second."""
-        return sum(
-            name == endpoint and at >= after
-            for host in self.hosts
-            for at, _, name in host.sender.sent
-        )
+        return sum(name == endpoint for _, name in self.sends(after=after))
 
     def failing(self) -> Counter[str]:
         """Return how many hosts have put which endpoints out of use."""
@@ -132,7 +141,7 @@
 
     def most_sends(self) -> int:
         """Return how often the call that was sent most often was sent."""
-        calls = Counter(call for host in self.hosts for _, call, _ in host.sender.sent)
+        calls = Counter(call for call, _ in self.sends())
         return max(calls.values())
 
 
@@ -246,6 +255,13 @@
         back = seen.arrivals("e1", after=15)
         assert back > 0.7 * usual.arrivals("e1", after=15)
 
+    def test_it_is_tried_at_once_where_it_is_the_last(self, seed: int):
+        faults = {"e0": unreachable_from(10), "e1": reset_until(8)}
+        seen = play(faults, seed=seed, endpoints=2)
+        calls = {call for call, _ in seen.sends(after=10)}
+        there = {call for call, name in seen.sends(after=10) if name == "e1"}
+        assert len(there) > 0.95 * len(calls)
+
     def test_no_call_is_sent_twice(self, seed: int):
         assert play({"e1": reset}, seed=seed).most_sends() == 1
 
@@ -275,7 +291,7 @@
     def test_a_cut_that_ends(self, seed: int):
         seen = play(on_all(reset_until(5)), seed=seed)
         assert not seen.failing()
-        during = sum(at < 5 for host in seen.hosts for at, _, _ in host.sender.sent)
+        during = len(seen.sends()) - len(seen.sends(after=5))
         assert seen.statuses[502] == during
         assert seen.statuses[200] == seen.statuses.total() - during
 
@@ -383,11 +399,7 @@
     )
     def test_one_that_fails_each_call_gets_few(self, faults: dict[str, int]):
         async def test(system: PlatformSystem) -> None:
-            system.store.put("config", "main", make_config())
-            for number in range(ENDPOINTS):
-                await system.add_runner(f"i-{number}", LOOKUPS)
-            await system.add_host()
-            await system.wait_ready()
+            await self._start(system)
             bad = system.runners["i-1"]
             for name, value in faults.items():
                 setattr(bad.faults, name, value)
@@ -402,3 +414,27 @@
             assert len(ran) == len(set(ran)) == self.CALLS
 
         run(test)
+
+    def test_all_that_lose_answers_at_once_are_used_on(self):
+        async def test(system: PlatformSystem) -> None:
+            await self._start(system)
+            runners = system.runners.values()
+            for runner in runners:
+                runner.faults.lose_answers = 10**6
+            lost = [await system.send("/book/1") for _ in range(self.CALLS)]
+            assert {answer.status for answer in lost} == {502}
+            assert not system.hosts[0].fleet.list_failing(LOOKUPS)
+            for runner in runners:
+                runner.faults.lose_answers = 0
+            served = [await system.send("/book/1") for _ in range(self.CALLS)]
+            assert {answer.status for answer in served} == {200}
+
+        run(test)
+
+    async def _start(self, system: PlatformSystem) -> None:
+        """Start a host before some endpoints."""
+        system.store.put("config", "main", make_config())
+        for number in range(ENDPOINTS):
+            await system.add_runner(f"i-{number}", LOOKUPS)
+        await system.add_host()
+        await system.wait_ready()
