Pass over a reload from the first line on, and a port that is no port in the early socket

Cause: what is imported before SIGHUP is ignored takes 10 ms, in which it ends the process; a port above 65535 raised an error that nothing took (status 1, no line).

--- a/passtally/platform/__main__.py
+++ b/passtally/platform/__main__.py
@@ -4,9 +4,6 @@
 import signal
 import sys
 
-from passtally.platform.settings_file import listen_early, settings_path
-from passtally.stop_signals import StopSignals
-
 #: Standard input, output and error.
 STANDARD_DESCRIPTORS = (0, 1, 2)
 
@@ -16,6 +13,10 @@
     # The default action would end a process that is told to read its settings again
     # before it can; they are read after this in any case.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Even these imports take 10 ms, in which such a signal would end the process.
+    from passtally.platform.settings_file import listen_early, settings_path
+    from passtally.stop_signals import StopSignals
+
     signals = StopSignals()
     signals.catch()
     open_standard_descriptors()
--- a/passtally/platform/settings_file.py
+++ b/passtally/platform/settings_file.py
@@ -51,7 +51,7 @@
         address = read_values(path).get(FRONT_KEY, "")
         host, _, port = address.rpartition(":")
         return _listen(host, int(port))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, OverflowError) as error:
         print(f"passtally: {path}: {FRONT_KEY}: {error}", file=sys.stderr)
         return None
 
