Test of a connection that came up while this host did not run (known red)

Cause: a limit for a connection counts the time in which the host itself got no processor. The timer that is due is looked at before what has arrived, so that after a pause of 150 ms a connection that came up within 1 ms is given up, its endpoint is ejected, and all other hosts are told that it is gone.

The test fails on both event loops. Its other half, an endpoint that does take no connection is still told as out of reach, passes.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,16 +1,19 @@
 """The raw HTTP client: nothing repeated, nothing taken for another's answer."""
 
 import asyncio
+import contextlib
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+import time
+from collections.abc import Awaitable, Callable, Iterator
 from datetime import timedelta
 
 import pytest
+import uvloop
 
 from passtally import connection_pool
 from passtally.clock import SystemClock
-from passtally.connection_pool import ConnectionPool, PoolFetcher
+from passtally.connection_pool import CONNECT_TIMEOUT, ConnectionPool, PoolFetcher
 from passtally.fetch import FetchError
 from passtally.http_client import (
     ExchangeError,
@@ -22,6 +25,19 @@
 HEADERS = [(b"Host", b"h")]
 
 
+@contextlib.contextmanager
+def full_listener() -> Iterator[Address]:
+    """Listen with a full queue, so that no further connection comes up."""
+    with contextlib.ExitStack() as stack:
+        server = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+        host, port = server.getsockname()
+        for _ in range(3):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex((host, port))
+        yield Address(host=host, port=port)
+
+
 class Peer:
     """A peer that sends back what it is told, and counts connections."""
 
@@ -280,6 +296,48 @@
         run(peer, test)
 
 
+class TestOwnPause:
+    """This host does not run for longer than its time limit for a connection."""
+
+    @pytest.mark.parametrize(
+        "new_loop", [asyncio.new_event_loop, uvloop.new_event_loop]
+    )
+    def test_a_connection_that_has_come_up_meanwhile_is_taken(self, new_loop):
+        async def test() -> None:
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                host, port = server.getsockname()
+                pool = ConnectionPool(clock=SystemClock())
+                opening = asyncio.ensure_future(
+                    pool.open(Address(host=host, port=port))
+                )
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                time.sleep(2 * CONNECT_TIMEOUT.total_seconds())
+                connection = await opening
+                connection.abort()
+
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            runner.run(test())
+
+    @pytest.mark.parametrize(
+        "new_loop", [asyncio.new_event_loop, uvloop.new_event_loop]
+    )
+    def test_a_peer_that_takes_none_is_still_told(self, new_loop):
+        async def test() -> None:
+            with full_listener() as address:
+                pool = ConnectionPool(clock=SystemClock())
+                opening = asyncio.ensure_future(pool.open(address))
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                time.sleep(2 * CONNECT_TIMEOUT.total_seconds())
+                with pytest.raises(ExchangeError) as caught:
+                    await opening
+                assert caught.value.step is ExchangeStep.CONNECT
+
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            runner.run(test())
+
+
 class TestHeaders:
     def test_headers_of_one_connection_are_dropped(self):
         headers = [
