Log each pause of the host itself, with its length

Cause: where a host got no processor, its log told of endpoints lost (unreachable, TimeoutError) and of callers' connections that broke off, and nothing of the pause; a loss of the host's own making could not be told from one of an endpoint's.

The line that a host writes is the first of several in a row.

--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -146,8 +146,12 @@
 
     def tick(self, late_by: timedelta) -> None:
         """Take in how late a timer of this host fired."""
-        if late_by > MAX_OWN_LAG:
-            self._lagged_until = self._clock.monotonic() + late_by
+        if late_by <= MAX_OWN_LAG:
+            return
+        if not self.is_lagging:
+            late_ms = round(late_by.total_seconds() * 1000)
+            log_event("host", "Did not run in time.", late_ms=late_ms)
+        self._lagged_until = self._clock.monotonic() + late_by
 
     @property
     def is_lagging(self) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,11 @@
 """What a host believes of an endpoint's load."""
 
+from collections.abc import Iterator
 from datetime import timedelta
+from typing import Any
+
+import pytest
+from eliot import add_destinations, remove_destination
 
 from passtally.clock import ManualClock
 from passtally.departures import Departures
@@ -78,3 +83,42 @@
         assert guard.stuck_after(usual) == usual
         guard.max_gap = None
         assert guard.stuck_after(usual) == usual
+
+
+@pytest.fixture
+def pauses() -> Iterator[list[dict[str, Any]]]:
+    """The lines so far that tell of pauses of this host."""
+    found: list[dict[str, Any]] = []
+
+    def note(message: dict[str, Any]) -> None:
+        if message.get("message") == "host: Did not run in time.":
+            found.append(message)
+
+    add_destinations(note)
+    # The first destination of a process is handed what was logged before.
+    found.clear()
+    yield found
+    remove_destination(note)
+
+
+class TestOwnPauses:
+    MILLISECOND = timedelta(milliseconds=1)
+
+    def test_a_pause_of_this_host_is_told_with_its_length(self, pauses):
+        lag = LagMeter(clock=ManualClock())
+        lag.tick(40 * self.MILLISECOND)
+        assert not pauses
+        lag.tick(230 * self.MILLISECOND)
+        (line,) = pauses
+        assert line["late_ms"] == 230
+
+    def test_of_pauses_in_a_row_the_first_is_told(self, pauses):
+        clock = ManualClock()
+        lag = LagMeter(clock=clock)
+        for _ in range(3):
+            lag.tick(230 * self.MILLISECOND)
+            clock.advance(50 * self.MILLISECOND)
+        assert len(pauses) == 1
+        clock.advance(timedelta(seconds=1))
+        lag.tick(230 * self.MILLISECOND)
+        assert len(pauses) == 2
