Let the oldest connection that rests give way to a new caller

Change: the oldest resting connection gives way; the balancer's and the metrics' servers have a twentieth; one log line until there is room again.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -27,7 +27,7 @@
 from passtally.front import Front
 from passtally.gate import Gate
 from passtally.host_news import LoadBoard, NewsExchange
-from passtally.http_server import Exchange, HttpServer, ServerLimits
+from passtally.http_server import SMALL_PART, Exchange, HttpServer, ServerLimits
 from passtally.isolation import Isolation
 from passtally.listeners import CALLERS, PEERS, Listeners
 from passtally.member_table import MemberTable
@@ -440,8 +440,8 @@
         self.front_server = HttpServer(
             handle=self._adapter.make_handler(self.front), limits=self._limits
         )
-        self.ready_server = HttpServer(handle=self._answer_ready)
-        self.metrics_server = HttpServer(handle=self._answer_metrics)
+        self.ready_server = HttpServer(handle=self._answer_ready, part=SMALL_PART)
+        self.metrics_server = HttpServer(handle=self._answer_metrics, part=SMALL_PART)
         settings = self.settings
         await self._listeners.open(PEERS, settings.peer_listen, self.peers.bind)
         for name, server, address in (
--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -35,6 +35,12 @@
 #: request needs one more, to an endpoint; links to other hosts and the platform need
 #: some, too, and libzmq's thread takes a whole core while it can't accept one of them.
 CALLERS_PART = 0.5
+#: The same for a server that few programs ask, such as the balancer's and the metrics'.
+SMALL_PART = 0.05
+#: Below this part of what it may have a server is not full any more.
+ROOM_PART = 0.9
+#: What each server may have in any case.
+LEAST_CONNECTIONS = 4
 #: The states after a whole answer; in the second its connection is to be closed.
 _ANSWERED = (h11.DONE, h11.MUST_CLOSE)
 
@@ -158,17 +164,24 @@
     Args:
         handle: Called for each request; a request whose caller leaves is cancelled.
         limits: Returns the limits in force.
+        part: The part of the process's descriptors that its connections may take.
     """
 
     def __init__(
-        self, *, handle: Handle, limits: Callable[[], ServerLimits] = ServerLimits
+        self,
+        *,
+        handle: Handle,
+        limits: Callable[[], ServerLimits] = ServerLimits,
+        part: float = CALLERS_PART,
     ) -> None:
         self.handle = handle
         self.limits = limits
         #: Whether every answer asks its caller to open a new connection.
         self.is_closing = False
-        self._connections: set[ServerConnection] = set()
-        self._most_connections = _count_most_connections()
+        #: In the order in which they came.
+        self._connections: dict[ServerConnection, None] = {}
+        self._most_connections = _count_connections(part)
+        self._is_full = False
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
@@ -210,16 +223,38 @@
             connection.close_if_idle()
 
     def add(self, connection: "ServerConnection") -> bool:
-        """Take in a new connection; return whether there is room for it."""
+        """Take in a new connection; return whether there is room for it.
+
+        Where all are taken, the oldest that rests gives way.
+        """
         if len(self._connections) >= self._most_connections:
-            log_event("http", "Closed a connection, too many are open.")
-            return False
-        self._connections.add(connection)
+            self._tell_full()
+            if not self._close_one_idle():
+                return False
+        self._connections[connection] = None
         return True
 
+    def _tell_full(self) -> None:
+        """Log once that all connections are taken, until there is room again."""
+        if not self._is_full:
+            self._is_full = True
+            most = self._most_connections
+            log_event("http", "As many connections as may be are open.", most=most)
+
+    def _close_one_idle(self) -> bool:
+        for connection in self._connections:
+            if connection.is_idle:
+                # Not only once it is closed: several may come in one pass of the loop.
+                self.remove(connection)
+                connection.close_if_idle()
+                return True
+        return False
+
     def remove(self, connection: "ServerConnection") -> None:
         """Forget a connection."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
+        if len(self._connections) < ROOM_PART * self._most_connections:
+            self._is_full = False
 
 
 class ServerConnection(asyncio.Protocol):
@@ -301,9 +336,14 @@
         else:
             self._transport.close()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is arriving or being served."""
+        return not self._is_serving and not self._has_request_bytes
+
     def close_if_idle(self) -> None:
         """Close, unless a request is arriving or being served."""
-        if not self._is_serving and not self._has_request_bytes:
+        if self.is_idle:
             self._transport.close()
 
     def send_head(self, status: int, headers: RawHeaders, *, is_framed: bool) -> None:
@@ -499,11 +539,12 @@
             self._send(h11.EndOfMessage())
 
 
-def _count_most_connections() -> int:
+def _count_connections(part: float) -> int:
+    """Return how many connections a part of the process's descriptors is."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft == resource.RLIM_INFINITY:
         return sys.maxsize
-    return int(CALLERS_PART * soft)
+    return max(LEAST_CONNECTIONS, int(part * soft))
 
 
 def _check_framing(head: h11.Request) -> None:
