Don't print before there is a log, and keep the early socket only where callers are told to come

Change: what the early socket met is logged once there is a log, the socket is closed where the settings tell another address, such a stop ends with status 0, and the command opens closed streams as the platform's program does.

--- a/passtally/cli.py
+++ b/passtally/cli.py
@@ -16,6 +16,7 @@
     flag_of,
     variable_of,
 )
+from passtally.standard_streams import open_standard_streams
 from passtally.stop_signals import StopSignals
 from passtally.trace import trace
 
@@ -53,6 +54,7 @@
 @_settings_options
 def serve(**texts_by_name: str | None) -> None:
     """Run the daemon of one entry host."""
+    open_standard_streams()
     try:
         settings = check_settings(texts_by_name)
     except SettingsError as error:
--- a/passtally/platform/__main__.py
+++ b/passtally/platform/__main__.py
@@ -1,11 +1,6 @@
 """Starts an entry host: what can't wait for the imports, then the program."""
 
-import os
 import signal
-import sys
-
-#: Standard input, output and error.
-STANDARD_DESCRIPTORS = (0, 1, 2)
 
 
 def main() -> None:
@@ -15,34 +10,23 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Even these imports take 10 ms, in which such a signal would end the process.
     from passtally.platform.settings_file import listen_early, settings_path
+    from passtally.standard_streams import open_standard_streams
     from passtally.stop_signals import StopSignals
 
     signals = StopSignals()
     signals.catch()
-    open_standard_descriptors()
+    open_standard_streams()
     path = settings_path()
-    front_socket = listen_early(path)
+    front_socket = problem = None
+    try:
+        front_socket = listen_early(path)
+    except (OSError, ValueError, OverflowError) as error:
+        # Told once there is a log: standard error may be full, and hold the host up.
+        problem = error
     # Importing the rest takes a third of a second of a host's processor.
     from passtally.platform.process import run
 
-    run(path, front_socket, signals)
-
-
-def open_standard_descriptors() -> None:
-    """Lead nowhere what is closed, so that no connection is given its number.
-
-    What the program or a library writes to standard output or error would otherwise go
-    to a caller.
-    """
-    for number in STANDARD_DESCRIPTORS:
-        try:
-            os.fstat(number)
-        except OSError:
-            # The lowest free number is taken, which is this one.
-            os.open(os.devnull, os.O_RDWR)
-    # Libraries ask these about themselves when they are imported.
-    sys.stdout = sys.stdout or os.fdopen(1, "w", closefd=False)
-    sys.stderr = sys.stderr or os.fdopen(2, "w", closefd=False)
+    run(path, signals, front_socket=front_socket, problem=problem)
 
 
 if __name__ == "__main__":
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -20,7 +20,7 @@
 from passtally.log_output import LogOutput
 from passtally.platform.adapter import PlatformAdapter
 from passtally.platform.settings import read_settings
-from passtally.settings import Settings, SettingsError
+from passtally.settings import Address, Settings, SettingsError
 from passtally.stop_signals import StopSignals
 
 EXIT_USAGE = 2
@@ -32,13 +32,20 @@
 FILE_CHECK_INTERVAL = timedelta(seconds=5)
 
 
-def run(path: Path, front_socket: socket.socket | None, signals: StopSignals) -> None:
+def run(
+    path: Path,
+    signals: StopSignals,
+    *,
+    front_socket: socket.socket | None,
+    problem: Exception | None,
+) -> None:
     """Run an entry host until it is told to stop.
 
     Args:
         path: The settings file.
-        front_socket: Listens already where callers come in, if any does.
         signals: Notes a stop that comes before the loop takes them.
+        front_socket: Listens already where callers come in, if any does.
+        problem: Why none does.
     """
     # Before the first thread is started.
     limit_arenas()
@@ -47,14 +54,17 @@
         settings = _read_when_whole(path, signals)
     except (SettingsError, OSError) as error:
         print(f"passtally: {path}: {error}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+        # One that was told to stop meanwhile has done so.
+        sys.exit(0 if signals.waited() else EXIT_USAGE)
     output = LogOutput(stream=open_log())
     eliot.add_destinations(output)
+    if problem is not None:
+        log_event("daemon", "Could not listen before loading.", why=problem)
     host = FrontHost(
         settings=settings,
         clock=SystemClock(),
         adapter=PlatformAdapter(),
-        front_socket=front_socket,
+        front_socket=_keep_if_told(front_socket, settings.listen),
     )
     with aiomisc.entrypoint(
         host,
@@ -67,6 +77,20 @@
     output.close()
 
 
+def _keep_if_told(
+    front_socket: socket.socket | None, told: Address
+) -> socket.socket | None:
+    """Return the early socket if it listens where callers are told to come.
+
+    It was opened by settings that may have been half written.
+    """
+    if front_socket is None or front_socket.getsockname() == (told.host, told.port):
+        return front_socket
+    log_event("daemon", "Listened elsewhere before loading.", listen=told)
+    front_socket.close()
+    return None
+
+
 def open_log() -> BinaryIO:
     """Return standard output for log lines.
 
--- a/passtally/platform/settings_file.py
+++ b/passtally/platform/settings_file.py
@@ -5,7 +5,6 @@
 
 import os
 import socket
-import sys
 from pathlib import Path
 
 #: The environment variable with the path of the settings file.
@@ -41,19 +40,20 @@
     return values_by_key
 
 
-def listen_early(path: Path) -> socket.socket | None:
-    """Listen where callers come in; None where the settings don't tell or it fails.
+def listen_early(path: Path) -> socket.socket:
+    """Listen where callers come in.
 
     Connections that come now wait until the program is loaded, instead of being
     refused. What is wrong with the settings is told when they are checked.
+
+    Raises:
+        ValueError: The settings don't tell.
+        OverflowError: The port is no port.
+        OSError: The file can't be read, or the address can't be had now.
     """
-    try:
-        address = read_values(path).get(FRONT_KEY, "")
-        host, _, port = address.rpartition(":")
-        return _listen(host, int(port))
-    except (OSError, ValueError, OverflowError) as error:
-        print(f"passtally: {path}: {FRONT_KEY}: {error}", file=sys.stderr)
-        return None
+    address = read_values(path).get(FRONT_KEY, "")
+    host, _, port = address.rpartition(":")
+    return _listen(host, int(port))
 
 
 def _listen(host: str, port: int) -> socket.socket:
