--- a/soak/starts.py
+++ b/soak/starts.py
@@ -92,7 +92,11 @@
 
     async def stop_in_quiet(self) -> None:
         """Stop a host while nothing else goes on, and wait until it is back."""
+        lives = [host.life for host in self._world.hosts_by_name.values()]
         await self._stop_twice(0.0)
+        for life in lives:
+            if any(told.number is signal.SIGKILL for told in life.told):
+                self._evidence.report(f"{life.name} outlasted the grace of its stop")
         await self._world.wait_configured()
 
     async def _hold_address(self, lasts: float) -> None:
