--- /dev/null
+++ b/tests/test_passing_states.py
@@ -0,0 +1,281 @@
+"""Passing states around a start or stop, which must not be final for a host."""
+
+import asyncio
+import contextlib
+import os
+import random
+import resource
+import signal
+import subprocess
+import time
+
+import pytest
+
+from soak.starts import StartSaboteur
+from standins.processes import Processes
+from tests.host_process import (
+    connect,
+    is_ready,
+    messages,
+    running,
+    settled,
+    started,
+    wait_for,
+    wait_ready,
+)
+from tests.test_soak import started_world
+from tests.test_starts import REQUEST, ask, held
+
+SECONDS_TO_READY = 8
+
+
+async def is_ready_within(host, seconds: float) -> bool:
+    """Return whether a host becomes ready in time."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        if await is_ready(host):
+            return True
+        await asyncio.sleep(0.05)
+    return False
+
+
+class TestSettingsCutShort:
+    """A file that is half written may be usable, and say another thing."""
+
+    def test_the_early_socket_is_not_kept_at_an_address_that_is_no_longer_told(
+        self, tmp_path
+    ):
+        async def main() -> None:
+            async with settled(tmp_path) as place:
+                text = place.path.read_text()
+                line = f"listen.front=127.0.0.1:{place.front}"
+                cut = text.index(line) + len(line) - 1
+                place.path.write_text(text[:cut])
+                async with started(place) as host:
+                    # Listens already, at the port that the cut file tells.
+                    _, writer = await connect(place.front // 10)
+                    writer.close()
+                    place.path.write_text(text)
+                    await wait_ready(host)
+                    # Ready: so callers reach it where the settings tell.
+                    _, writer = await asyncio.open_connection("127.0.0.1", place.front)
+                    writer.close()
+
+        asyncio.run(main())
+
+    def test_an_address_of_the_store_that_was_cut_is_not_kept(self, tmp_path):
+        async def main() -> None:
+            async with settled(tmp_path) as place:
+                text = place.path.read_text().rstrip("\n")
+                place.path.write_text(text[:-1])
+                async with started(place) as host:
+                    await wait_for(host.log, "daemon: Started.")
+                    place.path.write_text(text + "\n")
+                    # The file is looked at each 5 s.
+                    assert await is_ready_within(host, 12), messages(host.log)
+
+        asyncio.run(main())
+
+
+class TestStreamsWithoutReader:
+    def test_an_address_in_use_is_survived_without_a_reader_of_errors(self, tmp_path):
+        def lose_reader() -> None:
+            reader, writer = os.pipe()
+            os.close(reader)
+            os.dup2(writer, 2)
+
+        async def main() -> None:
+            async with settled(tmp_path) as place:
+                holding = contextlib.ExitStack()
+                holding.enter_context(held(place.addresses_by_name["callers"]))
+                async with started(place, prepare=lose_reader) as host:
+                    with holding:
+                        await asyncio.sleep(2)
+                        assert host.process.poll() is None
+                    await wait_ready(host)
+
+        asyncio.run(main())
+
+    def test_an_address_in_use_is_survived_where_errors_find_no_room(self, tmp_path):
+        ends = os.pipe()
+
+        def fill() -> None:
+            os.set_blocking(ends[1], False)
+            for size in (4096, 1):
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        os.write(ends[1], b"x" * size)
+            os.set_blocking(ends[1], True)
+            os.dup2(ends[1], 2)
+
+        async def main() -> None:
+            async with settled(tmp_path) as place:
+                holding = contextlib.ExitStack()
+                holding.enter_context(held(place.addresses_by_name["callers"]))
+                async with started(place, prepare=fill) as host:
+                    with holding:
+                        await asyncio.sleep(1.5)
+                    assert await is_ready_within(host, SECONDS_TO_READY)
+
+        try:
+            asyncio.run(main())
+        finally:
+            os.close(ends[0])
+            os.close(ends[1])
+
+
+class TestSignalsWhileEnding:
+    @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+    @pytest.mark.parametrize("is_stuck", [False, True])
+    def test_none_ends_a_stop_early(self, tmp_path, number, is_stuck):
+        ends = os.pipe()
+
+        def fill() -> None:
+            os.set_blocking(ends[1], False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    os.write(ends[1], b"x" * 4096)
+            os.set_blocking(ends[1], True)
+            os.dup2(ends[1], 1)
+
+        async def main() -> None:
+            prepare = fill if is_stuck else None
+            async with running(tmp_path, prepare=prepare) as host:
+                await wait_ready(host)
+                host.process.send_signal(signal.SIGTERM)
+                while host.process.poll() is None:
+                    host.process.send_signal(number)
+                    await asyncio.sleep(0.002)
+                assert host.process.returncode == 0
+
+        try:
+            asyncio.run(main())
+        finally:
+            os.close(ends[0])
+            os.close(ends[1])
+
+
+class TestStopWithoutSettings:
+    def test_a_stop_while_settings_are_waited_for_is_a_planned_one(self, tmp_path):
+        async def main() -> None:
+            async with settled(tmp_path) as place:
+                place.path.write_text("")
+                async with started(place) as host:
+                    await asyncio.sleep(1.0)
+                    host.process.send_signal(signal.SIGTERM)
+                    await asyncio.to_thread(host.process.wait, 10)
+                    assert host.process.returncode == 0
+
+        asyncio.run(main())
+
+
+class TestDescriptors:
+    def test_no_listener_takes_what_the_others_leave(self, tmp_path):
+        most = 128
+
+        def limit() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+        async def main() -> None:
+            async with running(tmp_path, prepare=limit) as host:
+                await wait_ready(host)
+                writers = []
+                for address in (host.front, host.ready):
+                    for _ in range(most // 2):
+                        _, writer = await asyncio.open_connection("127.0.0.1", address)
+                        writers.append(writer)
+                await asyncio.sleep(1)
+                taken = len(os.listdir(f"/proc/{host.process.pid}/fd"))
+                for writer in writers:
+                    writer.close()
+                assert taken <= 0.75 * most
+
+        asyncio.run(main())
+
+    def test_callers_that_rest_give_way_to_one_that_asks(self, tmp_path):
+        most = 128
+
+        def limit() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+        async def main() -> None:
+            async with running(tmp_path, prepare=limit) as host:
+                await wait_ready(host)
+                writers = []
+                for _ in range(most // 2):
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", host.front
+                    )
+                    writer.write(REQUEST)
+                    await reader.readline()
+                    writers.append(writer)
+                assert await is_ready(host)
+                try:
+                    assert b"HTTP/1.1" in await ask(("127.0.0.1", host.front))
+                finally:
+                    for writer in writers:
+                        writer.close()
+
+        asyncio.run(main())
+
+
+class TestSettingsThatAreNoAddress:
+    def test_a_port_out_of_range_is_told_as_other_problems_are(self, tmp_path):
+        async def main() -> None:
+            async with settled(tmp_path) as place:
+                text = place.path.read_text()
+                place.path.write_text(
+                    text.replace(
+                        f"front=127.0.0.1:{place.front}", "front=127.0.0.1:99999"
+                    )
+                )
+                async with started(place) as host:
+                    await asyncio.sleep(1.0)
+                    place.path.write_text(text)
+                    await wait_ready(host)
+
+        asyncio.run(main())
+
+
+class TestServeWithoutStreams:
+    def test_the_command_serves_without_them(self, tmp_path, monkeypatch):
+        def close_all() -> None:
+            for number in (0, 1, 2):
+                os.close(number)
+
+        real = subprocess.Popen
+        with Processes(tmp_path) as processes:
+            processes.start_platform()
+            processes.put_config("workspaces", "w", {"id": "w", "token_sha256": "0"})
+
+            def start(command, **options):
+                options |= {"stdout": None, "stderr": None, "preexec_fn": close_all}
+                return real(command, **options)
+
+            with monkeypatch.context() as patch:
+                patch.setattr("standins.processes.subprocess.Popen", start)
+                host = processes.start_host("entry-a", failure_domain="pilar", log="-")
+            processes.wait_ready()
+            host.popen.send_signal(signal.SIGTERM)
+            assert host.popen.wait(10) == 0
+
+
+class TestSoakFindsAStopThatHangs:
+    def test_a_host_killed_at_the_end_of_its_grace_is_found(
+        self, tmp_path, monkeypatch
+    ):
+        monkeypatch.setattr("soak.series.GRACE_SECONDS", 0.5)
+
+        async def main() -> list[str]:
+            async with started_world(tmp_path) as world:
+                assert await world.wait_configured()
+                host = world.hosts_by_name["host-0"]
+                saboteur = StartSaboteur(
+                    world=world, evidence=world.evidence, rng=random.Random(1)
+                )
+                # A paused process stands for one that hangs in its stop.
+                host.life.send(signal.SIGSTOP)
+                await saboteur.stop_in_quiet()
+            return world.evidence.judge()
+
+        assert any("host-0.1" in found for found in asyncio.run(main()))
