Test that a new caller is served where callers rest on all connections

The test of descriptors held that a caller who comes last is turned away; since the oldest that rests gives way, it has to be answered. The bound of descriptors stays as it was.

--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -239,12 +239,12 @@
                 for _ in range(2 * most):
                     _, writer = await asyncio.open_connection("127.0.0.1", host.front)
                     writers.append(writer)
-                # All that waits is taken in order: this one comes after them, and is
-                # turned away for want of room.
+                # All that waits is taken in order: this one comes after them, and the
+                # oldest that rests gives way to it.
                 folder = f"/proc/{host.process.pid}/fd"
                 reader, writer = await asyncio.open_connection("127.0.0.1", host.front)
-                with contextlib.suppress(ConnectionResetError):
-                    assert not await asyncio.wait_for(reader.read(1), 5)
+                writer.write(b"GET /none HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert b"HTTP/1.1" in await asyncio.wait_for(reader.readline(), 5)
                 assert len(os.listdir(folder)) <= 0.75 * most
                 assert await is_ready(host)
                 for writer in writers:
