--- a/tests/test_idle_hosts.py
+++ b/tests/test_idle_hosts.py
@@ -123,6 +123,7 @@
             second.on(FetchConfig, answer)
             first.start()
             second.start()
+            await second.bind()
             between = await asyncio.start_server(relay, "127.0.0.1", port_between)
             first.meet(
                 PeerAddress(
