--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -301,6 +301,7 @@
             second = make_peers("b", port_b)
             second.on(FetchConfig, answer)
             second.start()
+            await second.bind()
             first.start()
             message = FetchConfig(after=0)
             await first.ask("b", message, timeout=timedelta(seconds=5))
