Tell of each setting that changes what becomes of it, and let parts of a host take others

A host that was told other settings logged `Settings read again.`, and no line told whether anything came of it. Each value that differs is now told in one line of its own, with what it was and is: taken, or not before the next start. Of the values that a host uses only the grace is taken yet, as before; what is not taken is not in the settings in force either, so that they say what the host does.

Preparation for the mends: listening addresses can move and are let go once the next one is open, the store's client, the keys, seeds, budgets, the own row among the hosts and the views can be changed while they are used, and the mirror takes the listing of another store at whatever version.

--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -86,6 +86,11 @@
         self._listed_bytes = 0
         self._piles_up = False
 
+    def pace(self, *, wait: timedelta, pause: timedelta) -> None:
+        """Let further watches wait, and gather changes, for other times."""
+        self._wait = wait
+        self._pause = pause
+
     async def run(self, *, after: int = 0) -> None:
         """List, then watch, for ever.
 
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -27,9 +27,10 @@
 from passtally.front import Front
 from passtally.gate import Gate
 from passtally.host_news import LoadBoard, NewsExchange
+from passtally.host_reload import HostReload
 from passtally.http_server import SMALL_PART, Exchange, HttpServer, ServerLimits
 from passtally.isolation import Isolation
-from passtally.listeners import CALLERS, PEERS, Listeners
+from passtally.listeners import CALLERS, METRICS, PEERS, READINESS, Listeners
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
@@ -54,6 +55,7 @@
 from passtally.supervisor import keep_running
 from passtally.survey import Survey
 from passtally.text_metrics import TextMetrics
+from passtally.versions import AnyVersion
 from passtally.view import View
 from passtally.watch_share import WatchShare
 
@@ -139,7 +141,8 @@
         self.pool = ConnectionPool(clock=clock)
         #: Set once the routes and some endpoints are known.
         self._learned = asyncio.Event()
-        self._listeners = Listeners(clock=clock)
+        self.listeners = Listeners(clock=clock, on_open=self._note_open)
+        self.reloading = HostReload(host=self)
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
@@ -156,10 +159,8 @@
             ("news", self.news.run),
             ("isolation", self.isolation.run),
         ):
-            self._spawn(keep_running(name, work, clock=self.clock))
-        if self.rollouts is not None:
-            work = self.rollouts.run
-            self._spawn(keep_running("roll-outs", work, clock=self.clock))
+            self.spawn(keep_running(name, work, clock=self.clock))
+        self._follow_rollouts()
         self.peers.start()
         await self._listen()
         log_event("daemon", "Started.", listen=self.settings.listen)
@@ -167,7 +168,7 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Close what start opened."""
         self.drain.is_over = True
-        await self._listeners.stop()
+        await self.listeners.stop()
         # Together: each may take 400 ms for what it has answered, of the 600 ms left.
         servers = (self.front_server, self.ready_server, self.metrics_server)
         await asyncio.gather(*(server.stop() for server in servers))
@@ -188,7 +189,7 @@
         self.front_server.is_closing = True
         limit = self.settings.grace - STOP_MARGIN - waited
         log_event("daemon", "Stopping.", open=self.drain.open_requests)
-        self._spawn(self._close_idle_later())
+        self.spawn(self._close_idle_later())
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 await self.drain.stop(
@@ -207,16 +208,24 @@
         self.front_server.close_idle()
 
     def reload(self, settings: Settings) -> None:
-        """Take over what may change while the host runs."""
-        self.settings = settings
-        log_event("daemon", "Settings read again.")
+        """Take over what has changed; a host that stops changes nothing any more."""
+        if self.drain.is_stopping:
+            log_event("daemon", "Kept the old settings, the host stops.")
+            return
+        self.reloading.take(settings)
+
+    def _note_open(self, name: str, address: Address) -> None:
+        """Tell the other hosts where they reach this one, once they do."""
+        table = self.gossip.table
+        if name == PEERS and table.own.address != str(address):
+            table.change_own(now=self.clock.monotonic(), address=str(address))
 
     @property
     def is_ready(self) -> bool:
         """Whether this host can serve and is to get new connections."""
         return (
             self.routes.current is not None
-            and self._listeners.is_open(CALLERS)
+            and self.listeners.is_open(CALLERS)
             and not self.drain.is_stopping
             and not self.isolation.is_isolated
         )
@@ -255,16 +264,14 @@
             learned=self._learned,
             routes_changed=self._tell_routes,
         )
+        self._intake = intake
         views = [
             View(prefix=self._adapter.routes_prefix, apply=intake.take_routes),
             View(prefix=self._adapter.endpoints_prefix, apply=intake.take_endpoints),
         ]
         if self.rollouts is not None:
             self.rollouts.use(self.fleet)
-            orders = self._adapter.rollouts_prefix
-            views.append(
-                View(prefix=orders, apply=intake.take_rollouts, is_vital=False)
-            )
+            views.append(self._make_rollouts_view())
         self.watch = WatchShare(
             host_id=self.settings.host_id,
             views=views,
@@ -278,6 +285,36 @@
         self.gossip.versions = self.watch.newest
         self.gossip.seeks_versions = lambda: not self.watch.is_reached
 
+    def _make_rollouts_view(self) -> View:
+        orders = self._adapter.rollouts_prefix
+        return View(prefix=orders, apply=self._intake.take_rollouts, is_vital=False)
+
+    def _follow_rollouts(self) -> None:
+        """Look at the roll-outs under way, if any are followed."""
+        if self.rollouts is not None:
+            work = keep_running("roll-outs", self.rollouts.run, clock=self.clock)
+            self._rollouts_task = self.spawn(work)
+
+    def add_rollouts(self) -> None:
+        """Follow orders of new versions from now on."""
+        self.rollouts = self._intake.rollouts = self._build_rollouts()
+        self.rollouts.use(self.fleet)
+        for endpoint in self.catalog.endpoints_by_id.values():
+            self.rollouts.meet(endpoint)
+        self.fleet.versions = self.rollouts
+        self.watch.add(self._make_rollouts_view())
+        self._follow_rollouts()
+
+    def leave_rollouts(self) -> None:
+        """Follow no orders of new versions any more."""
+        if self.rollouts is None:
+            return
+        self._rollouts_task.cancel()
+        self.watch.remove(self._adapter.rollouts_prefix)
+        self.fleet.versions = AnyVersion()
+        self.rollouts.stop()
+        self.rollouts = None
+
     def _build_rollouts(self) -> Rollouts | None:
         """Build what tries new versions, where that is asked for."""
         settings = self.settings
@@ -349,24 +386,30 @@
             clock=self.clock,
             rng=random.Random(),
             relist_pause=lambda: RELIST_PAUSE,
-            wait=(
-                WATCH_WAIT_PART * self.settings.apply_within
-                if view.is_vital
-                else LONG_WATCH
-            ),
-            pause=GATHER_PART * self.settings.apply_within,
+            wait=self.watch_wait(view),
+            pause=self.gather_pause(),
             last_retry=LAST_RETRY,
             out_of_date_after=OUT_OF_DATE_AFTER,
         )
 
+    def watch_wait(self, view: View) -> timedelta:
+        """Return how long one watch of a view waits for a change."""
+        if not view.is_vital:
+            return LONG_WATCH
+        return WATCH_WAIT_PART * self.settings.apply_within
+
+    def gather_pause(self) -> timedelta:
+        """Return how long changes are gathered before the next watch."""
+        return GATHER_PART * self.settings.apply_within
+
     def _build_serving(self) -> None:
         """Build what carries requests."""
         settings = self.settings
         loans = self.loans
-        budgets = ServiceBudgets(
+        self.budgets = budgets = ServiceBudgets(
             share=settings.retry_share,
             extra=lambda: (
-                settings.retry_extra / max(self.roster.peak, MIN_BUDGET_HOSTS)
+                self.settings.retry_extra / max(self.roster.peak, MIN_BUDGET_HOSTS)
             ),
             window=settings.retry_window,
             clock=self.clock,
@@ -394,25 +437,26 @@
         )
         forecast = Forecast()
         self.gate = Gate(fleet=self.fleet, clock=self.clock)
-        self.dispatcher = Dispatcher(
+        self.placement = Placement(
             fleet=self.fleet,
             clock=self.clock,
-            placement=Placement(
-                fleet=self.fleet,
-                clock=self.clock,
-                failure_domain=settings.failure_domain,
-                keeps_replicas=self._keeps_replicas,
-                survey=Survey(
-                    fleet=self.fleet, is_needed=lambda: not self.roster.hears_all
-                ),
-                forecast=forecast,
+            failure_domain=settings.failure_domain,
+            keeps_replicas=self._keeps_replicas,
+            survey=Survey(
+                fleet=self.fleet, is_needed=lambda: not self.roster.hears_all
             ),
+            forecast=forecast,
+        )
+        self.dispatcher = Dispatcher(
+            fleet=self.fleet,
+            clock=self.clock,
+            placement=self.placement,
             limits=RetryLimits(max_deaths=MAX_DEATHS),
             budgets=budgets,
             linger=timedelta(0),
             metrics=self.metrics,
         )
-        caller = PlainCaller(
+        self.caller = PlainCaller(
             fleet=self.fleet,
             clock=self.clock,
             failure_domain=settings.failure_domain,
@@ -422,7 +466,7 @@
         self.front = Front(
             routes=self.routes,
             dispatcher=self.dispatcher,
-            caller=caller,
+            caller=self.caller,
             gate=self.gate,
             drain=self.drain,
             clock=self.clock,
@@ -443,19 +487,25 @@
         self.ready_server = HttpServer(handle=self._answer_ready, part=SMALL_PART)
         self.metrics_server = HttpServer(handle=self._answer_metrics, part=SMALL_PART)
         settings = self.settings
-        await self._listeners.open(PEERS, settings.peer_listen, self.peers.bind)
+        await self.listeners.open(
+            PEERS,
+            settings.peer_listen,
+            self.peers.bind,
+            close=partial(self.peers.unbind, settings.peer_listen),
+        )
         for name, server, address in (
-            ("readiness", self.ready_server, settings.ready_listen),
+            (READINESS, self.ready_server, settings.ready_listen),
             (CALLERS, self.front_server, settings.listen),
             # Last: their port is fixed, and another address may have it.
-            ("metrics", self.metrics_server, settings.metrics_listen),
+            (METRICS, self.metrics_server, settings.metrics_listen),
         ):
             if address is None:
                 continue
             start = partial(server.start, address.host, address.port)
             if name == CALLERS and self._front_socket is not None:
                 start = partial(server.start_on, self._front_socket)
-            await self._listeners.open(name, address, start)
+            close = partial(server.leave, address.host, address.port)
+            await self.listeners.open(name, address, start, close=close)
 
     def _limits(self) -> ServerLimits:
         current = self.routes.current
@@ -492,7 +542,7 @@
                 state=EndpointState.ACTIVE,
                 incarnation=UNTOLD_START,
             )
-            self._spawn(self._adopt(successor))
+            self.spawn(self._adopt(successor))
 
     async def _adopt(self, successor: Endpoint) -> None:
         if await self._adapter.is_engine(self._connect(successor)):
@@ -536,10 +586,12 @@
         self.metrics.gauge(Metric.PLATFORM_AWAY, int(not self.watch.is_reached))
         return self.metrics.render()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a task until this host stops."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def _address_of(endpoint: Endpoint) -> Address:
--- a/passtally/host_news.py
+++ b/passtally/host_news.py
@@ -113,7 +113,7 @@
         clock: Clock,
         on_lost: Callable[[EndpointStart], None],
     ) -> None:
-        self._host_id = host_id
+        self.host_id = host_id
         self._board = board
         self._fleet = fleet
         self._peers = peers
@@ -159,7 +159,7 @@
         missing = [host_id for host_id in host_ids if host_id not in self._told_ids]
         if missing:
             news = HostNews(
-                host_id=self._host_id,
+                host_id=self.host_id,
                 loads_by_endpoint=loads,
                 lost=[start.endpoint_id for start in lost],
                 lost_incarnations=[start.incarnation for start in lost],
--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -182,29 +182,38 @@
         self._connections: dict[ServerConnection, None] = {}
         self._most_connections = _count_connections(part)
         self._is_full = False
-        self._server: asyncio.Server | None = None
+        #: What listens, by the host and port that it was told.
+        self._listening_by_address: dict[tuple[str, int], asyncio.Server] = {}
 
     async def start(self, host: str, port: int) -> int:
-        """Listen; return the port."""
+        """Listen; return the port. It may listen at several addresses at a time."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        listening = await loop.create_server(
             lambda: ServerConnection(server=self), host, port, backlog=LISTEN_BACKLOG
         )
-        return self._server.sockets[0].getsockname()[1]
+        self._listening_by_address[host, port] = listening
+        return listening.sockets[0].getsockname()[1]
 
     async def start_on(self, listening: socket.socket) -> None:
         """Take the connections of a socket that listens already."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        address = listening.getsockname()
+        self._listening_by_address[address] = await loop.create_server(
             lambda: ServerConnection(server=self),
             sock=listening,
             backlog=LISTEN_BACKLOG,
         )
 
+    def leave(self, host: str, port: int) -> None:
+        """Listen at an address no more; its connections stay open."""
+        listening = self._listening_by_address.pop((host, port), None)
+        if listening is not None:
+            listening.close()
+
     async def stop(self) -> None:
         """Stop listening, break off what is open, and send what is answered."""
-        if self._server is not None:
-            self._server.close()
+        for listening in self._listening_by_address.values():
+            listening.close()
         connections = list(self._connections)
         for connection in connections:
             connection.stop()
--- a/passtally/member_table.py
+++ b/passtally/member_table.py
@@ -116,6 +116,49 @@
             versions_by_prefix=dict(versions_by_prefix or {}),
         )
 
+    def change_own(
+        self,
+        *,
+        now: timedelta,
+        host_id: str | None = None,
+        failure_domain: str | None = None,
+        address: str | None = None,
+    ) -> None:
+        """Take in where this host stands now, and what it is called.
+
+        Under a name that it has no more it is told to be gone, so that the others need
+        not find out that nobody answers to it.
+
+        Args:
+            now: The monotonic time.
+            host_id: Its name; None where it stays. So with the others.
+            failure_domain: Its failure domain.
+            address: Where its peers reach it.
+        """
+        before = self.own
+        own = msgspec.structs.replace(
+            before,
+            counter=before.counter + 1,
+            host_id=before.host_id if host_id is None else host_id,
+            failure_domain=(
+                before.failure_domain if failure_domain is None else failure_domain
+            ),
+            address=before.address if address is None else address,
+        )
+        if own.host_id != before.host_id:
+            known = self._known_by_id.pop(own.host_id, None)
+            self._failing_ids.discard(own.host_id)
+            if known is not None:
+                counter = max(own.counter, known.row.counter + 1)
+                own = msgspec.structs.replace(own, counter=counter)
+            gone = msgspec.structs.replace(
+                before, counter=before.counter + 1, state=MemberState.GONE
+            )
+            self._put(gone, now)
+        self.own = own
+        self._told_by_id[own.host_id] = 0
+        self.revision += 1
+
     def merge(self, rows: Iterable[MemberRow], now: timedelta) -> None:
         """Take in rows from a peer; older ones change nothing."""
         for row in rows:
--- a/passtally/mirror.py
+++ b/passtally/mirror.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+import attrs
 import msgspec
 
 from passtally.object_store import REMOVED, Listing, StoredObject
@@ -19,6 +20,16 @@
         self.version = 0
         self.newest = 0
         self._stored_by_key: dict[str, StoredObject] = {}
+        #: Whether the next whole listing may be of another store.
+        self.is_renewed = False
+
+    def renew(self) -> None:
+        """Take the next whole listing as it is: the store's address has changed.
+
+        What another store holds counts, also where its versions are lower. Until it
+        answers, what is known stays in force.
+        """
+        self.is_renewed = True
 
     @property
     def versions_by_key(self) -> dict[str, int]:
@@ -32,7 +43,9 @@
             The objects that changed, or None where the listing is older than what
             was taken in.
         """
-        if listing.version < self.version:
+        if self.is_renewed:
+            self._forget_versions(listing)
+        elif listing.version < self.version:
             return None
         listed = {stored.key for stored in listing.objects}
         removed = [
@@ -44,6 +57,17 @@
         self.version = listing.version
         return changed
 
+    def _forget_versions(self, listing: Listing) -> None:
+        """Let a listing change all that it holds otherwise, at whatever version."""
+        self.is_renewed = False
+        self.version = self.newest = 0
+        listed_by_key = {stored.key: stored for stored in listing.objects}
+        for key, stored in list(self._stored_by_key.items()):
+            if _is_same(stored, listed_by_key.get(key)):
+                self.newest = max(self.newest, stored.version)
+            else:
+                self._stored_by_key[key] = attrs.evolve(stored, version=0)
+
     def advance(self, changes: Listing) -> list[StoredObject]:
         """Take in changes and return the newest state of each object that changed."""
         changed = self._take(changes.objects)
@@ -88,3 +112,10 @@
             self.newest = max(self.newest, stored.version)
             changed_by_key[stored.key] = stored
         return list(changed_by_key.values())
+
+
+def _is_same(stored: StoredObject, other: StoredObject | None) -> bool:
+    if other is None:
+        return False
+    same_version = stored.version == other.version
+    return same_version and bytes(stored.value) == bytes(other.value)
--- a/passtally/object_intake.py
+++ b/passtally/object_intake.py
@@ -41,7 +41,7 @@
         self._routes = routes
         self._catalog = catalog
         self._book = book
-        self._rollouts = rollouts
+        self.rollouts = rollouts
         self._learned = learned
         self._routes_changed = routes_changed
 
@@ -81,10 +81,10 @@
         for stored in changed:
             name = stored.key.removeprefix(self._adapter.rollouts_prefix)
             if stored.is_removed:
-                self._rollouts.drop(name)
+                self.rollouts.drop(name)
                 continue
             try:
-                self._rollouts.take(self._adapter.decode_rollout(stored))
+                self.rollouts.take(self._adapter.decode_rollout(stored))
             except ValueError as error:
                 log_event("rollout", "Ignored a broken order.", service=name, why=error)
 
--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -121,6 +121,13 @@
         """Return the lagging list of hosts."""
 
 
+class MovablePlatform(Platform, Protocol):
+    """A client of the platform that can be told another address."""
+
+    def move(self, url: str) -> None:
+        """Make further calls at another address."""
+
+
 class StoreLink:
     """Makes calls to a store over HTTP, and types their failures.
 
@@ -131,6 +138,10 @@
 
     def __init__(self, *, fetcher: Fetcher, url: str) -> None:
         self._fetcher = fetcher
+        self.move(url)
+
+    def move(self, url: str) -> None:
+        """Make further calls at another address."""
         self._url = url.rstrip("/")
 
     async def call(
--- a/passtally/object_transfer.py
+++ b/passtally/object_transfer.py
@@ -135,7 +135,7 @@
         silent: SilentHosts,
         find: Callable[[str], StoredObject | None],
     ) -> None:
-        self._host_id = host_id
+        self.host_id = host_id
         self._peers = peers
         self._clock = clock
         self._rng = rng
@@ -198,7 +198,7 @@
         self, host_id: str, ref: ObjectRef, offset: int
     ) -> ObjectPart | None:
         """Ask for one part; None where no answer came."""
-        message = FetchPart(host_id=self._host_id, ref=ref, offset=offset)
+        message = FetchPart(host_id=self.host_id, ref=ref, offset=offset)
         try:
             reply = await self._peers.ask(host_id, message, timeout=PART_TIMEOUT)
         except PeerError as error:
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -24,6 +24,8 @@
 ASK_TIMEOUT = timedelta(milliseconds=500)
 HIGH_WATER_MARK = 1000
 MAC_BYTES = 12
+#: What BLAKE2b takes of a key.
+MAX_KEY_BYTES = 64
 #: How often links are checked, and after what silence they are opened anew, in
 #: milliseconds.
 HEARTBEAT_MS = 1000
@@ -100,7 +102,7 @@
         self.bytes_sent = 0
         self._listen = listen
         self._peers_by_id = dict(peers_by_id)
-        self._keys = [key[:64] for key in keys]
+        self.use_keys(keys)
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
         self._sockets_by_id: dict[str, zmq.asyncio.Socket] = {}
@@ -134,6 +136,20 @@
         """Hear messages of one type that need no answer."""
         self._listeners_by_type[kind] = listener
 
+    def use_keys(self, keys: Sequence[bytes], *, former: Sequence[bytes] = ()) -> None:
+        """Change the keys.
+
+        Hosts are told of a change one after the other. What is signed with the keys of
+        before as well is heard by all of them meanwhile.
+
+        Args:
+            keys: The keys that messages may be signed with; the first one signs.
+            former: Keys of before that sign too.
+        """
+        former = [key for key in former if key not in keys]
+        self._keys = [key[:MAX_KEY_BYTES] for key in (*keys, *former)]
+        self._signing_keys = [key[:MAX_KEY_BYTES] for key in (keys[0], *former)]
+
     def start(self) -> None:
         """Open a link to each peer; others come in once the address is bound."""
         self._router = self._open(zmq.ROUTER)
@@ -143,17 +159,27 @@
         for peer in self._peers_by_id.values():
             self._connect(peer)
 
-    async def bind(self) -> None:
-        """Listen for other hosts.
+    async def bind(self, address: Address | None = None) -> None:
+        """Listen for other hosts, besides where this host listens already.
+
+        Args:
+            address: Where; None for the address that was told at first.
 
         Raises:
             OSError: The address can't be had now.
         """
         try:
-            self._router.bind(f"tcp://{self._listen}")
+            self._router.bind(f"tcp://{address or self._listen}")
         except zmq.ZMQError as error:
             raise OSError(error.errno, error.strerror) from error
 
+    def unbind(self, address: Address) -> None:
+        """Listen at an address no more; links that came in there are closed."""
+        try:
+            self._router.unbind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            log_event("peers", "Not let go.", listen=address, why=error)
+
     def meet(self, peer: PeerAddress) -> None:
         """Open a link to a peer that was not known, or whose address changed.
 
@@ -343,14 +369,16 @@
         flags: int = zmq.NOBLOCK,
     ) -> None:
         payload = _encode(message)
-        mac = _sign(self._keys[0], head[-2:], payload)
+        mac = b"".join(_sign(key, head[-2:], payload) for key in self._signing_keys)
         self.bytes_sent += len(payload) + len(mac) + sum(map(len, head))
         await socket.send_multipart([*head, payload, mac], flags=flags)
 
     def _read(self, frames: list[bytes]) -> Message | None:
         kind, number, payload, mac = frames
-        macs = (_sign(key, [kind, number], payload) for key in self._keys)
-        if not any(hmac.compare_digest(expected, mac) for expected in macs):
+        macs = [_sign(key, [kind, number], payload) for key in self._keys]
+        signed = [mac[at : at + MAC_BYTES] for at in range(0, len(mac), MAC_BYTES)]
+        pairs = itertools.product(macs, signed)
+        if not any(hmac.compare_digest(expected, told) for expected, told in pairs):
             log_event("peers", "Dropped a message with a wrong signature.")
             return None
         try:
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -71,6 +71,11 @@
         )
         self.forecast = forecast or Forecast()
 
+    def move(self, failure_domain: str) -> None:
+        """Take in that this host stands in another failure domain."""
+        self._failure_domain = failure_domain
+        self._prefixes.failure_domain = failure_domain
+
     async def place(self, generation: Generation, excluded: set[str]) -> str:
         """Choose an endpoint, and wait for one a while where there is none.
 
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -158,7 +158,7 @@
     ) -> None:
         self._fleet = fleet
         self._clock = clock
-        self._failure_domain = failure_domain
+        self.failure_domain = failure_domain
         self._budgets = budgets
         self._sender = sender
 
@@ -230,7 +230,7 @@
         return choose_endpoint(
             RouteQuery(
                 affinity=call.id.encode(),
-                failure_domain=call.failure_domain or self._failure_domain,
+                failure_domain=call.failure_domain or self.failure_domain,
                 exclude=excluded,
             ),
             self._fleet.views(call.service.id, is_trial=is_trial),
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -83,6 +83,10 @@
         self._whole_prefixes = whole_prefixes
         self.calls = 0
 
+    def move(self, url: str) -> None:
+        """Make further calls at another address."""
+        self._link.move(url)
+
     async def list_objects(self, prefix: str) -> Listing:
         """Return the objects of a kind, at the version of the first page.
 
--- a/passtally/prefix_finder.py
+++ b/passtally/prefix_finder.py
@@ -49,7 +49,7 @@
     def __init__(self, *, fleet: Fleet, clock: Clock, failure_domain: str) -> None:
         self._fleet = fleet
         self._clock = clock
-        self._failure_domain = failure_domain
+        self.failure_domain = failure_domain
         self._answers_by_id: dict[str, _Answer] = {}
         self._asking_by_id: dict[str, asyncio.Task[Collection[str]]] = {}
 
@@ -72,7 +72,7 @@
         ]
         if len(usable) <= MAX_ASKED:
             return await self._ask_all([view.id for view in usable], prompt)
-        near, far = choose_likely(usable, prompt, failure_domain=self._failure_domain)
+        near, far = choose_likely(usable, prompt, failure_domain=self.failure_domain)
         return await self._ask_all(near, prompt) or await self._ask_all(far, prompt)
 
     async def _ask_all(self, endpoint_ids: Sequence[str], prompt: str) -> str | None:
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -192,7 +192,7 @@
     ) -> None:
         self.share = share
         self._extra = extra
-        self._window = window
+        self.window = window
         self._clock = clock
         self._resume_part = resume_part
         self._warm_up = warm_up
@@ -273,10 +273,10 @@
     def _recent(self, service: str, now: timedelta) -> "_Recent":
         recent = self._recent_by_service.setdefault(service, _Recent())
         for times in (recent.requests, recent.repeats):
-            while times and now - times[0] >= self._window:
+            while times and now - times[0] >= self.window:
                 times.popleft()
         for amounts in (recent.borrowed, recent.lent):
-            while amounts and now - amounts[0][0] >= self._window:
+            while amounts and now - amounts[0][0] >= self.window:
                 amounts.popleft()
         return recent
 
--- a/passtally/rollout_trial.py
+++ b/passtally/rollout_trial.py
@@ -88,6 +88,11 @@
             ask_others=ask_others,
         )
 
+    def adjust(self, *, share: float, slack: float) -> None:
+        """Bound what is sent by other figures from now on."""
+        self.budgets.share = share
+        self._slack = slack
+
     def _slack_now(self) -> float:
         """Return this host's part of the fixed number; it grows over the trial.
 
--- a/passtally/rollouts.py
+++ b/passtally/rollouts.py
@@ -121,6 +121,17 @@
         self._record_at_by_service: dict[str, timedelta] = {}
         peers.listen(RolloutNews, self.hear)
 
+    def adjust(self, *, share: float, slack: float) -> None:
+        """Bound what is sent by other figures, also in roll-outs under way."""
+        self._share, self._slack = share, slack
+        for trial in self._trials_by_service.values():
+            trial.adjust(share=share, slack=slack)
+
+    def stop(self) -> None:
+        """Withdraw all roll-outs: this host follows no orders any more."""
+        for service in list(self._trials_by_service):
+            self._withdraw(self._trials_by_service.pop(service), why="not followed")
+
     def use(self, fleet: Fleet) -> None:
         """Take the fleet whose requests are counted; it asks this object in turn."""
         self._fleet = fleet
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -61,6 +61,15 @@
         """Return the rows of the other hosts that are in reach."""
         return self._table.in_reach()
 
+    def use_seeds(self, seeds: Sequence[Address]) -> None:
+        """Take other seeds; links to those of before that nobody answered on end."""
+        self._seeds = seeds
+        kept = {f"{SEED_PREFIX}{address}" for address in seeds}
+        for host_id in self._peers.ids:
+            if host_id.startswith(SEED_PREFIX) and host_id not in kept:
+                self._peers.forget(host_id)
+        self.meet_seeds()
+
     def meet_seeds(self) -> None:
         """Open links to the seeds, by their addresses alone."""
         own = self._table.own.address
@@ -89,11 +98,14 @@
         chosen_by = (self._table.revision, self.links_domain, sources)
         if chosen_by == self._chosen_by and self._linked_ids:
             return
-        rows = [row for row in self.others() if row.address]
+        own_address = self._table.own.address
+        rows = [row for row in self.others() if row.address not in ("", own_address)]
         self.peak = max(self.peak, len(rows) + 1)
         chosen = choose_links(self._table.own, rows, whole_domain=self.links_domain)
         chosen += [row for row in rows if row.host_id in self.source_ids]
-        chosen += pick_found_gone(self._table.gone(), [self._table.own, *rows])
+        # A name that this host had before is gone, too.
+        gone = [row for row in self._table.gone() if row.address != own_address]
+        chosen += pick_found_gone(gone, [self._table.own, *rows])
         rows_by_id = {row.host_id: row for row in chosen if row.address}
         self._let_go(rows_by_id)
         for row in rows_by_id.values():
--- a/passtally/routes.py
+++ b/passtally/routes.py
@@ -187,10 +187,17 @@
     """
 
     current: RouteSet | None = None
+    _is_renewed: bool = False
+
+    def renew(self) -> None:
+        """Take the next set at whatever version: it may come from another store."""
+        self._is_renewed = True
 
     def take(self, routes: RouteSet) -> bool:
         """Put a set in force unless a newer one is; return whether it was put."""
-        if self.current is not None and routes.version <= self.current.version:
+        is_newer = self.current is None or routes.version > self.current.version
+        if not is_newer and not self._is_renewed:
             return False
+        self._is_renewed = False
         self.current = routes
         return True
--- a/passtally/view_learner.py
+++ b/passtally/view_learner.py
@@ -102,6 +102,11 @@
         peers.on(FetchConfig, self._answer)
         peers.listen(ViewChanges, self.hear_changes)
 
+    def rename(self, host_id: str) -> None:
+        """Take in that this host has another name."""
+        self._host_id = host_id
+        self._transfer.host_id = host_id
+
     async def stop(self) -> None:
         """End all fetches."""
         tasks = list(self._tasks)
--- a/passtally/watch_share.py
+++ b/passtally/watch_share.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from datetime import timedelta
 from functools import partial
 from typing import Any
@@ -101,6 +101,7 @@
         #: is then to watch at once; gossip lets go of the others only after some 12 s.
         self._is_cut_off = False
         self._probed_at = -PROBE_INTERVAL
+        self._follow = follow
         for view in views:
             view.follower = follow(self, view)
         peers.listen(ViewBeat, self._hear_beat)
@@ -133,6 +134,45 @@
         since = view.mirror.newest
         self._take(view, view.mirror.advance(changes), since=since)
 
+    @property
+    def views(self) -> Collection[View]:
+        """The views that are kept up to date."""
+        return self._views_by_prefix.values()
+
+    def rename(self, host_id: str) -> None:
+        """Take in that this host has another name."""
+        self._host_id = self._duty.own_id = host_id
+        self._learner.rename(host_id)
+
+    def add(self, view: View) -> None:
+        """Keep one more view up to date."""
+        view.follower = self._follow(self, view)
+        self._views_by_prefix[view.prefix] = view
+        if self._duty.is_watching:
+            self._watch(view)
+
+    def remove(self, prefix: str) -> None:
+        """Keep a view up to date no more."""
+        view = self._views_by_prefix.pop(prefix)
+        if view.task is not None:
+            view.task.cancel()
+
+    def list_anew(self) -> None:
+        """Begin anew at the store, whose address has changed.
+
+        What waits at the old address would keep this host from the new one, for ever
+        where nobody answers there.
+        """
+        for view in self._views_by_prefix.values():
+            view.mirror.renew()
+            view.follower.is_watching = False
+            if view.task is not None:
+                view.task.cancel()
+            if self._duty.is_watching:
+                self._watch(view, after=0)
+            elif view.is_vital:
+                view.task = self._keep_running(view, view.follower.learn)
+
     async def run(self) -> None:
         """List once, then watch or stand down as others do, for ever."""
         for view in self._views_by_prefix.values():
@@ -215,8 +255,13 @@
         for view in self._views_by_prefix.values():
             if view.task is not None:
                 view.task.cancel()
-            run = partial(view.follower.run, after=view.mirror.version)
-            view.task = self._keep_running(view, run)
+            # Versions of another store say nothing of what is new at this one.
+            mirror = view.mirror
+            self._watch(view, after=0 if mirror.is_renewed else mirror.version)
+
+    def _watch(self, view: View, *, after: int = 0) -> None:
+        run = partial(view.follower.run, after=after)
+        view.task = self._keep_running(view, run)
 
     def _stop(self) -> None:
         log_event("watch", "Standing down, others watch.")
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -3,7 +3,9 @@
 import asyncio
 import errno
 import socket
+from functools import partial
 
+import attrs
 import pytest
 
 from passtally.clock import ManualClock
@@ -91,6 +93,64 @@
         assert asyncio.run(main()) < 1000
 
 
+class TestMoves:
+    """Another address is told; the one before serves until that one does."""
+
+    def play(self, *moves: tuple[str, int], free_at: int = 1):
+        """Move names to ports, in turn; return what was closed, and the listeners."""
+        clock, closed, tries = ManualClock(), [], []
+
+        async def open_port(port: int) -> None:
+            tries.append(port)
+            if len(tries) < free_at:
+                raise OSError(errno.EADDRINUSE, "Address already in use")
+
+        async def main() -> Listeners:
+            listeners = Listeners(
+                clock=clock, on_open=lambda *told: opened.append(told)
+            )
+            for name, port in moves:
+                address = attrs.evolve(ADDRESS, port=port)
+                listeners.move(
+                    name,
+                    address,
+                    partial(open_port, port),
+                    close=partial(closed.append, port),
+                )
+                await asyncio.sleep(0)
+            for _ in range(1000):
+                await asyncio.sleep(0)
+            await listeners.stop()
+            return listeners
+
+        opened: list[tuple[str, Address]] = []
+        return asyncio.run(main()), closed, [address.port for _, address in opened]
+
+    def test_the_one_before_is_let_go_once_the_next_is_open(self, events):
+        listeners, closed, opened = self.play(("callers", 1), ("callers", 2))
+        assert listeners.is_open("callers")
+        assert (closed, opened) == ([1], [1, 2])
+
+    def test_back_again_it_is_not_opened_twice_and_stays(self, events):
+        moves = [("callers", port) for port in (1, 2, 1)]
+        listeners, closed, opened = self.play(*moves)
+        assert listeners.is_open("callers")
+        assert (closed, opened) == ([2], [1, 2, 1])
+
+    def test_two_names_change_places(self, events):
+        moves = [("callers", 1), ("metrics", 2), ("callers", 2), ("metrics", 1)]
+        listeners, closed, _ = self.play(*moves)
+        assert listeners.is_open("callers")
+        assert listeners.is_open("metrics")
+        assert sorted(closed) == [1, 2]
+
+    def test_while_the_next_is_in_use_the_one_before_stays(self, events):
+        listeners, closed, opened = self.play(("callers", 1), free_at=4)
+        assert listeners.is_open("callers")
+        assert (closed, opened) == ([], [1])
+        assert events == ["listen: Not open, trying again.", "listen: Open."]
+
+
 class TestServe:
     def test_the_command_waits_for_its_addresses_too(self, tmp_path):
         port, peer_port = free_port(), free_port()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -91,6 +91,31 @@
         other.expire(SUSPECT_FOR + SECOND)
         assert other.views([], NOW)[0].alive
 
+    def test_a_host_that_is_renamed_is_gone_under_its_old_name(self):
+        table = MemberTable(own=row("me", 5))
+        other = MemberTable(own=row("other", 1))
+        other.merge([row("me", 5)], NOW)
+        table.change_own(now=NOW, host_id="you", failure_domain="tigre")
+        other.merge([table.own, *table.take_news(9)], NOW)
+        assert [
+            (known.host_id, known.failure_domain) for known in other.in_reach()
+        ] == [("you", "tigre")]
+        # Late word of the old name changes nothing, and it may come back.
+        other.merge([row("me", 5)], NOW)
+        assert [known.host_id for known in other.in_reach()] == ["you"]
+        table.change_own(now=NOW, host_id="me")
+        other.merge([table.own, *table.take_news(9)], NOW)
+        assert [known.host_id for known in other.in_reach()] == ["me"]
+
+    def test_a_name_that_another_host_has_is_its_own_again(self):
+        mine, theirs = row("me", 5), row("me", 9)
+        table, other = MemberTable(own=mine), MemberTable(own=theirs)
+        table.change_own(now=NOW, host_id="you")
+        other.merge([table.own, *table.take_news(9)], NOW)
+        table.merge([other.own], NOW)
+        assert [known.host_id for known in table.in_reach()] == ["me"]
+        assert [known.host_id for known in other.in_reach()] == ["you"]
+
     def test_what_is_gone_for_others_is_suspected_first(self):
         table = MemberTable(own=row("me", 1))
         table.merge([row("a", 5)], NOW)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -45,6 +45,23 @@
         assert mirror.advance(changes) == [newest, stored("b", 3)]
         assert mirror.newest == 4
 
+    def test_a_listing_of_another_store_counts_also_where_it_is_older(self):
+        mirror = ObjectMirror()
+        same, lower, higher = stored("a", 1), stored("b", 2), stored("c", 9)
+        mirror.replace(listing(9, same, stored("b", 8), higher, stored("d", 7)))
+        mirror.renew()
+        # Until then what is known stays, and goes on.
+        assert mirror.advance(listing(10, stored("d", 10))) == [stored("d", 10)]
+        changed = mirror.replace(listing(3, same, lower))
+        assert {(item.key, item.version, item.is_removed) for item in changed} == {
+            ("b", 2, False),
+            ("c", 3, True),
+            ("d", 3, True),
+        }
+        assert (mirror.version, mirror.newest) == (3, 3)
+        assert mirror.current_versions() == {"a": 1, "b": 2}
+        assert mirror.replace(listing(2)) is None
+
     def test_another_mirror_takes_all_from_its_changes(self):
         mirror, other = ObjectMirror(), ObjectMirror()
         mirror.replace(listing(3, stored("a", 1), stored("b", 3)))
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -90,6 +90,14 @@
 
 
 class TestVersions:
+    def test_of_another_store_the_next_set_counts_at_any_version(self):
+        in_force = RoutesInForce()
+        in_force.take(RouteSet(version=9, routes=()))
+        in_force.renew()
+        assert in_force.current.version == 9
+        assert in_force.take(RouteSet(version=3, routes=()))
+        assert not in_force.take(RouteSet(version=2, routes=()))
+
     @given(st.lists(st.integers(1, 50), min_size=1))
     def test_the_version_in_force_never_goes_back(self, versions):
         in_force = RoutesInForce()
