Read the settings file once it has stopped changing, and need its address for callers

What callers saw: a host that was signalled while its file was being written could take each half of it that is usable; with the listening addresses of today a cut port would be opened, and callers sent there. A file that ends before the address for callers meant the product's default, 127.0.0.1:8080.

Cause: the file was read the moment it was seen to change, by its time of change alone, which two writes in one tick of the kernel share; the key had a default.

--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -20,8 +20,10 @@
 from passtally.log_output import LogOutput
 from passtally.platform.adapter import PlatformAdapter
 from passtally.platform.settings import read_settings
+from passtally.platform.settings_watch import SettingsWatch
 from passtally.settings import Address, Settings, SettingsError
 from passtally.stop_signals import StopSignals
+from passtally.supervisor import keep_running
 
 EXIT_USAGE = 2
 STANDARD_OUTPUT = 1
@@ -29,7 +31,6 @@
 #: written in a millisecond, and a busy machine may hold its writer up for a second.
 SETTINGS_PATIENCE = timedelta(seconds=2)
 SETTINGS_PAUSE = timedelta(milliseconds=50)
-FILE_CHECK_INTERVAL = timedelta(seconds=5)
 
 
 def run(
@@ -49,7 +50,6 @@
     """
     # Before the first thread is started.
     limit_arenas()
-    modified_at = _modified_at(path)
     try:
         settings = _read_when_whole(path, signals)
     except (SettingsError, OSError) as error:
@@ -73,7 +73,7 @@
         catch_signals=(),
         loop_factory=uvloop.new_event_loop,
     ) as loop:
-        loop.run_until_complete(_wait_for_stop(host, path, modified_at, signals))
+        loop.run_until_complete(_wait_for_stop(host, path, signals))
     output.close()
 
 
@@ -120,40 +120,15 @@
         time.sleep(SETTINGS_PAUSE.total_seconds())
 
 
-async def _wait_for_stop(
-    host: FrontHost, path: Path, modified_at: int, signals: StopSignals
-) -> None:
+async def _wait_for_stop(host: FrontHost, path: Path, signals: StopSignals) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     signals.hand_over(loop, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
-    watching = loop.create_task(_watch_file(host, path, known=modified_at))
+    watch = SettingsWatch(path=path, host=host, clock=host.clock)
+    loop.add_signal_handler(signal.SIGHUP, watch.look_soon)
+    work = keep_running("settings", watch.run, clock=host.clock)
+    watching = loop.create_task(work)
     await stopping.wait()
     watching.cancel()
     await host.leave(waited=signals.waited())
     signals.ignore(loop)
-
-
-async def _watch_file(host: FrontHost, path: Path, *, known: int) -> None:
-    """Read the settings again when their file changes without a signal."""
-    while True:
-        await host.clock.sleep(FILE_CHECK_INTERVAL)
-        modified_at = _modified_at(path)
-        if modified_at != known:
-            known = modified_at
-            _reload(host, path)
-
-
-def _modified_at(path: Path) -> int:
-    try:
-        return path.stat().st_mtime_ns
-    except OSError as error:
-        log_event("daemon", "The settings file can't be seen.", path=path, why=error)
-        return 0
-
-
-def _reload(host: FrontHost, path: Path) -> None:
-    try:
-        host.reload(read_settings(path))
-    except (SettingsError, OSError) as error:
-        log_event("daemon", "Kept the old settings.", path=path, why=error)
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from passtally.decision import log_event
-from passtally.platform.settings_file import FRONT_KEY, read_values
+from passtally.platform.settings_file import FRONT_KEY, parse_lines, read_text
 from passtally.settings import (
     Settings,
     SettingsError,
@@ -52,8 +52,17 @@
         SettingsError: Some settings are missing or can't be used; all are named.
         OSError: The file can't be read.
     """
+    return translate_text(read_text(path))
+
+
+def translate_text(text: str) -> Settings:
+    """Turn the text of a settings file into settings; see :func:`read_settings`.
+
+    Raises:
+        SettingsError: Some settings are missing or can't be used; all are named.
+    """
     keys = os.environ.get(variable_of("resume_keys"), "")
-    return translate(read_values(path), resume_keys=keys)
+    return translate(parse_lines(text), resume_keys=keys)
 
 
 def translate(values_by_key: Mapping[str, str], *, resume_keys: str = "") -> Settings:
@@ -70,6 +79,8 @@
     texts = {
         name: values_by_key.get(key, None) for name, key in _KEYS_BY_SETTING.items()
     }
+    # The product's default is no place where the platform would send callers.
+    texts["listen"] = texts["listen"] or ""
     texts["seeds"] = _pick_addresses(values_by_key.get("seeds", ""))
     store = values_by_key.get("platform.address")
     texts["platform"] = None if store is None else f"http://{store}"
--- a/passtally/platform/settings_file.py
+++ b/passtally/platform/settings_file.py
@@ -19,7 +19,7 @@
     return Path(os.environ.get(FILE_VARIABLE, ""))
 
 
-def read_values(path: Path) -> dict[str, str]:
+def read_text(path: Path) -> str:
     """Read a settings file; bytes that are no text stand for nothing in particular.
 
     A host can do without them: fields that it does not know may hold any.
@@ -27,7 +27,7 @@
     Raises:
         OSError: The file can't be read.
     """
-    return parse_lines(path.read_text(encoding="utf-8-sig", errors="replace"))
+    return path.read_text(encoding="utf-8-sig", errors="replace")
 
 
 def parse_lines(text: str) -> dict[str, str]:
@@ -51,7 +51,7 @@
         OverflowError: The port is no port.
         OSError: The file can't be read, or the address can't be had now.
     """
-    address = read_values(path).get(FRONT_KEY, "")
+    address = parse_lines(read_text(path)).get(FRONT_KEY, "")
     host, _, port = address.rpartition(":")
     return _listen(host, int(port))
 
