A running host goes to the store's new address, and signs by the new key

What callers saw: a host that started with a half written address of the store was never ready, also when the whole file stood. One that served went on by the configuration of the old address for ever, refusing routes and keys that were added.

Cause: the store's client and the key for messages between hosts, which is made from the store's address, were made at the start; what was read again lay in one field.

Mend: the client is told the address, all watches begin anew there with a listing, and what waits at the old address is given up. The key of before signs and is heard for a minute beside the new one, so that hosts that are told one after the other go on hearing each other; streams, calls, endpoints and limits stay.

--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from passtally.decision import log_event
@@ -15,6 +16,13 @@
 if TYPE_CHECKING:
     from passtally.front_host import FrontHost
 
+#: How long a host that is told another key for messages between hosts signs with the
+#: one before as well. The hosts of a fleet are told within seconds of each other, and
+#: each looks at its settings every five.
+KEY_OVERLAP = timedelta(minutes=1)
+#: The most keys of before that sign: settings may go to and fro.
+MAX_FORMER_KEYS = 2
+
 
 class HostReload:
     """Hands each setting that changes to the part of a host that uses it.
@@ -25,6 +33,8 @@
 
     def __init__(self, *, host: "FrontHost") -> None:
         self._host = host
+        #: Until when keys of before sign, on the monotonic clock.
+        self._until_by_former_key: dict[bytes, timedelta] = {}
 
     def take(self, told: Settings) -> None:
         """Put what has changed in force."""
@@ -33,6 +43,8 @@
         before = host.settings
         changes = find_changes(before, told)
         host.settings = keep_untakeable(before, told, takeable=takers_by_name)
+        if before.resume_keys != host.settings.resume_keys:
+            self._note_former_key(before)
         hand_out(changes, takers_by_name=takers_by_name)
         names = [change.name for change in changes]
         log_event("daemon", "Settings read again.", changed=names)
@@ -42,9 +54,42 @@
         """What takes each setting that a host uses and may be told anew."""
         return {
             "region": self._use_when_needed,
+            "platform": self._take_platform,
+            "resume_keys": self._take_keys,
             "grace": self._use_when_needed,
             "balancer_lag": self._use_when_needed,
         }
 
     def _use_when_needed(self) -> None:
         """Do nothing: such a setting is looked up whenever it is needed."""
+
+    def _take_platform(self) -> None:
+        host = self._host
+        host.store.move(host.settings.platform)
+        host.routes.renew()
+        host.watch.list_anew()
+
+    def _note_former_key(self, before: Settings) -> None:
+        """Let the key that signed sign on for a while, until all hosts were told."""
+        key = next(iter(before.resume_keys.values()))
+        until = self._host.clock.monotonic() + KEY_OVERLAP
+        self._until_by_former_key.pop(key, None)
+        self._until_by_former_key[key] = until
+
+    def _take_keys(self) -> None:
+        self._use_keys()
+        self._host.spawn(self._drop_former_keys())
+
+    def _use_keys(self) -> None:
+        former = list(self._until_by_former_key)[-MAX_FORMER_KEYS:]
+        keys = list(self._host.settings.resume_keys.values())
+        self._host.peers.use_keys(keys, former=former)
+
+    async def _drop_former_keys(self) -> None:
+        clock = self._host.clock
+        await clock.sleep(KEY_OVERLAP)
+        now = clock.monotonic()
+        for key, until in list(self._until_by_former_key.items()):
+            if until <= now:
+                del self._until_by_former_key[key]
+        self._use_keys()
--- a/tests/test_passing_states.py
+++ b/tests/test_passing_states.py
@@ -64,6 +64,18 @@
         asyncio.run(main())
 
     def test_an_address_of_the_store_that_was_cut_is_not_kept(self, tmp_path):
+        """The store's address lacks its last digit when the host starts.
+
+        What happened: the host asked a port where nobody answers, logged `daemon:
+        Settings read again.` when the whole file stood, and was never ready.
+
+        Why: the client of the store, and the key for other hosts that is made from its
+        address, were made at the start and not looked at again.
+
+        What showed it: it has nothing to do with halves. A host that serves, told
+        another address by a whole file and a signal, logs the same line and makes no
+        connection there within 8 s; of all settings only the grace was taken.
+        """
         async def main() -> None:
             async with settled(tmp_path) as place:
                 text = place.path.read_text().rstrip("\n")
