A running host listens where it is told anew for callers, readiness and metrics

What callers saw: with a new address for callers a host stayed ready, and nobody listened where the balancer sent them: each was refused.

Cause: listening sockets were opened at the start by the settings of then, and readiness asked whether that had been done once.

--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -7,10 +7,13 @@
 
 from collections.abc import Mapping
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
 from passtally.decision import log_event
-from passtally.settings import Settings
+from passtally.http_server import HttpServer
+from passtally.listeners import CALLERS, METRICS, READINESS
+from passtally.settings import Address, Settings
 from passtally.settings_change import Take, find_changes, hand_out, keep_untakeable
 
 if TYPE_CHECKING:
@@ -54,6 +57,9 @@
         """What takes each setting that a host uses and may be told anew."""
         return {
             "region": self._use_when_needed,
+            "listen": self._take_listen,
+            "ready_listen": self._take_ready_listen,
+            "metrics_listen": self._take_metrics_listen,
             "platform": self._take_platform,
             "resume_keys": self._take_keys,
             "grace": self._use_when_needed,
@@ -63,6 +69,25 @@
     def _use_when_needed(self) -> None:
         """Do nothing: such a setting is looked up whenever it is needed."""
 
+    def _take_listen(self) -> None:
+        self._move(CALLERS, self._host.front_server, self._host.settings.listen)
+
+    def _take_ready_listen(self) -> None:
+        self._move(READINESS, self._host.ready_server, self._host.settings.ready_listen)
+
+    def _take_metrics_listen(self) -> None:
+        address = self._host.settings.metrics_listen
+        self._move(METRICS, self._host.metrics_server, address)
+
+    def _move(self, name: str, server: HttpServer, address: Address | None) -> None:
+        place = () if address is None else (address.host, address.port)
+        self._host.listeners.move(
+            name,
+            address,
+            partial(server.start, *place),
+            close=partial(server.leave, *place),
+        )
+
     def _take_platform(self) -> None:
         host = self._host
         host.store.move(host.settings.platform)
