A running host listens for the other hosts where it is told anew, and tells them

What was seen: a host with a half written address for other hosts was ready and alone; nobody listened where the others look for it, so it heard no losses, loads or changes.

--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -12,7 +12,7 @@
 
 from passtally.decision import log_event
 from passtally.http_server import HttpServer
-from passtally.listeners import CALLERS, METRICS, READINESS
+from passtally.listeners import CALLERS, METRICS, PEERS, READINESS
 from passtally.settings import Address, Settings
 from passtally.settings_change import Take, find_changes, hand_out, keep_untakeable
 
@@ -60,6 +60,7 @@
             "listen": self._take_listen,
             "ready_listen": self._take_ready_listen,
             "metrics_listen": self._take_metrics_listen,
+            "peer_listen": self._take_peer_listen,
             "platform": self._take_platform,
             "resume_keys": self._take_keys,
             "grace": self._use_when_needed,
@@ -88,6 +89,16 @@
             close=partial(server.leave, *place),
         )
 
+    def _take_peer_listen(self) -> None:
+        host = self._host
+        address = host.settings.peer_listen
+        host.listeners.move(
+            PEERS,
+            address,
+            partial(host.peers.bind, address),
+            close=partial(host.peers.unbind, address),
+        )
+
     def _take_platform(self) -> None:
         host = self._host
         host.store.move(host.settings.platform)
