A running host takes another name, and is gone under the one before

What was seen: a name that was broken off in a half written file may be another host's (front-1 of front-12). Both then answered to it for good: each took the other's row for a past life of its own and outran it, and the other hosts had one link for two.

Mend: the host tells its row under the new name, and under the old one that it is gone. Where another host has that name, that host contradicts, as it does any wrong word. What this host counted of a roll-out stays told under the old name, as after a start.

--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -56,6 +56,7 @@
     def takers_by_name(self) -> Mapping[str, Take]:
         """What takes each setting that a host uses and may be told anew."""
         return {
+            "host_id": self._take_name,
             "region": self._use_when_needed,
             "listen": self._take_listen,
             "ready_listen": self._take_ready_listen,
@@ -70,6 +71,17 @@
     def _use_when_needed(self) -> None:
         """Do nothing: such a setting is looked up whenever it is needed."""
 
+    def _take_name(self) -> None:
+        host = self._host
+        host_id = host.settings.host_id
+        host.gossip.table.change_own(now=host.clock.monotonic(), host_id=host_id)
+        host.peers.host_id = host.news.host_id = host_id
+        host.watch.rename(host_id)
+        if host.rollouts is not None:
+            # As after a start: what was counted stays told of the old name.
+            host.leave_rollouts()
+            host.add_rollouts()
+
     def _take_listen(self) -> None:
         self._move(CALLERS, self._host.front_server, self._host.settings.listen)
 
