A running host takes another failure domain

What was seen: a host went on choosing endpoints, replicas and watchers as of the failure domain of its start, and told the others that it stands there.

--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -58,6 +58,7 @@
         return {
             "host_id": self._take_name,
             "region": self._use_when_needed,
+            "failure_domain": self._take_domain,
             "listen": self._take_listen,
             "ready_listen": self._take_ready_listen,
             "metrics_listen": self._take_metrics_listen,
@@ -82,6 +83,13 @@
             host.leave_rollouts()
             host.add_rollouts()
 
+    def _take_domain(self) -> None:
+        host = self._host
+        domain = host.settings.failure_domain
+        host.gossip.table.change_own(now=host.clock.monotonic(), failure_domain=domain)
+        host.placement.move(domain)
+        host.caller.failure_domain = domain
+
     def _take_listen(self) -> None:
         self._move(CALLERS, self._host.front_server, self._host.settings.listen)
 
