--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -63,6 +63,7 @@
             "ready_listen": self._take_ready_listen,
             "metrics_listen": self._take_metrics_listen,
             "peer_listen": self._take_peer_listen,
+            "seeds": self._take_seeds,
             "platform": self._take_platform,
             "resume_keys": self._take_keys,
             "grace": self._use_when_needed,
@@ -119,6 +120,9 @@
             close=partial(host.peers.unbind, address),
         )
 
+    def _take_seeds(self) -> None:
+        self._host.roster.use_seeds(self._host.settings.seeds)
+
     def _take_platform(self) -> None:
         host = self._host
         host.store.move(host.settings.platform)
