--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -68,6 +68,9 @@
             "resume_keys": self._take_keys,
             "grace": self._use_when_needed,
             "balancer_lag": self._use_when_needed,
+            "retry_share": self._take_budgets,
+            "retry_extra": self._use_when_needed,
+            "retry_window": self._take_budgets,
         }
 
     def _use_when_needed(self) -> None:
@@ -153,3 +156,9 @@
             if until <= now:
                 del self._until_by_former_key[key]
         self._use_keys()
+
+    def _take_budgets(self) -> None:
+        """Hold what was spent and earned already against the other figures."""
+        budgets, settings = self._host.budgets, self._host.settings
+        budgets.share = settings.retry_share
+        budgets.window = settings.retry_window
