A running host begins and ends to follow orders of new versions as it is told

Other figures hold for roll-outs under way too; what they have sent stays counted. A host that follows none any more lets each version have all requests.

--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -71,6 +71,8 @@
             "retry_share": self._take_budgets,
             "retry_extra": self._use_when_needed,
             "retry_window": self._take_budgets,
+            "trial_share": self._take_trials,
+            "trial_extra": self._take_trials,
         }
 
     def _use_when_needed(self) -> None:
@@ -162,3 +164,13 @@
         budgets, settings = self._host.budgets, self._host.settings
         budgets.share = settings.retry_share
         budgets.window = settings.retry_window
+
+    def _take_trials(self) -> None:
+        host = self._host
+        share, slack = host.settings.trial_share, host.settings.trial_extra
+        if not share:
+            host.leave_rollouts()
+        elif host.rollouts is None:
+            host.add_rollouts()
+        else:
+            host.rollouts.adjust(share=share, slack=slack)
