--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -73,6 +73,7 @@
             "retry_window": self._take_budgets,
             "trial_share": self._take_trials,
             "trial_extra": self._take_trials,
+            "apply_within": self._take_apply_within,
         }
 
     def _use_when_needed(self) -> None:
@@ -174,3 +175,8 @@
             host.add_rollouts()
         else:
             host.rollouts.adjust(share=share, slack=slack)
+
+    def _take_apply_within(self) -> None:
+        host = self._host
+        for view in host.watch.views:
+            view.follower.pace(wait=host.watch_wait(view), pause=host.gather_pause())
