--- a/tests/host_process.py
+++ b/tests/host_process.py
@@ -107,6 +107,7 @@
         ready: The port for the balancer.
         control: The port for other hosts.
         ip: The address of its metrics.
+        store: The store.
     """
 
     path: Path
@@ -115,6 +116,7 @@
     ready: int
     control: int
     ip: str
+    store: ObjectStoreStandIn
 
     @property
     def addresses_by_name(self) -> dict[str, tuple[str, int]]:
@@ -148,6 +150,7 @@
         ready=ready,
         control=control,
         ip=own_address(),
+        store=store,
     )
     text = LINES.format(
         ip=place.ip, front=front, ready=ready, control=control, store=port
