A call's time limit does not count what its host missed

What callers saw: after a pause of their host, calls ended with 504 though the endpoint had answered; a booking that was made was told as unknown, and one that could be repeated took a repeat for nothing.

Cause: a host that runs again finds its timers due before it looks at what has arrived. A call's time, a stream's, and the patience with a slow endpoint ended what lay there unread.

Mend: one time limit for connections, calls, streams and fetched answers, which has a last look of 20 ms where its timer is late by more than 10 (five at most, so that a host that hardly runs does not wait on for ever). It takes the place of what connections had for themselves; a connection that comes up in the pass of the loop that gives it up is closed.

--- a/passtally/connection_pool.py
+++ b/passtally/connection_pool.py
@@ -14,6 +14,7 @@
 import attrs
 
 from passtally.clock import Clock
+from passtally.fair_timeout import FairTimeout
 from passtally.fetch import Fetched, FetchError
 from passtally.http_client import (
     ClientConnection,
@@ -27,11 +28,6 @@
 #: How long a connection may take to come up. Endpoints are a millisecond away; a
 #: full accept queue costs seconds, in which another endpoint answers.
 CONNECT_TIMEOUT = timedelta(milliseconds=150)
-#: A limit that ends later than this says as much of this host as of its peer: what came
-#: while the host did not run lies there unread. A timer is late by 1 ms where it runs.
-OWN_LAG = timedelta(milliseconds=10)
-#: What such a host then still waits. A connection that has come up shows within 1 ms.
-LAST_LOOK = timedelta(milliseconds=20)
 #: How long the next part of an answer that is fetched whole may take. A store's largest
 #: value, 1 MB, takes 0.8 s of a link of 10 Mbit/s that has nothing else to carry: it is
 #: not given up while it comes.
@@ -93,15 +89,16 @@
         self.opened += 1
         connecting = asyncio.ensure_future(self._connect(address))
         try:
-            await self._wait_fairly(connecting, timeout)
-            if not connecting.done():
-                raise TimeoutError
-            return connecting.result()
-        except (OSError, TimeoutError) as error:
+            async with FairTimeout(timeout):
+                return await connecting
+        except BaseException as error:
+            connecting.cancel()
+            # It may come up in the very pass of the loop that gives it up.
+            connecting.add_done_callback(_abort)
+            if not isinstance(error, OSError | TimeoutError):
+                raise
             detail = str(error) or type(error).__name__
             raise ExchangeError(ExchangeStep.CONNECT, detail) from error
-        finally:
-            connecting.cancel()
 
     async def _connect(self, address: Address) -> ClientConnection:
         _, connection = await asyncio.get_running_loop().create_connection(
@@ -109,17 +106,6 @@
         )
         return connection
 
-    async def _wait_fairly(
-        self, connecting: asyncio.Future[ClientConnection], timeout: timedelta
-    ) -> None:
-        """Wait for a connection, and a little longer where this host did not run."""
-        left = timeout
-        while left:
-            due = self._clock.monotonic() + left
-            await asyncio.wait((connecting,), timeout=left.total_seconds())
-            is_late = self._clock.monotonic() - due > OWN_LAG
-            left = LAST_LOOK if is_late and not connecting.done() else timedelta(0)
-
     async def exchange(
         self,
         address: Address,
@@ -150,8 +136,8 @@
             TimeoutError: None came in time.
         """
         try:
-            async with asyncio.timeout(timeout.total_seconds()) as limit:
-                extend = partial(_extend, limit, part_timeout or timedelta(0))
+            async with FairTimeout(timeout) as limit:
+                extend = partial(limit.extend, part_timeout or timedelta(0))
                 connection = await self.take(address)
                 try:
                     head = await connection.send(method, target, headers, body)
@@ -252,7 +238,7 @@
         return Fetched(status=answer.head.status, body=answer.body)
 
 
-def _extend(limit: asyncio.Timeout, part_timeout: timedelta) -> None:
-    """Let a time limit last until the next part is due, if it would end before."""
-    next_due = asyncio.get_running_loop().time() + part_timeout.total_seconds()
-    limit.reschedule(max(limit.when(), next_due))
+def _abort(connecting: asyncio.Future[ClientConnection]) -> None:
+    """Close a connection that nobody waits for any more, if it came up."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().abort()
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -14,6 +14,7 @@
 from passtally.decision import log_event
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
+from passtally.fair_timeout import FairTimeout
 from passtally.forecast import Forecast
 from passtally.gate import Gate
 from passtally.generation import (
@@ -310,7 +311,7 @@
         sink = _StreamSink(responder=responder, clock=self._clock)
         left = admitted.deadline - self._clock.monotonic()
         try:
-            async with asyncio.timeout(left.total_seconds()):
+            async with FairTimeout(left):
                 await self._dispatcher.run(generation, sink)
         except RefusedError as error:
             if not sink.has_begun:
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -11,6 +11,7 @@
 from passtally.clock import Clock
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
+from passtally.fair_timeout import FairTimeout, sleep_fairly
 from passtally.fleet import Fleet
 from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Service
@@ -279,7 +280,9 @@
         began = self._clock.monotonic()
         live.enter()
         try:
-            async with asyncio.timeout(limit.total_seconds()) as scope:
+            # Fair: what an endpoint has answered while this host did not run lies here
+            # unread, and may not be asked for again.
+            async with FairTimeout(limit) as scope:
                 if tries.sends_left > 1 and call.repeatable and call.patience:
                     work = self._lose_patience(call, endpoint_id, tries, scope)
                     losing = asyncio.create_task(work)
@@ -304,7 +307,7 @@
         return answer
 
     async def _lose_patience(
-        self, call: PlainCall, endpoint_id: str, tries: _Tries, scope: asyncio.Timeout
+        self, call: PlainCall, endpoint_id: str, tries: _Tries, scope: FairTimeout
     ) -> None:
         """Take a call from a slow endpoint once it can go on elsewhere.
 
@@ -317,10 +320,10 @@
             has_other = self._choose(call, excluded).endpoint_id is not None
             return has_other and await self._take_repeat(call)
 
-        await self._clock.sleep(call.patience)
+        await sleep_fairly(call.patience, clock=self._clock)
         await wait_for_repeat(take, clock=self._clock)
         tries.has_repeat = tries.must_connect = True
-        scope.reschedule(asyncio.get_running_loop().time())
+        scope.expire()
 
     def _take_loss(
         self, call: PlainCall, live: LiveEndpoint, loss: AttemptLostError
