--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -18,6 +18,7 @@
 import zmq.asyncio
 
 from passtally.decision import log_event
+from passtally.descriptors import check_free
 from passtally.messages import Message
 from passtally.settings import Address, PeerAddress
 
@@ -42,6 +43,11 @@
 #: The longest pause between two tries, in milliseconds.
 RECONNECT_MS = 500
 
+#: What is to be free before libzmq makes its first socket, and before it binds one. It
+#: ends the process where it lacks a descriptor at some of its steps.
+START_DESCRIPTORS = 12
+BIND_DESCRIPTORS = 4
+
 _ASK = b"?"
 _REPLY = b"!"
 _TELL = b"."
@@ -151,7 +157,12 @@
         self._signing_keys = [key[:MAX_KEY_BYTES] for key in (keys[0], *former)]
 
     def start(self) -> None:
-        """Open a link to each peer; others come in once the address is bound."""
+        """Open a link to each peer; others come in once the address is bound.
+
+        Raises:
+            OSError: Too few descriptors are free.
+        """
+        check_free(START_DESCRIPTORS)
         self._router = self._open(zmq.ROUTER)
         self._router.setsockopt(zmq.HEARTBEAT_IVL, INCOMING_HEARTBEAT_MS)
         self._router.setsockopt(zmq.HEARTBEAT_TIMEOUT, INCOMING_TIMEOUT_MS)
@@ -168,6 +179,7 @@
         Raises:
             OSError: The address can't be had now.
         """
+        check_free(BIND_DESCRIPTORS)
         try:
             self._router.bind(f"tcp://{address or self._listen}")
         except zmq.ZMQError as error:
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -16,6 +16,7 @@
 from passtally.address_space import limit_arenas
 from passtally.clock import SystemClock
 from passtally.decision import log_event
+from passtally.descriptors import check_free
 from passtally.front_host import FrontHost
 from passtally.log_output import LogOutput
 from passtally.platform.adapter import PlatformAdapter
@@ -30,6 +31,8 @@
 #: How long to wait at the start for settings that can be used: a file of 3 KB is
 #: written in a millisecond, and a busy machine may hold its writer up for a second.
 SETTINGS_PATIENCE = timedelta(seconds=2)
+#: What a host opens before its first caller comes.
+LEAST_DESCRIPTORS = 24
 SETTINGS_PAUSE = timedelta(milliseconds=50)
 
 
@@ -51,6 +54,7 @@
     # Before the first thread is started.
     limit_arenas()
     try:
+        check_free(LEAST_DESCRIPTORS)
         settings = _read_when_whole(path, signals)
     except (SettingsError, OSError) as error:
         print(f"passtally: {path}: {error}", file=sys.stderr)
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -225,6 +225,101 @@
         asyncio.run(main())
 
 
+class TestDescriptorsOfLibzmq:
+    """libzmq ends the process where it lacks descriptors at some of its steps.
+
+    What happened: a host whose descriptors are nearly all taken as it binds the address
+    for other hosts ended with status -6, and so at a start with very few.
+
+    Why: libzmq asserts where a step of its own gets no descriptor; others it reports.
+
+    What showed it: each number of free descriptors on its own, from none on.
+    """
+
+    PROGRAM = """
+import asyncio, os, resource, sys
+from passtally.peers import Peers
+from passtally.settings import Address
+
+free, step = int(sys.argv[1]), sys.argv[2]
+
+def fill() -> list[int]:
+    taken = []
+    try:
+        while True:
+            taken.append(os.dup(0))
+    except OSError:
+        for descriptor in taken[:free]:
+            os.close(descriptor)
+    return taken[free:]
+
+async def main() -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (100, 100))
+    # Modules that are loaded when first used want a descriptor for a moment.
+    listen = Address(host="127.0.0.1", port=0)
+    peers = Peers(host_id="a", listen=listen, peers_by_id={}, keys=[b"key"])
+    taken = fill() if step == "start" else []
+    try:
+        peers.start()
+    except OSError as error:
+        print(error)
+        for descriptor in taken:
+            os.close(descriptor)
+        taken = []
+        peers.start()
+    if step == "bind":
+        taken = fill()
+    try:
+        await peers.bind()
+    except OSError as error:
+        print(error)
+        for descriptor in taken:
+            os.close(descriptor)
+        taken = []
+        await peers.bind()
+    for descriptor in taken:
+        os.close(descriptor)
+    await peers.stop()
+    print("whole")
+
+asyncio.run(main())
+"""
+
+    @pytest.mark.parametrize("step", ["start", "bind"])
+    def test_it_lacks_some_and_goes_on_once_there_are(self, step):
+        for free in range(24):
+            command = [sys.executable, "-c", self.PROGRAM, str(free), step]
+            ran = subprocess.run(command, capture_output=True, text=True, timeout=20)
+            assert ran.returncode == 0, (free, ran.returncode, ran.stderr[-300:])
+            assert "whole" in ran.stdout
+
+    def test_a_process_has_enough_or_says_in_one_line_that_it_has_not(self, tmp_path):
+        async def start(most: int) -> int | None:
+            """Start a host that may open so many; return its status if it ends."""
+
+            def limit() -> None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+            folder = tmp_path / str(most)
+            folder.mkdir()
+            async with running(folder, prepare=limit) as host:
+                while host.process.poll() is None and not await is_ready(host):
+                    await asyncio.sleep(0.02)
+                if host.process.poll() is not None:
+                    text = host.process.stderr.read().decode()
+                    assert "descriptors are free" in text
+                    assert "Traceback" not in text
+                return host.process.poll()
+
+        async def main() -> None:
+            statuses = [await start(most) for most in range(14, 40, 2)]
+            assert set(statuses) == {2, None}, statuses
+            assert statuses[-1] is None
+            assert statuses == sorted(statuses, key=lambda status: status is None)
+
+        asyncio.run(main())
+
+
 class TestDescriptorsOfCallers:
     def test_callers_leave_some_for_what_the_host_opens(self, tmp_path):
         most = 128
