A host that gets too little processor for its callers sends them elsewhere

What callers saw: beside busy processes on its core a host stayed ready and served 232 of 928 calls (100 a second, 1.5 s of patience), and 0 to 54 of 600 with its threads on that core, where its neighbour served all in 25 ms.

Cause: it gets a tenth of a core, enough for some 80 calls a second. The rest waits in the queue of connections that are not accepted, the oldest first, for 1.5 s: until its caller leaves. Its timers are 20 to 50 ms late, below what its own measure of pauses sees.

Mend: where the system tells how long a connection has waited (TCP_INFO), a host whose connections have all waited for 200 ms and more through a second is overloaded, and asks the balancer for no callers while there are others, as one that is cut off does: for 10 s, and for up to a minute while its timers are late, since without callers it looks well.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -41,6 +41,7 @@
     Endpoint,
     EndpointState,
 )
+from passtally.overload import Overload
 from passtally.peers import Peers
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
@@ -426,6 +427,7 @@
             clock=self.clock,
             on_lost=self.fleet.note_peer_loss,
         )
+        self.overload = Overload()
         self.isolation = Isolation(
             fleet=self.fleet,
             peers=self.peers,
@@ -433,6 +435,7 @@
             clock=self.clock,
             services=lambda: self.catalog.services_by_id,
             has_platform=lambda: self.watch.is_reached,
+            overload=self.overload,
             changed=self._note_isolation,
         )
         forecast = Forecast()
@@ -482,7 +485,11 @@
 
     async def _listen(self) -> None:
         self.front_server = HttpServer(
-            handle=self._adapter.make_handler(self.front), limits=self._limits
+            handle=self._adapter.make_handler(self.front),
+            limits=self._limits,
+            accepted=lambda waited: self.overload.note_connection(
+                waited, now=self.clock.monotonic()
+            ),
         )
         self.ready_server = HttpServer(handle=self._answer_ready, part=SMALL_PART)
         self.metrics_server = HttpServer(handle=self._answer_metrics, part=SMALL_PART)
--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -11,6 +11,7 @@
 import re
 import resource
 import socket
+import struct
 import sys
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
@@ -41,6 +42,10 @@
 ROOM_PART = 0.9
 #: What each server may have in any case.
 LEAST_CONNECTIONS = 4
+#: Where Linux's struct tcp_info holds since when nothing has come, in milliseconds.
+TCP_INFO_BYTES = 60
+LAST_DATA_OFFSET = 52
+_LAST_DATA = struct.Struct("=I")
 #: The states after a whole answer; in the second its connection is to be closed.
 _ANSWERED = (h11.DONE, h11.MUST_CLOSE)
 
@@ -165,6 +170,8 @@
         handle: Called for each request; a request whose caller leaves is cancelled.
         limits: Returns the limits in force.
         part: The part of the process's descriptors that its connections may take.
+        accepted: Called with how long each connection had waited to be taken, where
+            the system tells.
     """
 
     def __init__(
@@ -173,9 +180,11 @@
         handle: Handle,
         limits: Callable[[], ServerLimits] = ServerLimits,
         part: float = CALLERS_PART,
+        accepted: Callable[[timedelta], None] | None = None,
     ) -> None:
         self.handle = handle
         self.limits = limits
+        self._accepted = accepted
         #: Whether every answer asks its caller to open a new connection.
         self.is_closing = False
         #: In the order in which they came.
@@ -231,11 +240,15 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def add(self, connection: "ServerConnection") -> bool:
+    def add(self, connection: "ServerConnection", transport: asyncio.Transport) -> bool:
         """Take in a new connection; return whether there is room for it.
 
         Where all are taken, the oldest that rests gives way.
         """
+        if self._accepted is not None:
+            waited = _time_waited(transport)
+            if waited is not None:
+                self._accepted(waited)
         if len(self._connections) >= self._most_connections:
             self._tell_full()
             if not self._close_one_idle():
@@ -266,6 +279,17 @@
             self._is_full = False
 
 
+def _time_waited(transport: asyncio.Transport) -> timedelta | None:
+    """Return for how long a connection has lain in the queue; None if nobody tells."""
+    sock = transport.get_extra_info("socket")
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        (milliseconds,) = _LAST_DATA.unpack_from(info, LAST_DATA_OFFSET)
+    except (OSError, AttributeError, struct.error):
+        return None
+    return timedelta(milliseconds=milliseconds)
+
+
 class ServerConnection(asyncio.Protocol):
     """One caller's connection.
 
@@ -295,7 +319,7 @@
         """Begin to serve."""
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
-        if not self._server.add(self):
+        if not self._server.add(self, transport):
             self.abort()
             return
         self.task = asyncio.get_running_loop().create_task(self._serve())
--- a/passtally/isolation.py
+++ b/passtally/isolation.py
@@ -1,10 +1,11 @@
-"""Tells when a host is cut off and others serve its callers better.
+"""Tells when a host is cut off, or can't keep up, and others serve its callers better.
 
 Callers still reach a host, or a whole failure domain, that is cut off from the others.
 What it can serve it serves. But where it reaches neither the platform nor any host of
 another failure domain, or has no endpoint of a service left, hosts that are not cut off
 serve its callers better: they have all other endpoints, each run has a replica that
-they reach, and they learn of changes. So it asks the balancer for no new callers.
+they reach, and they learn of changes. So it asks the balancer for no new callers. The
+same holds for a host that gets too little processor (:mod:`passtally.overload`).
 """
 
 from collections.abc import Callable, Collection
@@ -13,6 +14,7 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.fleet import Fleet
+from passtally.overload import Overload
 from passtally.peers import Peers
 from passtally.roster import Roster
 
@@ -20,8 +22,9 @@
 #: after two answers; a service that is back must be seen well before that. Endpoints
 #: are connected to only while the host is cut off.
 CHECK_INTERVAL = timedelta(milliseconds=250)
-#: How the log names the platform among what is out of reach.
+#: How the log names what is missing besides services.
 PLATFORM = "the platform"
+PROCESSOR = "processor time"
 
 
 class Isolation:
@@ -34,6 +37,7 @@
         clock: The clock.
         services: Returns the services that callers may ask for.
         has_platform: Returns whether changes arrive from the platform, by whatever way.
+        overload: Tells whether callers wait too long before this host takes them.
         changed: Called with each new answer.
     """
 
@@ -46,6 +50,7 @@
         clock: Clock,
         services: Callable[[], Collection[str]],
         has_platform: Callable[[], bool],
+        overload: Overload | None = None,
         changed: Callable[[bool], None] = lambda is_isolated: None,
     ) -> None:
         self._fleet = fleet
@@ -54,18 +59,24 @@
         self._clock = clock
         self._services = services
         self._has_platform = has_platform
+        self._overload = overload or Overload()
         self._changed = changed
         self.is_isolated = False
 
     async def run(self) -> None:
         """Look again and again, for ever."""
         while True:
+            due_at = self._clock.monotonic() + CHECK_INTERVAL
             await self._clock.sleep(CHECK_INTERVAL)
+            now = self._clock.monotonic()
+            self._overload.note_timer(now - due_at, now=now)
             await self.look()
 
     async def look(self) -> None:
         """Look once."""
         missing = await self._find_missing()
+        if self._overload.is_on and self._roster.others():
+            missing.append(PROCESSOR)
         is_isolated = bool(missing)
         if is_isolated == self.is_isolated:
             return
