--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from soak.caller import Caller
 from soak.evidence import APPLY_SECONDS, MARGIN_SECONDS, Evidence
 from soak.faults import Saboteur
+from soak.settings_changes import SettingsSaboteur
 from soak.starts import StartSaboteur
 from soak.world import EVENTS, World
 
@@ -39,12 +40,14 @@
         seconds: How long faults come.
         hosts: How many hosts there are.
         starts: Whether hosts meet trouble at their starts and stops.
+        settings: Whether hosts are told other settings while they serve.
     """
 
     seed: int
     seconds: float
     hosts: int = HOSTS
     starts: bool = True
+    settings: bool = True
 
 
 async def play(setup: Setup, folder: Path, evidence: Evidence) -> None:
@@ -84,6 +87,10 @@
     starts = StartSaboteur(world=world, evidence=evidence, rng=own)
     if setup.starts:
         series.append(starts.run(setup.seconds))
+    if setup.settings:
+        own = random.Random(f"settings of {setup.seed}")
+        changes = SettingsSaboteur(world=world, evidence=evidence, rng=own)
+        series.append(changes.run(setup.seconds))
     await asyncio.gather(*series)
     await asyncio.sleep(HEAL_SECONDS)
     if setup.starts:
@@ -182,6 +189,11 @@
     default=True,
     help="Whether hosts meet trouble at their starts and stops.",
 )
+@click.option(
+    "--settings/--no-settings",
+    default=True,
+    help="Whether hosts are told other settings while they serve.",
+)
 @click.option("--jobs", type=int, default=1, help="How many seeds at a time.")
 def main(
     seed: int | None,
@@ -190,19 +202,21 @@
     seconds: float,
     hosts: int,
     starts: bool,
+    settings: bool,
     jobs: int,
 ) -> None:
     """Play seeds of the soak; fails where a promise was broken."""
     # Stand-ins that are stopped in the middle of an answer are part of the run.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+    setup = Setup(
+        seed=seed or 0, seconds=seconds, hosts=hosts, starts=starts, settings=settings
+    )
     if seed is not None:
-        setup = Setup(seed=seed, seconds=seconds, hosts=hosts, starts=starts)
         sys.exit(0 if play_seed(setup) else 1)
     start = first if first is not None else random.SystemRandom().randrange(1_000_000)
     with ThreadPoolExecutor(max_workers=jobs) as pool:
         setups = [
-            Setup(seed=number, seconds=seconds, hosts=hosts, starts=starts)
-            for number in range(start, start + seeds)
+            attrs.evolve(setup, seed=number) for number in range(start, start + seeds)
         ]
         results = list(pool.map(_play_apart, setups))
     print(f"{results.count(True)} of {seeds} seeds held")
@@ -215,6 +229,7 @@
     command += [f"--seed={setup.seed}", f"--seconds={setup.seconds}"]
     command += [f"--hosts={setup.hosts}"]
     command.append("--starts" if setup.starts else "--no-starts")
+    command.append("--settings" if setup.settings else "--no-settings")
     done = subprocess.run(command, capture_output=True, text=True)
     print(done.stdout + done.stderr, end="", flush=True)
     return done.returncode == 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -77,11 +77,13 @@
         host = self._pick_host()
         if host is None:
             return
-        began_at, popen = now(), host.life.popen
-        popen.send_signal(signal.SIGSTOP)
+        began_at, life = now(), host.life
+        life.popen.send_signal(signal.SIGSTOP)
+        life.pauses += 1
         await asyncio.sleep(lasts)
-        if popen.poll() is None:
-            popen.send_signal(signal.SIGCONT)
+        life.pauses -= 1
+        if life.popen.poll() is None:
+            life.popen.send_signal(signal.SIGCONT)
         self._note("pause", host.name, began_at)
 
     async def _stop(self, lasts: float) -> None:
--- a/soak/host.py
+++ b/soak/host.py
@@ -1,5 +1,6 @@
 """One host: where it is reached, and the processes that ran it in turn."""
 
+import asyncio
 import os
 import signal
 import socket
@@ -15,7 +16,7 @@
 from soak.ends import ENDING_SIGNALS, End, Told
 from soak.evidence import now
 from soak.link import FaultyLink
-from soak.network import CONTROL_PORT, FRONT_PORT, READY_PORT
+from soak.network import FRONT_PORT
 
 #: How long a connection on the loopback may take, in seconds.
 CONNECT_SECONDS = 0.5
@@ -36,6 +37,7 @@
         started_at: When, on the monotonic clock, in seconds.
         ended_at: When it was seen to have ended; None while it runs.
         told: What the soak has sent it.
+        pauses: How many pauses of it are under way.
     """
 
     host: "HostProcess"
@@ -45,6 +47,7 @@
     started_at: float = attrs.field(factory=now)
     ended_at: float | None = None
     told: list[Told] = attrs.field(factory=list)
+    pauses: int = 0
 
     @property
     def name(self) -> str:
@@ -113,33 +116,43 @@
     Attributes:
         name: Its name.
         path: Its settings file.
+        settings: What is to stand there, by key.
         ip: The loopback address that it has for itself.
-        store_link: Leads to the store.
+        store_link: Leads to the store, by the address that it is told.
+        spare_link: Leads there by another one.
+        front_port: Where callers come to.
         lives: Its processes, the last one last.
         held: Which of its addresses another socket has, by name.
     """
 
     name: str
     path: Path
+    settings: dict[str, str]
     ip: str
     store_link: FaultyLink
+    spare_link: FaultyLink
+    front_port: int = FRONT_PORT
     lives: list[Life] = attrs.field(factory=list)
     held: list[str] = attrs.field(factory=list)
 
     @property
     def front(self) -> tuple[str, int]:
         """Where callers reach it."""
-        return self.ip, FRONT_PORT
+        return self.ip, self.front_port
 
     @property
     def addresses_by_name(self) -> dict[str, tuple[str, int]]:
         """All that it listens at."""
+        keys_by_name = {
+            FRONT: "listen.front",
+            "readiness": "listen.ready",
+            "other hosts": "listen.control",
+        }
         ports = {
-            FRONT: FRONT_PORT,
-            "readiness": READY_PORT,
-            "other hosts": CONTROL_PORT,
-            "metrics": METRICS_PORT,
+            name: int(self.settings[key].rpartition(":")[2])
+            for name, key in keys_by_name.items()
         }
+        ports["metrics"] = METRICS_PORT
         return {name: (self.ip, port) for name, port in ports.items()}
 
     @property
@@ -154,8 +167,31 @@
 
     def change_settings(self) -> None:
         """Write something into its settings that changes nothing else."""
-        text = self.path.read_text()
-        self.path.write_text(text + f"soak.note={now()}\n")
+        self.settings["soak.note"] = str(now())
+        self.write_settings()
+
+    def write_settings(self) -> None:
+        """Write its whole settings file."""
+        self.path.write_text(self._text)
+
+    def break_settings(self, part: float) -> None:
+        """Write a file of which a part is missing at the end; all if that is 0."""
+        self.path.write_text(self._text[: int(part * (len(self._text) - 1))])
+
+    async def accepts(self, address: str) -> bool:
+        """Return whether a connection to one of its addresses comes up."""
+        ip, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+    @property
+    def _text(self) -> str:
+        return "".join(f"{key}={value}\n" for key, value in self.settings.items())
 
     def start(self, environment: Mapping[str, str]) -> None:
         """Start a process, unless one runs.
--- a/soak/network.py
+++ b/soak/network.py
@@ -10,7 +10,11 @@
 FRONT_PORT = 8740
 CONTROL_PORT = 8748
 READY_PORT = 8749
-HOST_PORTS = (FRONT_PORT, CONTROL_PORT, READY_PORT, METRICS_PORT)
+#: Where settings that change may tell it to listen instead.
+FRONT_PORTS = (FRONT_PORT, 8741, 8742)
+CONTROL_PORTS = (CONTROL_PORT, 8746, 8747)
+READY_PORTS = (READY_PORT, 8743)
+HOST_PORTS = (*FRONT_PORTS, *CONTROL_PORTS, *READY_PORTS, METRICS_PORT)
 #: A run holds this port at the first address of its network until it ends.
 CLAIM_PORT = 8739
 #: The second and third number of the networks, 127.X.Y.0/24, that runs may have.
--- a/soak/world.py
+++ b/soak/world.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from passtally.platform.settings import METRICS_PORT
+from passtally.platform.settings_file import parse_lines
 from passtally.settings import variable_of
 from soak.evidence import Evidence, now
 from soak.host import HostProcess
@@ -168,6 +169,7 @@
                 host.life.kill()
             self.evidence.ends += [life.end() for life in host.lives]
             host.store_link.stop()
+            host.spare_link.stop()
         for place in self.places:
             place.link.stop()
             if place.runner is not None:
@@ -229,7 +231,8 @@
         self, number: int, ip: str, seeds: str, store_port: int
     ) -> None:
         name = f"host-{number}"
-        link = FaultyLink(target=store_port)
+        link, spare = FaultyLink(target=store_port), FaultyLink(target=store_port)
+        await spare.start()
         text = _SETTINGS.format(
             name=name,
             ip=ip,
@@ -242,8 +245,15 @@
             store=await link.start(),
         )
         path = self._folder / f"{name}.conf"
-        path.write_text(text)
-        host = HostProcess(name=name, path=path, ip=ip, store_link=link)
+        host = HostProcess(
+            name=name,
+            path=path,
+            settings=parse_lines(text),
+            ip=ip,
+            store_link=link,
+            spare_link=spare,
+        )
+        host.write_settings()
         self.hosts_by_name[name] = host
         self.start_host(host)
 
--- a/tests/test_passing_states.py
+++ b/tests/test_passing_states.py
@@ -76,6 +76,7 @@
         another address by a whole file and a signal, logs the same line and makes no
         connection there within 8 s; of all settings only the grace was taken.
         """
+
         async def main() -> None:
             async with settled(tmp_path) as place:
                 text = place.path.read_text().rstrip("\n")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,6 +35,8 @@
 CI_SEED = 7
 #: With trouble at the starts: addresses in use, early stops, kills in a row.
 STARTS_SEED = 41006
+#: With settings that change while hosts serve.
+SETTINGS_SEED = 71001
 CI_SECONDS = 8
 #: As long as when they failed.
 FAILED_SECONDS = 20
@@ -597,6 +599,7 @@
         [
             (CI_SEED, CI_SECONDS),
             (STARTS_SEED, CI_SECONDS),
+            (SETTINGS_SEED, CI_SECONDS),
             *((seed, FAILED_SECONDS) for seed in FAILED_SEEDS),
         ],
     )
@@ -605,6 +608,9 @@
         command.append(f"--seconds={seconds}")
         if seed in SEEDS_WITHOUT_STARTS:
             command.append("--no-starts")
+        if seed != SETTINGS_SEED:
+            # From when settings did not change meanwhile: played as they were.
+            command.append("--no-settings")
         done = subprocess.run(
             command,
             capture_output=True,
