A setting that can't be taken now is told so, and tried again

A line said that a setting was taken before that was tried; where it then failed, for want of descriptors, nobody looked again. Each is told by how it went, what failed stays out of the settings in force, and the next look at the file tries it again.

--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -10,6 +10,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import attrs
+
 from passtally.decision import log_event
 from passtally.http_server import HttpServer
 from passtally.listeners import CALLERS, METRICS, PEERS, READINESS
@@ -48,7 +50,10 @@
         host.settings = keep_untakeable(before, told, takeable=takers_by_name)
         if before.resume_keys != host.settings.resume_keys:
             self._note_former_key(before)
-        hand_out(changes, takers_by_name=takers_by_name)
+        failed = hand_out(changes, takers_by_name=takers_by_name)
+        # Not in force: so they are told again, and tried again, at the next look.
+        kept = {change.name: change.was for change in failed}
+        host.settings = attrs.evolve(host.settings, **kept)
         names = [change.name for change in changes]
         log_event("daemon", "Settings read again.", changed=names)
 
--- a/passtally/platform/settings_watch.py
+++ b/passtally/platform/settings_watch.py
@@ -76,6 +76,9 @@
         self._problem = ""
         if is_told or settings != self._host.settings:
             self._host.reload(settings)
+        if settings != self._host.settings:
+            # Something could not be taken now: the next look tries it again.
+            self._known = None
 
     def _tell_kept(self, problem: str, *, is_told: bool) -> None:
         """Log why the old settings stay in force, once for each reason or signal."""
--- a/passtally/settings_change.py
+++ b/passtally/settings_change.py
@@ -1,6 +1,6 @@
 """What differs between the settings in force and those that a host is told anew."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -67,8 +67,8 @@
 
 
 def hand_out(
-    changes: list[SettingChange], *, takers_by_name: Mapping[str, Take]
-) -> None:
+    changes: Sequence[SettingChange], *, takers_by_name: Mapping[str, Take]
+) -> list[SettingChange]:
     """Let the parts of a host take the settings that changed, and tell of each.
 
     One that fails keeps no other from being taken.
@@ -76,17 +76,29 @@
     Args:
         changes: What changed.
         takers_by_name: What takes each setting; some take several at once.
+
+    Returns:
+        The changes that could not be taken, though there is something that takes them.
     """
-    takers: dict[Take, SettingChange] = {}
+    takers = {change.name: takers_by_name.get(change.name) for change in changes}
+    errors_by_taker = {take: _try(take) for take in set(takers.values()) if take}
+    failed: list[SettingChange] = []
     for change in changes:
-        take = takers_by_name.get(change.name)
+        take = takers[change.name]
+        error = errors_by_taker.get(take)
         if take is None:
             change.log("Not taken before the next start.")
-            continue
-        change.log("Taken.")
-        takers.setdefault(take, change)
-    for take, change in takers.items():
-        try:
-            take()
-        except Exception as error:
+        elif error is not None:
             change.log("Could not be taken.", why=repr(error))
+            failed.append(change)
+        else:
+            change.log("Taken.")
+    return failed
+
+
+def _try(take: Take) -> Exception | None:
+    try:
+        take()
+    except Exception as error:
+        return error
+    return None
--- a/tests/test_settings_changes.py
+++ b/tests/test_settings_changes.py
@@ -70,6 +70,7 @@
     "bounds.exposure_slack": "10",
 }
 
+SEEDS = (Address(host="127.0.0.1", port=9),)
 WHOLE = """\
 node_name=front-pilar-1
 region=ba-norte
@@ -177,6 +178,26 @@
         )
         assert lines[1][0] == "Taken."
 
+    def test_one_that_can_not_be_taken_now_keeps_no_other_and_is_tried_again(
+        self, monkeypatch
+    ):
+        async def test(system: PlatformSystem) -> None:
+            host = await system.add_host()
+            told = attrs.evolve(host.settings, seeds=SEEDS, retry_share=0.3)
+
+            def fail(seeds: object) -> None:
+                raise OSError("no descriptors")
+
+            with monkeypatch.context() as patched:
+                patched.setattr(host.roster, "use_seeds", fail)
+                host.reload(told)
+            assert (host.settings.seeds, host.settings.retry_share) == ((), 0.3)
+            host.reload(told)
+            assert host.settings == told
+            assert host.peers.find(SEEDS[0])
+
+        run(test)
+
     def test_secrets_are_not_logged(self, monkeypatch):
         lines = []
         monkeypatch.setattr(
