--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -388,7 +388,7 @@
         async def test(system: PlatformSystem) -> None:
             await start_engines(system, events=60, gap=0.02)
             # A host watches from 1.2 s after its start on, to hear first whether others
-            # do. The run lasts as long: it would end just as its replica's end is heard.
+            # do. The run lasts as long: it would end as its replica's end is heard.
             while not system.hosts[0].watch.is_up:
                 await asyncio.sleep(0.01)
             task = asyncio.create_task(system.stream())
