--- a/tests/test_own_pauses.py
+++ b/tests/test_own_pauses.py
@@ -15,10 +15,8 @@
 import contextlib
 import itertools
 import signal
-import subprocess
-import sys
 import time
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from datetime import timedelta
 
 import pytest
@@ -29,8 +27,10 @@
 from passtally.front_host import STOP_MARGIN
 from standins.platform_config import ENGINE, KEY, LOOKUPS
 from standins.runner import RunnerStandIn
+from tests.busy_machine import busy_machine
 from tests.host_process import Running, messages, settled, started, wait_ready
 
+BUSY_PROCESSES = 16
 LOOPS = pytest.mark.parametrize(
     "new_loop", [asyncio.new_event_loop, uvloop.new_event_loop]
 )
@@ -133,23 +133,6 @@
     return int(answer.split()[1]) if answer else 0
 
 
-BUSY = (
-    "import time; until = time.monotonic() + 10\nwhile time.monotonic() < until: pass"
-)
-
-
-@contextlib.contextmanager
-def busy_machine(processes: int = 16) -> Iterator[None]:
-    """Let other processes take the machine's processors."""
-    busy = [subprocess.Popen([sys.executable, "-c", BUSY]) for _ in range(processes)]
-    try:
-        yield
-    finally:
-        for process in busy:
-            process.kill()
-            process.wait()
-
-
 class TestStopBesideLoad:
     """A stop under callers that keep sending, on a machine that has much to do.
 
@@ -180,7 +163,7 @@
                     for number in range(20)
                 ]
                 await asyncio.sleep(0.3)
-                with busy_machine():
+                with busy_machine(BUSY_PROCESSES):
                     began = time.monotonic()
                     host.process.send_signal(signal.SIGTERM)
                     await asyncio.to_thread(host.process.wait, 10)
--- a/tests/test_settings_changes.py
+++ b/tests/test_settings_changes.py
@@ -24,6 +24,7 @@
 import pytest
 
 from passtally import listeners
+from passtally.front_host import FrontHost
 from passtally.member_table import MemberState
 from passtally.platform.settings import translate
 from passtally.platform.settings_file import parse_lines
@@ -142,6 +143,14 @@
         await store.stop()
 
 
+async def add_hosts(system: PlatformSystem, *names: str) -> list[FrontHost]:
+    """Start a host, and others that it is the seed of."""
+    system.store.put("config", "main", make_config(1))
+    first = await system.add_host("front-1")
+    seed = str(first.settings.peer_listen)
+    return [first, *[await system.add_host(name, seeds=seed) for name in names]]
+
+
 class TestEverySetting:
     def test_each_that_is_read_from_the_file_is_taken(self):
         async def test(system: PlatformSystem) -> None:
@@ -421,11 +430,7 @@
         monkeypatch.setattr(listeners, "LET_GO_AFTER", timedelta(seconds=1.5))
 
         async def test(system: PlatformSystem) -> None:
-            system.store.put("config", "main", make_config(1))
-            first = await system.add_host("front-1")
-            seed = str(first.settings.peer_listen)
-            second = await system.add_host("front-2", seeds=seed)
-            third = await system.add_host("front-3", seeds=seed)
+            first, second, third = await add_hosts(system, "front-2", "front-3")
             await system.wait_ready(0)
             assert await until(lambda: len(third.peers.ids) == 2)
             before = first.settings.peer_listen
@@ -450,10 +455,7 @@
 class TestName:
     def test_the_other_hosts_know_it_under_its_new_name_alone(self):
         async def test(system: PlatformSystem) -> None:
-            system.store.put("config", "main", make_config(1))
-            first = await system.add_host("front-1")
-            seed = str(first.settings.peer_listen)
-            second = await system.add_host("front-2", seeds=seed)
+            first, second = await add_hosts(system, "front-2")
             assert await until(lambda: second.peers.ids == ["front-1"])
             first.reload(attrs.evolve(first.settings, host_id="front-9"))
             assert await until(lambda: second.peers.ids == ["front-9"])
@@ -472,11 +474,7 @@
         """A name that is broken off may be another host's."""
 
         async def test(system: PlatformSystem) -> None:
-            system.store.put("config", "main", make_config(1))
-            first = await system.add_host("front-1")
-            seed = str(first.settings.peer_listen)
-            second = await system.add_host("front-1", seeds=seed)
-            third = await system.add_host("front-3", seeds=seed)
+            _, second, third = await add_hosts(system, "front-1", "front-3")
             await asyncio.sleep(1)
             second.reload(attrs.evolve(second.settings, host_id="front-12"))
             for host in system.hosts:
@@ -495,12 +493,9 @@
 class TestFailureDomain:
     def test_it_counts_in_choices_and_among_the_hosts(self):
         async def test(system: PlatformSystem) -> None:
-            system.store.put("config", "main", make_config(1))
             near = await system.add_runner("i-near", LOOKUPS, zone="pilar")
             far = await system.add_runner("i-far", LOOKUPS, zone="tigre")
-            first = await system.add_host("front-1")
-            seed = str(first.settings.peer_listen)
-            second = await system.add_host("front-2", seeds=seed)
+            first, second = await add_hosts(system, "front-2")
             await system.wait_ready()
             for _ in range(5):
                 assert (await system.send("/look/1")).status == 200
@@ -537,10 +532,7 @@
 class TestKeys:
     def test_hosts_that_are_told_one_after_the_other_hear_each_other(self):
         async def test(system: PlatformSystem) -> None:
-            system.store.put("config", "main", make_config(1))
-            first = await system.add_host("front-1")
-            seed = str(first.settings.peer_listen)
-            second = await system.add_host("front-2", seeds=seed)
+            first, second = await add_hosts(system, "front-2")
             assert await until(lambda: first.peers.ids and second.peers.ids)
             keys = {"platform": b"a-key-that-is-told-later"}
             for host in system.hosts:
--- a/tests/test_starved_hosts.py
+++ b/tests/test_starved_hosts.py
@@ -16,14 +16,13 @@
 import asyncio
 import contextlib
 import os
-import subprocess
-import sys
 from collections.abc import AsyncIterator
 from functools import partial
 from pathlib import Path
 
 import attrs
 
+from tests.busy_machine import busy_machine
 from tests.host_process import (
     Place,
     Running,
@@ -41,13 +40,6 @@
 PATIENCE = 1.5
 #: For so long the balancer and the host may need to find out, in seconds.
 SECONDS_TO_FIND = 4.0
-BUSY = """
-import os, sys, time
-os.sched_setaffinity(0, {int(sys.argv[1])})
-until = time.monotonic() + 40
-while time.monotonic() < until:
-    pass
-"""
 
 
 @contextlib.asynccontextmanager
@@ -79,19 +71,6 @@
         yield host
 
 
-@contextlib.contextmanager
-def busy_core(core: int):
-    """Take a core with busy processes."""
-    command = [sys.executable, "-c", BUSY, str(core)]
-    busy = [subprocess.Popen(command) for _ in range(BUSY_PROCESSES)]
-    try:
-        yield
-    finally:
-        for process in busy:
-            process.kill()
-            process.wait()
-
-
 @attrs.define(kw_only=True)
 class Balancer:
     """Asks a host once a second, and sends its callers elsewhere after two misses."""
@@ -138,7 +117,7 @@
                     os.sched_setaffinity(int(thread), {core})
                 balancer = Balancer(host=host, other=other)
                 asking = asyncio.create_task(balancer.run())
-                with busy_core(core):
+                with busy_machine(BUSY_PROCESSES, core=core):
                     await asyncio.sleep(1)
                     calls = []
                     for number in range(int(SECONDS * CALLS_A_SECOND)):
