--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -11,7 +11,7 @@
 from passtally.clock import ManualClock
 from passtally.listeners import LOG_INTERVAL, RETRY_PAUSE, Listeners
 from passtally.settings import Address
-from standins.processes import Processes, call_json, free_port
+from standins.processes import Processes, call_json
 
 ADDRESS = Address(host="127.0.0.1", port=8740)
 
@@ -153,14 +153,16 @@
 
 class TestServe:
     def test_the_command_waits_for_its_addresses_too(self, tmp_path):
-        port, peer_port = free_port(), free_port()
         with Processes(tmp_path) as processes:
             processes.start_platform()
             processes.put_config("workspaces", "w", {"id": "w", "token_sha256": "0"})
             with (
-                socket.create_server(("127.0.0.1", port)),
-                socket.create_server(("127.0.0.1", peer_port)),
+                # Held from the moment at which they are drawn on.
+                socket.create_server(("127.0.0.1", 0)) as holder,
+                socket.create_server(("127.0.0.1", 0)) as peer_holder,
             ):
+                port = holder.getsockname()[1]
+                peer_port = peer_holder.getsockname()[1]
                 host = processes.start_host(
                     "entry-a",
                     failure_domain="pilar",
--- a/tests/test_settings_changes.py
+++ b/tests/test_settings_changes.py
@@ -382,8 +382,8 @@
         async def main() -> None:
             async with running(tmp_path) as host:
                 await wait_ready(host)
-                port, *_ = free_ports(1)
-                with held(("127.0.0.1", port)):
+                # Held from the moment at which it is drawn on.
+                with held(("127.0.0.1", 0)) as port:
                     change(host, "listen.front", f"127.0.0.1:{port}")
                     await wait_for(host.log, "listen: Not open, trying again.")
                     assert not await is_ready(host)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -48,10 +48,10 @@
 
 
 @contextlib.contextmanager
-def held(address: tuple[str, int]) -> Iterator[None]:
-    """Hold an address, as another process that listens there does."""
-    with socket.create_server(address):
-        yield
+def held(address: tuple[str, int]) -> Iterator[int]:
+    """Hold an address, as another process that listens there does; yield its port."""
+    with socket.create_server(address) as holder:
+        yield holder.getsockname()[1]
 
 
 async def ask(address: tuple[str, int], request: bytes = REQUEST) -> bytes:
