Tests draw ports from a range of their own

1 of 21 runs beside four others: a host's address for callers was another program's for 20 s. The kernel gave it to one when the test had drawn and let it go.

--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -1,7 +1,10 @@
 """A host on the platform, in this process, before stand-ins."""
 
 import asyncio
+import contextlib
 import itertools
+import os
+import random
 import socket
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
@@ -17,6 +20,11 @@
 from standins.runner import RunnerStandIn
 
 
+#: Where tests draw their ports from. A tenth of each is no port of the system's.
+FIRST_PORT, PORTS = 11_000, 20_000
+_port_numbers = itertools.count(random.Random(os.getpid()).randrange(PORTS))
+
+
 @attrs.frozen(kw_only=True)
 class Answer:
     """What a caller got.
@@ -180,12 +188,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return ports that nobody has, for hosts that bind them later.
+
+    They are of a range from which the kernel gives none to connections, or to listeners
+    that ask for any, and other runs of these tests begin elsewhere in it.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_port_numbers) % PORTS
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            ports.append(port)
     return ports
 
 
