--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -19,7 +19,6 @@
 from standins.platform_config import ENGINE, KEY
 from standins.runner import RunnerStandIn
 
-
 #: Where tests draw their ports from. A tenth of each is no port of the system's.
 FIRST_PORT, PORTS = 11_000, 20_000
 _port_numbers = itertools.count(random.Random(os.getpid()).randrange(PORTS))
