Retry lines tell a request's fingerprint, and whether its attempt had begun

Two tries of one request have different ids, and their bodies are not logged, so nothing told that six tries in 10 s were the same request. An attempt that was reset at an endpoint that another request ended looked like one that ended it; whether the endpoint had begun to answer tells them apart.

--- a/passtally/completion.py
+++ b/passtally/completion.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from passtally.copies import CopiedStream
+from passtally.fingerprint import fingerprint_of
 from passtally.generation import Attempt, Delivery, Generation, GenerationRequest
 from passtally.handle import HandleSigner, HandleWriter, StreamRef
 from passtally.objects import Service, Workspace
@@ -98,6 +99,7 @@
         generation_id: Its id, where it has one already.
     """
     seed = body.seed if body.seed is not None else secrets.randbits(_SEED_BITS)
+    prompt = body.prompt if flavour is Flavour.TEXT else _flatten(body.messages)
     return GenerationRequest(
         id=generation_id or new_generation_id(),
         workspace=workspace.id,
@@ -105,12 +107,15 @@
         model=service.model,
         version=service.version,
         adapter=service.adapter,
-        prompt=body.prompt if flavour is Flavour.TEXT else _flatten(body.messages),
+        prompt=prompt,
         max_tokens=body.max_completion_tokens or body.max_tokens or service.max_tokens,
         temperature=body.temperature,
         seed=seed,
         stop=(body.stop,) if isinstance(body.stop, str) else tuple(body.stop or ()),
         failure_domain=workspace.placements.get(service.id, ""),
+        fingerprint=fingerprint_of(
+            workspace.id, service.id.encode(), prompt.encode("utf-8", "replace")
+        ),
     )
 
 
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -309,6 +309,8 @@
             detail=loss.detail,
             attempt=attempt.number,
             position=generation.position,
+            fingerprint=generation.request.fingerprint.hex(),
+            has_begun=attempt.begun_at is not None,
         )
         return decision
 
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -15,6 +15,7 @@
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.fair_timeout import FairTimeout
+from passtally.fingerprint import fingerprint_of
 from passtally.forecast import Forecast
 from passtally.gate import Gate
 from passtally.generation import (
@@ -123,6 +124,7 @@
     service: str
     workspace: str
     deadline: timedelta
+    fingerprint: bytes
 
 
 class Front:
@@ -268,6 +270,7 @@
             service=route.service_for(session.encode()),
             workspace=workspace,
             deadline=self._clock.monotonic() + time_left,
+            fingerprint=fingerprint_of(workspace, request.raw.target, request.raw.body),
         )
 
     def _check_current(self, step: str) -> None:
@@ -432,6 +435,7 @@
         deadline=admitted.deadline,
         patience=PATIENCE_TARGETS * route.target,
         route=route.name,
+        fingerprint=admitted.fingerprint,
     )
 
 
@@ -454,6 +458,7 @@
         max_gap=admitted.route.max_gap,
         raw=request.raw,
         route=admitted.route.name,
+        fingerprint=admitted.fingerprint,
     )
 
 
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -65,6 +65,8 @@
             is known.
         raw: What to hand on, where the content is not read.
         route: The route that led to the service, or empty.
+        fingerprint: What its later tries have in common with it, see
+            :func:`passtally.fingerprint.fingerprint_of`; empty where it has none.
     """
 
     id: str
@@ -88,6 +90,7 @@
     max_gap: timedelta | None = None
     raw: RawCall | None = None
     route: str = ""
+    fingerprint: bytes = b""
 
 
 class TokenEvent(msgspec.Struct, kw_only=True):
@@ -144,6 +147,8 @@
         resume_ref: What names the replica that it goes on from, or empty.
         dropped_tokens: Tokens it sent that were already there, or too late.
         head: The head of the endpoint's answer, where it is passed on.
+        begun_at: When its endpoint began to answer, on the monotonic clock; None
+            before that.
     """
 
     number: int
@@ -154,6 +159,7 @@
     resume_ref: str = ""
     dropped_tokens: int = 0
     head: ResponseHead | None = None
+    begun_at: timedelta | None = None
 
 
 class Generation:
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -63,6 +63,8 @@
         must_connect: Whether it is to be sent on a new connection, since one was
             silent.
         route: The route that led to the service, or empty.
+        fingerprint: What its later tries have in common with it, see
+            :func:`passtally.fingerprint.fingerprint_of`; empty where it has none.
     """
 
     id: str
@@ -80,6 +82,7 @@
     patience: timedelta | None = None
     must_connect: bool = False
     route: str = ""
+    fingerprint: bytes = b""
 
 
 @attrs.frozen(kw_only=True)
@@ -344,6 +347,7 @@
             reason=f"lost by {loss.kind}",
             peer=loss.peer,
             detail=loss.detail,
+            fingerprint=call.fingerprint.hex(),
         )
         if loss.kind in UNRUN_KINDS:
             return _not_sent(loss)
--- a/passtally/plain_handler.py
+++ b/passtally/plain_handler.py
@@ -11,6 +11,7 @@
 from passtally.api import bad_header, find_service, find_workspace, read_admission
 from passtally.catalog import Catalog
 from passtally.drain import Drain
+from passtally.fingerprint import fingerprint_of
 from passtally.gate import Gate
 from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Service, ServiceKind, Workspace
@@ -169,6 +170,7 @@
     path = request.match_info["path"]
     if request.query_string:
         path = f"{path}?{request.query_string}"
+    body = await request.read()
     return PlainCall(
         id=key or f"call-{id(request):x}",
         workspace=workspace.id,
@@ -176,10 +178,11 @@
         method=request.method,
         path=path,
         headers=_passed_on(request.headers),
-        body=await request.read(),
+        body=body,
         repeatable=_is_repeatable(request, service),
         key=key,
         failure_domain=workspace.placements.get(service.id, ""),
+        fingerprint=fingerprint_of(workspace.id, f"{service.id}/{path}".encode(), body),
     )
 
 
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -153,6 +153,7 @@
             async with asyncio.timeout(None) as scope:
                 self._guard.trip = lambda: self._begin_leaving(scope)
                 stream = await self._open(attach=attach)
+                self._attempt.begun_at = self._clock.monotonic()
                 await self._read(stream)
         except TimeoutError as error:
             kind = self._guard.tripped or LossKind.FROZEN
