--- a/standins/runner.py
+++ b/standins/runner.py
@@ -32,6 +32,9 @@
         head_delay: How long the head of an answer takes, in seconds.
         report_delay: How long a report takes, in seconds.
         event_bytes: How many bytes more each event of a stream has.
+        fatal_body: The body of a request that ends the endpoint when it is run; None
+            for no such request.
+        fatal_delay: How long it runs until then, in seconds.
     """
 
     refusals: int = 0
@@ -50,6 +53,8 @@
     head_delay: float = 0.0
     report_delay: float = 0.0
     event_bytes: int = 0
+    fatal_body: bytes | None = None
+    fatal_delay: float = 0.05
 
 
 class RunnerStandIn:
@@ -60,6 +65,7 @@
         events: How many events a stream has.
         gap: The time between two events, in seconds.
         find: Returns the stand-in at an address, to keep replicas there.
+        on_crash: Called with the stand-in that a request has ended.
     """
 
     def __init__(
@@ -69,6 +75,7 @@
         events: int = 20,
         gap: float = 0.005,
         find: "Callable[[str], RunnerStandIn | None]" = lambda address: None,
+        on_crash: "Callable[[RunnerStandIn], None]" = lambda runner: None,
     ) -> None:
         self.name = name
         self.events = events
@@ -87,8 +94,12 @@
         self.working = 0
         self.reports = 0
         self.address = ""
+        self.is_crashed = False
         self._find = find
+        self._on_crash = on_crash
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._ending: asyncio.Task[None] | None = None
 
     async def start(self) -> str:
         """Listen on the loopback and return the address."""
@@ -102,8 +113,8 @@
             app, access_log=None, shutdown_timeout=0.05, handler_cancellation=True
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
+        self._site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await self._site.start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
         return self.address
@@ -114,6 +125,21 @@
             await self._runner.cleanup()
             self._runner = None
 
+    def crash(self) -> None:
+        """End at once, as a process that is killed: nothing is said or finished."""
+        if self.is_crashed:
+            return
+        self.is_crashed = True
+        for connection in self._runner.server.connections:
+            connection.transport.abort()
+        # Not within the handler that is run: it is cancelled by this.
+        self._ending = asyncio.create_task(self._end())
+        self._on_crash(self)
+
+    async def _end(self) -> None:
+        await self._site.stop()
+        await self.stop()
+
     def entry(self, service: str, **fields: Any) -> dict[str, Any]:
         """Return its entry in the store."""
         return {
@@ -139,7 +165,10 @@
         self.working += 1
         try:
             await asyncio.sleep(self.faults.head_delay)
-            if "X-Prefix-Hash" in request.headers:
+            is_stream = "X-Prefix-Hash" in request.headers
+            if body == self.faults.fatal_body:
+                return await self._run_fatal(request, is_stream=is_stream)
+            if is_stream:
                 return await self._stream(request)
             return await self._call(request)
         finally:
@@ -154,6 +183,19 @@
             headers["Content-Encoding"] = self.faults.encoding
         return headers
 
+    async def _run_fatal(
+        self, request: web.Request, *, is_stream: bool
+    ) -> web.StreamResponse:
+        """Begin to run a request, and end by it."""
+        response = web.StreamResponse(headers=self._headers(request))
+        await asyncio.sleep(self.faults.first_delay)
+        self.ran.append(request.headers["X-Request-Id"])
+        if is_stream:
+            await response.prepare(request)
+        await asyncio.sleep(self.faults.fatal_delay)
+        self.crash()
+        return response
+
     async def _call(self, request: web.Request) -> web.StreamResponse:
         self.ran.append(request.headers["X-Request-Id"])
         try:
