A request that ends the endpoints that run it is refused at all hosts

Cause: ends were counted for one try, only where an engine keeps streams, up to a limit of 1000; other tries and hosts began at zero. Now the guard counts ends by what all tries of a request have in common (workspace, path, body) and by the endpoint's start, for streams and calls; hosts merge what they count, and after three ends without a good one the request is refused with 503 and the time to come back. Evidence is an endpoint that is to serve, had just begun to run it, broke off and refuses connections; not one that is silent, leaving or cut off. A good end clears it; one within the last minute lets nothing count. From the second end on its tries go to the same endpoint at all hosts, and the third ends those that have not begun. Quarantine of retry.py and the limit of deaths are gone; an endpoint that only froze counts no more. The test of a poison prompt counts three endpoints where it set a limit of two.

--- a/bench/silence.py
+++ b/bench/silence.py
@@ -151,7 +151,7 @@
         fleet=fleet,
         clock=clock,
         placement=Placement(fleet=fleet, clock=clock, failure_domain="d"),
-        limits=RetryLimits(max_attempts=50, max_deaths=50),
+        limits=RetryLimits(max_attempts=50),
         budgets=RetryBudgets(),
         metrics=_CountingMetrics(result),
     )
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -21,6 +21,7 @@
 from passtally.completion_handler import CompletionHandler
 from passtally.config_store import ConfigStore
 from passtally.copies import CopySender, CopyService, CopyShelf
+from passtally.crash_guard import CrashGuard
 from passtally.decision import log_event
 from passtally.departures import Departures, HostListReader
 from passtally.dispatcher import Dispatcher
@@ -47,6 +48,8 @@
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
 from passtally.plain_handler import PlainHandler, SessionSender, open_session
+from passtally.quarantine import Quarantine
+from passtally.quarantine_news import QuarantineExchange
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
 from passtally.settings import Settings
@@ -94,6 +97,8 @@
             ("gate", self.gate.run),
             ("copies", self.copy_sender.run),
             ("claims", self.claims.run),
+            ("quarantine", self.quarantine_news.run),
+            ("quarantine of others", self.quarantine_news.ask),
             ("executor", self.executor.run),
             ("jobs", self.jobs.run),
             ("gauges", self._report_gauges),
@@ -183,6 +188,16 @@
         settings = self.settings
         budgets = RetryBudgets()
         self.gate = Gate(fleet=self.fleet, clock=self.clock)
+        self.guard = CrashGuard(
+            quarantine=Quarantine(), clock=self.clock, metrics=self.metrics
+        )
+        self.quarantine_news = QuarantineExchange(
+            guard=self.guard,
+            peers=self.peers,
+            linked_ids=lambda: self.peers.ids,
+            clock=self.clock,
+            rng=random.Random(),
+        )
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clock=self.clock,
@@ -195,6 +210,7 @@
             metrics=self.metrics,
             budgets=budgets,
             linger=settings.linger,
+            guard=self.guard,
         )
         self.signer = HandleSigner(
             keys_by_id=settings.resume_keys, active_key=next(iter(settings.resume_keys))
@@ -219,6 +235,7 @@
             failure_domain=settings.failure_domain,
             budgets=budgets,
             sender=SessionSender(session=self._plain_session),
+            guard=self.guard,
         )
         self.once = OnceCaller(
             caller=caller,
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -8,6 +8,7 @@
 import attrs
 
 from passtally.clock import Clock
+from passtally.crash_guard import CrashGuard, held_back
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
@@ -21,6 +22,7 @@
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.placement import NoPlaceError, Placement
+from passtally.quarantine import Quarantine
 from passtally.relay import Relay, Sink, count_reading_tokens
 from passtally.replica import ReplicaKeeper
 from passtally.retry import (
@@ -28,7 +30,6 @@
     Holder,
     LossKind,
     NextStep,
-    Quarantine,
     RetryDecision,
     RetryLimits,
     decide_after_loss,
@@ -41,6 +42,7 @@
 LINGER = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
 RESET = LossKind.RESET
+TOOK_DOWN_TOO_MANY = "took down too many endpoints"
 #: Callers give a stream up after the longest of these gaps: so much, so many times its
 #: target, or so many times the longest pause that still keeps an answer in time.
 LEAST_GIVE_UP = timedelta(seconds=2)
@@ -56,7 +58,6 @@
     """What the losses of one generation on this host add up to.
 
     Attributes:
-        deaths: The endpoints that died or froze under it.
         unreached: The attempts that reached no endpoint.
         excluded: The endpoints that lost it.
         reached: Whether it may have run somewhere.
@@ -67,7 +68,6 @@
         last_error: How its last attempt was lost.
     """
 
-    deaths: int = 0
     unreached: int = 0
     excluded: set[str] = attrs.field(factory=set)
     reached: bool = False
@@ -89,6 +89,7 @@
         budgets: How many repeats are left.
         linger: How long a left stream stays with its engine.
         metrics: Where metrics go.
+        guard: Refuses requests that end their endpoints; None for one of its own.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         budgets: Budgets,
         linger: timedelta = LINGER,
         metrics: Metrics | None = None,
+        guard: CrashGuard | None = None,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
@@ -110,7 +112,7 @@
         self._linger = linger
         self._metrics = metrics or NoMetrics()
         self._forecast = placement.forecast
-        self._quarantine = Quarantine(limits=limits)
+        self._guard = guard or CrashGuard(quarantine=Quarantine(), clock=clock)
         self._background: set[asyncio.Task[None]] = set()
 
     async def run(
@@ -139,7 +141,7 @@
         step = NextStep.ATTACH if held_by else NextStep.RESUME
         endpoint_id = held_by
         resume_ref = ""
-        self._refuse_quarantined(generation)
+        self._refuse_held(generation)
         self._metrics.count(Metric.REQUESTS)
         self._budgets.earn(
             generation.request.workspace, service=generation.request.service
@@ -148,6 +150,8 @@
             if step is NextStep.RESUME:
                 await self._recover_tokens(generation, recover, progress)
                 endpoint_id = await self._place(generation, progress)
+            if self._is_held(generation):
+                raise self._give_up(generation, progress, TOOK_DOWN_TOO_MANY)
             live = self._fleet.find(endpoint_id)
             if live is None:
                 step = NextStep.RESUME
@@ -170,6 +174,7 @@
                     attach=step is NextStep.ATTACH,
                 )
                 self._note_whole(generation, progress, live)
+                self._guard.note_good(generation.request.fingerprint)
                 return
             except AttemptLostError as loss:
                 decision = await self._take_loss(
@@ -272,12 +277,14 @@
         gone = is_gone(loss.kind, was_attached=was_attached)
         if gone:
             live.eject(self._clock.monotonic())
+        elif loss.kind is RESET and not live.engine.keeps_streams:
+            await self._note_end(generation, attempt, live)
         if gone or loss.kind is RESET:
             self._fleet.note_loss(live, is_gone=gone)
         if loss.kind is LossKind.REPLACED:
             self._fleet.note_replaced(live, loss.successor)
-        if is_death(loss.kind, was_attached=was_attached):
-            progress.deaths += 1
+        if live.engine.keeps_streams and is_death(loss.kind, was_attached=was_attached):
+            self._guard.note_crash(generation.request.fingerprint, live)
         holder = _find_holder(generation, attempt, live)
         if holder is not Holder.ENDPOINT or was_attached or loss.kind is not RESET:
             progress.excluded.add(live.endpoint.id)
@@ -288,11 +295,12 @@
         decision = decide_after_loss(
             loss.kind,
             attempts=generation.attempt_count - progress.unreached,
-            deaths=progress.deaths,
             was_attached=was_attached,
             limits=_limits_of(generation, self._limits),
             holder=holder,
         )
+        if self._is_held(generation):
+            decision = RetryDecision(step=NextStep.GIVE_UP, reason=TOOK_DOWN_TOO_MANY)
         if decision.step is not NextStep.GIVE_UP and not (
             is_unreached or await self._take_repeat(generation, progress, loss.kind)
         ):
@@ -314,6 +322,20 @@
         )
         return decision
 
+    async def _note_end(
+        self, generation: Generation, attempt: Attempt, live: LiveEndpoint
+    ) -> None:
+        """Look whether an endpoint that broke an attempt off has ended under it."""
+        if not self._fleet.is_serving(live) or not await self._guard.has_ended(live):
+            return
+        self._fleet.note_end(live)
+        self._guard.note_end(
+            generation.request.fingerprint, live, began_at=attempt.begun_at
+        )
+
+    def _is_held(self, generation: Generation) -> bool:
+        return self._guard.remaining(generation.request.fingerprint) is not None
+
     def _note_failure(
         self,
         generation: Generation,
@@ -394,7 +416,6 @@
         decision = decide_after_loss(
             kind,
             attempts=generation.attempt_count - progress.unreached,
-            deaths=progress.deaths + is_death(kind, was_attached=False),
             was_attached=False,
             limits=_limits_of(generation, self._limits),
             holder=_find_holder(generation, attempt, live),
@@ -443,9 +464,9 @@
     ) -> RefusedError:
         generation.refuse()
         request = generation.request
-        if progress.deaths >= self._limits.max_deaths:
-            now = self._clock.monotonic()
-            self._quarantine.add(request.workspace, request.prompt, now=now)
+        held_for = self._guard.remaining(request.fingerprint)
+        if held_for is not None and not progress.reached:
+            return held_back(request.service, held_for)
         begun = generation.delivered > 0
         ran = progress.reached or begun
         return refuse(
@@ -455,26 +476,16 @@
             step="resume" if begun else "route",
             peer=progress.last_error.peer if progress.last_error else request.service,
             outcome=Outcome.UNKNOWN if ran else Outcome.NOT_RUN,
-            retry_after=RETRY_AFTER,
+            retry_after=held_for or RETRY_AFTER,
             position=generation.delivered if begun else None,
         )
 
-    def _refuse_quarantined(self, generation: Generation) -> None:
+    def _refuse_held(self, generation: Generation) -> None:
         request = generation.request
-        remaining = self._quarantine.remaining(
-            request.workspace, request.prompt, now=self._clock.monotonic()
-        )
-        if remaining is None:
-            return
-        generation.refuse()
-        raise refuse(
-            Code.REQUEST_QUARANTINED,
-            "This prompt took down several endpoints and is refused for now.",
-            status=422,
-            step="admit",
-            peer=request.service,
-            retry_after=remaining,
-        )
+        remaining = self._guard.remaining(request.fingerprint)
+        if remaining is not None:
+            generation.refuse()
+            raise held_back(request.service, remaining)
 
     def _cancel(
         self,
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -143,3 +143,9 @@
 
     async def is_reachable(self) -> bool:
         """Return whether it takes a connection; asked of engines without reports."""
+
+    async def has_ended(self) -> bool:
+        """Return whether it is seen to have ended: its address takes no connections.
+
+        Not one that does not answer: it may be cut off, or only silent.
+        """
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -178,6 +178,26 @@
             self._losses.add(live.endpoint.start)
             self.load_changed.set()
 
+    def is_serving(self, live: LiveEndpoint) -> bool:
+        """Return whether an endpoint is there to serve, as far as is told.
+
+        One that is about to leave, or has no entry any more, may end as planned.
+        """
+        is_known = live.endpoint.id in self._catalog.endpoints_by_id
+        return is_known and live.view().state is EndpointState.ACTIVE
+
+    def note_end(self, live: LiveEndpoint) -> None:
+        """Take in that an endpoint is seen to have ended, and tell other hosts."""
+        live.eject(self._clock.monotonic())
+        self.note_loss(live, is_gone=True)
+
+    def end_streams(self, fingerprint: bytes) -> None:
+        """End this host's attempts at one request that have not begun to answer."""
+        for live in [*self._live_by_id.values(), *self._former]:
+            for guard in list(live.guards):
+                if guard.fingerprint == fingerprint and not guard.reads:
+                    guard.lose()
+
     def note_call(self, live: LiveEndpoint, *, is_fault: bool) -> None:
         """Take in how a plain call ended; an endpoint that fails many is left alone.
 
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -11,6 +11,7 @@
 
 from passtally.admission import AdmissionRequest, RequestClass
 from passtally.clock import Clock
+from passtally.crash_guard import CrashGuard
 from passtally.decision import log_event
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
@@ -140,6 +141,7 @@
         metrics: Where metrics go.
         learned: Set once the routes and some endpoints are known.
         forecast: Tells how long streams usually take.
+        guard: Refuses requests that end their endpoints.
         is_behind: Returns whether newer routes are known to be in force elsewhere.
     """
 
@@ -155,11 +157,13 @@
         metrics: Metrics,
         learned: asyncio.Event,
         forecast: Forecast,
+        guard: CrashGuard,
         is_behind: Callable[[], bool] = lambda: False,
     ) -> None:
         self._learned = learned
         self._is_behind = is_behind
         self._forecast = forecast
+        self._guard = guard
         self._cold_until = clock.monotonic() + COLD_START
         self._routes = routes
         self._dispatcher = dispatcher
@@ -207,6 +211,7 @@
         self._drain.check_open()
         await self._wait_for_start()
         admitted = self._admit(request)
+        self._guard.check(admitted.fingerprint, service=admitted.service)
         route = admitted.route
         is_stream = route.kind is CallKind.STREAM
         if is_stream:
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -15,6 +15,7 @@
 from passtally.budget_loans import BudgetLoans
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool, PoolFetcher
+from passtally.crash_guard import CrashGuard
 from passtally.decision import log_event
 from passtally.departures import Departures
 from passtally.dispatcher import Dispatcher
@@ -45,6 +46,8 @@
 from passtally.peers import Peers
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
+from passtally.quarantine import Quarantine
+from passtally.quarantine_news import QuarantineExchange
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
 from passtally.rollouts import Rollouts
@@ -88,10 +91,6 @@
 #: By then a host knows nearly all others, also where all 195 start at once. One that
 #: is told of no others has its budget for itself.
 BUDGET_WARM_UP = timedelta(seconds=3)
-#: No request is refused for the endpoints that died under it: here they die in
-#: groups, whatever they run.
-MAX_DEATHS = 1000
-
 SILENCE_BOUNDS_BY_PHASE = {
     Phase.FIRST_TOKEN: SilenceBounds(
         initial=timedelta(seconds=1),
@@ -158,6 +157,8 @@
             ("gossip", self.gossip.run),
             ("roster", lambda: self.roster.run(self.gossip)),
             ("news", self.news.run),
+            ("quarantine", self.quarantine_news.run),
+            ("quarantine of others", self.quarantine_news.ask),
             ("isolation", self.isolation.run),
         ):
             self.spawn(keep_running(name, work, clock=self.clock))
@@ -427,6 +428,21 @@
             clock=self.clock,
             on_lost=self.fleet.note_peer_loss,
         )
+        self.guard = CrashGuard(
+            quarantine=Quarantine(),
+            clock=self.clock,
+            has_ended=lambda live: live.engine.has_ended(),
+            on_held=self.fleet.end_streams,
+            metrics=self.metrics,
+        )
+        self.quarantine_news = QuarantineExchange(
+            guard=self.guard,
+            peers=self.peers,
+            linked_ids=lambda: [row.host_id for row in self.roster.linked()],
+            far_ids=lambda: () if self.roster.hears_all else self.roster.far_ids(),
+            clock=self.clock,
+            rng=random.Random(),
+        )
         self.overload = Overload()
         self.isolation = Isolation(
             fleet=self.fleet,
@@ -449,15 +465,17 @@
                 fleet=self.fleet, is_needed=lambda: not self.roster.hears_all
             ),
             forecast=forecast,
+            is_suspect=self.guard.is_suspect,
         )
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clock=self.clock,
             placement=self.placement,
-            limits=RetryLimits(max_deaths=MAX_DEATHS),
+            limits=RetryLimits(),
             budgets=budgets,
             linger=timedelta(0),
             metrics=self.metrics,
+            guard=self.guard,
         )
         self.caller = PlainCaller(
             fleet=self.fleet,
@@ -465,6 +483,7 @@
             failure_domain=settings.failure_domain,
             budgets=budgets,
             sender=self._adapter.make_sender(pool=self.pool, clock=self.clock),
+            guard=self.guard,
         )
         self.front = Front(
             routes=self.routes,
@@ -476,6 +495,7 @@
             metrics=self.metrics,
             learned=self._learned,
             forecast=forecast,
+            guard=self.guard,
             is_behind=lambda: self.watch.is_behind(self._adapter.routes_prefix),
         )
 
@@ -587,6 +607,8 @@
         self.metrics.gauge(Metric.CONFIG_VERSION, current.version if current else 0)
         behind = self.watch.behind_for(self._adapter.routes_prefix)
         self.metrics.gauge(Metric.CONFIG_BEHIND, round(behind.total_seconds() * 1000))
+        held = self.guard.quarantine.held(now=self.clock.monotonic())
+        self.metrics.gauge(Metric.QUARANTINED, len(held))
         self.metrics.gauge(Metric.PEER_BYTES, self.peers.bytes_sent)
         if self.rollouts is not None:
             self.metrics.gauge(Metric.ROLLOUTS, self.rollouts.under_way)
--- a/passtally/http_engine.py
+++ b/passtally/http_engine.py
@@ -143,6 +143,10 @@
         """Return whether it answers a probe."""
         return await self.probe() is not None
 
+    async def has_ended(self) -> bool:
+        """Return that nothing tells so: taking a stream up shows it."""
+        return False
+
     async def _open(
         self, step: str, method: str, path: str, **kwargs: object
     ) -> "HttpTokenStream":
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -71,6 +71,7 @@
         is_held: Whether it waits on at an endpoint that was found silent, since it may
             go on nowhere else.
         judged_from: From when on its silence is judged.
+        fingerprint: The request, see :mod:`passtally.fingerprint`.
     """
 
     quiet_since: timedelta
@@ -86,6 +87,7 @@
     is_lost: bool = False
     is_held: bool = False
     judged_from: timedelta = timedelta(0)
+    fingerprint: bytes = b""
 
     def stuck_after(self, usual: timedelta | None) -> timedelta | None:
         """Return how long it may be silent though its endpoint lives.
@@ -262,6 +264,15 @@
         if not self.own_streams:
             self._is_on_trial = False
 
+    @property
+    def has_served_one(self) -> bool:
+        """Whether no more than one request was there a moment ago, as far as known."""
+        is_recent = self._clock.monotonic() - self._peak_at <= LONGEST_REPORT_LAG
+        others = self._others_load(self.endpoint.start)
+        return self.own_streams + (self._peak if is_recent else 0) <= 1 and not (
+            others.held or others.reading or others.running
+        )
+
     def view(self, *, is_shaky: bool = False) -> EndpointView:
         """Return what decisions read.
 
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -345,6 +345,32 @@
     hosts: list[HostEvidence]
 
 
+class CrashRow(msgspec.Struct, array_like=True, frozen=True):
+    """A request under which endpoints ended; see :mod:`passtally.quarantine`.
+
+    Attributes:
+        fingerprint: The request.
+        crashed: The starts of endpoints that may have ended by it.
+        cleared: The starts of endpoints that ended under it, and not by it.
+        age_ms: How long ago the last one ended.
+    """
+
+    fingerprint: bytes
+    crashed: list[str]
+    cleared: list[str]
+    age_ms: int
+
+
+class QuarantineNews(msgspec.Struct, tag="quarantine_news", array_like=True):
+    """What a host knows of requests under which endpoints ended."""
+
+    rows: list[CrashRow]
+
+
+class FetchQuarantine(msgspec.Struct, tag="fetch_quarantine", array_like=True):
+    """Tell of all requests that matter; answered by :class:`QuarantineNews`."""
+
+
 Message = (
     StoreCopies
     | CopiesHeld
@@ -365,4 +391,6 @@
     | BorrowRepeats
     | RepeatsLent
     | RolloutNews
+    | QuarantineNews
+    | FetchQuarantine
 )
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -61,6 +61,8 @@
         "1",
         "Answers of a new version that failed; the service follows the name.",
     )
+    QUARANTINED = "quarantined", "gauge", "1", "Requests that are refused as crashing."
+    QUARANTINES = "quarantines", "counter", "1", "Requests found to be crashing."
     REQUESTS = "requests", "counter", "1", "Generations taken or taken up."
     REFUSED = "refused", "counter", "1", "Refusals; the error code follows the name."
     ATTEMPTS = "attempts", "counter", "1", "Attempts started."
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -46,6 +46,8 @@
         survey: Asks the best candidates for a prompt what waits there.
         prefixes: Finds where the prompt of an answer that is taken up is kept.
         forecast: Tells what an answer still needs; who runs answers teaches it.
+        is_suspect: Returns whether several endpoints ended under a request, by its
+            fingerprint.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         survey: Survey | None = None,
         prefixes: PrefixFinder | None = None,
         forecast: Forecast | None = None,
+        is_suspect: Callable[[bytes], bool] = lambda fingerprint: False,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
@@ -70,6 +73,7 @@
             fleet=fleet, clock=clock, failure_domain=failure_domain
         )
         self.forecast = forecast or Forecast()
+        self._is_suspect = is_suspect
 
     def move(self, failure_domain: str) -> None:
         """Take in that this host stands in another failure domain."""
@@ -166,6 +170,7 @@
         self, generation: Generation, excluded: set[str], *, is_trial: bool = False
     ) -> RouteDecision:
         request = generation.request
+        is_suspect = self._is_suspect(request.fingerprint)
         return self._choose(
             RouteQuery(
                 affinity=affinity_of(generation.request.prompt),
@@ -174,6 +179,7 @@
                 resume_tokens=count_resume_tokens(generation),
                 tokens=count_held_tokens(generation),
                 prompt_tokens=count_reading_tokens(generation),
+                suspect=request.fingerprint if is_suspect else b"",
             ),
             self._fleet.views(request.service, is_trial=is_trial),
             now=self._clock.monotonic(),
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from passtally.clock import Clock
+from passtally.crash_guard import CrashGuard
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
 from passtally.fair_timeout import FairTimeout, sleep_fairly
@@ -16,6 +17,7 @@
 from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Service
 from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.quarantine import Quarantine
 from passtally.retry import UNRUN_KINDS, LossKind
 from passtally.retry_budget import Budgets, take_repeat, wait_for_repeat
 from passtally.routing import RouteDecision, RouteQuery, choose_endpoint
@@ -149,6 +151,7 @@
         failure_domain: This host's own.
         budgets: How many repeats are left.
         sender: Sends a call to one endpoint.
+        guard: Refuses calls that end their endpoints; None for one of its own.
     """
 
     def __init__(
@@ -159,12 +162,14 @@
         failure_domain: str,
         budgets: Budgets,
         sender: Sender,
+        guard: CrashGuard | None = None,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self.failure_domain = failure_domain
         self._budgets = budgets
         self._sender = sender
+        self._guard = guard or CrashGuard(quarantine=Quarantine(), clock=clock)
 
     async def call(
         self, call: PlainCall, *, before_send: Callable[[], None] | None = None
@@ -183,6 +188,7 @@
         tries = _Tries(sends_left=call.max_attempts)
         failure: RefusedError | None = None
         service = call.service.id
+        self._guard.check(call.fingerprint, service=service)
         self._budgets.earn(call.workspace, service=service)
         endpoint_id = self._route_first(call)
         while endpoint_id is not None:
@@ -211,6 +217,8 @@
     async def _may_repeat(
         self, call: PlainCall, failure: RefusedError, tries: _Tries
     ) -> bool:
+        if self._guard.remaining(call.fingerprint) is not None:
+            return False
         ran = failure.failure.outcome is Outcome.UNKNOWN
         if ran and not call.repeatable:
             return False
@@ -231,11 +239,13 @@
     def _choose(
         self, call: PlainCall, excluded: set[str], *, is_trial: bool = False
     ) -> RouteDecision:
+        is_suspect = self._guard.is_suspect(call.fingerprint)
         return choose_endpoint(
             RouteQuery(
                 affinity=call.id.encode(),
                 failure_domain=call.failure_domain or self.failure_domain,
                 exclude=excluded,
+                suspect=call.fingerprint if is_suspect else b"",
             ),
             self._fleet.views(call.service.id, is_trial=is_trial),
             now=self._clock.monotonic(),
@@ -291,14 +301,15 @@
                     losing = asyncio.create_task(work)
                 answer = await self._sender.send(call, live, before_send=before_send)
         except AttemptLostError as loss:
-            raise self._take_loss(call, live, loss) from loss
+            raise await self._take_loss(call, live, loss, began=began) from loss
         except TimeoutError as error:
             loss = lost_call(LossKind.FROZEN, live, error)
-            raise self._take_loss(call, live, loss) from error
+            raise await self._take_loss(call, live, loss, began=began) from error
         finally:
             live.leave()
             if losing is not None:
                 losing.cancel()
+        self._guard.note_good(call.fingerprint)
         self._fleet.note_call(live, is_fault=answer.status in FAULT_STATUSES)
         self._fleet.versions.note_answer(
             live.endpoint,
@@ -328,8 +339,13 @@
         tries.has_repeat = tries.must_connect = True
         scope.expire()
 
-    def _take_loss(
-        self, call: PlainCall, live: LiveEndpoint, loss: AttemptLostError
+    async def _take_loss(
+        self,
+        call: PlainCall,
+        live: LiveEndpoint,
+        loss: AttemptLostError,
+        *,
+        began: timedelta,
     ) -> RefusedError:
         is_frozen = loss.kind is LossKind.FROZEN
         live.unanswered_calls += is_frozen
@@ -338,6 +354,8 @@
         is_gone = loss.kind is LossKind.UNREACHABLE
         if loss.kind is LossKind.REPLACED:
             live.note_ended()
+        if loss.kind is LossKind.RESET and self._fleet.is_serving(live):
+            await self._note_end(call, live, began)
         if is_gone or live.unanswered_calls >= MAX_UNANSWERED:
             live.eject(self._clock.monotonic())
         log_decision(
@@ -356,6 +374,14 @@
         )
         return _maybe_run(loss)
 
+    async def _note_end(
+        self, call: PlainCall, live: LiveEndpoint, began: timedelta
+    ) -> None:
+        """Look whether an endpoint that reset a call has ended under it."""
+        if await self._guard.has_ended(live):
+            self._fleet.note_end(live)
+            self._guard.note_end(call.fingerprint, live, began_at=began)
+
 
 def _worse(known: RefusedError | None, new: RefusedError) -> RefusedError:
     """Return the failure to report: once something may have run, that stays."""
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -197,6 +197,10 @@
         """Return whether the endpoint accepts a connection."""
         return await self._link.is_reachable()
 
+    async def has_ended(self) -> bool:
+        """Return whether its address refuses connections."""
+        return await self._link.is_refusing()
+
     async def _open(
         self,
         request: GenerationRequest,
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -166,6 +166,15 @@
         connection.abort()
         return True
 
+    async def is_refusing(self) -> bool:
+        """Return whether nothing listens at the endpoint's address."""
+        try:
+            connection = await self._pool.open(self.address, timeout=REACH_TIMEOUT)
+        except ExchangeError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.abort()
+        return False
+
     def lost(self, kind: LossKind, detail: str) -> AttemptLostError:
         """Return the error for a loss at this endpoint."""
         return AttemptLostError(
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -97,6 +97,7 @@
             quiet_since=clock.monotonic(),
             first_limit=first_limit,
             max_gap=generation.request.max_gap,
+            fingerprint=generation.request.fingerprint,
         )
         self._resuming = 0
         self._reading = 0
--- a/passtally/retry.py
+++ b/passtally/retry.py
@@ -1,8 +1,5 @@
 """What follows when an attempt is lost. Pure."""
 
-import hashlib
-from collections import OrderedDict
-from datetime import timedelta
 from enum import StrEnum
 
 import attrs
@@ -59,14 +56,9 @@
 
     Attributes:
         max_attempts: The dispatches one generation may have.
-        max_deaths: The endpoints one request may take down before it is
-            quarantined.
-        quarantine: How long its prompt is then refused.
     """
 
     max_attempts: int = 6
-    max_deaths: int = 3
-    quarantine: timedelta = timedelta(minutes=10)
 
 
 @attrs.frozen(kw_only=True)
@@ -81,7 +73,6 @@
     kind: LossKind,
     *,
     attempts: int,
-    deaths: int,
     was_attached: bool,
     limits: RetryLimits,
     holder: Holder = Holder.ENDPOINT,
@@ -91,17 +82,12 @@
     Args:
         kind: How it was lost.
         attempts: The attempts made so far, this one included.
-        deaths: The endpoints that died or froze under this request.
         was_attached: Whether this attempt had itself taken up a held stream.
         limits: Where resuming ends.
         holder: What may still have the stream's state.
     """
     if kind is LossKind.SUPERSEDED:
         return RetryDecision(step=NextStep.GIVE_UP, reason="taken up by another host")
-    if deaths >= limits.max_deaths:
-        return RetryDecision(
-            step=NextStep.GIVE_UP, reason="took down too many endpoints"
-        )
     if attempts >= limits.max_attempts:
         return RetryDecision(step=NextStep.GIVE_UP, reason="too many attempts")
     if holder is Holder.REPLICA and kind not in UNRUN_KINDS:
@@ -122,46 +108,9 @@
 
 
 def is_death(kind: LossKind, *, was_attached: bool) -> bool:
-    """Return whether a loss shows that the endpoint died under the request.
+    """Return whether a loss shows that an endpoint that keeps streams has ended.
 
-    One that has a stream no more was restarted; one that was never reached did
-    not die of this request.
+    One that has a stream no more was restarted.
     """
     lost_stream = (LossKind.REFUSED, LossKind.UNREACHABLE, LossKind.RESET)
-    return kind is LossKind.FROZEN or (was_attached and kind in lost_stream)
-
-
-class Quarantine:
-    """Prompts that took endpoints down, refused for a while.
-
-    Args:
-        limits: For how long.
-        max_entries: How many are remembered; the oldest is forgotten first.
-    """
-
-    def __init__(self, *, limits: RetryLimits, max_entries: int = 1024) -> None:
-        self._limits = limits
-        self._max_entries = max_entries
-        self._until_by_digest: OrderedDict[bytes, timedelta] = OrderedDict()
-
-    def add(self, workspace: str, prompt: str, *, now: timedelta) -> None:
-        """Refuse a prompt from now on, for its workspace."""
-        digest = _digest(workspace, prompt)
-        self._until_by_digest[digest] = now + self._limits.quarantine
-        self._until_by_digest.move_to_end(digest)
-        if len(self._until_by_digest) > self._max_entries:
-            self._until_by_digest.popitem(last=False)
-
-    def remaining(
-        self, workspace: str, prompt: str, *, now: timedelta
-    ) -> timedelta | None:
-        """Return how long a prompt is still refused, or None if it is not."""
-        until = self._until_by_digest.get(_digest(workspace, prompt))
-        if until is None or until <= now:
-            return None
-        return until - now
-
-
-def _digest(workspace: str, prompt: str) -> bytes:
-    keyed = f"{workspace}\0{prompt}".encode()
-    return hashlib.blake2b(keyed, digest_size=16).digest()
+    return was_attached and kind in lost_stream
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -85,6 +85,7 @@
             answer; 0 for a new request.
         tokens: What it may take in an endpoint's memory; 0 where that is not known.
         prompt_tokens: What an endpoint must read; 0 where that is not known.
+        suspect: The request, where several endpoints ended under it; else empty.
     """
 
     affinity: bytes
@@ -93,6 +94,7 @@
     resume_tokens: int = 0
     tokens: int = 0
     prompt_tokens: int = 0
+    suspect: bytes = b""
 
 
 @attrs.frozen(kw_only=True)
@@ -162,6 +164,8 @@
         return RouteDecision(
             endpoint_id=None, candidates=(), reason="no usable endpoint"
         )
+    if query.suspect:
+        return _choose_for_suspect(query, usable)
     if all(view.capacity_tokens for view in usable):
         return _choose_by_tokens(query, usable)
     if query.resume_tokens:
@@ -266,6 +270,19 @@
     )
 
 
+def _choose_for_suspect(
+    query: RouteQuery, usable: Sequence[EndpointView]
+) -> RouteDecision:
+    """Choose the same endpoint at all hosts: its tries at once end no more than one."""
+    with_room = [view for view in usable if view.load < 1] or usable
+    ranked = sorted(with_room, key=lambda view: affinity_rank(query.suspect, view.id))
+    return RouteDecision(
+        endpoint_id=ranked[0].id,
+        candidates=tuple(view.id for view in ranked[:MAX_LOGGED]),
+        reason="endpoints ended under it",
+    )
+
+
 def _choose_for_resume(
     query: RouteQuery, usable: Sequence[EndpointView]
 ) -> RouteDecision:
--- a/tests/rated_network.py
+++ b/tests/rated_network.py
@@ -167,6 +167,10 @@
                     far[row.failure_domain] = row
         return [*self.neighbours(), *far.values()]
 
+    def far_ids(self) -> list[str]:
+        own = self.failure_domain
+        return [row.host_id for row in self.linked() if row.failure_domain != own]
+
     def _domain(self) -> list[MemberRow]:
         return [
             row
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -17,6 +17,7 @@
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.outcome import Code, Outcome, RefusedError
 from passtally.placement import Placement
+from passtally.quarantine import MAX_CRASHES
 from passtally.retry import LossKind, RetryLimits
 from passtally.retry_budget import RetryBudgets
 from standins.fake_engine import FakeEngine, expected_text
@@ -125,7 +126,9 @@
 
 def make_short_generation(**options) -> Generation:
     generation = make_generation(**options)
-    generation.request = attrs.evolve(generation.request, max_tokens=TOKENS)
+    generation.request = attrs.evolve(
+        generation.request, max_tokens=TOKENS, fingerprint=b"f"
+    )
     return generation
 
 
@@ -325,7 +328,7 @@
                     yield events
 
         async def run():
-            bench = Bench(PoisonedEngine, max_deaths=2)
+            bench = Bench(PoisonedEngine)
             with pytest.raises(RefusedError) as first:
                 await bench.run(make_short_generation())
             dead = sum(engine.is_dead for engine in bench.engines.values())
@@ -340,8 +343,8 @@
             Code.RESUME_IMPOSSIBLE,
             Outcome.UNKNOWN,
         )
-        assert first.position == 12, "one token from each engine after the tenth"
-        assert dead == 2
+        assert first.position == 13, "one token from each engine after the tenth"
+        assert dead == MAX_CRASHES
         assert (second.code, second.outcome) == (
             Code.REQUEST_QUARANTINED,
             Outcome.NOT_RUN,
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -176,7 +176,6 @@
         return decide_after_loss(
             kind,
             attempts=1,
-            deaths=0,
             was_attached=False,
             limits=RetryLimits(),
             holder=holder,
@@ -423,7 +422,7 @@
                 survey=Survey(fleet=self.fleet, is_needed=lambda: asks),
                 forecast=forecast,
             ),
-            limits=RetryLimits(max_deaths=1000),
+            limits=RetryLimits(),
             budgets=ServiceBudgets(
                 share=0.8,
                 extra=lambda: most,
