--- a/standins/runner.py
+++ b/standins/runner.py
@@ -35,6 +35,7 @@
         fatal_body: The body of a request that ends the endpoint when it is run; None
             for no such request.
         fatal_delay: How long it runs until then, in seconds.
+        limit: The requests a second that its answers name as its limit; None for none.
     """
 
     refusals: int = 0
@@ -55,6 +56,7 @@
     event_bytes: int = 0
     fatal_body: bytes | None = None
     fatal_delay: float = 0.05
+    limit: str | None = None
 
 
 class RunnerStandIn:
@@ -82,6 +84,8 @@
         self.gap = gap
         self.faults = RunnerFaults()
         self.requests: list[web.Request] = []
+        #: When they came, by the loop's time.
+        self.requested_at: list[float] = []
         self.bodies: list[bytes] = []
         self.ran: list[str] = []
         self.replicas: dict[str, int] = {}
@@ -156,6 +160,7 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         self.requests.append(request)
+        self.requested_at.append(asyncio.get_running_loop().time())
         self.bodies.append(body)
         if request.headers.get("X-Expect-Instance") != self.name:
             return web.Response(status=421, headers={"X-Instance-Id": self.name})
@@ -179,6 +184,8 @@
         headers = {"X-Request-Id": "other" if self.faults.other_id else request_id}
         if not self.faults.no_proof:
             headers["X-Response-Stamp"] = PROOF
+        if self.faults.limit is not None:
+            headers["Server-Limit"] = self.faults.limit
         if self.faults.encoding:
             headers["Content-Encoding"] = self.faults.encoding
         return headers
