--- a/passtally/rollout_trial.py
+++ b/passtally/rollout_trial.py
@@ -1,7 +1,6 @@
 """One roll-out under way on this host: what is sent, counted and found."""
 
 import asyncio
-import hashlib
 import math
 from collections import deque
 from collections.abc import Callable, Collection, Sequence
@@ -11,6 +10,7 @@
 from passtally.decision import log_event
 from passtally.messages import HostEvidence
 from passtally.objects import Endpoint, EndpointState
+from passtally.ranking import rank_of
 from passtally.retry_budget import Lend, ServiceBudgets, lend_nothing
 from passtally.rollout import GRACE, Rollout, RolloutRecord, RolloutState
 from passtally.version_evidence import Evidence, EvidenceBoard
@@ -123,7 +123,7 @@
         if new and rollout.state is RolloutState.WAITING:
             self.send("come")
         ready = [item for item in new if item.id in usable and not self._waits(item)]
-        ready.sort(key=lambda item: _rank(self.order.id, item.id))
+        ready.sort(key=lambda item: rank_of(self.order.id, item.id))
         count = max(LEAST_TRIED, math.ceil(self.budgets.share * len(new)))
         self.tried_ids = frozenset(item.id for item in ready[:count])
 
@@ -269,13 +269,9 @@
         return kept[-1] if kept else None
 
 
-def _rank(order_id: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{order_id} {name}".encode(), digest_size=8).digest()
-
-
 def rank_hosts(order_id: str, host_ids: Sequence[str]) -> list[str]:
     """Return hosts in the order in which they record what was decided.
 
     It needs no agreement: a store takes only the first of two records.
     """
-    return sorted(host_ids, key=lambda name: _rank(order_id, name))
+    return sorted(host_ids, key=lambda name: rank_of(order_id, name))
--- a/passtally/roster.py
+++ b/passtally/roster.py
@@ -1,6 +1,5 @@
 """Finds the other entry hosts: from a few seeds, then from each other."""
 
-import hashlib
 from collections.abc import Collection, Sequence
 from datetime import timedelta
 
@@ -10,6 +9,7 @@
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
 from passtally.peers import Peers
+from passtally.ranking import rank_of
 from passtally.settings import Address, PeerAddress, parse_address
 
 #: How often links are made to hosts that gossip has told of.
@@ -146,6 +146,16 @@
         """Return the other hosts of this failure domain that are in reach."""
         return [row.host_id for row in self._domain()]
 
+    @property
+    def own(self) -> MemberRow:
+        """This host's row."""
+        return self._table.own
+
+    @property
+    def revision(self) -> int:
+        """Goes up whenever what is known of the hosts changes."""
+        return self._table.revision
+
     @property
     def failure_domain(self) -> str:
         """This host's failure domain."""
@@ -186,13 +196,9 @@
     near = [row for row in ordered if row.failure_domain == own.failure_domain]
     far = {
         row.failure_domain: row
-        for row in sorted(rows, key=lambda row: _rank(own.host_id, row.host_id))
+        for row in sorted(rows, key=lambda row: rank_of(own.host_id, row.host_id))
         if row.failure_domain != own.failure_domain
     }
     if not whole_domain:
         near = [*near[: RING_LINKS // 2], *near[-(RING_LINKS // 2) :]]
     return [*near, *far.values()]
-
-
-def _rank(own_id: str, host_id: str) -> bytes:
-    return hashlib.blake2b(f"{own_id} {host_id}".encode(), digest_size=8).digest()
