Hosts keep to the limit that an endpoint names, all together

Callers saw (LIMIT): an endpoint that had named 1.3 requests a second got 19 in 4 s from hosts that it had told, of 13 allowed. Cause: nobody read the header, and hosts have no rate for one endpoint that they share: places, memory and budgets of repeats are each counted by host or service. Now an answer's limit holds from the moment in which it is read, until one that was sent after it names none or another; hosts tell each other what was named, with its age. Four hosts share a limit (more from 3.4 a second on), those of the endpoint's own failure domain first, each with a part and one request that it may send at once: no message goes before a request, in a cut each side has its parts, and the sum stays within what the users allow also where one host more believes in a part. Where the limit has no room the endpoint is no choice, neither for replicas nor as a place for those that wait; where none has room the refusal tells when. 0 is asked once in 10 s; what is no limit is logged and changes nothing.

--- a/passtally/adapter.py
+++ b/passtally/adapter.py
@@ -12,6 +12,7 @@
 from passtally.object_store import MovablePlatform, Platform, StoredObject
 from passtally.objects import Endpoint
 from passtally.plain import Sender
+from passtally.request_limits import LimitNotes
 from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
 from passtally.settings import Address
@@ -69,6 +70,7 @@
         *,
         pool: ConnectionPool,
         clock: Clock,
+        limits: LimitNotes,
         find_address: Callable[[str], Address | None],
     ) -> Engine:
         """Return the client of an endpoint's engine."""
@@ -76,7 +78,9 @@
     async def is_engine(self, engine: Engine) -> bool:
         """Return whether a model engine answers there."""
 
-    def make_sender(self, *, pool: ConnectionPool, clock: Clock) -> Sender:
+    def make_sender(
+        self, *, pool: ConnectionPool, clock: Clock, limits: LimitNotes
+    ) -> Sender:
         """Return what sends plain calls."""
 
     def make_handler(self, front: Front) -> Handle:
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -153,8 +153,9 @@
             if self._is_held(generation):
                 raise self._give_up(generation, progress, TOOK_DOWN_TOO_MANY)
             live = self._fleet.find(endpoint_id)
-            if live is None:
-                step = NextStep.RESUME
+            if live is None or not self._fleet.try_send(live):
+                # Taken up elsewhere: also a replica is out of reach at its limit.
+                step, resume_ref = NextStep.RESUME, ""
                 continue
             attempt = generation.start_attempt(
                 endpoint_id,
@@ -476,7 +477,9 @@
             step="resume" if begun else "route",
             peer=progress.last_error.peer if progress.last_error else request.service,
             outcome=Outcome.UNKNOWN if ran else Outcome.NOT_RUN,
-            retry_after=held_for or RETRY_AFTER,
+            retry_after=held_for
+            or self._fleet.wait_for_room(request.service)
+            or RETRY_AFTER,
             position=generation.delivered if begun else None,
         )
 
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -19,6 +19,7 @@
 )
 from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointStart, EndpointState, is_placed
+from passtally.request_limits import RequestLimits
 from passtally.routing import EndpointView
 from passtally.service_index import ServiceIndex
 from passtally.silence import (
@@ -67,6 +68,7 @@
             that has its address now.
         on_silent: See :class:`passtally.live_endpoint.LiveEndpoint`.
         versions: Which versions get requests.
+        limits: The limits that endpoints name; None for ones of its own.
     """
 
     def __init__(
@@ -84,7 +86,9 @@
         ),
         on_silent: Callable[[timedelta], None] = lambda since: None,
         versions: Versions | None = None,
+        limits: RequestLimits | None = None,
     ) -> None:
+        self.limits = limits or RequestLimits()
         self.versions = versions or AnyVersion()
         self._on_silent = on_silent
         self._catalog = catalog
@@ -165,6 +169,36 @@
                 return True
         return not in_use
 
+    def note_limit(
+        self, endpoint_id: str, rate: float | None, *, sent_at: timedelta
+    ) -> None:
+        """Take in how many requests an endpoint takes, and tell other hosts."""
+        now = self._clock.monotonic()
+        start = self.start_of(endpoint_id)
+        if self.limits.note_answer(start, rate, sent_at=sent_at, now=now):
+            self.load_changed.set()
+
+    def note_odd(self, endpoint_id: str, text: str) -> None:
+        """Take in that an endpoint names what is no limit."""
+        self.limits.note_odd(endpoint_id, text)
+
+    def try_send(self, live: LiveEndpoint) -> bool:
+        """Count a request that is sent to an endpoint, if its limit has room for it."""
+        return self.limits.take(live.endpoint.start, now=self._clock.monotonic())
+
+    def wait_for_room(self, service_id: str) -> timedelta:
+        """Return how long it takes until an endpoint's limit has room for a request.
+
+        Zero where none names a limit, or one has room.
+        """
+        now = self._clock.monotonic()
+        waits = [
+            self.limits.wait_for_room(endpoint.start, now=now)
+            for endpoint in self._catalog.endpoints_of(service_id)
+            if endpoint.state is EndpointState.ACTIVE
+        ]
+        return min(waits, default=timedelta(0))
+
     def note_loss(self, live: LiveEndpoint, *, is_gone: bool) -> None:
         """Take in that a run was lost: its whole failure domain may be going.
 
@@ -335,14 +369,18 @@
     def view(self, endpoint_id: str) -> EndpointView:
         """Return what decisions read of an endpoint that :meth:`find` finds."""
         live = self.find(endpoint_id)
-        return live.view(is_shaky=self._is_shaky(live.endpoint.failure_domain))
+        start, now = live.endpoint.start, self._clock.monotonic()
+        return live.view(
+            is_shaky=self._is_shaky(live.endpoint.failure_domain),
+            may_be_sent=self.limits.has_room(start, now=now),
+        )
 
     def service_capacity(self, service_id: str) -> "Capacity":
         """Return the places of a service's endpoints in use, and how many are taken."""
         views = [
             view
             for view in self.views(service_id)
-            if view.state is EndpointState.ACTIVE
+            if view.state is EndpointState.ACTIVE and view.may_be_sent
         ]
         return Capacity(
             places=sum(view.max_streams for view in views),
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -31,6 +31,7 @@
 from passtally.host_reload import HostReload
 from passtally.http_server import SMALL_PART, Exchange, HttpServer, ServerLimits
 from passtally.isolation import Isolation
+from passtally.limit_sharers import LimitSharers
 from passtally.listeners import CALLERS, METRICS, PEERS, READINESS, Listeners
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
@@ -48,6 +49,7 @@
 from passtally.plain import PlainCaller
 from passtally.quarantine import Quarantine
 from passtally.quarantine_news import QuarantineExchange
+from passtally.request_limits import RequestLimits
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
 from passtally.rollouts import Rollouts
@@ -239,7 +241,9 @@
         self._build_links()
         self.board = LoadBoard()
         self.rollouts = self._build_rollouts()
+        sharers = LimitSharers(roster=self.roster, catalog=self.catalog)
         self.fleet = Fleet(
+            limits=RequestLimits(count_hosts=sharers.count, rank=sharers.rank),
             versions=self.rollouts,
             departures=self.departures,
             others_load=self.board.load,
@@ -482,7 +486,9 @@
             clock=self.clock,
             failure_domain=settings.failure_domain,
             budgets=budgets,
-            sender=self._adapter.make_sender(pool=self.pool, clock=self.clock),
+            sender=self._adapter.make_sender(
+                pool=self.pool, clock=self.clock, limits=self.fleet
+            ),
             guard=self.guard,
         )
         self.front = Front(
@@ -551,6 +557,7 @@
             endpoint,
             pool=self.pool,
             clock=self.clock,
+            limits=self.fleet,
             find_address=self._find_address,
         )
 
--- a/passtally/host_news.py
+++ b/passtally/host_news.py
@@ -121,6 +121,7 @@
         self._clock = clock
         self._on_lost = on_lost
         self._told: Mapping[str, TokenLoad] = {}
+        self._told_rates: Mapping[tuple[str, int], float | None] = {}
         self._told_at = timedelta(0)
         #: The hosts that were told the loads as they are now.
         self._told_ids: set[str] = set()
@@ -152,9 +153,11 @@
         loads = self._fleet.loads_by_endpoint()
         lost = self._fleet.take_losses()
         now = self._clock.monotonic()
-        is_due = bool(loads) and now - self._told_at > REPEAT_INTERVAL
-        if loads != self._told or lost or is_due:
-            self._told, self._told_at = loads, now
+        limits = self._fleet.limits.rows(now=now)
+        rates = {(row.endpoint_id, row.incarnation): row.rate for row in limits}
+        is_due = bool(loads or rates) and now - self._told_at > REPEAT_INTERVAL
+        if loads != self._told or rates != self._told_rates or lost or is_due:
+            self._told, self._told_rates, self._told_at = loads, rates, now
             self._told_ids.clear()
         missing = [host_id for host_id in host_ids if host_id not in self._told_ids]
         if missing:
@@ -164,6 +167,7 @@
                 lost=[start.endpoint_id for start in lost],
                 lost_incarnations=[start.incarnation for start in lost],
                 is_first=self._is_first,
+                limits=limits,
             )
             told = await self._peers.tell(missing, news)
             self._told_ids |= told
@@ -172,6 +176,8 @@
     def _hear(self, news: HostNews) -> None:
         now = self._clock.monotonic()
         self._board.take(news.host_id, news.loads_by_endpoint, now=now)
+        if self._fleet.limits.merge(news.limits, now=now):
+            self._fleet.load_changed.set()
         if news.is_first:
             self._told_ids.discard(news.host_id)
         for start in news.lost_starts():
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -273,11 +273,12 @@
             others.held or others.reading or others.running
         )
 
-    def view(self, *, is_shaky: bool = False) -> EndpointView:
+    def view(self, *, is_shaky: bool = False, may_be_sent: bool = True) -> EndpointView:
         """Return what decisions read.
 
         Args:
             is_shaky: Whether a run was lost in its failure domain a moment ago.
+            may_be_sent: Whether the limit that it names has room.
         """
         others = self._others_load(self.endpoint.start)
         is_doubted = self._clock.monotonic() < self._doubted_until
@@ -298,6 +299,7 @@
             reading_tokens=self.reading_tokens + others.reading,
             running_streams=self.running_streams + others.running,
             capacity_tokens=self.capacity_tokens,
+            may_be_sent=may_be_sent,
         )
 
     def take_report(self, report: LoadReport) -> None:
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -212,6 +212,22 @@
     incarnation: int = 0
 
 
+class LimitRow(msgspec.Struct, array_like=True, frozen=True):
+    """The limit that an endpoint names; see :mod:`passtally.request_limits`.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: Which start of it.
+        rate: The requests a second that it takes from all hosts; None for no limit.
+        age_ms: How long ago an answer told so.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    rate: float | None
+    age_ms: int
+
+
 class HostNews(msgspec.Struct, tag="host_news", array_like=True):
     """What one host's runs take at endpoints, and which endpoints it lost.
 
@@ -221,6 +237,7 @@
         lost: Endpoints that it found gone since its last news.
         is_first: Whether the host has just started, and knows nobody's loads.
         lost_incarnations: Which starts of the lost endpoints, in the same order.
+        limits: The limits that endpoints name, as far as it knows them.
     """
 
     host_id: str
@@ -228,6 +245,7 @@
     lost: list[str]
     is_first: bool = False
     lost_incarnations: list[int] = []
+    limits: list[LimitRow] = []
 
     def lost_starts(self) -> list[EndpointStart]:
         """Return the starts of endpoints that it found gone.
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -211,7 +211,7 @@
             status=503,
             step="route",
             peer=service,
-            retry_after=RETRY_AFTER,
+            retry_after=self._fleet.wait_for_room(service) or RETRY_AFTER,
         )
 
     async def _may_repeat(
@@ -288,6 +288,7 @@
     ) -> PlainAnswer:
         """Send the call once, and learn of the endpoint from how that ends."""
         live = self._fleet.find(endpoint_id)
+        self._fleet.try_send(live)
         limit = self._remaining(call)
         losing: asyncio.Task[None] | None = None
         began = self._clock.monotonic()
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -14,6 +14,7 @@
 from passtally.platform.rollout_object import decode_rollout, encode_status
 from passtally.platform.runner import RunnerEngine, RunnerSender
 from passtally.platform.store import PlatformStore
+from passtally.request_limits import LimitNotes
 from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
 from passtally.settings import Address
@@ -64,20 +65,27 @@
         *,
         pool: ConnectionPool,
         clock: Clock,
+        limits: LimitNotes,
         find_address: Callable[[str], Address | None],
     ) -> RunnerEngine:
         """Return the client of an endpoint's engine."""
         return RunnerEngine(
-            endpoint=endpoint, pool=pool, clock=clock, find_address=find_address
+            endpoint=endpoint,
+            pool=pool,
+            clock=clock,
+            limits=limits,
+            find_address=find_address,
         )
 
     async def is_engine(self, engine: RunnerEngine) -> bool:
         """Return whether a model engine answers there."""
         return await engine.is_engine()
 
-    def make_sender(self, *, pool: ConnectionPool, clock: Clock) -> RunnerSender:
+    def make_sender(
+        self, *, pool: ConnectionPool, clock: Clock, limits: LimitNotes
+    ) -> RunnerSender:
         """Return what sends plain calls."""
-        return RunnerSender(pool=pool, clock=clock)
+        return RunnerSender(pool=pool, clock=clock, limits=limits)
 
     def make_handler(self, front: Front) -> Handle:
         """Return what hands callers' requests to the front."""
--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -18,6 +18,8 @@
 NOT_RUN = b"x-not-executed"
 #: On an answer: the endpoint that gave it.
 ANSWERED_BY = b"x-instance-id"
+#: On an answer: the requests a second that the endpoint takes from all hosts together.
+LIMIT = b"server-limit"
 CONTENT_ENCODING = b"content-encoding"
 HOST = b"host"
 #: 0 is the most urgent; 5 where the header is absent.
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -27,6 +27,7 @@
 )
 from passtally.platform.runner_link import RunnerLink
 from passtally.platform.runner_stream import RunnerStream
+from passtally.request_limits import LimitNotes
 from passtally.retry import LossKind
 from passtally.settings import Address
 
@@ -53,11 +54,15 @@
     Args:
         pool: The connections.
         clock: The clock.
+        limits: Where the limits that endpoints name are noted.
     """
 
-    def __init__(self, *, pool: ConnectionPool, clock: Clock) -> None:
+    def __init__(
+        self, *, pool: ConnectionPool, clock: Clock, limits: LimitNotes
+    ) -> None:
         self._pool = pool
         self._clock = clock
+        self._limits = limits
 
     async def send(
         self,
@@ -67,7 +72,12 @@
         before_send: Callable[[], None] | None = None,
     ) -> PlainAnswer:
         """Send a call once and return its answer."""
-        link = RunnerLink(endpoint=live.endpoint, pool=self._pool, clock=self._clock)
+        link = RunnerLink(
+            endpoint=live.endpoint,
+            pool=self._pool,
+            clock=self._clock,
+            limits=self._limits,
+        )
         if before_send is not None:
             before_send()
         connection, head = await link.send(
@@ -106,6 +116,7 @@
         endpoint: The endpoint.
         pool: The connections.
         clock: The clock.
+        limits: Where the limits that it names are noted.
         find_address: Returns where an endpoint listens, by its id.
     """
 
@@ -118,9 +129,12 @@
         endpoint: Endpoint,
         pool: ConnectionPool,
         clock: Clock,
+        limits: LimitNotes,
         find_address: Callable[[str], Address | None],
     ) -> None:
-        self._link = RunnerLink(endpoint=endpoint, pool=pool, clock=clock)
+        self._link = RunnerLink(
+            endpoint=endpoint, pool=pool, clock=clock, limits=limits
+        )
         self._find_address = find_address
 
     async def generate(
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -14,6 +14,8 @@
 )
 from passtally.objects import Endpoint
 from passtally.platform import names
+from passtally.platform.decode import decode_limit
+from passtally.request_limits import LimitNotes
 from passtally.retry import LossKind
 from passtally.settings import Address, parse_address
 
@@ -37,11 +39,18 @@
         endpoint: The endpoint.
         pool: The connections.
         clock: The clock.
+        limits: Where the limits that the endpoint names are noted.
     """
 
     def __init__(
-        self, *, endpoint: Endpoint, pool: ConnectionPool, clock: Clock
+        self,
+        *,
+        endpoint: Endpoint,
+        pool: ConnectionPool,
+        clock: Clock,
+        limits: LimitNotes,
     ) -> None:
+        self._limits = limits
         self.address = parse_address(endpoint.url.removeprefix(_URL_PREFIX))
         self.endpoint_id = endpoint.id
         self._pool = pool
@@ -85,6 +94,7 @@
         except BaseException:
             self.abandon(connection)
             raise
+        self._note_limit(head, sent_at=connection.sent_at)
         try:
             self._check(headers, head)
         except AttemptLostError:
@@ -188,6 +198,19 @@
         kind = LossKind.SEAM if error.is_garbled else LossKind.RESET
         return self.lost(kind, error.detail)
 
+    def _note_limit(self, head: ResponseHead, *, sent_at: timedelta) -> None:
+        """Take in how many requests the endpoint says that it takes."""
+        answered_by = head.header(names.ANSWERED_BY)
+        if answered_by is not None and answered_by != self.endpoint_id.encode():
+            return
+        text = head.header(names.LIMIT)
+        try:
+            rate = None if text is None else decode_limit(text)
+        except ValueError:
+            self._limits.note_odd(self.endpoint_id, text.decode("latin-1"))
+            return
+        self._limits.note_limit(self.endpoint_id, rate, sent_at=sent_at)
+
     def _replaced(self, head: ResponseHead) -> AttemptLostError:
         """Return the error for an address that another endpoint has by now."""
         successor = head.header(names.ANSWERED_BY) or b""
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -33,6 +33,8 @@
         running_streams: Streams there that have output already, all hosts' as far as
             they are known.
         capacity_tokens: The tokens that its memory holds; 0 where that is not known.
+        may_be_sent: Whether the limit that it names has room for a request of this
+            host.
     """
 
     id: str
@@ -51,6 +53,7 @@
     reading_tokens: int = 0
     running_streams: int = 0
     capacity_tokens: int = 0
+    may_be_sent: bool = True
 
     @property
     def taken(self) -> int:
@@ -315,7 +318,7 @@
 
 def _is_allowed(view: EndpointView, query: RouteQuery) -> bool:
     is_open = view.state is EndpointState.ACTIVE and not view.is_on_trial
-    return is_open and view.id not in query.exclude
+    return is_open and view.may_be_sent and view.id not in query.exclude
 
 
 def _is_ejected(view: EndpointView, now: timedelta) -> bool:
--- a/tests/test_host_news.py
+++ b/tests/test_host_news.py
@@ -17,6 +17,7 @@
 from passtally.member_table import SUSPECT_FOR, MemberTable
 from passtally.messages import HostNews, MemberRow, TokenLoad
 from passtally.objects import EndpointStart
+from passtally.request_limits import RequestLimits
 from passtally.roster import MAX_LINKS, RING_LINKS, Roster, choose_links
 from passtally.settings import Address, PeerAddress
 from standins.virtual import VirtualClock, run_virtually
@@ -74,6 +75,7 @@
         self.load_changed = asyncio.Event()
         self.loads: dict[str, TokenLoad] = {}
         self.board = LoadBoard()
+        self.limits = RequestLimits()
         self.exchange = NewsExchange(
             host_id=name,
             board=self.board,
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -106,7 +106,9 @@
     except ValueError:
         return
     adapter = PlatformAdapter()
-    adapter.connect(endpoint, pool=None, clock=None, find_address=lambda name: None)
+    adapter.connect(
+        endpoint, pool=None, clock=None, limits=None, find_address=lambda name: None
+    )
 
 
 class Answers:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -1,11 +1,21 @@
 """Endpoints that name how many requests a second they take from all hosts together."""
 
 import asyncio
+from bisect import bisect_left
 from collections import Counter
+from datetime import timedelta
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from passtally.limit_sharers import LimitSharers
+from passtally.messages import LimitRow, MemberRow
+from passtally.objects import Endpoint, EndpointStart, Service, ServiceKind
+from passtally.platform.decode import decode_limit
+from passtally.request_limits import KEPT_FOR, MAX_TOLD, RequestLimits
 from standins.platform_config import ENGINE, LOOKUPS, make_config
+from tests.fakes import make_catalog
 from tests.platform_system import PlatformSystem, run
 
 #: What the users allow in any span of so long, in seconds: so many times the limit, and
@@ -23,7 +33,9 @@
 
 def most_in_span(times: list[float]) -> int:
     """Return the most of some moments that lie within one span."""
-    return max((sum(at <= t < at + SPAN for t in times) for at in times), default=0)
+    times = sorted(times)
+    ends = [bisect_left(times, at + SPAN) for at in times]
+    return max((end - first for first, end in enumerate(ends)), default=0)
 
 
 async def load(system: PlatformSystem, service: str, *, seconds: float) -> Counter[int]:
@@ -48,9 +60,8 @@
         async def test(system: PlatformSystem) -> None:
             system.store.put("config", "main", make_config())
             for number in range(4):
-                zone = ("pilar", "tigre")[number % 2]
                 runner = await system.add_runner(
-                    f"i-{number}", service, zone=zone, events=2, gap=0.0
+                    f"i-{number}", service, events=2, gap=0.0
                 )
                 if number < 2:
                     runner.faults.limit = "1.3"
@@ -71,3 +82,179 @@
                 assert times, "it takes some"
 
         run(test)
+
+
+NOW = timedelta(hours=1)
+START = EndpointStart(endpoint_id="e", incarnation=1)
+STEP = timedelta(milliseconds=10)
+
+
+def limited(
+    rate: float | None = 2.0, *, hosts: int = 1, rank: int = 0
+) -> RequestLimits:
+    """Return what a host knows that an endpoint has just told its limit."""
+    limits = RequestLimits(count_hosts=lambda: hosts, rank=lambda endpoint_id: rank)
+    limits.note_answer(START, rate, sent_at=NOW, now=NOW)
+    return limits
+
+
+def send_all(hosts: list[RequestLimits], *, seconds: float) -> list[float]:
+    """Let each host send as soon as it may; return when requests were sent."""
+    sent = []
+    for number in range(int(seconds / STEP.total_seconds())):
+        now = NOW + number * STEP
+        for limits in hosts:
+            if number % 100 == 0:
+                limits.note_answer(
+                    START, limits.rows(now=now)[0].rate, sent_at=now, now=now
+                )
+            while limits.take(START, now=now):
+                sent.append(number * STEP.total_seconds())
+    return sent
+
+
+class TestShares:
+    @pytest.mark.parametrize("hosts", [1, 3, 7, 90, 330])
+    @pytest.mark.parametrize("rate", [0.0, 0.3, 1.3, 8.0, 60.0, 500.0])
+    def test_all_hosts_together_keep_to_it_and_use_it(self, hosts, rate):
+        all_hosts = [limited(rate, hosts=hosts, rank=rank) for rank in range(hosts)]
+        sent = send_all(all_hosts, seconds=12)
+        assert most_in_span(sent) <= allowed(rate)
+        assert len(sent) >= 0.7 * 12 * rate - 5
+
+    @pytest.mark.parametrize("rate", [0.3, 1.3, 8.0, 60.0])
+    def test_they_keep_to_it_while_they_disagree_on_who_shares_it(self, rate):
+        all_hosts = [limited(rate, hosts=90, rank=rank) for rank in range(90)]
+        all_hosts.append(limited(rate, hosts=90, rank=0))
+        assert most_in_span(send_all(all_hosts, seconds=12)) <= allowed(rate)
+
+    def test_hosts_of_its_failure_domain_come_first_and_none_twice(self):
+        rows = [
+            MemberRow(
+                host_id=f"h{number}",
+                failure_domain=f"d{number % 3}",
+                counter=1,
+                config_version=0,
+                leaving=False,
+            )
+            for number in range(12)
+        ]
+        endpoint = Endpoint(id="e", service="s", url="", failure_domain="d1")
+        service = Service(id="s", kind=ServiceKind.PLAIN)
+
+        class Known:
+            revision = 1
+
+            def __init__(self, own: MemberRow) -> None:
+                self.own = own
+
+            def others(self) -> list[MemberRow]:
+                return [row for row in rows if row != self.own]
+
+        catalog = make_catalog([service], [endpoint])
+        sharers = [LimitSharers(roster=Known(row), catalog=catalog) for row in rows]
+        ranks = {
+            row.host_id: item.rank("e") for row, item in zip(rows, sharers, strict=True)
+        }
+        assert sorted(ranks.values()) == list(range(12))
+        assert {ranks[f"h{number}"] for number in (1, 4, 7, 10)} == {0, 1, 2, 3}
+
+
+class TestAnswers:
+    def test_without_a_limit_there_is_room(self):
+        limits = RequestLimits()
+        assert all(limits.take(START, now=NOW) for _ in range(100))
+        assert limits.wait_for_room(START, now=NOW) == timedelta(0)
+
+    def test_from_the_first_answer_that_names_it_nothing_more_is_sent_at_once(self):
+        limits = limited(2.0)
+        assert not limits.take(START, now=NOW)
+        wait = limits.wait_for_room(START, now=NOW)
+        assert wait == timedelta(seconds=0.5)
+        assert limits.take(START, now=NOW + wait)
+        assert not limits.take(START, now=NOW + wait)
+
+    def test_an_answer_without_it_lifts_it_and_one_with_another_changes_it(self):
+        later = NOW + timedelta(seconds=1)
+        limits = limited(2.0)
+        assert limits.note_answer(START, 10.0, sent_at=NOW, now=NOW)
+        assert limits.wait_for_room(START, now=NOW) == timedelta(seconds=0.1)
+        assert limits.note_answer(START, None, sent_at=later, now=later)
+        assert all(limits.take(START, now=later) for _ in range(100))
+
+    def test_an_answer_from_before_it_does_not_lift_it(self):
+        limits = limited(2.0)
+        later, before = NOW + timedelta(seconds=1), NOW - timedelta(seconds=1)
+        assert not limits.note_answer(START, None, sent_at=before, now=later)
+        assert limits.take(START, now=later)
+        assert not limits.take(START, now=later)
+
+    def test_another_start_has_none(self):
+        limits = limited(2.0)
+        other = EndpointStart(endpoint_id="e", incarnation=2)
+        assert limits.take(other, now=NOW)
+
+    def test_one_that_takes_none_is_asked_now_and_then(self):
+        limits = limited(0.0)
+        assert limits.wait_for_room(START, now=NOW) == timedelta(seconds=10)
+        assert limits.take(START, now=NOW + timedelta(seconds=10))
+
+    def test_a_host_without_a_part_sends_nothing_and_says_when_others_may(self):
+        limits = limited(2.0, hosts=7, rank=6)
+        later = NOW + KEPT_FOR
+        assert not limits.take(START, now=later)
+        assert limits.wait_for_room(START, now=later) == timedelta(seconds=0.5)
+
+    def test_it_lapses_where_no_answer_names_it(self):
+        limits = limited(2.0, hosts=7, rank=6)
+        later = NOW + KEPT_FOR + timedelta(seconds=1)
+        assert limits.take(START, now=later)
+        assert limits.rows(now=later) == []
+
+    @pytest.mark.parametrize("text", ["", "-1", "nan", "inf", "1e999", "many", "1,5"])
+    def test_what_is_no_limit_is_told_apart(self, text):
+        with pytest.raises(ValueError):
+            decode_limit(text.encode())
+
+    def test_what_is_no_limit_is_logged_once_and_changes_nothing(self):
+        limits = limited(2.0)
+        for number in range(3 * MAX_TOLD):
+            limits.note_odd(f"e{number}", "many")
+        assert len(limits._odd_by_endpoint) <= MAX_TOLD
+        assert not limits.take(START, now=NOW)
+
+
+class TestMerging:
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 5000), st.sampled_from([None, 0.5, 3.0])),
+            max_size=8,
+            unique_by=lambda told: told[0],
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_hosts_agree_on_the_newest_in_whatever_order_they_hear(self, told, rng):
+        rows = [
+            LimitRow(endpoint_id="e", incarnation=1, rate=rate, age_ms=age)
+            for age, rate in told
+        ]
+        known = []
+        for _ in range(2):
+            limits = RequestLimits()
+            rng.shuffle(rows)
+            for row in rows * 2:
+                limits.merge([row], now=NOW)
+            known.append(limits.rows(now=NOW))
+        assert known[0] == known[1]
+        if rows:
+            assert known[0] == [min(rows, key=lambda row: row.age_ms)]
+
+    def test_what_is_told_is_bounded_and_the_newest(self):
+        limits = RequestLimits()
+        for number in range(3 * MAX_TOLD):
+            start = EndpointStart(endpoint_id=f"e{number}")
+            at = NOW + number * STEP
+            limits.note_answer(start, 1.0, sent_at=at, now=at)
+        rows = limits.rows(now=NOW + KEPT_FOR / 2)
+        assert len(rows) == MAX_TOLD
+        assert rows[0].endpoint_id == f"e{3 * MAX_TOLD - 1}"
