Limits of waiting count the time in which the machine was suspended

Timers of the loop don't count a suspension, the clock does: a limit went on for its rest, though the caller had waited all along, and FairTimeout, which found its lateness by the loop's time, saw nothing of it. It looks at the clock every 250 ms now, and takes a last look at what lies there before it ends; so do patient sleeps, the grace of a stop, and the time for which a stop has been noted. Three tests move the clock ahead while the loop's stands; by what FairTimeout was, the first could not have ended before its 5 s had run (not run on it: it took no clock).

--- a/passtally/connection_pool.py
+++ b/passtally/connection_pool.py
@@ -89,7 +89,7 @@
         self.opened += 1
         connecting = asyncio.ensure_future(self._connect(address))
         try:
-            async with FairTimeout(timeout):
+            async with FairTimeout(timeout, clock=self._clock):
                 return await connecting
         except BaseException as error:
             connecting.cancel()
@@ -136,7 +136,7 @@
             TimeoutError: None came in time.
         """
         try:
-            async with FairTimeout(timeout) as limit:
+            async with FairTimeout(timeout, clock=self._clock) as limit:
                 extend = partial(limit.extend, part_timeout or timedelta(0))
                 connection = await self.take(address)
                 try:
--- a/passtally/fair_timeout.py
+++ b/passtally/fair_timeout.py
@@ -2,7 +2,8 @@
 
 A host that does not run, since it was paused or got no processor, finds its timers due
 when it runs again, before it has looked at what came meanwhile. By a plain time limit
-it then gives up what lies there unread.
+it then gives up what lies there unread. Where its machine was suspended, the loop's
+timers go on for the rest of their time, though their callers have waited all along.
 """
 
 import asyncio
@@ -17,6 +18,9 @@
 #: again: one that hardly runs must not wait on for ever.
 LAST_LOOK = timedelta(milliseconds=20)
 MAX_LOOKS = 5
+#: How often the clock is looked at, which counts a suspension: callers notice a pause
+#: of 700 ms.
+CLOCK_INTERVAL = timedelta(milliseconds=250)
 
 
 class FairTimeout:
@@ -26,13 +30,15 @@
 
     Args:
         limit: How long what is inside may take.
+        clock: The clock.
     """
 
-    def __init__(self, limit: timedelta) -> None:
+    def __init__(self, limit: timedelta, *, clock: Clock) -> None:
         self._limit = limit
+        self._clock = clock
         self._scope = asyncio.timeout(None)
         self._looks_left = MAX_LOOKS
-        self._due_at = 0.0
+        self._due_at = timedelta(0)
         self._timer: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> "FairTimeout":
@@ -51,7 +57,7 @@
 
     def extend(self, least: timedelta) -> None:
         """Let it last for at least so long from now."""
-        if asyncio.get_running_loop().time() + least.total_seconds() > self._due_at:
+        if self._clock.monotonic() + least > self._due_at:
             self._timer.cancel()
             self._arm(least)
 
@@ -60,13 +66,19 @@
         self._scope.reschedule(asyncio.get_running_loop().time())
 
     def _arm(self, limit: timedelta) -> None:
-        loop = asyncio.get_running_loop()
-        self._due_at = loop.time() + limit.total_seconds()
-        self._timer = loop.call_at(self._due_at, self._end)
-
-    def _end(self) -> None:
-        late = asyncio.get_running_loop().time() - self._due_at
-        if late > OWN_LAG.total_seconds() and self._looks_left:
+        self._due_at = self._clock.monotonic() + limit
+        self._wait(limit)
+
+    def _wait(self, left: timedelta) -> None:
+        seconds = min(left, CLOCK_INTERVAL).total_seconds()
+        self._timer = asyncio.get_running_loop().call_later(seconds, self._look)
+
+    def _look(self) -> None:
+        """End it if it is due, after a last look where this host did not run."""
+        late = self._clock.monotonic() - self._due_at
+        if late < timedelta(0):
+            self._wait(-late)
+        elif late > OWN_LAG and self._looks_left:
             self._looks_left -= 1
             self._arm(LAST_LOOK)
         else:
@@ -80,10 +92,9 @@
         duration: How long.
         clock: The clock.
     """
-    loop = asyncio.get_running_loop()
     for _ in range(MAX_LOOKS):
-        due_at = loop.time() + duration.total_seconds()
+        due_at = clock.monotonic() + duration
         await clock.sleep(duration)
-        if loop.time() - due_at <= OWN_LAG.total_seconds():
+        if clock.monotonic() - due_at <= OWN_LAG:
             return
         duration = LAST_LOOK
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -319,7 +319,7 @@
         sink = _StreamSink(responder=responder, clock=self._clock)
         left = admitted.deadline - self._clock.monotonic()
         try:
-            async with FairTimeout(left):
+            async with FairTimeout(left, clock=self._clock):
                 await self._dispatcher.run(generation, sink)
         except RefusedError as error:
             if not sink.has_begun:
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -22,6 +22,7 @@
 from passtally.drain import Drain
 from passtally.endpoint_book import EndpointBook
 from passtally.engine import Engine
+from passtally.fair_timeout import FairTimeout
 from passtally.fleet import Fleet
 from passtally.follower import Follower
 from passtally.forecast import Forecast
@@ -195,7 +196,7 @@
         log_event("daemon", "Stopping.", open=self.drain.open_requests)
         self.spawn(self._close_idle_later())
         try:
-            async with asyncio.timeout(limit.total_seconds()):
+            async with FairTimeout(limit, clock=self.clock):
                 await self.drain.stop(
                     balancer_lag=self.settings.balancer_lag,
                     ends_at=self.clock.monotonic() + limit,
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -296,7 +296,7 @@
         try:
             # Fair: what an endpoint has answered while this host did not run lies here
             # unread, and may not be asked for again.
-            async with FairTimeout(limit) as scope:
+            async with FairTimeout(limit, clock=self._clock) as scope:
                 if tries.sends_left > 1 and call.repeatable and call.patience:
                     work = self._lose_patience(call, endpoint_id, tries, scope)
                     losing = asyncio.create_task(work)
--- a/passtally/stop_signals.py
+++ b/passtally/stop_signals.py
@@ -67,8 +67,13 @@
         """Return for how long a stop has been noted; none for no time."""
         if self._asked_at is None:
             return timedelta(0)
-        return timedelta(seconds=time.monotonic() - self._asked_at)
+        return timedelta(seconds=_time_since_boot() - self._asked_at)
 
     def _note(self, number: int, frame: FrameType | None) -> None:
         if self._asked_at is None:
-            self._asked_at = time.monotonic()
+            self._asked_at = _time_since_boot()
+
+
+def _time_since_boot() -> float:
+    """Return the time since boot in seconds, suspension included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -64,6 +64,21 @@
         await asyncio.sleep(duration.total_seconds())
 
 
+class SuspendableClock(VirtualClock):
+    """The clock of a machine that may be suspended: the loop's stands meanwhile."""
+
+    def __init__(self) -> None:
+        self._suspended = timedelta(0)
+
+    def suspend(self, duration: timedelta) -> None:
+        """Let time pass that timers of the loop don't count."""
+        self._suspended += duration
+
+    def monotonic(self) -> timedelta:
+        """Return the time since the loop was made, suspension included."""
+        return super().monotonic() + self._suspended
+
+
 def run_virtually(work: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine in virtual time, and cancel what it leaves behind."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
--- a/tests/test_own_pauses.py
+++ b/tests/test_own_pauses.py
@@ -27,6 +27,7 @@
 from passtally.front_host import STOP_MARGIN
 from standins.platform_config import ENGINE, KEY, LOOKUPS
 from standins.runner import RunnerStandIn
+from standins.virtual import SuspendableClock, run_virtually
 from tests.busy_machine import busy_machine
 from tests.host_process import Running, messages, settled, started, wait_ready
 
@@ -46,7 +47,7 @@
     def test_what_came_while_the_host_did_not_run_is_taken(self, new_loop):
         async def test() -> None:
             loop = asyncio.get_running_loop()
-            async with FairTimeout(timedelta(milliseconds=50)):
+            async with FairTimeout(timedelta(milliseconds=50), clock=SystemClock()):
                 # Told in the pass of the loop after that of the timers.
                 loop.call_soon(time.sleep, 0.2)
                 await asyncio.sleep(0)
@@ -62,7 +63,7 @@
             loop = asyncio.get_running_loop()
             began = loop.time()
             with pytest.raises(TimeoutError):
-                async with FairTimeout(timedelta(milliseconds=50)):
+                async with FairTimeout(timedelta(milliseconds=50), clock=SystemClock()):
                     loop.call_soon(time.sleep, 0.2)
                     await asyncio.sleep(3)
             assert loop.time() - began < 0.2 + 20 * LAST_LOOK.total_seconds()
@@ -73,13 +74,17 @@
     def test_one_that_runs_ends_in_time(self, new_loop):
         async def test() -> None:
             with pytest.raises(TimeoutError):
-                async with FairTimeout(timedelta(milliseconds=20)):
+                async with FairTimeout(timedelta(milliseconds=20), clock=SystemClock()):
                     await asyncio.sleep(3)
-            async with FairTimeout(timedelta(milliseconds=20)) as scope:
+            async with FairTimeout(
+                timedelta(milliseconds=20), clock=SystemClock()
+            ) as scope:
                 scope.extend(timedelta(seconds=3))
                 await asyncio.sleep(0.05)
             with pytest.raises(TimeoutError):
-                async with FairTimeout(timedelta(seconds=3)) as scope:
+                async with FairTimeout(
+                    timedelta(seconds=3), clock=SystemClock()
+                ) as scope:
                     scope.expire()
                     await asyncio.sleep(3)
 
@@ -97,6 +102,51 @@
         run_in(new_loop, test)
 
 
+class TestSuspendedMachine:
+    # Guards against limits that go on for their rest after a suspension, though who
+    # waits has waited all along: timers of a loop don't count it.
+    def test_a_limit_that_passed_meanwhile_ends_soon(self):
+        async def test() -> None:
+            clock = SuspendableClock()
+            loop = asyncio.get_running_loop()
+            loop.call_later(1, clock.suspend, timedelta(seconds=7))
+            with pytest.raises(TimeoutError):
+                async with FairTimeout(timedelta(seconds=5), clock=clock):
+                    await asyncio.sleep(60)
+            assert loop.time() < 1.5, "seconds that it ran"
+
+        run_virtually(test())
+
+    def test_one_that_lasts_on_lasts_for_what_is_left(self):
+        async def test() -> None:
+            clock = SuspendableClock()
+            loop = asyncio.get_running_loop()
+            loop.call_later(1, clock.suspend, timedelta(seconds=2))
+            with pytest.raises(TimeoutError):
+                async with FairTimeout(timedelta(seconds=5), clock=clock):
+                    await asyncio.sleep(60)
+            assert 2.9 < loop.time() < 3.1, "seconds that it ran"
+
+        run_virtually(test())
+
+    def test_what_lies_there_is_taken_first(self):
+        async def test() -> None:
+            clock = SuspendableClock()
+            loop = asyncio.get_running_loop()
+            came = loop.create_future()
+
+            def wake() -> None:
+                clock.suspend(timedelta(seconds=7))
+                # Heard a moment after the timers.
+                loop.call_later(0.005, came.set_result, 1)
+
+            loop.call_later(0.999, wake)
+            async with FairTimeout(timedelta(seconds=3), clock=clock):
+                assert await came == 1
+
+        run_virtually(test())
+
+
 @contextlib.asynccontextmanager
 async def serving(folder, **faults) -> AsyncIterator[tuple[Running, RunnerStandIn]]:
     """Start a host's process before one endpoint of each service."""
