--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from soak.caller import Caller
 from soak.evidence import APPLY_SECONDS, MARGIN_SECONDS, Evidence
 from soak.faults import Saboteur
+from soak.requests import RequestSaboteur
 from soak.settings_changes import SettingsSaboteur
 from soak.starts import StartSaboteur
 from soak.world import EVENTS, World
@@ -41,6 +42,7 @@
         hosts: How many hosts there are.
         starts: Whether hosts meet trouble at their starts and stops.
         settings: Whether hosts are told other settings while they serve.
+        requests: Whether requests end what runs them, and endpoints name limits.
     """
 
     seed: int
@@ -48,6 +50,7 @@
     hosts: int = HOSTS
     starts: bool = True
     settings: bool = True
+    requests: bool = True
 
 
 async def play(setup: Setup, folder: Path, evidence: Evidence) -> None:
@@ -91,6 +94,10 @@
         own = random.Random(f"settings of {setup.seed}")
         changes = SettingsSaboteur(world=world, evidence=evidence, rng=own)
         series.append(changes.run(setup.seconds))
+    if setup.requests:
+        own = random.Random(f"requests of {setup.seed}")
+        requests = RequestSaboteur(world=world, evidence=evidence, rng=own)
+        series.append(requests.run(setup.seconds))
     await asyncio.gather(*series)
     await asyncio.sleep(HEAL_SECONDS)
     if setup.starts:
@@ -194,6 +201,11 @@
     default=True,
     help="Whether hosts are told other settings while they serve.",
 )
+@click.option(
+    "--requests/--no-requests",
+    default=True,
+    help="Whether requests end what runs them, and endpoints name limits.",
+)
 @click.option("--jobs", type=int, default=1, help="How many seeds at a time.")
 def main(
     seed: int | None,
@@ -203,13 +215,19 @@
     hosts: int,
     starts: bool,
     settings: bool,
+    requests: bool,
     jobs: int,
 ) -> None:
     """Play seeds of the soak; fails where a promise was broken."""
     # Stand-ins that are stopped in the middle of an answer are part of the run.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     setup = Setup(
-        seed=seed or 0, seconds=seconds, hosts=hosts, starts=starts, settings=settings
+        seed=seed or 0,
+        seconds=seconds,
+        hosts=hosts,
+        starts=starts,
+        settings=settings,
+        requests=requests,
     )
     if seed is not None:
         sys.exit(0 if play_seed(setup) else 1)
@@ -230,6 +248,7 @@
     command += [f"--hosts={setup.hosts}"]
     command.append("--starts" if setup.starts else "--no-starts")
     command.append("--settings" if setup.settings else "--no-settings")
+    command.append("--requests" if setup.requests else "--no-requests")
     done = subprocess.run(command, capture_output=True, text=True)
     print(done.stdout + done.stderr, end="", flush=True)
     return done.returncode == 0
--- a/soak/link.py
+++ b/soak/link.py
@@ -39,8 +39,8 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> int:
-        """Listen and return the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen, where it did before if it was stopped, and return the port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
         return self.port
 
@@ -49,6 +49,11 @@
         self._server.close()
         self.reset()
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are taken."""
+        return self._server is not None and self._server.is_serving()
+
     def fail(self, fault: LinkFault) -> None:
         """Begin a fault, or end it with ``LinkFault.NONE``."""
         self.fault = fault
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Callable
 from pathlib import Path
 
 import aiohttp
@@ -35,6 +36,8 @@
 
 #: Hosts reach the store over links of their own, so they can't derive one key.
 _ENVIRONMENT = {variable_of("resume_keys"): "soak:only-for-this-run-of-the-soak"}
+#: What the body of a request begins with that ends each endpoint that runs it.
+FATAL_PREFIX = b"fatal "
 _SETTINGS = """\
 node_name={name}
 zone={domain}
@@ -58,6 +61,9 @@
 
     evidence: Evidence
 
+    def is_fatal(self, body: bytes) -> bool:
+        return body.startswith(FATAL_PREFIX)
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get("X-Request-Id")
         if request_id is not None:
@@ -105,6 +111,8 @@
         self.evidence = evidence
         self._rng = rng
         self._network: LoopbackNetwork | None = None
+        #: Called with an endpoint that a request has ended, and where it was.
+        self.on_crash: Callable[[Place, SeenRunner], None] = lambda place, runner: None
 
     def addresses_by_host(self) -> dict[str, tuple[str, int]]:
         """Return where callers reach the hosts, running or not."""
@@ -181,8 +189,16 @@
     async def start_runner(self, place: Place) -> None:
         """Start a new endpoint at a place and enter it in the store."""
         name = f"i-{self._rng.getrandbits(40):010x}"
-        runner = SeenRunner(name, events=EVENTS, gap=GAP_SECONDS, find=self._find)
+        runner = SeenRunner(
+            name,
+            events=EVENTS,
+            gap=GAP_SECONDS,
+            find=self._find,
+            on_crash=lambda runner: self._note_crash(place, runner),
+        )
         runner.evidence = self.evidence
+        if not place.link.is_listening:
+            await place.link.start()
         address = await runner.start()
         place.link.target = int(address.rpartition(":")[2])
         runner.address = f"127.0.0.1:{place.link.port}"
@@ -201,6 +217,13 @@
         place.link.reset()
         await runner.stop()
 
+    def _note_crash(self, place: Place, runner: SeenRunner) -> None:
+        """Close the way to an endpoint that a request has ended."""
+        if place.runner is runner:
+            place.runner = None
+            place.link.stop()
+            self.on_crash(place, runner)
+
     def start_host(self, host: HostProcess) -> None:
         """Start a host's process, unless another one has done so meanwhile."""
         host.start(_ENVIRONMENT)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,6 +37,8 @@
 STARTS_SEED = 41006
 #: With settings that change while hosts serve.
 SETTINGS_SEED = 71001
+#: With requests that end what runs them, and limits that endpoints name.
+REQUESTS_SEED = 90001
 CI_SECONDS = 8
 #: As long as when they failed.
 FAILED_SECONDS = 20
@@ -600,6 +602,7 @@
             (CI_SEED, CI_SECONDS),
             (STARTS_SEED, CI_SECONDS),
             (SETTINGS_SEED, CI_SECONDS),
+            (REQUESTS_SEED, CI_SECONDS),
             *((seed, FAILED_SECONDS) for seed in FAILED_SEEDS),
         ],
     )
@@ -608,9 +611,11 @@
         command.append(f"--seconds={seconds}")
         if seed in SEEDS_WITHOUT_STARTS:
             command.append("--no-starts")
-        if seed != SETTINGS_SEED:
+        if seed not in (SETTINGS_SEED, REQUESTS_SEED):
             # From when settings did not change meanwhile: played as they were.
             command.append("--no-settings")
+        if seed != REQUESTS_SEED:
+            command.append("--no-requests")
         done = subprocess.run(
             command,
             capture_output=True,
