--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -12,7 +12,6 @@
 import attrs
 
 from passtally.adapter import Adapter
-from passtally.budget_loans import BudgetLoans
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool, PoolFetcher
 from passtally.crash_guard import CrashGuard
@@ -28,15 +27,13 @@
 from passtally.forecast import Forecast
 from passtally.front import Front
 from passtally.gate import Gate
+from passtally.host_links import HostLinks
 from passtally.host_news import LoadBoard, NewsExchange
 from passtally.host_reload import HostReload
 from passtally.http_server import SMALL_PART, Exchange, HttpServer, ServerLimits
 from passtally.isolation import Isolation
 from passtally.limit_sharers import LimitSharers
 from passtally.listeners import CALLERS, METRICS, PEERS, READINESS, Listeners
-from passtally.member_table import MemberTable
-from passtally.membership import Gossip
-from passtally.messages import MemberRow
 from passtally.metrics import Metric
 from passtally.object_intake import ObjectIntake
 from passtally.objects import (
@@ -45,7 +42,6 @@
     EndpointState,
 )
 from passtally.overload import Overload
-from passtally.peers import Peers
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
 from passtally.quarantine import Quarantine
@@ -54,7 +50,6 @@
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
 from passtally.rollouts import Rollouts
-from passtally.roster import Roster
 from passtally.routes import RoutesInForce, ServiceInfo
 from passtally.service_index import ServiceIndex
 from passtally.settings import Address, Settings, parse_address
@@ -239,7 +234,11 @@
         """Build what knows the configuration and the endpoints."""
         fetcher = PoolFetcher(pool=self.pool)
         self.store = self._adapter.open_store(fetcher, self.settings.platform)
-        self._build_links()
+        links = HostLinks(
+            settings=self.settings, clock=self.clock, departures=self.departures
+        )
+        self.peers, self.roster = links.peers, links.roster
+        self.gossip, self.loans = links.gossip, links.loans
         self.board = LoadBoard()
         self.rollouts = self._build_rollouts()
         sharers = LimitSharers(roster=self.roster, catalog=self.catalog)
@@ -352,38 +351,6 @@
         orders = self._adapter.rollouts_prefix
         return self.watch.is_reached and not self.watch.is_behind(orders)
 
-    def _build_links(self) -> None:
-        """Build what leads to the other hosts."""
-        settings = self.settings
-        self.peers = Peers(
-            host_id=settings.host_id,
-            listen=settings.peer_listen,
-            peers_by_id={},
-            keys=list(settings.resume_keys.values()),
-        )
-        own = MemberRow(
-            host_id=settings.host_id,
-            failure_domain=settings.failure_domain,
-            counter=int(self.clock.now().timestamp()),
-            config_version=0,
-            leaving=False,
-            address=str(settings.peer_listen),
-        )
-        table = MemberTable(own=own)
-        self.gossip = Gossip(
-            table=table,
-            peers=self.peers,
-            clock=self.clock,
-            rng=random.Random(),
-            departures=self.departures,
-        )
-        self.roster = Roster(
-            seeds=settings.seeds, table=table, peers=self.peers, clock=self.clock
-        )
-        self.loans = BudgetLoans(
-            peers=self.peers, roster=self.roster, rng=random.Random()
-        )
-
     def _follow(self, share: WatchShare, view: View) -> Follower:
         return Follower(
             prefix=view.prefix,
--- /dev/null
+++ b/passtally/host_links.py
@@ -0,0 +1,55 @@
+"""What leads from one entry host to the others."""
+
+import random
+
+from passtally.budget_loans import BudgetLoans
+from passtally.clock import Clock
+from passtally.departures import Departures
+from passtally.member_table import MemberTable
+from passtally.membership import Gossip
+from passtally.messages import MemberRow
+from passtally.peers import Peers
+from passtally.roster import Roster
+from passtally.settings import Settings
+
+
+class HostLinks:
+    """The links to the other hosts, who they are, and what is lent over them.
+
+    Args:
+        settings: What this host was told.
+        clock: The clock.
+        departures: The endpoints that are leaving, which hosts tell each other.
+    """
+
+    def __init__(
+        self, *, settings: Settings, clock: Clock, departures: Departures
+    ) -> None:
+        self.peers = Peers(
+            host_id=settings.host_id,
+            listen=settings.peer_listen,
+            peers_by_id={},
+            keys=list(settings.resume_keys.values()),
+        )
+        own = MemberRow(
+            host_id=settings.host_id,
+            failure_domain=settings.failure_domain,
+            counter=int(clock.now().timestamp()),
+            config_version=0,
+            leaving=False,
+            address=str(settings.peer_listen),
+        )
+        table = MemberTable(own=own)
+        self.gossip = Gossip(
+            table=table,
+            peers=self.peers,
+            clock=clock,
+            rng=random.Random(),
+            departures=departures,
+        )
+        self.roster = Roster(
+            seeds=settings.seeds, table=table, peers=self.peers, clock=clock
+        )
+        self.loans = BudgetLoans(
+            peers=self.peers, roster=self.roster, rng=random.Random()
+        )
