--- a/passtally/crash_guard.py
+++ b/passtally/crash_guard.py
@@ -59,6 +59,10 @@
         """Return how long a request is refused, or None if it is not."""
         return self.quarantine.remaining(fingerprint, now=self._clock.monotonic())
 
+    def held(self) -> list[Suspect]:
+        """Return the requests that are refused."""
+        return self.quarantine.held(now=self._clock.monotonic())
+
     def is_suspect(self, fingerprint: bytes) -> bool:
         """Return whether several endpoints ended under a request, and none bore it."""
         suspect = self.quarantine.find(fingerprint, now=self._clock.monotonic())
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -303,6 +303,7 @@
             store=store,
             intents=Intents(store=store, catalog=self.catalog, fleet=self.fleet),
             status=self.status,
+            guard=self.guard,
         )
 
     def _connect_engine(self, endpoint: Endpoint) -> HttpEngine:
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -582,8 +582,7 @@
         self.metrics.gauge(Metric.CONFIG_VERSION, current.version if current else 0)
         behind = self.watch.behind_for(self._adapter.routes_prefix)
         self.metrics.gauge(Metric.CONFIG_BEHIND, round(behind.total_seconds() * 1000))
-        held = self.guard.quarantine.held(now=self.clock.monotonic())
-        self.metrics.gauge(Metric.QUARANTINED, len(held))
+        self.metrics.gauge(Metric.QUARANTINED, len(self.guard.held()))
         self.metrics.gauge(Metric.PEER_BYTES, self.peers.bytes_sent)
         if self.rollouts is not None:
             self.metrics.gauge(Metric.ROLLOUTS, self.rollouts.under_way)
--- a/passtally/operator_api.py
+++ b/passtally/operator_api.py
@@ -9,6 +9,7 @@
 
 from passtally.api import JSON_TYPE, read_token
 from passtally.config_store import ConfigStore
+from passtally.crash_guard import CrashGuard
 from passtally.intent import IntentKind
 from passtally.intents import Intents, platform_away
 from passtally.object_store import ConflictError, PlatformError
@@ -35,12 +36,20 @@
         store: Where configuration is written.
         intents: Declares and confirms intents.
         status: Tells the state of the hosts.
+        guard: Refuses requests that end their endpoints.
     """
 
     def __init__(
-        self, *, token: str, store: ConfigStore, intents: Intents, status: StatusReader
+        self,
+        *,
+        token: str,
+        store: ConfigStore,
+        intents: Intents,
+        status: StatusReader,
+        guard: CrashGuard,
     ) -> None:
         self._token = token
+        self._crash_guard = guard
         self._store = store
         self._intents = intents
         self._status = status
@@ -53,6 +62,8 @@
             ("GET", "/config/{kind}/{id}", self.get_object),
             ("PUT", "/config/{kind}/{id}", self.put_object),
             ("DELETE", "/config/{kind}/{id}", self.remove_object),
+            ("GET", "/quarantine", self.list_quarantined),
+            ("DELETE", "/quarantine/{id}", self.lift),
             ("POST", "/intents", self.declare),
             ("GET", "/intents", self.list_intents),
             ("GET", "/intents/{id}", self.show_intent),
@@ -109,6 +120,27 @@
             raise platform_away(error) from error
         return _answer({"accepted": True})
 
+    async def list_quarantined(self, request: web.Request) -> web.Response:
+        """Answer with the requests that are refused, and the endpoints that ended."""
+        held = self._crash_guard.held()
+        return _answer(
+            [
+                {"id": suspect.fingerprint.hex(), "ended": suspect.open_crashes}
+                for suspect in held
+            ]
+        )
+
+    async def lift(self, request: web.Request) -> web.Response:
+        """Take a request again, at all hosts."""
+        request_id = request.match_info["id"]
+        try:
+            is_lifted = self._crash_guard.lift(bytes.fromhex(request_id))
+        except ValueError:
+            is_lifted = False
+        if not is_lifted:
+            raise _unknown_object("quarantined requests", request_id)
+        return _answer({"accepted": True})
+
     async def declare(self, request: web.Request) -> web.Response:
         """Make a plan."""
         try:
--- a/passtally/operator_cli.py
+++ b/passtally/operator_cli.py
@@ -277,6 +277,27 @@
         time.sleep(WATCH_SECONDS)
 
 
+@click.group()
+def quarantine() -> None:
+    """Requests that are refused since they took endpoints down."""
+
+
+@quarantine.command("list")
+@client_options
+def list_quarantined(client: Client) -> None:
+    """Show them, with the endpoints that ended under each."""
+    client.show(client.call("GET", "/quarantine"), _write_quarantined)
+
+
+@quarantine.command()
+@click.argument("request_id", metavar="ID")
+@client_options
+def lift(client: Client, request_id: str) -> None:
+    """Take a request again, at all hosts."""
+    done = client.call("DELETE", f"/quarantine/{request_id}")
+    client.show(done, lambda row: click.echo(f"{request_id}: lifted"))
+
+
 @click.command()
 @client_options
 def status(client: Client) -> None:
@@ -284,6 +305,11 @@
     client.show(client.call("GET", "/status"), _write_status)
 
 
+def _write_quarantined(rows: list[dict]) -> None:
+    for row in rows:
+        click.echo(f"{row['id']}: ended {', '.join(row['ended'])}")
+
+
 def _write_rows(rows: dict[str, dict]) -> None:
     for object_id in sorted(rows):
         _write_row(rows[object_id])
@@ -346,4 +372,5 @@
         main.add_command(_object_group(name, kind))
     main.add_command(intent)
     main.add_command(generation)
+    main.add_command(quarantine)
     main.add_command(status)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -121,7 +121,7 @@
             assert len(crashing.crashed) <= MOST
             assert statuses.count(200) >= 58, "it may be at an endpoint's last place"
             for host in crashing.system.hosts:
-                held = host.guard.quarantine.held(now=host.clock.monotonic())
+                held = host.guard.held()
                 assert len(held) == 1
 
         run_crashing(test, service=service)
@@ -149,7 +149,7 @@
             is_over = True
             await asyncio.gather(*senders)
             for host in crashing.system.hosts:
-                assert host.guard.quarantine.held(now=host.clock.monotonic()) == []
+                assert host.guard.held() == []
 
         run_crashing(test, service=ENGINE)
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,7 +4,9 @@
 import random
 from datetime import timedelta
 
+import msgspec
 import pytest
+from aiohttp.test_utils import make_mocked_request
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -13,6 +15,7 @@
 from passtally.fingerprint import fingerprint_of
 from passtally.messages import CrashRow, MemberRow
 from passtally.objects import EndpointStart
+from passtally.operator_api import OperatorApi
 from passtally.outcome import Outcome, RefusedError
 from passtally.quarantine import (
     KEPT_FOR,
@@ -262,6 +265,29 @@
         run_virtually(main())
 
 
+class TestOperators:
+    def call(self, guard: CrashGuard, name: str, **match_info: str):
+        api = OperatorApi(token="t", store=None, intents=None, status=None, guard=guard)
+        request = make_mocked_request("GET", "/", match_info=match_info)
+        return asyncio.run(getattr(api, name)(request)).body
+
+    def test_they_see_what_is_refused_and_lift_it(self):
+        guard = TestGuard().make()
+        for number in range(MAX_CRASHES):
+            guard.note_crash(REQUEST, LiveStandIn(number))
+        row = {"id": REQUEST.hex(), "ended": ["e0/0", "e1/0", "e2/0"]}
+        assert msgspec.json.decode(self.call(guard, "list_quarantined")) == [row]
+        self.call(guard, "lift", id=REQUEST.hex())
+        assert guard.remaining(REQUEST) is None
+        assert msgspec.json.decode(self.call(guard, "list_quarantined")) == []
+
+    @pytest.mark.parametrize("name", ["", "no hex", REQUEST.hex()])
+    def test_what_is_not_refused_can_not_be_lifted(self, name):
+        with pytest.raises(RefusedError) as caught:
+            self.call(TestGuard().make(), "lift", id=name)
+        assert caught.value.failure.status == 404
+
+
 class NewsFleet:
     """Hosts that tell each other of such requests, in virtual time."""
 
