--- a/soak/requests.py
+++ b/soak/requests.py
@@ -46,8 +46,7 @@
         kind = self._rng.choice(("draft", "look"))
         self._ended_by_body[body] = 0
         for _ in range(SENDS):
-            host = self._rng.choice(list(self._world.hosts_by_name.values()))
-            ip, port = host.front
+            ip, port = self._draw_host().front
             await self._send(f"http://{ip}:{port}/{kind}/{number}", body)
             await asyncio.sleep(PAUSE_SECONDS)
         await asyncio.sleep(AWAY_SECONDS)
--- a/soak/series.py
+++ b/soak/series.py
@@ -8,7 +8,7 @@
 import attrs
 
 from soak.evidence import Evidence, Trouble, now
-from soak.host import Life
+from soak.host import HostProcess, Life
 from soak.world import GRACE_SECONDS, World
 
 #: How long a fault lasts, in seconds.
@@ -67,6 +67,10 @@
             )
         await asyncio.gather(*self._tasks)
 
+    def _draw_host(self) -> HostProcess:
+        """Draw a host, whether it runs or not: so draws depend on the seed alone."""
+        return self._rng.choice(list(self._world.hosts_by_name.values()))
+
     def _note(
         self, kind: str, target: str, began_at: float, *, is_planned: bool = False
     ) -> None:
--- a/soak/settings_changes.py
+++ b/soak/settings_changes.py
@@ -47,10 +47,6 @@
             "broken file": Fault(weight=3, run=self._break_file),
         }
 
-    def _draw_host(self) -> HostProcess:
-        """Draw a host, whether it runs or not: so draws depend on the seed alone."""
-        return self._rng.choice(list(self._world.hosts_by_name.values()))
-
     def _tell(self, host: HostProcess, *, is_signalled: bool) -> None:
         """Write a host's settings, and signal that they have changed."""
         host.write_settings()
--- a/soak/starts.py
+++ b/soak/starts.py
@@ -35,10 +35,6 @@
             "address in use": Fault(weight=4, run=self._hold_address),
         }
 
-    def _draw_host(self) -> HostProcess:
-        """Draw a host, whether it runs or not: so draws depend on the seed alone."""
-        return self._rng.choice(list(self._world.hosts_by_name.values()))
-
     async def _kill(self, host: HostProcess) -> None:
         life = host.life
         life.kill()
--- a/tests/host_process.py
+++ b/tests/host_process.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import os
+import resource
 import subprocess
 import sys
 import time
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 from pathlib import Path
 
 import attrs
@@ -59,6 +61,11 @@
         )
 
 
+def limit_descriptors(most: int) -> Callable[[], None]:
+    """Return what lets a process that is being started have so many descriptors."""
+    return partial(resource.setrlimit, resource.RLIMIT_NOFILE, (most, most))
+
+
 def messages(log: Path) -> list[str]:
     """Return what the process has logged."""
     lines = log.read_bytes().splitlines()
--- a/tests/test_passing_states.py
+++ b/tests/test_passing_states.py
@@ -4,7 +4,6 @@
 import contextlib
 import os
 import random
-import resource
 import signal
 import subprocess
 import time
@@ -16,6 +15,7 @@
 from tests.host_process import (
     connect,
     is_ready,
+    limit_descriptors,
     messages,
     running,
     settled,
@@ -186,11 +186,8 @@
     def test_no_listener_takes_what_the_others_leave(self, tmp_path):
         most = 128
 
-        def limit() -> None:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
-
         async def main() -> None:
-            async with running(tmp_path, prepare=limit) as host:
+            async with running(tmp_path, prepare=limit_descriptors(most)) as host:
                 await wait_ready(host)
                 writers = []
                 for address in (host.front, host.ready):
@@ -208,11 +205,8 @@
     def test_callers_that_rest_give_way_to_one_that_asks(self, tmp_path):
         most = 128
 
-        def limit() -> None:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
-
         async def main() -> None:
-            async with running(tmp_path, prepare=limit) as host:
+            async with running(tmp_path, prepare=limit_descriptors(most)) as host:
                 await wait_ready(host)
                 writers = []
                 for _ in range(most // 2):
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -19,7 +19,14 @@
 from passtally.peers import PeerError, Peers
 from passtally.roster import Roster
 from passtally.settings import Address, PeerAddress
-from tests.host_process import is_ready, messages, running, wait_for, wait_ready
+from tests.host_process import (
+    is_ready,
+    limit_descriptors,
+    messages,
+    running,
+    wait_for,
+    wait_ready,
+)
 from tests.platform_system import free_ports
 
 KEY = b"a key of both hosts"
@@ -297,12 +304,9 @@
         async def start(most: int) -> int | None:
             """Start a host that may open so many; return its status if it ends."""
 
-            def limit() -> None:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
-
             folder = tmp_path / str(most)
             folder.mkdir()
-            async with running(folder, prepare=limit) as host:
+            async with running(folder, prepare=limit_descriptors(most)) as host:
                 while host.process.poll() is None and not await is_ready(host):
                     await asyncio.sleep(0.02)
                 if host.process.poll() is not None:
@@ -324,11 +328,8 @@
     def test_callers_leave_some_for_what_the_host_opens(self, tmp_path):
         most = 128
 
-        def limit() -> None:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
-
         async def main() -> None:
-            async with running(tmp_path, prepare=limit) as host:
+            async with running(tmp_path, prepare=limit_descriptors(most)) as host:
                 await wait_ready(host)
                 writers = []
                 for _ in range(2 * most):
