--- a/standins/runner.py
+++ b/standins/runner.py
@@ -36,6 +36,9 @@
             for no such request.
         fatal_delay: How long it runs until then, in seconds.
         limit: The requests a second that its answers name as its limit; None for none.
+        leaving: What its answers name as whether it leaves; None for nothing.
+        rest: The seconds of rest that it asks each host for that it turns away; None
+            for none. While it is set, it turns every request away.
     """
 
     refusals: int = 0
@@ -57,6 +60,8 @@
     fatal_body: bytes | None = None
     fatal_delay: float = 0.05
     limit: str | None = None
+    leaving: str | None = None
+    rest: str | None = None
 
 
 class RunnerStandIn:
@@ -169,9 +174,9 @@
         self.bodies.append(body)
         if request.headers.get("X-Expect-Instance") != self.name:
             return web.Response(status=421, headers={"X-Instance-Id": self.name})
-        if self.faults.refusals:
-            self.faults.refusals -= 1
-            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        if self.faults.refusals or self.faults.rest is not None:
+            self.faults.refusals = max(self.faults.refusals - 1, 0)
+            return self._turn_away()
         self.working += 1
         try:
             await asyncio.sleep(self.faults.head_delay)
@@ -184,13 +189,26 @@
         finally:
             self.working -= 1
 
+    def _turn_away(self) -> web.Response:
+        headers = {"X-Not-Executed": "1"} | self._words()
+        if self.faults.rest is not None:
+            headers["Retry-After"] = self.faults.rest
+        return web.Response(status=503, headers=headers)
+
+    def _words(self) -> dict[str, str]:
+        """Return what all its answers say of itself."""
+        words = {
+            "Server-Limit": self.faults.limit,
+            "Server-Leaving": self.faults.leaving,
+        }
+        return {name: value for name, value in words.items() if value is not None}
+
     def _headers(self, request: web.Request) -> dict[str, str]:
         request_id = request.headers["X-Request-Id"]
         headers = {"X-Request-Id": "other" if self.faults.other_id else request_id}
+        headers |= self._words()
         if not self.faults.no_proof:
             headers["X-Response-Stamp"] = PROOF
-        if self.faults.limit is not None:
-            headers["Server-Limit"] = self.faults.limit
         if self.faults.encoding:
             headers["Content-Encoding"] = self.faults.encoding
         return headers
@@ -246,7 +264,7 @@
         source = request.headers.get("Kv-From")
         if source is not None:
             if self.replicas.pop(source, None) is None:
-                return web.Response(status=503, headers={"X-Not-Executed": "1"})
+                return self._turn_away()
             self.attached.append(request_id)
         else:
             self.prompts_read += 1
@@ -296,7 +314,8 @@
         expected = request.headers.get("X-Expect-Instance", self.name)
         if expected != self.name:
             return web.Response(status=421, headers={"X-Instance-Id": self.name})
-        return web.json_response({"models": [{"name": "m"}], "queued": 0, "runs": []})
+        report = {"models": [{"name": "m"}], "queued": 0, "runs": []}
+        return web.json_response(report, headers=self._words())
 
     async def _tell_events(self, request: web.Request) -> web.Response:
         events = [
@@ -315,7 +334,8 @@
         handle = f"h-{order['id']}"
         self.copies.append(order["id"])
         target.replicas[f"{self.address}/{handle}"] = 1
-        return web.json_response({"handle": handle, "created": 1})
+        answer = {"handle": handle, "created": 1}
+        return web.json_response(answer, headers=self._words())
 
     async def _drop(self, request: web.Request) -> web.Response:
         handle = request.match_info["handle"]
--- /dev/null
+++ b/tests/endpoint_load.py
@@ -0,0 +1,81 @@
+"""A few linked hosts before endpoints of one service, and a steady load on them."""
+
+import asyncio
+
+import attrs
+
+from standins.platform_config import LOOKUPS, make_config
+from tests.platform_system import Answer, PlatformSystem
+
+#: Requests a second, at the hosts in turn.
+RATE = 24
+HOSTS = 3
+
+
+@attrs.frozen(kw_only=True)
+class Sent:
+    """A request that a caller sent, and what it got.
+
+    Attributes:
+        id: Its id.
+        host: The number of the host that it was sent to.
+        sent_at: When, by the loop's time in seconds.
+        answered_at: When its answer was whole.
+        answer: The answer.
+    """
+
+    id: str
+    host: int
+    sent_at: float
+    answered_at: float
+    answer: Answer
+
+    @property
+    def took(self) -> float:
+        """How long its caller waited, in seconds."""
+        return self.answered_at - self.sent_at
+
+
+async def start_linked(system: PlatformSystem, service: str, *, endpoints: int) -> None:
+    """Start some endpoints, and hosts that hear each other."""
+    system.store.put("config", "main", make_config())
+    for number in range(endpoints):
+        await system.add_runner(f"i-{number}", service, events=2, gap=0.0)
+    first = await system.add_host()
+    seed = str(first.settings.peer_listen)
+    for number in range(2, HOSTS + 1):
+        await system.add_host(f"front-{number}", seeds=seed)
+    await system.wait_ready()
+    for host in system.hosts:
+        while len(host.roster.linked()) < HOSTS - 1:
+            await asyncio.sleep(0.02)
+
+
+async def send_load(
+    system: PlatformSystem, service: str, *, seconds: float
+) -> list[Sent]:
+    """Send requests at a steady rate to the hosts in turn, and wait for all answers."""
+    time = asyncio.get_running_loop().time
+
+    async def send(number: int) -> Sent:
+        await asyncio.sleep(number / RATE)
+        host, body, request_id = number % HOSTS, b"%d" % number, f"load-{number}"
+        options = {
+            "body": body,
+            "host": system.hosts[host],
+            "X_Request_Id": request_id,
+        }
+        sent_at = time()
+        if service == LOOKUPS:
+            answer = await system.send("/look/1", **options)
+        else:
+            answer = await system.stream("/draft/1", **options)
+        return Sent(
+            id=request_id,
+            host=host,
+            sent_at=sent_at,
+            answered_at=time(),
+            answer=answer,
+        )
+
+    return await asyncio.gather(*map(send, range(int(RATE * seconds))))
