--- /dev/null
+++ b/tests/test_leaving_endpoints.py
@@ -0,0 +1,59 @@
+"""Endpoints that say in their answers that they leave."""
+
+import pytest
+
+from standins.platform_config import ENGINE, LOOKUPS
+from tests.endpoint_load import Sent, send_load, start_linked
+from tests.platform_system import PlatformSystem, run
+
+#: How long after a host has passed on an answer that says so requests may still be sent
+#: to the endpoint, in seconds.
+DRAIN = 2.0
+#: By then a request that nobody can take is refused, in seconds.
+AT_ONCE = 0.5
+
+
+def late_requests(system: PlatformSystem, sent: list[Sent]) -> list[str]:
+    """Return the requests that came to an endpoint too late after its word."""
+    sent_by_id = {request.id: request for request in sent}
+    late = []
+    for runner in system.runners.values():
+        if runner.faults.leaving is None:
+            continue
+        told_at_by_host: dict[int, float] = {}
+        for request in runner.requests:
+            caller = sent_by_id[request.headers["X-Request-Id"]]
+            told_at = told_at_by_host.setdefault(caller.host, caller.answered_at)
+            if caller.sent_at > told_at + DRAIN:
+                late.append(caller.id)
+    return late
+
+
+@pytest.mark.parametrize("service", [ENGINE, LOOKUPS], ids=["stream", "call"])
+class TestLeavingEndpoint:
+    # Guards against hosts that send on to an endpoint whose answers say that it leaves.
+    def test_it_gets_no_more_and_the_others_serve_all(self, service):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, service, endpoints=3)
+            system.runners["i-0"].faults.leaving = "1"
+            sent = await send_load(system, service, seconds=4)
+            assert {request.answer.status for request in sent} == {200}
+            assert late_requests(system, sent) == []
+
+        run(test)
+
+    # Guards against waiting for endpoints of which all have said that they leave.
+    def test_where_all_leave_requests_are_refused_at_once(self, service):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, service, endpoints=3)
+            for runner in system.runners.values():
+                runner.faults.leaving = "1"
+            sent = await send_load(system, service, seconds=4)
+            assert late_requests(system, sent) == []
+            refused = [request for request in sent if request.answer.status != 200]
+            assert refused
+            assert {request.answer.status for request in refused} == {503}
+            assert all("retry-after" in item.answer.headers for item in refused)
+            assert max(request.took for request in refused) < AT_ONCE
+
+        run(test)
