Known red: hosts ask endpoints again that have asked them for rest

Three hosts, three endpoints, 24 requests a second for 6 s. Most requests of one host at an endpoint, from 0.5 to 3 s after it has answered 503 with Retry-After: 3: 9 streams, 6 calls; 21 and 18 where all three ask for it. 2 are allowed.

--- /dev/null
+++ b/tests/test_resting_endpoints.py
@@ -0,0 +1,66 @@
+"""Endpoints that turn a host away and ask it for rest."""
+
+import pytest
+
+from standins.platform_config import ENGINE, LOOKUPS
+from tests.endpoint_load import Sent, send_load, start_linked
+from tests.platform_system import PlatformSystem, run
+
+REST = 3.0
+#: Requests that reach an endpoint from a host so soon after it was turned away were
+#: under way already, in seconds.
+UNDER_WAY = 0.5
+#: The most that may come in the rest of the time.
+MOST = 2
+#: By then a request that nobody can take is refused, in seconds.
+AT_ONCE = 0.5
+
+
+def most_while_resting(system: PlatformSystem, sent: list[Sent]) -> int:
+    """Return the most requests that an endpoint got from a host that it turned away."""
+    host_by_id = {request.id: request.host for request in sent}
+    most = 0
+    for runner in system.runners.values():
+        if runner.faults.rest is None:
+            continue
+        arrivals = [
+            (host_by_id[request.headers["X-Request-Id"]], at)
+            for request, at in zip(runner.requests, runner.requested_at, strict=True)
+        ]
+        for host, turned_away_at in arrivals:
+            count = sum(
+                other == host and UNDER_WAY < at - turned_away_at < REST
+                for other, at in arrivals
+            )
+            most = max(most, count)
+    return most
+
+
+@pytest.mark.parametrize("service", [ENGINE, LOOKUPS], ids=["stream", "call"])
+class TestRestingEndpoint:
+    # Guards against hosts that ask an endpoint again that has asked them for rest.
+    def test_it_is_left_alone_and_the_others_serve_all(self, service):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, service, endpoints=3)
+            system.runners["i-0"].faults.rest = f"{REST:g}"
+            sent = await send_load(system, service, seconds=6)
+            assert {request.answer.status for request in sent} == {200}
+            assert most_while_resting(system, sent) <= MOST
+
+        run(test)
+
+    # Guards against waiting, or asking in vain, where all endpoints want rest.
+    def test_where_all_rest_requests_are_refused_at_once(self, service):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, service, endpoints=3)
+            for runner in system.runners.values():
+                runner.faults.rest = f"{REST:g}"
+            sent = await send_load(system, service, seconds=6)
+            assert most_while_resting(system, sent) <= MOST
+            assert {request.answer.status for request in sent} == {503}
+            assert max(request.took for request in sent) < AT_ONCE
+            waits = [float(item.answer.headers["retry-after"]) for item in sent]
+            assert min(waits) > 0
+            assert max(waits) <= REST + 1
+
+        run(test)
