What answers say of their endpoint is decoded in one place, on every path

Now each head is read before its status is judged, also those of orders, reports, checks and late ones whose body is lost, into typed words; whoever decides is told by AnswerNotes. A head is no word of the endpoint that was asked where its address was reused (421, another's name) or the answer belongs to an earlier request.

The test that odd limits are logged once and kept few moved with the code; it also looks at the lines now.

--- a/passtally/adapter.py
+++ b/passtally/adapter.py
@@ -5,6 +5,7 @@
 
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
+from passtally.endpoint_words import AnswerNotes
 from passtally.engine import Engine
 from passtally.fetch import Fetcher
 from passtally.front import Front
@@ -12,7 +13,6 @@
 from passtally.object_store import MovablePlatform, Platform, StoredObject
 from passtally.objects import Endpoint
 from passtally.plain import Sender
-from passtally.request_limits import LimitNotes
 from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
 from passtally.settings import Address
@@ -70,7 +70,7 @@
         *,
         pool: ConnectionPool,
         clock: Clock,
-        limits: LimitNotes,
+        notes: AnswerNotes,
         find_address: Callable[[str], Address | None],
     ) -> Engine:
         """Return the client of an endpoint's engine."""
@@ -79,7 +79,7 @@
         """Return whether a model engine answers there."""
 
     def make_sender(
-        self, *, pool: ConnectionPool, clock: Clock, limits: LimitNotes
+        self, *, pool: ConnectionPool, clock: Clock, notes: AnswerNotes
     ) -> Sender:
         """Return what sends plain calls."""
 
--- a/passtally/connection_pool.py
+++ b/passtally/connection_pool.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from functools import partial
 from urllib.parse import urlencode, urlsplit
@@ -117,6 +117,7 @@
         most: int,
         timeout: timedelta,
         part_timeout: timedelta | None = None,
+        on_head: Callable[[ResponseHead], None] = lambda head: None,
     ) -> "WholeAnswer":
         """Send a request and read its whole answer.
 
@@ -130,6 +131,7 @@
             timeout: The time limit for all of it.
             part_timeout: How long each further part may take once the answer has
                 begun, beyond that limit; None for no longer.
+            on_head: Called with the answer's head, also where the rest is lost.
 
         Raises:
             ExchangeError: No whole answer came.
@@ -141,6 +143,7 @@
                 connection = await self.take(address)
                 try:
                     head = await connection.send(method, target, headers, body)
+                    on_head(head)
                     extend()
                     answer = await connection.read_all(most, on_part=extend)
                 except BaseException:
--- /dev/null
+++ b/passtally/endpoint_words.py
@@ -0,0 +1,81 @@
+"""What the heads of answers say of the endpoint that gave them.
+
+Each answer of an endpoint is asked for these words once, where its head is read, before
+its status is judged; whoever decides is told by :class:`AnswerNotes`.
+"""
+
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+from enum import StrEnum
+from typing import Protocol
+
+import attrs
+
+from passtally.decision import log_event
+from passtally.objects import EndpointStart
+
+#: The most endpoints of which it is kept what they say that can't be read.
+MAX_KEPT = 64
+
+
+class Word(StrEnum):
+    """One thing that an endpoint says of itself."""
+
+    LIMIT = "limit"
+
+
+@attrs.frozen(kw_only=True)
+class EndpointWords:
+    """What one answer says of its endpoint.
+
+    Attributes:
+        limit: The requests a second that it takes from all hosts; None for no limit.
+        odd_by_word: What can't be read, as it was written; it changes nothing.
+        unread: The headers that may say more of it, and that nothing here knows.
+    """
+
+    limit: float | None = None
+    odd_by_word: Mapping[Word, str] = attrs.field(factory=dict)
+    unread: Sequence[str] = ()
+
+
+class AnswerNotes(Protocol):
+    """Where what answers say of their endpoints is noted."""
+
+    def start_of(self, endpoint_id: str) -> EndpointStart:
+        """Return which start of an endpoint is known."""
+
+    def note_words(
+        self, start: EndpointStart, words: EndpointWords, *, sent_at: timedelta
+    ) -> None:
+        """Take in what an answer says.
+
+        Args:
+            start: The start of the endpoint that was known when it was asked.
+            words: What it says.
+            sent_at: When its request was sent, on the monotonic clock: answers may
+                come in another order than they were made in.
+        """
+
+
+class OddWords:
+    """Logs what endpoints say that can't be read, each once."""
+
+    def __init__(self) -> None:
+        self._odd_by_endpoint: dict[str, Mapping[Word, str]] = {}
+        self._unread: set[str] = set()
+
+    def note(self, endpoint_id: str, words: EndpointWords) -> None:
+        """Log what can't be read, unless the endpoint's last answer said the same."""
+        for name in words.unread:
+            if name not in self._unread and len(self._unread) < MAX_KEPT:
+                self._unread.add(name)
+                log_event("words", "Nobody reads it.", peer=endpoint_id, header=name)
+        odd_by_word = words.odd_by_word
+        if self._odd_by_endpoint.get(endpoint_id, {}) == odd_by_word:
+            return
+        if len(self._odd_by_endpoint) >= MAX_KEPT:
+            self._odd_by_endpoint.clear()
+        self._odd_by_endpoint[endpoint_id] = odd_by_word
+        for word, told in odd_by_word.items():
+            log_event("words", "Can't be read.", peer=endpoint_id, word=word, told=told)
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -9,6 +9,7 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.departures import Departures
+from passtally.endpoint_words import EndpointWords, OddWords, Word
 from passtally.engine import Engine
 from passtally.failing_endpoints import CallRecord
 from passtally.live_endpoint import (
@@ -89,6 +90,7 @@
         limits: RequestLimits | None = None,
     ) -> None:
         self.limits = limits or RequestLimits()
+        self._odd_words = OddWords()
         self.versions = versions or AnyVersion()
         self._on_silent = on_silent
         self._catalog = catalog
@@ -169,19 +171,17 @@
                 return True
         return not in_use
 
-    def note_limit(
-        self, endpoint_id: str, rate: float | None, *, sent_at: timedelta
+    def note_words(
+        self, start: EndpointStart, words: EndpointWords, *, sent_at: timedelta
     ) -> None:
-        """Take in how many requests an endpoint takes, and tell other hosts."""
+        """Take in what an answer says; see :class:`AnswerNotes`."""
         now = self._clock.monotonic()
-        start = self.start_of(endpoint_id)
-        if self.limits.note_answer(start, rate, sent_at=sent_at, now=now):
+        self._odd_words.note(start.endpoint_id, words)
+        if Word.LIMIT not in words.odd_by_word and self.limits.note_answer(
+            start, words.limit, sent_at=sent_at, now=now
+        ):
             self.load_changed.set()
 
-    def note_odd(self, endpoint_id: str, text: str) -> None:
-        """Take in that an endpoint names what is no limit."""
-        self.limits.note_odd(endpoint_id, text)
-
     def try_send(self, live: LiveEndpoint) -> bool:
         """Count a request that is sent to an endpoint, if its limit has room for it."""
         return self.limits.take(live.endpoint.start, now=self._clock.monotonic())
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -455,7 +455,7 @@
             failure_domain=settings.failure_domain,
             budgets=budgets,
             sender=self._adapter.make_sender(
-                pool=self.pool, clock=self.clock, limits=self.fleet
+                pool=self.pool, clock=self.clock, notes=self.fleet
             ),
             guard=self.guard,
         )
@@ -525,7 +525,7 @@
             endpoint,
             pool=self.pool,
             clock=self.clock,
-            limits=self.fleet,
+            notes=self.fleet,
             find_address=self._find_address,
         )
 
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -4,6 +4,7 @@
 
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
+from passtally.endpoint_words import AnswerNotes
 from passtally.fetch import Fetcher
 from passtally.front import Front
 from passtally.http_server import Handle
@@ -14,7 +15,6 @@
 from passtally.platform.rollout_object import decode_rollout, encode_status
 from passtally.platform.runner import RunnerEngine, RunnerSender
 from passtally.platform.store import PlatformStore
-from passtally.request_limits import LimitNotes
 from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
 from passtally.settings import Address
@@ -65,7 +65,7 @@
         *,
         pool: ConnectionPool,
         clock: Clock,
-        limits: LimitNotes,
+        notes: AnswerNotes,
         find_address: Callable[[str], Address | None],
     ) -> RunnerEngine:
         """Return the client of an endpoint's engine."""
@@ -73,7 +73,7 @@
             endpoint=endpoint,
             pool=pool,
             clock=clock,
-            limits=limits,
+            notes=notes,
             find_address=find_address,
         )
 
@@ -82,10 +82,10 @@
         return await engine.is_engine()
 
     def make_sender(
-        self, *, pool: ConnectionPool, clock: Clock, limits: LimitNotes
+        self, *, pool: ConnectionPool, clock: Clock, notes: AnswerNotes
     ) -> RunnerSender:
         """Return what sends plain calls."""
-        return RunnerSender(pool=pool, clock=clock, limits=limits)
+        return RunnerSender(pool=pool, clock=clock, notes=notes)
 
     def make_handler(self, front: Front) -> Handle:
         """Return what hands callers' requests to the front."""
--- /dev/null
+++ b/passtally/platform/answer_words.py
@@ -0,0 +1,84 @@
+"""Decodes what an answer's head says of its endpoint: the one place that reads it."""
+
+import math
+from collections.abc import Callable, Iterator
+
+from passtally.endpoint_words import EndpointWords, Word
+from passtally.http_client import ResponseHead
+from passtally.platform import names
+
+
+def read_words(
+    head: ResponseHead, *, endpoint_id: str, request_id: bytes | None = None
+) -> EndpointWords | None:
+    """Return what an answer says of an endpoint; None where it is not its own word.
+
+    Args:
+        head: The answer's head.
+        endpoint_id: The endpoint that was asked.
+        request_id: The request's id, where it has one.
+    """
+    if not _is_own_word(head, endpoint_id, request_id):
+        return None
+    odd_by_word: dict[Word, str] = {}
+    return EndpointWords(
+        limit=_read(head, Word.LIMIT, names.LIMIT, decode_limit, odd_by_word),
+        odd_by_word=odd_by_word,
+        unread=tuple(_find_unread(head)),
+    )
+
+
+def decode_limit(text: bytes) -> float:
+    """Read the requests a second that an endpoint takes.
+
+    Raises:
+        ValueError: It is no decimal number, or a negative one.
+    """
+    rate = float(text)
+    if not 0 <= rate < math.inf:
+        raise ValueError("not within range")
+    return rate
+
+
+def _is_own_word(
+    head: ResponseHead, endpoint_id: str, request_id: bytes | None
+) -> bool:
+    """Return whether the endpoint that was asked has given this answer to it.
+
+    Another one that has its address says so by status 421 or by its name; a surplus
+    answer carries the id of an earlier request.
+    """
+    answered_by = head.header(names.ANSWERED_BY)
+    return (
+        head.status != 421
+        and answered_by in (None, endpoint_id.encode())
+        and head.header(names.REQUEST_ID) in (None, request_id)
+    )
+
+
+def _find_unread(head: ResponseHead) -> Iterator[str]:
+    """Return the names of the platform's headers that are not known."""
+    for name, _ in head.headers:
+        lower = name.lower()
+        if lower.startswith(names.OWN_PREFIXES) and (
+            lower not in names.SAID_BY_ENDPOINTS
+        ):
+            yield lower.decode("latin-1")
+
+
+def _read(
+    head: ResponseHead,
+    word: Word,
+    name: bytes,
+    decode: Callable[[bytes], float],
+    odd_by_word: dict[Word, str],
+) -> float | None:
+    """Return a header's value; one that can't be read is told apart."""
+    text = head.header(name)
+    if text is None:
+        return None
+    try:
+        return decode(text)
+    except ValueError:
+        odd_by_word[word] = text.decode("latin-1")
+        return None
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -1,6 +1,5 @@
 """Decodes the platform's objects into the product's types."""
 
-import math
 from datetime import timedelta
 from typing import Annotated, Literal, TypeVar
 
@@ -273,15 +272,3 @@
         return msgspec.json.decode(spec, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise ValueError(str(error)) from error
-
-
-def decode_limit(text: bytes) -> float:
-    """Read the requests a second that an endpoint takes.
-
-    Raises:
-        ValueError: It is no decimal number, or a negative one.
-    """
-    rate = float(text)
-    if not 0 <= rate < math.inf:
-        raise ValueError("not within range")
-    return rate
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -8,6 +8,7 @@
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
 from passtally.decision import log_event
+from passtally.endpoint_words import AnswerNotes
 from passtally.engine import AttemptLostError, LoadReport
 from passtally.generation import Attempt, GenerationRequest
 from passtally.http_client import (
@@ -27,7 +28,6 @@
 )
 from passtally.platform.runner_link import RunnerLink
 from passtally.platform.runner_stream import RunnerStream
-from passtally.request_limits import LimitNotes
 from passtally.retry import LossKind
 from passtally.settings import Address
 
@@ -54,15 +54,15 @@
     Args:
         pool: The connections.
         clock: The clock.
-        limits: Where the limits that endpoints name are noted.
+        notes: Where what their answers say of endpoints is noted.
     """
 
     def __init__(
-        self, *, pool: ConnectionPool, clock: Clock, limits: LimitNotes
+        self, *, pool: ConnectionPool, clock: Clock, notes: AnswerNotes
     ) -> None:
         self._pool = pool
         self._clock = clock
-        self._limits = limits
+        self._notes = notes
 
     async def send(
         self,
@@ -76,7 +76,7 @@
             endpoint=live.endpoint,
             pool=self._pool,
             clock=self._clock,
-            limits=self._limits,
+            notes=self._notes,
         )
         if before_send is not None:
             before_send()
@@ -116,7 +116,7 @@
         endpoint: The endpoint.
         pool: The connections.
         clock: The clock.
-        limits: Where the limits that it names are noted.
+        notes: Where what its answers say of it is noted.
         find_address: Returns where an endpoint listens, by its id.
     """
 
@@ -129,12 +129,10 @@
         endpoint: Endpoint,
         pool: ConnectionPool,
         clock: Clock,
-        limits: LimitNotes,
+        notes: AnswerNotes,
         find_address: Callable[[str], Address | None],
     ) -> None:
-        self._link = RunnerLink(
-            endpoint=endpoint, pool=pool, clock=clock, limits=limits
-        )
+        self._link = RunnerLink(endpoint=endpoint, pool=pool, clock=clock, notes=notes)
         self._find_address = find_address
 
     async def generate(
@@ -170,7 +168,14 @@
         _, _, handle = replica_ref.partition("/")
         path = f"/api/kv-handle/{handle}".encode()
         try:
-            await self._link.order(b"DELETE", path, b"", COPY_TIMEOUT, address=address)
+            await self._link.order(
+                b"DELETE",
+                path,
+                b"",
+                COPY_TIMEOUT,
+                address=address,
+                endpoint_id=target,
+            )
         except AttemptLostError as error:
             log_event("replica", "Could not drop a copy.", peer=target, why=error)
 
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -4,6 +4,7 @@
 
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
+from passtally.endpoint_words import AnswerNotes
 from passtally.engine import AttemptLostError
 from passtally.http_client import (
     ClientConnection,
@@ -12,10 +13,9 @@
     RawHeaders,
     ResponseHead,
 )
-from passtally.objects import Endpoint
+from passtally.objects import Endpoint, EndpointStart
 from passtally.platform import names
-from passtally.platform.decode import decode_limit
-from passtally.request_limits import LimitNotes
+from passtally.platform.answer_words import read_words
 from passtally.retry import LossKind
 from passtally.settings import Address, parse_address
 
@@ -41,7 +41,7 @@
         endpoint: The endpoint.
         pool: The connections.
         clock: The clock.
-        limits: Where the limits that the endpoint names are noted.
+        notes: Where what its answers say of it is noted.
     """
 
     def __init__(
@@ -50,9 +50,9 @@
         endpoint: Endpoint,
         pool: ConnectionPool,
         clock: Clock,
-        limits: LimitNotes,
+        notes: AnswerNotes,
     ) -> None:
-        self._limits = limits
+        self._notes = notes
         self.address = parse_address(endpoint.url.removeprefix(_URL_PREFIX))
         self.endpoint_id = endpoint.id
         self._pool = pool
@@ -89,6 +89,7 @@
         except ExchangeError as error:
             raise self.lost(LossKind.UNREACHABLE, error.detail) from error
         system = self._system_headers(workspace, deadline)
+        start = self._notes.start_of(self.endpoint_id)
         try:
             head = await connection.send(method, target, [*headers, *system], body)
         except ExchangeError as error:
@@ -96,9 +97,10 @@
         except BaseException:
             self.abandon(connection)
             raise
-        self._note_limit(head, sent_at=connection.sent_at)
+        request_id = _find_request_id(headers)
+        self._note_words(head, start, request_id, sent_at=connection.sent_at)
         try:
-            self._check(headers, head)
+            self._check(request_id, head)
         except AttemptLostError:
             connection.abort()
             raise
@@ -122,6 +124,7 @@
         timeout: timedelta,
         *,
         address: Address | None = None,
+        endpoint_id: str = "",
         names_endpoint: bool = False,
         headers: RawHeaders = (),
     ) -> bytes:
@@ -133,6 +136,7 @@
             body: The JSON, or nothing.
             timeout: How long it may take.
             address: Another endpoint's address, to ask that one instead.
+            endpoint_id: That endpoint.
             names_endpoint: Whether another endpoint that has the address by now is
                 to refuse.
             headers: More headers.
@@ -148,6 +152,8 @@
         ]
         if names_endpoint:
             headers.append((b"X-Expect-Instance", self.endpoint_id.encode()))
+        start = self._notes.start_of(endpoint_id or self.endpoint_id)
+        sent_at = self._clock.monotonic()
         try:
             answer = await self._pool.exchange(
                 address,
@@ -157,6 +163,7 @@
                 body,
                 most=MAX_ORDER_BYTES,
                 timeout=timeout,
+                on_head=lambda head: self._note_words(head, start, sent_at=sent_at),
             )
         except ExchangeError as error:
             raise self.lost_in_exchange(error) from error
@@ -208,18 +215,18 @@
         kind = LossKind.SEAM if error.is_garbled else LossKind.RESET
         return self.lost(kind, error.detail)
 
-    def _note_limit(self, head: ResponseHead, *, sent_at: timedelta) -> None:
-        """Take in how many requests the endpoint says that it takes."""
-        answered_by = head.header(names.ANSWERED_BY)
-        if answered_by is not None and answered_by != self.endpoint_id.encode():
-            return
-        text = head.header(names.LIMIT)
-        try:
-            rate = None if text is None else decode_limit(text)
-        except ValueError:
-            self._limits.note_odd(self.endpoint_id, text.decode("latin-1"))
-            return
-        self._limits.note_limit(self.endpoint_id, rate, sent_at=sent_at)
+    def _note_words(
+        self,
+        head: ResponseHead,
+        start: EndpointStart,
+        request_id: bytes | None = None,
+        *,
+        sent_at: timedelta,
+    ) -> None:
+        """Take in what an answer says of the endpoint that was asked."""
+        words = read_words(head, endpoint_id=start.endpoint_id, request_id=request_id)
+        if words is not None:
+            self._notes.note_words(start, words, sent_at=sent_at)
 
     def _replaced(self, head: ResponseHead) -> AttemptLostError:
         """Return the error for an address that another endpoint has by now."""
@@ -246,17 +253,13 @@
             headers.append((b"X-Tenant-Id", workspace.encode()))
         return headers
 
-    def _check(self, headers: RawHeaders, head: ResponseHead) -> None:
+    def _check(self, request_id: bytes | None, head: ResponseHead) -> None:
         """Check that an answer is this endpoint's answer to the request.
 
         Raises:
             AttemptLostError: It is not, or the endpoint did not run the request.
         """
-        sent_id = next(
-            (value for name, value in headers if name.lower() == names.REQUEST_ID),
-            None,
-        )
-        if head.header(names.REQUEST_ID) not in (None, sent_id):
+        if head.header(names.REQUEST_ID) not in (None, request_id):
             raise self.lost(LossKind.SEAM, "the answer belongs to another request")
         if head.status == 421:
             raise self._replaced(head)
@@ -267,3 +270,10 @@
         is_success = 200 <= head.status < 300
         if is_success and head.header(names.PROOF) is None:
             raise self.lost(LossKind.SEAM, "a success without proof")
+
+
+def _find_request_id(headers: RawHeaders) -> bytes | None:
+    for name, value in headers:
+        if name.lower() == names.REQUEST_ID:
+            return value
+    return None
--- a/passtally/request_limits.py
+++ b/passtally/request_limits.py
@@ -8,7 +8,6 @@
 import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import Protocol
 
 import attrs
 
@@ -33,18 +32,6 @@
 MAX_TOLD = 64
 
 
-class LimitNotes(Protocol):
-    """Where what answers say of limits is noted."""
-
-    def note_limit(
-        self, endpoint_id: str, rate: float | None, *, sent_at: timedelta
-    ) -> None:
-        """Take in what an answer says; see :meth:`RequestLimits.note_answer`."""
-
-    def note_odd(self, endpoint_id: str, text: str) -> None:
-        """Take in that an answer names what is no limit."""
-
-
 @attrs.define(kw_only=True)
 class _Limit:
     """What is known of one endpoint's limit.
@@ -81,8 +68,6 @@
         self._count_hosts = count_hosts
         self._rank = rank
         self._limits_by_start: dict[EndpointStart, _Limit] = {}
-        #: What was last named that is no limit.
-        self._odd_by_endpoint: dict[str, str] = {}
 
     def note_answer(
         self,
@@ -108,15 +93,6 @@
             return False
         return self._put(start, rate, observed_at=now, now=now)
 
-    def note_odd(self, endpoint_id: str, text: str) -> None:
-        """Log that an endpoint names what is no limit; nothing changes by it."""
-        if self._odd_by_endpoint.get(endpoint_id) == text:
-            return
-        if len(self._odd_by_endpoint) >= MAX_TOLD:
-            self._odd_by_endpoint.clear()
-        self._odd_by_endpoint[endpoint_id] = text
-        log_event("limits", "Not a limit.", peer=endpoint_id, told=text)
-
     def has_room(self, start: EndpointStart, *, now: timedelta) -> bool:
         """Return whether this host may send an endpoint a request now."""
         limit = self._find(start, now)
--- /dev/null
+++ b/tests/test_endpoint_words.py
@@ -0,0 +1,118 @@
+"""What answers say of their endpoints: read in one place, on every path."""
+
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from passtally.clock import ManualClock
+from passtally.endpoint_words import MAX_KEPT, EndpointWords, OddWords, Word
+from passtally.fleet import Fleet
+from passtally.http_client import ResponseHead
+from passtally.objects import EndpointStart
+from passtally.platform import names
+from passtally.platform.answer_words import read_words
+from tests.fakes import make_catalog
+
+#: What the platform's pages name that endpoints say in the heads of their answers.
+SAID_ON_THE_PAGES = {
+    b"x-request-id",
+    b"x-response-stamp",
+    b"x-not-executed",
+    b"x-instance-id",
+    b"x-weight-versions",
+    b"server-limit",
+}
+#: What is only for callers, and handed to them as it is.
+PASSED_ON = {b"x-weight-versions"}
+START = EndpointStart(endpoint_id="e")
+
+
+def head_of(status: int = 200, **headers: str) -> ResponseHead:
+    """Return the head of an answer."""
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    fields = [(name.encode(), value.encode()) for name, value in named.items()]
+    return ResponseHead(status=status, headers=fields)
+
+
+def odd_limit(told: str) -> EndpointWords:
+    """Return what an answer says that names what is no limit."""
+    return EndpointWords(odd_by_word={Word.LIMIT: told})
+
+
+class TestHeaders:
+    # Guards against a word of endpoints that the platform names and nobody reads.
+    @pytest.mark.parametrize("name", sorted(SAID_ON_THE_PAGES))
+    def test_each_that_endpoints_may_send_is_known_and_read(self, name):
+        assert name in names.SAID_BY_ENDPOINTS
+        constant = next(key for key, value in vars(names).items() if value == name)
+        sources = Path(names.__file__).parent.glob("*.py")
+        readers = [
+            path.name
+            for path in sources
+            if f"names.{constant}" in path.read_text() and path.name != "names.py"
+        ]
+        assert readers or name in PASSED_ON
+
+    def test_one_that_nobody_knows_is_told(self):
+        head = head_of(Server_Mood="good", X_Request_Id="q", Date="today")
+        words = read_words(head, endpoint_id="e", request_id=b"q")
+        assert words.unread == ("server-mood",)
+
+
+class TestReadWords:
+    def test_each_word_is_read(self):
+        words = read_words(head_of(Server_Limit="1.5"), endpoint_id="e")
+        assert words == EndpointWords(limit=1.5)
+
+    def test_what_can_t_be_read_is_told_apart(self):
+        words = read_words(head_of(Server_Limit="many"), endpoint_id="e")
+        assert words == EndpointWords(odd_by_word={Word.LIMIT: "many"})
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            head_of(status=421, Server_Limit="1"),
+            head_of(X_Instance_Id="another", Server_Limit="1"),
+            head_of(X_Request_Id="earlier", Server_Limit="1"),
+        ],
+        ids=["address reused", "another's name", "surplus"],
+    )
+    def test_the_word_of_another_says_nothing(self, head):
+        assert read_words(head, endpoint_id="e", request_id=b"q") is None
+
+
+class TestOddWords:
+    @pytest.fixture
+    def lines(self, monkeypatch) -> list[str]:
+        """Return the endpoints of which a line is logged."""
+        lines: list[str] = []
+
+        def log(kind: str, sentence: str, *, peer: str, **fields: object) -> None:
+            lines.append(peer)
+
+        monkeypatch.setattr("passtally.endpoint_words.log_event", log)
+        return lines
+
+    def test_each_is_logged_once(self, lines: list[str]):
+        odd = OddWords()
+        for _ in range(3):
+            odd.note("e", odd_limit("many"))
+        odd.note("e", odd_limit("more"))
+        assert lines == ["e", "e"]
+
+    def test_few_are_kept(self, lines: list[str]):
+        odd = OddWords()
+        for number in range(3 * MAX_KEPT):
+            odd.note(f"e{number}", odd_limit("many"))
+        assert len(odd._odd_by_endpoint) <= MAX_KEPT
+
+    def test_they_change_nothing(self, lines: list[str]):
+        clock = ManualClock()
+        fleet = Fleet(
+            catalog=make_catalog([]), clock=clock, connect=lambda endpoint: None
+        )
+        fleet.note_words(START, EndpointWords(limit=2.0), sent_at=clock.monotonic())
+        later = clock.monotonic() + timedelta(seconds=1)
+        fleet.note_words(START, odd_limit("many"), sent_at=later)
+        assert not fleet.limits.has_room(START, now=clock.monotonic())
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -10,7 +10,7 @@
 from passtally.limit_sharers import LimitSharers
 from passtally.messages import LimitRow, MemberRow
 from passtally.objects import Endpoint, EndpointStart, Service, ServiceKind
-from passtally.platform.decode import decode_limit
+from passtally.platform.answer_words import decode_limit
 from passtally.request_limits import KEPT_FOR, MAX_TOLD, RequestLimits
 from standins.platform_config import ENGINE, LOOKUPS
 from tests.endpoint_load import send_load, start_linked
@@ -188,13 +188,6 @@
         with pytest.raises(ValueError):
             decode_limit(text.encode())
 
-    def test_what_is_no_limit_is_logged_once_and_changes_nothing(self):
-        limits = limited(2.0)
-        for number in range(3 * MAX_TOLD):
-            limits.note_odd(f"e{number}", "many")
-        assert len(limits._odd_by_endpoint) <= MAX_TOLD
-        assert not limits.take(START, now=NOW)
-
 
 class TestMerging:
     @given(
