An endpoint whose answers say that it leaves gets no more requests

Now it is one of the words that each answer's head is asked for, and a departure like those of entries and reports: of one start, told to the other hosts, undone by nothing late. So it is no choice for calls, streams, resumes or replicas, and replicas that lie there move.

Where every endpoint that is known leaves, a new stream is refused at once: it waited a part of its target for what was known not to come.

--- a/passtally/endpoint_words.py
+++ b/passtally/endpoint_words.py
@@ -21,6 +21,7 @@
 class Word(StrEnum):
     """One thing that an endpoint says of itself."""
 
+    LEAVING = "leaving"
     LIMIT = "limit"
 
 
@@ -29,11 +30,14 @@
     """What one answer says of its endpoint.
 
     Attributes:
+        is_leaving: Whether it says that it leaves; where it doesn't, it may leave all
+            the same.
         limit: The requests a second that it takes from all hosts; None for no limit.
         odd_by_word: What can't be read, as it was written; it changes nothing.
         unread: The headers that may say more of it, and that nothing here knows.
     """
 
+    is_leaving: bool = False
     limit: float | None = None
     odd_by_word: Mapping[Word, str] = attrs.field(factory=dict)
     unread: Sequence[str] = ()
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -147,7 +147,7 @@
         if endpoint_id not in self._catalog.endpoints_by_id:
             return False
         live = self.find(endpoint_id)
-        return live.view().state is EndpointState.ACTIVE and not live.is_ejected
+        return live.state is EndpointState.ACTIVE and not live.is_ejected
 
     async def has_reachable(self, service_id: str, failure_domain: str) -> bool:
         """Look whether a service has an endpoint that takes connections.
@@ -177,6 +177,8 @@
         """Take in what an answer says; see :class:`AnswerNotes`."""
         now = self._clock.monotonic()
         self._odd_words.note(start.endpoint_id, words)
+        if words.is_leaving:
+            self._departures.note(start, channel="its answers")
         if Word.LIMIT not in words.odd_by_word and self.limits.note_answer(
             start, words.limit, sent_at=sent_at, now=now
         ):
@@ -195,10 +197,29 @@
         waits = [
             self.limits.wait_for_room(endpoint.start, now=now)
             for endpoint in self._catalog.endpoints_of(service_id)
-            if endpoint.state is EndpointState.ACTIVE
+            if self.find(endpoint.id).state is EndpointState.ACTIVE
         ]
         return min(waits, default=timedelta(0))
 
+    def may_take_within(self, service_id: str, patience: timedelta) -> bool:
+        """Return whether an endpoint that is known may take a request by then.
+
+        True where none is known: one may come at any time.
+
+        Args:
+            service_id: The service.
+            patience: How long the request may wait.
+        """
+        known = self._catalog.endpoints_of(service_id)
+        staying = [
+            endpoint
+            for endpoint in known
+            if self.find(endpoint.id).state is EndpointState.ACTIVE
+        ]
+        if not staying:
+            return not known
+        return self.wait_for_room(service_id) <= patience
+
     def note_loss(self, live: LiveEndpoint, *, is_gone: bool) -> None:
         """Take in that a run was lost: its whole failure domain may be going.
 
@@ -218,7 +239,7 @@
         One that is about to leave, or has no entry any more, may end as planned.
         """
         is_known = live.endpoint.id in self._catalog.endpoints_by_id
-        return is_known and live.view().state is EndpointState.ACTIVE
+        return is_known and live.state is EndpointState.ACTIVE
 
     def note_end(self, live: LiveEndpoint) -> None:
         """Take in that an endpoint is seen to have ended, and tell other hosts."""
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -285,7 +285,7 @@
         return EndpointView(
             id=self.endpoint.id,
             failure_domain=self.endpoint.failure_domain,
-            state=self._state(),
+            state=self.state,
             own_streams=self.own_streams,
             reported_streams=self._report.running + self._report.queued,
             own_at_report=self._own_at_report,
@@ -314,7 +314,9 @@
         if report.draining:
             self._departures.note(self.endpoint.start, channel="its own report")
 
-    def _state(self) -> EndpointState:
+    @property
+    def state(self) -> EndpointState:
+        """Whether it may get new work, as far as anything tells."""
         if self._departures.is_leaving(self.endpoint):
             return EndpointState.DRAINING
         return self.endpoint.state
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -107,13 +107,26 @@
             if decision.endpoint_id is not None:
                 self._check_target(generation, decision.endpoint_id)
                 return await self._survey_and_log(generation, decision)
-            if self._clock.monotonic() >= deadline:
+            if not self._may_wait(generation, until=deadline):
                 self._log(generation, None, decision)
                 raise NoPlaceError(decision.reason)
             if generation.delivered:
                 excluded.clear()
             await self._clock.sleep(RESUME_POLL)
 
+    def _may_wait(self, generation: Generation, *, until: timedelta) -> bool:
+        """Return whether waiting for an endpoint may help.
+
+        An answer that has begun has nothing but to wait.
+        """
+        patience = until - self._clock.monotonic()
+        if patience <= timedelta(0):
+            return False
+        service = generation.request.service
+        return bool(generation.delivered) or self._fleet.may_take_within(
+            service, patience
+        )
+
     async def _place_trial(
         self, generation: Generation, excluded: set[str]
     ) -> str | None:
--- a/passtally/platform/answer_words.py
+++ b/passtally/platform/answer_words.py
@@ -22,6 +22,9 @@
         return None
     odd_by_word: dict[Word, str] = {}
     return EndpointWords(
+        is_leaving=bool(
+            _read(head, Word.LEAVING, names.LEAVING, decode_leaving, odd_by_word)
+        ),
         limit=_read(head, Word.LIMIT, names.LIMIT, decode_limit, odd_by_word),
         odd_by_word=odd_by_word,
         unread=tuple(_find_unread(head)),
@@ -40,6 +43,17 @@
     return rate
 
 
+def decode_leaving(text: bytes) -> float:
+    """Read that an endpoint leaves.
+
+    Raises:
+        ValueError: It does not say so.
+    """
+    if text.strip() != b"1":
+        raise ValueError("not a departure")
+    return 1
+
+
 def _is_own_word(
     head: ResponseHead, endpoint_id: str, request_id: bytes | None
 ) -> bool:
--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -20,6 +20,8 @@
 ANSWERED_BY = b"x-instance-id"
 #: On an answer: the requests a second that the endpoint takes from all hosts together.
 LIMIT = b"server-limit"
+#: On an answer: 1 where the endpoint leaves; absent where it does not.
+LEAVING = b"server-leaving"
 #: On an answer: the version of the model's weights that made it. Answers are not joined
 #: over versions: the version of an endpoint's software tells that before it is asked.
 WEIGHTS = b"x-weight-versions"
@@ -40,7 +42,9 @@
 EXPECTED_WEIGHTS = b"x-expect-version"
 
 #: What an endpoint may say in its answers; of others a line is logged.
-SAID_BY_ENDPOINTS = frozenset((REQUEST_ID, PROOF, NOT_RUN, ANSWERED_BY, LIMIT, WEIGHTS))
+SAID_BY_ENDPOINTS = frozenset(
+    (REQUEST_ID, PROOF, NOT_RUN, ANSWERED_BY, LIMIT, LEAVING, WEIGHTS)
+)
 #: What the names of headers begin with that are the platform's own.
 OWN_PREFIXES = (b"x-", b"server-", b"kv-")
 #: Headers that only this system sets towards endpoints. A caller's own are not handed
--- a/tests/test_endpoint_words.py
+++ b/tests/test_endpoint_words.py
@@ -22,6 +22,7 @@
     b"x-instance-id",
     b"x-weight-versions",
     b"server-limit",
+    b"server-leaving",
 }
 #: What is only for callers, and handed to them as it is.
 PASSED_ON = {b"x-weight-versions"}
@@ -62,18 +63,28 @@
 
 class TestReadWords:
     def test_each_word_is_read(self):
-        words = read_words(head_of(Server_Limit="1.5"), endpoint_id="e")
-        assert words == EndpointWords(limit=1.5)
+        head = head_of(Server_Limit="1.5", Server_Leaving="1")
+        words = read_words(head, endpoint_id="e")
+        assert words == EndpointWords(limit=1.5, is_leaving=True)
 
-    def test_what_can_t_be_read_is_told_apart(self):
-        words = read_words(head_of(Server_Limit="many"), endpoint_id="e")
-        assert words == EndpointWords(odd_by_word={Word.LIMIT: "many"})
+    @pytest.mark.parametrize(
+        ("word", "header", "told"),
+        [
+            (Word.LIMIT, "Server_Limit", "many"),
+            (Word.LEAVING, "Server_Leaving", "0"),
+            (Word.LEAVING, "Server_Leaving", ""),
+            (Word.LEAVING, "Server_Leaving", "soon"),
+        ],
+    )
+    def test_what_can_t_be_read_is_told_apart(self, word, header, told):
+        words = read_words(head_of(**{header: told}), endpoint_id="e")
+        assert words == EndpointWords(odd_by_word={word: told})
 
     @pytest.mark.parametrize(
         "head",
         [
-            head_of(status=421, Server_Limit="1"),
-            head_of(X_Instance_Id="another", Server_Limit="1"),
+            head_of(status=421, Server_Leaving="1"),
+            head_of(X_Instance_Id="another", Server_Leaving="1"),
             head_of(X_Request_Id="earlier", Server_Limit="1"),
         ],
         ids=["address reused", "another's name", "surplus"],
