--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -1,9 +1,19 @@
 """Endpoints that say in their answers that they leave."""
 
+import asyncio
+from datetime import timedelta
+
+import attrs
 import pytest
 
+from passtally.clock import ManualClock
+from passtally.departures import Departures
+from passtally.endpoint_words import EndpointWords
+from passtally.fleet import Fleet
+from passtally.objects import Endpoint
 from standins.platform_config import ENGINE, LOOKUPS
 from tests.endpoint_load import Sent, send_load, start_linked
+from tests.fakes import make_catalog
 from tests.platform_system import PlatformSystem, run
 
 #: How long after a host has passed on an answer that says so requests may still be sent
@@ -42,6 +52,25 @@
 
         run(test)
 
+    # Guards against hosts that learn of it each by a request of their own.
+    def test_the_other_hosts_are_told(self, service):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, service, endpoints=1)
+            runner = system.runners["i-0"]
+            runner.faults.leaving = "1"
+            first, *others = system.hosts
+            send = system.stream if service == ENGINE else system.send
+            path = "/draft/1" if service == ENGINE else "/look/1"
+            answer = await send(path, host=first)
+            assert answer.status == 200
+            endpoint = first.catalog.endpoints_by_id["i-0"]
+            async with asyncio.timeout(DRAIN):
+                while not all(host.departures.is_leaving(endpoint) for host in others):
+                    await asyncio.sleep(0.02)
+            assert len(runner.requests) == 1
+
+        run(test)
+
     # Guards against waiting for endpoints of which all have said that they leave.
     def test_where_all_leave_requests_are_refused_at_once(self, service):
         async def test(system: PlatformSystem) -> None:
@@ -57,3 +86,22 @@
             assert max(request.took for request in refused) < AT_ONCE
 
         run(test)
+
+
+class TestWord:
+    def test_it_holds_for_one_start_and_nothing_late_undoes_it(self):
+        old = Endpoint(id="e", service="s", url="http://x:1", failure_domain="d")
+        old = attrs.evolve(old, incarnation=1)
+        new = attrs.evolve(old, incarnation=2)
+        departures = Departures()
+        fleet = Fleet(
+            catalog=make_catalog([], [old]),
+            clock=ManualClock(),
+            connect=lambda endpoint: None,
+            departures=departures,
+        )
+        leaving, silent = EndpointWords(is_leaving=True), EndpointWords()
+        fleet.note_words(old.start, leaving, sent_at=timedelta(0))
+        fleet.note_words(old.start, silent, sent_at=timedelta(seconds=1))
+        assert not fleet.is_sound("e")
+        assert not departures.is_leaving(new)
