A host gives endpoints that turn it away the rest that they ask for

Callers' requests were sent on to an endpoint that had answered 503 with Retry-After: 3, six and five times in that time, while two others had room: nobody read the header, and a refusal changed nothing of what a host believed of the endpoint. Now the rest is a word of the endpoint, kept by start, from the moment that its answer's head was read. Meanwhile it is no choice for calls, streams, resumes or attached replicas, and gets no orders or reports; the others serve. When it is over one request goes first: all that wait would come together. Where nobody can take a request it is refused at once, with the time until somebody may.

An hour at most; 0 is no rest; what is no number, negative, endless or a date is logged once and changes nothing. A rest is this host's own: other hosts are not told.

The search for a kept prompt passes over endpoints that may not be sent to: with limits, too, a resume could find the same one again and again.

--- a/passtally/endpoint_words.py
+++ b/passtally/endpoint_words.py
@@ -23,6 +23,7 @@
 
     LEAVING = "leaving"
     LIMIT = "limit"
+    REST = "rest"
 
 
 @attrs.frozen(kw_only=True)
@@ -33,12 +34,14 @@
         is_leaving: Whether it says that it leaves; where it doesn't, it may leave all
             the same.
         limit: The requests a second that it takes from all hosts; None for no limit.
+        rest: For how long it wants no request of this host; None for no rest.
         odd_by_word: What can't be read, as it was written; it changes nothing.
         unread: The headers that may say more of it, and that nothing here knows.
     """
 
     is_leaving: bool = False
     limit: float | None = None
+    rest: timedelta | None = None
     odd_by_word: Mapping[Word, str] = attrs.field(factory=dict)
     unread: Sequence[str] = ()
 
@@ -49,6 +52,9 @@
     def start_of(self, endpoint_id: str) -> EndpointStart:
         """Return which start of an endpoint is known."""
 
+    def may_ask(self, start: EndpointStart) -> bool:
+        """Return whether an endpoint wants to be asked anything by this host."""
+
     def note_words(
         self, start: EndpointStart, words: EndpointWords, *, sent_at: timedelta
     ) -> None:
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -21,6 +21,7 @@
 from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointStart, EndpointState, is_placed
 from passtally.request_limits import RequestLimits
+from passtally.rests import Rests
 from passtally.routing import EndpointView
 from passtally.service_index import ServiceIndex
 from passtally.silence import (
@@ -91,6 +92,7 @@
     ) -> None:
         self.limits = limits or RequestLimits()
         self._odd_words = OddWords()
+        self._rests = Rests()
         self.versions = versions or AnyVersion()
         self._on_silent = on_silent
         self._catalog = catalog
@@ -179,23 +181,35 @@
         self._odd_words.note(start.endpoint_id, words)
         if words.is_leaving:
             self._departures.note(start, channel="its answers")
+        if Word.REST not in words.odd_by_word:
+            self._rests.note_answer(start, words.rest, sent_at=sent_at, now=now)
         if Word.LIMIT not in words.odd_by_word and self.limits.note_answer(
             start, words.limit, sent_at=sent_at, now=now
         ):
             self.load_changed.set()
 
     def try_send(self, live: LiveEndpoint) -> bool:
-        """Count a request that is sent to an endpoint, if its limit has room for it."""
-        return self.limits.take(live.endpoint.start, now=self._clock.monotonic())
+        """Count a request that is sent to an endpoint, if the endpoint wants it now."""
+        start, now = live.endpoint.start, self._clock.monotonic()
+        if not self._rests.may_send(start, now=now):
+            return False
+        return self.limits.take(start, now=now) and self._rests.take(start, now=now)
+
+    def may_ask(self, start: EndpointStart) -> bool:
+        """Return whether an endpoint wants to be asked anything by this host."""
+        return self._rests.is_over(start, now=self._clock.monotonic())
 
     def wait_for_room(self, service_id: str) -> timedelta:
-        """Return how long it takes until an endpoint's limit has room for a request.
+        """Return how long it takes until an endpoint wants a request.
 
-        Zero where none names a limit, or one has room.
+        Zero where one has asked for no rest and names no limit, or has room.
         """
         now = self._clock.monotonic()
         waits = [
-            self.limits.wait_for_room(endpoint.start, now=now)
+            max(
+                self.limits.wait_for_room(endpoint.start, now=now),
+                self._rests.wait(endpoint.start, now=now),
+            )
             for endpoint in self._catalog.endpoints_of(service_id)
             if self.find(endpoint.id).state is EndpointState.ACTIVE
         ]
@@ -364,6 +378,7 @@
 
     def forget(self, endpoint_id: str) -> None:
         """Drop the state of an endpoint that is gone, once it has no streams."""
+        self._rests.forget(endpoint_id)
         live = self._live_by_id.get(endpoint_id)
         if live is not None and not live.own_streams:
             del self._live_by_id[endpoint_id]
@@ -393,7 +408,8 @@
         start, now = live.endpoint.start, self._clock.monotonic()
         return live.view(
             is_shaky=self._is_shaky(live.endpoint.failure_domain),
-            may_be_sent=self.limits.has_room(start, now=now),
+            may_be_sent=self._rests.may_send(start, now=now)
+            and self.limits.has_room(start, now=now),
         )
 
     def service_capacity(self, service_id: str) -> "Capacity":
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -278,7 +278,7 @@
 
         Args:
             is_shaky: Whether a run was lost in its failure domain a moment ago.
-            may_be_sent: Whether the limit that it names has room.
+            may_be_sent: Whether it wants a request of this host now.
         """
         others = self._others_load(self.endpoint.start)
         is_doubted = self._clock.monotonic() < self._doubted_until
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -205,14 +205,23 @@
                 break
             call = attrs.evolve(call, must_connect=tries.must_connect)
             endpoint_id = self._route(call, tries.excluded)
-        raise failure or refuse(
-            Code.NO_ENDPOINT,
-            "No endpoint of the service can take the call.",
-            status=503,
-            step="route",
-            peer=service,
-            retry_after=self._fleet.wait_for_room(service) or RETRY_AFTER,
-        )
+        raise self._tell_when(failure, service)
+
+    def _tell_when(self, failure: RefusedError | None, service: str) -> RefusedError:
+        """Return the failure to report; of one that did not run, when to come back."""
+        retry_after = self._fleet.wait_for_room(service) or RETRY_AFTER
+        if failure is None:
+            return refuse(
+                Code.NO_ENDPOINT,
+                "No endpoint of the service can take the call.",
+                status=503,
+                step="route",
+                peer=service,
+                retry_after=retry_after,
+            )
+        if failure.failure.outcome is Outcome.NOT_RUN:
+            failure.failure = attrs.evolve(failure.failure, retry_after=retry_after)
+        return failure
 
     async def _may_repeat(
         self, call: PlainCall, failure: RefusedError, tries: _Tries
--- a/passtally/platform/answer_words.py
+++ b/passtally/platform/answer_words.py
@@ -2,10 +2,12 @@
 
 import math
 from collections.abc import Callable, Iterator
+from datetime import timedelta
 
 from passtally.endpoint_words import EndpointWords, Word
 from passtally.http_client import ResponseHead
 from passtally.platform import names
+from passtally.rests import MAX_REST
 
 
 def read_words(
@@ -26,6 +28,7 @@
             _read(head, Word.LEAVING, names.LEAVING, decode_leaving, odd_by_word)
         ),
         limit=_read(head, Word.LIMIT, names.LIMIT, decode_limit, odd_by_word),
+        rest=_read_rest(head, odd_by_word),
         odd_by_word=odd_by_word,
         unread=tuple(_find_unread(head)),
     )
@@ -54,6 +57,26 @@
     return 1
 
 
+def decode_rest(text: bytes) -> float:
+    """Read the seconds of rest that an endpoint asks for.
+
+    Raises:
+        ValueError: It is no decimal number, a negative one or without end. A date is
+            none either: the clocks of machines differ by seconds.
+    """
+    return decode_limit(text)
+
+
+def _read_rest(head: ResponseHead, odd_by_word: dict[Word, str]) -> timedelta | None:
+    """Return the rest that an endpoint asks for that turns a request away."""
+    if head.status != 503:
+        return None
+    seconds = _read(head, Word.REST, names.REST, decode_rest, odd_by_word)
+    if seconds is None:
+        return None
+    return timedelta(seconds=min(seconds, MAX_REST.total_seconds()))
+
+
 def _is_own_word(
     head: ResponseHead, endpoint_id: str, request_id: bytes | None
 ) -> bool:
--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -22,6 +22,9 @@
 LIMIT = b"server-limit"
 #: On an answer: 1 where the endpoint leaves; absent where it does not.
 LEAVING = b"server-leaving"
+#: On an answer of status 503: for how many seconds the endpoint wants no request of the
+#: host that it turned away.
+REST = b"retry-after"
 #: On an answer: the version of the model's weights that made it. Answers are not joined
 #: over versions: the version of an endpoint's software tells that before it is asked.
 WEIGHTS = b"x-weight-versions"
@@ -43,7 +46,7 @@
 
 #: What an endpoint may say in its answers; of others a line is logged.
 SAID_BY_ENDPOINTS = frozenset(
-    (REQUEST_ID, PROOF, NOT_RUN, ANSWERED_BY, LIMIT, LEAVING, WEIGHTS)
+    (REQUEST_ID, PROOF, NOT_RUN, ANSWERED_BY, LIMIT, LEAVING, REST, WEIGHTS)
 )
 #: What the names of headers begin with that are the platform's own.
 OWN_PREFIXES = (b"x-", b"server-", b"kv-")
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -153,6 +153,8 @@
         if names_endpoint:
             headers.append((b"X-Expect-Instance", self.endpoint_id.encode()))
         start = self._notes.start_of(endpoint_id or self.endpoint_id)
+        if not self._notes.may_ask(start):
+            raise self.lost(LossKind.REFUSED, "it has asked for rest")
         sent_at = self._clock.monotonic()
         try:
             answer = await self._pool.exchange(
--- a/passtally/prefix_finder.py
+++ b/passtally/prefix_finder.py
@@ -67,6 +67,7 @@
             view
             for view in self._fleet.views(service)
             if view.state is EndpointState.ACTIVE
+            and view.may_be_sent
             and view.id not in exclude
             and self._fleet.is_usable(view.id)
         ]
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -34,7 +34,7 @@
             they are known.
         capacity_tokens: The tokens that its memory holds; 0 where that is not known.
         may_be_sent: Whether the limit that it names has room for a request of this
-            host.
+            host, and it has not asked this host for rest.
     """
 
     id: str
--- a/tests/test_endpoint_words.py
+++ b/tests/test_endpoint_words.py
@@ -22,6 +22,7 @@
     b"x-instance-id",
     b"x-weight-versions",
     b"server-limit",
+    b"retry-after",
     b"server-leaving",
 }
 #: What is only for callers, and handed to them as it is.
@@ -74,12 +75,27 @@
             (Word.LEAVING, "Server_Leaving", "0"),
             (Word.LEAVING, "Server_Leaving", ""),
             (Word.LEAVING, "Server_Leaving", "soon"),
+            (Word.REST, "Retry_After", "-1"),
+            (Word.REST, "Retry_After", "soon"),
+            (Word.REST, "Retry_After", "inf"),
+            (Word.REST, "Retry_After", "Thu, 03 Dec 2026 12:00:00 GMT"),
         ],
     )
     def test_what_can_t_be_read_is_told_apart(self, word, header, told):
-        words = read_words(head_of(**{header: told}), endpoint_id="e")
+        words = read_words(head_of(status=503, **{header: told}), endpoint_id="e")
         assert words == EndpointWords(odd_by_word={word: told})
 
+    @pytest.mark.parametrize(
+        ("told", "seconds"), [("3", 3), ("0.4", 0.4), ("0", 0), ("1e12", 3600)]
+    )
+    def test_rest_is_asked_for_in_seconds_and_parts_of_them(self, told, seconds):
+        words = read_words(head_of(status=503, Retry_After=told), endpoint_id="e")
+        assert words == EndpointWords(rest=timedelta(seconds=seconds))
+
+    def test_only_who_turns_a_request_away_asks_for_rest(self):
+        words = read_words(head_of(status=500, Retry_After="3"), endpoint_id="e")
+        assert words == EndpointWords()
+
     @pytest.mark.parametrize(
         "head",
         [
--- a/tests/test_resting_endpoints.py
+++ b/tests/test_resting_endpoints.py
@@ -1,7 +1,11 @@
 """Endpoints that turn a host away and ask it for rest."""
 
+from datetime import timedelta
+
 import pytest
 
+from passtally.objects import EndpointStart
+from passtally.rests import TRIAL, Rests
 from standins.platform_config import ENGINE, LOOKUPS
 from tests.endpoint_load import Sent, send_load, start_linked
 from tests.platform_system import PlatformSystem, run
@@ -64,3 +68,61 @@
             assert max(waits) <= REST + 1
 
         run(test)
+
+
+START = EndpointStart(endpoint_id="e", incarnation=1)
+NOW = timedelta(hours=1)
+SECOND = timedelta(seconds=1)
+
+
+def resting(rest: timedelta = 3 * SECOND) -> Rests:
+    """Return what a host knows that an endpoint has just asked for rest."""
+    rests = Rests()
+    rests.note_answer(START, rest, sent_at=NOW, now=NOW)
+    return rests
+
+
+class TestRests:
+    def test_nothing_is_sent_until_it_is_over(self):
+        rests = resting()
+        assert not rests.take(START, now=NOW)
+        assert not rests.is_over(START, now=NOW + 2.9 * SECOND)
+        assert rests.wait(START, now=NOW + SECOND) == 2 * SECOND
+        assert rests.take(START, now=NOW + 3 * SECOND)
+
+    # Guards against all that wait turning up together when a rest is over.
+    def test_then_one_request_goes_first(self):
+        rests = resting()
+        end = NOW + 3 * SECOND
+        assert rests.take(START, now=end)
+        assert not rests.take(START, now=end)
+        rests.note_answer(START, None, sent_at=end, now=end)
+        assert all(rests.take(START, now=end) for _ in range(9))
+
+    def test_another_follows_where_no_answer_comes(self):
+        rests = resting()
+        end = NOW + 3 * SECOND
+        assert rests.take(START, now=end)
+        assert rests.wait(START, now=end) == TRIAL
+        assert rests.take(START, now=end + TRIAL)
+
+    def test_an_answer_to_what_was_under_way_does_not_end_it(self):
+        rests = resting()
+        rests.note_answer(START, None, sent_at=NOW, now=NOW + SECOND)
+        assert not rests.may_send(START, now=NOW + SECOND)
+
+    def test_the_longest_counts(self):
+        rests = resting()
+        rests.note_answer(START, SECOND, sent_at=NOW, now=NOW + SECOND)
+        assert rests.wait(START, now=NOW + SECOND) == 2 * SECOND
+        rests.note_answer(START, 3 * SECOND, sent_at=NOW, now=NOW + SECOND)
+        assert rests.wait(START, now=NOW + SECOND) == 3 * SECOND
+
+    def test_zero_is_no_rest(self):
+        assert resting(timedelta(0)).take(START, now=NOW)
+
+    def test_it_is_of_one_start_and_goes_with_it(self):
+        rests = resting()
+        assert rests.take(EndpointStart(endpoint_id="e", incarnation=2), now=NOW)
+        rests.forget("e")
+        assert rests.take(START, now=NOW)
