Known red: what is written after the store came back from a copy is passed over

The store's stand-in tells its era in all answers, comes back from a copy, and answers a watch from a revision that it doesn't have with 410. Three hosts: a configuration written 0.2 or 2.5 s after the comeback is in force at none of them within 2 s, nor at a host that learns from others, nor after two comebacks.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -9,6 +9,14 @@
 PAGE = 500
 
 
+@attrs.frozen(kw_only=True)
+class StoreCopy:
+    """All that the store held at one moment."""
+
+    revision: int
+    items: dict[tuple[str, str], dict[str, Any]]
+
+
 @attrs.define(kw_only=True)
 class _Change:
     revision: int
@@ -29,6 +37,7 @@
         calls: How many calls were made.
         listings: How many listings are under way.
         statuses: The statuses that were written, of any object.
+        era: How often it came back from a copy, told in all answers; None to tell none.
     """
 
     def __init__(self) -> None:
@@ -41,6 +50,7 @@
         self.listings = 0
         self.revision = 0
         self.statuses: list[Any] = []
+        self.era: int | None = 1
         self._oldest = 0
         self._items: dict[tuple[str, str], dict[str, Any]] = {}
         self._changes: list[_Change] = []
@@ -49,7 +59,7 @@
 
     async def start(self) -> int:
         """Listen on the loopback and return the port."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._tell_era])
         app.router.add_get("/api/objects/{kind}", self._serve)
         app.router.add_put("/api/objects/{kind}/{name}/status", self._put_status)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
@@ -90,13 +100,37 @@
         """Drop all changes; watches from before get 410."""
         self._changes.clear()
         self._oldest = self.revision
-        self._changed.set()
+        self._wake()
+
+    def copy(self) -> StoreCopy:
+        """Return all that it holds now."""
+        return StoreCopy(revision=self.revision, items=dict(self._items))
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Hold what a copy holds; what was written since is gone."""
+        self.revision, self._items = copy.revision, dict(copy.items)
+        self._changes = [
+            change for change in self._changes if change.revision <= copy.revision
+        ]
+        if self.era is not None:
+            self.era += 1
+        self._wake()
 
     def _note(self, change: _Change) -> None:
         self._changes.append(change)
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
+    @web.middleware
+    async def _tell_era(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        response = await handler(request)
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+        return response
+
     async def _serve(self, request: web.Request) -> web.Response:
         self.calls += 1
         if self.is_silent:
@@ -142,7 +176,7 @@
         wait = int(request.query.get("wait_ms", "0")) / 1000
         until = asyncio.get_running_loop().time() + wait
         while True:
-            if after < self._oldest:
+            if after < self._oldest or after > self.revision:
                 return web.Response(status=410)
             events = [
                 {"object": change.item, "removed": change.removed}
--- /dev/null
+++ b/tests/test_store_comeback.py
@@ -0,0 +1,140 @@
+"""A store that comes back from an older copy, and gives revisions out again."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from passtally.front_host import FrontHost
+from standins.platform_config import LOOKUPS, make_config
+from tests.endpoint_load import start_linked
+from tests.platform_system import PlatformSystem, run
+
+#: In which a change must be in force, in seconds.
+APPLY = 2.0
+#: How long the store is away, in seconds.
+AWAY = 0.5
+
+
+def config_with(version: int, *paths: str) -> dict[str, Any]:
+    """Return a configuration with more routes for calls."""
+    config = make_config(version)
+    plain = config["routes"][1]
+    more = [plain | {"name": f"r-{path}", "path_prefix": path} for path in paths]
+    return config | {"routes": [*config["routes"], *more]}
+
+
+def version_of(host: FrontHost) -> int:
+    return host.routes.current.version
+
+
+async def wait_version(system: PlatformSystem, version: int) -> None:
+    """Wait until all hosts have a version of the configuration in force."""
+    async with asyncio.timeout(APPLY):
+        while any(version_of(host) != version for host in system.hosts):
+            await asyncio.sleep(0.02)
+
+
+async def come_back(system: PlatformSystem, copy: Any) -> None:
+    """Let the store be away for a moment, and come back from a copy."""
+    system.store.refusal = 503
+    await asyncio.sleep(AWAY)
+    system.store.come_back(copy)
+    system.store.refusal = None
+
+
+class TestStoreFromACopy:
+    # Guards against hosts that take what is written after a comeback for old, since its
+    # revisions were given out before.
+    @pytest.mark.parametrize("operator_after", [0.2, 2.5])
+    def test_what_is_written_then_comes_into_force(self, operator_after):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, LOOKUPS, endpoints=2)
+            copy = system.store.copy()
+            for version in range(2, 8):
+                config = config_with(version, "/first/")
+                system.store.put("config", "main", config)
+                await wait_version(system, version)
+            await come_back(system, copy)
+            await asyncio.sleep(operator_after)
+            assert {version_of(host) for host in system.hosts} == {7}
+            system.store.put("config", "main", config_with(7, "/first/"))
+            await asyncio.sleep(0.3)
+            system.store.put("config", "main", config_with(8, "/first/", "/second/"))
+            await wait_version(system, 8)
+            for host in system.hosts:
+                for path in ("/first/1", "/second/1"):
+                    answer = await system.send(path, body=b"1", host=host)
+                    assert answer.status == 200
+
+        run(test)
+
+    # Guards against a host that learns from others, and passes over what they tell.
+    def test_a_host_that_does_not_reach_the_store_learns_it_too(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, LOOKUPS, endpoints=2)
+            copy = system.store.copy()
+            for version in range(2, 6):
+                system.store.put("config", "main", config_with(version))
+                await wait_version(system, version)
+            cut_off = system.hosts[-1]
+            cut_off.store.move("http://127.0.0.1:1")
+            await come_back(system, copy)
+            system.store.put("config", "main", config_with(6, "/new/"))
+            await wait_version(system, 6)
+            answer = await system.send("/new/1", body=b"1", host=cut_off)
+            assert answer.status == 200
+
+        run(test)
+
+    # Guards against endpoints that a copy does not hold being taken for ended.
+    def test_endpoints_that_entered_since_are_kept(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, LOOKUPS, endpoints=1)
+            copy = system.store.copy()
+            runner = await system.add_runner("i-new", LOOKUPS)
+            await system.wait_ready(2)
+            await come_back(system, copy)
+            await asyncio.sleep(1.5)
+            assert all("i-new" in host.catalog.endpoints_by_id for host in system.hosts)
+            system.store.put("servers", "i-new", runner.entry(LOOKUPS, zone="pilar"))
+            await asyncio.sleep(2.5)
+            assert all("i-new" in host.catalog.endpoints_by_id for host in system.hosts)
+
+        run(test)
+
+    # Guards against a departure that a copy does not know of being undone by it.
+    def test_an_endpoint_that_leaves_stays_so(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, LOOKUPS, endpoints=2)
+            copy = system.store.copy()
+            runner = system.runners["i-0"]
+            entry = runner.entry(LOOKUPS, zone="pilar", state="draining")
+            system.store.put("servers", "i-0", entry)
+            async with asyncio.timeout(APPLY):
+                while any(host.fleet.is_sound("i-0") for host in system.hosts):
+                    await asyncio.sleep(0.02)
+            await come_back(system, copy)
+            await asyncio.sleep(1.5)
+            assert not any(host.fleet.is_sound("i-0") for host in system.hosts)
+
+        run(test)
+
+    # Guards against two comebacks in a row, the second from an older copy.
+    def test_twice_in_a_row(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, LOOKUPS, endpoints=1)
+            first = system.store.copy()
+            for version in range(2, 6):
+                system.store.put("config", "main", config_with(version))
+                await wait_version(system, version)
+            second = system.store.copy()
+            system.store.put("config", "main", config_with(6))
+            await wait_version(system, 6)
+            await come_back(system, second)
+            await come_back(system, first)
+            await asyncio.sleep(0.2)
+            system.store.put("config", "main", config_with(7, "/new/"))
+            await wait_version(system, 7)
+
+        run(test)
