What is written after the store came back from an older copy comes into force

Callers got 404 for a route, and a revoked key was served, for 2 s and more after the store had acknowledged the change: hosts order all that they take in by the store's revision, and a store that comes back from a copy gives revisions out again. Until they passed the highest one seen, everything was old news, at watching hosts and at learners.

A version is now the era and the revision in one number, made and taken apart where the store is spoken to: mirrors, followers, learners, beats, members' rows and references of large objects order by the pair without knowing. The era is learned of any answer, refusals too. An answer of an earlier era is not taken; a watch from one lists anew, also where the store happens to have the revision; a status made from an earlier era's state is not written. A store at another address has eras of its own.

What a copy shows does not make anything in force older: the configuration counts by its own version, an endpoint that leaves leaves, and one that the copy lacks is kept as after an outage, also where the store was not seen away.

tests/test_store_comeback.py: in force at no host within 2 s before; now at all, also at a host that learns from others and after two comebacks.

--- a/passtally/connection_pool.py
+++ b/passtally/connection_pool.py
@@ -238,7 +238,8 @@
             )
         except (ExchangeError, TimeoutError) as error:
             raise FetchError(str(error) or "no answer in time") from error
-        return Fetched(status=answer.head.status, body=answer.body)
+        head = answer.head
+        return Fetched(status=head.status, body=answer.body, headers=head.headers)
 
 
 def _abort(connecting: asyncio.Future[ClientConnection]) -> None:
--- a/passtally/endpoint_book.py
+++ b/passtally/endpoint_book.py
@@ -2,7 +2,9 @@
 
 Entries lapse while the platform is away, though the endpoints live. One that is
 missing after an outage is kept until the platform has been back for a while, and
-only then taken as gone.
+only then taken as gone. A platform that came back from an older copy lacks endpoints
+that entered since, and shows others as they were: for the same while what is known
+counts.
 """
 
 from collections.abc import Callable, Iterable
@@ -48,6 +50,7 @@
         self._gone = gone
         self._came = came
         self._is_away = False
+        self._era: int | None = None
         self._back_at: timedelta | None = None
         self._missing: set[str] = set()
 
@@ -64,6 +67,9 @@
             return
         if before is not None and endpoint.incarnation == UNTOLD_START:
             endpoint = attrs.evolve(endpoint, incarnation=before.incarnation)
+        if before is not None and self._is_undone(before, endpoint):
+            log_event("endpoints", "Still leaves.", peer=endpoint.id)
+            return
         if before is None or before.start != endpoint.start:
             self._came(endpoint)
         self._drop_predecessor(endpoint)
@@ -113,6 +119,12 @@
             self._back_at = self._clock.monotonic()
         self._is_away = not is_reachable
 
+    def note_era(self, era: int) -> None:
+        """Take in of which era of the platform an entry is."""
+        if self._era is not None and era > self._era:
+            self._back_at = self._clock.monotonic()
+        self._era = era if self._era is None else max(era, self._era)
+
     async def run(self) -> None:
         """Drop missing entries once the platform has settled, for ever."""
         while True:
@@ -125,6 +137,14 @@
             for endpoint_id in list(self._missing):
                 self._drop(endpoint_id, reason="missing since an outage")
 
+    def _is_undone(self, before: Endpoint, after: Endpoint) -> bool:
+        """Return whether an entry of a copy would undo a departure."""
+        is_back = (before.state, after.state) == (
+            EndpointState.DRAINING,
+            EndpointState.ACTIVE,
+        )
+        return is_back and before.start == after.start and self._may_have_lapsed()
+
     def _drop_predecessor(self, endpoint: Endpoint) -> None:
         """Drop the endpoint that had the address before: it must have ended.
 
--- a/passtally/fetch.py
+++ b/passtally/fetch.py
@@ -1,6 +1,6 @@
 """One HTTP call whose whole answer is read, with a time limit."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import Protocol
 
@@ -13,10 +13,19 @@
 
 @attrs.frozen(kw_only=True)
 class Fetched:
-    """An answer: its status and its body."""
+    """An answer: its status, its body and its headers."""
 
     status: int
     body: bytes
+    headers: Sequence[tuple[bytes, bytes]] = ()
+
+
+def find_header(headers: Sequence[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return a header's value by its name in lower case, or None."""
+    for known, value in headers:
+        if known.lower() == name:
+            return value
+    return None
 
 
 class Fetcher(Protocol):
--- a/passtally/http.py
+++ b/passtally/http.py
@@ -65,6 +65,10 @@
         async with session.request(
             method, url, timeout=total, allow_redirects=False, **options
         ) as response:
-            return Fetched(status=response.status, body=await response.read())
+            return Fetched(
+                status=response.status,
+                body=await response.read(),
+                headers=response.raw_headers,
+            )
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise FetchError(str(error) or type(error).__name__) from error
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -15,6 +15,7 @@
 import h11
 
 from passtally.clock import Clock
+from passtally.fetch import find_header
 from passtally.http_server import RawHeaders
 
 #: An idle connection is used again for this long, unless the peer says less.
@@ -76,10 +77,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return a header's value by its name in lower case, or None."""
-        for known, value in self.headers:
-            if known.lower() == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 class ClientConnection(asyncio.Protocol):
--- a/passtally/object_intake.py
+++ b/passtally/object_intake.py
@@ -11,6 +11,7 @@
 from passtally.rollouts import Rollouts
 from passtally.routes import RoutesInForce
 from passtally.service_index import ServiceIndex
+from passtally.store_order import era_of
 
 
 class ObjectIntake:
@@ -65,6 +66,8 @@
 
     def take_endpoints(self, changed: Sequence[StoredObject]) -> None:
         """Take in endpoints that came, changed or went."""
+        newest = max((stored.version for stored in changed), default=0)
+        self._book.note_era(era_of(newest))
         for stored in changed:
             endpoint_id = stored.key.removeprefix(self._adapter.endpoints_prefix)
             if stored.is_removed:
--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -4,14 +4,14 @@
 docs/PLATFORM.md. Sources of every failure are named in the errors.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 from typing import Protocol, TypeVar
 
 import attrs
 import msgspec
 
-from passtally.fetch import Fetcher, FetchError
+from passtally.fetch import Fetched, Fetcher, FetchError
 
 CALL_TIMEOUT = timedelta(seconds=3)
 WATCH_TIMEOUT = timedelta(seconds=20)
@@ -134,9 +134,17 @@
     Args:
         fetcher: Makes the calls.
         url: Where the store listens.
+        on_answer: Called with each answer, refusals too, before it is checked.
     """
 
-    def __init__(self, *, fetcher: Fetcher, url: str) -> None:
+    def __init__(
+        self,
+        *,
+        fetcher: Fetcher,
+        url: str,
+        on_answer: Callable[[Fetched], None] = lambda fetched: None,
+    ) -> None:
+        self._on_answer = on_answer
         self._fetcher = fetcher
         self.move(url)
 
@@ -160,6 +168,29 @@
         Raises:
             PlatformError: It failed.
         """
+        fetched = await self.fetch(
+            step,
+            method,
+            path,
+            timeout=timeout,
+            params=params,
+            headers=headers,
+            data=data,
+        )
+        return fetched.body
+
+    async def fetch(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        *,
+        timeout: timedelta = CALL_TIMEOUT,
+        params: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+        data: bytes = b"",
+    ) -> Fetched:
+        """Make one call and return its answer; see :meth:`call`."""
         try:
             fetched = await self._fetcher.fetch(
                 method,
@@ -171,7 +202,12 @@
             )
         except FetchError as error:
             raise UnavailableError(str(error), step=step, peer=self._url) from error
-        return self._check(step, fetched.status, fetched.body)
+        self._on_answer(fetched)
+        is_missing = fetched.status == 404 and step == "get"
+        if is_missing:
+            return attrs.evolve(fetched, body=b"")
+        self._check(step, fetched.status)
+        return fetched
 
     def decode(self, step: str, body: bytes, kind: type[T]) -> T:
         """Read an answer's JSON.
@@ -184,11 +220,9 @@
         except msgspec.MsgspecError as error:
             raise UnavailableError(str(error), step=step, peer=self._url) from error
 
-    def _check(self, step: str, status: int, body: bytes) -> bytes:
+    def _check(self, step: str, status: int) -> None:
         if status == 200:
-            return body
-        if status == 404 and step == "get":
-            return b""
+            return
         kind = {409: ConflictError, 410: TooOldError, 429: ThrottledError}.get(
             status, UnavailableError
         )
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -57,7 +57,9 @@
         """Record the state of a roll-out, unless its order has changed."""
         name = record.order.service
         body = encode_status(name, record, state)
-        await store.write_status(self.rollouts_prefix + name, body)
+        await store.write_status(
+            self.rollouts_prefix + name, body, version=record.object_version
+        )
 
     def connect(
         self,
--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -28,6 +28,8 @@
 #: On an answer: the version of the model's weights that made it. Answers are not joined
 #: over versions: the version of an endpoint's software tells that before it is asked.
 WEIGHTS = b"x-weight-versions"
+#: On every answer of the store: how often it came back from an older copy.
+STORE_ERA = b"store-era"
 CONTENT_ENCODING = b"content-encoding"
 HOST = b"host"
 #: 0 is the most urgent; 5 where the header is absent.
--- a/passtally/platform/rollout_object.py
+++ b/passtally/platform/rollout_object.py
@@ -8,6 +8,7 @@
 
 from passtally.object_store import StoredObject
 from passtally.rollout import RecordedState, RolloutOrder, RolloutRecord
+from passtally.store_order import revision_of
 
 #: Their "running" is recorded once the new version was found good and traffic is moved
 #: onto it; while it is tried nothing is recorded.
@@ -74,7 +75,7 @@
             within=timedelta(seconds=spec.duration_s),
         ),
         state=_read_state(rollout),
-        object_version=rollout.metadata.revision,
+        object_version=stored.version,
     )
 
 
@@ -88,7 +89,7 @@
     """
     return msgspec.json.encode(
         _StatusChange(
-            metadata=_Metadata(name=name, revision=record.object_version),
+            metadata=_Metadata(name=name, revision=revision_of(record.object_version)),
             status=_Status(
                 state=_WORDS_BY_STATE[state], target_version=record.order.version
             ),
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -6,6 +6,7 @@
 from passtally.connection_pool import ConnectionPool
 from passtally.endpoint_words import AnswerNotes
 from passtally.engine import AttemptLostError
+from passtally.fetch import find_header
 from passtally.http_client import (
     ClientConnection,
     ExchangeError,
@@ -97,7 +98,7 @@
         except BaseException:
             self.abandon(connection)
             raise
-        request_id = _find_request_id(headers)
+        request_id = find_header(headers, names.REQUEST_ID)
         self._note_words(head, start, request_id, sent_at=connection.sent_at)
         try:
             self._check(request_id, head)
@@ -272,10 +273,3 @@
         is_success = 200 <= head.status < 300
         if is_success and head.header(names.PROOF) is None:
             raise self.lost(LossKind.SEAM, "a success without proof")
-
-
-def _find_request_id(headers: RawHeaders) -> bytes | None:
-    for name, value in headers:
-        if name.lower() == names.REQUEST_ID:
-            return value
-    return None
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -1,5 +1,6 @@
 """The platform's object store, as far as the product reads it on the platform."""
 
+import re
 from collections.abc import Collection, Sequence
 from datetime import timedelta
 from typing import TypeVar
@@ -8,19 +9,23 @@
 import msgspec
 
 from passtally.decision import log_event
-from passtally.fetch import Fetcher
+from passtally.fetch import Fetched, Fetcher, find_header
 from passtally.object_store import (
     REMOVED,
     WATCH_TIMEOUT,
+    ConflictError,
     Listing,
     StoredObject,
     StoreLink,
+    TooOldError,
     UnavailableError,
 )
+from passtally.platform import names
 from passtally.platform.readable_json import (
     leave_out_deep_values,
     replace_half_characters,
 )
+from passtally.store_order import MAX_ERA, era_of, revision_of, version_of
 
 #: How much later than it was asked to a watch may answer. A store that is slow
 #: takes 60 times its usual 4 ms.
@@ -31,6 +36,8 @@
 LIST_TIMEOUT = timedelta(seconds=1)
 #: How long writing a status may take; a slow store takes 60 times its usual 4 ms.
 STATUS_TIMEOUT = timedelta(seconds=1)
+#: An era in decimal; no revision or version is as long.
+ERA = re.compile(rb"[0-9]{1,12}")
 
 T = TypeVar("T")
 
@@ -79,12 +86,17 @@
     def __init__(
         self, *, fetcher: Fetcher, url: str, whole_prefixes: Collection[str] = ()
     ) -> None:
-        self._link = StoreLink(fetcher=fetcher, url=url)
+        self._link = StoreLink(fetcher=fetcher, url=url, on_answer=self._note_era)
+        #: The highest era that an answer told; 0 where none did.
+        self._era = 0
+        #: What an answer told last that is no era.
+        self._odd_era: bytes | None = None
         self._whole_prefixes = whole_prefixes
         self.calls = 0
 
     def move(self, url: str) -> None:
-        """Make further calls at another address."""
+        """Make further calls at another address, whose eras are its own."""
+        self._era = 0
         self._link.move(url)
 
     async def list_objects(self, prefix: str) -> Listing:
@@ -97,10 +109,13 @@
         after = ""
         while True:
             params = {"after": after} if after else {}
-            page = await self._get("list", prefix, params, LIST_TIMEOUT, _Page)
-            version = page.store_revision if version is None else version
+            era, page = await self._get("list", prefix, params, LIST_TIMEOUT, _Page)
+            if version is None:
+                version = version_of(era, page.store_revision)
+            elif era != era_of(version):
+                raise self._superseded("list")
             items = _read_each(prefix, page.items, _Object)
-            objects += [self._to_stored(prefix, item) for item in items]
+            objects += [self._to_stored(prefix, item, era) for item in items]
             if not page.has_more or not page.items:
                 return Listing(version=version, objects=tuple(objects))
             if not items:
@@ -113,26 +128,43 @@
     async def watch(
         self, prefix: str, *, after: int, wait: timedelta = WATCH_TIMEOUT
     ) -> Listing:
-        """Wait for changes after a version; an empty listing on a quiet wait."""
-        params = {"watch": str(after), "wait_ms": str(int(wait.total_seconds() * 1000))}
+        """Wait for changes after a version; an empty listing on a quiet wait.
+
+        Raises:
+            TooOldError: The version is of an earlier era: the same revision names
+                another state by now, and what came before it is not known.
+        """
+        if era_of(after) < self._era:
+            raise self._too_old(after)
+        params = {
+            "watch": str(revision_of(after)),
+            "wait_ms": str(int(wait.total_seconds() * 1000)),
+        }
         limit = wait + WATCH_SLACK
-        changes = await self._get("watch", prefix, params, limit, _Changes)
+        era, changes = await self._get("watch", prefix, params, limit, _Changes)
+        if era != era_of(after):
+            raise self._too_old(after)
         objects = tuple(
-            self._to_stored(prefix, event.object, is_removed=event.removed)
+            self._to_stored(prefix, event.object, era, is_removed=event.removed)
             for event in _read_each(prefix, changes.events, _Event)
         )
-        return Listing(version=changes.store_revision, objects=objects)
+        version = version_of(era, changes.store_revision)
+        return Listing(version=version, objects=objects)
 
-    async def write_status(self, key: str, body: bytes) -> None:
+    async def write_status(self, key: str, body: bytes, *, version: int) -> None:
         """Replace an object's status, unless the object has changed.
 
         Args:
             key: The object.
-            body: The status, and the version of the object that it was made from.
+            body: The status, and the revision of the object that it was made from.
+            version: The version of that: a later era may have given the revision to
+                another state.
 
         Raises:
             PlatformError: It was not done, or it is not known whether it was.
         """
+        if era_of(version) != self._era:
+            raise ConflictError("another era has begun", step="status", peer=key)
         self.calls += 1
         await self._link.call(
             "status",
@@ -143,15 +175,46 @@
             data=body,
         )
 
+    def _note_era(self, fetched: Fetched) -> None:
+        """Take in the era that an answer tells, whatever else it says."""
+        text = find_header(fetched.headers, names.STORE_ERA)
+        try:
+            era = decode_era(text)
+        except ValueError:
+            if text != self._odd_era:
+                self._odd_era = text
+                log_event("store", "Not an era.", told=text.decode("latin-1"))
+            return
+        if era <= self._era:
+            return
+        if self._era:
+            log_event("store", "Came back from an older copy.", era=era, was=self._era)
+        self._era = era
+
+    def _is_of_earlier_era(self, fetched: Fetched) -> bool:
+        """Return whether an answer was made before the store came back."""
+        text = find_header(fetched.headers, names.STORE_ERA)
+        try:
+            return text is not None and decode_era(text) < self._era
+        except ValueError:
+            return False
+
+    def _superseded(self, step: str) -> UnavailableError:
+        return UnavailableError("an answer of an earlier era", step=step, peer="store")
+
+    def _too_old(self, after: int) -> TooOldError:
+        why = f"the store is in era {self._era}, not in {era_of(after)}"
+        return TooOldError(why, step="watch", peer="store")
+
     def _to_stored(
-        self, prefix: str, item: _Object, *, is_removed: bool = False
+        self, prefix: str, item: _Object, era: int, *, is_removed: bool = False
     ) -> StoredObject:
         value = item.spec
         if prefix in self._whole_prefixes:
             value = msgspec.Raw(msgspec.json.encode(item))
         return StoredObject(
             key=prefix + item.metadata.name,
-            version=item.metadata.revision,
+            version=version_of(era, item.metadata.revision),
             value=msgspec.Raw(REMOVED) if is_removed else value,
         )
 
@@ -161,17 +224,40 @@
         prefix: str,
         params: dict[str, str],
         timeout: timedelta,
-        kind: type,
-    ) -> msgspec.Struct:
+        kind: type[T],
+    ) -> tuple[int, T]:
+        """Make a call and return the era of its answer, and the answer.
+
+        Raises:
+            PlatformError: It failed, or a newer era was heard of meanwhile.
+        """
         self.calls += 1
         path = f"/api/objects/{quote(prefix.rstrip('/'))}"
-        body = await self._link.call(step, "GET", path, params=params, timeout=timeout)
-        body = replace_half_characters(body)
+        fetched = await self._link.fetch(
+            step, "GET", path, params=params, timeout=timeout
+        )
+        era = self._era
+        if self._is_of_earlier_era(fetched):
+            raise self._superseded(step)
+        body = replace_half_characters(fetched.body)
         try:
-            return self._link.decode(step, body, kind)
+            return era, self._link.decode(step, body, kind)
         except RecursionError:
             log_event("store", "Left out what is nested too deep.", prefix=prefix)
-            return self._link.decode(step, leave_out_deep_values(body), kind)
+            return era, self._link.decode(step, leave_out_deep_values(body), kind)
+
+
+def decode_era(text: bytes | None) -> int:
+    """Read the era that an answer tells; 0 where it tells none.
+
+    Raises:
+        ValueError: It is no era.
+    """
+    if text is None:
+        return 0
+    if not ERA.fullmatch(text) or int(text) > MAX_ERA:
+        raise ValueError("not an era")
+    return int(text)
 
 
 def _read_each(prefix: str, raws: Sequence[msgspec.Raw], kind: type[T]) -> list[T]:
--- a/tests/test_store_comeback.py
+++ b/tests/test_store_comeback.py
@@ -5,7 +5,22 @@
 
 import pytest
 
+from passtally.fetch import Fetched
 from passtally.front_host import FrontHost
+from passtally.object_store import (
+    ConflictError,
+    PlatformError,
+    TooOldError,
+    UnavailableError,
+)
+from passtally.platform.store import PlatformStore
+from passtally.store_order import (
+    MAX_ERA,
+    REVISIONS_PER_ERA,
+    era_of,
+    revision_of,
+    version_of,
+)
 from standins.platform_config import LOOKUPS, make_config
 from tests.endpoint_load import start_linked
 from tests.platform_system import PlatformSystem, run
@@ -24,14 +39,14 @@
     return config | {"routes": [*config["routes"], *more]}
 
 
-def version_of(host: FrontHost) -> int:
+def config_version(host: FrontHost) -> int:
     return host.routes.current.version
 
 
 async def wait_version(system: PlatformSystem, version: int) -> None:
     """Wait until all hosts have a version of the configuration in force."""
     async with asyncio.timeout(APPLY):
-        while any(version_of(host) != version for host in system.hosts):
+        while any(config_version(host) != version for host in system.hosts):
             await asyncio.sleep(0.02)
 
 
@@ -57,7 +72,7 @@
                 await wait_version(system, version)
             await come_back(system, copy)
             await asyncio.sleep(operator_after)
-            assert {version_of(host) for host in system.hosts} == {7}
+            assert {config_version(host) for host in system.hosts} == {7}
             system.store.put("config", "main", config_with(7, "/first/"))
             await asyncio.sleep(0.3)
             system.store.put("config", "main", config_with(8, "/first/", "/second/"))
@@ -138,3 +153,77 @@
             await wait_version(system, 7)
 
         run(test)
+
+
+class TestEras:
+    def test_what_is_written_later_is_the_higher_version(self):
+        versions = [version_of(0, 9), version_of(1, 20), version_of(2, 5)]
+        assert versions == sorted(versions)
+        assert [era_of(version) for version in versions] == [0, 1, 2]
+        assert [revision_of(version) for version in versions] == [9, 20, 5]
+
+    def test_versions_can_be_told_in_64_bits(self):
+        assert version_of(MAX_ERA, REVISIONS_PER_ERA - 1) < 2**63
+
+    @pytest.mark.parametrize("text", [b"", b"-1", b"1.5", b"two", b"9" * 5000])
+    def test_what_is_no_era_changes_nothing(self, text):
+        async def test() -> None:
+            answers = EraAnswers([b"3", text, b"3"])
+            store = PlatformStore(fetcher=answers, url="http://x")
+            first, *others = [await store.list_objects("config/") for _ in range(3)]
+            assert {listing.version for listing in others} == {first.version}
+
+        asyncio.run(test())
+
+    @pytest.mark.parametrize("status", [410, 429, 503])
+    def test_it_is_learned_of_any_answer_and_an_earlier_one_is_not_taken(self, status):
+        async def test() -> None:
+            answers = EraAnswers([b"1", b"2", b"1", b"2"])
+            store = PlatformStore(fetcher=answers, url="http://x")
+            known = await store.list_objects("config/")
+            answers.status = status
+            with pytest.raises(PlatformError):
+                await store.list_objects("config/")
+            answers.status = 200
+            with pytest.raises(UnavailableError):
+                await store.list_objects("config/")
+            with pytest.raises(TooOldError):
+                await store.watch("config/", after=known.version)
+            with pytest.raises(ConflictError):
+                await store.write_status("k", b"{}", version=known.version)
+            assert (await store.list_objects("config/")).version > known.version
+
+        asyncio.run(test())
+
+    def test_a_watch_that_a_later_era_answers_is_too_old(self):
+        async def test() -> None:
+            store = PlatformStore(fetcher=EraAnswers([b"1", b"2"]), url="http://x")
+            known = await store.list_objects("config/")
+            with pytest.raises(TooOldError):
+                await store.watch("config/", after=known.version)
+
+        asyncio.run(test())
+
+    def test_another_store_has_eras_of_its_own(self):
+        async def test() -> None:
+            store = PlatformStore(fetcher=EraAnswers([b"7", b"1"]), url="http://x")
+            await store.list_objects("config/")
+            store.move("http://y")
+            assert era_of((await store.list_objects("config/")).version) == 1
+
+        asyncio.run(test())
+
+
+class EraAnswers:
+    """Answers calls with one era after the other."""
+
+    def __init__(self, eras: list[bytes]) -> None:
+        self.status = 200
+        self._eras = eras
+
+    async def fetch(self, method: str, url: str, **options: Any) -> Fetched:
+        return Fetched(
+            status=self.status,
+            body=b'{"items":[],"events":[],"store_revision":8}',
+            headers=[(b"Store-Era", self._eras.pop(0))],
+        )
