A host told another address of a store that came back from a copy does not go back

What another store holds counts at whatever version since the store may move; a copy was taken for that. A listing of a later era than is known is of the same store: its versions are higher, and the configuration in it counts by its own.

tests/test_store_comeback.py: went back within 1 s before; stays now.

--- a/passtally/mirror.py
+++ b/passtally/mirror.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from passtally.object_store import REMOVED, Listing, StoredObject
+from passtally.store_order import era_of
 
 
 class ObjectMirror:
@@ -27,7 +28,8 @@
         """Take the next whole listing as it is: the store's address has changed.
 
         What another store holds counts, also where its versions are lower. Until it
-        answers, what is known stays in force.
+        answers, what is known stays in force. Where its era is later than the one that
+        is known, it is the same store, and all its versions are higher.
         """
         self.is_renewed = True
 
@@ -43,10 +45,11 @@
             The objects that changed, or None where the listing is older than what
             was taken in.
         """
-        if self.is_renewed:
+        if self.is_renewed and era_of(listing.version) <= era_of(self.version):
             self._forget_versions(listing)
         elif listing.version < self.version:
             return None
+        self.is_renewed = False
         listed = {stored.key for stored in listing.objects}
         removed = [
             StoredObject(key=key, version=listing.version, value=msgspec.Raw(REMOVED))
@@ -59,7 +62,6 @@
 
     def _forget_versions(self, listing: Listing) -> None:
         """Let a listing change all that it holds otherwise, at whatever version."""
-        self.is_renewed = False
         self.version = self.newest = 0
         listed_by_key = {stored.key: stored for stored in listing.objects}
         for key, stored in list(self._stored_by_key.items()):
--- a/passtally/object_intake.py
+++ b/passtally/object_intake.py
@@ -54,7 +54,9 @@
             except ValueError as error:
                 log_event("config", "Ignored a broken configuration.", why=error)
                 continue
-            if routes is None or not self._routes.take(routes):
+            if routes is None or not self._routes.take(
+                routes, stored_version=stored.version
+            ):
                 continue
             for service in routes.services:
                 self._catalog.put_service(
--- a/passtally/routes.py
+++ b/passtally/routes.py
@@ -12,6 +12,7 @@
 import attrs
 
 from passtally.http_server import ServerLimits
+from passtally.store_order import era_of
 
 
 class CallKind(StrEnum):
@@ -187,17 +188,28 @@
     """
 
     current: RouteSet | None = None
+    _stored_version: int = 0
     _is_renewed: bool = False
 
     def renew(self) -> None:
-        """Take the next set at whatever version: it may come from another store."""
+        """Take the next set at whatever version: it may come from another store.
+
+        Not one of a later era: it is the copy from which the store came back.
+        """
         self._is_renewed = True
 
-    def take(self, routes: RouteSet) -> bool:
-        """Put a set in force unless a newer one is; return whether it was put."""
+    def take(self, routes: RouteSet, *, stored_version: int = 0) -> bool:
+        """Put a set in force unless a newer one is; return whether it was put.
+
+        Args:
+            routes: The set.
+            stored_version: The version of the object that holds it.
+        """
+        is_of_copy = era_of(stored_version) > era_of(self._stored_version)
+        is_renewed, self._is_renewed = self._is_renewed and not is_of_copy, False
         is_newer = self.current is None or routes.version > self.current.version
-        if not is_newer and not self._is_renewed:
+        if not is_newer and not is_renewed:
             return False
-        self._is_renewed = False
         self.current = routes
+        self._stored_version = stored_version
         return True
--- a/tests/test_store_comeback.py
+++ b/tests/test_store_comeback.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+import attrs
 import pytest
 
 from passtally.fetch import Fetched
@@ -135,6 +136,29 @@
 
         run(test)
 
+    # Guards against a host that is told another address of a store that came back, and
+    # takes its copy for the objects of another store (soak 43007).
+    def test_one_that_is_told_another_address_meanwhile_does_not_go_back(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_linked(system, LOOKUPS, endpoints=1)
+            copy = system.store.copy()
+            for version in range(2, 5):
+                system.store.put("config", "main", config_with(version))
+                await wait_version(system, version)
+            moved = system.hosts[0]
+            port = moved.settings.platform.rpartition(":")[2]
+            await come_back(system, copy)
+            platform = f"http://127.0.0.1:{port}/"
+            moved.reload(attrs.evolve(moved.settings, platform=platform))
+            until = asyncio.get_running_loop().time() + 1.0
+            while asyncio.get_running_loop().time() < until:
+                assert config_version(moved) == 4
+                await asyncio.sleep(0.02)
+            system.store.put("config", "main", config_with(5))
+            await wait_version(system, 5)
+
+        run(test)
+
     # Guards against two comebacks in a row, the second from an older copy.
     def test_twice_in_a_row(self):
         async def test(system: PlatformSystem) -> None:
