Soak: endpoints leave and ask for rest by their answers, the store comes back from copies

A series of its own, so that what kept seeds draw stays as it is (--words). Judged by what reached the endpoints: none sent later than 2 s (and a margin) after its host had passed on that the endpoint leaves, two at most in a rest; versions in force never go back.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
 from soak.requests import RequestSaboteur
 from soak.settings_changes import SettingsSaboteur
 from soak.starts import StartSaboteur
+from soak.words import WordSaboteur
 from soak.world import EVENTS, World
 
 HOSTS = 4
@@ -43,6 +44,8 @@
         starts: Whether hosts meet trouble at their starts and stops.
         settings: Whether hosts are told other settings while they serve.
         requests: Whether requests end what runs them, and endpoints name limits.
+        words: Whether endpoints leave, and ask for rest, by their answers, and the
+            store comes back from older copies.
     """
 
     seed: int
@@ -51,6 +54,7 @@
     starts: bool = True
     settings: bool = True
     requests: bool = True
+    words: bool = True
 
 
 async def play(setup: Setup, folder: Path, evidence: Evidence) -> None:
@@ -98,8 +102,13 @@
         own = random.Random(f"requests of {setup.seed}")
         requests = RequestSaboteur(world=world, evidence=evidence, rng=own)
         series.append(requests.run(setup.seconds))
+    own = random.Random(f"words of {setup.seed}")
+    words = WordSaboteur(world=world, evidence=evidence, rng=own)
+    if setup.words:
+        series.append(words.run(setup.seconds))
     await asyncio.gather(*series)
     await asyncio.sleep(HEAL_SECONDS)
+    words.judge()
     if setup.starts:
         await starts.stop_in_quiet()
 
@@ -206,6 +215,11 @@
     default=True,
     help="Whether requests end what runs them, and endpoints name limits.",
 )
+@click.option(
+    "--words/--no-words",
+    default=True,
+    help="Whether endpoints speak by their answers, and the store forgets.",
+)
 @click.option("--jobs", type=int, default=1, help="How many seeds at a time.")
 def main(
     seed: int | None,
@@ -216,6 +230,7 @@
     starts: bool,
     settings: bool,
     requests: bool,
+    words: bool,
     jobs: int,
 ) -> None:
     """Play seeds of the soak; fails where a promise was broken."""
@@ -228,6 +243,7 @@
         starts=starts,
         settings=settings,
         requests=requests,
+        words=words,
     )
     if seed is not None:
         sys.exit(0 if play_seed(setup) else 1)
@@ -249,6 +265,7 @@
     command.append("--starts" if setup.starts else "--no-starts")
     command.append("--settings" if setup.settings else "--no-settings")
     command.append("--requests" if setup.requests else "--no-requests")
+    command.append("--words" if setup.words else "--no-words")
     done = subprocess.run(command, capture_output=True, text=True)
     print(done.stdout + done.stderr, end="", flush=True)
     return done.returncode == 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 from soak.host import HostProcess
 from soak.link import LinkFault
 from soak.series import Fault, FaultSeries
-from soak.world import Place, World
+from soak.world import World
 from standins.runner import RunnerFaults
 
 LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
@@ -39,16 +39,6 @@
         up = [host for host in self._world.hosts_by_name.values() if host.is_up]
         return self._rng.choice(up) if up else None
 
-    def _pick_place(self) -> Place | None:
-        """Pick a place with an endpoint; each service keeps one."""
-        running = [place for place in self._world.places if place.runner is not None]
-        spare = [
-            place
-            for place in running
-            if sum(other.service == place.service for other in running) > 1
-        ]
-        return self._rng.choice(spare) if spare else None
-
     async def _kill(self, lasts: float) -> None:
         host = self._pick_host()
         if host is None:
--- a/soak/series.py
+++ b/soak/series.py
@@ -9,7 +9,7 @@
 
 from soak.evidence import Evidence, Trouble, now
 from soak.host import HostProcess, Life
-from soak.world import GRACE_SECONDS, World
+from soak.world import GRACE_SECONDS, Place, World
 
 #: How long a fault lasts, in seconds.
 SHORTEST, LONGEST = 0.4, 3.5
@@ -71,6 +71,16 @@
         """Draw a host, whether it runs or not: so draws depend on the seed alone."""
         return self._rng.choice(list(self._world.hosts_by_name.values()))
 
+    def _pick_place(self) -> Place | None:
+        """Pick a place with an endpoint; each service keeps one."""
+        running = [place for place in self._world.places if place.runner is not None]
+        spare = [
+            place
+            for place in running
+            if sum(other.service == place.service for other in running) > 1
+        ]
+        return self._rng.choice(spare) if spare else None
+
     def _note(
         self, kind: str, target: str, began_at: float, *, is_planned: bool = False
     ) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -17,7 +17,7 @@
 from soak.host import HostProcess
 from soak.link import FaultyLink
 from soak.network import CONTROL_PORT, FRONT_PORT, READY_PORT, LoopbackNetwork
-from standins.object_store import ObjectStoreStandIn
+from standins.object_store import ObjectStoreStandIn, StoreCopy
 from standins.platform_config import ENGINE, LOOKUPS, make_config
 from standins.runner import RunnerStandIn
 
@@ -85,12 +85,14 @@
         domain: Its failure domain.
         link: Leads there.
         runner: What runs there now.
+        state: What its entry says of it.
     """
 
     service: str
     domain: str
     link: FaultyLink
     runner: SeenRunner | None = None
+    state: str = "ready"
 
 
 class World:
@@ -207,10 +209,21 @@
 
     def enter(self, place: Place, state: str = "ready") -> None:
         """Write a place's endpoint into the store."""
-        runner = place.runner
+        runner, place.state = place.runner, state
         entry = runner.entry(place.service, zone=place.domain, state=state)
         self.store.put("servers", runner.name, entry)
 
+    def write_again(self, copy: StoreCopy) -> None:
+        """Write what a store lost that came back from a copy, as it is by now."""
+        self.store.put("config", "main", make_config(self.version))
+        places = [place for place in self.places if place.runner is not None]
+        for place in places:
+            self.enter(place, state=place.state)
+        running = {place.runner.name for place in places}
+        for kind, name in copy.items:
+            if kind == "servers" and name not in running:
+                self.store.remove(kind, name)
+
     async def stop_runner(self, place: Place) -> None:
         """End a place's endpoint as a crash does; its entry stays for a while."""
         runner, place.runner = place.runner, None
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -89,9 +89,11 @@
         self._note(_Change(revision=self.revision, kind=kind, item=item, removed=False))
 
     def remove(self, kind: str, name: str) -> None:
-        """Remove an object."""
+        """Remove an object, if it is there."""
+        item = self._items.pop((kind, name), None)
+        if item is None:
+            return
         self.revision += 1
-        item = self._items.pop((kind, name))
         metadata = item["metadata"] | {"revision": self.revision}
         item = item | {"metadata": metadata}
         self._note(_Change(revision=self.revision, kind=kind, item=item, removed=True))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
     302: "a reload that came while a host was starting ended it (20 s of faults)",
     41002: "an address in use at the start, or a stop while loading, ended a host",
     52006: "a host at the end of its stop handed on a request and broke it off",
+    43007: "a host told another address of a store from a copy took its configuration",
 }
 CI_SEED = 7
 #: With trouble at the starts: addresses in use, early stops, kills in a row.
@@ -39,12 +40,16 @@
 SETTINGS_SEED = 71001
 #: With requests that end what runs them, and limits that endpoints name.
 REQUESTS_SEED = 90001
+#: With endpoints that leave and ask for rest by their answers, and a store from copies.
+WORDS_SEED = 43001
 CI_SECONDS = 8
 #: As long as when they failed.
 FAILED_SECONDS = 20
 #: From when hosts did not meet trouble at their starts: they are played without it,
 #: as they were.
 SEEDS_WITHOUT_STARTS = frozenset((CI_SEED, 302))
+#: The others are played without what came to the soak later, as they were.
+SEEDS_WITH_WORDS = frozenset((WORDS_SEED, 43007))
 
 
 def seen(**fields) -> Seen:
@@ -603,6 +608,7 @@
             (STARTS_SEED, CI_SECONDS),
             (SETTINGS_SEED, CI_SECONDS),
             (REQUESTS_SEED, CI_SECONDS),
+            (WORDS_SEED, CI_SECONDS),
             *((seed, FAILED_SECONDS) for seed in FAILED_SEEDS),
         ],
     )
@@ -611,11 +617,13 @@
         command.append(f"--seconds={seconds}")
         if seed in SEEDS_WITHOUT_STARTS:
             command.append("--no-starts")
-        if seed not in (SETTINGS_SEED, REQUESTS_SEED):
+        if seed not in (SETTINGS_SEED, REQUESTS_SEED, *SEEDS_WITH_WORDS):
             # From when settings did not change meanwhile: played as they were.
             command.append("--no-settings")
-        if seed != REQUESTS_SEED:
+        if seed not in (REQUESTS_SEED, *SEEDS_WITH_WORDS):
             command.append("--no-requests")
+        if seed not in SEEDS_WITH_WORDS:
+            command.append("--no-words")
         done = subprocess.run(
             command,
             capture_output=True,
