A host that began after a removal tells those that ask it what exists

What happened: a host that learns from others kept an object that was removed before the only host that it asks had listed for the first time; that one never knew the object, and so had no change to tell. Now a mirror knows from which version on it has seen all removals. Asked for changes since before that, it adds the keys of what exists, and what the other holds beyond them, and is not newer, is gone. Who starts with nothing is told none, nor is who asks for what came since: no bytes more in the usual case.

--- a/passtally/mirror.py
+++ b/passtally/mirror.py
@@ -15,11 +15,13 @@
     Attributes:
         version: The store-wide version of the newest change taken in.
         newest: The newest version of an object taken in.
+        complete_since: From which version on it knows of all removals.
     """
 
     def __init__(self) -> None:
         self.version = 0
         self.newest = 0
+        self.complete_since = 0
         self._stored_by_key: dict[str, StoredObject] = {}
         #: Whether the next whole listing may be of another store.
         self.is_renewed = False
@@ -50,6 +52,8 @@
         elif listing.version < self.version:
             return None
         self.is_renewed = False
+        if not self.version:
+            self.complete_since = listing.version
         listed = {stored.key for stored in listing.objects}
         removed = [
             StoredObject(key=key, version=listing.version, value=msgspec.Raw(REMOVED))
@@ -72,7 +76,10 @@
 
     def advance(self, changes: Listing) -> list[StoredObject]:
         """Take in changes and return the newest state of each object that changed."""
-        changed = self._take(changes.objects)
+        if not self.version:
+            self.complete_since = changes.version
+        gone = [] if changes.keys is None else self._find_gone(changes)
+        changed = self._take([*gone, *changes.objects])
         self.version = max(self.version, changes.version)
         return changed
 
@@ -89,13 +96,31 @@
         }
 
     def changes_after(self, version: int) -> Listing:
-        """Return the newest state of all objects that changed after a version."""
+        """Return the newest state of all objects that changed after a version.
+
+        Who began to follow after that version can't tell of each removal, and tells
+        what exists instead. Who knows nothing yet needs to be told of none.
+        """
         changed = (
             stored
             for stored in self._stored_by_key.values()
             if stored.version > version
         )
-        return Listing(version=self.version, objects=tuple(changed))
+        keys = None
+        if 0 < version < self.complete_since:
+            keys = tuple(self.current_versions())
+        return Listing(version=self.version, objects=tuple(changed), keys=keys)
+
+    def _find_gone(self, changes: Listing) -> list[StoredObject]:
+        """Return the removals of what existed before and exists no more."""
+        existing = set(changes.keys)
+        return [
+            StoredObject(key=key, version=changes.version, value=msgspec.Raw(REMOVED))
+            for key, stored in self._stored_by_key.items()
+            if key not in existing
+            and not stored.is_removed
+            and stored.version <= changes.version
+        ]
 
     def _take(self, objects: Sequence[StoredObject]) -> list[StoredObject]:
         """Return what was new: of each object its newest state alone.
--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -73,10 +73,18 @@
 
 @attrs.frozen(kw_only=True)
 class Listing:
-    """Objects, and the store-wide version at which they were read."""
+    """Objects, and the store-wide version at which they were read.
+
+    Attributes:
+        version: The version.
+        objects: The objects; of a watch those that changed.
+        keys: Where not all removals since are among the objects, the keys of all
+            objects that exist; else None.
+    """
 
     version: int
     objects: tuple[StoredObject, ...]
+    keys: tuple[str, ...] | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/passtally/object_transfer.py
+++ b/passtally/object_transfer.py
@@ -98,9 +98,15 @@
     return small, large
 
 
-def pack_listing(version: int, objects: Sequence[StoredObject]) -> bytes:
-    """Return a listing in its packed form."""
-    return pack(msgspec.json.encode(Listing(version=version, objects=tuple(objects))))
+def pack_listing(
+    version: int,
+    objects: Sequence[StoredObject],
+    *,
+    keys: tuple[str, ...] | None = None,
+) -> bytes:
+    """Return a listing in its packed form; see :class:`Listing` for the arguments."""
+    listing = Listing(version=version, objects=tuple(objects), keys=keys)
+    return pack(msgspec.json.encode(listing))
 
 
 def unpack_listing(packed: bytes) -> Listing:
--- a/passtally/view_learner.py
+++ b/passtally/view_learner.py
@@ -12,6 +12,8 @@
 from functools import partial
 from typing import Any
 
+import attrs
+
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.messages import (
@@ -234,7 +236,7 @@
         finally:
             self._fetching.discard(view.prefix)
         objects = (*listing.objects, *fetched)
-        changed = self._learn(view, Listing(version=listing.version, objects=objects))
+        changed = self._learn(view, attrs.evolve(listing, objects=objects))
         log_event(
             "watch",
             "Learned from a peer.",
@@ -268,7 +270,7 @@
         if view is not None:
             changes = view.mirror.changes_after(message.after)
         small, large = split_large(changes.objects)
-        listing = pack_listing(changes.version, small)
+        listing = pack_listing(changes.version, small, keys=changes.keys)
         if not self._pace.admit(len(listing), self._clock.monotonic()):
             return ConfigChanges(listing=pack_listing(0, ()))
         return ConfigChanges(listing=listing, large=large)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -74,6 +74,23 @@
         mirror.advance(other.changes_after(mirror.newest))
         assert mirror.current_versions() == {"b": 8}
 
+    def test_what_is_newer_than_what_another_tells_is_kept(self):
+        mirror, other = ObjectMirror(), ObjectMirror()
+        mirror.replace(listing(6, stored("a", 5)))
+        other.replace(listing(9, stored("b", 8)))
+        mirror.advance(listing(12, stored("c", 12)))
+        changes = other.changes_after(6)
+        assert changes.keys == ("b",)
+        mirror.advance(changes)
+        assert mirror.current_versions() == {"b": 8, "c": 12}
+
+    def test_who_has_followed_since_tells_changes_alone(self):
+        mirror = ObjectMirror()
+        mirror.replace(listing(6, stored("a", 5), stored("b", 6)))
+        mirror.advance(listing(8, stored("b", 8, REMOVED)))
+        assert mirror.changes_after(6).keys is None
+        assert mirror.changes_after(0).keys is None
+
     def test_another_mirror_takes_all_from_its_changes(self):
         mirror, other = ObjectMirror(), ObjectMirror()
         mirror.replace(listing(3, stored("a", 1), stored("b", 3)))
