An endpoint that a copy shows does not take the place of the one that has replaced it

A store that comes back from a copy shows endpoints that have ended since, and lacks those that entered since. Where one has the other's address, the entry of the ended one dropped the one that runs, for the two seconds until its own entry was written again; requests found another endpoint there (421). Such an entry waits now until the later endpoint is gone, is removed, or another comes. Found by reading; tests/test_endpoint_book.py TestOlderCopy (the first failed before: the set was a and before-b).

--- a/passtally/endpoint_book.py
+++ b/passtally/endpoint_book.py
@@ -53,6 +53,9 @@
         self._era: int | None = None
         self._back_at: timedelta | None = None
         self._missing: set[str] = set()
+        self._returned_at: timedelta | None = None
+        #: Entries of a copy whose address another endpoint has by now.
+        self._outlived_by_id: dict[str, Endpoint] = {}
 
     def put(self, endpoint: Endpoint) -> None:
         """Take in a new or changed entry."""
@@ -70,6 +73,10 @@
         if before is not None and self._is_undone(before, endpoint):
             log_event("endpoints", "Still leaves.", peer=endpoint.id)
             return
+        if before is None and self._is_outlived(endpoint):
+            self._outlived_by_id[endpoint.id] = endpoint
+            log_event("endpoints", "Has been replaced.", peer=endpoint.id)
+            return
         if before is None or before.start != endpoint.start:
             self._came(endpoint)
         self._drop_predecessor(endpoint)
@@ -103,6 +110,7 @@
     def remove(self, endpoint_ids: Iterable[str]) -> None:
         """Take in that entries are not there any more."""
         for endpoint_id in list(endpoint_ids):
+            self._outlived_by_id.pop(endpoint_id, None)
             endpoint = self._catalog.endpoints_by_id.get(endpoint_id)
             if endpoint is None:
                 continue
@@ -122,7 +130,7 @@
     def note_era(self, era: int) -> None:
         """Take in of which era of the platform an entry is."""
         if self._era is not None and era > self._era:
-            self._back_at = self._clock.monotonic()
+            self._back_at = self._returned_at = self._clock.monotonic()
         self._era = era if self._era is None else max(era, self._era)
 
     async def run(self) -> None:
@@ -145,6 +153,15 @@
         )
         return is_back and before.start == after.start and self._may_have_lapsed()
 
+    def _is_outlived(self, endpoint: Endpoint) -> bool:
+        """Return whether an entry of a copy names an address that was taken since."""
+        if self._returned_at is None or not self._is_settling(self._returned_at):
+            return False
+        return any(
+            known.url == endpoint.url
+            for known in self._catalog.endpoints_by_id.values()
+        )
+
     def _drop_predecessor(self, endpoint: Endpoint) -> None:
         """Drop the endpoint that had the address before: it must have ended.
 
@@ -152,6 +169,9 @@
         """
         if endpoint.service not in self._catalog.services_by_id:
             return
+        for outlived in list(self._outlived_by_id.values()):
+            if outlived.url == endpoint.url:
+                del self._outlived_by_id[outlived.id]
         for known in list(self._catalog.endpoints_by_id.values()):
             if known.url == endpoint.url and known.id != endpoint.id:
                 self._drop(known.id, reason="another endpoint has its address")
@@ -159,12 +179,23 @@
     def _may_have_lapsed(self) -> bool:
         if self._is_away:
             return True
-        if self._back_at is None:
-            return False
-        return self._clock.monotonic() - self._back_at < self._settle
+        return self._back_at is not None and self._is_settling(self._back_at)
+
+    def _is_settling(self, since: timedelta) -> bool:
+        return self._clock.monotonic() - since < self._settle
 
     def _drop(self, endpoint_id: str, *, reason: str) -> None:
         self._missing.discard(endpoint_id)
+        url = self._catalog.endpoints_by_id[endpoint_id].url
         self._catalog.drop_endpoint(endpoint_id)
         self._gone(endpoint_id)
         log_event("endpoints", "Gone.", peer=endpoint_id, why=reason)
+        for outlived in list(self._outlived_by_id.values()):
+            if outlived.url == url:
+                self._put_outlived(outlived)
+
+    def _put_outlived(self, endpoint: Endpoint) -> None:
+        """Use an endpoint after all: the one that had its address is gone."""
+        del self._outlived_by_id[endpoint.id]
+        if endpoint.id not in self._catalog.endpoints_by_id:
+            self.put(endpoint)
--- a/tests/test_endpoint_book.py
+++ b/tests/test_endpoint_book.py
@@ -98,3 +98,47 @@
         book.put("c", port=1)
         assert book.ids == {"b", "c"}
         assert book.gone == ["a"]
+
+
+class TestOlderCopy:
+    """The platform came back from a copy from before b had its address."""
+
+    @pytest.fixture
+    def returned(self, book) -> Book:
+        book.book.note_era(1)
+        book.book.note_era(2)
+        return book
+
+    def test_an_endpoint_that_a_later_one_has_replaced_is_not_used(self, returned):
+        returned.put("before-b", port=2)
+        assert returned.ids == {"a", "b"}
+        returned.clock.advance(SETTLE)
+        returned.book.settle()
+        assert returned.ids == {"a", "b"}
+
+    def test_it_is_used_once_the_later_one_is_gone(self, returned):
+        returned.put("after-b", port=2)
+        returned.clock.advance(SETTLE)
+        returned.book.remove(["b"])
+        assert returned.ids == {"a", "after-b"}
+
+    def test_not_where_its_own_entry_has_gone_or_another_has_come(self, returned):
+        returned.put("before-a", port=1)
+        returned.put("before-b", port=2)
+        returned.book.remove(["before-a"])
+        returned.clock.advance(SETTLE)
+        returned.put("after-b", port=2)
+        returned.book.remove(["a"])
+        assert returned.ids == {"after-b"}
+
+    def test_one_that_the_copy_lacks_is_kept_for_a_while(self, returned):
+        returned.book.remove(["a"])
+        assert returned.ids == {"a", "b"}
+        returned.clock.advance(SETTLE)
+        returned.book.settle()
+        assert returned.ids == {"b"}
+
+    def test_one_that_leaves_is_not_brought_back(self, returned):
+        returned.put("a", port=1, state=EndpointState.DRAINING)
+        returned.put("a", port=1)
+        assert returned.catalog.endpoints_by_id["a"].state is EndpointState.DRAINING
