What listens at a host's addresses is a module of its own, and the reload knows a host by its parts

front_host and host_reload knew each other in a circle: the reload names what it needs of a host as a Protocol now, and moves the addresses by their names where they are opened.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -30,10 +30,11 @@
 from passtally.host_links import HostLinks
 from passtally.host_news import LoadBoard, NewsExchange
 from passtally.host_reload import HostReload
-from passtally.http_server import SMALL_PART, Exchange, HttpServer, ServerLimits
+from passtally.host_servers import HostServers
+from passtally.http_server import ServerLimits
 from passtally.isolation import Isolation
 from passtally.limit_sharers import LimitSharers
-from passtally.listeners import CALLERS, METRICS, PEERS, READINESS, Listeners
+from passtally.listeners import CALLERS, PEERS, Listeners
 from passtally.metrics import Metric
 from passtally.object_intake import ObjectIntake
 from passtally.objects import (
@@ -50,7 +51,7 @@
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
 from passtally.rollouts import Rollouts
-from passtally.routes import RoutesInForce, ServiceInfo
+from passtally.routes import RoutesInForce
 from passtally.service_index import ServiceIndex
 from passtally.settings import Address, Settings, parse_address
 from passtally.silence import Phase, SilenceBounds
@@ -147,6 +148,7 @@
         """Open the connections, the tasks and the listening sockets."""
         self._build_knowledge()
         self._build_serving()
+        self._build_servers()
         for name, work in (
             ("watch", self.watch.run),
             ("missing endpoints", self.book.run),
@@ -162,16 +164,14 @@
             self.spawn(keep_running(name, work, clock=self.clock))
         self._follow_rollouts()
         self.peers.start()
-        await self._listen()
+        await self.servers.open(self.settings, front_socket=self._front_socket)
         log_event("daemon", "Started.", listen=self.settings.listen)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close what start opened."""
         self.drain.is_over = True
         await self.listeners.stop()
-        # Together: each may take 400 ms for what it has answered, of the 600 ms left.
-        servers = (self.front_server, self.ready_server, self.metrics_server)
-        await asyncio.gather(*(server.stop() for server in servers))
+        await self.servers.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -253,7 +253,7 @@
             clock=self.clock,
             connect=self._connect,
             bounds_by_phase=SILENCE_BOUNDS_BY_PHASE,
-            capacity_of=self._capacity_of,
+            capacity_of=self.routes.capacity_of,
         )
         self.book = EndpointBook(
             catalog=self.catalog,
@@ -432,7 +432,7 @@
             fleet=self.fleet,
             clock=self.clock,
             failure_domain=settings.failure_domain,
-            keeps_replicas=self._keeps_replicas,
+            keeps_replicas=self.routes.keeps_replicas,
             survey=Survey(
                 fleet=self.fleet, is_needed=lambda: not self.roster.hears_all
             ),
@@ -477,49 +477,25 @@
         """Send callers on kept connections away too, or keep them again."""
         self.front_server.is_closing = is_isolated or self.drain.is_stopping
 
-    async def _listen(self) -> None:
-        self.front_server = HttpServer(
+    def _build_servers(self) -> None:
+        """Build what listens; callers are answered once it is opened."""
+        self.servers = HostServers(
+            listeners=self.listeners,
+            peers=self.peers,
             handle=self._adapter.make_handler(self.front),
             limits=self._limits,
             accepted=lambda waited: self.overload.note_connection(
                 waited, now=self.clock.monotonic()
             ),
+            encode_ready=lambda: self._adapter.encode_ready(self.is_ready),
+            render_metrics=self.render_metrics,
         )
-        self.ready_server = HttpServer(handle=self._answer_ready, part=SMALL_PART)
-        self.metrics_server = HttpServer(handle=self._answer_metrics, part=SMALL_PART)
-        settings = self.settings
-        await self.listeners.open(
-            PEERS,
-            settings.peer_listen,
-            self.peers.bind,
-            close=partial(self.peers.unbind, settings.peer_listen),
-        )
-        for name, server, address in (
-            (READINESS, self.ready_server, settings.ready_listen),
-            (CALLERS, self.front_server, settings.listen),
-            # Last: their port is fixed, and another address may have it.
-            (METRICS, self.metrics_server, settings.metrics_listen),
-        ):
-            if address is None:
-                continue
-            start = partial(server.start, address.host, address.port)
-            if name == CALLERS and self._front_socket is not None:
-                start = partial(server.start_on, self._front_socket)
-            close = partial(server.leave, address.host, address.port)
-            await self.listeners.open(name, address, start, close=close)
+        self.front_server = self.servers.callers
 
     def _limits(self) -> ServerLimits:
         current = self.routes.current
         return ServerLimits() if current is None else current.limits
 
-    async def _answer_ready(self, exchange: Exchange) -> None:
-        status, body = self._adapter.encode_ready(self.is_ready)
-        await exchange.answer(status, [(b"Content-Type", b"application/json")], body)
-
-    async def _answer_metrics(self, exchange: Exchange) -> None:
-        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
-        await exchange.answer(200, headers, self.render_metrics())
-
     def _connect(self, endpoint: Endpoint) -> Engine:
         return self._adapter.connect(
             endpoint,
@@ -563,18 +539,6 @@
             return None
         return _address_of(endpoint)
 
-    def _keeps_replicas(self, service: str) -> bool:
-        info = self._find_service(service)
-        return info is not None and info.keeps_replicas
-
-    def _capacity_of(self, service: str) -> int:
-        info = self._find_service(service)
-        return 0 if info is None else info.capacity_tokens
-
-    def _find_service(self, service: str) -> ServiceInfo | None:
-        routes = self.routes.current
-        return routes.services_by_id.get(service) if routes else None
-
     def render_metrics(self) -> bytes:
         """Return the metrics as text; gauges as they stand now."""
         current = self.routes.current
--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -5,21 +5,31 @@
 what endpoints were found to be, what is spent of the budgets.
 """
 
-from collections.abc import Mapping
+import asyncio
+from collections.abc import Coroutine, Mapping
 from datetime import timedelta
-from functools import partial
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 import attrs
 
+from passtally.clock import Clock
 from passtally.decision import log_event
-from passtally.http_server import HttpServer
+from passtally.host_news import NewsExchange
+from passtally.host_servers import HostServers
 from passtally.listeners import CALLERS, METRICS, PEERS, READINESS
-from passtally.settings import Address, Settings
+from passtally.membership import Gossip
+from passtally.object_store import MovablePlatform
+from passtally.peers import Peers
+from passtally.placement import Placement
+from passtally.plain import PlainCaller
+from passtally.retry_budget import ServiceBudgets
+from passtally.rollouts import Rollouts
+from passtally.roster import Roster
+from passtally.routes import RoutesInForce
+from passtally.settings import Settings
 from passtally.settings_change import Take, find_changes, hand_out, keep_untakeable
-
-if TYPE_CHECKING:
-    from passtally.front_host import FrontHost
+from passtally.view import View
+from passtally.watch_share import WatchShare
 
 #: How long a host that is told another key for messages between hosts signs with the
 #: one before as well. The hosts of a fleet are told within seconds of each other, and
@@ -29,6 +39,57 @@
 MAX_FORMER_KEYS = 2
 
 
+class ReloadableHost(Protocol):
+    """A host whose parts take settings while it serves.
+
+    Attributes:
+        settings: What it was told last.
+        clock: The clock.
+        servers: What listens at its addresses.
+        peers: The links to other hosts.
+        gossip: Tells other hosts of it.
+        roster: Knows the other hosts.
+        news: Tells other hosts its load.
+        store: The client of the store.
+        watch: Follows the store's objects.
+        routes: The routes in force.
+        placement: Chooses endpoints for generations.
+        caller: Passes calls on.
+        budgets: How many repeats are left.
+        rollouts: The orders of new versions; None where they are not followed.
+    """
+
+    settings: Settings
+    clock: Clock
+    servers: HostServers
+    peers: Peers
+    gossip: Gossip
+    roster: Roster
+    news: NewsExchange
+    store: MovablePlatform
+    watch: WatchShare
+    routes: RoutesInForce
+    placement: Placement
+    caller: PlainCaller
+    budgets: ServiceBudgets
+    rollouts: Rollouts | None
+
+    def add_rollouts(self) -> None:
+        """Follow orders of new versions from now on."""
+
+    def leave_rollouts(self) -> None:
+        """Follow no orders of new versions any more."""
+
+    def watch_wait(self, view: View) -> timedelta:
+        """Return how long one watch of a view waits for a change."""
+
+    def gather_pause(self) -> timedelta:
+        """Return how long changes are gathered before the next watch."""
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a task until the host stops."""
+
+
 class HostReload:
     """Hands each setting that changes to the part of a host that uses it.
 
@@ -36,7 +97,7 @@
         host: The host.
     """
 
-    def __init__(self, *, host: "FrontHost") -> None:
+    def __init__(self, *, host: ReloadableHost) -> None:
         self._host = host
         #: Until when keys of before sign, on the monotonic clock.
         self._until_by_former_key: dict[bytes, timedelta] = {}
@@ -103,33 +164,16 @@
         host.caller.failure_domain = domain
 
     def _take_listen(self) -> None:
-        self._move(CALLERS, self._host.front_server, self._host.settings.listen)
+        self._host.servers.move(CALLERS, self._host.settings.listen)
 
     def _take_ready_listen(self) -> None:
-        self._move(READINESS, self._host.ready_server, self._host.settings.ready_listen)
+        self._host.servers.move(READINESS, self._host.settings.ready_listen)
 
     def _take_metrics_listen(self) -> None:
-        address = self._host.settings.metrics_listen
-        self._move(METRICS, self._host.metrics_server, address)
-
-    def _move(self, name: str, server: HttpServer, address: Address | None) -> None:
-        place = () if address is None else (address.host, address.port)
-        self._host.listeners.move(
-            name,
-            address,
-            partial(server.start, *place),
-            close=partial(server.leave, *place),
-        )
+        self._host.servers.move(METRICS, self._host.settings.metrics_listen)
 
     def _take_peer_listen(self) -> None:
-        host = self._host
-        address = host.settings.peer_listen
-        host.listeners.move(
-            PEERS,
-            address,
-            partial(host.peers.bind, address),
-            close=partial(host.peers.unbind, address),
-        )
+        self._host.servers.move(PEERS, self._host.settings.peer_listen)
 
     def _take_seeds(self) -> None:
         self._host.roster.use_seeds(self._host.settings.seeds)
--- a/passtally/routes.py
+++ b/passtally/routes.py
@@ -191,6 +191,19 @@
     _stored_version: int = 0
     _is_renewed: bool = False
 
+    def keeps_replicas(self, service_id: str) -> bool:
+        """Return whether a service's endpoints keep replicas of each other's runs."""
+        info = self._find_service(service_id)
+        return info is not None and info.keeps_replicas
+
+    def capacity_of(self, service_id: str) -> int:
+        """Return the tokens that an endpoint's memory holds; 0 where not known."""
+        info = self._find_service(service_id)
+        return 0 if info is None else info.capacity_tokens
+
+    def _find_service(self, service_id: str) -> ServiceInfo | None:
+        return self.current.services_by_id.get(service_id) if self.current else None
+
     def renew(self) -> None:
         """Take the next set at whatever version: it may come from another store.
 
