Soak: each process of a host may have a try of a fatal request under way

By the rule hosts that have just started are not in touch. The bound counts processes that ran meanwhile, and is the same as before where none is started.

--- a/soak/requests.py
+++ b/soak/requests.py
@@ -52,13 +52,21 @@
         await asyncio.sleep(AWAY_SECONDS)
         self._note("fatal request", "endpoints", began_at)
         ended = self._ended_by_body.pop(body)
-        # Each host may have one try under way when the third endpoint ends.
-        most = MAX_CRASHES + len(self._world.hosts_by_name)
+        # Each process of a host may have one try under way when the third endpoint ends;
+        # one that has just started has not asked the others yet.
+        most = MAX_CRASHES + self._count_lives(since=began_at)
         if ended > most and not self._forgot_since(began_at):
             self._evidence.report(
                 f"a request ended {ended} endpoints, of {most} at the most"
             )
 
+    def _count_lives(self, *, since: float) -> int:
+        """Return how many processes of hosts ran since a moment."""
+        lives = [
+            life for host in self._world.hosts_by_name.values() for life in host.lives
+        ]
+        return sum(life.ended_at is None or life.ended_at > since for life in lives)
+
     def _forgot_since(self, began_at: float) -> bool:
         return any(
             trouble.kind in FORGETTING_KINDS and trouble.ended_at > began_at
