--- a/soak/requests.py
+++ b/soak/requests.py
@@ -52,8 +52,8 @@
         await asyncio.sleep(AWAY_SECONDS)
         self._note("fatal request", "endpoints", began_at)
         ended = self._ended_by_body.pop(body)
-        # Each process of a host may have one try under way when the third endpoint ends;
-        # one that has just started has not asked the others yet.
+        # Each process of a host may have one try under way when the third endpoint
+        # ends; one that has just started has not asked the others yet.
         most = MAX_CRASHES + self._count_lives(since=began_at)
         if ended > most and not self._forgot_since(began_at):
             self._evidence.report(
