Requests that wait for room are let go on where there are no places at all

With all endpoints of a service leaving, resting or at their limits, requests that waited in the gate stayed until their wait was over, for what was known not to come; new ones went on to routing, which refuses them at once and tells when to come back. Now those that wait do too. tests/test_admission.py: waited on before (0.5 s); enters within a tick now.

--- a/passtally/gate.py
+++ b/passtally/gate.py
@@ -86,14 +86,17 @@
         self._admit_next(service_id)
 
     def _admit_next(self, service_id: str) -> None:
-        """Let in as many as there is room for."""
+        """Let in as many as there is room for; all where there are no places at all.
+
+        Then nothing is to be waited for, and routing tells each when to come back.
+        """
         queue = self._queues_by_service[service_id]
         if not len(queue):
             return
         capacity = self._fleet.service_capacity(service_id)
         taken = capacity.taken
-        while len(queue) and taken < capacity.places:
-            load = taken / capacity.places
+        while len(queue) and (taken < capacity.places or not capacity.places):
+            load = taken / capacity.places if capacity.places else 0.0
             waiting = queue.next(load=load, now=self._clock.monotonic())
             if waiting is None:
                 return
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -175,6 +175,21 @@
 
         self.run_gate(work)
 
+    # Guards against waiting for endpoints that have all left or asked for rest.
+    def test_a_waiting_request_enters_once_there_are_no_places_at_all(self):
+        async def work(gate, fleet):
+            async def enter():
+                async with gate.enter("s", ask_for()):
+                    return asyncio.get_running_loop().time()
+
+            entered = asyncio.ensure_future(enter())
+            await asyncio.sleep(0.3)
+            assert not entered.done()
+            fleet.places = fleet.taken = 0
+            assert await entered < 0.5
+
+        self.run_gate(work)
+
     def test_one_that_waits_too_long_is_told_at_once_that_it_did_not_run(self):
         async def work(gate, fleet):
             with pytest.raises(RefusedError) as caught:
