--- a/passtally/endpoint_book.py
+++ b/passtally/endpoint_book.py
@@ -50,9 +50,10 @@
         self._gone = gone
         self._came = came
         self._is_away = False
-        self._era: int | None = None
         self._back_at: timedelta | None = None
         self._missing: set[str] = set()
+        #: The era of the newest entry, and when the platform came back as a copy.
+        self._era: int | None = None
         self._returned_at: timedelta | None = None
         #: Entries of a copy whose address another endpoint has by now.
         self._outlived_by_id: dict[str, Endpoint] = {}
@@ -186,12 +187,14 @@
 
     def _drop(self, endpoint_id: str, *, reason: str) -> None:
         self._missing.discard(endpoint_id)
-        url = self._catalog.endpoints_by_id[endpoint_id].url
+        dropped = self._catalog.endpoints_by_id.get(endpoint_id)
+        if dropped is None:
+            return
         self._catalog.drop_endpoint(endpoint_id)
         self._gone(endpoint_id)
         log_event("endpoints", "Gone.", peer=endpoint_id, why=reason)
         for outlived in list(self._outlived_by_id.values()):
-            if outlived.url == url:
+            if outlived.url == dropped.url:
                 self._put_outlived(outlived)
 
     def _put_outlived(self, endpoint: Endpoint) -> None:
--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
 
 import attrs
 import msgspec
@@ -160,7 +160,11 @@
         """Make further calls at another address."""
         self._url = url.rstrip("/")
 
-    async def call(
+    async def call(self, step: str, method: str, path: str, **options: Any) -> bytes:
+        """Make one call and return its body; see :meth:`fetch`."""
+        return (await self.fetch(step, method, path, **options)).body
+
+    async def fetch(
         self,
         step: str,
         method: str,
@@ -170,35 +174,12 @@
         params: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
         data: bytes = b"",
-    ) -> bytes:
-        """Make one call and return its body; empty for an object that is not there.
+    ) -> Fetched:
+        """Make one call and return its answer; empty for an object that is not there.
 
         Raises:
             PlatformError: It failed.
         """
-        fetched = await self.fetch(
-            step,
-            method,
-            path,
-            timeout=timeout,
-            params=params,
-            headers=headers,
-            data=data,
-        )
-        return fetched.body
-
-    async def fetch(
-        self,
-        step: str,
-        method: str,
-        path: str,
-        *,
-        timeout: timedelta = CALL_TIMEOUT,
-        params: Mapping[str, str] | None = None,
-        headers: Mapping[str, str] | None = None,
-        data: bytes = b"",
-    ) -> Fetched:
-        """Make one call and return its answer; see :meth:`call`."""
         try:
             fetched = await self._fetcher.fetch(
                 method,
--- a/passtally/platform/answer_words.py
+++ b/passtally/platform/answer_words.py
@@ -3,12 +3,15 @@
 import math
 from collections.abc import Callable, Iterator
 from datetime import timedelta
+from typing import TypeVar
 
 from passtally.endpoint_words import EndpointWords, Word
 from passtally.http_client import ResponseHead
 from passtally.platform import names
 from passtally.rests import MAX_REST
 
+T = TypeVar("T")
+
 
 def read_words(
     head: ResponseHead, *, endpoint_id: str, request_id: bytes | None = None
@@ -46,7 +49,7 @@
     return rate
 
 
-def decode_leaving(text: bytes) -> float:
+def decode_leaving(text: bytes) -> bool:
     """Read that an endpoint leaves.
 
     Raises:
@@ -54,7 +57,7 @@
     """
     if text.strip() != b"1":
         raise ValueError("not a departure")
-    return 1
+    return True
 
 
 def decode_rest(text: bytes) -> float:
@@ -107,9 +110,9 @@
     head: ResponseHead,
     word: Word,
     name: bytes,
-    decode: Callable[[bytes], float],
+    decode: Callable[[bytes], T],
     odd_by_word: dict[Word, str],
-) -> float | None:
+) -> T | None:
     """Return a header's value; one that can't be read is told apart."""
     text = head.header(name)
     if text is None:
