A host that is about to end takes no call that it would cut off

Streams are asked for the time that they are likely to take; calls were refused only once the stop was over. Now a call needs as long as its answer is waited for at one endpoint, and comes back at another host at once if the stop leaves less.

tests/test_platform_host.py TestStop: a call every 10 ms through a stop whose grace a stream outlasts; calls that had run were cut before, each is answered now.

--- a/passtally/front.py
+++ b/passtally/front.py
@@ -214,8 +214,8 @@
         self._guard.check(admitted.fingerprint, service=admitted.service)
         route = admitted.route
         is_stream = route.kind is CallKind.STREAM
-        if is_stream:
-            self._check_time(admitted)
+        needed = self._usual_time(admitted) if is_stream else _patience_of(route)
+        self._drain.check_time(needed, now=self._clock.monotonic())
         admission = AdmissionRequest(
             id=request.id,
             workspace=admitted.workspace,
@@ -230,12 +230,11 @@
                 return await self._stream(admitted, responder)
             return await self._call(admitted, responder)
 
-    def _check_time(self, admitted: _Admitted) -> None:
-        """Refuse a stream that this host, which is stopping, would cut off."""
+    def _usual_time(self, admitted: _Admitted) -> timedelta:
+        """Return how long a stream is likely to take."""
         prompt = admitted.request.prompt
         tokens = prompt.tokens if prompt else 0
-        needed = self._forecast.usual_time(admitted.service, tokens=tokens)
-        self._drain.check_time(needed, now=self._clock.monotonic())
+        return self._forecast.usual_time(admitted.service, tokens=tokens)
 
     async def _wait_for_start(self) -> None:
         """Let a request that came while the host starts wait for what it must know."""
@@ -438,12 +437,17 @@
         key="",
         max_attempts=route.max_attempts,
         deadline=admitted.deadline,
-        patience=PATIENCE_TARGETS * route.target,
+        patience=_patience_of(route),
         route=route.name,
         fingerprint=admitted.fingerprint,
     )
 
 
+def _patience_of(route: Route) -> timedelta:
+    """Return how long a call's answer is waited for before another one is sought."""
+    return PATIENCE_TARGETS * route.target
+
+
 def _make_generation_request(admitted: _Admitted) -> GenerationRequest:
     request = admitted.request
     prompt = request.prompt or Prompt(last_part=request.id, tokens=0, max_output=0)
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -604,6 +604,49 @@
 
         run(test)
 
+    # Guards against a call that a host takes in the last moments of its grace, and cuts
+    # off as it ends.
+    def test_each_call_that_runs_while_it_stops_is_answered(self):
+        async def test(system: PlatformSystem) -> None:
+            lookups = await system.add_runner("i-look", LOOKUPS)
+            lookups.faults.answer_delay = 0.15
+            await start_engines(system, gap=1.0)
+            host = system.hosts[0]
+            streaming = asyncio.create_task(system.stream())
+            while not any(runner.ran for runner in system.runners.values()):
+                await asyncio.sleep(0.005)
+
+            async def stop() -> None:
+                await host.leave()
+                await host.stop()
+
+            stopping = asyncio.create_task(stop())
+            calls = {}
+            while not stopping.done():
+                name = f"call-{len(calls)}"
+                call = system.send("/book/1", body=b"1", X_Request_Id=name)
+                calls[name] = asyncio.create_task(call)
+                await asyncio.sleep(0.01)
+            system.hosts.clear()
+            await asyncio.gather(streaming, *calls.values(), return_exceptions=True)
+            assert lookups.ran
+            assert all(calls[name].result().status == 200 for name in lookups.ran)
+
+        run(test)
+
+    def test_late_in_a_stop_calls_are_sent_elsewhere(self):
+        async def test(system: PlatformSystem) -> None:
+            lookups = await system.add_runner("i-look", LOOKUPS)
+            await start_engines(system)
+            host = system.hosts[0]
+            host.drain.ends_at = host.clock.monotonic() + timedelta(seconds=0.3)
+            answer = await system.send("/book/1", body=b"1")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) < 0.1
+            assert not lookups.ran
+
+        run(test)
+
     def test_a_stopping_host_takes_the_streams_that_it_can_finish(self):
         async def test(system: PlatformSystem) -> None:
             await start_engines(system)
