A peer's report of a lost endpoint tells when the endpoint last answered here

The logs of the incident can't tell an endpoint that has ended from links that failed at the host that reports it. The line 'Peer reports endpoint unreachable.' now has answered_ago, the time since this host's last good answer from the endpoint.

--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -324,7 +324,7 @@
         record = self._calls_by_service.setdefault(endpoint.service, CallRecord())
         record.add(endpoint.id, is_failure=is_fault, now=now)
         if not is_fault:
-            live.reset_ejection()
+            live.record_answer(now)
             return
         live.deprioritize(now)
         others = self.list_failing(endpoint.service) - {endpoint.id}
@@ -389,8 +389,12 @@
         self._lost_at_by_domain[live.endpoint.failure_domain] = now
         if not live.own_streams and not live.is_ejected:
             live.eject(now)
+            answered_at = live.answered_at
             log_event(
-                "endpoints", "Peer reports endpoint unreachable.", peer=endpoint_id
+                "endpoints",
+                "Peer reports endpoint unreachable.",
+                peer=endpoint_id,
+                answered_ago=None if answered_at is None else now - answered_at,
             )
 
     def record_replaced(self, live: LiveEndpoint, successor_id: str) -> None:
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -83,6 +83,8 @@
         self.unanswered_calls = 0
         self.guards: set[StreamGuard] = set()
         self.ejected_until: timedelta | None = None
+        #: Time of its last good answer to this host; None before the first.
+        self.answered_at: timedelta | None = None
         #: Whether a probing request is under way at an ejected or failing endpoint.
         self._is_half_open = False
         #: Whether it was ejected for failed calls and has not answered well since.
@@ -230,6 +232,11 @@
         """Prefer other endpoints for ``DEPRIORITIZED_TIME``."""
         self._deprioritized_until = now + DEPRIORITIZED_TIME
 
+    def record_answer(self, now: timedelta) -> None:
+        """Record a good answer, which also ends its ejection."""
+        self.answered_at = now
+        self.reset_ejection()
+
     def reset_ejection(self) -> None:
         """Reset ejections and unanswered calls, after an answer or a restart."""
         self.unanswered_calls = 0
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -236,7 +236,7 @@
             raise self._lost(LossKind.RESET, "stream", "ended before its last event")
 
     def _record_first_output(self) -> None:
-        self._live.reset_ejection()
+        self._live.record_answer(self._clock.monotonic())
         self._end_prefill()
         self._load_changed()
         self._on_first()
