--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -68,6 +68,7 @@
         seeds: str = "",
         *,
         store_port: int = 0,
+        zone: str = "pilar",
         **bounds: str,
     ) -> FrontHost:
         """Start a host.
@@ -77,20 +78,22 @@
             seeds: The addresses of other hosts, separated by commas.
             store_port: The port at which the host calls the store, if it is not the
                 store's own.
+            zone: The host's failure domain.
             bounds: Additional settings under ``bounds.``.
         """
         if not self._store_port:
             self._store_port = await self.store.start()
-        free = [str(port) for port in free_ports(4)]
+        free = [str(port) for port in free_ports(5)]
         settings = translate(
             {
                 "node_name": name,
                 "region": "ba-norte",
-                "zone": "pilar",
+                "zone": zone,
                 "ip": "127.0.0.1",
                 "listen.front": f"127.0.0.1:{free[0]}",
                 "listen.ready": f"127.0.0.1:{free[1]}",
                 "listen.control": f"127.0.0.1:{free[2]}",
+                "port_range": f"{free[4]},{free[4]}",
                 "seeds": seeds,
                 "platform.address": f"127.0.0.1:{self._store_port}",
                 "bounds.grace_s": "2",
