--- a/passtally/answer_recorder.py
+++ b/passtally/answer_recorder.py
@@ -87,9 +87,11 @@
     ) -> None:
         """Count a failed answer of the endpoint's version, if it may have run.
 
-        An unmarked end is not counted: the answer may be complete.
+        An unmarked end is not counted, since the answer may be complete, nor a loss of
+        the link.
         """
-        if loss.kind in UNRUN_KINDS or loss.kind is LossKind.UNMARKED_END:
+        uncounted = (LossKind.UNMARKED_END, LossKind.LINK)
+        if loss.kind in UNRUN_KINDS or loss.kind in uncounted:
             return
         self._fleet.versions.record_answer(
             live.endpoint,
--- a/passtally/connection_pool.py
+++ b/passtally/connection_pool.py
@@ -14,6 +14,7 @@
 import attrs
 
 from passtally.clock import Clock
+from passtally.endpoint_dialer import CONNECT_TIMEOUT, EndpointDialer
 from passtally.fetch import Fetched, FetchError
 from passtally.http_client import (
     ClientConnection,
@@ -25,9 +26,6 @@
 from passtally.pause_aware_timeout import PauseAwareTimeout
 from passtally.settings import Address, parse_address
 
-#: Time limit for establishing a connection. Endpoints are a millisecond away. A full
-#: accept queue delays a connection by seconds, while another endpoint could answer.
-CONNECT_TIMEOUT = timedelta(milliseconds=150)
 #: Time limit for each further part of a buffered answer. The store's largest value,
 #: 1 MB, takes 0.8 s on an otherwise idle link of 10 Mbit/s. It is not aborted while
 #: data arrives.
@@ -49,21 +47,30 @@
 
     Args:
         clock: The clock.
+        dialer: Connects to endpoints; None for one that knows no other hosts.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, dialer: EndpointDialer | None = None) -> None:
         self._clock = clock
+        self.dialer = dialer or EndpointDialer(clock=clock)
+        self.dialer.on_silent = self.invalidate
+        self.dialer.list_idle = self._list_idle_endpoints
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
         #: Number of connections opened or tried since the start.
         self.opened = 0
 
     async def acquire(
-        self, address: Address, *, must_be_new: bool = False
+        self,
+        address: Address,
+        *,
+        endpoint_id: str = "",
+        must_be_new: bool = False,
     ) -> ClientConnection:
         """Return an idle connection, or open a new one.
 
         Args:
             address: The peer's address.
+            endpoint_id: The id of the endpoint there; empty for another peer.
             must_be_new: Whether to close the idle connections, which may be silent,
                 and open a new one.
 
@@ -75,24 +82,34 @@
         idle = self._idle_by_address.get(address, [])
         while idle:
             connection = idle.pop()
-            if connection.is_usable:
+            if connection.is_usable and self._is_on_right_way(address, connection):
                 return connection
             connection.abort()
-        return await self.open(address)
+        return await self.open(address, endpoint_id=endpoint_id)
+
+    def _is_on_right_way(self, address: Address, connection: ClientConnection) -> bool:
+        is_tunnel = connection.tunnel is not None
+        return not connection.endpoint_id or self.dialer.may_reuse(
+            address, is_tunnel=is_tunnel
+        )
 
     async def open(
-        self, address: Address, *, timeout: timedelta = CONNECT_TIMEOUT
+        self, address: Address, *, endpoint_id: str = ""
     ) -> ClientConnection:
         """Open a new connection.
 
+        Args:
+            address: The peer's address.
+            endpoint_id: The id of the endpoint there, which may be reached through
+                another host; empty for another peer.
+
         Raises:
             ExchangeError: The connection could not be established in time.
         """
         self.opened += 1
-        connecting = asyncio.ensure_future(self._connect(address))
+        connecting = asyncio.ensure_future(self._connect(address, endpoint_id))
         try:
-            async with PauseAwareTimeout(timeout, clock=self._clock):
-                return await connecting
+            return await connecting
         except BaseException as error:
             connecting.cancel()
             # It may be established in the same loop iteration that cancels it.
@@ -102,12 +119,33 @@
             detail = str(error) or type(error).__name__
             raise ExchangeError(ExchangeStep.CONNECT, detail) from error
 
-    async def _connect(self, address: Address) -> ClientConnection:
-        _, connection = await asyncio.get_running_loop().create_connection(
-            lambda: ClientConnection(clock=self._clock), address.host, address.port
+    async def _connect(self, address: Address, endpoint_id: str) -> ClientConnection:
+        if not endpoint_id:
+            async with PauseAwareTimeout(CONNECT_TIMEOUT, clock=self._clock):
+                _, connection = await asyncio.get_running_loop().create_connection(
+                    lambda: ClientConnection(clock=self._clock),
+                    address.host,
+                    address.port,
+                )
+            return connection
+        on_data = partial(self.dialer.record_data, address)
+        _, connection = await self.dialer.connect(
+            address,
+            endpoint_id,
+            lambda: ClientConnection(
+                clock=self._clock, endpoint_id=endpoint_id, on_direct_data=on_data
+            ),
         )
         return connection
 
+    def _list_idle_endpoints(self) -> list[tuple[Address, str]]:
+        """Return the endpoints that idle connections lead to, with their ids."""
+        return [
+            (address, idle[0].endpoint_id)
+            for address, idle in self._idle_by_address.items()
+            if idle and idle[0].endpoint_id
+        ]
+
     async def exchange(
         self,
         address: Address,
@@ -118,6 +156,7 @@
         *,
         most: int,
         timeout: timedelta,
+        endpoint_id: str = "",
         part_timeout: timedelta | None = None,
         on_head: Callable[[ResponseHead], None] = lambda head: None,
     ) -> "BufferedAnswer":
@@ -131,6 +170,7 @@
             body: The body.
             most: The maximum size of the answer's body, in bytes.
             timeout: The time limit for the whole exchange.
+            endpoint_id: The id of the endpoint there; empty for another peer.
             part_timeout: The time limit for each further part of an answer that has
                 begun, which may extend the exchange beyond ``timeout``; None for no
                 extension.
@@ -143,7 +183,7 @@
         try:
             async with PauseAwareTimeout(timeout, clock=self._clock) as limit:
                 extend = partial(limit.extend, part_timeout or timedelta(0))
-                connection = await self.acquire(address)
+                connection = await self.acquire(address, endpoint_id=endpoint_id)
                 try:
                     head = await connection.send(method, target, headers, body)
                     on_head(head)
--- a/passtally/crash_guard.py
+++ b/passtally/crash_guard.py
@@ -33,6 +33,8 @@
         clock: The clock.
         has_ended: Checks whether an endpoint has certainly exited, as opposed to being
             unreachable or silent.
+        is_bypassed: Returns whether this host's own link to an endpoint is down, while
+            other hosts reach it.
         on_quarantined: Called with the fingerprint of each newly quarantined request.
         has_survived: Returns whether a request has run on an endpoint for longer than
             a duration.
@@ -45,6 +47,7 @@
         quarantine: Quarantine,
         clock: Clock,
         has_ended: Callable[[LiveEndpoint], Awaitable[bool]] = never_ended,
+        is_bypassed: Callable[[LiveEndpoint], bool] = lambda live: False,
         on_quarantined: Callable[[bytes], None] = lambda fingerprint: None,
         has_survived: Callable[[bytes, timedelta], bool] = lambda request, time: False,
         metrics: Metrics | None = None,
@@ -52,6 +55,7 @@
         self.quarantine = quarantine
         self._clock = clock
         self._has_ended = has_ended
+        self.is_bypassed = is_bypassed
         self._on_quarantined = on_quarantined
         self._has_survived = has_survived
         self._metrics = metrics or NoMetrics()
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Coroutine
 from contextlib import ExitStack
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -27,6 +28,9 @@
 from passtally.departures import Departures, HostListReader
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
+from passtally.endpoint_connector import EndpointConnector
+from passtally.endpoint_dialer import EndpointDialer
+from passtally.endpoint_links import EndpointLinks
 from passtally.executor import LEASE_KEY, Executor
 from passtally.fleet import Fleet
 from passtally.gate import Gate
@@ -36,7 +40,7 @@
 from passtally.intents import Intents
 from passtally.jobs import Jobs
 from passtally.lease import Lease
-from passtally.listeners import CALLERS, PEERS, Listeners
+from passtally.listeners import CALLERS, PEERS, TUNNELS, Listeners
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
@@ -52,11 +56,12 @@
 from passtally.quarantine_exchange import QuarantineExchange
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
-from passtally.settings import Settings
+from passtally.settings import Address, Settings
 from passtally.statsd_metrics import StatsdMetrics, report_gauges
 from passtally.status import StatusReader
 from passtally.stop_signals import StopSignals
 from passtally.supervisor import keep_running
+from passtally.tunnel_hosts import TunnelHosts
 
 LISTEN_BACKLOG = 2048
 
@@ -81,7 +86,6 @@
 
     async def start(self) -> None:
         """Open the client sessions, start the tasks and open the listening sockets."""
-        self._open_clients()
         self._build_links()
         self._build_serving()
         self._build_completions()
@@ -115,6 +119,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.peers.stop()
+        self.endpoint_links.server.stop()
+        self.dialer.close()
+        await self._platform_session.close()
         await self._engine_session.close()
         await self._plain_session.close()
         log_event("daemon", "Stopped.")
@@ -122,23 +129,43 @@
     async def leave(self) -> None:
         """Become unready and wait for the open requests, without a time limit."""
         self.gossip.leaving = True
+        self.endpoint_links.server.close_idle()
         await self.drain.stop(balancer_lag=self.settings.balancer_lag)
 
     async def _report_gauges(self) -> None:
         await report_gauges(metrics=self.metrics, status=self.status, clock=self.clock)
 
     def _open_clients(self) -> None:
-        self._engine_session = aiohttp.ClientSession(
+        """Open the sessions for the platform, engines and plain services."""
+        self._platform_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
-        self._plain_session = open_session()
+        self._engine_session = aiohttp.ClientSession(
+            connector=self._make_connector(), cookie_jar=aiohttp.DummyCookieJar()
+        )
+        self._plain_session = open_session(self._make_connector())
+
+    def _make_connector(self) -> EndpointConnector:
+        return EndpointConnector(
+            dialer=self.dialer, find_endpoint_id=self._find_endpoint_id
+        )
+
+    def _find_endpoint_id(self, address: Address) -> str | None:
+        """Return the id of the endpoint at an address, or None."""
+        url = f"http://{address}"
+        for endpoint in self.catalog.endpoints_by_id.values():
+            if endpoint.url.rstrip("/") == url:
+                return endpoint.id
+        return None
 
     def _build_links(self) -> None:
         """Build the clients of the platform, the peers and the endpoints."""
         settings = self.settings
+        self.dialer = EndpointDialer(clock=self.clock)
+        self._open_clients()
         self.platform = HttpPlatform(
-            session=self._engine_session, url=settings.platform
+            session=self._platform_session, url=settings.platform
         )
         self.store = ConfigStore(platform=self.platform, clock=self.clock)
         self.peers = Peers(
@@ -153,6 +180,7 @@
             counter=int(self.clock.now().timestamp()),
             config_version=0,
             leaving=False,
+            tunnel_address=str(settings.tunnel_listen or ""),
         )
         self.departures = Departures()
         self.host_list = HostListReader(
@@ -181,6 +209,22 @@
             clock=self.clock,
             connect=self._connect_engine,
             departures=self.departures,
+            is_cut_off=lambda: self.dialer.links.is_cut_off,
+        )
+        self.tunnels = TunnelHosts(
+            list_hosts=self.gossip.table.reachable,
+            own=lambda: self.gossip.table.own,
+            signer=self.peers.signer,
+            clock=self.clock,
+            rng=random.Random(),
+        )
+        self.endpoint_links = EndpointLinks(
+            dialer=self.dialer,
+            find_endpoint=lambda name: self.catalog.endpoints_by_id.get(name),
+            tunnels=self.tunnels,
+            signer=self.peers.signer,
+            drain=self.drain,
+            metrics=self.metrics,
         )
 
     def _build_serving(self) -> None:
@@ -191,6 +235,7 @@
         self.guard = CrashGuard(
             quarantine=Quarantine(),
             clock=self.clock,
+            is_bypassed=lambda live: live.engine.is_bypassed,
             has_survived=self.fleet.has_survived,
             metrics=self.metrics,
         )
@@ -314,7 +359,10 @@
 
     def _connect_engine(self, endpoint: Endpoint) -> HttpEngine:
         return HttpEngine(
-            session=self._engine_session, endpoint_id=endpoint.id, url=endpoint.url
+            session=self._engine_session,
+            endpoint_id=endpoint.id,
+            url=endpoint.url,
+            dialer=self.dialer,
         )
 
     async def _listen(self) -> None:
@@ -324,6 +372,17 @@
         await self._site_runner.setup()
         settings = self.settings
         await self._listeners.open(PEERS, settings.peer_listen, self.peers.bind)
+        if settings.tunnel_listen is not None:
+            tunnel_server = self.endpoint_links.server
+            await self._listeners.open(
+                TUNNELS,
+                settings.tunnel_listen,
+                partial(
+                    tunnel_server.start,
+                    settings.tunnel_listen.host,
+                    settings.tunnel_listen.port,
+                ),
+            )
         await self._listeners.open(CALLERS, settings.listen, self._open_site)
 
     async def _open_site(self) -> None:
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -21,6 +21,7 @@
     ResumeMismatchError,
 )
 from passtally.live_endpoint import LiveEndpoint
+from passtally.loss_inspection import inspect_loss
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.placement import NoEndpointError, Placement
@@ -29,6 +30,7 @@
 from passtally.replica import ReplicaKeeper
 from passtally.retry import (
     CLOSED_KINDS,
+    CONNECTION_KINDS,
     UNRUN_KINDS,
     Holder,
     LossKind,
@@ -47,6 +49,8 @@
 LINGER = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
 RESET = LossKind.RESET
+#: Step of a loss when an attempt could not attach to its stream.
+ATTACH_STEP = "attach"
 #: Time without output after which an answer without a deadline gives up if no endpoint
 #: can be reached. Endpoints are usually replaced within some seconds.
 MAX_UNREACHED_TIME = timedelta(seconds=15)
@@ -235,6 +239,8 @@
                 progress.may_have_run or loss.kind not in UNRUN_KINDS
             )
             progress.last_output_at = relay.last_output_at or progress.last_output_at
+            if loss.step != ATTACH_STEP:
+                await inspect_loss(loss, live, guard=self._guard)
             self._recorder.record_failure(
                 generation, live, loss, has_begun=relay.has_begun
             )
@@ -291,7 +297,7 @@
         has exited did not complete anything: a killed process closes its connections
         in order.
         """
-        if loss.kind is not LossKind.UNMARKED_END or await self._guard.has_ended(live):
+        if loss.kind is not LossKind.UNMARKED_END or loss.has_ended:
             return False
         is_confirmed = progress.unmarked_end == generation.position
         progress.unmarked_end = generation.position
@@ -321,12 +327,12 @@
         progress.last_error = loss
         progress.waiting_since = self._clock.monotonic()
         self._metrics.count(Metric.LOST, loss.kind)
-        was_attached = loss.step == "attach"
+        was_attached = loss.step == ATTACH_STEP
         is_unreachable = is_endpoint_unreachable(loss.kind, was_attached=was_attached)
         if is_unreachable:
             live.eject(self._clock.monotonic())
-        elif loss.kind in CLOSED_KINDS and not live.engine.keeps_streams:
-            await self._record_end(generation, attempt, live)
+        elif loss.has_ended and self._fleet.is_serving(live):
+            self._record_end(generation, attempt, live)
         if is_unreachable or loss.kind is RESET:
             self._fleet.record_loss(live, is_endpoint_unreachable=is_unreachable)
         if loss.kind is LossKind.REPLACED:
@@ -340,7 +346,8 @@
                 evidence=_evidence_of(generation, live),
             )
         holder = _find_holder(generation, attempt, live)
-        if holder is not Holder.ENDPOINT or was_attached or loss.kind is not RESET:
+        may_attach = holder is Holder.ENDPOINT and loss.kind in CONNECTION_KINDS
+        if was_attached or not may_attach:
             progress.excluded.add(live.endpoint.id)
         if loss.kind in (LossKind.FROZEN, LossKind.RESUME_MISMATCH):
             self._cancel(live, generation, attempt)
@@ -388,12 +395,10 @@
         silence = self._clock.monotonic() - progress.last_output_at
         return generation.request.deadline is None and silence > MAX_UNREACHED_TIME
 
-    async def _record_end(
+    def _record_end(
         self, generation: Generation, attempt: Attempt, live: LiveEndpoint
     ) -> None:
-        """Record the crash of an endpoint that reset an attempt, if it has exited."""
-        if not self._fleet.is_serving(live) or not await self._guard.has_ended(live):
-            return
+        """Record the crash of an endpoint that closed the connection of an attempt."""
         self._fleet.record_end(live)
         self._guard.record_end(
             generation.request.fingerprint,
--- a/passtally/drain.py
+++ b/passtally/drain.py
@@ -27,6 +27,8 @@
     def __init__(self, *, max_open: int) -> None:
         self._max_open = max_open
         self.open_requests = 0
+        #: Number of open tunnels of other hosts, whose requests a stop waits for too.
+        self.open_tunnels = 0
         self.is_stopping = False
         #: Whether a stop has reached its last step: open requests are aborted, and new
         #: ones are refused.
@@ -58,8 +60,22 @@
             yield
         finally:
             self.open_requests -= 1
-            if not self.open_requests:
-                self._idle.set()
+            self._update_idle()
+
+    @contextmanager
+    def track_tunnel(self) -> Iterator[None]:
+        """Count one tunnel of another host while it is open."""
+        self.open_tunnels += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self.open_tunnels -= 1
+            self._update_idle()
+
+    def _update_idle(self) -> None:
+        if not self.open_requests and not self.open_tunnels:
+            self._idle.set()
 
     def check_open(self) -> None:
         """Refuse a request that the host would abort immediately.
@@ -99,7 +115,7 @@
         self.is_stopping = True
         self.ends_at = ends_at
         await asyncio.sleep(balancer_lag.total_seconds())
-        while self.open_requests:
+        while self.open_requests or self.open_tunnels:
             await self._idle.wait()
 
 
--- /dev/null
+++ b/passtally/endpoint_connector.py
@@ -0,0 +1,60 @@
+"""The aiohttp connector of sessions whose requests go to endpoints."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from passtally.endpoint_dialer import EndpointDialer
+from passtally.settings import Address, parse_address
+
+
+class EndpointConnector(aiohttp.TCPConnector):
+    """Opens each connection to an endpoint by the dialer, for one request only.
+
+    Requests to other addresses take aiohttp's own way.
+
+    Args:
+        dialer: Connects to endpoints.
+        find_endpoint_id: Returns the id of the endpoint at an address, or None.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialer: EndpointDialer,
+        find_endpoint_id: Callable[[Address], str | None],
+    ) -> None:
+        super().__init__(limit=0, force_close=True)
+        self._dialer = dialer
+        self._find_endpoint_id = find_endpoint_id
+
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        address = _address_of(req)
+        endpoint_id = None if address is None else self._find_endpoint_id(address)
+        if endpoint_id is None:
+            return await super()._create_connection(req, traces, timeout)
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                _, protocol = await self._dialer.connect(
+                    address, endpoint_id, self._factory
+                )
+        except TimeoutError as error:
+            raise aiohttp.ConnectionTimeoutError(str(error)) from error
+        except OSError as error:
+            raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+        return protocol
+
+
+def _address_of(request: aiohttp.ClientRequest) -> Address | None:
+    """Return the address of a request's URL; None if it names no IP address."""
+    try:
+        return parse_address(f"{request.url.host}:{request.url.port}")
+    except ValueError:
+        return None
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -1,6 +1,7 @@
 """The interface of model engines, and the error for a lost attempt."""
 
 from collections.abc import Collection, Sequence
+from datetime import timedelta
 from typing import Protocol
 
 import msgspec
@@ -19,6 +20,9 @@
         peer: The endpoint's id.
         detail: The underlying error, as text.
         successor: The endpoint that has the address now, if the endpoint was replaced.
+
+    Attributes:
+        has_ended: Whether the endpoint was found to have exited.
     """
 
     def __init__(
@@ -31,6 +35,7 @@
         successor: str = "",
     ) -> None:
         self.kind = kind
+        self.has_ended = False
         self.successor = successor
         self.step = step
         self.peer = peer
@@ -80,10 +85,13 @@
     Attributes:
         reports_load: Whether a probe returns a load report.
         keeps_streams: Whether the engine keeps a stream after its connection broke.
+        is_bypassed: Whether this host's own link to the engine is down, while other
+            hosts reach it.
     """
 
     reports_load: bool
     keeps_streams: bool
+    is_bypassed: bool
 
     async def generate(
         self, request: GenerationRequest, attempt: Attempt, prior: Sequence[int]
@@ -151,3 +159,11 @@
         An endpoint that does not answer has not exited for certain: it may be
         unreachable or silent.
         """
+
+    def is_silent(self, *, since: timedelta) -> bool:
+        """Return whether this host's link fell silent while other hosts reach it.
+
+        Args:
+            since: When a connection was opened, on the monotonic clock. One that was
+                opened later does not use the link.
+        """
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -79,6 +79,8 @@
             that has its address now.
         on_silent: See :class:`passtally.live_endpoint.LiveEndpoint`.
         versions: The versions that get requests.
+        is_cut_off: Returns whether this host reaches no endpoint, so that what it fails
+            to reach says nothing about an endpoint.
         limits: The request limits that endpoints set; None to start without any.
         backoffs: The back-offs that endpoints request; None to start without any.
     """
@@ -98,6 +100,7 @@
         ),
         on_silent: Callable[[timedelta], None] = lambda since: None,
         versions: Versions | None = None,
+        is_cut_off: Callable[[], bool] = lambda: False,
         limits: RequestLimits | None = None,
         backoffs: EndpointBackoffs | None = None,
     ) -> None:
@@ -106,6 +109,7 @@
         self._backoffs = backoffs or EndpointBackoffs()
         self.versions = versions or AllVersions()
         self._on_silent = on_silent
+        self._is_cut_off = is_cut_off
         self._catalog = catalog
         self._clock = clock
         self._connect = connect
@@ -274,7 +278,7 @@
         """
         domain = live.endpoint.failure_domain
         self._lost_at_by_domain[domain] = self._clock.monotonic()
-        if is_endpoint_unreachable:
+        if is_endpoint_unreachable and not self._is_cut_off():
             self._losses.add(live.endpoint.start)
             self.load_changed.set()
 
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -20,6 +20,8 @@
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.endpoint_backoff import EndpointBackoffs
+from passtally.endpoint_dialer import EndpointDialer
+from passtally.endpoint_links import EndpointLinks, address_of
 from passtally.endpoint_registry import EndpointRegistry
 from passtally.engine import Engine
 from passtally.fleet import Fleet
@@ -34,7 +36,7 @@
 from passtally.http_server import ServerLimits
 from passtally.isolation import Isolation
 from passtally.limit_sharers import LimitSharers
-from passtally.listeners import CALLERS, PEERS, Listeners
+from passtally.listeners import CALLERS, PEERS, TUNNELS, Listeners
 from passtally.load_exchange import LoadExchange, LoadTable
 from passtally.metrics import Metric
 from passtally.object_applier import ObjectApplier
@@ -55,7 +57,7 @@
 from passtally.routes import ActiveRoutes
 from passtally.routes_exchange import RoutesExchange
 from passtally.service_index import ServiceIndex
-from passtally.settings import Address, Settings, parse_address
+from passtally.settings import Address, Settings
 from passtally.shared_watch import SharedWatch
 from passtally.silence import Phase, SilenceBounds
 from passtally.supervisor import keep_running
@@ -145,7 +147,8 @@
         #: Endpoints that exited for good, so that their replicas are lost. Hosts learn
         #: this from each other even if the platform is unreachable.
         self.departures = Departures()
-        self.pool = ConnectionPool(clock=clock)
+        self.dialer = EndpointDialer(clock=clock)
+        self.pool = ConnectionPool(clock=clock, dialer=self.dialer)
         #: Set once the routes and some endpoints are known.
         self._config_ready = asyncio.Event()
         self._stopping = HostStop(
@@ -192,6 +195,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.watch.stop()
         await self.peers.stop()
+        self.dialer.close()
         self.pool.close()
         self._stopping.log("Stopped.")
 
@@ -202,6 +206,7 @@
             waited: The time since the stop was requested.
         """
         self.front_server.is_closing = True
+        self.servers.tunnels.close_idle()
         self.spawn(self._close_idle_later())
         await self._stopping.run(
             grace=self.settings.grace,
@@ -224,8 +229,11 @@
     def _record_open(self, name: str, address: Address) -> None:
         """Publish this host's address to the other hosts once it is open."""
         table = self.gossip.table
+        now = self.clock.monotonic()
         if name == PEERS and table.own.address != str(address):
-            table.change_own(now=self.clock.monotonic(), address=str(address))
+            table.change_own(now=now, address=str(address))
+        elif name == TUNNELS and table.own.tunnel_address != str(address):
+            table.change_own(now=now, tunnel_address=str(address))
 
     @property
     def is_ready(self) -> bool:
@@ -246,6 +254,7 @@
         )
         self.peers, self.roster = links.peers, links.roster
         self.gossip, self.loans = links.gossip, links.loans
+        self.tunnels = links.tunnels
         self.load_table = LoadTable()
         self.rollouts = self._build_rollouts()
         sharers = LimitSharers(roster=self.roster, catalog=self.catalog)
@@ -253,6 +262,7 @@
             limits=RequestLimits(count_hosts=sharers.count, rank=sharers.rank),
             backoffs=EndpointBackoffs(count_hosts=sharers.count, rank=sharers.rank),
             versions=self.rollouts,
+            is_cut_off=lambda: self.dialer.links.is_cut_off,
             departures=self.departures,
             others_load=self.load_table.load,
             on_successor=self._use_successor,
@@ -266,7 +276,7 @@
         self.registry = EndpointRegistry(
             catalog=self.catalog,
             clock=self.clock,
-            on_removed=self.fleet.remove,
+            on_removed=self._forget_endpoint,
             on_started=self._handle_start,
         )
         object_applier = ObjectApplier(
@@ -431,6 +441,7 @@
             quarantine=Quarantine(),
             clock=self.clock,
             has_ended=lambda live: live.engine.has_ended(),
+            is_bypassed=lambda live: live.engine.is_bypassed,
             on_quarantined=self.fleet.end_streams,
             has_survived=self.fleet.has_survived,
             metrics=self.metrics,
@@ -509,9 +520,19 @@
 
     def _build_servers(self) -> None:
         """Build the servers, which :meth:`start` opens."""
+        endpoint_links = EndpointLinks(
+            dialer=self.dialer,
+            find_endpoint=lambda name: self.catalog.endpoints_by_id.get(name),
+            tunnels=self.tunnels,
+            signer=self.peers.signer,
+            drain=self.drain,
+            metrics=self.metrics,
+            is_busy=lambda: self.overload.is_overloaded,
+        )
         self.servers = HostServers(
             listeners=self.listeners,
             peers=self.peers,
+            tunnels=endpoint_links.server,
             handle=self._adapter.make_handler(self.front),
             limits=self._limits,
             accepted=lambda waited: self.overload.record_connection(
@@ -556,6 +577,12 @@
         if await self._adapter.is_engine(self._connect(successor)):
             self.registry.put(successor)
 
+    def _forget_endpoint(self, endpoint_id: str) -> None:
+        live = self.fleet.find(endpoint_id)
+        if live is not None:
+            self.dialer.links.forget(address_of(live.endpoint.url))
+        self.fleet.remove(endpoint_id)
+
     def _handle_start(self, endpoint: Endpoint) -> None:
         """Record an endpoint's new start and close connections to its previous start.
 
@@ -564,13 +591,14 @@
         self.fleet.record_start(endpoint)
         if self.rollouts is not None:
             self.rollouts.record_endpoint(endpoint)
-        self.pool.invalidate(_address_of(endpoint))
+        self.dialer.links.forget(address_of(endpoint.url))
+        self.pool.invalidate(address_of(endpoint.url))
 
     def _find_address(self, endpoint_id: str) -> Address | None:
         endpoint = self.catalog.endpoints_by_id.get(endpoint_id)
         if endpoint is None:
             return None
-        return _address_of(endpoint)
+        return address_of(endpoint.url)
 
     def render_metrics(self) -> bytes:
         """Return the metrics as text, with the current values of the gauges."""
@@ -580,6 +608,9 @@
         behind = self.watch.time_behind(self._adapter.routes_prefix)
         self.metrics.gauge(Metric.CONFIG_BEHIND, round(behind.total_seconds() * 1000))
         self.metrics.gauge(Metric.QUARANTINED, len(self.guard.list_quarantined()))
+        self.metrics.gauge(Metric.LINKS_DOWN, len(self.dialer.links.list_down()))
+        self.metrics.gauge(Metric.TUNNELS, self.tunnels.count)
+        self.metrics.gauge(Metric.TUNNELS_SERVED, self.servers.tunnels.count)
         self.metrics.gauge(Metric.PEER_BYTES, self.peers.bytes_sent)
         if self.rollouts is not None:
             self.metrics.gauge(Metric.ROLLOUTS, self.rollouts.active_count)
@@ -592,7 +623,3 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
-
-
-def _address_of(endpoint: Endpoint) -> Address:
-    return parse_address(endpoint.url.removeprefix("http://"))
--- a/passtally/host_links.py
+++ b/passtally/host_links.py
@@ -11,10 +11,11 @@
 from passtally.peers import Peers
 from passtally.roster import Roster
 from passtally.settings import Settings
+from passtally.tunnel_hosts import TunnelHosts
 
 
 class HostLinks:
-    """The links to other hosts, the membership gossip, and the budget loans.
+    """The links to other hosts, the membership gossip, the loans and the tunnels.
 
     Args:
         settings: The settings of this host.
@@ -38,6 +39,7 @@
             config_version=0,
             leaving=False,
             address=str(settings.peer_listen),
+            tunnel_address=str(settings.tunnel_listen or ""),
         )
         table = MemberTable(own=own)
         self.gossip = Gossip(
@@ -53,3 +55,10 @@
         self.loans = BudgetLoans(
             peers=self.peers, roster=self.roster, rng=random.Random()
         )
+        self.tunnels = TunnelHosts(
+            list_hosts=self.roster.others,
+            own=lambda: self.roster.own,
+            signer=self.peers.signer,
+            clock=clock,
+            rng=random.Random(),
+        )
--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -15,7 +15,7 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.host_servers import HostServers
-from passtally.listeners import CALLERS, METRICS, PEERS, READINESS
+from passtally.listeners import CALLERS, METRICS, PEERS, READINESS, TUNNELS
 from passtally.load_exchange import LoadExchange
 from passtally.membership import Gossip
 from passtally.object_store import RelocatablePlatform
@@ -138,6 +138,7 @@
             "ready_listen": self._apply_ready_listen,
             "metrics_listen": self._apply_metrics_listen,
             "peer_listen": self._apply_peer_listen,
+            "tunnel_listen": self._apply_tunnel_listen,
             "seeds": self._apply_seeds,
             "platform": self._apply_platform,
             "resume_keys": self._apply_keys,
@@ -185,6 +186,9 @@
     def _apply_peer_listen(self) -> None:
         self._host.servers.move(PEERS, self._host.settings.peer_listen)
 
+    def _apply_tunnel_listen(self) -> None:
+        self._host.servers.move(TUNNELS, self._host.settings.tunnel_listen)
+
     def _apply_seeds(self) -> None:
         self._host.roster.set_seeds(self._host.settings.seeds)
 
@@ -208,7 +212,7 @@
     def _use_keys(self) -> None:
         former = list(self._until_by_former_key)[-MAX_FORMER_KEYS:]
         keys = list(self._host.settings.resume_keys.values())
-        self._host.peers.use_keys(keys, former=former)
+        self._host.peers.signer.use_keys(keys, former=former)
 
     async def _drop_former_keys(self) -> None:
         clock = self._host.clock
--- a/passtally/host_servers.py
+++ b/passtally/host_servers.py
@@ -13,9 +13,17 @@
     HttpServer,
     ServerLimits,
 )
-from passtally.listeners import CALLERS, METRICS, PEERS, READINESS, Listeners
+from passtally.listeners import (
+    CALLERS,
+    METRICS,
+    PEERS,
+    READINESS,
+    TUNNELS,
+    Listeners,
+)
 from passtally.peers import Peers
 from passtally.settings import Address, Settings
+from passtally.tunnel_server import TunnelServer
 
 
 class HostServers:
@@ -24,6 +32,7 @@
     Args:
         listeners: Opens and moves the listening sockets.
         peers: The links to other hosts.
+        tunnels: Accepts the tunnels of other hosts.
         handle: Answers callers' requests.
         limits: Returns the limits on callers' requests.
         accepted: Called for each caller's connection with its time in the accept queue.
@@ -36,6 +45,7 @@
         *,
         listeners: Listeners,
         peers: Peers,
+        tunnels: TunnelServer,
         handle: Handle,
         limits: Callable[[], ServerLimits],
         accepted: Callable[[timedelta], None],
@@ -44,6 +54,7 @@
     ) -> None:
         self._listeners = listeners
         self._peers = peers
+        self.tunnels = tunnels
         self._encode_ready = encode_ready
         self._render_metrics = render_metrics
         self.callers = HttpServer(handle=handle, limits=limits, accepted=accepted)
@@ -69,6 +80,7 @@
         for name, address in (
             (READINESS, settings.ready_listen),
             (CALLERS, settings.listen),
+            (TUNNELS, settings.tunnel_listen),
             # Last, since the metrics port is fixed and another setting may use it.
             (METRICS, settings.metrics_listen),
         ):
@@ -100,14 +112,16 @@
 
     async def stop(self) -> None:
         """Flush complete answers and close all connections."""
+        self.tunnels.stop()
         # Concurrently, since each server may take 400 ms to flush and the stop margin
         # is 600 ms.
         servers = (self.callers, self._readiness, self._metrics)
         await asyncio.gather(*(server.stop() for server in servers))
 
-    def _find(self, name: str) -> HttpServer:
+    def _find(self, name: str) -> HttpServer | TunnelServer:
         return {
             CALLERS: self.callers,
+            TUNNELS: self.tunnels,
             READINESS: self._readiness,
             METRICS: self._metrics,
         }[name]
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import re
-import socket
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from enum import StrEnum
@@ -17,13 +16,13 @@
 from passtally.clock import Clock
 from passtally.fetch import find_header
 from passtally.http_server import RawHeaders
+from passtally.socket_options import set_user_timeout
+from passtally.tunnel import TunnelInfo, TunnelLostError, find_tunnel
 
 #: Maximum idle time of a reused connection, unless the peer states a shorter one.
 MAX_IDLE = timedelta(seconds=4)
 #: Share of the peer's keep-alive timeout after which a connection is not reused.
 IDLE_SHARE = 0.7
-#: Time that sent data may stay unacknowledged before the connection is closed.
-UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=2)
 #: Size of the unread input, in bytes, above which reading pauses.
 READ_HIGH_WATER = 256 * 1024
 
@@ -49,14 +48,22 @@
         step: The progress of the request.
         detail: The cause.
         is_garbled: Whether the peer sent an invalid or an oversized answer.
+        is_link_lost: Whether the host that the connection passes through was lost, so
+            that nothing is known of the peer.
     """
 
     def __init__(
-        self, step: ExchangeStep, detail: str, *, is_garbled: bool = False
+        self,
+        step: ExchangeStep,
+        detail: str,
+        *,
+        is_garbled: bool = False,
+        is_link_lost: bool = False,
     ) -> None:
         self.step = step
         self.detail = detail
         self.is_garbled = is_garbled
+        self.is_link_lost = is_link_lost
         super().__init__(f"{step}: {detail}")
 
 
@@ -86,10 +93,23 @@
 
     Args:
         clock: The clock.
+        endpoint_id: The id of the endpoint that it leads to; empty for another peer.
+        on_direct_data: Called whenever data arrives, unless by a tunnel.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        endpoint_id: str = "",
+        on_direct_data: Callable[[], None] = lambda: None,
+    ) -> None:
         self._clock = clock
+        self.endpoint_id = endpoint_id
+        self._on_direct_data = on_direct_data
+        #: The tunnel that the connection passes through; None for a direct one.
+        self.tunnel: TunnelInfo | None = None
+        self._may_reuse = True
         self._parser = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
         self._arrived = asyncio.Event()
@@ -107,16 +127,16 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the TCP user timeout, so that a dead peer is detected."""
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        if sock is not None and sock.family == socket.AF_INET:
-            timeout = int(UNACKNOWLEDGED_TIMEOUT.total_seconds() * 1000)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout)
+        self.tunnel = find_tunnel(transport)
+        set_user_timeout(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse input; close an idle connection that receives any."""
         if self._is_idle:
             self.abort()
             return
+        if self.tunnel is None:
+            self._on_direct_data()
         self._buffered += len(data)
         if self._buffered > READ_HIGH_WATER:
             self._transport.pause_reading()
@@ -231,7 +251,8 @@
         is_done = states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         has_more = bool(self._parser.trailing_data[0])
         is_sent = self._transport.get_write_buffer_size() == 0
-        if self._is_broken or not is_done or has_more or not is_sent:
+        is_intact = is_done and is_sent and not has_more
+        if self._is_broken or not is_intact or not self._may_reuse:
             self.abort()
             return False
         self._parser.start_next_cycle()
@@ -241,6 +262,12 @@
         self._usable_until = self.idle_since + _idle_limit(keep_alive)
         return True
 
+    def stop_reuse(self) -> None:
+        """Close after the current request, or at once if there is none."""
+        self._may_reuse = False
+        if self._is_idle:
+            self.abort()
+
     @property
     def is_closed(self) -> bool:
         """Whether either side has closed the connection."""
@@ -270,7 +297,12 @@
 
     def _fail(self, detail: str, *, is_garbled: bool = False) -> ExchangeError:
         self.abort()
-        return ExchangeError(self._step, detail, is_garbled=is_garbled)
+        return ExchangeError(
+            self._step,
+            detail,
+            is_garbled=is_garbled,
+            is_link_lost=isinstance(self._error, TunnelLostError),
+        )
 
 
 def _to_head(response: h11.Response) -> ResponseHead:
--- a/passtally/http_engine.py
+++ b/passtally/http_engine.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from passtally.endpoint_dialer import EndpointDialer
+from passtally.endpoint_links import address_of
 from passtally.engine import AttemptLostError, LoadReport, TokenStream
 from passtally.fetch import FetchError
 from passtally.generation import Attempt, GenerationRequest, TokenEvent
@@ -59,15 +61,23 @@
         session: The client session.
         endpoint_id: The endpoint's name, for errors.
         url: The endpoint's base URL.
+        dialer: Connects the session to endpoints, and knows the state of the links;
+            None for a session that connects by itself.
     """
 
     reports_load = True
     keeps_streams = True
 
     def __init__(
-        self, *, session: aiohttp.ClientSession, endpoint_id: str, url: str
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        endpoint_id: str,
+        url: str,
+        dialer: EndpointDialer | None = None,
     ) -> None:
         self._session = session
+        self._dialer = dialer
         self._endpoint_id = endpoint_id
         self._url = url.rstrip("/")
 
@@ -147,6 +157,19 @@
         """Return False: only a failed attach shows that these engines have exited."""
         return False
 
+    def is_silent(self, *, since: timedelta) -> bool:
+        """Return whether connections opened before ``since`` fell silent."""
+        return self._dialer is not None and self._dialer.is_silent(
+            address_of(self._url), since=since
+        )
+
+    @property
+    def is_bypassed(self) -> bool:
+        """Whether only other hosts reach the engine."""
+        return self._dialer is not None and self._dialer.is_bypassed(
+            address_of(self._url)
+        )
+
     async def _open(
         self, step: str, method: str, path: str, **kwargs: object
     ) -> "HttpTokenStream":
--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -194,7 +194,7 @@
         self.is_closing = False
         #: Open connections, in the order of their acceptance.
         self._connections: dict[ServerConnection, None] = {}
-        self._max_connections = _count_connections(part)
+        self._max_connections = count_connections(part)
         self._is_full = False
         #: Listening servers by the host and port that they were given.
         self._listening_by_address: dict[tuple[str, int], asyncio.Server] = {}
@@ -592,7 +592,7 @@
             self._send(h11.EndOfMessage())
 
 
-def _count_connections(part: float) -> int:
+def count_connections(part: float) -> int:
     """Return the connection limit for a share of the process's file descriptors."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft == resource.RLIM_INFINITY:
--- a/passtally/listeners.py
+++ b/passtally/listeners.py
@@ -23,6 +23,7 @@
 #: Names of the listeners in the log, by their clients.
 CALLERS = "callers"
 PEERS = "other hosts"
+TUNNELS = "tunnels"
 READINESS = "readiness"
 METRICS = "metrics"
 
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -310,7 +310,13 @@
         if not is_reachable and not self._lag.is_lagging:
             self._trip_waiting()
             return
-        self._keep_waiting([guard for guard in silent if self._is_still_silent(guard)])
+        waiting = [guard for guard in silent if self._is_still_silent(guard)]
+        cut_off = [
+            guard for guard in waiting if self.engine.is_silent(since=guard.started_at)
+        ]
+        for guard in cut_off:
+            guard.end(LossKind.LINK)
+        self._keep_waiting([guard for guard in waiting if guard not in cut_off])
 
     def _is_still_silent(self, guard: StreamGuard) -> bool:
         waits = guard in self.guards and guard.is_waiting
--- a/passtally/member_table.py
+++ b/passtally/member_table.py
@@ -128,8 +128,9 @@
         host_id: str | None = None,
         failure_domain: str | None = None,
         address: str | None = None,
+        tunnel_address: str | None = None,
     ) -> None:
-        """Change the name, failure domain or address of the local host.
+        """Change the name, failure domain or an address of the local host.
 
         After a change of name the former name is spread as dead, so that other hosts
         need not detect by timeouts that no host answers under it.
@@ -139,6 +140,7 @@
             host_id: The new name; None to keep the current one.
             failure_domain: The new failure domain; None to keep the current one.
             address: The new address for peers; None to keep the current one.
+            tunnel_address: The new address for tunnels; None to keep the current one.
         """
         before = self.own
         own = msgspec.structs.replace(
@@ -149,6 +151,9 @@
                 before.failure_domain if failure_domain is None else failure_domain
             ),
             address=before.address if address is None else address,
+            tunnel_address=(
+                before.tunnel_address if tunnel_address is None else tunnel_address
+            ),
         )
         if own.host_id != before.host_id:
             known = self._known_by_id.pop(own.host_id, None)
@@ -334,7 +339,12 @@
 
 
 def _with_newest_versions(row: MemberRow, other: MemberRow) -> MemberRow:
-    """Return a row with the higher version of each prefix of two equal-counter rows."""
+    """Return a row with the higher version of each prefix of two equal-counter rows.
+
+    Hosts of an earlier version forward rows without the address for tunnels.
+    """
+    if other.tunnel_address and not row.tunnel_address:
+        row = msgspec.structs.replace(row, tunnel_address=other.tunnel_address)
     config_version = max(row.config_version, other.config_version)
     versions = dict(row.versions_by_prefix)
     for prefix, version in other.versions_by_prefix.items():
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -108,6 +108,7 @@
         versions_by_prefix: The newest object version that the host knows under each
             prefix. Rows with the same counter are merged, so it may be a little old.
         state: The value of a :class:`passtally.member_table.MemberState`.
+        tunnel_address: The host's address for tunnels; empty if it accepts none.
     """
 
     host_id: str
@@ -118,6 +119,7 @@
     address: str = ""
     versions_by_prefix: dict[str, int] = {}
     state: int = 0
+    tunnel_address: str = ""
 
 
 class DepartureRow(msgspec.Struct, array_like=True, frozen=True):
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -47,6 +47,31 @@
         "1 while the host receives no changes from the platform.",
     )
     PEER_BYTES = "peer_bytes", "gauge", "bytes", "Bytes sent to peers since the start."
+    LINKS_DOWN = (
+        "links_down",
+        "gauge",
+        "1",
+        "Endpoints that this host currently does not reach directly.",
+    )
+    TUNNELS = (
+        "tunnels",
+        "gauge",
+        "1",
+        "Open connections of this host to endpoints through other hosts.",
+    )
+    TUNNELS_SERVED = (
+        "tunnels_served",
+        "gauge",
+        "1",
+        "Open connections of other hosts to endpoints through this host.",
+    )
+    TUNNELS_REFUSED = (
+        "tunnels_refused",
+        "counter",
+        "1",
+        "Connections that this host did not open for another host; the reason follows"
+        " the name.",
+    )
     CLAIM_WRITES = (
         "claim_writes",
         "gauge",
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-import hashlib
-import hmac
 import itertools
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -19,6 +17,7 @@
 
 from passtally.decision import log_event
 from passtally.descriptors import check_free
+from passtally.message_signing import MessageSigner
 from passtally.messages import Message
 from passtally.settings import Address, PeerAddress
 
@@ -26,9 +25,6 @@
 ASK_TIMEOUT = timedelta(milliseconds=500)
 #: Maximum number of messages that are queued on each link and in each direction.
 HIGH_WATER_MARK = 1000
-MAC_BYTES = 12
-#: Maximum key length of BLAKE2b, in bytes; longer keys are cut.
-MAX_KEY_BYTES = 64
 #: Heartbeat interval of outgoing links, and the silence after which a link is
 #: reconnected, in milliseconds.
 HEARTBEAT_MS = 1000
@@ -110,7 +106,7 @@
         self.bytes_sent = 0
         self._listen = listen
         self._peers_by_id = dict(peers_by_id)
-        self.use_keys(keys)
+        self.signer = MessageSigner(keys=keys)
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
         self._sockets_by_id: dict[str, zmq.asyncio.Socket] = {}
@@ -144,20 +140,6 @@
         """Set the listener for notifications, which get no reply, of one type."""
         self._listeners_by_type[kind] = listener
 
-    def use_keys(self, keys: Sequence[bytes], *, former: Sequence[bytes] = ()) -> None:
-        """Change the keys.
-
-        Hosts receive a change one after the other. Messages that are also signed with
-        the former keys are accepted by all hosts in the meantime.
-
-        Args:
-            keys: The accepted signing keys; the first one signs this host's messages.
-            former: Former keys that are accepted and also sign each message.
-        """
-        former = [key for key in former if key not in keys]
-        self._keys = [key[:MAX_KEY_BYTES] for key in (*keys, *former)]
-        self._signing_keys = [key[:MAX_KEY_BYTES] for key in (keys[0], *former)]
-
     def start(self) -> None:
         """Open a link to each peer; incoming links need :meth:`bind`.
 
@@ -394,18 +376,13 @@
         flags: int = zmq.NOBLOCK,
     ) -> None:
         payload = _encode(message)
-        mac = b"".join(_sign(key, head[-2:], payload) for key in self._signing_keys)
+        mac = self.signer.sign(*head[-2:], payload)
         self.bytes_sent += len(payload) + len(mac) + sum(map(len, head))
         await socket.send_multipart([*head, payload, mac], flags=flags)
 
     def _verify_and_decode(self, frames: list[bytes]) -> Message | None:
         kind, number, payload, mac = frames
-        macs = [_sign(key, [kind, number], payload) for key in self._keys]
-        signed = [mac[at : at + MAC_BYTES] for at in range(0, len(mac), MAC_BYTES)]
-        pairs = itertools.product(macs, signed)
-        if not any(
-            hmac.compare_digest(expected, received) for expected, received in pairs
-        ):
+        if not self.signer.is_signed(mac, kind, number, payload):
             log_event("peers", "Dropped a message with a wrong signature.")
             return None
         try:
@@ -439,9 +416,3 @@
 
 def _pack_number(number: int) -> bytes:
     return number.to_bytes(8)
-
-
-def _sign(key: bytes, head: list[bytes], payload: bytes) -> bytes:
-    mac = hashlib.blake2b(b"".join(head), key=key, digest_size=MAC_BYTES)
-    mac.update(payload)
-    return mac.digest()
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -14,6 +14,7 @@
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.live_endpoint import LiveEndpoint
+from passtally.loss_inspection import inspect_loss
 from passtally.objects import Service
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.pause_aware_timeout import PauseAwareTimeout, sleep_pause_aware
@@ -398,6 +399,7 @@
         began_at: timedelta,
         is_separated: bool,
     ) -> RefusedError:
+        await inspect_loss(loss, live, guard=self._guard)
         is_frozen = loss.kind is LossKind.FROZEN
         live.unanswered_calls += is_frozen
         if loss.kind in FAULT_KINDS:
@@ -405,10 +407,8 @@
         is_endpoint_unreachable = loss.kind is LossKind.UNREACHABLE
         if loss.kind is LossKind.REPLACED:
             live.record_ended()
-        if loss.kind is LossKind.RESET and self._fleet.is_serving(live):
-            await self._record_end(
-                call, live, began_at=began_at, is_separated=is_separated
-            )
+        if loss.has_ended and self._fleet.is_serving(live):
+            self._record_end(call, live, began_at=began_at, is_separated=is_separated)
         if is_endpoint_unreachable or live.unanswered_calls >= MAX_UNANSWERED:
             live.eject(self._clock.monotonic())
         log_decision(
@@ -424,12 +424,13 @@
         )
         if loss.kind in UNRUN_KINDS:
             return _not_run_error(loss)
-        self._fleet.versions.record_answer(
-            live.endpoint, route=call.route, answers=1, failures=1
-        )
+        if loss.kind is not LossKind.LINK:
+            self._fleet.versions.record_answer(
+                live.endpoint, route=call.route, answers=1, failures=1
+            )
         return _unknown_outcome_error(loss)
 
-    async def _record_end(
+    def _record_end(
         self,
         call: PlainCall,
         live: LiveEndpoint,
@@ -437,12 +438,11 @@
         began_at: timedelta,
         is_separated: bool,
     ) -> None:
-        """Record a crash if the endpoint that reset the call has exited."""
-        if await self._guard.has_ended(live):
-            self._fleet.record_end(live)
-            self._guard.record_end(
-                call.fingerprint, live, began_at=began_at, is_separated=is_separated
-            )
+        """Record the crash of an endpoint that reset a call."""
+        self._fleet.record_end(live)
+        self._guard.record_end(
+            call.fingerprint, live, began_at=began_at, is_separated=is_separated
+        )
 
 
 def _select_failure(known: RefusedError | None, new: RefusedError) -> RefusedError:
--- a/passtally/plain_handler.py
+++ b/passtally/plain_handler.py
@@ -153,9 +153,15 @@
         return response
 
 
-def open_session() -> aiohttp.ClientSession:
-    """Return a client session that never retries a call by itself."""
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+def open_session(
+    connector: aiohttp.BaseConnector | None = None,
+) -> aiohttp.ClientSession:
+    """Return a client session that never retries a call by itself.
+
+    Args:
+        connector: Opens the connections; None for direct ones.
+    """
+    connector = connector or aiohttp.TCPConnector(limit=0, force_close=True)
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -91,6 +91,7 @@
             deadline=call.deadline,
             needs_new_connection=call.needs_new_connection,
             before_send=before_send,
+            checks_link=True,
         )
         try:
             body = await connection.read_all(MAX_ANSWER_BYTES)
@@ -226,6 +227,15 @@
         """Return whether the endpoint's address refuses connections."""
         return await self._link.is_refusing()
 
+    def is_silent(self, *, since: timedelta) -> bool:
+        """Return whether connections opened before ``since`` fell silent."""
+        return self._link.is_silent(since=since)
+
+    @property
+    def is_bypassed(self) -> bool:
+        """Whether only other hosts reach the endpoint."""
+        return self._link.is_bypassed
+
     async def _open(
         self,
         request: GenerationRequest,
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -1,10 +1,13 @@
 """Sends requests to one endpoint and checks that the answers come from it."""
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
+from passtally.decision import log_event
 from passtally.endpoint_directives import DirectiveRecorder
 from passtally.engine import AttemptLostError
 from passtally.fetch import find_header
@@ -21,14 +24,15 @@
 from passtally.retry import LossKind
 from passtally.settings import Address, parse_address
 
-#: Timeout of a connection attempt that checks whether an endpoint is reachable.
-REACH_TIMEOUT = timedelta(milliseconds=80)
 #: Time in which an exiting process closes its connections.
 CLOSING_TIME = timedelta(milliseconds=10)
 #: Time limit sent to the endpoint if the caller gave none.
 DEFAULT_TIME_LEFT = timedelta(seconds=30)
 #: Maximum size of an answer to :meth:`RunnerLink.call_interface`, in bytes.
 MAX_INTERFACE_BYTES = 1 << 20
+#: Wait for the answer to a call after which the link to its endpoint is checked, if the
+#: endpoint has sent nothing else meanwhile. Most answers take 50 ms.
+LINK_CHECK_AFTER = timedelta(milliseconds=200)
 #: Minimum wait after which an abandoned request invalidates its endpoint's idle
 #: connections, since they may be silent as well. Most answers take 50 ms, and one in a
 #: hundred takes 250 ms, so an earlier end of the wait is no sign of silent connections.
@@ -71,6 +75,7 @@
         deadline: timedelta | None,
         needs_new_connection: bool = False,
         before_send: Callable[[], None] | None = None,
+        checks_link: bool = False,
     ) -> tuple[ClientConnection, ResponseHead]:
         """Send a request and return the connection and the answer's head.
 
@@ -85,6 +90,8 @@
                 one.
             before_send: Called once there is a connection, before the first byte; an
                 error that it raises prevents the send.
+            checks_link: Whether to check the link to the endpoint if the answer takes
+                longer than those of calls.
 
         Raises:
             AttemptLostError: No answer of this endpoint arrived, or the endpoint did
@@ -92,7 +99,9 @@
         """
         try:
             connection = await self._pool.acquire(
-                self.address, must_be_new=needs_new_connection
+                self.address,
+                endpoint_id=self.endpoint_id,
+                must_be_new=needs_new_connection,
             )
         except ExchangeError as error:
             raise self.lost(LossKind.UNREACHABLE, error.detail) from error
@@ -104,6 +113,9 @@
             raise
         system = self._system_headers(workspace, deadline)
         start = self._recorder.start_of(self.endpoint_id)
+        request_id = find_header(headers, names.REQUEST_ID)
+        _log_tunnel(connection, request_id)
+        check = self._schedule_check() if checks_link else None
         try:
             head = await connection.send(method, target, [*headers, *system], body)
         except ExchangeError as error:
@@ -111,7 +123,9 @@
         except BaseException:
             self.abandon(connection)
             raise
-        request_id = find_header(headers, names.REQUEST_ID)
+        finally:
+            if check is not None:
+                check.cancel()
         self._record_directives(head, start, request_id, sent_at=connection.sent_at)
         try:
             self._check(request_id, head)
@@ -120,6 +134,18 @@
             raise
         return connection, head
 
+    def _schedule_check(self) -> asyncio.TimerHandle:
+        """Schedule a check of the link, for an answer that takes long."""
+        return asyncio.get_running_loop().call_later(
+            LINK_CHECK_AFTER.total_seconds(),
+            partial(
+                self._pool.dialer.check,
+                self.address,
+                self.endpoint_id,
+                since=self._clock.monotonic(),
+            ),
+        )
+
     def release(self, connection: ClientConnection, head: ResponseHead) -> None:
         """Return a connection to the pool after its answer was read completely."""
         self._pool.release(self.address, connection, head)
@@ -182,6 +208,7 @@
                 body,
                 most=MAX_INTERFACE_BYTES,
                 timeout=timeout,
+                endpoint_id=endpoint_id or self.endpoint_id,
                 on_head=lambda head: self._record_directives(
                     head, start, sent_at=sent_at
                 ),
@@ -198,17 +225,27 @@
         return answer.body
 
     async def is_reachable(self) -> bool:
-        """Return whether the endpoint accepts a connection."""
-        try:
-            connection = await self._pool.open(self.address, timeout=REACH_TIMEOUT)
-        except ExchangeError:
-            return False
-        connection.abort()
-        return True
+        """Return whether the endpoint accepts a connection, on any way."""
+        return await self._pool.dialer.is_reachable(self.address, self.endpoint_id)
+
+    def is_silent(self, *, since: timedelta) -> bool:
+        """Return whether connections opened before are silent at a live endpoint.
+
+        Args:
+            since: When a connection was opened, on the monotonic clock.
+        """
+        return self._pool.dialer.is_silent(self.address, since=since)
+
+    @property
+    def is_bypassed(self) -> bool:
+        """Whether only other hosts reach the endpoint."""
+        return self._pool.dialer.is_bypassed(self.address)
 
     async def is_refusing(self) -> bool:
         """Return whether nothing listens at the endpoint's address.
 
+        A refusal that may be due to this host's own link does not count.
+
         An exiting process closes its descriptors one after the other, so its listener
         may still accept connections. If a new connection is closed at once, the check
         is repeated.
@@ -216,7 +253,9 @@
         is_closing = True
         while is_closing:
             try:
-                connection = await self._pool.open(self.address, timeout=REACH_TIMEOUT)
+                connection = await self._pool.open(
+                    self.address, endpoint_id=self.endpoint_id
+                )
             except ExchangeError as error:
                 return isinstance(error.__cause__, ConnectionRefusedError)
             await self._clock.sleep(CLOSING_TIME)
@@ -234,6 +273,8 @@
         """Return the error for an exchange that failed."""
         if error.step is ExchangeStep.CONNECT:
             return self.lost(LossKind.UNREACHABLE, error.detail)
+        if error.is_link_lost:
+            return self.lost(LossKind.LINK, error.detail)
         kind = LossKind.RESUME_MISMATCH if error.is_garbled else LossKind.RESET
         return self.lost(kind, error.detail)
 
@@ -299,3 +340,16 @@
         is_success = 200 <= head.status < 300
         if is_success and head.header(names.PROOF) is None:
             raise self.lost(LossKind.RESUME_MISMATCH, "a success without proof")
+
+
+def _log_tunnel(connection: ClientConnection, request_id: bytes | None) -> None:
+    """Log which tunnel carries a request; both hosts log the tunnel's id."""
+    if connection.tunnel is not None:
+        log_event(
+            "tunnel",
+            "Sent a request.",
+            request=(request_id or b"").decode("latin-1"),
+            tunnel=connection.tunnel.id,
+            peer=connection.tunnel.host_id,
+            endpoint=connection.tunnel.endpoint_id,
+        )
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -89,6 +89,7 @@
     texts["platform"] = None if store is None else f"http://{store}"
     ip = values_by_key.get("ip", "")
     texts["metrics_listen"] = f"{ip}:{METRICS_PORT}" if ip else ""
+    texts["tunnel_listen"] = _pick_tunnel_address(ip, values_by_key)
     texts["grace"] = values_by_key.get("bounds.grace_s", "8") + "s"
     texts["retry_window"] = values_by_key.get("bounds.budget_window_s", "10") + "s"
     texts["apply_within"] = values_by_key.get("bounds.config_apply_ms", "2000") + "ms"
@@ -122,6 +123,12 @@
     return ",".join(picked)
 
 
+def _pick_tunnel_address(ip: str, values_by_key: Mapping[str, str]) -> str:
+    """Return the first of the ports that are free for messages between hosts."""
+    port = values_by_key.get("port_range", "").partition(",")[0].strip()
+    return f"{ip}:{port}" if ip and port else ""
+
+
 def _derive_key(values_by_key: Mapping[str, str]) -> str:
     """Derive a key that is shared by the hosts of one installation only.
 
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -98,8 +98,10 @@
         self._on_first = on_first
         self._may_fail_over = may_fail_over
         self._failover_check: asyncio.Task[None] | None = None
+        now = clock.monotonic()
         self._guard = StreamGuard(
-            quiet_since=clock.monotonic(),
+            started_at=now,
+            quiet_since=now,
             first_output_limit=first_output_limit,
             max_gap=generation.request.max_gap,
             fingerprint=generation.request.fingerprint,
--- a/passtally/retry.py
+++ b/passtally/retry.py
@@ -22,6 +22,9 @@
     REPLACED = "replaced"
     #: No connection to the endpoint could be opened.
     UNREACHABLE = "unreachable"
+    #: The link to the endpoint failed, or a host on the way, but not the endpoint,
+    #: which may go on with the request.
+    LINK = "link"
     #: The endpoint closed the connection of an answer without a length or chunked
     #: encoding: the answer may be complete or truncated.
     UNMARKED_END = "unmarked_end"
@@ -41,6 +44,10 @@
 #: Losses after which the request is known not to have run at the endpoint.
 UNRUN_KINDS = frozenset((LossKind.REFUSED, LossKind.UNREACHABLE, LossKind.REPLACED))
 
+#: Losses of which only the connection is the cause, so that an endpoint that keeps
+#: streams still has the stream.
+CONNECTION_KINDS = frozenset((LossKind.RESET, LossKind.LINK))
+
 #: Losses by a close of the connection, which may show that the endpoint has exited.
 CLOSED_KINDS = frozenset((LossKind.RESET, LossKind.UNMARKED_END))
 
@@ -99,7 +106,7 @@
     if holder is Holder.REPLICA and kind not in UNRUN_KINDS:
         return RetryDecision(step=NextStep.ATTACH, reason="a replica has its state")
     is_kept = holder is Holder.ENDPOINT and not was_attached
-    if kind is LossKind.RESET and is_kept:
+    if kind in CONNECTION_KINDS and is_kept:
         return RetryDecision(
             step=NextStep.ATTACH, reason="the endpoint may still have the stream"
         )
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -187,6 +187,12 @@
     peer_listen: Address = _setting(
         parse_address, "The address for peers.", "127.0.0.1:8081"
     )
+    tunnel_listen: Address | None = _setting(
+        parse_optional_address,
+        "The address at which other hosts that lost their links to endpoints open"
+        " connections to these through this host; empty for none.",
+        "",
+    )
     peers: dict[str, PeerAddress] = _setting(
         parse_peers, "The peers of this host, as HOST@FAILURE-DOMAIN=IP:PORT,...", ""
     )
--- a/passtally/stream_guard.py
+++ b/passtally/stream_guard.py
@@ -26,6 +26,7 @@
     avoids a clock reading for each token.
 
     Attributes:
+        started_at: When the attempt was started.
         quiet_since: Start of the current silence; restarted by output, by a probe that
             finds the endpoint alive, and by :meth:`keep_waiting`.
         first_output_limit: Returns the silence before the first output after which the
@@ -51,6 +52,7 @@
         begun_at: Time at which the endpoint began to answer; None before that.
     """
 
+    started_at: timedelta = timedelta(0)
     quiet_since: timedelta
     first_output_limit: Callable[[int], timedelta | None] = lambda tokens: None
     max_prefill_tokens: int = 0
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -10,7 +10,7 @@
 
 from standins.platform_config import ENGINE, LOOKUPS, make_config
 from tests.host_network import Cut, HostNetwork
-from tests.platform_system import Answer, PlatformSystem, run
+from tests.platform_system import Answer, PlatformSystem, expected_events, run
 
 #: Endpoints of each of the two services.
 ENDPOINTS = 4
@@ -24,6 +24,8 @@
 SERVED_TIME = 3.0
 #: Time that an answer takes where new connections are to be needed, in seconds.
 SLOW_ANSWER = 0.15
+#: Time after a caller has left in which its run must end, in seconds.
+LEAVE_TIME = 0.5
 #: Share of first tries that may fail at any host.
 FAILED_SHARE = 1 / 50
 
@@ -129,10 +131,10 @@
     run(main)
 
 
-def failed(tries: list[Try]) -> list[tuple[int, str, int]]:
-    """Return host, path and status of the tries that were not served."""
+def failed(tries: list[Try]) -> list[tuple[int, str, int, bytes]]:
+    """Return host, path, status and body of the tries that were not served."""
     return [
-        (item.host, item.path, item.answer.status)
+        (item.host, item.path, item.answer.status, item.answer.body)
         for item in tries
         if item.answer.status != 200 or not item.answer.is_whole
     ]
@@ -162,3 +164,166 @@
             cut_system.check_runs(before + tries + after)
 
         run_cut(test)
+
+
+class TestPartialCuts:
+    # Guards against a host that treats each endpoint's link apart from the others, or
+    # only all of them together.
+    @pytest.mark.parametrize("how", [Cut.SILENT, Cut.RESET])
+    def test_a_host_that_reaches_some_endpoints_serves_by_all(self, how):
+        async def test(cut_system: CutSystem) -> None:
+            await cut_system.start()
+            system = cut_system.system
+            await cut_system.load(seconds=0.6)
+            lost = [
+                runner
+                for number, runner in enumerate(system.runners.values())
+                if number % ENDPOINTS
+            ]
+            for host in system.hosts[:3]:
+                cut_system.network.cut(
+                    host.settings.host_id,
+                    how,
+                    addresses=[runner.address for runner in lost],
+                )
+            ran_before = [len(runner.ran) for runner in lost]
+            tries = await cut_system.load(seconds=NOTICE_TIME + 2)
+            counted = [item for item in tries if item.sent_at >= NOTICE_TIME]
+            assert len(failed(counted)) <= FAILED_SHARE * len(counted)
+            ran = [
+                len(runner.ran) - before
+                for runner, before in zip(lost, ran_before, strict=True)
+            ]
+            assert min(ran) > 0, "their places are used"
+            cut_system.check_runs(tries)
+
+        run_cut(test)
+
+
+class TestAllHostsCut:
+    # Guards against requests that wait for what no host can serve.
+    @pytest.mark.parametrize("how", [Cut.SILENT, Cut.RESET])
+    def test_requests_are_refused_soon_with_a_time_to_retry(self, how):
+        async def test(cut_system: CutSystem) -> None:
+            await cut_system.start()
+            cut_system.cut(len(cut_system.system.hosts), how)
+            await cut_system.load(seconds=1.5)
+            time = asyncio.get_running_loop().time
+            took = []
+            for number in range(12):
+                began_at = time()
+                host = cut_system.system.hosts[number % 4]
+                answer = await cut_system.system.send("/book/1", host=host, body=b"b")
+                took.append(time() - began_at)
+                assert answer.status == 503
+                assert 0 < float(answer.headers["retry-after"]) <= 2
+            assert sorted(took)[len(took) // 2] < 0.1, took
+            cut_system.heal()
+            after = await cut_system.load(seconds=2.5)
+            late = [item for item in after if item.sent_at >= 1.5]
+            assert failed(late) == []
+
+        run_cut(test)
+
+
+class TestRunningStreams:
+    # Guards against streams that break off with their host's links, although their
+    # endpoints go on and other hosts reach these.
+    @pytest.mark.parametrize("how", [Cut.SILENT, Cut.RESET])
+    def test_they_go_on_through_another_host(self, how):
+        async def test(cut_system: CutSystem) -> None:
+            await cut_system.start()
+            system = cut_system.system
+            for runner in system.runners.values():
+                runner.events, runner.gap = 60, 0.03
+            host = system.hosts[0]
+            streams = [asyncio.create_task(system.stream(host=host)) for _ in range(6)]
+            await asyncio.sleep(0.6)
+            cut_system.network.cut(host.settings.host_id, how)
+            answers = await asyncio.gather(*streams)
+            assert [answer.body for answer in answers] == [expected_events(60)] * 6
+            assert all(answer.is_whole for answer in answers)
+
+        run_cut(test)
+
+    # Guards against an endpoint that goes on for a caller who has left.
+    def test_a_caller_that_leaves_ends_the_run_behind_the_other_host(self):
+        async def test(cut_system: CutSystem) -> None:
+            await cut_system.start()
+            system = cut_system.system
+            for runner in system.runners.values():
+                runner.events, runner.gap = 500, 0.03
+            cut_system.cut(1, Cut.RESET)
+            stream = asyncio.create_task(system.stream(host=system.hosts[0]))
+            runners = system.runners.values()
+            while not any(runner.working for runner in runners):
+                await asyncio.sleep(0.01)
+            stream.cancel()
+            async with asyncio.timeout(LEAVE_TIME):
+                while any(runner.working for runner in runners):
+                    await asyncio.sleep(0.01)
+
+        run_cut(test)
+
+
+class TestInnocentEndpoints:
+    # Guards against cut hosts that tell the others that sound endpoints are dead.
+    def test_other_hosts_are_not_told_that_they_are_lost(self):
+        async def test(cut_system: CutSystem) -> None:
+            await cut_system.start()
+            await cut_system.load(seconds=0.6)
+            cut_system.cut(3, Cut.SILENT)
+            await cut_system.load(seconds=2)
+            fleet = cut_system.system.hosts[3].fleet
+            ejected = [
+                name
+                for name in cut_system.system.runners
+                if fleet.find(name).ejected_until is not None
+            ]
+            assert ejected == []
+
+        run_cut(test)
+
+
+class TestLossOfTheOtherHost:
+    # Guards against answers that are lost or doubled when a host ends that reaches the
+    # endpoints for others.
+    def test_a_stream_goes_on_and_a_call_runs_once(self):
+        async def test(cut_system: CutSystem) -> None:
+            await cut_system.start(hosts=3)
+            system = cut_system.system
+            for runner in system.runners.values():
+                runner.events, runner.gap = 60, 0.03
+            cut_system.cut(1, Cut.RESET)
+            host, *others = system.hosts
+            streams = [asyncio.create_task(system.stream(host=host)) for _ in range(6)]
+            await asyncio.sleep(0.7)
+            first = max(others, key=lambda other: other.servers.tunnels.count)
+            assert first.servers.tunnels.count
+            first.servers.tunnels.stop()
+            answers = await asyncio.gather(*streams)
+            assert [answer.body for answer in answers] == [expected_events(60)] * 6
+
+        run_cut(test)
+
+    def test_a_planned_stop_breaks_nothing_off(self):
+        async def test(cut_system: CutSystem) -> None:
+            await cut_system.start(hosts=3)
+            system = cut_system.system
+            for runner in system.runners.values():
+                runner.events, runner.gap = 30, 0.03
+            cut_system.cut(1, Cut.RESET)
+            host, *others = system.hosts
+            streams = [asyncio.create_task(system.stream(host=host)) for _ in range(6)]
+            await asyncio.sleep(0.3)
+            stopping = max(others, key=lambda other: other.servers.tunnels.count)
+            leaving = asyncio.create_task(stopping.leave())
+            ran = sum(runner.prompts_read for runner in system.runners.values())
+            answers = await asyncio.gather(*streams)
+            assert [answer.body for answer in answers] == [expected_events(30)] * 6
+            assert ran == sum(
+                runner.prompts_read for runner in system.runners.values()
+            ), "no stream had to go on elsewhere"
+            await leaving
+
+        run_cut(test)
--- a/tests/test_settings_changes.py
+++ b/tests/test_settings_changes.py
@@ -553,9 +553,13 @@
             (before,) = host.settings.resume_keys.values()
             keys = {"platform": b"a-key-that-is-told-later"}
             host.reload(attrs.evolve(host.settings, resume_keys=keys))
-            assert before in host.peers._keys
-            assert await until(lambda: before not in host.peers._keys)
-            assert host.peers._keys == host.peers._signing_keys == list(keys.values())
+            assert before in host.peers.signer.accepted_keys
+            assert await until(lambda: before not in host.peers.signer.accepted_keys)
+            assert (
+                host.peers.signer.accepted_keys
+                == host.peers.signer.signing_keys
+                == list(keys.values())
+            )
 
         run(test)
 
