--- a/standins/runner.py
+++ b/standins/runner.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+from contextlib import asynccontextmanager
 from typing import Any
 
 import attrs
@@ -47,6 +48,10 @@
         leaving: Server-Leaving header of responses, or None.
         rest: Retry-After header of rejections, in seconds, or None. While it is
             set, every request is rejected.
+        slots: Number of requests that run at a time, or None for any number.
+        queue: Number of further requests that wait; others are rejected.
+        brittle: Server-Brittle header of responses, or None. An endpoint with a number
+            there that rejects more requests in a second crashes.
     """
 
     refusals: int = 0
@@ -74,6 +79,9 @@
     limit: str | None = None
     leaving: str | None = None
     rest: str | None = None
+    slots: int | None = None
+    queue: int = 0
+    brittle: str | None = None
 
 
 class RunnerStandIn:
@@ -115,6 +123,10 @@
         #: Number of requests in progress, and number of report requests received.
         self.working = 0
         self.reports = 0
+        self._running = 0
+        self._slot_freed = asyncio.Condition()
+        #: Times of the rejections in the last second, by the event loop's clock.
+        self._rejected_at: list[float] = []
         self.address = ""
         self.is_crashed = False
         #: Body of the request that crashed it, if one did.
@@ -194,18 +206,49 @@
         if self.faults.refusals or self.faults.rest is not None:
             self.faults.refusals = max(self.faults.refusals - 1, 0)
             return self._reject()
+        slots = self.faults.slots
+        if slots is not None and self.working >= slots + self.faults.queue:
+            return self._reject_for_lack_of_room()
         self.working += 1
         try:
-            await asyncio.sleep(self.faults.head_delay)
-            is_stream = "X-Prefix-Hash" in request.headers
-            if self.is_fatal(body):
-                return await self._run_fatal(request, is_stream=is_stream)
-            if is_stream:
-                return await self._stream(request)
-            return await self._call(request)
+            async with self._slot():
+                return await self._run(request, body)
         finally:
             self.working -= 1
 
+    async def _run(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        await asyncio.sleep(self.faults.head_delay)
+        is_stream = "X-Prefix-Hash" in request.headers
+        if self.is_fatal(body):
+            return await self._run_fatal(request, is_stream=is_stream)
+        if is_stream:
+            return await self._stream(request)
+        return await self._call(request)
+
+    @asynccontextmanager
+    async def _slot(self) -> AsyncIterator[None]:
+        """Wait for a slot, and hold it."""
+        async with self._slot_freed:
+            await self._slot_freed.wait_for(
+                lambda: self.faults.slots is None or self._running < self.faults.slots
+            )
+            self._running += 1
+        try:
+            yield
+        finally:
+            self._running -= 1
+            async with self._slot_freed:
+                self._slot_freed.notify()
+
+    def _reject_for_lack_of_room(self) -> web.Response:
+        """Reject a request; a brittle endpoint crashes after too many in a second."""
+        now = asyncio.get_running_loop().time()
+        self._rejected_at = [at for at in self._rejected_at if at > now - 1] + [now]
+        borne = self.faults.brittle or ""
+        if borne.isdigit() and len(self._rejected_at) > int(borne):
+            self.crash()
+        return self._reject()
+
     def _reject(self) -> web.Response:
         headers = {"X-Not-Executed": "1"} | self._directives()
         if self.faults.rest is not None:
@@ -217,6 +260,7 @@
         directives = {
             "Server-Limit": self.faults.limit,
             "Server-Leaving": self.faults.leaving,
+            "Server-Brittle": self.faults.brittle,
         }
         return {name: value for name, value in directives.items() if value is not None}
 
