Hosts together keep brittle endpoints from rejecting what makes them fall over

What callers saw (LIMIT): three hosts, asked for 2.5 times what four brittle endpoints can serve, made these fall 4, 4 and 8 times in 6 s (calls that may be repeated, others, streams), where 2 falls are allowed.

Cause: nobody read Server-Brittle, and how full an endpoint may be made is a sum over all hosts, which each host counted alone. The class is that of named limits, with places in place of a rate.

Change: brittle_endpoints limits the open requests of a host at an endpoint that states that it is brittle: at first to its share of the places; a rejection heard by one host goes to all with the loads, and each keeps to what it has open then, less one; after a quiet time hosts raise their limits by turns. A start that has not answered is treated like the others of its service. What does not fit is refused at the hosts at once.

Why it works: after a rejection the open requests of all hosts are what the endpoint has room for, less one each, so the next arrival only takes the place of one that ended; raises are spaced so that few can be refused before all know.

--- a/passtally/endpoint_directives.py
+++ b/passtally/endpoint_directives.py
@@ -20,11 +20,12 @@
 
 
 class Directive(StrEnum):
-    """The kinds of directives: departure, request limit and Retry-After."""
+    """The kinds of directives: departure, request limit, Retry-After, brittleness."""
 
     LEAVING = "leaving"
     LIMIT = "limit"
     RETRY_AFTER = "rest"
+    BRITTLE = "brittle"
 
 
 @attrs.frozen(kw_only=True)
@@ -37,6 +38,9 @@
         limit: The requests per second that it accepts from all hosts; None for no
             limit.
         backoff: The back-off that it requests from this host; None for none.
+        borne: The rejections in a second that it bears before it falls over; None if
+            it does not state that it is brittle.
+        is_rejection: Whether the answer rejects the request for want of room.
         invalid_by_directive: The text of each directive that can't be parsed; such a
             directive is logged and otherwise ignored.
         unknown_headers: The platform's headers that this version does not know.
@@ -45,6 +49,8 @@
     is_leaving: bool = False
     limit: float | None = None
     backoff: timedelta | None = None
+    borne: int | None = None
+    is_rejection: bool = False
     invalid_by_directive: Mapping[Directive, str] = attrs.field(factory=dict)
     unknown_headers: Sequence[str] = ()
 
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -1,11 +1,12 @@
 """The live endpoints of all services, and the state that they share."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 import attrs
 
+from passtally.brittle_endpoints import BrittleEndpoints
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.departures import Departures
@@ -23,7 +24,7 @@
     WATCH_INTERVAL,
     LiveEndpoint,
 )
-from passtally.messages import TokenLoad
+from passtally.messages import BrittleRow, TokenLoad
 from passtally.objects import Endpoint, EndpointStart, EndpointState, can_serve
 from passtally.request_limits import RequestLimits
 from passtally.routing import EndpointView
@@ -83,6 +84,7 @@
             to reach says nothing about an endpoint.
         limits: The request limits that endpoints set; None to start without any.
         backoffs: The back-offs that endpoints request; None to start without any.
+        brittle: The limits at brittle endpoints; None to start without any.
     """
 
     def __init__(
@@ -103,8 +105,10 @@
         is_cut_off: Callable[[], bool] = lambda: False,
         limits: RequestLimits | None = None,
         backoffs: EndpointBackoffs | None = None,
+        brittle: BrittleEndpoints | None = None,
     ) -> None:
         self.limits = limits or RequestLimits()
+        self.brittle = brittle or BrittleEndpoints()
         self._invalid_directives = InvalidDirectiveLog()
         self._backoffs = backoffs or EndpointBackoffs()
         self.versions = versions or AllVersions()
@@ -215,15 +219,50 @@
             )
         ):
             self.load_changed.set()
+        if Directive.BRITTLE not in directives.invalid_by_directive:
+            self._record_brittle(start, directives, sent_at=sent_at, now=now)
+
+    def _record_brittle(
+        self,
+        start: EndpointStart,
+        directives: EndpointDirectives,
+        *,
+        sent_at: timedelta,
+        now: timedelta,
+    ) -> None:
+        live = self.find(start.endpoint_id)
+        if live is not None and self.brittle.record_answer(
+            start,
+            directives.borne,
+            is_rejected=directives.is_rejection,
+            open_requests=live.own_streams,
+            places=live.endpoint.max_streams,
+            sent_at=sent_at,
+            now=now,
+        ):
+            self.load_changed.set()
+
+    def merge_brittle(self, rows: Sequence[BrittleRow]) -> None:
+        """Apply what another host knows of brittle endpoints, and send news on."""
+        now = self._clock.monotonic()
+        if self.brittle.merge(rows, count_open=self._count_own, now=now):
+            self.load_changed.set()
+
+    def _count_own(self, endpoint_id: str) -> int:
+        live = self.find(endpoint_id)
+        return 0 if live is None else live.own_streams
 
     def try_send(self, live: LiveEndpoint) -> bool:
         """Reserve a request at an endpoint, and return whether it accepts one now.
 
-        Both its back-off and its request limit must allow the request.
+        Its back-off, its request limit and, if it is brittle, the limit on this host's
+        open requests must allow the request.
         """
         start, now = live.endpoint.start, self._clock.monotonic()
         if not self._backoffs.may_send(start, now=now):
             return False
+        if not self.brittle.acquire(start, open_requests=live.own_streams, now=now):
+            return False
         return self.limits.acquire(start, now=now) and self._backoffs.acquire(
             start, now=now
         )
@@ -455,6 +494,7 @@
         if service is None:
             return []
         is_eligible = self.versions.accepts_trials if is_trial else self.versions.allows
+        self._assume_brittle(service_id)
         placed = (
             endpoint
             for endpoint in self._catalog.endpoints_of(service_id)
@@ -462,6 +502,25 @@
         )
         return [self.view(endpoint.id) for endpoint in placed]
 
+    def _assume_brittle(self, service_id: str) -> None:
+        """Treat endpoints that have not answered like the brittle ones beside them."""
+        now = self._clock.monotonic()
+        endpoints = self._catalog.endpoints_of(service_id)
+        brittle = next(
+            (
+                endpoint.start
+                for endpoint in endpoints
+                if self.brittle.is_brittle(endpoint.start, now=now)
+            ),
+            None,
+        )
+        if brittle is None:
+            return
+        for endpoint in endpoints:
+            self.brittle.assume(
+                endpoint.start, places=endpoint.max_streams, like=brittle, now=now
+            )
+
     def view(self, endpoint_id: str) -> EndpointView:
         """Return the routing view of an endpoint that :meth:`find` knows."""
         live = self.find(endpoint_id)
@@ -469,7 +528,8 @@
         return live.view(
             is_unstable=self._is_unstable(live.endpoint.failure_domain),
             accepts_requests=self._backoffs.may_send(start, now=now)
-            and self.limits.has_capacity(start, now=now),
+            and self.limits.has_capacity(start, now=now)
+            and self.brittle.may_send(start, open_requests=live.own_streams, now=now),
         )
 
     def service_capacity(self, service_id: str) -> "Capacity":
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -12,6 +12,7 @@
 import attrs
 
 from passtally.adapter import Adapter
+from passtally.brittle_endpoints import BrittleEndpoints
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool, PoolFetcher
 from passtally.crash_guard import CrashGuard
@@ -261,6 +262,7 @@
         self.fleet = Fleet(
             limits=RequestLimits(count_hosts=sharers.count, rank=sharers.rank),
             backoffs=EndpointBackoffs(count_hosts=sharers.count, rank=sharers.rank),
+            brittle=BrittleEndpoints(count_hosts=sharers.count, rank=sharers.rank),
             versions=self.rollouts,
             is_cut_off=lambda: self.dialer.links.is_cut_off,
             departures=self.departures,
@@ -609,6 +611,8 @@
         self.metrics.gauge(Metric.CONFIG_BEHIND, round(behind.total_seconds() * 1000))
         self.metrics.gauge(Metric.QUARANTINED, len(self.guard.list_quarantined()))
         self.metrics.gauge(Metric.LINKS_DOWN, len(self.dialer.links.list_down()))
+        now = self.clock.monotonic()
+        self.metrics.gauge(Metric.BRITTLE, self.fleet.brittle.count(now=now))
         self.metrics.gauge(Metric.TUNNELS, self.tunnels.count)
         self.metrics.gauge(Metric.TUNNELS_SERVED, self.servers.tunnels.count)
         self.metrics.gauge(Metric.PEER_BYTES, self.peers.bytes_sent)
--- a/passtally/load_exchange.py
+++ b/passtally/load_exchange.py
@@ -128,6 +128,7 @@
         self._on_lost = on_lost
         self._sent_loads: Mapping[str, TokenLoad] = {}
         self._sent_rates: Mapping[tuple[str, int], float | None] = {}
+        self._sent_brittle_revision = 0
         self._sent_at = timedelta(0)
         #: The hosts that have received the current loads.
         self._up_to_date_ids: set[str] = set()
@@ -163,9 +164,18 @@
         now = self._clock.monotonic()
         limits = self._fleet.limits.rows(now=now)
         rates = {(row.endpoint_id, row.incarnation): row.rate for row in limits}
-        is_due = bool(loads or rates) and now - self._sent_at > RESEND_INTERVAL
-        if loads != self._sent_loads or rates != self._sent_rates or lost or is_due:
+        brittle = self._fleet.brittle
+        brittle_rows = brittle.rows(now=now)
+        is_changed = (
+            loads != self._sent_loads
+            or rates != self._sent_rates
+            or brittle.revision != self._sent_brittle_revision
+        )
+        is_resend_due = now - self._sent_at > RESEND_INTERVAL
+        is_due = bool(loads or rates or brittle_rows) and is_resend_due
+        if is_changed or lost or is_due:
             self._sent_loads, self._sent_rates, self._sent_at = loads, rates, now
+            self._sent_brittle_revision = brittle.revision
             self._up_to_date_ids.clear()
         missing = [
             host_id for host_id in host_ids if host_id not in self._up_to_date_ids
@@ -178,6 +188,7 @@
                 lost_incarnations=[start.incarnation for start in lost],
                 is_first=self._is_first,
                 limits=limits,
+                brittle=brittle_rows,
             )
             reached = await self._peers.send_message(missing, message)
             self._up_to_date_ids |= reached
@@ -188,6 +199,7 @@
         self._load_table.update(message.host_id, message.loads_by_endpoint, now=now)
         if self._fleet.limits.merge(message.limits, now=now):
             self._fleet.load_changed.set()
+        self._fleet.merge_brittle(message.brittle)
         if message.is_first:
             self._up_to_date_ids.discard(message.host_id)
         for start in message.lost_starts():
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -235,6 +235,27 @@
     age_ms: int
 
 
+class BrittleRow(msgspec.Struct, array_like=True, frozen=True):
+    """A brittle endpoint; see :mod:`passtally.brittle_endpoints`.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: The endpoint's start.
+        borne: The rejections in a second that it bears; None if it is sound again.
+        age_ms: The time since an answer stated this, in milliseconds.
+        places: The number of requests that it runs at a time.
+        rejected_ago_ms: The time since it last rejected a request, in milliseconds;
+            None if no rejection is known.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    borne: int | None
+    age_ms: int
+    places: int
+    rejected_ago_ms: int | None
+
+
 class HostNews(msgspec.Struct, tag="host_news", array_like=True):
     """The endpoint loads of one host, and the endpoints that it lost.
 
@@ -247,6 +268,7 @@
             other hosts yet.
         lost_incarnations: The starts of the lost endpoints, in the same order.
         limits: The request limits of endpoints that the host knows.
+        brittle: The brittle endpoints that the host knows.
     """
 
     host_id: str
@@ -255,6 +277,7 @@
     is_first: bool = False
     lost_incarnations: list[int] = []
     limits: list[LimitRow] = []
+    brittle: list[BrittleRow] = []
 
     def lost_starts(self) -> list[EndpointStart]:
         """Return the starts of the endpoints that the host found dead.
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -47,6 +47,12 @@
         "1 while the host receives no changes from the platform.",
     )
     PEER_BYTES = "peer_bytes", "gauge", "bytes", "Bytes sent to peers since the start."
+    BRITTLE = (
+        "brittle",
+        "gauge",
+        "1",
+        "Endpoints that state that they fall over if they reject too many requests.",
+    )
     LINKS_DOWN = (
         "links_down",
         "gauge",
--- a/passtally/platform/answer_directives.py
+++ b/passtally/platform/answer_directives.py
@@ -10,6 +10,9 @@
 from passtally.http_client import ResponseHead
 from passtally.platform import names
 
+#: Maximum length of a number of rejections.
+MAX_BRITTLE_DIGITS = 9
+
 T = TypeVar("T")
 
 
@@ -42,6 +45,10 @@
             head, Directive.LIMIT, names.LIMIT, decode_limit, invalid_by_directive
         ),
         backoff=_read_backoff(head, invalid_by_directive),
+        borne=_read(
+            head, Directive.BRITTLE, names.BRITTLE, decode_brittle, invalid_by_directive
+        ),
+        is_rejection=head.status == 503 and head.header(names.NOT_RUN) is not None,
         invalid_by_directive=invalid_by_directive,
         unknown_headers=tuple(_find_unknown(head)),
     )
@@ -59,6 +66,18 @@
     return rate
 
 
+def decode_brittle(text: bytes) -> int:
+    """Decode the number of rejections in a second that an endpoint bears.
+
+    Raises:
+        ValueError: The text is not a whole number from 0 on.
+    """
+    digits = text.strip()
+    if not digits.isdigit() or len(digits) > MAX_BRITTLE_DIGITS:
+        raise ValueError("not within range")
+    return int(digits)
+
+
 def decode_leaving(text: bytes) -> bool:
     """Decode the mark of an endpoint that is leaving; return True.
 
--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -24,6 +24,9 @@
 LIMIT = b"server-limit"
 #: Response header: 1 if the endpoint is leaving, otherwise absent.
 LEAVING = b"server-leaving"
+#: Response header: the endpoint falls over if it has to reject more requests than this
+#: in a second for want of room.
+BRITTLE = b"server-brittle"
 #: Response header with status 503: the back-off in seconds that the endpoint asks of
 #: the host whose request it rejected.
 RETRY_AFTER = b"retry-after"
@@ -53,7 +56,17 @@
 
 #: Platform headers that are known in answers of endpoints; any other is logged.
 ENDPOINT_HEADERS = frozenset(
-    (REQUEST_ID, PROOF, NOT_RUN, ANSWERED_BY, LIMIT, LEAVING, RETRY_AFTER, WEIGHTS)
+    (
+        REQUEST_ID,
+        PROOF,
+        NOT_RUN,
+        ANSWERED_BY,
+        LIMIT,
+        LEAVING,
+        BRITTLE,
+        RETRY_AFTER,
+        WEIGHTS,
+    )
 )
 #: Prefixes of the names of the platform's headers.
 PLATFORM_PREFIXES = (b"x-", b"server-", b"kv-")
--- a/passtally/tunnel.py
+++ b/passtally/tunnel.py
@@ -130,6 +130,7 @@
     except OSError as error:
         raise TunnelRefusedError(None, peer=info.host_id, detail=str(error)) from error
     except asyncio.CancelledError:
+        opened.cancel()
         if connection is not None:
             connection.abort()
         raise
