A check whether an endpoint has exited ends after 20 closed connections

Cause: the check had no end. Class: a repetition bounded by what a peer does.

Evidence: the log of request t167-3 ends with its route; no other line, and the task waits in the check. With a bound of 20 checks (200 ms) the endpoint counts as not known to have exited.

--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -26,6 +26,9 @@
 
 #: Time in which an exiting process closes its connections.
 CLOSING_TIME = timedelta(milliseconds=10)
+#: Maximum number of checks whether an endpoint that closes connections at once has
+#: exited. Another process may listen at its address and close them for good.
+MAX_CLOSING_CHECKS = 20
 #: Time limit sent to the endpoint if the caller gave none.
 DEFAULT_TIME_LEFT = timedelta(seconds=30)
 #: Maximum size of an answer to :meth:`RunnerLink.call_interface`, in bytes.
@@ -250,8 +253,7 @@
         may still accept connections. If a new connection is closed at once, the check
         is repeated.
         """
-        is_closing = True
-        while is_closing:
+        for _ in range(MAX_CLOSING_CHECKS):
             try:
                 connection = await self._pool.open(
                     self.address, endpoint_id=self.endpoint_id
@@ -261,6 +263,8 @@
             await self._clock.sleep(CLOSING_TIME)
             is_closing = connection.is_closed
             connection.abort()
+            if not is_closing:
+                return False
         return False
 
     def lost(self, kind: LossKind, detail: str) -> AttemptLostError:
