Seeded cuts beside crashes and stops, and tunnels of the own interface, as tests

Four seeds: hosts lose links to some or all endpoints in three ways, which flap and overlap, while endpoints crash and a host stops as planned. Answers that look whole are whole, what was refused has not run, calls run once, and all is served within 2 s of the end.

--- a/tests/host_network.py
+++ b/tests/host_network.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self._endpoint_ports: set[int] = set()
+        self._crashed_ports: set[int] = set()
         self._links: dict[tuple[str, int], FaultyLink] = {}
         self._starting: dict[tuple[str, int], asyncio.Task[int]] = {}
         self._cuts: dict[tuple[str, int], Cut] = {}
@@ -52,6 +53,10 @@
         """Route connections to an address over links from now on."""
         self._endpoint_ports.add(int(address.rpartition(":")[2]))
 
+    def crash_endpoint(self, address: str) -> None:
+        """Refuse all hosts' connections to an endpoint that has crashed."""
+        self._crashed_ports.add(int(address.rpartition(":")[2]))
+
     def cut(
         self, host_id: str, how: Cut, *, addresses: list[str] | None = None
     ) -> None:
@@ -95,6 +100,8 @@
         if port not in self._endpoint_ports or not _current_host.get():
             return await self._connect_directly(factory, host, port, **args)
         key = (_current_host.get(), port)
+        if port in self._crashed_ports:
+            raise ConnectionRefusedError("the endpoint has crashed")
         match self._cuts.get(key):
             case Cut.SILENT:
                 await asyncio.sleep(3600)
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -24,6 +25,8 @@
 SERVED_TIME = 3.0
 #: Time that an answer takes where new connections are to be needed, in seconds.
 SLOW_ANSWER = 0.15
+#: Length of a seeded run of cuts, in seconds.
+CUTS_SECONDS = 5.0
 #: Time after a caller has left in which its run must end, in seconds.
 LEAVE_TIME = 0.5
 #: Share of first tries that may fail at any host.
@@ -98,6 +101,11 @@
             )
         )
 
+    def run_ids(self) -> set[str]:
+        """Return the ids of the requests that ran at any endpoint."""
+        runners = self.system.runners.values()
+        return {name for runner in runners for name in runner.ran}
+
     def check_runs(self, tries: list[Try]) -> None:
         """Check that no call ran twice that may run at most once."""
         runners = self.system.runners.values()
@@ -327,3 +335,62 @@
             await leaving
 
         run_cut(test)
+
+
+class TestSeededCuts:
+    # Guards against what single cuts don't show: cuts that overlap and flap, beside
+    # endpoints that crash and hosts that stop.
+    @pytest.mark.parametrize("seed", range(4))
+    def test_answers_are_whole_and_calls_run_once(self, seed):
+        async def test(cut_system: CutSystem) -> None:
+            await cut_system.start()
+            system = cut_system.system
+            rng = random.Random(f"cuts of {seed}")
+            loading = asyncio.create_task(cut_system.load(seconds=CUTS_SECONDS))
+            stopped = rng.choice(system.hosts[1:])
+            stop_at = rng.uniform(1, CUTS_SECONDS - 2)
+            began_at = asyncio.get_running_loop().time()
+            leaving: asyncio.Task[None] | None = None
+            while not loading.done():
+                elapsed = asyncio.get_running_loop().time() - began_at
+                if leaving is None and elapsed > stop_at:
+                    leaving = asyncio.create_task(stopped.leave())
+                await _disturb(cut_system, rng)
+            tries = await loading
+            for item in tries:
+                if item.path == PATHS[0] and item.answer.status == 200:
+                    whole = item.answer.body == expected_events(20)
+                    assert whole or not item.answer.is_whole, item.answer
+                if item.answer.status == 503:
+                    assert item.id not in cut_system.run_ids(), item
+            cut_system.check_runs(tries)
+            cut_system.heal()
+            await leaving
+            system.hosts.remove(stopped)
+            after = await cut_system.load(seconds=2.6)
+            late = [item for item in after if item.sent_at >= 2.0]
+            assert failed(late) == []
+            await stopped.stop()
+
+        run_cut(test)
+
+
+async def _disturb(cut_system: CutSystem, rng: random.Random) -> None:
+    """Cut or heal a host's links to some or all endpoints, or crash an endpoint."""
+    system = cut_system.system
+    host_id = rng.choice(system.hosts).settings.host_id
+    draw = rng.random()
+    if draw < 0.5:
+        addresses = [runner.address for runner in system.runners.values()]
+        chosen = rng.sample(addresses, rng.randint(1, len(addresses)))
+        cut_system.network.cut(host_id, rng.choice(list(Cut)), addresses=chosen)
+    elif draw < 0.9:
+        cut_system.network.heal(host_id)
+    elif sum(not runner.is_crashed for runner in system.runners.values()) > ENDPOINTS:
+        # One of each service stays.
+        numbered = list(enumerate(system.runners.values()))
+        alive = [item for n, item in numbered if n % ENDPOINTS and not item.is_crashed]
+        crashed = rng.choice(alive)
+        cut_system.network.crash_endpoint(crashed.address)
+        crashed.crash()
+    await asyncio.sleep(rng.uniform(0.05, 0.6))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+import aiohttp
 import attrs
 import pytest
 from hypothesis import given
@@ -15,14 +16,22 @@
 
 from passtally.clock import ManualClock, SystemClock
 from passtally.drain import Drain
+from passtally.endpoint_connector import EndpointConnector
+from passtally.endpoint_dialer import EndpointDialer
 from passtally.http_client import ClientConnection, ExchangeError
 from passtally.link_table import FIRST_RETRY, MAX_RETRY, STABLE_TIME, LinkTable
 from passtally.member_table import MemberState
 from passtally.message_signing import MessageSigner
 from passtally.messages import MemberRow
 from passtally.metrics import NoMetrics
+from passtally.plain_handler import open_session
 from passtally.settings import Address
-from passtally.tunnel import TunnelInfo, TunnelRefusedError, open_tunnel
+from passtally.tunnel import (
+    Connected,
+    TunnelInfo,
+    TunnelRefusedError,
+    open_tunnel,
+)
 from passtally.tunnel_frames import (
     MAX_FRAME_BYTES,
     FrameDecoder,
@@ -121,17 +130,25 @@
         self.server.stop()
         self._endpoint.close()
 
-    async def open(self, **fields: str) -> ClientConnection:
-        names = {"id": "t-1", "host_id": "far", "endpoint_id": "e"} | fields
-        _, connection = await open_tunnel(
-            self.address,
-            TunnelInfo(**names),
-            lambda: ClientConnection(clock=SystemClock()),
-            own_id="near",
-            signer=SIGNER,
+    async def connect(self, **fields: str) -> ClientConnection:
+        _, connection = await self._open(
+            lambda: ClientConnection(clock=SystemClock()), **fields
         )
         return connection
 
+    async def open(self, endpoint_id: str, factory) -> Connected:
+        """Open a tunnel as :class:`passtally.endpoint_dialer.Tunnels` does."""
+        try:
+            return await self._open(factory)
+        except TunnelRefusedError as error:
+            raise NoTunnelError(endpoint_id, asked=1, is_confirmed=True) from error
+
+    async def _open(self, factory, **fields: str) -> Connected:
+        names = {"id": "t-1", "host_id": "far", "endpoint_id": "e"} | fields
+        return await open_tunnel(
+            self.address, TunnelInfo(**names), factory, own_id="near", signer=SIGNER
+        )
+
     async def _connect(self, endpoint_id: str, factory) -> asyncio.Protocol:
         if self.connect_error is not None:
             raise self.connect_error
@@ -179,7 +196,7 @@
             writer.close()
 
         async def test(far: Far) -> None:
-            connection = await far.open()
+            connection = await far.connect()
             head = await connection.send(*REQUEST)
             assert not head.is_framed
             assert await connection.read_all(100) == b"part"
@@ -196,7 +213,7 @@
             writer.transport.abort()
 
         async def test(far: Far) -> None:
-            connection = await far.open()
+            connection = await far.connect()
             await connection.send(*REQUEST)
             with pytest.raises(ExchangeError) as caught:
                 await connection.read_all(100)
@@ -208,7 +225,7 @@
     # against a truncated answer that looks complete.
     def test_the_loss_of_the_other_host_is_told_from_that_of_the_endpoint(self):
         async def test(far: Far) -> None:
-            connection = await far.open()
+            connection = await far.connect()
             await connection.send(*REQUEST)
             assert await connection.read() == b"part"
             far.server.stop()
@@ -220,7 +237,7 @@
 
     def test_a_caller_that_leaves_closes_the_connection_to_the_endpoint(self):
         async def test(far: Far) -> None:
-            connection = await far.open()
+            connection = await far.connect()
             await connection.send(*REQUEST)
             connection.abort()
             await asyncio.wait_for(far.closed_by_peer.wait(), SOON)
@@ -243,7 +260,7 @@
                 sent["bytes"] += 1 << 16
 
         async def test(far: Far) -> None:
-            connection = await far.open()
+            connection = await far.connect()
             await connection.send(*REQUEST)
             await asyncio.sleep(0.5)
             held_up_at = sent["bytes"]
@@ -257,6 +274,33 @@
         run_far(test, answer_long)
 
 
+class TestOwnInterface:
+    # Guards against requests of one interface that have no other way to an endpoint.
+    def test_its_client_sessions_use_tunnels_for_endpoints(self):
+        async def answer(writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+        async def test(far: Far) -> None:
+            with socket.socket() as unused:
+                unused.bind(("127.0.0.1", 0))
+                port = unused.getsockname()[1]
+                dialer = EndpointDialer(clock=SystemClock(), tunnels=far)
+                connector = EndpointConnector(
+                    dialer=dialer,
+                    find_endpoint_id=lambda address: (
+                        "e" if address.port == port else None
+                    ),
+                )
+                async with open_session(connector) as session:
+                    async with session.get(f"http://127.0.0.1:{port}/") as response:
+                        assert await response.read() == b"ok"
+                    far.connect_error = ConnectionRefusedError()
+                    with pytest.raises(aiohttp.ClientConnectorError):
+                        await session.get(f"http://127.0.0.1:{port}/")
+
+        run_far(test, answer)
+
+
 class TestRefusals:
     @pytest.mark.parametrize(
         ("error", "reason"),
@@ -270,18 +314,18 @@
         async def test(far: Far) -> None:
             far.connect_error = error
             with pytest.raises(TunnelRefusedError) as caught:
-                await far.open()
+                await far.connect()
             assert caught.value.reason is reason
 
         run_far(test, answer_nothing)
 
     def test_a_stopping_host_opens_no_tunnel_and_waits_for_the_open_ones(self):
         async def test(far: Far) -> None:
-            connection = await far.open()
+            connection = await far.connect()
             stopping = asyncio.create_task(far.drain.stop(balancer_lag=timedelta(0)))
             await asyncio.sleep(0.05)
             with pytest.raises(TunnelRefusedError) as caught:
-                await far.open(id="t-2")
+                await far.connect(id="t-2")
             assert caught.value.reason is TunnelRefusal.STOPPING
             assert not stopping.done()
             connection.abort()
@@ -312,7 +356,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
         async def test(far: Far) -> None:
-            connection = await far.open()
+            connection = await far.connect()
             sending = asyncio.create_task(connection.send(*REQUEST))
             await asyncio.sleep(0.05)
             far.server.close_idle()
