--- a/soak/network.py
+++ b/soak/network.py
@@ -14,7 +14,15 @@
 FRONT_PORTS = (FRONT_PORT, 8741, 8742)
 CONTROL_PORTS = (CONTROL_PORT, 8746, 8747)
 READY_PORTS = (READY_PORT, 8743)
-HOST_PORTS = (*FRONT_PORTS, *CONTROL_PORTS, *READY_PORTS, METRICS_PORT)
+#: Port at which a host opens connections to endpoints for the others.
+TUNNEL_PORT = 8752
+HOST_PORTS = (
+    *FRONT_PORTS,
+    *CONTROL_PORTS,
+    *READY_PORTS,
+    METRICS_PORT,
+    TUNNEL_PORT,
+)
 #: Port that a run keeps bound at the first address of its network, to claim it.
 CLAIM_PORT = 8739
 #: Second and third octets of the networks for runs, 127.X.Y.0/24.
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,7 +16,13 @@
 from soak.evidence import Evidence, now
 from soak.host import HostProcess
 from soak.link import FaultyLink
-from soak.network import CONTROL_PORT, FRONT_PORT, READY_PORT, LoopbackNetwork
+from soak.network import (
+    CONTROL_PORT,
+    FRONT_PORT,
+    READY_PORT,
+    TUNNEL_PORT,
+    LoopbackNetwork,
+)
 from standins.object_store import ObjectStoreStandIn, StoreCopy
 from standins.platform_config import ENGINE, LOOKUPS, make_config
 from standins.runner import RunnerStandIn
@@ -51,6 +57,7 @@
 listen.front={ip}:{front}
 listen.ready={ip}:{ready}
 listen.control={ip}:{control}
+port_range={tunnels},{tunnels}
 seeds={seeds}
 bounds.grace_s={grace}
 bounds.retry_budget_ratio=0.8
@@ -291,6 +298,7 @@
             front=FRONT_PORT,
             ready=READY_PORT,
             control=CONTROL_PORT,
+            tunnels=TUNNEL_PORT,
             seeds=seeds,
             grace=GRACE_SECONDS,
             store=await link.start(),
