A host counts as cut off only if no link is up, after trying other endpoints

What callers saw, in tests: fatal requests crashed 4 to 8 endpoints before they were refused (3 are allowed), and a common request got 503 (test_common_requests).

Cause: two crashed endpoints and no data since made a host doubt its own links, so the crashes were not recorded. A host that has just started knows no other link. Class: the absence of a contact is taken for a failure.

Two other endpoints are tried before a refusal is doubted.

The fake engine of test_replicas gets is_silent, without which its silence check ended and the test hung.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -209,7 +209,7 @@
             clock=self.clock,
             connect=self._connect_engine,
             departures=self.departures,
-            is_cut_off=lambda: self.dialer.links.is_cut_off,
+            is_cut_off=lambda: self.dialer.is_cut_off,
         )
         self.tunnels = TunnelHosts(
             list_hosts=self.gossip.table.reachable,
@@ -221,6 +221,7 @@
         self.endpoint_links = EndpointLinks(
             dialer=self.dialer,
             find_endpoint=lambda name: self.catalog.endpoints_by_id.get(name),
+            list_endpoints=lambda: self.catalog.endpoints_by_id.values(),
             tunnels=self.tunnels,
             signer=self.peers.signer,
             drain=self.drain,
--- a/passtally/endpoint_dialer.py
+++ b/passtally/endpoint_dialer.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 from typing import Protocol
 
@@ -28,6 +28,9 @@
 TUNNEL_TIMEOUT = timedelta(milliseconds=200)
 #: Pause between two attempts to connect while this host is cut off.
 RECOVERY_INTERVAL = timedelta(milliseconds=100)
+#: Maximum number of other endpoints that are tried to find out whether this host is cut
+#: off.
+MAX_TRIED = 2
 #: Maximum number of other links that are checked when one falls silent.
 MAX_CHECKS = 16
 
@@ -69,12 +72,14 @@
         on_silent: Called with the address of an endpoint whose link fell silent, so
             that its open connections may be silent too.
         list_idle: Returns the endpoints that idle connections lead to, with their ids.
+        list_endpoints: Returns the addresses of all known endpoints.
     """
 
     def __init__(self, *, clock: Clock, tunnels: Tunnels | None = None) -> None:
         self.tunnels: Tunnels = tunnels or NoTunnels()
         self.links = LinkTable()
         self.on_silent: Callable[[Address], None] = lambda address: None
+        self.list_endpoints: Callable[[], Iterable[Address]] = tuple
         self.list_idle: Callable[[], Collection[tuple[Address, str]]] = tuple
         self._clock = clock
         self._checks: dict[Address, asyncio.Task[None]] = {}
@@ -97,7 +102,7 @@
             OSError: The endpoint accepts no connection, or no way leads there.
         """
         link = self.links.find(address)
-        if not link.is_up and self.links.is_cut_off:
+        if not link.is_up and self.is_cut_off:
             # Each request would else wait for the time limits of several links.
             self._start_recovery()
             return await self._open_tunnel(address, endpoint_id, factory)
@@ -146,6 +151,33 @@
             raise LinkDownError("the link to the endpoint is down")
         return await self.connect_directly(address, factory)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this host reaches no endpoint directly."""
+        return self.links.is_cut_off(self._clock.monotonic())
+
+    async def check_cut_off(self) -> bool:
+        """Return whether this host reaches no endpoint directly, after trying some.
+
+        A host that has just started knows few links.
+        """
+        if not self.is_cut_off:
+            return False
+        down = set(self.links.list_down())
+        others = [item for item in self.list_endpoints() if item not in down]
+        await asyncio.gather(
+            *(self._try_directly(address) for address in others[:MAX_TRIED])
+        )
+        return self.is_cut_off
+
+    async def _try_directly(self, address: Address) -> None:
+        """Connect to an endpoint to find out whether the link is up."""
+        try:
+            transport, _ = await self.connect_directly(address, asyncio.Protocol)
+        except (OSError, TimeoutError):
+            return
+        transport.abort()
+
     def record_data(self, address: Address) -> None:
         """Record that data arrived on a direct connection to an endpoint."""
         self.links.record_data(address, self._clock.monotonic())
@@ -217,17 +249,12 @@
 
     async def _recover(self) -> None:
         """Try the links that are down by turns, until this host is not cut off."""
-        while self.links.is_cut_off:
+        while self.is_cut_off:
             for address in self.links.list_down():
-                if not self.links.is_cut_off:
+                await self._try_directly(address)
+                if not await self.check_cut_off():
                     return
-                try:
-                    transport, _ = await self.connect_directly(
-                        address, asyncio.Protocol
-                    )
-                    transport.abort()
-                except (OSError, TimeoutError):
-                    await self._clock.sleep(RECOVERY_INTERVAL)
+                await self._clock.sleep(RECOVERY_INTERVAL)
 
     def _start_check(self, address: Address, endpoint_id: str) -> None:
         if address not in self._checks:
@@ -270,7 +297,8 @@
                 return tunnel.result()
             return await asyncio.shield(direct)
         except ConnectionRefusedError as error:
-            if tunnel is not None and _is_doubtful(tunnel, self.links):
+            is_confirmed = tunnel is not None and _is_confirmed(tunnel)
+            if not is_confirmed and await self.check_cut_off():
                 raise LinkDownError("the link to the endpoint is down") from error
             raise
         finally:
@@ -376,14 +404,12 @@
         transport.abort()
 
 
-def _is_doubtful(tunnel: asyncio.Task[Connected], links: LinkTable) -> bool:
-    """Return whether a refusal may be this host's own, and no other host confirms it.
+def _is_confirmed(tunnel: asyncio.Task[Connected]) -> bool:
+    """Return whether another host does not reach the endpoint either.
 
     Args:
-        tunnel: The attempt to connect through another host, which failed.
-        links: The links of this host.
+        tunnel: The attempt to connect through another host.
     """
     error = tunnel.exception() if tunnel.done() and not tunnel.cancelled() else None
     cause = error.__cause__ if error is not None else None
-    is_confirmed = isinstance(cause, NoTunnelError) and cause.is_confirmed
-    return links.is_cut_off and not is_confirmed
+    return isinstance(cause, NoTunnelError) and cause.is_confirmed
--- a/passtally/endpoint_links.py
+++ b/passtally/endpoint_links.py
@@ -1,7 +1,7 @@
 """The parts of an entry host that reach endpoints through other hosts."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from passtally.drain import Drain
 from passtally.endpoint_dialer import EndpointDialer, Tunnels
@@ -21,6 +21,7 @@
     Args:
         dialer: The dialer.
         find_endpoint: Returns an endpoint by its id, or None.
+        list_endpoints: Returns all known endpoints.
         tunnels: Opens tunnels through other hosts.
         signer: Signs and checks the messages of tunnels.
         drain: Counts the tunnels of other hosts.
@@ -33,6 +34,7 @@
         *,
         dialer: EndpointDialer,
         find_endpoint: Callable[[str], Endpoint | None],
+        list_endpoints: Callable[[], Iterable[Endpoint]],
         tunnels: Tunnels,
         signer: MessageSigner,
         drain: Drain,
@@ -41,11 +43,14 @@
     ) -> None:
         self.dialer = dialer
         dialer.tunnels = tunnels
+        dialer.list_endpoints = lambda: [
+            address_of(endpoint.url) for endpoint in list_endpoints()
+        ]
         self._find_endpoint = find_endpoint
         self.server = TunnelServer(
             signer=signer,
             connect=self._connect_for_peer,
-            is_cut_off=lambda: dialer.links.is_cut_off,
+            is_cut_off=dialer.check_cut_off,
             drain=drain,
             metrics=metrics,
             is_busy=is_busy,
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -264,7 +264,7 @@
             backoffs=EndpointBackoffs(count_hosts=sharers.count, rank=sharers.rank),
             brittle=BrittleEndpoints(count_hosts=sharers.count, rank=sharers.rank),
             versions=self.rollouts,
-            is_cut_off=lambda: self.dialer.links.is_cut_off,
+            is_cut_off=lambda: self.dialer.is_cut_off,
             departures=self.departures,
             others_load=self.load_table.load,
             on_successor=self._use_successor,
@@ -525,6 +525,7 @@
         endpoint_links = EndpointLinks(
             dialer=self.dialer,
             find_endpoint=lambda name: self.catalog.endpoints_by_id.get(name),
+            list_endpoints=lambda: self.catalog.endpoints_by_id.values(),
             tunnels=self.tunnels,
             signer=self.peers.signer,
             drain=self.drain,
--- a/passtally/link_table.py
+++ b/passtally/link_table.py
@@ -18,9 +18,11 @@
 #: Time for which a link must stay up before its next failure counts as a first one, so
 #: that a link that goes up and down each second is not tried by each request.
 STABLE_TIME = timedelta(seconds=5)
-#: Number of links that must be down, without contact on any other link since, for this
-#: host to count as cut off. A single link that is down may be the endpoint's fault.
+#: Number of links that must be down, with no other one up, for this host to count as
+#: cut off. A single link that is down may be the endpoint's fault.
 MIN_CUT_LINKS = 2
+#: Time after the last contact for which a link shows that it is up.
+RECENT_TIME = timedelta(seconds=10)
 
 
 @attrs.define(kw_only=True)
@@ -49,6 +51,10 @@
         """Whether no direct connection has failed since the last contact."""
         return self.down_since is None
 
+    def is_recent(self, now: timedelta) -> bool:
+        """Return whether the last contact is recent."""
+        return self.contact_at is not None and now - self.contact_at < RECENT_TIME
+
     def record_contact(self, now: timedelta) -> None:
         """Record that a direct connection was accepted."""
         self.contact_at = now
@@ -80,7 +86,6 @@
 
     def __init__(self) -> None:
         self._links_by_address: dict[Address, Link] = {}
-        self._contact_at: timedelta | None = None
 
     def find(self, address: Address) -> Link:
         """Return the link to an endpoint's address."""
@@ -92,11 +97,10 @@
         Open connections may go on while new ones are refused, so the link may still be
         down.
         """
-        self.find(address).contact_at = self._contact_at = now
+        self.find(address).contact_at = now
 
     def record_contact(self, address: Address, now: timedelta) -> None:
         """Record that an endpoint accepted a direct connection."""
-        self._contact_at = now
         self.find(address).record_contact(now)
 
     def forget(self, address: Address) -> None:
@@ -111,18 +115,12 @@
             if not link.is_up
         ]
 
-    @property
-    def is_cut_off(self) -> bool:
-        """Whether several links failed, and nothing was received on any link since.
+    def is_cut_off(self, now: timedelta) -> bool:
+        """Return whether this host reaches no endpoint directly.
 
         The cause is then most likely this host's own, and what it fails to reach says
         nothing about an endpoint.
         """
-        since = self._contact_at
-        failed = [
-            link
-            for link in self._links_by_address.values()
-            if link.down_since is not None
-            and (since is None or link.down_since > since)
-        ]
-        return len(failed) >= MIN_CUT_LINKS
+        links = self._links_by_address.values()
+        is_any_up = any(link.is_up and link.is_recent(now) for link in links)
+        return not is_any_up and len(self.list_down()) >= MIN_CUT_LINKS
--- a/passtally/tunnel_server.py
+++ b/passtally/tunnel_server.py
@@ -68,7 +68,7 @@
         *,
         signer: MessageSigner,
         connect: ConnectToEndpoint,
-        is_cut_off: Callable[[], bool],
+        is_cut_off: Callable[[], Awaitable[bool]],
         drain: Drain,
         metrics: Metrics,
         is_busy: Callable[[], bool] = lambda: False,
@@ -236,7 +236,7 @@
         self._request = request
         refusal = self._server.find_refusal()
         if refusal is not None:
-            self._refuse(refusal, detail="")
+            self._refuse(refusal, detail="", is_cut_off=False)
             return
         self._opening = asyncio.get_running_loop().create_task(self._connect())
 
@@ -253,15 +253,20 @@
                     self.end(is_reset=self._early_end)
                 await endpoint.closed.wait()
         except UnknownEndpointError as error:
-            self._refuse(TunnelRefusal.UNKNOWN_ENDPOINT, detail=str(error))
-        except ConnectionRefusedError as error:
-            self._refuse(TunnelRefusal.ENDPOINT_REFUSED, detail=str(error))
+            reason = TunnelRefusal.UNKNOWN_ENDPOINT
+            self._refuse(reason, detail=str(error), is_cut_off=False)
         except (OSError, TimeoutError) as error:
-            self._refuse(TunnelRefusal.UNREACHABLE, detail=str(error))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            self._refuse(
+                TunnelRefusal.ENDPOINT_REFUSED
+                if is_refused
+                else TunnelRefusal.UNREACHABLE,
+                detail=str(error),
+                is_cut_off=await self._server.is_cut_off(),
+            )
 
-    def _refuse(self, reason: TunnelRefusal, *, detail: str) -> None:
+    def _refuse(self, reason: TunnelRefusal, *, detail: str, is_cut_off: bool) -> None:
         self._server.count_refusal(reason)
-        is_cut_off = self._server.is_cut_off()
         log_event(
             "tunnel",
             "Refused.",
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -274,6 +274,9 @@
         self._check()
         return tuple(self.cached_prompts)
 
+    def is_silent(self, *, since: timedelta) -> bool:
+        return False
+
     async def is_reachable(self) -> bool:
         await asyncio.sleep(0.001)
         return not (self.is_dead or self.is_deaf)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -19,7 +19,13 @@
 from passtally.endpoint_connector import EndpointConnector
 from passtally.endpoint_dialer import EndpointDialer
 from passtally.http_client import ClientConnection, ExchangeError
-from passtally.link_table import FIRST_RETRY, MAX_RETRY, STABLE_TIME, LinkTable
+from passtally.link_table import (
+    FIRST_RETRY,
+    MAX_RETRY,
+    RECENT_TIME,
+    STABLE_TIME,
+    LinkTable,
+)
 from passtally.member_table import MemberState
 from passtally.message_signing import MessageSigner
 from passtally.messages import MemberRow
@@ -104,6 +110,11 @@
             list(FrameDecoder(signer=SIGNER).feed(frame))
 
 
+async def reach_endpoints() -> bool:
+    """Return that the host is not cut off."""
+    return False
+
+
 class Far:
     """A host that serves tunnels to one endpoint, a raw TCP server."""
 
@@ -115,7 +126,7 @@
         self.server = TunnelServer(
             signer=SIGNER,
             connect=self._connect,
-            is_cut_off=lambda: False,
+            is_cut_off=reach_endpoints,
             drain=self.drain,
             metrics=NoMetrics(),
         )
@@ -403,21 +414,23 @@
         link.record_failure(now, is_silent=True)
         assert link.acquire_retry(now + FIRST_RETRY)
 
-    def test_a_host_is_cut_off_if_links_fail_and_nothing_arrives(self):
+    def test_a_host_is_cut_off_if_links_fail_and_none_is_up(self):
         table = LinkTable()
         table.record_contact(FIRST, NOW)
-        table.find(FIRST).record_failure(NOW + FIRST_RETRY, is_silent=True)
-        assert not table.is_cut_off, "a single link may fail for its endpoint"
-        table.find(SECOND).record_failure(NOW + FIRST_RETRY, is_silent=False)
-        assert table.is_cut_off
+        table.find(FIRST).record_failure(NOW, is_silent=True)
+        assert not table.is_cut_off(NOW), "a single link may fail for its endpoint"
+        table.find(SECOND).record_failure(NOW, is_silent=False)
+        assert table.is_cut_off(NOW)
 
-    def test_a_host_that_receives_data_is_not_cut_off(self):
+    # Guards against crashes of several endpoints that are taken for a cut.
+    def test_a_host_that_reaches_another_endpoint_is_not_cut_off(self):
         table = LinkTable()
+        third = Address(host="10.0.0.1", port=3)
+        table.record_contact(third, NOW)
         for address in (FIRST, SECOND):
             table.find(address).record_failure(NOW, is_silent=False)
-        table.record_data(FIRST, NOW + FIRST_RETRY)
-        assert not table.is_cut_off
-        assert not table.find(FIRST).is_up, "new connections are refused"
+        assert not table.is_cut_off(NOW)
+        assert table.is_cut_off(NOW + RECENT_TIME)
 
 
 @attrs.frozen
@@ -494,7 +507,7 @@
     return TunnelServer(
         signer=SIGNER,
         connect=connect,
-        is_cut_off=lambda: False,
+        is_cut_off=reach_endpoints,
         drain=Drain(max_open=10),
         metrics=NoMetrics(),
     )
