--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from passtally.brittle_endpoints import BrittleEndpoints
 from passtally.clock import ManualClock
 from passtally.load_exchange import (
     CATCH_UP_INTERVAL,
@@ -15,7 +16,7 @@
     LoadTable,
 )
 from passtally.member_table import SUSPECT_TIMEOUT, MemberTable
-from passtally.messages import HostNews, MemberRow, TokenLoad
+from passtally.messages import BrittleRow, HostNews, MemberRow, TokenLoad
 from passtally.objects import EndpointStart
 from passtally.request_limits import RequestLimits
 from passtally.roster import MAX_LINKS, RING_LINKS, Roster, choose_links
@@ -78,6 +79,7 @@
         self.loads: dict[str, TokenLoad] = {}
         self.load_table = LoadTable()
         self.limits = RequestLimits()
+        self.brittle = BrittleEndpoints()
         self.exchange = LoadExchange(
             host_id=name,
             load_table=self.load_table,
@@ -96,6 +98,10 @@
     def loads_by_endpoint(self) -> dict[str, TokenLoad]:
         return dict(self.loads)
 
+    def merge_brittle(self, rows: Sequence[BrittleRow]) -> None:
+        now = self.net.clock.monotonic()
+        self.brittle.merge(rows, count_open=lambda endpoint_id: 0, now=now)
+
     def pop_losses(self) -> list[EndpointStart]:
         return []
 
