--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,7 +42,7 @@
     43007: "a host moved to a store restored from a copy applied its configuration",
     50006: "a host closed an address that its changed settings file named again",
     50019: "a host closed an address that its changed settings file named again",
-    62019: "a host that forecasts slow first outputs refuses all streams, and so goes on",
+    62019: "a host refused all streams by its forecast, which changes by answers only",
 }
 CI_SEED = 7
 #: With faults at starts: addresses in use, early stops, kills in a row.
