An idle endpoint gets a stream whatever earlier first outputs took

Cause: a new stream is refused if its first output is forecast to miss its target, since its prefill would stall others. The forecast changes by answers only, so a host that refuses all keeps it for good. Class: a decision that takes away what would correct it.

Evidence: host-1's log refuses each stream with 'the first output would take at least 0:00:00.311896' at a target of 300 ms, at endpoints that run nothing.

Change: an endpoint without runs or waiting prompts gets the stream; nobody is stalled there. The test failed before (503, 503, 503).

--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -249,13 +249,17 @@
     def _check_target(self, generation: Generation, endpoint_id: str) -> None:
         """Refuse a new stream whose first output would miss its target.
 
-        Its prefill would stall streams that can still meet theirs.
+        Its prefill would stall streams that can still meet theirs. An idle endpoint has
+        none, and a host that refused there too would never learn that first outputs
+        have become faster.
         """
         request = generation.request
         if request.target is None or generation.delivered or generation.attempts:
             return
-        queued_tokens = self._fleet.view(endpoint_id).prefill_tokens
-        tokens = queued_tokens + count_prefill_tokens(generation)
+        view = self._fleet.view(endpoint_id)
+        if not view.prefill_tokens and not view.running_streams:
+            return
+        tokens = view.prefill_tokens + count_prefill_tokens(generation)
         needed = self.forecast.prefill_time(request.service, tokens)
         if needed > request.target:
             raise NoEndpointError(f"the first output would take at least {needed}")
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -7,7 +7,7 @@
 import pytest
 
 from passtally.forecast import DEFAULT_DURATION
-from standins.platform_config import KEY, LOOKUPS, WORKSPACE, make_config
+from standins.platform_config import ENGINE, KEY, LOOKUPS, WORKSPACE, make_config
 from standins.runner import PROOF
 from tests.platform_system import PlatformSystem, expected_events, run
 
@@ -329,6 +329,19 @@
 
         run(test)
 
+    # Guards against a host that refuses all streams after some slow first outputs, and
+    # so never sees a faster one.
+    def test_an_idle_endpoint_gets_streams_whatever_earlier_ones_took(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            forecast = system.hosts[0].placement.forecast
+            for _ in range(8):
+                forecast.record_first(ENGINE, 500, timedelta(seconds=5))
+            answers = [await system.stream() for _ in range(3)]
+            assert [answer.status for answer in answers] == [200] * 3
+
+        run(test)
+
     @pytest.mark.parametrize("inside", [False, True])
     def test_a_lost_stream_is_resumed_from_its_replica(self, inside):
         async def test(system: PlatformSystem) -> None:
