--- a/passtally/tunnel_hosts.py
+++ b/passtally/tunnel_hosts.py
@@ -185,7 +185,7 @@
         self._open_by_host[host_id] += change
 
     def _record_refusal(self, error: TunnelRefusedError, endpoint_id: str) -> bool:
-        """Avoid a host for a while; return whether it confirms that a link is fine."""
+        """Avoid a host for a while; return whether it confirms the failure."""
         is_about_endpoint = error.reason in (
             TunnelRefusal.ENDPOINT_REFUSED,
             TunnelRefusal.UNREACHABLE,
