A replaced address is closed only if the settings are those of this moment

Cause: the close is decided by what the host knew at its last look at the file. A listener closes a replaced address after 5 s; the watch of the file looks each second or at a signal, waits until the file is settled, and only then reloads.

Mend: at the end of its delay the close asks whether the settings in force are those of the file as it is then, and nothing is awaited between that look and the close. If they are not (changed, changed within the last second, unreadable, rejected, applied in part) the address stays open, and is asked about each 100 ms, 100 times at most. All closes of replaced addresses go through this, so it holds for each listener; the checks are counted, not timed, so a host that was suspended asks again before it closes. A stop cancels what waits.

An address that another listener needs is still closed at once: that happens in the same step as the reload, with nothing awaited since the file was read.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import socket
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from functools import partial
 from typing import Any
@@ -126,6 +126,8 @@
         clock: The clock.
         adapter: Translates between the host and its platform.
         front_socket: A socket that already listens for callers; None to open one.
+        are_settings_current: Returns whether the settings in force are those of their
+            source at this moment; see :class:`~passtally.listeners.Listeners`.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         clock: Clock,
         adapter: Adapter,
         front_socket: socket.socket | None = None,
+        are_settings_current: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__()
         self._front_socket = front_socket
@@ -158,7 +161,11 @@
             margin=STOP_MARGIN,
             own_lag=lambda: self.fleet.longest_own_lag,
         )
-        self.listeners = Listeners(clock=clock, on_open=self._record_open)
+        self.listeners = Listeners(
+            clock=clock,
+            on_open=self._record_open,
+            are_settings_current=are_settings_current,
+        )
         self.reloading = HostReload(host=self)
         self._tasks: set[asyncio.Task[Any]] = set()
 
--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -38,7 +38,7 @@
 
 #: Time for which a host also signs messages between hosts with the previous key after
 #: a change. The hosts of a fleet are given a new key within seconds of each other, and
-#: each polls its settings every five seconds.
+#: each polls its settings every second.
 KEY_OVERLAP = timedelta(minutes=1)
 #: Maximum number of previous keys that still sign; a setting may change repeatedly.
 MAX_FORMER_KEYS = 2
--- a/passtally/listeners.py
+++ b/passtally/listeners.py
@@ -19,6 +19,10 @@
 #: Time that a replaced address stays open beside the new one. The balancer and other
 #: clients learn of the new address a little later.
 CLOSE_DELAY = timedelta(seconds=5)
+#: Maximum number of checks, RETRY_PAUSE apart, whether the settings are current before
+#: a replaced address is closed. They are counted, not timed: a host that was suspended
+#: meanwhile has to check again after it.
+MAX_CLOSE_CHECKS = 100
 
 #: Names of the listeners in the log, by their clients.
 CALLERS = "callers"
@@ -62,6 +66,10 @@
         clock: The clock.
         on_open: Called with a listener's name and address whenever its configured
             address is open.
+        are_settings_current: Returns, without awaiting anything, whether the moves so
+            far follow from the settings as they are at this moment. A replaced address
+            is kept open for a limited time while they do not, since the settings may
+            name it again.
     """
 
     def __init__(
@@ -69,9 +77,11 @@
         *,
         clock: Clock,
         on_open: Callable[[str, Address], None] = lambda name, address: None,
+        are_settings_current: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
         self._on_open = on_open
+        self._are_settings_current = are_settings_current
         self._configured_by_name: dict[str, Address | None] = {}
         self._opened_by_name: dict[str, dict[Address, _Opened]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -148,14 +158,31 @@
     async def _close_replaced_later(self, name: str) -> None:
         """Close the replaced addresses after a delay, once the new one is open."""
         await self._clock.sleep(CLOSE_DELAY)
+        for number in range(MAX_CLOSE_CHECKS):
+            if not self._find_closable(name) or self._are_settings_current():
+                break
+            if number == 0:
+                log_event("listen", "Close postponed, settings not current.", name=name)
+            await self._clock.sleep(RETRY_PAUSE)
+        else:
+            log_event("listen", "Closing, settings still not current.", name=name)
+        # Nothing may be awaited between the last check and the closes, or the settings
+        # could name an address again in between.
+        for address in self._find_closable(name):
+            self._close(name, address)
+
+    def _find_closable(self, name: str) -> list[Address]:
+        """Return the addresses of a listener that were replaced long enough ago."""
         if self._configured_by_name[name] is not None and not self.is_open(name):
-            return
+            return []
         # An address that was replaced only a moment ago has its own task. Half the
         # delay is required, since a sleep may end slightly early.
         before = self._clock.monotonic() - CLOSE_DELAY / 2
-        for address, opened in list(self._opened_by_name[name].items()):
-            if opened.replaced_at is not None and opened.replaced_at <= before:
-                self._close(name, address)
+        return [
+            address
+            for address, opened in self._opened_by_name[name].items()
+            if opened.replaced_at is not None and opened.replaced_at <= before
+        ]
 
     def _close_claimed(self) -> None:
         """Close at once the replaced addresses that another listener is to open.
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from typing import BinaryIO
 
@@ -68,11 +69,14 @@
     eliot.add_destinations(output)
     if problem is not None:
         log_event("daemon", "Could not listen before loading.", why=problem)
+    clock = SystemClock()
+    watch = SettingsWatch(path=path, clock=clock)
     host = FrontHost(
         settings=settings,
-        clock=SystemClock(),
+        clock=clock,
         adapter=PlatformAdapter(),
         front_socket=_keep_if_configured(front_socket, settings.listen),
+        are_settings_current=watch.is_current,
     )
     with aiomisc.entrypoint(
         host,
@@ -81,7 +85,7 @@
         catch_signals=(),
         loop_factory=uvloop.new_event_loop,
     ) as loop:
-        loop.run_until_complete(_wait_for_stop(host, path, signals))
+        loop.run_until_complete(_wait_for_stop(host, watch, signals))
     output.close()
     # Skips the interpreter's finalization, which takes 0.1 s, or 0.3 s on a busy
     # machine: the platform may kill a host in that time although it stopped as planned.
@@ -132,14 +136,15 @@
         time.sleep(SETTINGS_RETRY_INTERVAL.total_seconds())
 
 
-async def _wait_for_stop(host: FrontHost, path: Path, signals: StopSignals) -> None:
+async def _wait_for_stop(
+    host: FrontHost, watch: SettingsWatch, signals: StopSignals
+) -> None:
     """Watch the settings until a signal stops the host, then drain it."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     signals.hand_over(loop, stopping.set)
-    watch = SettingsWatch(path=path, host=host, clock=host.clock)
     loop.add_signal_handler(signal.SIGHUP, watch.check_now)
-    work = keep_running("settings", watch.run, clock=host.clock)
+    work = keep_running("settings", partial(watch.run, host), clock=host.clock)
     watching = loop.create_task(work)
     await stopping.wait()
     watching.cancel()
--- a/soak/settings_changes.py
+++ b/soak/settings_changes.py
@@ -16,7 +16,7 @@
 from soak.world import World
 
 #: Time in which a host must apply changed settings, in seconds: it checks its settings
-#: file every 5 s, and at once on SIGHUP.
+#: file every second, and at once on SIGHUP.
 SETTINGS_APPLY_SECONDS = 7.0
 POLL_SECONDS = 0.05
 #: Maximum time for which a settings file is truncated or empty, in seconds.
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -13,9 +13,10 @@
 import pytest
 
 from passtally.clock import ManualClock
-from passtally.listeners import LOG_INTERVAL, RETRY_PAUSE, Listeners
+from passtally.listeners import CLOSE_DELAY, LOG_INTERVAL, RETRY_PAUSE, Listeners
 from passtally.settings import Address
 from standins.processes import Processes, call_json
+from standins.virtual import VirtualClock, run_virtually
 
 ADDRESS = Address(host="127.0.0.1", port=8740)
 
@@ -167,6 +168,34 @@
         assert listeners.is_open("metrics")
         assert sorted(closed) == [1, 2]
 
+    def test_nothing_runs_between_the_last_check_of_the_settings_and_the_close(
+        self, events
+    ):
+        order: list[str] = []
+
+        async def open_address() -> None:
+            """Open an address at once."""
+
+        def check() -> bool:
+            order.append("check")
+            asyncio.get_running_loop().call_soon(order.append, "other task")
+            return True
+
+        async def main() -> None:
+            listeners = Listeners(clock=VirtualClock(), are_settings_current=check)
+            for port in (1, 2):
+                listeners.move(
+                    "callers",
+                    attrs.evolve(ADDRESS, port=port),
+                    open_address,
+                    close=partial(order.append, f"close {port}"),
+                )
+                await asyncio.sleep(0)
+            await asyncio.sleep(2 * CLOSE_DELAY.total_seconds())
+
+        run_virtually(main())
+        assert order == ["check", "close 1", "other task"]
+
     def test_an_address_in_use_is_retried_after_a_move(self, events):
         listeners, closed, opened = self.play(("callers", 1), free_at=4)
         assert listeners.is_open("callers")
--- a/tests/test_passing_states.py
+++ b/tests/test_passing_states.py
@@ -82,7 +82,7 @@
                 async with started(place) as host:
                     await wait_for(host.log, "daemon: Started.")
                     place.path.write_text(text + "\n")
-                    # The host checks the file every 5 s.
+                    # The host checks the file every second.
                     assert await is_ready_within(host, 12), messages(host.log)
 
         asyncio.run(main())
--- a/tests/test_settings_changes.py
+++ b/tests/test_settings_changes.py
@@ -44,7 +44,7 @@
 from tests.test_passing_states import is_ready_within
 from tests.test_starts import REQUEST, ask, held
 
-#: Time limit for a change: the file is polled every 5 s, and a store answers at once.
+#: Time limit for a change: the file is polled each second, and a store answers at once.
 SECONDS_TO_TAKE = 8
 
 #: Every documented key of the settings file that a host reads, with another value.
