An address that is replaced again stays open for its whole delay

Callers of an address that was restored and replaced once more were refused before its 5 s were over, from 2.5 s on. Found by reading while the close was mended; seen in a test only: replaced at 1 s, restored at 3 s, replaced again at 3.2 s, the address was closed at 6.0 s and not at 8.2 s.

Cause: the task of each move closes what has been replaced for half the delay, since a sleep may end slightly early. Mend: it closes what was replaced by the time at which its delay began, which needs no allowance for the sleep; what is replaced later has a task of its own. The test failed before.

--- a/passtally/listeners.py
+++ b/passtally/listeners.py
@@ -157,9 +157,13 @@
 
     async def _close_replaced_later(self, name: str) -> None:
         """Close the replaced addresses after a delay, once the new one is open."""
+        replaced_by = self._clock.monotonic()
         await self._clock.sleep(CLOSE_DELAY)
         for number in range(MAX_CLOSE_CHECKS):
-            if not self._find_closable(name) or self._are_settings_current():
+            if (
+                not self._find_closable(name, replaced_by)
+                or self._are_settings_current()
+            ):
                 break
             if number == 0:
                 log_event("listen", "Close postponed, settings not current.", name=name)
@@ -168,20 +172,20 @@
             log_event("listen", "Closing, settings still not current.", name=name)
         # Nothing may be awaited between the last check and the closes, or the settings
         # could name an address again in between.
-        for address in self._find_closable(name):
+        for address in self._find_closable(name, replaced_by):
             self._close(name, address)
 
-    def _find_closable(self, name: str) -> list[Address]:
-        """Return the addresses of a listener that were replaced long enough ago."""
+    def _find_closable(self, name: str, replaced_by: timedelta) -> list[Address]:
+        """Return the addresses of a listener that were replaced by a point in time.
+
+        An address that was replaced after it has a task and a delay of its own.
+        """
         if self._configured_by_name[name] is not None and not self.is_open(name):
             return []
-        # An address that was replaced only a moment ago has its own task. Half the
-        # delay is required, since a sleep may end slightly early.
-        before = self._clock.monotonic() - CLOSE_DELAY / 2
         return [
             address
             for address, opened in self._opened_by_name[name].items()
-            if opened.replaced_at is not None and opened.replaced_at <= before
+            if opened.replaced_at is not None and opened.replaced_at <= replaced_by
         ]
 
     def _close_claimed(self) -> None:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -168,6 +168,30 @@
         assert listeners.is_open("metrics")
         assert sorted(closed) == [1, 2]
 
+    def test_an_address_that_is_replaced_again_stays_open_for_the_whole_delay(
+        self, events
+    ):
+        closed_at: list[tuple[int, float]] = []
+
+        async def open_address() -> None:
+            """Open an address at once."""
+
+        async def main() -> None:
+            loop = asyncio.get_running_loop()
+            listeners = Listeners(clock=VirtualClock())
+            for port, moved_at in ((1, 0), (2, 1), (1, 3), (2, 3.2)):
+                await asyncio.sleep(moved_at - loop.time())
+                listeners.move(
+                    "callers",
+                    attrs.evolve(ADDRESS, port=port),
+                    open_address,
+                    close=lambda port=port: closed_at.append((port, loop.time())),
+                )
+            await asyncio.sleep(3 * CLOSE_DELAY.total_seconds())
+
+        run_virtually(main())
+        assert closed_at == [(1, pytest.approx(3.2 + CLOSE_DELAY.total_seconds()))]
+
     def test_nothing_runs_between_the_last_check_of_the_settings_and_the_close(
         self, events
     ):
