One set of background tasks in place of seven copies

Seven classes kept their tasks in a set of their own, spawned into it and cancelled them in the same lines; task_set.TaskSet does it now. No behaviour is changed.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -3,10 +3,8 @@
 import asyncio
 import random
 import sys
-from collections.abc import Coroutine
 from contextlib import ExitStack
 from functools import partial
-from typing import Any
 
 import aiohttp
 import aiomisc
@@ -61,6 +59,7 @@
 from passtally.status import StatusReader
 from passtally.stop_signals import StopSignals
 from passtally.supervisor import keep_running
+from passtally.task_set import TaskSet
 from passtally.tunnel_hosts import TunnelHosts
 
 LISTEN_BACKLOG = 2048
@@ -82,7 +81,7 @@
         self.metrics = _open_metrics(settings)
         self.catalog = Catalog()
         self._listeners = Listeners(clock=clock)
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = TaskSet()
 
     async def start(self) -> None:
         """Open the client sessions, start the tasks and open the listening sockets."""
@@ -107,7 +106,7 @@
             ("jobs", self.jobs.run),
             ("gauges", self._report_gauges),
         ):
-            self._spawn(keep_running(name, work, clock=self.clock))
+            self._tasks.spawn(keep_running(name, work, clock=self.clock))
         await self._listen()
         log_event("daemon", "Started.", listen=self.settings.listen)
 
@@ -115,9 +114,7 @@
         """Close the sockets, tasks and sessions; :meth:`leave` has drained requests."""
         await self._listeners.stop()
         await self._site_runner.cleanup()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self.peers.stop()
         self.endpoint_links.server.stop()
         self.dialer.close()
@@ -427,11 +424,6 @@
         body = {"ready": ready, "config_version": self.catalog.config_version}
         return web.json_response(body, status=200 if ready else 503)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _open_metrics(settings: Settings) -> Metrics:
     if settings.statsd is None:
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -63,6 +63,7 @@
 from passtally.silence import Phase, SilenceBounds
 from passtally.supervisor import keep_running
 from passtally.survey import Survey
+from passtally.task_set import TaskSet
 from passtally.text_metrics import TextMetrics
 from passtally.versions import AllVersions
 from passtally.view import View
@@ -167,7 +168,7 @@
             are_settings_current=are_settings_current,
         )
         self.reloading = HostReload(host=self)
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = TaskSet()
 
     async def start(self) -> None:
         """Start the background tasks and open the listening sockets."""
@@ -198,9 +199,7 @@
         self.drain.is_over = True
         await self.listeners.stop()
         await self.servers.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self.watch.stop()
         await self.peers.stop()
         self.dialer.close()
@@ -631,7 +630,4 @@
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Start a task that is cancelled when this host stops."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        return self._tasks.spawn(work)
--- a/passtally/jobs.py
+++ b/passtally/jobs.py
@@ -4,7 +4,6 @@
 job from its beginning. The first host that writes a result determines the answer.
 """
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -17,6 +16,7 @@
 from passtally.membership import Gossip
 from passtally.object_store import ConflictError, Platform, PlatformError
 from passtally.outcome import Code, Failure, Outcome, RefusedError, refuse
+from passtally.task_set import TaskSet
 
 RETENTION_TIME = timedelta(hours=1)
 EXPIRE_INTERVAL = timedelta(minutes=5)
@@ -58,7 +58,7 @@
         self._clock = clock
         self._drain = drain
         self._run_job = run_job
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         self._ended_seen_at: dict[str, timedelta] = {}
 
     async def submit(self, job: Job) -> None:
@@ -144,9 +144,7 @@
         return taken
 
     def _start(self, job: Job, version: int) -> None:
-        task = asyncio.create_task(self._run_to_completion(job, version), name=job.id)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._run_to_completion(job, version), name=job.id)
 
     async def _run_to_completion(self, job: Job, version: int) -> None:
         try:
--- a/passtally/listeners.py
+++ b/passtally/listeners.py
@@ -1,15 +1,14 @@
 """The listening addresses of a host, each opened as soon as it is available."""
 
-import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any
 
 import attrs
 
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.settings import Address
+from passtally.task_set import TaskSet
 
 #: Interval between two attempts to open an address. The balancer polls once a second,
 #: and a caller waits one second for a connection, so neither notices one more attempt.
@@ -84,7 +83,7 @@
         self._are_settings_current = are_settings_current
         self._configured_by_name: dict[str, Address | None] = {}
         self._opened_by_name: dict[str, dict[Address, _Opened]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
 
     def is_open(self, name: str) -> bool:
         """Return whether the configured address of a listener is open."""
@@ -110,7 +109,7 @@
         self._configured_by_name[name] = address
         self._opened_by_name.setdefault(name, {})
         if not await self._try_once(name, address, open_address, close):
-            self._spawn(self._retry(name, address, open_address, close))
+            self._tasks.spawn(self._retry(name, address, open_address, close))
 
     def move(
         self,
@@ -136,13 +135,11 @@
         if address in opened:
             opened[address].replaced_at = None
         self._close_claimed()
-        self._spawn(self._move(name, address, open_address, close))
+        self._tasks.spawn(self._move(name, address, open_address, close))
 
     async def stop(self) -> None:
         """Cancel the retries and the delayed closes."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
 
     async def _move(
         self, name: str, address: Address | None, open_address: Open, close: Close
@@ -247,7 +244,7 @@
         else:
             # Another address replaced this one while it was being opened.
             opened.replaced_at = self._clock.monotonic()
-            self._spawn(self._close_replaced_later(name))
+            self._tasks.spawn(self._close_replaced_later(name))
         return None
 
     def _log_unavailable(self, name: str, address: Address, problem: OSError) -> None:
@@ -258,8 +255,3 @@
             listen=address,
             why=problem,
         )
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -20,6 +20,7 @@
 from passtally.message_signing import MessageSigner
 from passtally.messages import Message
 from passtally.settings import Address, PeerAddress
+from passtally.task_set import TaskSet
 
 #: Default timeout of a request.
 ASK_TIMEOUT = timedelta(milliseconds=500)
@@ -118,7 +119,7 @@
         self._listeners_by_type: dict[type, Callable[[Any], None]] = {}
         self._replies_by_number: dict[int, asyncio.Future[Message]] = {}
         self._numbers = itertools.count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
 
     @property
     def ids(self) -> list[str]:
@@ -150,7 +151,7 @@
         self._router = self._open(zmq.ROUTER)
         self._router.setsockopt(zmq.HEARTBEAT_IVL, INCOMING_HEARTBEAT_MS)
         self._router.setsockopt(zmq.HEARTBEAT_TIMEOUT, INCOMING_TIMEOUT_MS)
-        self._spawn(self._serve(self._router))
+        self._tasks.spawn(self._serve(self._router))
         for peer in self._peers_by_id.values():
             self._connect(peer)
 
@@ -209,9 +210,7 @@
 
     async def stop(self) -> None:
         """Close all links at once, and drop unsent messages."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         self._context.destroy(linger=0)
 
     async def send_message(self, host_ids: Sequence[str], message: Message) -> set[str]:
@@ -290,7 +289,7 @@
         dealer = self._open(zmq.DEALER)
         dealer.connect(f"tcp://{peer.address}")
         self._sockets_by_id[peer.host_id] = dealer
-        reader = self._spawn(self._receive_replies(dealer, peer))
+        reader = self._tasks.spawn(self._receive_replies(dealer, peer))
         self._readers_by_id[peer.host_id] = reader
 
     def _open(self, kind: int) -> zmq.asyncio.Socket:
@@ -325,7 +324,7 @@
             return
         handler = self._handlers_by_type.get(type(message))
         if handler is not None:
-            self._spawn(self._answer(router, frames, handler, message))
+            self._tasks.spawn(self._answer(router, frames, handler, message))
 
     def _receive(self, message: Message | None) -> None:
         listener = self._listeners_by_type.get(type(message))
@@ -394,12 +393,6 @@
             )
             return None
 
-    def _spawn(self, work: Any) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _reconnect(dealer: zmq.asyncio.Socket, peer: PeerAddress) -> None:
     """Reconnect a link whose TCP connection is connected to itself.
--- a/passtally/shared_watch.py
+++ b/passtally/shared_watch.py
@@ -11,10 +11,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection, Coroutine, Sequence
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 from functools import partial
-from typing import Any
 
 from passtally.clock import Clock
 from passtally.decision import log_event
@@ -33,6 +32,7 @@
 from passtally.peers import PeerError, Peers
 from passtally.roster import Roster
 from passtally.supervisor import Work, keep_running
+from passtally.task_set import TaskSet
 from passtally.view import View
 from passtally.view_learner import ViewLearner
 from passtally.watcher_election import WatcherElection
@@ -98,7 +98,7 @@
             is_up=lambda: self.is_up,
             on_applied=self._send_heartbeat,
         )
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         self._election = WatcherElection(own_id=host_id, started_at=clock.monotonic())
         self._is_receiving = False
         #: Whether no watcher's heartbeats arrive and no probed host of this domain
@@ -206,10 +206,7 @@
 
     async def stop(self) -> None:
         """Cancel all watches and fetches."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self._learner.stop()
 
     def is_behind(self, prefix: str) -> bool:
@@ -235,7 +232,7 @@
             self._is_isolated = False
         elif now - self._probed_at >= PROBE_INTERVAL:
             self._probed_at = now
-            self._spawn(self._probe())
+            self._tasks.spawn(self._probe())
 
     async def _probe(self) -> None:
         candidate_ids = self._neighbour_ids()
@@ -297,7 +294,7 @@
         if len(listing) > PART_BYTES:
             # Too large to send to all at once. The heartbeat makes the other hosts
             # request the changes, and AnswerRateLimit answers them one after the other.
-            self._spawn(self._send_heartbeat())
+            self._tasks.spawn(self._send_heartbeat())
         elif recipients:
             message = ViewChanges(
                 prefix=view.prefix,
@@ -306,7 +303,7 @@
                 host_id=self._host_id,
                 large=large,
             )
-            self._spawn(self._peers.send_message(recipients, message))
+            self._tasks.spawn(self._peers.send_message(recipients, message))
 
     def _receive_heartbeat(self, heartbeat: ViewBeat) -> None:
         self._learner.record_versions(heartbeat.host_id, heartbeat.versions_by_prefix)
@@ -348,10 +345,4 @@
 
     def _keep_running(self, view: View, work: Work) -> asyncio.Task[None]:
         name = f"follow {view.prefix}"
-        return self._spawn(keep_running(name, work, clock=self._clock))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        return self._tasks.spawn(keep_running(name, work, clock=self._clock))
--- a/passtally/view_learner.py
+++ b/passtally/view_learner.py
@@ -5,12 +5,10 @@
 are fetched in parts, from any host that has them (:mod:`passtally.object_transfer`).
 """
 
-import asyncio
 import random
-from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from datetime import timedelta
 from functools import partial
-from typing import Any
 
 import attrs
 
@@ -35,6 +33,7 @@
 from passtally.peers import PeerError, Peers, UnknownPeerError
 from passtally.roster import Roster
 from passtally.silent_hosts import SilentHosts
+from passtally.task_set import TaskSet
 from passtally.view import View
 
 #: Timeout of a request for changes; its answer holds no large object. A saturated link
@@ -101,7 +100,7 @@
             find=self._find,
         )
         self._pace = AnswerRateLimit()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         peers.on(FetchConfig, self._answer)
         peers.listen(ViewChanges, self.receive_changes)
 
@@ -112,10 +111,7 @@
 
     async def stop(self) -> None:
         """Cancel all fetches."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.cancel()
 
     def receive_changes(self, message: ViewChanges) -> None:
         """Apply changes from a watcher, unless earlier changes are missing."""
@@ -131,7 +127,7 @@
         if not message.large:
             self._apply_changes(view, unpack_listing(message.listing))
         elif self._may_fetch(view) and view.prefix not in self._fetching:
-            self._spawn(
+            self._tasks.spawn(
                 self._apply_received(
                     view, message.host_id, message.listing, message.large
                 )
@@ -165,7 +161,7 @@
                 continue
             host_id = self._choose_source(view, now)
             if host_id is not None:
-                self._spawn(self._fetch(view, host_id))
+                self._tasks.spawn(self._fetch(view, host_id))
 
     def _may_fetch(self, view: View) -> bool:
         """Return whether changes of a view are fetched from other hosts.
@@ -297,8 +293,3 @@
             if key.startswith(prefix):
                 return view.mirror.find(key)
         return None
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
