What a host does on a change of an endpoint has a module of its own

Run after it: test_platform_host, test_endpoint_starts, test_lost_links, test_platform_process, test_rollouts_on_platform and test_entry_host_imports, all passed.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import aiomisc
-import attrs
 
 from passtally.adapter import Adapter
 from passtally.brittle_endpoints import BrittleEndpoints
@@ -21,6 +20,7 @@
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.endpoint_backoff import EndpointBackoffs
+from passtally.endpoint_changes import EndpointChanges
 from passtally.endpoint_dialer import EndpointDialer
 from passtally.endpoint_links import EndpointLinks, address_of
 from passtally.endpoint_registry import EndpointRegistry
@@ -41,11 +41,7 @@
 from passtally.load_exchange import LoadExchange, LoadTable
 from passtally.metrics import Metric
 from passtally.object_applier import ObjectApplier
-from passtally.objects import (
-    UNKNOWN_INCARNATION,
-    Endpoint,
-    EndpointState,
-)
+from passtally.objects import Endpoint
 from passtally.overload import Overload
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
@@ -255,6 +251,9 @@
     def _build_knowledge(self) -> None:
         """Build the components that follow the configuration and the endpoints."""
         fetcher = PoolFetcher(pool=self.pool)
+        changes = EndpointChanges(
+            host=self, adapter=self._adapter, connect=self._connect
+        )
         self.store = self._adapter.open_store(fetcher, self.settings.platform)
         links = HostLinks(
             settings=self.settings, clock=self.clock, departures=self.departures
@@ -273,7 +272,7 @@
             is_cut_off=lambda: self.dialer.is_cut_off,
             departures=self.departures,
             others_load=self.load_table.load,
-            on_successor=self._use_successor,
+            on_successor=changes.use_successor,
             on_silent=self.pool.invalidate_older,
             catalog=self.catalog,
             clock=self.clock,
@@ -284,8 +283,8 @@
         self.registry = EndpointRegistry(
             catalog=self.catalog,
             clock=self.clock,
-            on_removed=self._forget_endpoint,
-            on_started=self._handle_start,
+            on_removed=changes.remove,
+            on_started=changes.record_start,
         )
         object_applier = ObjectApplier(
             adapter=self._adapter,
@@ -565,44 +564,6 @@
             find_address=self._find_address,
         )
 
-    def _use_successor(self, ended: Endpoint, successor_id: str) -> None:
-        """Use a new endpoint at the address of one that exited.
-
-        The platform reports the new endpoint too, but may be unreachable. The service
-        of the new endpoint is certain only if a single service has engines.
-        """
-        routes = self.routes.current
-        engines = [info.id for info in routes.services if info.capacity_tokens]
-        if engines == [ended.service]:
-            successor = attrs.evolve(
-                ended,
-                id=successor_id,
-                state=EndpointState.ACTIVE,
-                incarnation=UNKNOWN_INCARNATION,
-            )
-            self.spawn(self._put_if_engine(successor))
-
-    async def _put_if_engine(self, successor: Endpoint) -> None:
-        if await self._adapter.is_engine(self._connect(successor)):
-            self.registry.put(successor)
-
-    def _forget_endpoint(self, endpoint_id: str) -> None:
-        live = self.fleet.find(endpoint_id)
-        if live is not None:
-            self.dialer.links.forget(address_of(live.endpoint.url))
-        self.fleet.remove(endpoint_id)
-
-    def _handle_start(self, endpoint: Endpoint) -> None:
-        """Record an endpoint's new start and close connections to its previous start.
-
-        A call that is sent on such a connection is lost.
-        """
-        self.fleet.record_start(endpoint)
-        if self.rollouts is not None:
-            self.rollouts.record_endpoint(endpoint)
-        self.dialer.links.forget(address_of(endpoint.url))
-        self.pool.invalidate(address_of(endpoint.url))
-
     def _find_address(self, endpoint_id: str) -> Address | None:
         endpoint = self.catalog.endpoints_by_id.get(endpoint_id)
         if endpoint is None:
