A suspension uses up no checks before a close, as a test

The checks are counted; with a limit in time a host that was suspended beyond it would close the address at once, without looking at what the file names again.

--- a/passtally/listeners.py
+++ b/passtally/listeners.py
@@ -10,8 +10,9 @@
 from passtally.settings import Address
 from passtally.task_set import TaskSet
 
-#: Interval between two attempts to open an address. The balancer polls once a second,
-#: and a caller waits one second for a connection, so neither notices one more attempt.
+#: Interval between two attempts to open an address, and between two checks before one
+#: is closed. The balancer polls once a second, and a caller waits one second for a
+#: connection, so neither notices one more attempt.
 RETRY_PAUSE = timedelta(milliseconds=100)
 #: Interval for logging an address that stays unavailable: six lines a minute.
 LOG_INTERVAL = timedelta(seconds=10)
--- a/tests/test_replaced_addresses.py
+++ b/tests/test_replaced_addresses.py
@@ -374,6 +374,21 @@
         expected = pytest.approx(POSTPONED_SECONDS, abs=2 * STEP_SECONDS)
         assert run_virtually(main()) == expected
 
+    def test_a_suspension_uses_up_no_checks(self, tmp_path):
+        async def main() -> None:
+            watched = await follow(
+                tmp_path / "node.conf", listeners.CALLERS, look_after=0.45
+            )
+            watched.path.unlink()
+            await asyncio.sleep(DUE_SECONDS + 1)
+            watched.write(TEXT)
+            asyncio.get_running_loop().pause(3 * POSTPONED_SECONDS)
+            for _ in range(int(RETURN_SECONDS / STEP_SECONDS)):
+                await asyncio.sleep(STEP_SECONDS)
+                assert watched.is_kept_open
+
+        run_virtually(main())
+
     def test_a_stop_does_not_wait_for_a_postponed_close(self, tmp_path):
         async def main() -> None:
             loop = asyncio.get_running_loop()
