--- a/tests/test_replaced_addresses.py
+++ b/tests/test_replaced_addresses.py
@@ -91,7 +91,7 @@
     ) -> None:
         self.settings = settings
         #: Whether it can't apply a change of its failure domain.
-        self.is_keeping_zone = False
+        self.is_domain_fixed = False
         self.open_addresses: set[tuple[str, Address]] = set()
         self.listeners = Listeners(
             clock=clock, are_settings_current=are_settings_current
@@ -111,7 +111,7 @@
     def reload(self, settings: Settings) -> None:
         """Move the listeners whose addresses have changed."""
         before, self.settings = self.settings, settings
-        if self.is_keeping_zone:
+        if self.is_domain_fixed:
             self.settings = attrs.evolve(settings, failure_domain=before.failure_domain)
         for name in SETTING_BY_LISTENER:
             if self.address_of(name) != self.address_of(name, before):
@@ -345,7 +345,7 @@
             case "rejected":
                 watched.write("")
             case "applied in part":
-                watched.host.is_keeping_zone = True
+                watched.host.is_domain_fixed = True
                 watched.write(replace_line(watched.moved, "zone", "tigre"))
             case "always changing":
                 for number in range(10_000):
