--- a/standins/runner.py
+++ b/standins/runner.py
@@ -94,6 +94,8 @@
         find: Function that returns the stand-in at an address, or None; replicas
             are stored there.
         on_crash: Callback that receives this stand-in when it crashes.
+        version: Version of its software.
+        marks_version: Whether each event of a stream names the version.
     """
 
     def __init__(
@@ -104,8 +106,12 @@
         gap: float = 0.005,
         find: "Callable[[str], RunnerStandIn | None]" = lambda address: None,
         on_crash: "Callable[[RunnerStandIn], None]" = lambda runner: None,
+        version: str = "v1",
+        marks_version: bool = False,
     ) -> None:
         self.name = name
+        self.version = version
+        self._mark = f" of {version}" if marks_version else ""
         self.events = events
         self.gap = gap
         self.faults = RunnerFaults()
@@ -189,7 +195,7 @@
             "service": service,
             "address": self.address,
             "zone": "pilar",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -375,7 +381,7 @@
             sent_number = number
             if number == self.events and self.faults.last_number is not None:
                 sent_number = self.faults.last_number
-            event = f"id: {sent_number}\ndata: piece {number}{padding}\n\n"
+            event = f"id: {sent_number}\ndata: piece {number}{self._mark}{padding}\n\n"
             await response.write(event.encode())
             if replica is not None:
                 replica.replicas[f"{replica.address}/{request_id}"] = number
--- /dev/null
+++ b/tests/test_software_versions.py
@@ -0,0 +1,214 @@
+"""Two software versions of one service, whose streams must not be joined."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+
+import pytest
+
+from passtally.front_host import FrontHost
+from standins.platform_config import ENGINE, make_config
+from standins.runner import RunnerStandIn
+from tests.busy_machine import busy_machine
+from tests.platform_system import PlatformSystem, run
+from tests.resuming_callers import ResumingCaller, Try, count_mixed
+
+ZONES = ("pilar", "tigre", "escobar")
+#: Number of endpoints of each version; one in each failure domain.
+PER_VERSION = 3
+STREAMS = 48
+EVENTS = 60
+#: Interval between two events, in seconds; a stream takes 1.2 s.
+GAP = 0.02
+#: Number of events after which callers leave.
+MIDWAY = 20
+#: Least share of the streams that go on while two endpoints of their version serve.
+LEAST_SHARE = 0.9
+#: Time within which a stream must be refused if its version serves no more, in seconds.
+AT_ONCE = 0.5
+BUSY_PROCESSES = 8
+
+Order = Callable[["Scene"], Awaitable[None]]
+
+
+class Scene:
+    """Three hosts before three endpoints of each of two versions."""
+
+    def __init__(self, system: PlatformSystem) -> None:
+        self.system = system
+        self.callers = [ResumingCaller() for _ in range(STREAMS)]
+
+    async def start(self) -> None:
+        system = self.system
+        system.store.put("config", "main", make_config())
+        for number in range(2 * PER_VERSION):
+            await self._add_runner(number)
+        for zone in ZONES:
+            await self.add_host(zone)
+        await system.wait_ready()
+
+    async def _add_runner(self, number: int) -> None:
+        zone = ZONES[number % PER_VERSION]
+        name = f"i-{number}"
+        runner = await self.system.add_runner(
+            name,
+            zone=zone,
+            events=EVENTS,
+            gap=GAP,
+            version=f"v{1 + number // PER_VERSION}",
+            marks_version=True,
+        )
+        entry = runner.entry(ENGINE, zone=zone, slots=STREAMS)
+        self.system.store.put("servers", name, entry)
+
+    async def add_host(self, zone: str) -> FrontHost:
+        """Start a host, and wait until it is linked to all others."""
+        hosts = self.system.hosts
+        seeds = str(hosts[0].settings.peer_listen) if hosts else ""
+        host = await self.system.add_host(f"front-{len(hosts)}", seeds, zone=zone)
+        while any(len(host.roster.linked()) < len(hosts) - 1 for host in hosts):
+            await asyncio.sleep(0.02)
+        return host
+
+    @property
+    def hosts(self) -> list[FrontHost]:
+        return self.system.hosts
+
+    def crash(self, *numbers: int) -> None:
+        for number in numbers:
+            self.system.runners[f"i-{number}"].crash()
+
+    def runners(self, *numbers: int) -> list[RunnerStandIn]:
+        return [self.system.runners[f"i-{number}"] for number in numbers]
+
+    async def send_all(
+        self,
+        hosts: Iterable[FrontHost],
+        callers: Sequence[ResumingCaller] = (),
+        *,
+        leave_after: int | None = None,
+    ) -> list[Try]:
+        """Send a try of each caller, by turns to the hosts."""
+        sends = (
+            caller.send(host, leave_after=leave_after)
+            for caller, host in zip(
+                callers or self.callers, itertools.cycle(hosts), strict=False
+            )
+        )
+        return await asyncio.gather(*sends)
+
+    async def wait_midway(self) -> None:
+        """Wait until each caller has received some events."""
+        while any(caller.position < MIDWAY // 2 for caller in self.callers):
+            await asyncio.sleep(0.01)
+
+    def rotated(self) -> list[FrontHost]:
+        """Return the hosts, so that each caller comes to another one than before."""
+        return [*self.hosts[1:], self.hosts[0]]
+
+
+async def crash_one_of_each(scene: Scene) -> None:
+    sent = asyncio.create_task(scene.send_all(scene.hosts))
+    await scene.wait_midway()
+    scene.crash(0, PER_VERSION)
+    await sent
+
+
+async def leave_one_of_each(scene: Scene) -> None:
+    sent = asyncio.create_task(scene.send_all(scene.hosts))
+    await scene.wait_midway()
+    leaving = scene.runners(0, PER_VERSION)
+    for runner in leaving:
+        runner.faults.leaving = "1"
+        entry = runner.entry(ENGINE, state="draining", slots=STREAMS)
+        scene.system.store.put("servers", runner.name, entry)
+    await asyncio.sleep(0.4)
+    for runner in leaving:
+        runner.crash()
+        scene.system.store.remove("servers", runner.name)
+    await sent
+
+
+async def take_up_with_all(scene: Scene) -> None:
+    await scene.send_all(scene.hosts, leave_after=MIDWAY)
+    await scene.send_all(scene.rotated())
+
+
+async def take_up_without_one_of_each(scene: Scene) -> None:
+    await scene.send_all(scene.hosts, leave_after=MIDWAY)
+    scene.crash(0, PER_VERSION)
+    await scene.send_all(scene.rotated())
+
+
+async def take_up_after_host_died(scene: Scene) -> None:
+    first, *others = scene.hosts
+    await scene.send_all([first], leave_after=MIDWAY)
+    scene.crash(0, PER_VERSION)
+    await first.stop()
+    scene.system.hosts.remove(first)
+    await scene.send_all(others)
+
+
+async def take_up_twice(scene: Scene) -> None:
+    await scene.send_all(scene.hosts, leave_after=MIDWAY)
+    scene.crash(0, PER_VERSION)
+    await scene.send_all(scene.rotated(), leave_after=MIDWAY)
+    await scene.send_all([*scene.hosts[2:], *scene.hosts[:2]])
+
+
+async def take_up_at_young_host(scene: Scene) -> None:
+    await scene.send_all(scene.hosts, leave_after=MIDWAY)
+    scene.crash(0, PER_VERSION)
+    young = await scene.add_host(ZONES[0])
+    while not young.is_ready:
+        await asyncio.sleep(0.01)
+    await scene.send_all([young])
+
+
+ORDERS: Sequence[Order] = (
+    crash_one_of_each,
+    leave_one_of_each,
+    take_up_with_all,
+    take_up_without_one_of_each,
+    take_up_after_host_died,
+    take_up_twice,
+    take_up_at_young_host,
+)
+
+
+@pytest.mark.parametrize("busy", [0, BUSY_PROCESSES], ids=["quiet", "busy"])
+class TestTwoVersions:
+    # Guards against streams that go on at another software version than they began at.
+    @pytest.mark.parametrize("order", ORDERS, ids=lambda order: order.__name__)
+    def test_no_stream_is_joined_from_two_versions(self, order, busy):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start()
+            with busy_machine(busy) if busy else contextlib.nullcontext():
+                await order(scene)
+            assert count_mixed(scene.callers) == 0
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
+    # Guards against streams that are held or mixed when their version serves no more.
+    def test_streams_of_a_lost_version_are_refused_at_once(self, busy):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start()
+            with busy_machine(busy) if busy else contextlib.nullcontext():
+                sent = asyncio.create_task(scene.send_all(scene.hosts))
+                await scene.wait_midway()
+                scene.crash(*range(PER_VERSION))
+                await sent
+                broken = [item for item in scene.callers if not item.is_served]
+                tries = await scene.send_all(scene.rotated(), broken)
+            assert count_mixed(scene.callers) == 0
+            assert {caller.versions.copy().pop() for caller in broken} == {"v1"}
+            assert {item.status for item in tries} == {503}
+            if not busy:
+                assert max(item.ended_after for item in tries) < AT_ONCE
+
+        run(test)
