An answer goes on only at the software version that began it, within a host

Cause: nothing that chooses where an answer goes on looked at the version of the endpoints' software.

The version of the endpoint that sent the first output is kept with the answer (Origin), and one place decides where it may go on (Fleet.may_continue): the next endpoint, the first and later replicas, the cached prompt, and once more right before each attempt. A roll-out leaves the old version to the answers that it began, a rejected version gets none. The signed handle of the own interface names the version. The successor at an address has no version until its entry says one. Where no endpoint of the version is left for good the answer is refused at once.

--- a/passtally/completion.py
+++ b/passtally/completion.py
@@ -270,6 +270,7 @@
             attempt=self._attempt.number,
             copy_host=copy_host,
             copy_id=self._copy.copy_id if copy_host else "",
+            software=self._attempt.origin.software if self._attempt.origin else "",
         )
         self._handles = self._signer.writer(stream, binding=self._binding)
 
--- a/passtally/completion_handler.py
+++ b/passtally/completion_handler.py
@@ -397,4 +397,5 @@
         delivered=point.position,
         delivered_characters=point.characters,
         attempts_before=point.stream.attempt,
+        origin=point.stream.origin,
     )
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -23,6 +23,7 @@
 from passtally.live_endpoint import LiveEndpoint
 from passtally.loss_inspection import inspect_loss
 from passtally.metrics import Metric, Metrics, NoMetrics
+from passtally.origin import Origin
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.placement import NoEndpointError, Placement
 from passtally.quarantine import Quarantine
@@ -152,9 +153,14 @@
             if await self._guard.is_quarantined(generation.request.fingerprint):
                 raise self._give_up(generation, progress, CRASHED_TOO_MANY)
             live = self._fleet.find(endpoint_id)
-            if live is None or not self._fleet.try_send(live):
-                # The endpoint was removed, or rejects requests now by its limit or
-                # back-off. Resume at another, even if this one has the stream's state.
+            if (
+                live is None
+                or not self._may_continue(generation, live)
+                or not self._fleet.try_send(live)
+            ):
+                # The endpoint was removed, runs another software version, or rejects
+                # requests now by its limit or back-off. Resume at another, even if this
+                # one has the stream's state.
                 step, resume_ref = NextStep.RESUME, ""
                 continue
             attempt = generation.start_attempt(
@@ -166,6 +172,7 @@
                 resume_ref=resume_ref,
                 is_separated=step is NextStep.RESUME
                 and self._guard.is_suspect(generation.request.fingerprint),
+                origin=Origin.of(live.endpoint),
             )
             try:
                 await self._run_attempt(
@@ -192,6 +199,22 @@
             if step is NextStep.GIVE_UP:
                 raise self._give_up(generation, progress, decision.reason)
 
+    def _may_continue(self, generation: Generation, live: LiveEndpoint) -> bool:
+        """Return whether a generation may go on at an endpoint, by its version."""
+        origin = generation.origin
+        if origin is None or self._fleet.may_continue(origin, live.endpoint):
+            return True
+        log_decision(
+            "retry",
+            request=generation.request.id,
+            choice=NextStep.RESUME,
+            reason="another software version began the answer",
+            peer=live.endpoint.id,
+            software=live.endpoint.software,
+            began_at=self._fleet.origin_rule.software_of(origin),
+        )
+        return False
+
     async def _run_attempt(
         self,
         generation: Generation,
@@ -329,6 +352,7 @@
         self._metrics.count(Metric.LOST, loss.kind)
         was_attached = loss.step == ATTACH_STEP
         is_unreachable = is_endpoint_unreachable(loss.kind, was_attached=was_attached)
+        live.has_exited = live.has_exited or loss.has_ended
         if is_unreachable:
             live.eject(self._clock.monotonic())
         elif loss.has_ended and self._fleet.is_serving(live):
--- a/passtally/endpoint_changes.py
+++ b/passtally/endpoint_changes.py
@@ -94,6 +94,7 @@
                 id=successor_id,
                 state=EndpointState.ACTIVE,
                 incarnation=UNKNOWN_INCARNATION,
+                software="",
             )
             self._host.spawn(self._put_if_engine(successor))
 
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from functools import partial
 
 import attrs
 
@@ -26,6 +27,7 @@
 )
 from passtally.messages import BrittleRow, TokenLoad
 from passtally.objects import Endpoint, EndpointStart, EndpointState, can_serve
+from passtally.origin import Origin, OriginRule
 from passtally.request_limits import RequestLimits
 from passtally.routing import EndpointView
 from passtally.service_index import ServiceIndex
@@ -85,6 +87,8 @@
         limits: The request limits that endpoints set; None to start without any.
         backoffs: The back-offs that endpoints request; None to start without any.
         brittle: The limits at brittle endpoints; None to start without any.
+        exits_are_final: Whether an endpoint that exited never starts again as the same
+            start, so that no answer waits for it.
     """
 
     def __init__(
@@ -106,6 +110,7 @@
         limits: RequestLimits | None = None,
         backoffs: EndpointBackoffs | None = None,
         brittle: BrittleEndpoints | None = None,
+        exits_are_final: bool = False,
     ) -> None:
         self.limits = limits or RequestLimits()
         self.brittle = brittle or BrittleEndpoints()
@@ -115,6 +120,8 @@
         self._on_silent = on_silent
         self._is_cut_off = is_cut_off
         self._catalog = catalog
+        self.origin_rule = OriginRule(catalog=catalog)
+        self._exits_are_final = exits_are_final
         self._clock = clock
         self._connect = connect
         self._departures = departures or Departures()
@@ -166,6 +173,42 @@
             return False
         return self.is_healthy(endpoint_id)
 
+    def may_continue(self, origin: Origin, endpoint: Endpoint) -> bool:
+        """Return whether an answer of an origin may go on at an endpoint.
+
+        Every path by which an answer that has begun goes on asks this. A roll-out that
+        takes a version out of use leaves it to the answers that it began.
+        """
+        is_same_version = self.origin_rule.allows(origin, endpoint)
+        return is_same_version and self.versions.may_resume(endpoint)
+
+    def can_continue(self, origin: Origin, endpoint_id: str) -> bool:
+        """Return whether an answer of an origin may go on at an endpoint by its id.
+
+        False for an endpoint that is not known, or that is leaving or ejected.
+        """
+        endpoint = self._catalog.endpoints_by_id.get(endpoint_id)
+        if endpoint is None or not self.may_continue(origin, endpoint):
+            return False
+        return self.is_healthy(endpoint_id)
+
+    def may_return(self, origin: Origin, service_id: str) -> bool:
+        """Return whether some endpoint may continue an answer, now or after a wait.
+
+        An endpoint that is full, ejected or in back-off may; one that is leaving or has
+        exited for good won't.
+        """
+        staying = (
+            self.find(endpoint.id)
+            for endpoint in self._catalog.endpoints_of(service_id)
+            if self.may_continue(origin, endpoint)
+        )
+        return any(
+            live.state is EndpointState.ACTIVE
+            and not (live.has_exited and self._exits_are_final)
+            for live in staying
+        )
+
     def is_healthy(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is known, and neither leaving nor ejected."""
         if endpoint_id not in self._catalog.endpoints_by_id:
@@ -331,6 +374,7 @@
 
     def record_end(self, live: LiveEndpoint) -> None:
         """Eject an endpoint that has certainly exited, and notify other hosts."""
+        live.has_exited = True
         live.eject(self._clock.monotonic())
         self.record_loss(live, is_endpoint_unreachable=True)
 
@@ -482,18 +526,28 @@
         if live is not None and not live.own_streams:
             del self._live_by_id[endpoint_id]
 
-    def views(self, service_id: str, *, is_trial: bool = False) -> list[EndpointView]:
+    def views(
+        self,
+        service_id: str,
+        *,
+        is_trial: bool = False,
+        origin: Origin | None = None,
+    ) -> list[EndpointView]:
         """Return the routing views of one service's endpoints.
 
         Args:
             service_id: The service.
             is_trial: Whether to return the endpoints that canary traffic goes to;
                 otherwise those whose version gets requests.
+            origin: The origin of an answer that has begun, to return the endpoints at
+                which it may go on; None for an answer without output.
         """
         service = self._catalog.services_by_id.get(service_id)
         if service is None:
             return []
         is_eligible = self.versions.accepts_trials if is_trial else self.versions.allows
+        if origin is not None:
+            is_eligible = partial(self.may_continue, origin)
         self._assume_brittle(service_id)
         placed = (
             endpoint
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -279,6 +279,7 @@
             connect=self._connect,
             bounds_by_phase=SILENCE_BOUNDS_BY_PHASE,
             capacity_of=self.routes.capacity_of,
+            exits_are_final=True,
         )
         self.registry = EndpointRegistry(
             catalog=self.catalog,
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from passtally.http_client import ResponseHead
+from passtally.origin import Origin
 from passtally.statechart import Machine
 
 #: Finish reason of an answer whose events state none.
@@ -161,6 +162,8 @@
             None before that.
         is_separated: Whether it was sent there as a suspect, see
             :mod:`passtally.quarantine`.
+        origin: The origin of an answer that begins with this attempt; None if the
+            endpoint is not known.
     """
 
     number: int
@@ -173,6 +176,7 @@
     head: ResponseHead | None = None
     begun_at: timedelta | None = None
     is_separated: bool = False
+    origin: Origin | None = None
 
 
 class Generation:
@@ -184,6 +188,10 @@
         delivered: Number of tokens that the caller already has.
         delivered_characters: Number of characters of text that the caller already has.
         attempts_before: Number of attempts made by earlier entry hosts.
+        origin: The origin of an answer that an earlier entry host began.
+
+    Attributes:
+        origin: The origin of the answer; None while it has no output.
     """
 
     def __init__(
@@ -194,8 +202,10 @@
         delivered: int = 0,
         delivered_characters: int = 0,
         attempts_before: int = 0,
+        origin: Origin | None = None,
     ) -> None:
         self.request = request
+        self.origin = origin
         self.machine = Machine(chart="generation")
         self.attempts: list[Attempt] = []
         self.token_ids = array("I", token_ids)
@@ -229,6 +239,7 @@
         replica_id: str = "",
         resume_ref: str = "",
         is_separated: bool = False,
+        origin: Origin | None = None,
     ) -> Attempt:
         """Open the next attempt.
 
@@ -238,6 +249,7 @@
             replica_id: The endpoint that is to keep a replica of its state, or empty.
             resume_ref: The identifier of the replica that it resumes, or empty.
             is_separated: Whether it is sent there as a suspect.
+            origin: The origin of an answer that begins with it.
 
         Returns:
             The attempt; from now on only its output is accepted.
@@ -250,6 +262,7 @@
             replica_id=replica_id,
             resume_ref=resume_ref,
             is_separated=is_separated,
+            origin=origin,
         )
         self.attempts.append(attempt)
         self._current = attempt
@@ -282,6 +295,8 @@
         if self.machine.state == "prefilling":
             self.machine.send("token")
         self._append_tokens(attempt, event)
+        if self.origin is None and event.token_ids:
+            self.origin = attempt.origin
         text = self._append_text(event)
         newly_delivered = self.position > self.delivered
         self.delivered = max(self.delivered, self.position)
--- a/passtally/handle.py
+++ b/passtally/handle.py
@@ -15,6 +15,8 @@
 import msgspec
 
 from passtally.generation import GenerationRequest
+from passtally.objects import EndpointStart
+from passtally.origin import Origin
 
 MAC_BYTES = 12
 MAX_HANDLE_CHARACTERS = 4096
@@ -39,6 +41,8 @@
         max_tokens: The maximum length of the answer in tokens.
         copy_host: The peer that has a copy of the answer, or empty.
         copy_id: The copy's id at that peer.
+        software: The version of the endpoint's software; empty if it is not known, as
+            in handles of hosts of an earlier version.
     """
 
     generation_id: str
@@ -51,6 +55,13 @@
     max_tokens: int
     copy_host: str = ""
     copy_id: str = ""
+    software: str = ""
+
+    @property
+    def origin(self) -> Origin:
+        """The origin of the answer, whose attempts all run at one version."""
+        start = EndpointStart(endpoint_id=self.endpoint_id)
+        return Origin(software=self.software, start=start)
 
     @classmethod
     def of(
@@ -61,6 +72,7 @@
         attempt: int,
         copy_host: str = "",
         copy_id: str = "",
+        software: str = "",
     ) -> "StreamRef":
         """Return the reference of a request's stream at an endpoint."""
         return cls(
@@ -74,6 +86,7 @@
             max_tokens=request.max_tokens,
             copy_host=copy_host,
             copy_id=copy_id,
+            software=software,
         )
 
 
@@ -198,7 +211,8 @@
         row = msgspec.msgpack.decode(base64.urlsafe_b64decode(padded))
         names = [field.name for field in attrs.fields(StreamRef)]
         return ResumePoint(
-            stream=StreamRef(**dict(zip(names, row, strict=True))),
+            # The last fields are missing in handles of hosts of an earlier version.
+            stream=StreamRef(**dict(zip(names, row, strict=False))),
             position=int(position),
             characters=int(characters),
             tail_start=int(tail_start),
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -94,6 +94,8 @@
         self._peak = 0
         self._peak_at = timedelta(0)
         self.reported_at = timedelta(0)
+        #: Whether this start was found to have exited.
+        self.has_exited = False
         #: Whether it has reported its load, which plain endpoints never do.
         self.has_engine = False
         self._probe: asyncio.Task[None] | None = None
@@ -111,6 +113,7 @@
         }
         self._report = LoadReport(running=0, queued=0, step=0)
         self._deprioritized_until = timedelta(0)
+        self.has_exited = False
         self.reset_ejection()
 
     @property
@@ -235,6 +238,7 @@
     def record_answer(self, now: timedelta) -> None:
         """Record a good answer, which also ends its ejection."""
         self.answered_at = now
+        self.has_exited = False
         self.reset_ejection()
 
     def reset_ejection(self) -> None:
--- a/passtally/loss_inspection.py
+++ b/passtally/loss_inspection.py
@@ -21,7 +21,7 @@
         live: The endpoint.
         guard: Checks whether the endpoint has exited.
     """
-    if loss.kind in CLOSED_KINDS:
+    if loss.kind in CLOSED_KINDS or loss.kind is LossKind.UNREACHABLE:
         loss.has_ended = await guard.has_ended(live)
     if loss.kind in _LINK_LOSSES and not loss.has_ended and guard.is_bypassed(live):
         loss.kind = LossKind.LINK
--- a/passtally/objects.py
+++ b/passtally/objects.py
@@ -99,6 +99,12 @@
         """
         return UNKNOWN_INCARNATION < self.incarnation < other.incarnation
 
+    def may_equal(self, other: "EndpointStart") -> bool:
+        """Return whether both may be the same start, as far as they are known."""
+        if self.precedes(other) or other.precedes(self):
+            return False
+        return self.endpoint_id == other.endpoint_id
+
 
 @attrs.frozen(kw_only=True)
 class Endpoint:
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -8,6 +8,7 @@
 from passtally.fleet import Fleet
 from passtally.forecast import Forecast
 from passtally.generation import Generation
+from passtally.origin import Origin
 from passtally.prefix_finder import PrefixFinder
 from passtally.relay import (
     count_kv_tokens,
@@ -28,6 +29,7 @@
 #: Maximum wait of an answer that has begun for an endpoint that can resume it.
 RESUME_WAIT_TIMEOUT = timedelta(seconds=4)
 RESUME_POLL_INTERVAL = timedelta(milliseconds=50)
+NO_VERSION_LEFT = "no endpoint of the software version that began it is left"
 
 
 class NoEndpointError(Exception):
@@ -109,6 +111,7 @@
             if decision.endpoint_id is not None:
                 self._check_target(generation, decision.endpoint_id)
                 return await self._survey_and_log(generation, decision)
+            self._check_version(generation)
             if not self._may_wait(generation, until=deadline):
                 self._log(generation, None, decision)
                 raise NoEndpointError(decision.reason)
@@ -116,6 +119,22 @@
                 excluded.clear()
             await self._clock.sleep(RESUME_POLL_INTERVAL)
 
+    def _check_version(self, generation: Generation) -> None:
+        """Refuse an answer that no endpoint of its software version can continue."""
+        origin, service = generation.origin, generation.request.service
+        if origin is None or self._fleet.may_return(origin, service):
+            return
+        software = self._fleet.origin_rule.software_of(origin)
+        log_decision(
+            "route",
+            request=generation.request.id,
+            choice=None,
+            reason=NO_VERSION_LEFT,
+            software=software,
+            position=generation.position,
+        )
+        raise NoEndpointError(f"{NO_VERSION_LEFT} ({software or 'unknown'})")
+
     def _may_wait(self, generation: Generation, *, until: timedelta) -> bool:
         """Return whether an endpoint may become usable before ``until``.
 
@@ -169,7 +188,8 @@
             excluded: Ids of endpoints that lost the generation.
         """
         request = generation.request
-        if not self._keeps_replicas(request.service):
+        live = self._fleet.find(endpoint_id)
+        if live is None or not self._keeps_replicas(request.service):
             return ""
         return choose_replica(
             endpoint_id,
@@ -178,7 +198,7 @@
                 failure_domain=self._failure_domain,
                 exclude=excluded,
             ),
-            self._fleet.views(request.service),
+            self._fleet.views(request.service, origin=Origin.of(live.endpoint)),
             now=self._clock.monotonic(),
         )
 
@@ -198,7 +218,9 @@
                 suspect=request.fingerprint if is_suspect else b"",
                 separated=self._suspects.list_separated(),
             ),
-            self._fleet.views(request.service, is_trial=is_trial),
+            self._fleet.views(
+                request.service, is_trial=is_trial, origin=generation.origin
+            ),
             now=self._clock.monotonic(),
         )
 
@@ -217,7 +239,10 @@
         """Return the endpoint that caches the prompt of an answer begun elsewhere."""
         request = generation.request
         cached_endpoint_id = await self._prefixes.find(
-            request.service, request.prompt, exclude=excluded
+            request.service,
+            request.prompt,
+            origin=generation.origin,
+            exclude=excluded,
         )
         log_decision(
             "route",
--- a/passtally/prefix_finder.py
+++ b/passtally/prefix_finder.py
@@ -16,6 +16,7 @@
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.objects import EndpointState
+from passtally.origin import Origin
 from passtally.routing import EndpointView, affinity_of, affinity_rank
 
 #: Maximum number of endpoints that are all queried. In a larger service only the most
@@ -57,22 +58,28 @@
         self._queries_by_id: dict[str, asyncio.Task[Collection[str]]] = {}
 
     async def find(
-        self, service: str, prompt: str, *, exclude: Collection[str] = ()
+        self,
+        service: str,
+        prompt: str,
+        *,
+        origin: Origin | None = None,
+        exclude: Collection[str] = (),
     ) -> str | None:
         """Return the id of an endpoint that reports a prompt as cached, or None.
 
         Args:
             service: The id of the service.
             prompt: Identifies the prompt.
+            origin: The origin of the answer that goes on; None if it has no output.
             exclude: Ids of endpoints that are not queried.
         """
         usable = [
             view
-            for view in self._fleet.views(service)
+            for view in self._fleet.views(service, origin=origin)
             if view.state is EndpointState.ACTIVE
             and view.accepts_requests
             and view.id not in exclude
-            and self._fleet.is_usable(view.id)
+            and self._fleet.is_healthy(view.id)
         ]
         if len(usable) <= MAX_QUERIED:
             return await self._query_all([view.id for view in usable], prompt)
--- a/passtally/replica.py
+++ b/passtally/replica.py
@@ -16,6 +16,7 @@
 from passtally.fleet import Fleet
 from passtally.generation import Attempt, Generation
 from passtally.live_endpoint import LiveEndpoint
+from passtally.origin import Origin
 
 #: Interval between checks whether the endpoint of a replica is still usable.
 CHECK_INTERVAL = timedelta(milliseconds=200)
@@ -111,7 +112,8 @@
         replica_id = self._attempt.replica_id
         if self._replica_start.precedes(self._fleet.start_of(replica_id)):
             return True
-        return not self._fleet.is_usable(replica_id)
+        origin = Origin.of(self._live.endpoint)
+        return not self._fleet.can_continue(origin, replica_id)
 
     async def _copy(self, target: str) -> None:
         attempt = self._attempt
--- a/passtally/rollout_trial.py
+++ b/passtally/rollout_trial.py
@@ -187,6 +187,11 @@
             return True
         return self.rollout.allows(endpoint, now=self._clock.monotonic())
 
+    def has_rejected(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint runs the new version and that was rejected."""
+        rejected = (RolloutState.ROLLING_BACK, RolloutState.ROLLED_BACK)
+        return self.rollout.state in rejected and self.rollout.is_new(endpoint)
+
     @property
     def is_expired(self) -> bool:
         """Whether the order's time and a grace period have passed."""
--- a/passtally/rollouts.py
+++ b/passtally/rollouts.py
@@ -202,6 +202,16 @@
         trial = self._trials_by_service.get(endpoint.service)
         return trial is not None and endpoint.id in trial.tried_ids
 
+    def may_resume(self, endpoint: Endpoint) -> bool:
+        """Return whether answers that an endpoint's version began may go on at it.
+
+        They may while the version is tried, and at the previous version after the move.
+        A rejected version gets no more requests of any kind.
+        """
+        trial = self._trials_by_service.get(endpoint.service)
+        is_rejected = trial is not None and trial.has_rejected(endpoint)
+        return not is_rejected or self.allows(endpoint)
+
     def acquire_trial(self, service: str) -> bool:
         """Count a new request and return whether it becomes a trial."""
         trial = self._trials_by_service.get(service)
--- a/passtally/versions.py
+++ b/passtally/versions.py
@@ -15,6 +15,9 @@
     def accepts_trials(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get trial requests of a new version."""
 
+    def may_resume(self, endpoint: Endpoint) -> bool:
+        """Return whether answers that an endpoint's version began may go on at it."""
+
     def acquire_trial(self, service: str) -> bool:
         """Count a new request, and return whether it is a trial of a new version."""
 
@@ -52,6 +55,10 @@
         """Return False."""
         return False
 
+    def may_resume(self, endpoint: Endpoint) -> bool:
+        """Return True."""
+        return True
+
     def acquire_trial(self, service: str) -> bool:
         """Return False."""
         return False
