Hosts tell a few others at which software version each stream began

Cause: a taker knows only the id that Resumes names, and no host told another what that id stands for.

The host that begins a stream tells three others, right before the caller gets the first event and without any wait: two of its own failure domain and one of another, which every host computes from the id (consistent hashing over the members). A taker asks them; the versions that they saw of late tell whether only one serves. Where the version isn't known and several may serve: 503 at once. Records are renewed each 10 s while a stream runs, and expire after 2 min. They go by signed datagrams at the address for other hosts, since among hundreds of hosts each is linked to a few.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -25,7 +25,7 @@
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.origin import Origin
 from passtally.outcome import Code, Outcome, RefusedError, refuse
-from passtally.placement import NoEndpointError, Placement
+from passtally.placement import NoEndpointError, NoVersionLeftError, Placement
 from passtally.quarantine import Quarantine
 from passtally.relay import Relay, Sink
 from passtally.replica import ReplicaKeeper
@@ -303,6 +303,9 @@
         try:
             return await self._placement.place(generation, progress.excluded)
         except NoEndpointError as error:
+            if isinstance(error, NoVersionLeftError):
+                service = generation.request.service
+                self._metrics.count(Metric.VERSION_REFUSED, service)
             raise self._give_up(generation, progress, str(error)) from error
 
     async def _is_complete(
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Protocol
+from functools import partial
 
 import attrs
 from multidict import CIMultiDict
@@ -17,21 +17,18 @@
 from passtally.drain import Drain
 from passtally.fingerprint import fingerprint_of
 from passtally.forecast import Forecast
+from passtally.front_request import FrontRequest, Prompt, Responder
 from passtally.gate import Gate
-from passtally.generation import (
-    Attempt,
-    Delivery,
-    Generation,
-    GenerationRequest,
-    RawCall,
-)
-from passtally.http_client import ResponseHead
+from passtally.generation import Generation, GenerationRequest
 from passtally.metrics import Metric, Metrics
 from passtally.objects import Service, ServiceKind
-from passtally.outcome import Code, Failure, Outcome, RefusedError, refuse
+from passtally.origin import Origin
+from passtally.origin_exchange import OriginExchange, UnknownOriginError
+from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.pause_aware_timeout import PauseAwareTimeout
-from passtally.plain import PlainAnswer, PlainCall, PlainCaller
+from passtally.plain import PlainCall, PlainCaller
 from passtally.routes import ActiveRoutes, CallKind, Route, RouteSet
+from passtally.stream_sink import StreamSink
 
 #: Retry-After of refusals that state no other time.
 RETRY_AFTER = timedelta(seconds=1)
@@ -49,73 +46,6 @@
 PRIORITY = 5
 
 
-@attrs.frozen(kw_only=True)
-class Prompt:
-    """The properties of a prompt that its caller states, without the prompt itself.
-
-    Attributes:
-        last_part: The name of the prompt's last part, which belongs to this request
-            alone or to its session.
-        tokens: The length of the prompt in tokens.
-        max_output: The maximum length of the answer in tokens.
-    """
-
-    last_part: str
-    tokens: int
-    max_output: int
-
-
-@attrs.frozen(kw_only=True)
-class FrontRequest:
-    """A request as decoded from the wire.
-
-    Attributes:
-        id: The caller's id of this try.
-        host: The requested host name.
-        path: The path, without the query.
-        key: The key of a workspace, or None.
-        time_left: The time until the caller gives up, if stated.
-        position: The number of the last stream event that the caller has received.
-        prompt: The stated properties of the prompt, if any.
-        raw: The method, target, headers and body to forward.
-    """
-
-    id: str
-    host: str
-    path: str
-    key: str | None
-    time_left: timedelta | None
-    position: int
-    prompt: Prompt | None
-    raw: RawCall
-
-
-class Responder(Protocol):
-    """The writer of the answer to one request."""
-
-    async def answer(self, answer: PlainAnswer) -> None:
-        """Write the complete answer of an endpoint."""
-
-    async def refuse(self, failure: Failure) -> None:
-        """Write a refusal by this host."""
-
-    async def begin(self, head: ResponseHead) -> None:
-        """Write the head of a stream."""
-
-    async def write(self, data: bytes) -> None:
-        """Write a part of a stream.
-
-        Raises:
-            ConnectionError: The caller disconnected.
-        """
-
-    async def end(self) -> None:
-        """Mark the stream as complete."""
-
-    def abort(self) -> None:
-        """Abort the stream, so that it can't be taken for complete."""
-
-
 @attrs.frozen(kw_only=True)
 class _Admitted:
     """A request with its route, service, workspace and deadline."""
@@ -143,6 +73,7 @@
             known.
         forecast: The forecast of the duration of streams.
         guard: The quarantine of requests that crash endpoints.
+        origins: The origins of streams that callers take up.
         is_behind: A callback that returns whether newer routes than those of this host
             are known to exist.
     """
@@ -160,12 +91,14 @@
         config_ready: asyncio.Event,
         forecast: Forecast,
         guard: CrashGuard,
+        origins: OriginExchange,
         is_behind: Callable[[], bool] = lambda: False,
     ) -> None:
         self._config_ready = config_ready
         self._is_behind = is_behind
         self._forecast = forecast
         self._guard = guard
+        self._origins = origins
         self._cold_start_until = clock.monotonic() + COLD_START
         self._routes = routes
         self._dispatcher = dispatcher
@@ -322,9 +255,49 @@
         generation = Generation(
             request=request, token_ids=[0] * position, delivered=position
         )
-        sink = _StreamSink(
-            responder=responder, clock=self._clock, marks_end=request.may_resume
-        )
+        first_id = admitted.request.resumes or request.id
+        if position:
+            generation.origin = await self._find_origin(admitted, first_id)
+        with self._origins.running(generation, first_id=first_id) as answer:
+            sink = StreamSink(
+                responder=responder,
+                clock=self._clock,
+                marks_end=request.may_resume,
+                on_begin=partial(self._origins.tell, answer),
+            )
+            return await self._run(admitted, generation, sink, responder)
+
+    async def _find_origin(self, admitted: _Admitted, first_id: str) -> Origin:
+        """Return the origin of a stream that its caller takes up.
+
+        Raises:
+            RefusedError: It is not known, and several software versions may serve.
+        """
+        try:
+            return await self._origins.find(
+                workspace=admitted.workspace,
+                service=admitted.service,
+                first_id=first_id,
+                request_id=admitted.request.id,
+            )
+        except UnknownOriginError as error:
+            raise refuse(
+                Code.RESUME_IMPOSSIBLE,
+                f"The software version that began this stream is not known: {error}.",
+                status=503,
+                step="resume",
+                peer=admitted.service,
+                retry_after=RETRY_AFTER,
+                position=admitted.request.position,
+            ) from error
+
+    async def _run(
+        self,
+        admitted: _Admitted,
+        generation: Generation,
+        sink: StreamSink,
+        responder: Responder,
+    ) -> str:
         left = admitted.deadline - self._clock.monotonic()
         try:
             async with PauseAwareTimeout(left, clock=self._clock):
@@ -346,59 +319,6 @@
         )
 
 
-class _StreamSink:
-    """The sink that writes one stream to its caller.
-
-    The caller receives the head of the first attempt only.
-
-    Args:
-        responder: The writer of the answer.
-        clock: The clock.
-        marks_end: Whether the end is marked for the caller even if the endpoint does
-            not mark it. Otherwise such an answer ends with its connection, as the
-            endpoint sent it.
-    """
-
-    def __init__(self, *, responder: Responder, clock: Clock, marks_end: bool) -> None:
-        self.has_begun = False
-        self._clock = clock
-        self._last_output_at = clock.monotonic()
-        self._first_pause = timedelta(0)
-        self._longest_pause = timedelta(0)
-        self._responder = responder
-        self._attempt: Attempt | None = None
-        self._marks_end = marks_end
-
-    def switch(self, generation: Generation, attempt: Attempt) -> None:
-        """Record a new attempt before its first output."""
-        self._attempt = attempt
-
-    @property
-    def timing(self) -> str:
-        """The wait for the first output and the longest pause after it, for the log."""
-        first = round(self._first_pause.total_seconds() * 1000)
-        longest = round(self._longest_pause.total_seconds() * 1000)
-        return f"first after {first} ms, longest pause {longest} ms"
-
-    async def write(self, deliveries: Sequence[Delivery]) -> None:
-        """Write new output; return when the caller can accept more."""
-        self._record_pause()
-        if not self.has_begun:
-            self.has_begun = True
-            head = self._attempt.head
-            is_framed = head.is_framed or self._marks_end
-            await self._responder.begin(attrs.evolve(head, is_framed=is_framed))
-        await self._responder.write(b"".join(item.payload for item in deliveries))
-
-    def _record_pause(self) -> None:
-        now = self._clock.monotonic()
-        pause, self._last_output_at = now - self._last_output_at, now
-        if self.has_begun:
-            self._longest_pause = max(self._longest_pause, pause)
-        else:
-            self._first_pause = pause
-
-
 def log_end(request_id: str, path: str, result: str, took: timedelta) -> None:
     """Log the result of a request, once for each request that was read."""
     log_event(
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -42,6 +42,7 @@
 from passtally.metrics import Metric
 from passtally.object_applier import ObjectApplier
 from passtally.objects import Endpoint
+from passtally.origin_exchange import OriginExchange
 from passtally.overload import Overload
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
@@ -182,6 +183,8 @@
             ("quarantine", self.quarantine_exchange.run),
             ("quarantine of others", self.quarantine_exchange.ask),
             ("isolation", self.isolation.run),
+            ("datagrams", self.datagrams.run),
+            ("origins", self.origins.run),
         ):
             self.spawn(keep_running(name, work, clock=self.clock))
         self.spawn(self.routes_exchange.run())
@@ -233,8 +236,10 @@
         """Publish this host's address to the other hosts once it is open."""
         table = self.gossip.table
         now = self.clock.monotonic()
-        if name == PEERS and table.own.address != str(address):
-            table.change_own(now=now, address=str(address))
+        if name == PEERS:
+            self.datagrams.receive_at(address)
+            if table.own.address != str(address):
+                table.change_own(now=now, address=str(address))
         elif name == TUNNELS and table.own.tunnel_address != str(address):
             table.change_own(now=now, tunnel_address=str(address))
 
@@ -260,7 +265,7 @@
         )
         self.peers, self.roster = links.peers, links.roster
         self.gossip, self.loans = links.gossip, links.loans
-        self.tunnels = links.tunnels
+        self.tunnels, self.datagrams = links.tunnels, links.datagrams
         self.load_table = LoadTable()
         self.rollouts = self._build_rollouts()
         sharers = LimitSharers(roster=self.roster, catalog=self.catalog)
@@ -508,6 +513,16 @@
             ),
             guard=self.guard,
         )
+        self.origins = OriginExchange(
+            members=self.roster,
+            datagrams=self.datagrams,
+            catalog=self.catalog,
+            rule=self.fleet.origin_rule,
+            clock=self.clock,
+            metrics=self.metrics,
+            is_current=lambda: self.watch.is_receiving,
+            has_others=lambda: self.roster.peak_hosts > 1 or bool(self.settings.seeds),
+        )
         self.front = Front(
             routes=self.routes,
             dispatcher=self.dispatcher,
@@ -519,6 +534,7 @@
             config_ready=self._config_ready,
             forecast=forecast,
             guard=self.guard,
+            origins=self.origins,
             is_behind=self._is_behind,
         )
 
@@ -584,7 +600,8 @@
         self.metrics.gauge(Metric.BRITTLE, self.fleet.brittle.count(now=now))
         self.metrics.gauge(Metric.TUNNELS, self.tunnels.count)
         self.metrics.gauge(Metric.TUNNELS_SERVED, self.servers.tunnels.count)
-        self.metrics.gauge(Metric.PEER_BYTES, self.peers.bytes_sent)
+        bytes_sent = self.peers.bytes_sent + self.datagrams.bytes_sent
+        self.metrics.gauge(Metric.PEER_BYTES, bytes_sent)
         if self.rollouts is not None:
             self.metrics.gauge(Metric.ROLLOUTS, self.rollouts.active_count)
         self.metrics.gauge(Metric.PLATFORM_AWAY, int(not self.watch.is_receiving))
--- a/passtally/host_links.py
+++ b/passtally/host_links.py
@@ -4,6 +4,7 @@
 
 from passtally.budget_loans import BudgetLoans
 from passtally.clock import Clock
+from passtally.datagrams import Datagrams
 from passtally.departures import Departures
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
@@ -15,7 +16,7 @@
 
 
 class HostLinks:
-    """The links to other hosts, the membership gossip, the loans and the tunnels.
+    """The links and datagrams to other hosts, the gossip, the loans and the tunnels.
 
     Args:
         settings: The settings of this host.
@@ -52,6 +53,7 @@
         self.roster = Roster(
             seeds=settings.seeds, table=table, peers=self.peers, clock=clock
         )
+        self.datagrams = Datagrams(signer=self.peers.signer, clock=clock)
         self.loans = BudgetLoans(
             peers=self.peers, roster=self.roster, rng=random.Random()
         )
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -451,6 +451,54 @@
     listing: bytes = b""
 
 
+class OriginRow(msgspec.Struct, array_like=True, frozen=True):
+    """The software version at which an answer began.
+
+    Attributes:
+        key: The key of the answer; see :func:`passtally.origin_table.origin_key`.
+        software: The version.
+    """
+
+    key: bytes
+    software: str
+
+
+class TellOrigins(msgspec.Struct, tag="tell_origins", array_like=True):
+    """The versions at which answers began, for a host that keeps them."""
+
+    rows: list[OriginRow]
+
+
+class AskOrigin(msgspec.Struct, tag="ask_origin", array_like=True):
+    """A request for the version of an answer; answered by :class:`OriginFound`.
+
+    Attributes:
+        number: The number of the request at its sender.
+        key: The key of the answer.
+        service: The service of the answer.
+    """
+
+    number: int
+    key: bytes
+    service: str
+
+
+class OriginFound(msgspec.Struct, tag="origin_found", array_like=True):
+    """What a host knows of an answer.
+
+    Attributes:
+        number: The number of the request.
+        software: The version; empty if it is not known.
+        age_ms: The time since the host was last told, in milliseconds.
+        versions: The versions that the host saw in the service of late.
+    """
+
+    number: int
+    software: str
+    age_ms: int
+    versions: list[str]
+
+
 Message = (
     StoreCopies
     | CopiesHeld
@@ -475,4 +523,7 @@
     | RolloutNews
     | QuarantineNews
     | FetchQuarantine
+    | TellOrigins
+    | AskOrigin
+    | OriginFound
 )
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -116,6 +116,20 @@
         "1",
         "Refused requests; the error code follows the name.",
     )
+    TAKE_UPS = (
+        "take_ups",
+        "counter",
+        "1",
+        "Streams that callers take up midway; what was found of the software version"
+        " that began them follows the name: known, sole or unknown.",
+    )
+    VERSION_REFUSED = (
+        "version_refused",
+        "counter",
+        "1",
+        "Answers that no endpoint of the software version that began them was left for;"
+        " the service follows the name.",
+    )
     ATTEMPTS = "attempts", "counter", "1", "Attempts started at endpoints."
     LOST = "lost", "counter", "1", "Attempts lost; the kind of loss follows the name."
     FIRST_TOKEN = "first_token", "timer", "ms", "Time from dispatch to the first token."
--- /dev/null
+++ b/passtally/origin_table.py
@@ -0,0 +1,75 @@
+"""The software versions at which answers began, by a short key of their first try."""
+
+import hashlib
+from collections import OrderedDict
+from datetime import timedelta
+
+import attrs
+
+KEY_BYTES = 8
+#: Time after which a record that was not renewed expires. Callers take an answer up
+#: soon after its end, and a host renews the records of the answers that it runs.
+RECORD_TTL = timedelta(minutes=2)
+#: Maximum number of records. Above it, the oldest are dropped.
+MAX_RECORDS = 50_000
+
+
+@attrs.frozen(kw_only=True)
+class OriginRecord:
+    """What is known of one answer.
+
+    Attributes:
+        software: The software version at which it began; empty if hosts told
+            different ones, so that none of them can be relied on.
+        told_at: The monotonic time at which this host was last told.
+    """
+
+    software: str
+    told_at: timedelta
+
+
+class OriginTable:
+    """The records of answers that are known to this host. Pure."""
+
+    def __init__(self) -> None:
+        self._records_by_key: OrderedDict[bytes, OriginRecord] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return the number of records, expired ones included."""
+        return len(self._records_by_key)
+
+    def put(self, key: bytes, software: str, *, now: timedelta) -> None:
+        """Record or renew the version of an answer."""
+        known = self.find(key, now=now)
+        if known is not None and known.software != software:
+            software = ""
+        self._records_by_key[key] = OriginRecord(software=software, told_at=now)
+        self._records_by_key.move_to_end(key)
+        self._drop_oldest(now)
+
+    def find(self, key: bytes, *, now: timedelta) -> OriginRecord | None:
+        """Return the record of an answer, or None if there is none in force."""
+        record = self._records_by_key.get(key)
+        if record is None or now - record.told_at > RECORD_TTL:
+            return None
+        return record
+
+    def _drop_oldest(self, now: timedelta) -> None:
+        while self._records_by_key:
+            oldest = next(iter(self._records_by_key.values()))
+            is_expired = now - oldest.told_at > RECORD_TTL
+            if not is_expired and len(self._records_by_key) <= MAX_RECORDS:
+                return
+            self._records_by_key.popitem(last=False)
+
+
+def origin_key(workspace: str, service: str, request_id: str) -> bytes:
+    """Return the key of an answer.
+
+    Args:
+        workspace: The workspace of the caller, who chooses the ids of its requests.
+        service: The service.
+        request_id: The id of the try that brought the answer's first output.
+    """
+    scope = "\0".join((workspace, service, request_id)).encode()
+    return hashlib.blake2b(scope, digest_size=KEY_BYTES).digest()
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -36,6 +36,10 @@
     """No endpoint can run a generation in time; the message is the reason."""
 
 
+class NoVersionLeftError(NoEndpointError):
+    """No endpoint runs the software version that began an answer."""
+
+
 class Placement:
     """Chooses endpoints for generations and their replicas.
 
@@ -133,7 +137,7 @@
             software=software,
             position=generation.position,
         )
-        raise NoEndpointError(f"{NO_VERSION_LEFT} ({software or 'unknown'})")
+        raise NoVersionLeftError(f"{NO_VERSION_LEFT} ({software or 'unknown'})")
 
     def _may_wait(self, generation: Generation, *, until: timedelta) -> bool:
         """Return whether an endpoint may become usable before ``until``.
--- a/passtally/platform/ingress.py
+++ b/passtally/platform/ingress.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from passtally.front import Front, FrontRequest, Prompt, log_end
+from passtally.front import Front, log_end
+from passtally.front_request import FrontRequest, Prompt
 from passtally.generation import RawCall
 from passtally.http_client import ResponseHead, drop_connection_headers
 from passtally.http_server import Exchange, HttpRequest
@@ -111,6 +112,7 @@
         key=_text(request, names.KEY),
         time_left=None if time_left is None else timedelta(milliseconds=time_left),
         position=int(_number(request, names.LAST_EVENT_ID) or 0),
+        resumes=_text(request, names.RESUMES) or "",
         prompt=_decode_prompt(request),
         raw=RawCall(
             method=request.method,
--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -8,6 +8,8 @@
 EXPECTED_ENDPOINT = b"x-expect-instance"
 #: The id of the last event that the caller received.
 LAST_EVENT_ID = b"last-event-id"
+#: The id of the caller's try that brought the first event of a stream that it takes up.
+RESUMES = b"resumes"
 #: The length of the prompt and the maximum output, in tokens, as ``PROMPT,MAX``.
 #: Despite the header's name, it is not the usage of a finished run.
 TOKEN_COUNTS = b"x-token-usage"
