Records of streams name the endpoint until its version is known; tests, soak

The record names the endpoint now, whose entry tells the version; the successor is marked as one whose entry was not read, and an answer waits for such an entry as for an endpoint that is full.

The soak serves with two versions (drawn from the endpoints' names, so that no draw changes), its callers name Resumes; more than two mixed streams are reported. A taker asks three hosts in each domain: a test found that two leave out a keeper where the first is the host that began the stream. test_soak::TestJoinEvents follows the changed function, its checks are the same.

--- a/passtally/endpoint_changes.py
+++ b/passtally/endpoint_changes.py
@@ -95,6 +95,7 @@
                 state=EndpointState.ACTIVE,
                 incarnation=UNKNOWN_INCARNATION,
                 software="",
+                has_entry=False,
             )
             self._host.spawn(self._put_if_engine(successor))
 
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -195,13 +195,13 @@
     def may_return(self, origin: Origin, service_id: str) -> bool:
         """Return whether some endpoint may continue an answer, now or after a wait.
 
-        An endpoint that is full, ejected or in back-off may; one that is leaving or has
-        exited for good won't.
+        An endpoint that is full, ejected or in back-off may, and one whose entry was
+        not read yet; one that is leaving or has exited for good won't.
         """
         staying = (
             self.find(endpoint.id)
             for endpoint in self._catalog.endpoints_of(service_id)
-            if self.may_continue(origin, endpoint)
+            if not endpoint.has_entry or self.may_continue(origin, endpoint)
         )
         return any(
             live.state is EndpointState.ACTIVE
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -456,11 +456,15 @@
 
     Attributes:
         key: The key of the answer; see :func:`passtally.origin_table.origin_key`.
-        software: The version.
+        software: The version; empty if the sender does not know it yet.
+        endpoint_id: The endpoint, if the version is not known.
+        incarnation: The endpoint's start, if the version is not known.
     """
 
     key: bytes
     software: str
+    endpoint_id: str = ""
+    incarnation: int = UNKNOWN_INCARNATION
 
 
 class TellOrigins(msgspec.Struct, tag="tell_origins", array_like=True):
@@ -488,13 +492,13 @@
 
     Attributes:
         number: The number of the request.
-        software: The version; empty if it is not known.
-        age_ms: The time since the host was last told, in milliseconds.
-        versions: The versions that the host saw in the service of late.
+        row: What it was told; None if nothing, or nothing that can be relied on.
+        age_ms: The time since it was last told, in milliseconds.
+        versions: The versions that it saw in the service of late.
     """
 
     number: int
-    software: str
+    row: OriginRow | None
     age_ms: int
     versions: list[str]
 
--- a/passtally/objects.py
+++ b/passtally/objects.py
@@ -125,6 +125,8 @@
         versions: The model versions and adapters that it has loaded.
         software: Version of its software, or empty.
         is_cold: Whether it is still slow after its start.
+        has_entry: Whether its own entry was read; otherwise it is known only by its
+            address, and its version is not known yet.
     """
 
     id: str
@@ -140,6 +142,7 @@
     versions: tuple[str, ...] = ()
     software: str = ""
     is_cold: bool = False
+    has_entry: bool = True
 
     @property
     def start(self) -> EndpointStart:
--- a/passtally/origin.py
+++ b/passtally/origin.py
@@ -27,6 +27,12 @@
     software: str
     start: EndpointStart | None = None
 
+    def agrees_with(self, other: "Origin") -> bool:
+        """Return whether both may be the same, as far as they are known."""
+        if self.software and other.software:
+            return self.software == other.software
+        return self.start is None or other.start is None or self.start == other.start
+
     @classmethod
     def of(cls, endpoint: Endpoint) -> "Origin":
         """Return the origin of an answer that begins at an endpoint now."""
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -26,6 +26,7 @@
     TellOrigins,
 )
 from passtally.metrics import Metric, Metrics
+from passtally.objects import EndpointStart
 from passtally.origin import Origin, OriginRule
 from passtally.origin_keepers import MemberSource, OriginKeepers
 from passtally.origin_table import OriginTable, origin_key
@@ -76,14 +77,18 @@
 
     def add(self, sender: Address, found: OriginFound) -> None:
         self.found_by_address[sender] = found
-        if found.software or len(self.found_by_address) >= len(self.asked):
+        if found.row is not None or len(self.found_by_address) >= len(self.asked):
             self.is_settled.set()
 
     @property
     def is_contradictory(self) -> bool:
         """Whether hosts were told different versions for the same id."""
-        found = {item.software for item in self.found_by_address.values()}
-        return len(found - {""}) > 1
+        origins = [
+            _origin_of(found.row)
+            for found in self.found_by_address.values()
+            if found.row is not None
+        ]
+        return not all(origins[0].agrees_with(other) for other in origins[1:])
 
     @property
     def unanswered(self) -> list[Address]:
@@ -209,15 +214,16 @@
         fields = {"request": request_id, "resumes": first_id}
         now = self._clock.monotonic()
         record = self.table.find(key, now=now)
-        if record is not None and record.software:
+        if record is not None and record.origin is not None:
             age = now - record.told_at
-            return self._found(record.software, peer="", age=age, **fields)
+            return self._found(record.origin, peer="", age=age, **fields)
         question = await self._ask(key, service)
         for sender, found in question.found_by_address.items():
-            if found.software and not question.is_contradictory:
-                self.table.put(key, found.software, now=self._clock.monotonic())
+            if found.row is not None and not question.is_contradictory:
+                origin = _origin_of(found.row)
+                self.table.put(key, origin, now=self._clock.monotonic())
                 age = timedelta(milliseconds=found.age_ms)
-                return self._found(found.software, peer=sender, age=age, **fields)
+                return self._found(origin, peer=sender, age=age, **fields)
         replies = list(question.found_by_address.values())
         sole = self._find_sole(service, replies)
         asked = [row.host_id for row in question.asked]
@@ -235,10 +241,11 @@
         self._metrics.count(Metric.TAKE_UPS, "sole")
         return Origin(software=sole)
 
-    def _found(self, software: str, **fields: object) -> Origin:
+    def _found(self, origin: Origin, **fields: object) -> Origin:
         self._metrics.count(Metric.TAKE_UPS, "known")
+        software = self._rule.software_of(origin)
         log_event("origin", "Found.", software=software, **fields)
-        return Origin(software=software)
+        return origin
 
     def _find_sole(self, service: str, replies: Sequence[OriginFound]) -> str | None:
         """Return the only version that a service had of late, or None.
@@ -254,15 +261,17 @@
         return versions.pop() if len(versions) == 1 else None
 
     def _record(self, answer: RunningAnswer) -> OriginRow | None:
-        """Record an answer here; return the row to tell, or None without a version."""
+        """Record an answer here, and return the row to tell; None before it begins."""
         origin = answer.generation.origin
-        software = "" if origin is None else self._rule.software_of(origin)
-        if not software:
+        if origin is None:
             return None
+        software = self._rule.software_of(origin)
+        if software:
+            origin = Origin(software=software)
         now = self._clock.monotonic()
-        self.table.put(answer.key, software, now=now)
+        self.table.put(answer.key, origin, now=now)
         answer.told_at = now
-        return OriginRow(key=answer.key, software=software)
+        return _row_of(answer.key, origin)
 
     def _record_seen(self) -> None:
         self._seen.record(
@@ -290,15 +299,16 @@
     def _store(self, message: TellOrigins, sender: Address) -> None:
         now = self._clock.monotonic()
         for row in message.rows:
-            self.table.put(row.key, row.software, now=now)
+            self.table.put(row.key, _origin_of(row), now=now)
 
     def _answer(self, message: AskOrigin, sender: Address) -> None:
         now = self._clock.monotonic()
         record = self.table.find(message.key, now=now)
         age = timedelta(0) if record is None else now - record.told_at
+        origin = None if record is None else record.origin
         found = OriginFound(
             number=message.number,
-            software="" if record is None else record.software,
+            row=None if origin is None else _row_of(message.key, origin),
             age_ms=round(age.total_seconds() * 1000),
             versions=sorted(self._seen.list_versions(message.service)),
         )
@@ -308,3 +318,22 @@
         question = self._questions_by_number.get(message.number)
         if question is not None:
             question.add(sender, message)
+
+
+def _row_of(key: bytes, origin: Origin) -> OriginRow:
+    start = origin.start
+    if origin.software or start is None:
+        return OriginRow(key=key, software=origin.software)
+    return OriginRow(
+        key=key,
+        software="",
+        endpoint_id=start.endpoint_id,
+        incarnation=start.incarnation,
+    )
+
+
+def _origin_of(row: OriginRow) -> Origin:
+    if not row.endpoint_id:
+        return Origin(software=row.software)
+    start = EndpointStart(endpoint_id=row.endpoint_id, incarnation=row.incarnation)
+    return Origin(software=row.software, start=start)
--- a/passtally/origin_keepers.py
+++ b/passtally/origin_keepers.py
@@ -11,11 +11,10 @@
 #: cut off, and the other host outlives the loss of the whole domain.
 KEEPERS = 3
 LOCAL_KEEPERS = 2
-#: Number of hosts that are asked in the own failure domain and in each other. One more
-#: than keep a record, since the first in the order may be the host that began the
-#: answer, or one that has joined or been lost since.
-ASKED_LOCALLY = LOCAL_KEEPERS + 1
-ASKED_PER_DOMAIN = 2
+#: Number of hosts that are asked in each failure domain. One more than keep a record,
+#: since the first in the order may be the host that began the answer, or one that has
+#: joined or been lost since.
+ASKED_PER_DOMAIN = LOCAL_KEEPERS + 1
 
 
 class MemberSource(Protocol):
@@ -63,13 +62,10 @@
 
     def list_asked(self, key: bytes) -> list[MemberRow]:
         """Return the hosts that may keep the record of an answer, begun anywhere."""
-        own = self._members.own.failure_domain
         return [
             row
-            for domain, ring in self._rings().items()
-            for row in ring.list_hosts(
-                key, ASKED_LOCALLY if domain == own else ASKED_PER_DOMAIN
-            )
+            for ring in self._rings().values()
+            for row in ring.list_hosts(key, ASKED_PER_DOMAIN)
         ]
 
     def _rings(self) -> dict[str, HostRing]:
--- a/passtally/origin_table.py
+++ b/passtally/origin_table.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from passtally.origin import Origin
+
 KEY_BYTES = 8
 #: Time after which a record that was not renewed expires. Callers take an answer up
 #: soon after its end, and a host renews the records of the answers that it runs.
@@ -19,12 +21,12 @@
     """What is known of one answer.
 
     Attributes:
-        software: The software version at which it began; empty if hosts told
-            different ones, so that none of them can be relied on.
+        origin: Its origin; None if hosts told different ones, so that none of them can
+            be relied on.
         told_at: The monotonic time at which this host was last told.
     """
 
-    software: str
+    origin: Origin | None
     told_at: timedelta
 
 
@@ -38,12 +40,12 @@
         """Return the number of records, expired ones included."""
         return len(self._records_by_key)
 
-    def put(self, key: bytes, software: str, *, now: timedelta) -> None:
-        """Record or renew the version of an answer."""
+    def put(self, key: bytes, origin: Origin, *, now: timedelta) -> None:
+        """Record or renew the origin of an answer."""
         known = self.find(key, now=now)
-        if known is not None and known.software != software:
-            software = ""
-        self._records_by_key[key] = OriginRecord(software=software, told_at=now)
+        if known is not None:
+            origin = _merge(known.origin, origin)
+        self._records_by_key[key] = OriginRecord(origin=origin, told_at=now)
         self._records_by_key.move_to_end(key)
         self._drop_oldest(now)
 
@@ -63,6 +65,13 @@
             self._records_by_key.popitem(last=False)
 
 
+def _merge(known: Origin | None, told: Origin) -> Origin | None:
+    """Return what is known after an answer was told again, or None on a conflict."""
+    if known is None or not known.agrees_with(told):
+        return None
+    return known if known.software else told
+
+
 def origin_key(workspace: str, service: str, request_id: str) -> bytes:
     """Return the key of an answer.
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,6 +46,7 @@
         requests: Whether to send fatal requests and to let endpoints announce limits.
         words: Whether to let endpoints announce in their answers that they leave or
             ask for back-off, and to restore the store from older copies.
+        versions: Whether endpoints of two software versions serve.
     """
 
     seed: int
@@ -55,12 +56,15 @@
     settings: bool = True
     requests: bool = True
     words: bool = True
+    versions: bool = True
 
 
 async def play(setup: Setup, folder: Path, evidence: Evidence) -> None:
     """Run one seed and check the promises."""
     rng = random.Random(setup.seed)
-    world = World(folder=folder, evidence=evidence, rng=rng)
+    world = World(
+        folder=folder, evidence=evidence, rng=rng, has_versions=setup.versions
+    )
     tasks: list[asyncio.Task[None]] = []
     try:
         await world.start(hosts=setup.hosts, engines=ENGINES, lookups=LOOKUPS)
@@ -227,6 +231,11 @@
     default=True,
     help="Let endpoints announce directives, and restore older store copies.",
 )
+@click.option(
+    "--versions/--no-versions",
+    default=True,
+    help="Serve with endpoints of two software versions.",
+)
 @click.option("--jobs", type=int, default=1, help="Number of seeds to run at a time.")
 def main(
     seed: int | None,
@@ -238,6 +247,7 @@
     settings: bool,
     requests: bool,
     words: bool,
+    versions: bool,
     jobs: int,
 ) -> None:
     """Run seeds of the soak; exit with 1 if a promise was broken."""
@@ -251,6 +261,7 @@
         settings=settings,
         requests=requests,
         words=words,
+        versions=versions,
     )
     if seed is not None:
         sys.exit(0 if play_seed(setup) else 1)
@@ -273,6 +284,7 @@
     command.append("--settings" if setup.settings else "--no-settings")
     command.append("--requests" if setup.requests else "--no-requests")
     command.append("--words" if setup.words else "--no-words")
+    command.append("--versions" if setup.versions else "--no-versions")
     done = subprocess.run(command, capture_output=True, text=True)
     print(done.stdout + done.stderr, end="", flush=True)
     return done.returncode == 0
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -10,6 +10,7 @@
 import h11
 
 from soak.evidence import Evidence, RequestOutcome, TryOutcome, find_problem, now
+from soak.joined_streams import StreamTry
 from standins.platform_config import KEY
 
 READ_BYTES = 1 << 16
@@ -26,7 +27,7 @@
 RETRY_DELAY_SECONDS = 0.05
 
 _PATHS_BY_KIND = {"stream": "/draft/1", "call": "/look/1", "booking": "/book/1"}
-_EVENT = re.compile(rb"id: (\d+)\ndata: piece (\d+)\n\n")
+_EVENT = re.compile(rb"id: (\d+)\ndata: piece (\d+) of (\w+)\n\n")
 _numbers = itertools.count(1)
 
 
@@ -56,6 +57,21 @@
     caller_left: bool = False
 
 
+@attrs.define(kw_only=True)
+class _Stream:
+    """What a caller has received of a stream, over all its tries.
+
+    Attributes:
+        position: The number of the last event received in order.
+        first_id: The id of the try that brought the first event; empty before it.
+        version: The software version of the first event; empty before it.
+    """
+
+    position: int = 0
+    first_id: str = ""
+    version: str = ""
+
+
 class Caller:
     """Sends requests of one kind, one at a time, and records every try.
 
@@ -110,15 +126,15 @@
         return is_served
 
     async def _send_with_retries(self, host: str, tries: list[TryOutcome]) -> bool:
-        position = 0
+        stream = _Stream()
         for _ in range(MAX_TRIES):
             names = list(self._addresses_by_host())
             name = host or self._rng.choice(names)
-            outcome, answer = await self._try(name, position)
+            could_go_on = self._evidence.streams.can_go_on(stream.version)
+            outcome, answer = await self._try(name, stream)
             if self._kind == "stream":
-                position, problem = self._join_events(
-                    answer.body, position, answer.is_complete
-                )
+                self._record_stream(outcome, answer, stream, could_go_on=could_go_on)
+                problem = self._join_events(outcome.id, answer, stream)
                 outcome = attrs.evolve(outcome, problem=problem or outcome.problem)
             self._evidence.tries.append(outcome)
             tries.append(outcome)
@@ -130,7 +146,7 @@
             await asyncio.sleep(RETRY_DELAY_SECONDS)
         return False
 
-    async def _try(self, host: str, position: int) -> tuple[TryOutcome, _Answer]:
+    async def _try(self, host: str, stream: "_Stream") -> tuple[TryOutcome, _Answer]:
         request_id = f"q{next(_numbers)}-{self._kind}"
         sent_at = now()
         answer = _Answer()
@@ -139,7 +155,7 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 if connection is None:
                     connection = await self._open(host)
-                await self._send(connection, request_id, position)
+                await self._send(connection, request_id, stream)
                 await self._read(connection, answer)
         except (OSError, TimeoutError, h11.RemoteProtocolError):
             answer.is_complete = False
@@ -179,7 +195,7 @@
         return _Connection(reader=reader, writer=writer, protocol=protocol)
 
     async def _send(
-        self, connection: _Connection, request_id: str, position: int
+        self, connection: _Connection, request_id: str, stream: "_Stream"
     ) -> None:
         headers = [
             ("Host", "shop.example"),
@@ -194,8 +210,9 @@
                 ("X-Token-Usage", "500,100"),
                 ("X-Prefix-Hash", f"5c1e07a2:200,{self._rng.getrandbits(32):x}:300"),
             ]
-        if position:
-            headers.append(("Last-Event-Id", str(position)))
+        if stream.position:
+            headers.append(("Last-Event-Id", str(stream.position)))
+            headers.append(("Resumes", stream.first_id))
         request = h11.Request(
             method="POST", target=_PATHS_BY_KIND[self._kind], headers=headers
         )
@@ -241,23 +258,46 @@
         else:
             connection.close()
 
-    def _join_events(
-        self, body: bytes, position: int, is_complete: bool
-    ) -> tuple[int, str]:
-        """Check that the events in a stream's body continue after a position.
+    def _record_stream(
+        self,
+        outcome: TryOutcome,
+        answer: _Answer,
+        stream: _Stream,
+        *,
+        could_go_on: bool,
+    ) -> None:
+        """Record a try of a stream before its events are appended."""
+        streams = self._evidence.streams
+        brought = {version.decode() for _, _, version in _EVENT.findall(answer.body)}
+        streams.record_versions(outcome.id, brought | {stream.version})
+        stream_try = StreamTry(
+            host=outcome.host,
+            sent_at=outcome.sent_at,
+            ended_at=outcome.ended_at,
+            went_on=bool(brought),
+        )
+        if not stream.version:
+            streams.record_new(stream_try)
+        elif could_go_on:
+            streams.record_take_up(stream_try)
+
+    def _join_events(self, try_id: str, answer: _Answer, stream: _Stream) -> str:
+        """Append the events of an answer, and check that they continue the stream.
 
         Returns:
-            The number of the last event received in order, and the problem found;
-            empty for none.
+            The problem found; empty for none.
         """
-        for number, piece in _EVENT.findall(body):
-            if int(number) != position + 1 or number != piece:
-                return position, f"event {number.decode()} after {position}"
-            position += 1
+        body = answer.body
+        for number, piece, version in _EVENT.findall(body):
+            if int(number) != stream.position + 1 or number != piece:
+                return f"event {number.decode()} after {stream.position}"
+            stream.position += 1
+            stream.first_id = stream.first_id or try_id
+            stream.version = stream.version or version.decode()
         rest = _EVENT.sub(b"", body)
-        if is_complete and rest.startswith(b"id"):
-            return position, "incomplete event in a complete answer"
-        is_short = position < self._events and not rest.startswith(b"{")
-        if is_complete and is_short:
-            return position, f"complete after {position} events"
-        return position, ""
+        if answer.is_complete and rest.startswith(b"id"):
+            return "incomplete event in a complete answer"
+        is_short = stream.position < self._events and not rest.startswith(b"{")
+        if answer.is_complete and is_short:
+            return f"complete after {stream.position} events"
+        return ""
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -6,6 +6,7 @@
 import attrs
 
 from soak.ends import ProcessExit
+from soak.joined_streams import JoinedStreams, StreamTry
 from standins.runner import PROOF
 
 #: Statuses which promise that a request did not run and never will.
@@ -99,6 +100,7 @@
             to draining.
         versions_by_process_run: The configuration versions read from each host process.
         exits: The exits of the host processes.
+        streams: The streams over all tries of their callers.
         violations: The broken promises, a line each.
     """
 
@@ -110,6 +112,7 @@
     draining_since: dict[str, float] = attrs.field(factory=dict)
     versions_by_process_run: dict[str, list[int]] = attrs.field(factory=dict)
     exits: list[ProcessExit] = attrs.field(factory=list)
+    streams: JoinedStreams = attrs.field(factory=JoinedStreams)
     violations: list[str] = attrs.field(factory=list)
 
     def report(self, text: str) -> None:
@@ -131,8 +134,19 @@
             self._judge_served(request)
         self._judge_drains()
         self._judge_stops()
+        for problem in self.streams.list_problems(self._is_in_touch):
+            self.report(problem)
         return self.violations
 
+    def _is_in_touch(self, stream_try: StreamTry) -> bool:
+        """Whether no fault of a host, of its link to the store or the store acted."""
+        host = stream_try.host
+        return self._was_up(host, stream_try.sent_at) and not any(
+            fault.target in (host, f"store of {host}", "store")
+            and fault.may_affect(stream_try.sent_at, stream_try.ended_at)
+            for fault in self.faults
+        )
+
     def _judge_try(self, outcome: TryOutcome) -> None:
         runs = self.ran[outcome.id]
         if outcome.problem:
--- a/soak/world.py
+++ b/soak/world.py
@@ -114,15 +114,25 @@
         folder: The folder for the settings files and logs of the hosts.
         evidence: The record of the run.
         rng: The generator of endpoint names and configuration versions.
+        has_versions: Whether endpoints of two software versions serve.
     """
 
-    def __init__(self, *, folder: Path, evidence: Evidence, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        evidence: Evidence,
+        rng: random.Random,
+        has_versions: bool = True,
+    ) -> None:
         self.store = ObjectStoreStandIn()
         self.hosts_by_name: dict[str, HostProcess] = {}
         self.places: list[Place] = []
         self.version = 1
         self._folder = folder
         self.evidence = evidence
+        evidence.streams.count_endpoints = self._count_engines
+        self._has_versions = has_versions
         self._rng = rng
         self._network: LoopbackNetwork | None = None
         #: Callback for each endpoint that a request crashed, with its place.
@@ -215,6 +225,8 @@
             gap=EVENT_INTERVAL_SECONDS,
             find=self._find_runner,
             on_crash=lambda runner: self._record_crash(place, runner),
+            version=self._version_of(name),
+            marks_version=True,
         )
         runner.evidence = self.evidence
         if not place.link.is_listening:
@@ -225,6 +237,20 @@
         place.runner = runner
         self.put_entry(place)
 
+    def _version_of(self, name: str) -> str:
+        """Return the software version of an endpoint, so that each has about half."""
+        is_second = self._has_versions and int(name.removeprefix("i-"), 16) % 2
+        return "v2" if is_second else "v1"
+
+    def _count_engines(self, version: str) -> int:
+        return sum(
+            place.service == ENGINE
+            and place.runner is not None
+            and place.state == "ready"
+            and place.runner.version == version
+            for place in self.places
+        )
+
     def put_entry(self, place: Place, state: str = "ready") -> None:
         """Put the entry of a place's endpoint into the store, with a state."""
         runner, place.state = place.runner, state
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
 import pytest
 
 from soak.__main__ import Setup, play_seed
-from soak.caller import Caller
+from soak.caller import Caller, _Answer, _Stream
 from soak.ends import STOP_SIGNALS, ProcessExit, SentSignal
 from soak.evidence import (
     FAULT_EFFECT_SECONDS,
@@ -25,6 +25,7 @@
     TryOutcome,
     find_problem,
 )
+from soak.joined_streams import MAX_MIXED, MIN_TAKE_UPS, JoinedStreams, StreamTry
 from soak.link import FaultyLink, LinkFault
 from soak.network import CLAIM_PORT, HOST_PORTS, LoopbackNetwork
 from soak.starts import StartFaultInjector
@@ -541,8 +542,11 @@
             rng=random.Random(1),
             events=EVENTS,
         )
-        body = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
-        return caller._join_events(body, position, is_complete)
+        body = b"".join(b"id: %d\ndata: piece %d of v1\n\n" % (n, n) for n in numbers)
+        stream = _Stream(position=position)
+        answer = _Answer(body=body, is_complete=is_complete)
+        problem = caller._join_events("q1", answer, stream)
+        return stream.position, problem
 
     def test_events_continue_after_the_position(self):
         assert self.join(3, 4, 5, position=2) == (5, "")
@@ -556,6 +560,33 @@
         assert "complete after 2" in self.join(1, 2, is_complete=True)[1]
 
 
+class TestJoinedStreams:
+    def judge(self, streams: JoinedStreams) -> list[str]:
+        return streams.list_problems(lambda stream_try: stream_try.host == "in touch")
+
+    def make_try(self, *, went_on: bool, host: str = "in touch") -> StreamTry:
+        return StreamTry(host=host, sent_at=0.0, ended_at=1.0, went_on=went_on)
+
+    def test_more_than_two_streams_of_two_versions_are_reported(self):
+        streams = JoinedStreams()
+        for number in range(MAX_MIXED):
+            streams.record_versions(f"q{number}", {"v1", "v2"})
+            streams.record_versions(f"p{number}", {"v1", ""})
+        assert not self.judge(streams)
+        streams.record_versions("q", {"v1", "v2"})
+        assert self.judge(streams)
+
+    def test_take_ups_that_go_on_less_than_new_streams_begin_are_reported(self):
+        streams = JoinedStreams()
+        streams.record_new(self.make_try(went_on=True))
+        for number in range(MIN_TAKE_UPS):
+            streams.record_take_up(self.make_try(went_on=number < MIN_TAKE_UPS // 2))
+            streams.record_take_up(self.make_try(went_on=False, host="cut off"))
+        assert not self.judge(streams)
+        streams.record_take_up(self.make_try(went_on=False))
+        assert self.judge(streams)
+
+
 class TestLink:
     @pytest.mark.parametrize(
         ("fault", "expected"),
