The dispatcher's retries and losses have modules of their own

dispatcher: 604 to 382 lines; loss_handler decides after a lost attempt, generation_retries acquires and releases the retries. No logic changes: the cancel of a frozen or mismatching attempt is started right before the loss is handled instead of within.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -5,8 +5,6 @@
 from datetime import timedelta
 from functools import partial
 
-import attrs
-
 from passtally.answer_recorder import AnswerRecorder
 from passtally.clock import Clock
 from passtally.crash_guard import CrashGuard, quarantine_error
@@ -17,10 +15,11 @@
 from passtally.generation import (
     Attempt,
     Generation,
-    GenerationRequest,
     ResumeMismatchError,
 )
+from passtally.generation_retries import GenerationRetries
 from passtally.live_endpoint import LiveEndpoint
+from passtally.loss_handler import ATTACH_STEP, CRASHED_TOO_MANY, LossHandler
 from passtally.loss_inspection import inspect_loss
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.origin import Origin
@@ -30,38 +29,19 @@
 from passtally.relay import Relay, Sink
 from passtally.replica import ReplicaKeeper
 from passtally.retry import (
-    CLOSED_KINDS,
-    CONNECTION_KINDS,
     UNRUN_KINDS,
-    Holder,
     LossKind,
     NextStep,
-    RetryDecision,
     RetryLimits,
-    decide_after_loss,
-    is_endpoint_dead,
-    is_endpoint_unreachable,
 )
-from passtally.retry_budget import Budgets, acquire_retry, wait_for_retry
-from passtally.suspect import Evidence
+from passtally.retry_budget import Budgets
 
 #: Delay before the stream of a caller that left is cancelled at its engine, so that
 #: the caller can reconnect.
 LINGER = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
-RESET = LossKind.RESET
-#: Step of a loss when an attempt could not attach to its stream.
-ATTACH_STEP = "attach"
-#: Time without output after which an answer without a deadline gives up if no endpoint
-#: can be reached. Endpoints are usually replaced within some seconds.
-MAX_UNREACHED_TIME = timedelta(seconds=15)
-CRASHED_TOO_MANY = "it crashed too many endpoints"
-#: A caller is expected to give up a silent stream after the longest of this time,
-#: ``GIVE_UP_TARGET_FACTOR`` times its target for the first output, and
-#: ``GIVE_UP_GAP_FACTOR`` times the maximum gap that it allows between outputs.
-MIN_GIVE_UP = timedelta(seconds=2)
-GIVE_UP_TARGET_FACTOR = 4
-GIVE_UP_GAP_FACTOR = 8
+#: Losses after which the attempt may still run at its endpoint.
+ABORTED_KINDS = frozenset((LossKind.FROZEN, LossKind.RESUME_MISMATCH))
 
 
 Recovery = Callable[[], Awaitable[Sequence[int] | None]]
@@ -97,7 +77,6 @@
         self._fleet = fleet
         self._clock = clock
         self._placement = placement
-        self._limits = limits
         self._budgets = budgets
         self._linger = linger
         self._metrics = metrics or NoMetrics()
@@ -110,6 +89,16 @@
             metrics=self._metrics,
             guard=self._guard,
         )
+        self._retries = GenerationRetries(budgets=budgets, clock=clock)
+        self._losses = LossHandler(
+            fleet=fleet,
+            clock=clock,
+            placement=placement,
+            limits=limits,
+            retries=self._retries,
+            guard=self._guard,
+            metrics=self._metrics,
+        )
         self._background: set[asyncio.Task[None]] = set()
 
     async def run(
@@ -190,7 +179,9 @@
                     await sink.write([generation.end(attempt)])
                     self._recorder.record_completion(generation, progress, live)
                     return
-                decision = await self._handle_loss(
+                if loss.kind in ABORTED_KINDS:
+                    self._cancel(live, generation, attempt)
+                decision = await self._losses.handle(
                     generation, attempt, live, loss, progress
                 )
                 step = decision.step
@@ -241,7 +232,7 @@
                 self._forecast.first_output_limit, generation.request.service
             ),
             may_fail_over=partial(
-                self._may_fail_over, generation, attempt, live, progress
+                self._losses.may_fail_over, generation, attempt, live, progress
             ),
         )
         keeper = ReplicaKeeper(
@@ -271,9 +262,9 @@
         except (ConnectionError, asyncio.CancelledError):
             generation.abandon()
             self._cancel(live, generation, attempt, after=self._linger)
-            self._release_retry(generation, progress)
+            self._retries.release(generation, progress)
             raise
-        self._release_retry(generation, progress)
+        self._retries.release(generation, progress)
 
     async def _recover_tokens(
         self, generation: Generation, recover: Recovery | None, progress: Progress
@@ -341,172 +332,6 @@
             )
         return is_complete
 
-    async def _handle_loss(
-        self,
-        generation: Generation,
-        attempt: Attempt,
-        live: LiveEndpoint,
-        loss: AttemptLostError,
-        progress: Progress,
-    ) -> RetryDecision:
-        generation.lose_attempt(attempt)
-        progress.last_error = loss
-        progress.waiting_since = self._clock.monotonic()
-        self._metrics.count(Metric.LOST, loss.kind)
-        was_attached = loss.step == ATTACH_STEP
-        is_unreachable = is_endpoint_unreachable(loss.kind, was_attached=was_attached)
-        live.has_exited = live.has_exited or loss.has_ended
-        if is_unreachable:
-            live.eject(self._clock.monotonic())
-        elif loss.has_ended and self._fleet.is_serving(live):
-            self._record_end(generation, attempt, live)
-        if is_unreachable or loss.kind is RESET:
-            self._fleet.record_loss(live, is_endpoint_unreachable=is_unreachable)
-        if loss.kind is LossKind.REPLACED:
-            self._fleet.record_replaced(live, loss.successor)
-        if live.engine.keeps_streams and is_endpoint_dead(
-            loss.kind, was_attached=was_attached
-        ):
-            self._guard.record_crash(
-                generation.request.fingerprint,
-                live,
-                evidence=_evidence_of(generation, live),
-            )
-        holder = _find_holder(generation, attempt, live)
-        may_attach = holder is Holder.ENDPOINT and loss.kind in CONNECTION_KINDS
-        if was_attached or not may_attach:
-            progress.excluded.add(live.endpoint.id)
-        if loss.kind in (LossKind.FROZEN, LossKind.RESUME_MISMATCH):
-            self._cancel(live, generation, attempt)
-        is_unreached = loss.kind is LossKind.UNREACHABLE
-        progress.unreached_attempts += is_unreached
-        decision = decide_after_loss(
-            loss.kind,
-            attempts=generation.attempt_count - progress.unreached_attempts,
-            was_attached=was_attached,
-            limits=_limits_of(generation, self._limits),
-            holder=holder,
-        )
-        if await self._guard.is_quarantined(generation.request.fingerprint):
-            decision = RetryDecision(step=NextStep.GIVE_UP, reason=CRASHED_TOO_MANY)
-        if is_unreached and self._is_out_of_reach(generation, progress):
-            decision = RetryDecision(
-                step=NextStep.GIVE_UP, reason="no endpoint can be reached"
-            )
-        if decision.step is not NextStep.GIVE_UP and not (
-            is_unreached or await self._acquire_retry(generation, progress, loss.kind)
-        ):
-            decision = RetryDecision(
-                step=NextStep.GIVE_UP, reason="the retry budget is exhausted"
-            )
-        log_decision(
-            "retry",
-            request=generation.request.id,
-            choice=decision.step,
-            reason=decision.reason,
-            peer=loss.peer,
-            loss=loss.kind,
-            detail=loss.detail,
-            attempt=attempt.number,
-            position=generation.position,
-            fingerprint=generation.request.fingerprint.hex(),
-            has_begun=attempt.begun_at is not None,
-        )
-        return decision
-
-    def _is_out_of_reach(self, generation: Generation, progress: Progress) -> bool:
-        """Return whether an answer without a deadline has waited too long.
-
-        Attempts that reach no endpoint don't count, so nothing else would end it.
-        """
-        silence = self._clock.monotonic() - progress.last_output_at
-        return generation.request.deadline is None and silence > MAX_UNREACHED_TIME
-
-    def _record_end(
-        self, generation: Generation, attempt: Attempt, live: LiveEndpoint
-    ) -> None:
-        """Record the crash of an endpoint that closed the connection of an attempt."""
-        self._fleet.record_end(live)
-        self._guard.record_end(
-            generation.request.fingerprint,
-            live,
-            began_at=attempt.begun_at,
-            is_separated=attempt.is_separated,
-        )
-
-    def _release_retry(self, generation: Generation, progress: Progress) -> None:
-        """Release a retry that was acquired in advance and is not needed.
-
-        The silent endpoint has sent output after all, or the caller left.
-        """
-        if progress.has_retry:
-            progress.has_retry = False
-            self._budgets.release(service=generation.request.service)
-
-    async def _may_fail_over(
-        self,
-        generation: Generation,
-        attempt: Attempt,
-        live: LiveEndpoint,
-        progress: Progress,
-        kind: LossKind,
-    ) -> bool:
-        """Return whether an answer may fail over from a silent endpoint.
-
-        The retry is acquired here, before the attempt is aborted: if the budget turned
-        out to be exhausted afterwards, an answer would be lost whose output may still
-        arrive. A request without a deadline always fails over, since nothing states
-        how long its caller waits.
-        """
-        if generation.request.deadline is None:
-            return True
-        decision = decide_after_loss(
-            kind,
-            attempts=generation.attempt_count - progress.unreached_attempts,
-            was_attached=False,
-            limits=_limits_of(generation, self._limits),
-            holder=_find_holder(generation, attempt, live),
-        )
-        excluded = set(progress.excluded)
-        if kind is LossKind.FROZEN or not generation.delivered:
-            excluded.add(live.endpoint.id)
-        may_fail_over = decision.step is NextStep.ATTACH or (
-            decision.step is NextStep.RESUME
-            and self._placement.can_place(generation, excluded)
-        )
-        if may_fail_over and not progress.has_retry:
-            may_fail_over = progress.has_retry = await self._may_retry(generation)
-        if not may_fail_over and kind is LossKind.FROZEN and not live.is_ejected:
-            live.eject(self._clock.monotonic())
-        return may_fail_over
-
-    async def _acquire_retry(
-        self, generation: Generation, progress: Progress, kind: LossKind
-    ) -> bool:
-        """Acquire the retry for a loss, and return whether there is one.
-
-        An answer that has begun waits while the budget is exhausted: each new request
-        earns a fraction of a retry, on this host and on the hosts that lend retries.
-        """
-        if progress.has_retry:
-            progress.has_retry = False
-            return True
-        until = progress.last_output_at
-        if generation.delivered and generation.request.deadline is not None:
-            until += _max_retry_wait(generation.request, kind)
-        acquire = partial(self._may_retry, generation)
-        return await wait_for_retry(acquire, clock=self._clock, until=until)
-
-    async def _may_retry(self, generation: Generation) -> bool:
-        """Acquire a retry or resume from the local budget or those of other hosts."""
-        request = generation.request
-        return await acquire_retry(
-            self._budgets,
-            request.workspace,
-            service=request.service,
-            is_resume=generation.delivered > 0,
-        )
-
     def _give_up(
         self, generation: Generation, progress: Progress, reason: str
     ) -> RefusedError:
@@ -557,48 +382,3 @@
         task = asyncio.create_task(cancel())
         self._background.add(task)
         task.add_done_callback(self._background.discard)
-
-
-def _find_holder(
-    generation: Generation, attempt: Attempt, live: LiveEndpoint
-) -> Holder:
-    """Return what may still have the state of a lost attempt.
-
-    A replica is used only once the answer has begun: before that it may not contain
-    the complete prompt.
-    """
-    if attempt.replica_id and generation.delivered:
-        return Holder.REPLICA
-    return Holder.ENDPOINT if live.engine.keeps_streams else Holder.NONE
-
-
-def _evidence_of(generation: Generation, live: LiveEndpoint) -> Evidence:
-    """Return the evidence of a crash by the attempts at the endpoint so far."""
-    is_separated = any(
-        attempt.is_separated and attempt.endpoint_id == live.endpoint.id
-        for attempt in generation.attempts
-    )
-    return Evidence.STRONG if is_separated else Evidence.FAIR
-
-
-def _limits_of(generation: Generation, limits: RetryLimits) -> RetryLimits:
-    """Return the limits for one generation, whose request may set its own."""
-    own = generation.request.max_attempts
-    return limits if own is None else attrs.evolve(limits, max_attempts=own)
-
-
-def _max_retry_wait(request: GenerationRequest, kind: LossKind) -> timedelta:
-    """Return how long after its last output an answer may wait for a retry.
-
-    An answer whose connection was closed waits only for the maximum gap that its
-    caller allows: after that the caller should learn of the failure at once and resume
-    at another host. An answer that this host took from a silent endpoint waits until
-    its caller is expected to give up.
-    """
-    max_gap = request.max_gap or timedelta(0)
-    if kind in CLOSED_KINDS:
-        return max_gap
-    target = request.target or timedelta(0)
-    return max(
-        MIN_GIVE_UP, GIVE_UP_TARGET_FACTOR * target, GIVE_UP_GAP_FACTOR * max_gap
-    )
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -10,10 +10,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from passtally.dispatcher import MAX_UNREACHED_TIME, Dispatcher
+from passtally.dispatcher import Dispatcher
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.generation import Generation, TokenEvent
+from passtally.loss_handler import MAX_UNREACHED_TIME
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.outcome import Code, Outcome, RefusedError
 from passtally.placement import Placement
--- a/tests/test_endpoint_starts.py
+++ b/tests/test_endpoint_starts.py
@@ -32,7 +32,7 @@
 from standins.platform_config import ENGINE, LOOKUPS, make_config
 from standins.virtual import run_virtually
 from tests.platform_system import PlatformSystem, run
-from tests.test_replicas import WHOLE, World
+from tests.replica_world import WHOLE, World
 
 BORN = 1_764_720_000_000
 SPEC = b'{"service":"s","address":"127.0.0.1:1","zone":"z","state":"ready"%b}'
--- a/tests/test_retry_release.py
+++ b/tests/test_retry_release.py
@@ -10,7 +10,7 @@
 from passtally.settings import PeerAddress, parse_address
 from standins.virtual import run_virtually
 from tests.platform_system import free_ports
-from tests.test_replicas import WHOLE, World
+from tests.replica_world import WHOLE, World
 
 TIME_LEFT = timedelta(seconds=20)
 #: Duration of a loan, in seconds: four hosts asked in turn, up to 60 ms each.
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -12,7 +12,7 @@
 from passtally.forecast import MIN_SAMPLES
 from passtally.outcome import RefusedError
 from standins.virtual import run_virtually
-from tests.test_replicas import WHOLE, ReplicaEngine, World
+from tests.replica_world import WHOLE, ReplicaEngine, World
 
 #: Time that callers wait for an answer.
 TIME_LEFT = timedelta(seconds=20)
