--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -145,7 +145,7 @@
             if (
                 live is None
                 or not self._may_continue(generation, live)
-                or not self._fleet.try_send(live)
+                or not self._fleet.send_limits.try_send(live)
             ):
                 # The endpoint was removed, runs another software version, or rejects
                 # requests now by its limit or back-off. Resume at another, even if this
@@ -350,7 +350,7 @@
             peer=progress.last_error.peer if progress.last_error else request.service,
             outcome=Outcome.UNKNOWN if ran else Outcome.NOT_RUN,
             retry_after=quarantine_remaining
-            or self._fleet.time_until_capacity(request.service)
+            or self._fleet.send_limits.time_until_capacity(request.service)
             or RETRY_AFTER,
             position=generation.delivered if begun else None,
         )
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -1,35 +1,31 @@
 """The live endpoints of all services, and the state that they share."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 
 import attrs
 
 from passtally.brittle_endpoints import BrittleEndpoints
+from passtally.call_failures import CallFailures
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.departures import Departures
 from passtally.endpoint_backoff import EndpointBackoffs
-from passtally.endpoint_directives import (
-    Directive,
-    EndpointDirectives,
-    InvalidDirectiveLog,
-)
 from passtally.engine import Engine
-from passtally.failing_endpoints import CallRecord
 from passtally.lag_meter import LagMeter
 from passtally.live_endpoint import (
     IDLE_WATCH_INTERVAL,
     WATCH_INTERVAL,
     LiveEndpoint,
 )
-from passtally.messages import BrittleRow, TokenLoad
+from passtally.messages import TokenLoad
 from passtally.objects import Endpoint, EndpointStart, EndpointState, can_serve
 from passtally.origin import Origin, OriginRule
 from passtally.request_limits import RequestLimits
 from passtally.routing import EndpointView
+from passtally.send_limits import SendLimits
 from passtally.service_index import ServiceIndex
 from passtally.silence import (
     DEFAULT_BOUNDS_BY_PHASE,
@@ -112,10 +108,6 @@
         brittle: BrittleEndpoints | None = None,
         exits_are_final: bool = False,
     ) -> None:
-        self.limits = limits or RequestLimits()
-        self.brittle = brittle or BrittleEndpoints()
-        self._invalid_directives = InvalidDirectiveLog()
-        self._backoffs = backoffs or EndpointBackoffs()
         self.versions = versions or AllVersions()
         self._on_silent = on_silent
         self._is_cut_off = is_cut_off
@@ -137,7 +129,23 @@
         #: Endpoints at their former addresses, kept while streams are open there.
         self._retired: list[LiveEndpoint] = []
         self._lost_at_by_domain: dict[str, timedelta] = {}
-        self._calls_by_service: dict[str, CallRecord] = {}
+        self.send_limits = SendLimits(
+            catalog=catalog,
+            clock=clock,
+            departures=self._departures,
+            find=self.find,
+            start_of=self.start_of,
+            on_changed=self.load_changed.set,
+            requests=limits or RequestLimits(),
+            backoffs=backoffs or EndpointBackoffs(),
+            brittle=brittle or BrittleEndpoints(),
+        )
+        self.call_failures = CallFailures(
+            catalog=catalog,
+            clock=clock,
+            find=self.find,
+            allows=lambda endpoint: self.versions.allows(endpoint),
+        )
 
     def find(self, endpoint_id: str) -> LiveEndpoint | None:
         """Return an endpoint's live state, or None if it is unknown.
@@ -239,117 +247,6 @@
                 return True
         return not in_use
 
-    def record_directives(
-        self,
-        start: EndpointStart,
-        directives: EndpointDirectives,
-        *,
-        sent_at: timedelta,
-    ) -> None:
-        """Apply the directives of an answer; see :class:`DirectiveRecorder`."""
-        now = self._clock.monotonic()
-        self._invalid_directives.record(start.endpoint_id, directives)
-        if directives.is_leaving:
-            self._departures.record(start, channel="its answers")
-        if Directive.RETRY_AFTER not in directives.invalid_by_directive:
-            self._backoffs.record_answer(
-                start, directives.backoff, sent_at=sent_at, now=now
-            )
-        if (
-            Directive.LIMIT not in directives.invalid_by_directive
-            and self.limits.record_answer(
-                start, directives.limit, sent_at=sent_at, now=now
-            )
-        ):
-            self.load_changed.set()
-        if Directive.BRITTLE not in directives.invalid_by_directive:
-            self._record_brittle(start, directives, sent_at=sent_at, now=now)
-
-    def _record_brittle(
-        self,
-        start: EndpointStart,
-        directives: EndpointDirectives,
-        *,
-        sent_at: timedelta,
-        now: timedelta,
-    ) -> None:
-        live = self.find(start.endpoint_id)
-        if live is not None and self.brittle.record_answer(
-            start,
-            directives.borne,
-            is_rejected=directives.is_rejection,
-            open_requests=live.own_streams,
-            places=live.endpoint.max_streams,
-            sent_at=sent_at,
-            now=now,
-        ):
-            self.load_changed.set()
-
-    def merge_brittle(self, rows: Sequence[BrittleRow]) -> None:
-        """Apply what another host knows of brittle endpoints, and send news on."""
-        now = self._clock.monotonic()
-        if self.brittle.merge(rows, count_open=self._count_own, now=now):
-            self.load_changed.set()
-
-    def _count_own(self, endpoint_id: str) -> int:
-        live = self.find(endpoint_id)
-        return 0 if live is None else live.own_streams
-
-    def try_send(self, live: LiveEndpoint) -> bool:
-        """Reserve a request at an endpoint, and return whether it accepts one now.
-
-        Its back-off, its request limit and, if it is brittle, the limit on this host's
-        open requests must allow the request.
-        """
-        start, now = live.endpoint.start, self._clock.monotonic()
-        if not self._backoffs.may_send(start, now=now):
-            return False
-        if not self.brittle.acquire(start, open_requests=live.own_streams, now=now):
-            return False
-        return self.limits.acquire(start, now=now) and self._backoffs.acquire(
-            start, now=now
-        )
-
-    def may_query(self, start: EndpointStart) -> bool:
-        """Return whether an endpoint's back-off allows any message from this host."""
-        return self._backoffs.is_over(start, now=self._clock.monotonic())
-
-    def time_until_capacity(self, service_id: str) -> timedelta:
-        """Return the time until an active endpoint of a service accepts a request.
-
-        Zero if one is neither in back-off nor at its request limit, or if there is no
-        active endpoint.
-        """
-        now = self._clock.monotonic()
-        waits = [
-            max(
-                self.limits.time_until_capacity(endpoint.start, now=now),
-                self._backoffs.wait(endpoint.start, now=now),
-            )
-            for endpoint in self._catalog.endpoints_of(service_id)
-            if self.find(endpoint.id).state is EndpointState.ACTIVE
-        ]
-        return min(waits, default=timedelta(0))
-
-    def may_accept_within(self, service_id: str, patience: timedelta) -> bool:
-        """Return whether a known endpoint may accept a request in time.
-
-        True if no endpoint is known, since one may register at any time.
-
-        Args:
-            service_id: The service.
-            patience: The time that the request may wait.
-        """
-        known = self._catalog.endpoints_of(service_id)
-        staying = [
-            endpoint
-            for endpoint in known
-            if self.find(endpoint.id).state is EndpointState.ACTIVE
-        ]
-        if not staying:
-            return not known
-        return self.time_until_capacity(service_id) <= patience
-
     def record_loss(self, live: LiveEndpoint, *, is_endpoint_unreachable: bool) -> None:
         """Record the loss of a run, since its whole failure domain may be failing.
 
@@ -399,48 +296,6 @@
             for guard in live.guards
         )
 
-    def record_call(self, live: LiveEndpoint, *, is_fault: bool) -> None:
-        """Record the result of a plain call, and eject an endpoint that fails many.
-
-        Args:
-            live: The endpoint that the call was sent to.
-            is_fault: Whether it was lost, or answered with a failure of the endpoint.
-        """
-        now = self._clock.monotonic()
-        endpoint = live.endpoint
-        record = self._calls_by_service.setdefault(endpoint.service, CallRecord())
-        record.add(endpoint.id, is_failure=is_fault, now=now)
-        if not is_fault:
-            live.record_answer(now)
-            return
-        live.deprioritize(now)
-        others = self.list_failing(endpoint.service) - {endpoint.id}
-        if self._may_eject(endpoint.service, len(others) + 1) and (
-            record.is_failing(endpoint.id, excluded=others, now=now)
-        ):
-            live.eject_failing(now)
-            log_event("endpoints", "Endpoint ejected: fails calls.", peer=endpoint.id)
-
-    def list_failing(self, service_id: str) -> frozenset[str]:
-        """Return the endpoints of a service that were ejected for failed calls."""
-        return frozenset(
-            endpoint.id
-            for endpoint in self._catalog.endpoints_of(service_id)
-            if self.find(endpoint.id).is_failing
-        )
-
-    def _may_eject(self, service_id: str, count: int) -> bool:
-        """Return whether a number of endpoints of a service may be ejected at once.
-
-        At most half of those in use: the others can take over their calls, and calls
-        that fail at more than half are not the fault of single endpoints.
-        """
-        in_use = sum(
-            endpoint.state is EndpointState.ACTIVE and self.versions.allows(endpoint)
-            for endpoint in self._catalog.endpoints_of(service_id)
-        )
-        return 2 * count <= in_use
-
     def record_start(self, endpoint: Endpoint) -> None:
         """Record an endpoint's entry, which may show a restart under the same id.
 
@@ -521,7 +376,7 @@
 
     def remove(self, endpoint_id: str) -> None:
         """Drop the state of a removed endpoint, unless it has open streams."""
-        self._backoffs.forget(endpoint_id)
+        self.send_limits.forget(endpoint_id)
         live = self._live_by_id.get(endpoint_id)
         if live is not None and not live.own_streams:
             del self._live_by_id[endpoint_id]
@@ -548,7 +403,7 @@
         is_eligible = self.versions.accepts_trials if is_trial else self.versions.allows
         if origin is not None:
             is_eligible = partial(self.may_continue, origin)
-        self._assume_brittle(service_id)
+        self.send_limits.assume_brittle(service_id)
         placed = (
             endpoint
             for endpoint in self._catalog.endpoints_of(service_id)
@@ -556,34 +411,12 @@
         )
         return [self.view(endpoint.id) for endpoint in placed]
 
-    def _assume_brittle(self, service_id: str) -> None:
-        """Treat endpoints that have not answered like the brittle ones beside them."""
-        now = self._clock.monotonic()
-        endpoints = self._catalog.endpoints_of(service_id)
-        brittle = next(
-            (
-                endpoint.start
-                for endpoint in endpoints
-                if self.brittle.is_brittle(endpoint.start, now=now)
-            ),
-            None,
-        )
-        if brittle is None:
-            return
-        for endpoint in endpoints:
-            self.brittle.assume(
-                endpoint.start, places=endpoint.max_streams, like=brittle, now=now
-            )
-
     def view(self, endpoint_id: str) -> EndpointView:
         """Return the routing view of an endpoint that :meth:`find` knows."""
         live = self.find(endpoint_id)
-        start, now = live.endpoint.start, self._clock.monotonic()
         return live.view(
             is_unstable=self._is_unstable(live.endpoint.failure_domain),
-            accepts_requests=self._backoffs.may_send(start, now=now)
-            and self.limits.has_capacity(start, now=now)
-            and self.brittle.may_send(start, open_requests=live.own_streams, now=now),
+            accepts_requests=self.send_limits.accepts(live),
         )
 
     def service_capacity(self, service_id: str) -> "Capacity":
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -509,7 +509,7 @@
             failure_domain=settings.failure_domain,
             budgets=budgets,
             sender=self._adapter.make_sender(
-                pool=self.pool, clock=self.clock, recorder=self.fleet
+                pool=self.pool, clock=self.clock, recorder=self.fleet.send_limits
             ),
             guard=self.guard,
         )
@@ -577,7 +577,7 @@
             endpoint,
             pool=self.pool,
             clock=self.clock,
-            recorder=self.fleet,
+            recorder=self.fleet.send_limits,
             find_address=self._find_address,
         )
 
@@ -597,7 +597,9 @@
         self.metrics.gauge(Metric.QUARANTINED, len(self.guard.list_quarantined()))
         self.metrics.gauge(Metric.LINKS_DOWN, len(self.dialer.links.list_down()))
         now = self.clock.monotonic()
-        self.metrics.gauge(Metric.BRITTLE, self.fleet.brittle.count(now=now))
+        self.metrics.gauge(
+            Metric.BRITTLE, self.fleet.send_limits.brittle.count(now=now)
+        )
         self.metrics.gauge(Metric.TUNNELS, self.tunnels.count)
         self.metrics.gauge(Metric.TUNNELS_SERVED, self.servers.tunnels.count)
         bytes_sent = self.peers.bytes_sent + self.datagrams.bytes_sent
--- a/passtally/load_exchange.py
+++ b/passtally/load_exchange.py
@@ -162,9 +162,9 @@
         loads = self._fleet.loads_by_endpoint()
         lost = self._fleet.pop_losses()
         now = self._clock.monotonic()
-        limits = self._fleet.limits.rows(now=now)
+        limits = self._fleet.send_limits.requests.rows(now=now)
         rates = {(row.endpoint_id, row.incarnation): row.rate for row in limits}
-        brittle = self._fleet.brittle
+        brittle = self._fleet.send_limits.brittle
         brittle_rows = brittle.rows(now=now)
         is_changed = (
             loads != self._sent_loads
@@ -197,9 +197,9 @@
     def _receive(self, message: HostNews) -> None:
         now = self._clock.monotonic()
         self._load_table.update(message.host_id, message.loads_by_endpoint, now=now)
-        if self._fleet.limits.merge(message.limits, now=now):
+        if self._fleet.send_limits.requests.merge(message.limits, now=now):
             self._fleet.load_changed.set()
-        self._fleet.merge_brittle(message.brittle)
+        self._fleet.send_limits.merge_brittle(message.brittle)
         if message.is_first:
             self._up_to_date_ids.discard(message.host_id)
         for start in message.lost_starts():
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -149,7 +149,7 @@
         if wait_time <= timedelta(0):
             return False
         service = generation.request.service
-        return bool(generation.delivered) or self._fleet.may_accept_within(
+        return bool(generation.delivered) or self._fleet.send_limits.may_accept_within(
             service, wait_time
         )
 
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -220,7 +220,9 @@
         self, failure: RefusedError | None, service: str
     ) -> RefusedError:
         """Return the error for the caller, with Retry-After if the call did not run."""
-        retry_after = self._fleet.time_until_capacity(service) or RETRY_AFTER
+        retry_after = (
+            self._fleet.send_limits.time_until_capacity(service) or RETRY_AFTER
+        )
         if failure is None:
             return refuse(
                 Code.NO_ENDPOINT,
@@ -325,7 +327,7 @@
         if self._remaining(call) <= timedelta(0):
             raise _out_of_time_error(call)
         live = self._fleet.find(endpoint_id)
-        self._fleet.try_send(live)
+        self._fleet.send_limits.try_send(live)
         limit = self._remaining(call)
         failover_task: asyncio.Task[None] | None = None
         began_at = self._clock.monotonic()
@@ -357,7 +359,7 @@
             if failover_task is not None:
                 failover_task.cancel()
         self._guard.record_success(call.fingerprint)
-        self._fleet.record_call(live, is_fault=answer.status in FAULT_STATUSES)
+        self._fleet.call_failures.record(live, is_fault=answer.status in FAULT_STATUSES)
         self._fleet.versions.record_answer(
             live.endpoint,
             route=call.route,
@@ -403,7 +405,7 @@
         is_frozen = loss.kind is LossKind.FROZEN
         live.unanswered_calls += is_frozen
         if loss.kind in FAULT_KINDS:
-            self._fleet.record_call(live, is_fault=True)
+            self._fleet.call_failures.record(live, is_fault=True)
         is_endpoint_unreachable = loss.kind is LossKind.UNREACHABLE
         if loss.kind is LossKind.REPLACED:
             live.record_ended()
--- a/tests/test_endpoint_directives.py
+++ b/tests/test_endpoint_directives.py
@@ -150,9 +150,9 @@
         fleet = Fleet(
             catalog=make_catalog([]), clock=clock, connect=lambda endpoint: None
         )
-        fleet.record_directives(
+        fleet.send_limits.record_directives(
             START, EndpointDirectives(limit=2.0), sent_at=clock.monotonic()
         )
         later = clock.monotonic() + timedelta(seconds=1)
-        fleet.record_directives(START, invalid_limit("many"), sent_at=later)
-        assert not fleet.limits.has_capacity(START, now=clock.monotonic())
+        fleet.send_limits.record_directives(START, invalid_limit("many"), sent_at=later)
+        assert not fleet.send_limits.requests.has_capacity(START, now=clock.monotonic())
--- a/tests/test_failing_endpoints.py
+++ b/tests/test_failing_endpoints.py
@@ -137,7 +137,7 @@
         return Counter(
             endpoint
             for host in self.hosts
-            for endpoint in host.fleet.list_failing(SERVICE.id)
+            for endpoint in host.fleet.call_failures.list_failing(SERVICE.id)
         )
 
     def max_sends(self) -> int:
@@ -308,7 +308,9 @@
         faults = {"e0": reset, "e1": reset, "e2": reset}
         result = play(faults, seed=seed)
         for host in result.hosts:
-            assert len(host.fleet.list_failing(SERVICE.id)) <= ENDPOINTS / 2
+            assert (
+                len(host.fleet.call_failures.list_failing(SERVICE.id)) <= ENDPOINTS / 2
+            )
         assert result.statuses[503] == 0
 
     def test_the_only_endpoint_stays_in_use(self, seed: int):
@@ -428,7 +430,7 @@
                 runner.faults.lose_answers = 10**6
             lost = [await system.send("/book/1") for _ in range(self.CALLS)]
             assert {answer.status for answer in lost} == {502}
-            assert not system.hosts[0].fleet.list_failing(LOOKUPS)
+            assert not system.hosts[0].fleet.call_failures.list_failing(LOOKUPS)
             for runner in runners:
                 runner.faults.lose_answers = 0
             served = [await system.send("/book/1") for _ in range(self.CALLS)]
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -102,7 +102,9 @@
             departures=departures,
         )
         leaving, silent = EndpointDirectives(is_leaving=True), EndpointDirectives()
-        fleet.record_directives(old.start, leaving, sent_at=timedelta(0))
-        fleet.record_directives(old.start, silent, sent_at=timedelta(seconds=1))
+        fleet.send_limits.record_directives(old.start, leaving, sent_at=timedelta(0))
+        fleet.send_limits.record_directives(
+            old.start, silent, sent_at=timedelta(seconds=1)
+        )
         assert not fleet.is_healthy("e")
         assert not departures.is_leaving(new)
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -78,7 +78,9 @@
         self.load_changed = asyncio.Event()
         self.loads: dict[str, TokenLoad] = {}
         self.load_table = LoadTable()
-        self.limits = RequestLimits()
+        #: This host is its own fleet, with the limits of one.
+        self.send_limits = self
+        self.requests = RequestLimits()
         self.brittle = BrittleEndpoints()
         self.exchange = LoadExchange(
             host_id=name,
--- a/tests/test_version_paths.py
+++ b/tests/test_version_paths.py
@@ -147,7 +147,7 @@
             world = World(software_by_id=TWO_OF_EACH)
             backoff = RESUME_WAIT_TIMEOUT / 2
             for name in ("a1", "b1"):
-                world.fleet.record_directives(
+                world.fleet.send_limits.record_directives(
                     world.fleet.start_of(name),
                     EndpointDirectives(backoff=backoff, is_rejection=True),
                     sent_at=world.clock.monotonic(),
