--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -46,7 +46,11 @@
 #: round trip takes some milliseconds, between regions some ten.
 ANSWER_WAITS = (timedelta(milliseconds=80), timedelta(milliseconds=160))
 
-_address_of = lru_cache(maxsize=2048)(parse_address)
+#: Number of addresses and of versions that are kept in parsed form.
+MAX_CACHED_ADDRESSES = 2048
+MAX_CACHED_VERSIONS = 256
+
+_address_of = lru_cache(maxsize=MAX_CACHED_ADDRESSES)(parse_address)
 
 
 class UnknownOriginError(Exception):
@@ -267,7 +271,7 @@
             return None
         software = self._rule.software_of(origin)
         if software:
-            origin = Origin(software=software)
+            origin = _origin_at(software)
         now = self._clock.monotonic()
         self.table.put(answer.key, origin, now=now)
         answer.told_at = now
@@ -320,6 +324,12 @@
             question.add(sender, message)
 
 
+@lru_cache(maxsize=MAX_CACHED_VERSIONS)
+def _origin_at(software: str) -> Origin:
+    """Return the origin of answers at a version, one object for all their records."""
+    return Origin(software=software)
+
+
 def _row_of(key: bytes, origin: Origin) -> OriginRow:
     start = origin.start
     if origin.software or start is None:
@@ -334,6 +344,6 @@
 
 def _origin_of(row: OriginRow) -> Origin:
     if not row.endpoint_id:
-        return Origin(software=row.software)
+        return _origin_at(row.software)
     start = EndpointStart(endpoint_id=row.endpoint_id, incarnation=row.incarnation)
     return Origin(software=row.software, start=start)
--- a/passtally/origin_keepers.py
+++ b/passtally/origin_keepers.py
@@ -51,14 +51,14 @@
 
     def list_keepers(self, key: bytes) -> list[MemberRow]:
         """Return the hosts that keep the record of an answer that began here."""
-        rings = self._rings()
+        rings = dict(self._rings())
         local = rings.pop(self._members.own.failure_domain, None)
-        chosen = [] if local is None else local.list_hosts(key, KEEPERS)
+        count = max(LOCAL_KEEPERS, KEEPERS - len(rings))
+        chosen = [] if local is None else local.list_hosts(key, count)
         domains = sorted(rings, key=lambda domain: rank_of(key.hex(), domain))
-        remote = [rings[domain].list_hosts(key, 1)[0] for domain in domains]
-        kept = max(LOCAL_KEEPERS, KEEPERS - len(remote))
-        chosen = chosen[:kept]
-        return chosen + remote[: KEEPERS - len(chosen)]
+        for domain in domains[: KEEPERS - len(chosen)]:
+            chosen += rings[domain].list_hosts(key, 1)
+        return chosen
 
     def list_asked(self, key: bytes) -> list[MemberRow]:
         """Return the hosts that may keep the record of an answer, begun anywhere."""
@@ -79,4 +79,4 @@
             self._rings_by_domain = {
                 domain: HostRing(rows) for domain, rows in rows_by_domain.items()
             }
-        return dict(self._rings_by_domain)
+        return self._rings_by_domain
