--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -16,7 +16,7 @@
 from passtally.messages import MemberRow, OriginRow, TellOrigins
 from passtally.objects import Endpoint, EndpointStart
 from passtally.origin import Origin, OriginRule
-from passtally.origin_exchange import ANSWER_WAITS
+from passtally.origin_exchange import ANSWER_WAITS, SETTLE_TIME
 from passtally.origin_keepers import KEEPERS, OriginKeepers
 from passtally.origin_table import MAX_RECORDS, RECORD_TTL, OriginTable, origin_key
 from passtally.settings import Address
@@ -339,6 +339,19 @@
         waits = sum(ANSWER_WAITS, timedelta(0)).total_seconds()
         assert took == pytest.approx(waits, abs=0.01)
 
+    # Guards against innocent streams that are refused by all hosts after all were lost.
+    def test_hosts_that_all_have_just_started_go_on_with_the_only_version(self):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=7, versions=("v1", "v1"))
+            fleet.is_current = False
+            fleet.start(fleet.gossip.rows)
+            ids = list(fleet.exchanges_by_id)
+            found = await asyncio.gather(*(fleet.find(name, "q") for name in ids))
+            assert set(found) == {"v1"}
+            assert asyncio.get_running_loop().time() < SETTLE_TIME.total_seconds()
+
+        run_virtually(test())
+
     def test_a_host_without_others_relies_on_what_it_receives(self):
         version, _ = self.find(versions=("v1", "v1"), is_cut=True)
         assert version == "v1"
