A domain that is cut off does not rely on the version that its hosts know

Found on reading: hosts of a failure domain that is cut off from the store and from the others answered each other, so that a stream nobody there knows went on at the only version they had seen. Such an answer counts now if one of them receives the changes of endpoints, or if every domain known so far answered.

--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -495,12 +495,14 @@
         row: What it was told; None if nothing, or nothing that can be relied on.
         age_ms: The time since it was last told, in milliseconds.
         versions: The versions that it saw in the service of late.
+        is_current: Whether it receives all changes of endpoints.
     """
 
     number: int
     row: OriginRow | None
     age_ms: int
     versions: list[str]
+    is_current: bool
 
 
 Message = (
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -100,6 +100,15 @@
         ]
         return not all(origins[0].agrees_with(other) for other in origins[1:])
 
+    @property
+    def answered_domains(self) -> set[str]:
+        """The failure domains of the hosts that answered."""
+        return {
+            row.failure_domain
+            for row in self.asked
+            if _address_of(row.address) in self.found_by_address
+        }
+
     @property
     def unanswered(self) -> list[Address]:
         addresses = (_address_of(row.address) for row in self.asked)
@@ -133,6 +142,7 @@
         has_others: Callable[[], bool],
     ) -> None:
         self.table = OriginTable()
+        self._members = members
         self._keepers = OriginKeepers(members=members)
         self._datagrams = datagrams
         self._catalog = catalog
@@ -237,15 +247,14 @@
                 self.table.put(key, origin, now=self._clock.monotonic())
                 age = timedelta(milliseconds=found.age_ms)
                 return self._found(origin, peer=sender, age=age, **fields)
-        replies = list(question.found_by_address.values())
-        sole = self._find_sole(service, replies)
+        sole = self._find_sole(service, question)
         asked = [row.host_id for row in question.asked]
         log_event(
             "origin",
             "Not known.",
             **fields,
             asked=asked,
-            answered=len(replies),
+            answered=len(question.found_by_address),
             sole=sole,
         )
         if sole is None or question.is_contradictory:
@@ -268,13 +277,20 @@
         log_event("origin", "Found.", software=software, **fields)
         return origin
 
-    def _find_sole(self, service: str, replies: Sequence[OriginFound]) -> str | None:
+    def _find_sole(self, service: str, question: _Question) -> str | None:
         """Return the only version that a service had of late, or None.
 
-        A host that is cut off knows only what served before: others may serve a second
-        version.
+        A host or a domain that is cut off knows only what served before: others may
+        serve a second version.
         """
-        if not (self._is_current() or replies or not self._has_others()):
+        replies = question.found_by_address.values()
+        domains = {self._members.own.failure_domain, *question.answered_domains}
+        if not (
+            self._is_current()
+            or any(found.is_current for found in replies)
+            or (replies and domains >= self._keepers.known_domains)
+            or not self._has_others()
+        ):
             return None
         self._record_seen()
         versions = self._seen.list_versions(service)
@@ -334,6 +350,7 @@
             row=None if origin is None else _row_of(message.key, origin),
             age_ms=round(age.total_seconds() * 1000),
             versions=sorted(self._seen.list_versions(message.service)),
+            is_current=self._is_current(),
         )
         self._datagrams.send([sender], found)
 
--- a/passtally/origin_keepers.py
+++ b/passtally/origin_keepers.py
@@ -45,6 +45,8 @@
     """
 
     def __init__(self, *, members: MemberSource) -> None:
+        #: The failure domains of all hosts known so far, the own one included.
+        self.known_domains: set[str] = set()
         self._members = members
         self._revision: int | None = None
         self._rings_by_domain: dict[str, HostRing] = {}
@@ -79,4 +81,5 @@
             self._rings_by_domain = {
                 domain: HostRing(rows) for domain, rows in rows_by_domain.items()
             }
+            self.known_domains |= {self._members.own.failure_domain, *rows_by_domain}
         return self._rings_by_domain
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -339,6 +339,22 @@
         waits = sum(ANSWER_WAITS, timedelta(0)).total_seconds()
         assert took == pytest.approx(waits, abs=0.01)
 
+    # Guards against hosts of a domain that confirm to each other what all of them know.
+    def test_a_domain_that_is_cut_off_does_not_rely_on_the_version_it_knows(self):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=30, versions=("v1", "v1"))
+            fleet.is_current = False
+            fleet.start(fleet.gossip.rows)
+            fleet.gossip.know_all()
+            inside = [row.host_id for row in fleet.gossip.rows[::3]]
+            assert await fleet.find(inside[0], "q0") == "v1"
+            fleet.gossip.sides = dict.fromkeys(inside, 1)
+            assert await fleet.find(inside[0], "q1") is None
+            await asyncio.sleep(60)
+            assert await fleet.find(inside[0], "q2") is None
+
+        run_virtually(test())
+
     # Guards against innocent streams that are refused by all hosts after all were lost.
     def test_hosts_that_all_have_just_started_go_on_with_the_only_version(self):
         async def test() -> None:
