--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -200,7 +200,7 @@
             return False
         return self.is_healthy(endpoint_id)
 
-    def may_return(self, origin: Origin, service_id: str) -> bool:
+    def can_ever_continue(self, origin: Origin, service_id: str) -> bool:
         """Return whether some endpoint may continue an answer, now or after a wait.
 
         An endpoint that is full, ejected or in back-off may, and one whose entry was
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -126,7 +126,7 @@
     def _check_version(self, generation: Generation) -> None:
         """Refuse an answer that no endpoint of its software version can continue."""
         origin, service = generation.origin, generation.request.service
-        if origin is None or self._fleet.may_return(origin, service):
+        if origin is None or self._fleet.can_ever_continue(origin, service):
             return
         software = self._fleet.origin_rule.software_of(origin)
         log_decision(
