Which versions serve is looked at when a caller takes a stream up

The look was up to 100 ms old and from before the first endpoint was known. The wait at the start covers the endpoints too. The test of hosts that have just started gets its endpoints 50 ms after the start; it failed on the code before.

--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -42,11 +42,11 @@
 RENEW_INTERVAL = timedelta(seconds=10)
 #: Maximum number of records in one datagram, so that it fits into one packet.
 MAX_ROWS = 30
-#: Time after its start in which a host that knows no other host yet, and receives no
-#: changes yet, lets callers wait: it learns both within about a second.
+#: Time after its start in which a host lets callers wait while it knows neither another
+#: host nor all changes, or no endpoint: it learns them within about a second.
 SETTLE_TIME = timedelta(seconds=1.5)
 SETTLE_POLL_INTERVAL = timedelta(milliseconds=20)
-#: Minimum interval between two looks at the versions that serve.
+#: Minimum interval between two looks at the versions that serve, for other hosts.
 SEEN_INTERVAL = timedelta(milliseconds=100)
 #: Waits for answers to a question, after which it is asked again, and given up. A
 #: round trip takes some milliseconds, between regions some ten.
@@ -153,7 +153,7 @@
         self._has_others = has_others
         self._started_at = clock.monotonic()
         self._seen = SeenVersions()
-        self._seen_at: timedelta | None = None
+        self._seen_at = -SEEN_INTERVAL
         self._running: set[RunningAnswer] = set()
         self._questions_by_number: dict[int, _Question] = {}
         self._numbers = itertools.count(1)
@@ -239,7 +239,7 @@
         if record is not None and record.origin is not None:
             age = now - record.told_at
             return self._found(record.origin, peer="", age=age, **fields)
-        await self._wait_until_settled(key)
+        await self._wait_until_settled(key, service)
         question = await self._ask(key, service)
         for sender, found in question.found_by_address.items():
             if found.row is not None and not question.is_contradictory:
@@ -263,11 +263,12 @@
         self._metrics.count(Metric.TAKE_UPS, "sole")
         return Origin(software=sole)
 
-    async def _wait_until_settled(self, key: bytes) -> None:
+    async def _wait_until_settled(self, key: bytes, service: str) -> None:
         """Wait until this host can tell what others know, if it has just started."""
         until = self._started_at + SETTLE_TIME
         while self._clock.monotonic() < until:
-            if self._is_current() or self._keepers.list_asked(key):
+            knows_others = self._is_current() or self._keepers.list_asked(key)
+            if knows_others and self._catalog.endpoints_of(service):
                 return
             await self._clock.sleep(SETTLE_POLL_INTERVAL)
 
@@ -311,10 +312,9 @@
         return _row_of(answer.key, origin)
 
     def _record_seen(self) -> None:
-        now = self._clock.monotonic()
-        if self._seen_at is None or now - self._seen_at >= SEEN_INTERVAL:
-            self._seen_at = now
-            self._seen.record(self._catalog.endpoints_by_id.values(), now=now)
+        self._seen_at = self._clock.monotonic()
+        endpoints = self._catalog.endpoints_by_id.values()
+        self._seen.record(endpoints, now=self._seen_at)
 
     async def _ask(self, key: bytes, service: str) -> _Question:
         question = _Question(asked=self._keepers.list_asked(key))
@@ -344,7 +344,8 @@
         record = self.table.find(message.key, now=now)
         age = timedelta(0) if record is None else now - record.told_at
         origin = None if record is None else record.origin
-        self._record_seen()
+        if now - self._seen_at >= SEEN_INTERVAL:
+            self._record_seen()
         found = OriginFound(
             number=message.number,
             row=None if origin is None else _row_of(message.key, origin),
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -360,7 +360,14 @@
         async def test() -> None:
             fleet = OriginFleet(hosts=7, versions=("v1", "v1"))
             fleet.is_current = False
+            endpoints = list(fleet.catalog.endpoints_by_id.values())
+            for endpoint in endpoints:
+                fleet.catalog.drop_endpoint(endpoint.id)
             fleet.start(fleet.gossip.rows)
+            for endpoint in endpoints:
+                asyncio.get_running_loop().call_later(
+                    0.05, fleet.catalog.put_endpoint, endpoint
+                )
             ids = list(fleet.exchanges_by_id)
             found = await asyncio.gather(*(fleet.find(name, "q") for name in ids))
             assert set(found) == {"v1"}
