--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -204,19 +204,24 @@
         """Return whether some endpoint may continue an answer, now or after a wait.
 
         An endpoint that is full, ejected or in back-off may, and one whose entry was
-        not read yet; one that is leaving or has exited for good won't.
+        not read yet; one that is leaving or has exited for good won't. Where the
+        service has no endpoint left of any version, one may register at any time.
         """
-        staying = (
-            self.find(endpoint.id)
+        staying = [
+            endpoint
             for endpoint in self._catalog.endpoints_of(service_id)
-            if not endpoint.has_entry or self.may_continue(origin, endpoint)
-        )
-        return any(
-            live.state is EndpointState.ACTIVE
-            and not (live.has_exited and self._exits_are_final)
-            for live in staying
+            if self._may_stay(self.find(endpoint.id))
+        ]
+        return not staying or any(
+            not endpoint.has_entry or self.may_continue(origin, endpoint)
+            for endpoint in staying
         )
 
+    def _may_stay(self, live: LiveEndpoint) -> bool:
+        """Return whether an endpoint is neither leaving nor known to have exited."""
+        has_exited = live.has_exited and self._exits_are_final
+        return live.state is EndpointState.ACTIVE and not has_exited
+
     def is_healthy(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is known, and neither leaving nor ejected."""
         if endpoint_id not in self._catalog.endpoints_by_id:
--- a/tests/test_version_paths.py
+++ b/tests/test_version_paths.py
@@ -176,6 +176,23 @@
 
         run_virtually(test())
 
+    # Guards against refusals while the endpoints of the only version are replaced.
+    def test_it_waits_for_a_new_endpoint_if_none_of_any_version_is_left(self):
+        async def test() -> None:
+            world = World(software_by_id=dict.fromkeys(TWO_OF_EACH, "v1"))
+            known = world.catalog.endpoints_by_id["b1"]
+            for name in TWO_OF_EACH:
+                world.departures.record(world.fleet.start_of(name), channel="test")
+            task = world.start(position=5, origin=V1)
+            await asyncio.sleep(1)
+            assert not task.done()
+            url = "http://new"
+            world.catalog.put_endpoint(attrs.evolve(known, id="new", url=url))
+            await task
+            assert world.engines.opened == [("new", "read")]
+
+        run_virtually(test())
+
     def test_it_does_not_attach_to_a_stream_at_another_version(self):
         async def test() -> None:
             world = World(software_by_id=TWO_OF_EACH)
