--- a/passtally/seen_versions.py
+++ b/passtally/seen_versions.py
@@ -17,9 +17,13 @@
         self._seen_at_by_version: dict[tuple[str, str], timedelta] = {}
 
     def record(self, endpoints: Iterable[Endpoint], *, now: timedelta) -> None:
-        """Record the versions of the endpoints that are registered now."""
+        """Record the versions of the endpoints that are registered now.
+
+        An endpoint whose entry was not read yet has no version that could be seen.
+        """
         for endpoint in endpoints:
-            self._seen_at_by_version[endpoint.service, endpoint.software] = now
+            if endpoint.has_entry:
+                self._seen_at_by_version[endpoint.service, endpoint.software] = now
         self._seen_at_by_version = {
             version: seen_at
             for version, seen_at in self._seen_at_by_version.items()
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -19,6 +19,7 @@
 from passtally.origin_exchange import ANSWER_WAITS, SETTLE_TIME
 from passtally.origin_keepers import KEEPERS, OriginKeepers
 from passtally.origin_table import MAX_RECORDS, RECORD_TTL, OriginTable, origin_key
+from passtally.seen_versions import SeenVersions
 from passtally.settings import Address
 from standins.virtual import run_virtually
 from tests.fakes import make_catalog
@@ -133,6 +134,15 @@
         assert len(keys) == 3
 
 
+class TestSeenVersions:
+    # Guards against innocent streams that are refused after an address was reused.
+    def test_an_endpoint_known_by_its_address_only_is_no_second_version(self):
+        seen = SeenVersions()
+        pending = endpoint("b", has_entry=False)
+        seen.record([endpoint("a", "v1"), pending], now=NOW)
+        assert seen.list_versions("s") == {"v1"}
+
+
 class TestHostRing:
     @given(key=st.binary(min_size=8, max_size=8), lost=st.integers(0, 19))
     def test_the_loss_of_a_host_moves_the_others_up(self, key, lost):
