--- a/bench/policy.py
+++ b/bench/policy.py
@@ -15,15 +15,17 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.report import Figure
-from passtally.admission import AdmissionRequest, RequestClass
+from passtally.admission_request import AdmissionRequest, RequestClass
 from passtally.clock import Clock
 from passtally.dispatcher import Dispatcher
 from passtally.fleet import Fleet
 from passtally.gate import Gate
 from passtally.generation import Generation, GenerationRequest
+from passtally.load_probe import LoadProbe
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
 from passtally.outcome import RefusedError
 from passtally.placement import Placement
+from passtally.priority import Priority
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
 from passtally.routing import (
@@ -207,7 +209,9 @@
             self.dispatchers.append(dispatcher)
             self.gates.append(gate)
             self.tasks.append(asyncio.ensure_future(fleet.watch_silence()))
-            self.tasks.append(asyncio.ensure_future(fleet.refresh_reports()))
+            self.tasks.append(
+                asyncio.ensure_future(LoadProbe(fleet=fleet, clock=clock).run())
+            )
             self.tasks.append(asyncio.ensure_future(gate.run()))
 
 
@@ -264,7 +268,7 @@
         max_tokens=arrival.tokens,
         temperature=0,
         seed=1,
-        priority=10 + arrival.request_class,
+        priority=Priority(rank=arrival.request_class, route_rank=arrival.request_class),
     )
     admission = AdmissionRequest(
         id=request.id,
--- a/passtally/adapter.py
+++ b/passtally/adapter.py
@@ -9,10 +9,10 @@
 from passtally.engine import Engine
 from passtally.fetch import Fetcher
 from passtally.front import Front
-from passtally.http_server import Handle
+from passtally.http_exchange import Handle
 from passtally.object_store import Platform, RelocatablePlatform, StoredObject
 from passtally.objects import Endpoint
-from passtally.plain import Sender
+from passtally.plain_call import Sender
 from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
 from passtally.settings import Address
--- a/passtally/answer_recorder.py
+++ b/passtally/answer_recorder.py
@@ -60,6 +60,7 @@
         self, generation: Generation, progress: Progress, live: LiveEndpoint
     ) -> None:
         """Record how long the caller waited for an attempt's first output."""
+        self._fleet.losses.record_present(live)
         now = self._clock.monotonic()
         waited = now - progress.waiting_since
         is_new = not generation.delivered
--- a/passtally/api.py
+++ b/passtally/api.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
 
-from passtally.admission import AdmissionRequest, RequestClass
+from passtally.admission_request import AdmissionRequest, RequestClass
 from passtally.catalog import Catalog
 from passtally.decision import log_event
 from passtally.metrics import Metric, Metrics
--- a/passtally/at_most_once.py
+++ b/passtally/at_most_once.py
@@ -14,7 +14,8 @@
 from passtally.messages import FetchResult, ResultFound
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.peers import PeerError, Peers
-from passtally.plain import PlainAnswer, PlainCall, PlainCaller
+from passtally.plain import PlainCaller
+from passtally.plain_call import PlainAnswer, PlainCall
 
 #: Maximum time between claim and send. A holder that was paused for longer voids its
 #: claim instead of sending. It must be far below the retention time of claims, as two
--- a/passtally/completion_handler.py
+++ b/passtally/completion_handler.py
@@ -1,12 +1,11 @@
 """Serves the completion API: streamed and buffered answers, resumes and jobs."""
 
 from collections.abc import Sequence
-from datetime import timedelta
 
 import attrs
 from aiohttp import web
 
-from passtally.admission import AdmissionRequest, RequestClass
+from passtally.admission_request import AdmissionRequest, RequestClass
 from passtally.api import JSON_TYPE, find_service, find_workspace, read_admission
 from passtally.catalog import Catalog
 from passtally.completion import (
@@ -19,29 +18,33 @@
     parse_body,
     resume_request,
 )
+from passtally.completion_sinks import (
+    GENERATION_HEADER,
+    BufferedSink,
+    EventSink,
+    JobSink,
+)
 from passtally.copies import CopySender, CopyService
 from passtally.decision import log_event
 from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.gate import Gate
-from passtally.generation import Attempt, Delivery, Generation
+from passtally.generation import Generation
 from passtally.handle import HandleError, HandleSigner, ResumePoint, bind
 from passtally.job import Job, JobState
 from passtally.jobs import RETRY_AFTER, Jobs
 from passtally.objects import Protection, Service, ServiceKind, Workspace
 from passtally.outcome import Code, RefusedError, refuse
+from passtally.output_buffers import OutputBuffers
 from passtally.relay import Sink
 
-EVENT_STREAM = "text/event-stream"
 RESUME_HEADER = "Last-Event-ID"
-GENERATION_HEADER = "X-Generation-Id"
 PREFER_HEADER = "Prefer"
 RESPOND_ASYNC = "respond-async"
 FAILED_JOB_STATUS = 500
 #: Difference between the first attempt numbers of successive hosts of a job, so that
 #: each attempt of a new host has a higher number than those of the previous host.
 ATTEMPTS_PER_TAKEOVER = 1000
-CLIENT_RETRY = timedelta(milliseconds=200)
 
 
 class CompletionHandler:
@@ -56,6 +59,7 @@
         copies: Fetches copies from peers.
         gate: Admits requests.
         host_id: The id of this host.
+        output: The unread output of all callers.
 
     Attributes:
         jobs: The jobs of this host; set after construction, since they need the
@@ -75,7 +79,9 @@
         copies: CopyService,
         gate: Gate,
         host_id: str,
+        output: OutputBuffers,
     ) -> None:
+        self._output = output
         self._catalog = catalog
         self._dispatcher = dispatcher
         self._signer = signer
@@ -114,15 +120,16 @@
         request = build_request(
             body, flavour, workspace=workspace, service=service, generation_id=job.id
         )
-        generation = Generation(
-            request=request, attempts_before=job.takeovers * ATTEMPTS_PER_TAKEOVER
-        )
         admission = AdmissionRequest(
             id=job.id,
             workspace=workspace.id,
             share=workspace.share,
             request_class=RequestClass.JOB,
         )
+        generation = Generation(
+            request=attrs.evolve(request, priority=admission.priority),
+            attempts_before=job.takeovers * ATTEMPTS_PER_TAKEOVER,
+        )
         sink = JobSink()
         async with self._gate.enter(service.id, admission):
             await self._dispatcher.run(generation, sink)
@@ -152,11 +159,15 @@
             ),
         )
         generation = build_generation(body, flavour, workspace, service, point)
+        admission = read_admission(
+            request, workspace, service, request_id=generation.request.id
+        )
+        generation.request = attrs.evolve(
+            generation.request, priority=admission.priority
+        )
         parsed = _ParsedRequest(
             generation=generation,
-            admission=read_admission(
-                request, workspace, service, request_id=generation.request.id
-            ),
+            admission=admission,
             answer_format=answer_format,
             service=service,
             binding=binding,
@@ -211,20 +222,23 @@
             binding=parsed.binding,
             copy=copy,
         )
-        sink = EventSink(request=request, writer=writer)
+        sink = EventSink(request=request, writer=writer, buffers=self._output)
         try:
             await self._dispatch(parsed, sink)
+            await sink.flush()
         except RefusedError as error:
             if sink.response is None:
                 raise
             await sink.fail(error)
-        except ConnectionError:
+        except ConnectionError as error:
             log_event(
                 "api",
-                "Caller closed the connection.",
+                "The connection to the caller was closed.",
                 request=parsed.generation.request.id,
+                why=error,
             )
         finally:
+            sink.close()
             if copy is not None:
                 self._copy_sender.close(copy)
         return sink.response or web.Response()
@@ -277,90 +291,6 @@
     point: ResumePoint | None
 
 
-class EventSink:
-    """Sends an answer as server-sent events.
-
-    Args:
-        request: The caller's request.
-        writer: Encodes output as events.
-    """
-
-    def __init__(self, *, request: web.Request, writer: EventWriter) -> None:
-        self.response: web.StreamResponse | None = None
-        self._request = request
-        self._writer = writer
-        self._generation: Generation | None = None
-
-    def switch(self, generation: Generation, attempt: Attempt) -> None:
-        """Switch to a new attempt, before its first output."""
-        self._generation = generation
-        self._writer.switch(generation, attempt)
-
-    async def write(self, deliveries: list[Delivery]) -> None:
-        """Send new output, and return when the connection accepts more."""
-        if self.response is None:
-            self.response = await self._open()
-        await self.response.write(self._writer.encode(self._generation, deliveries))
-
-    async def fail(self, error: RefusedError) -> None:
-        """End the stream with an error event."""
-        data = error.failure.to_json()
-        await self.response.write(b"event: error\ndata: %b\n\n" % data)
-
-    async def _open(self) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": EVENT_STREAM,
-                "Cache-Control": "no-cache",
-                GENERATION_HEADER: self._generation.request.id,
-            }
-        )
-        await response.prepare(self._request)
-        milliseconds = int(CLIENT_RETRY.total_seconds() * 1000)
-        await response.write(b"retry: %d\n\n" % milliseconds)
-        return response
-
-
-class BufferedSink:
-    """Buffers an answer that is not streamed.
-
-    Args:
-        request: The caller's request; its connection shows whether the caller left.
-    """
-
-    def __init__(self, *, request: web.Request) -> None:
-        self.texts: list[str] = []
-        self._request = request
-
-    def switch(self, generation: Generation, attempt: Attempt) -> None:
-        """Ignore a new attempt: the texts do not depend on it."""
-
-    async def write(self, deliveries: list[Delivery]) -> None:
-        """Append new output.
-
-        Raises:
-            ConnectionError: The caller left.
-        """
-        transport = self._request.transport
-        if transport is None or transport.is_closing():
-            raise ConnectionResetError("the caller closed the connection")
-        self.texts.extend(delivery.text for delivery in deliveries)
-
-
-class JobSink:
-    """Buffers the answer of a job, for which no caller waits on a connection."""
-
-    def __init__(self) -> None:
-        self.texts: list[str] = []
-
-    def switch(self, generation: Generation, attempt: Attempt) -> None:
-        """Ignore a new attempt: the texts do not depend on it."""
-
-    async def write(self, deliveries: list[Delivery]) -> None:
-        """Append new output."""
-        self.texts.extend(delivery.text for delivery in deliveries)
-
-
 def _running_response(job_id: str) -> web.Response:
     return web.json_response(
         {"id": job_id, "status": "running"},
--- a/passtally/connection_pool.py
+++ b/passtally/connection_pool.py
@@ -22,7 +22,7 @@
     ExchangeStep,
     ResponseHead,
 )
-from passtally.http_server import RawHeaders
+from passtally.http_exchange import RawHeaders
 from passtally.pause_aware_timeout import PauseAwareTimeout
 from passtally.settings import Address, parse_address
 
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -33,12 +33,14 @@
 from passtally.fleet import Fleet
 from passtally.gate import Gate
 from passtally.handle import HandleSigner
+from passtally.hedge import HedgePolicy
 from passtally.http_engine import HttpEngine
 from passtally.http_platform import HttpPlatform
 from passtally.intents import Intents
 from passtally.jobs import Jobs
 from passtally.lease import Lease
 from passtally.listeners import CALLERS, PEERS, TUNNELS, Listeners
+from passtally.load_probe import LoadProbe
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
@@ -46,6 +48,7 @@
 from passtally.objects import Endpoint
 from passtally.operator_api import OperatorApi
 from passtally.orders import HttpOrders
+from passtally.output_buffers import OutputBuffers, OutputLimits
 from passtally.peers import Peers
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
@@ -96,7 +99,7 @@
             ("gossip", self.gossip.run),
             ("host list", self.host_list.run),
             ("silence", self.fleet.watch_silence),
-            ("load reports", self.fleet.refresh_reports),
+            ("load reports", LoadProbe(fleet=self.fleet, clock=self.clock).run),
             ("gate", self.gate.run),
             ("copies", self.copy_sender.run),
             ("claims", self.claims.run),
@@ -285,6 +288,10 @@
             budgets=budgets,
             sender=SessionSender(session=self._plain_session),
             guard=self.guard,
+            hedging=HedgePolicy(
+                fleet=self.fleet, clock=self.clock, mode=lambda: settings.hedging
+            ),
+            metrics=self.metrics,
         )
         self.at_most_once = AtMostOnceCaller(
             caller=caller,
@@ -305,6 +312,9 @@
             copies=self.copies,
             gate=self.gate,
             host_id=settings.host_id,
+            output=OutputBuffers(
+                limits=OutputLimits.of(settings), metrics=self.metrics
+            ),
         )
         self.jobs = Jobs(
             host_id=settings.host_id,
--- a/passtally/departures.py
+++ b/passtally/departures.py
@@ -6,7 +6,7 @@
 usable again, so that a late channel can't undo a departure.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 
 from passtally.clock import Clock
@@ -31,19 +31,37 @@
 
     def __init__(self) -> None:
         self._incarnations_by_id: dict[str, int] = {}
+        self._successors_by_id: dict[str, str] = {}
         self._sends_by_id: dict[str, int] = {}
+        #: Called with the id of an endpoint that has ended and that of its successor,
+        #: when another host has told it.
+        self.on_successor: Callable[[str, str], None] = lambda endpoint, successor: None
 
-    def record(self, start: EndpointStart, *, channel: str) -> None:
-        """Record that one start of an endpoint is leaving or has terminated."""
+    def record(
+        self, start: EndpointStart, *, channel: str, successor: str = ""
+    ) -> None:
+        """Record that one start of an endpoint is leaving or has terminated.
+
+        Args:
+            start: The start.
+            channel: How this host learned of it.
+            successor: The endpoint that has its address now; empty if unknown.
+        """
         endpoint_id = start.endpoint_id
         known = self._incarnations_by_id.get(endpoint_id, -1)
-        if start.incarnation <= known:
-            return
-        self._incarnations_by_id[endpoint_id] = start.incarnation
-        self._sends_by_id[endpoint_id] = 0
-        log_event(
-            "departures", "Endpoint is leaving.", peer=endpoint_id, channel=channel
-        )
+        if start.incarnation > known:
+            self._incarnations_by_id[endpoint_id] = start.incarnation
+            self._sends_by_id[endpoint_id] = 0
+            log_event(
+                "departures", "Endpoint is leaving.", peer=endpoint_id, channel=channel
+            )
+        if successor and endpoint_id not in self._successors_by_id:
+            self._successors_by_id[endpoint_id] = successor
+            self._sends_by_id[endpoint_id] = 0
+
+    def find_successor(self, endpoint_id: str) -> str:
+        """Return the endpoint that has the address of an ended one, or empty."""
+        return self._successors_by_id.get(endpoint_id, "")
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether this incarnation of an endpoint is leaving."""
@@ -63,6 +81,7 @@
             DepartureRow(
                 endpoint_id=endpoint_id,
                 incarnation=self._incarnations_by_id[endpoint_id],
+                successor=self.find_successor(endpoint_id),
             )
             for endpoint_id in chosen
         ]
@@ -73,7 +92,10 @@
             start = EndpointStart(
                 endpoint_id=row.endpoint_id, incarnation=row.incarnation
             )
-            self.record(start, channel="peer")
+            is_new = row.successor and not self.find_successor(row.endpoint_id)
+            self.record(start, channel="peer", successor=row.successor)
+            if is_new:
+                self.on_successor(row.endpoint_id, row.successor)
 
     def merge_host_list(
         self, hosts: Sequence[HostEntry], catalog: ServiceIndex
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -6,10 +6,12 @@
 from functools import partial
 
 from passtally.answer_recorder import AnswerRecorder
+from passtally.cancellations import Cancellations
 from passtally.clock import Clock
 from passtally.crash_guard import CrashGuard, quarantine_error
 from passtally.decision import log_decision
 from passtally.dispatch_progress import Progress
+from passtally.endpoint_check import EndpointCheck
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.generation import (
@@ -24,7 +26,12 @@
 from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.origin import Origin
 from passtally.outcome import Code, Outcome, RefusedError, refuse
-from passtally.placement import NoEndpointError, NoVersionLeftError, Placement
+from passtally.placement import (
+    NoEndpointError,
+    NoVersionLeftError,
+    Placed,
+    Placement,
+)
 from passtally.quarantine import Quarantine
 from passtally.relay import Relay, Sink
 from passtally.replica import ReplicaKeeper
@@ -89,6 +96,7 @@
             metrics=self._metrics,
             guard=self._guard,
         )
+        self._endpoint_check = EndpointCheck(fleet=fleet, clock=clock)
         self._retries = GenerationRetries(budgets=budgets, clock=clock)
         self._losses = LossHandler(
             fleet=fleet,
@@ -99,7 +107,7 @@
             guard=self._guard,
             metrics=self._metrics,
         )
-        self._background: set[asyncio.Task[None]] = set()
+        self._cancellations = Cancellations(clock=clock)
 
     async def run(
         self,
@@ -138,7 +146,8 @@
         while True:
             if step is NextStep.RESUME:
                 await self._recover_tokens(generation, recover, progress)
-                endpoint_id = await self._place(generation, progress)
+                placed = await self._place(generation, progress)
+                endpoint_id = placed.endpoint_id
             if await self._guard.is_quarantined(generation.request.fingerprint):
                 raise self._give_up(generation, progress, CRASHED_TOO_MANY)
             live = self._fleet.find(endpoint_id)
@@ -152,6 +161,8 @@
                 # one has the stream's state.
                 step, resume_ref = NextStep.RESUME, ""
                 continue
+            if step is NextStep.RESUME and not placed.caches_prompt:
+                progress.prompt.record_prefill(generation, metrics=self._metrics)
             attempt = generation.start_attempt(
                 endpoint_id,
                 attach=step is NextStep.ATTACH,
@@ -180,7 +191,7 @@
                     self._recorder.record_completion(generation, progress, live)
                     return
                 if loss.kind in ABORTED_KINDS:
-                    self._cancel(live, generation, attempt)
+                    self._cancellations.start(live, generation, attempt)
                 decision = await self._losses.handle(
                     generation, attempt, live, loss, progress
                 )
@@ -244,6 +255,7 @@
             place=lambda: self._placement.place_replica(
                 generation, live.endpoint.id, progress.excluded
             ),
+            check=self._endpoint_check,
         )
         try:
             async with keeper:
@@ -261,9 +273,12 @@
             raise
         except (ConnectionError, asyncio.CancelledError):
             generation.abandon()
-            self._cancel(live, generation, attempt, after=self._linger)
+            self._cancellations.start(live, generation, attempt, after=self._linger)
             self._retries.release(generation, progress)
             raise
+        finally:
+            now = self._clock.monotonic()
+            self._fleet.speeds.record_gap(live.endpoint, relay.pace, now=now)
         self._retries.release(generation, progress)
 
     async def _recover_tokens(
@@ -280,8 +295,8 @@
         except ResumeMismatchError as error:
             raise self._give_up(generation, progress, str(error)) from error
 
-    async def _place(self, generation: Generation, progress: Progress) -> str:
-        """Return the id of the endpoint for the next attempt.
+    async def _place(self, generation: Generation, progress: Progress) -> Placed:
+        """Return the endpoint for the next attempt.
 
         Raises:
             RefusedError: This host lacks tokens that the caller has, or no endpoint
@@ -291,8 +306,12 @@
             raise self._give_up(
                 generation, progress, "its delivered tokens are not on this host"
             )
+        if progress.unreached_since is None:
+            progress.unreached_since = self._clock.monotonic()
         try:
-            return await self._placement.place(generation, progress.excluded)
+            return await self._placement.place(
+                generation, progress.excluded, waiting_since=progress.unreached_since
+            )
         except NoEndpointError as error:
             if isinstance(error, NoVersionLeftError):
                 service = generation.request.service
@@ -364,21 +383,3 @@
         except RefusedError:
             generation.refuse()
             raise
-
-    def _cancel(
-        self,
-        live: LiveEndpoint,
-        generation: Generation,
-        attempt: Attempt,
-        *,
-        after: timedelta = timedelta(0),
-    ) -> None:
-        """Cancel an attempt in the background, but no newer attempt."""
-
-        async def cancel() -> None:
-            await self._clock.sleep(after)
-            await live.engine.cancel(generation.request.id, attempt.number)
-
-        task = asyncio.create_task(cancel())
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
--- a/passtally/endpoint_changes.py
+++ b/passtally/endpoint_changes.py
@@ -7,6 +7,7 @@
 
 from passtally.adapter import Adapter
 from passtally.connection_pool import ConnectionPool
+from passtally.departures import Departures
 from passtally.endpoint_dialer import EndpointDialer
 from passtally.endpoint_links import address_of
 from passtally.endpoint_registry import EndpointRegistry
@@ -15,12 +16,15 @@
 from passtally.objects import UNKNOWN_INCARNATION, Endpoint, EndpointState
 from passtally.rollouts import Rollouts
 from passtally.routes import ActiveRoutes
+from passtally.service_index import ServiceIndex
 
 
 class EndpointHost(Protocol):
     """A host that forwards requests to endpoints.
 
     Attributes:
+        catalog: The known endpoints.
+        departures: The endpoints that have ended, and their successors.
         dialer: Opens the connections to endpoints.
         pool: The open connections to endpoints.
         fleet: The recorded states of endpoints.
@@ -29,6 +33,8 @@
         routes: The routes in force.
     """
 
+    catalog: ServiceIndex
+    departures: Departures
     dialer: EndpointDialer
     pool: ConnectionPool
     fleet: Fleet
@@ -86,19 +92,47 @@
         The platform reports the new endpoint too, but may be unreachable. The service
         of the new endpoint is certain only if a single service has engines.
         """
+        if self._has_only_engines_of(ended.service):
+            self._host.spawn(self._put_if_engine(ended, successor_id))
+
+    def learn_successor(self, ended_id: str, successor_id: str) -> None:
+        """Use a new endpoint that another host has found at the address of one.
+
+        The address may have been taken over several times since. An endpoint that is
+        not known here any more has a successor that is known already.
+        """
+        catalog, departures = self._host.catalog, self._host.departures
+        ended = catalog.endpoints_by_id.get(ended_id)
+        if ended is None or not self._has_only_engines_of(ended.service):
+            return
+        seen = {ended_id}
+        while successor_id and successor_id not in seen:
+            seen.add(successor_id)
+            if successor_id in catalog.endpoints_by_id:
+                return
+            self._host.registry.put(_successor_of(ended, successor_id))
+            successor_id = departures.find_successor(successor_id)
+
+    def _has_only_engines_of(self, service: str) -> bool:
         routes = self._host.routes.current
         engines = [info.id for info in routes.services if info.capacity_tokens]
-        if engines == [ended.service]:
-            successor = attrs.evolve(
-                ended,
-                id=successor_id,
-                state=EndpointState.ACTIVE,
-                incarnation=UNKNOWN_INCARNATION,
-                software="",
-                has_entry=False,
-            )
-            self._host.spawn(self._put_if_engine(successor))
+        return engines == [service]
 
-    async def _put_if_engine(self, successor: Endpoint) -> None:
+    async def _put_if_engine(self, ended: Endpoint, successor_id: str) -> None:
+        successor = _successor_of(ended, successor_id)
         if await self._adapter.is_engine(self._connect(successor)):
             self._host.registry.put(successor)
+            self._host.departures.record(
+                ended.start, channel="its address", successor=successor_id
+            )
+
+
+def _successor_of(ended: Endpoint, successor_id: str) -> Endpoint:
+    return attrs.evolve(
+        ended,
+        id=successor_id,
+        state=EndpointState.ACTIVE,
+        incarnation=UNKNOWN_INCARNATION,
+        software="",
+        has_entry=False,
+    )
--- a/passtally/endpoint_directives.py
+++ b/passtally/endpoint_directives.py
@@ -12,6 +12,7 @@
 import attrs
 
 from passtally.decision import log_event
+from passtally.engine import InstanceLoad
 from passtally.objects import EndpointStart
 
 #: Maximum number of endpoints with invalid directives, and of unknown headers, that are
@@ -20,12 +21,13 @@
 
 
 class Directive(StrEnum):
-    """The kinds of directives: departure, request limit, Retry-After, brittleness."""
+    """What endpoints announce: a departure, limits, a back-off, their load."""
 
     LEAVING = "leaving"
     LIMIT = "limit"
     RETRY_AFTER = "rest"
     BRITTLE = "brittle"
+    LOAD = "load"
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +42,7 @@
         backoff: The back-off that it requests from this host; None for none.
         borne: The rejections in a second that it bears before it falls over; None if
             it does not state that it is brittle.
+        load: The load that it reports; None if it reports none.
         is_rejection: Whether the answer rejects the request for want of room.
         invalid_by_directive: The text of each directive that can't be parsed; such a
             directive is logged and otherwise ignored.
@@ -50,6 +53,7 @@
     limit: float | None = None
     backoff: timedelta | None = None
     borne: int | None = None
+    load: InstanceLoad | None = None
     is_rejection: bool = False
     invalid_by_directive: Mapping[Directive, str] = attrs.field(factory=dict)
     unknown_headers: Sequence[str] = ()
--- a/passtally/engine.py
+++ b/passtally/engine.py
@@ -59,6 +59,23 @@
     draining: bool = False
 
 
+class InstanceLoad(msgspec.Struct, frozen=True):
+    """The load that an endpoint reports with an answer, true when it was sent.
+
+    Attributes:
+        running: Number of requests that run there.
+        waiting: Number of requests that wait there.
+        slots: Number of requests that it runs at a time.
+        slowness: The factor by which work takes longer there than usual, since it
+            shares its machine with others.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+
+
 class TokenStream(Protocol):
     """The output of one attempt.
 
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -1,18 +1,20 @@
 """The live endpoints of all services, and the state that they share."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from functools import partial
 
-import attrs
-
 from passtally.brittle_endpoints import BrittleEndpoints
 from passtally.call_failures import CallFailures
+from passtally.call_times import CallTimes
+from passtally.capacity import Capacity
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.departures import Departures
 from passtally.endpoint_backoff import EndpointBackoffs
+from passtally.endpoint_losses import EndpointLosses
+from passtally.endpoint_speed import EndpointSpeeds
 from passtally.engine import Engine
 from passtally.lag_meter import LagMeter
 from passtally.live_endpoint import (
@@ -34,33 +36,6 @@
 )
 from passtally.versions import AllVersions, Versions
 
-#: Interval between load probes; each goes to one endpoint, however many there are.
-REFRESH_INTERVAL = timedelta(seconds=1)
-#: Limit of endpoints of a service that are connected to at once to check whether any is
-#: reachable. Endpoints of one failure domain mostly fail and recover together.
-MAX_REACH_CHECKS = 6
-#: Time after a loss in which its failure domain is avoided. Endpoints of one domain are
-#: often lost together, and detected one after the other.
-UNSTABLE_TIME = timedelta(seconds=1.5)
-
-
-@attrs.frozen(kw_only=True)
-class Capacity:
-    """The concurrent requests that endpoints accept, and the estimated number in use.
-
-    Attributes:
-        places: Total of the endpoints' limits of concurrent requests.
-        taken: Estimated number of places in use.
-    """
-
-    places: int
-    taken: int
-
-    @property
-    def load(self) -> float:
-        """The share of places in use; 0 without places, so that routing reports it."""
-        return self.taken / self.places if self.places else 0.0
-
 
 class Fleet:
     """The live endpoints of all services.
@@ -83,6 +58,7 @@
         limits: The request limits that endpoints set; None to start without any.
         backoffs: The back-offs that endpoints request; None to start without any.
         brittle: The limits at brittle endpoints; None to start without any.
+        on_exit: Called with each start of an engine that was found to have exited.
         exits_are_final: Whether an endpoint that exited never starts again as the same
             start, so that no answer waits for it.
     """
@@ -107,10 +83,10 @@
         backoffs: EndpointBackoffs | None = None,
         brittle: BrittleEndpoints | None = None,
         exits_are_final: bool = False,
+        on_exit: Callable[[EndpointStart], None] = lambda start: None,
     ) -> None:
         self.versions = versions or AllVersions()
         self._on_silent = on_silent
-        self._is_cut_off = is_cut_off
         self._catalog = catalog
         self.origin_rule = OriginRule(catalog=catalog)
         self._exits_are_final = exits_are_final
@@ -122,13 +98,20 @@
         self._live_by_id: dict[str, LiveEndpoint] = {}
         self._lag = LagMeter(clock=clock)
         self._others_load = others_load
-        self._on_successor = on_successor
         #: Set when the load of this host's runs at endpoints has changed.
         self.load_changed = asyncio.Event()
-        self._losses: set[EndpointStart] = set()
         #: Endpoints at their former addresses, kept while streams are open there.
         self._retired: list[LiveEndpoint] = []
-        self._lost_at_by_domain: dict[str, timedelta] = {}
+        self.losses = EndpointLosses(
+            catalog=catalog,
+            clock=clock,
+            find=self.find,
+            is_cut_off=is_cut_off,
+            on_unreachable=self.load_changed.set,
+            on_successor=on_successor,
+            on_exit=on_exit,
+        )
+        self.speeds = EndpointSpeeds()
         self.send_limits = SendLimits(
             catalog=catalog,
             clock=clock,
@@ -136,10 +119,20 @@
             find=self.find,
             start_of=self.start_of,
             on_changed=self.load_changed.set,
+            on_load=lambda endpoint_id, load: self.call_times.record_report(
+                endpoint_id, load, now=clock.monotonic()
+            ),
             requests=limits or RequestLimits(),
             backoffs=backoffs or EndpointBackoffs(),
             brittle=brittle or BrittleEndpoints(),
         )
+        self.call_times = CallTimes(
+            endpoints_of=lambda service: [
+                endpoint.id
+                for endpoint in catalog.endpoints_of(service)
+                if self.is_healthy(endpoint.id)
+            ]
+        )
         self.call_failures = CallFailures(
             catalog=catalog,
             clock=clock,
@@ -170,6 +163,7 @@
                 on_silent=self._on_silent,
             )
             self._live_by_id[endpoint_id] = live
+            self.losses.record_present(live)
         live.endpoint = endpoint
         live.capacity_tokens = self._capacity_of(endpoint.service)
         return live
@@ -229,57 +223,6 @@
         live = self.find(endpoint_id)
         return live.state is EndpointState.ACTIVE and not live.is_ejected
 
-    async def has_reachable(self, service_id: str, failure_domain: str) -> bool:
-        """Check whether a service has an endpoint that accepts connections.
-
-        Connects to some endpoints of one failure domain first, then to some others. A
-        service without active endpoints counts as reachable.
-
-        Args:
-            service_id: The service.
-            failure_domain: The domain whose endpoints are most likely reachable.
-        """
-        in_use = [
-            endpoint
-            for endpoint in self._catalog.endpoints_of(service_id)
-            if endpoint.state is EndpointState.ACTIVE
-        ]
-        near = [item for item in in_use if item.failure_domain == failure_domain]
-        far = [item for item in in_use if item.failure_domain != failure_domain]
-        for group in (near[:MAX_REACH_CHECKS], far[:MAX_REACH_CHECKS]):
-            engines = [self.find(endpoint.id).engine for endpoint in group]
-            if any(await asyncio.gather(*(item.is_reachable() for item in engines))):
-                return True
-        return not in_use
-
-    def record_loss(self, live: LiveEndpoint, *, is_endpoint_unreachable: bool) -> None:
-        """Record the loss of a run, since its whole failure domain may be failing.
-
-        Args:
-            live: The endpoint of the run.
-            is_endpoint_unreachable: Whether the endpoint itself is unreachable, which
-                other hosts are then notified of.
-        """
-        domain = live.endpoint.failure_domain
-        self._lost_at_by_domain[domain] = self._clock.monotonic()
-        if is_endpoint_unreachable and not self._is_cut_off():
-            self._losses.add(live.endpoint.start)
-            self.load_changed.set()
-
-    def is_serving(self, live: LiveEndpoint) -> bool:
-        """Return whether an endpoint is registered and active.
-
-        One that is leaving or no longer registered may exit as planned.
-        """
-        is_known = live.endpoint.id in self._catalog.endpoints_by_id
-        return is_known and live.state is EndpointState.ACTIVE
-
-    def record_end(self, live: LiveEndpoint) -> None:
-        """Eject an endpoint that has certainly exited, and notify other hosts."""
-        live.has_exited = True
-        live.eject(self._clock.monotonic())
-        self.record_loss(live, is_endpoint_unreachable=True)
-
     def end_streams(self, fingerprint: bytes) -> None:
         """Fail this host's attempts at one request that have no output yet."""
         for live in [*self._live_by_id.values(), *self._retired]:
@@ -321,44 +264,9 @@
         endpoint = self._catalog.endpoints_by_id.get(endpoint_id)
         return endpoint.start if endpoint else EndpointStart(endpoint_id=endpoint_id)
 
-    def record_peer_loss(self, start: EndpointStart) -> None:
-        """Eject an endpoint that a peer reports as unreachable.
-
-        Not while this host has open requests there, which are better evidence than the
-        report, and not if the endpoint has restarted since.
-        """
-        endpoint_id = start.endpoint_id
-        endpoint = self._catalog.endpoints_by_id.get(endpoint_id)
-        if endpoint is None or start.precedes(endpoint.start):
-            return
-        live = self.find(endpoint_id)
-        now = self._clock.monotonic()
-        self._lost_at_by_domain[live.endpoint.failure_domain] = now
-        if not live.own_streams and not live.is_ejected:
-            live.eject(now)
-            answered_at = live.answered_at
-            log_event(
-                "endpoints",
-                "Peer reports endpoint unreachable.",
-                peer=endpoint_id,
-                answered_ago=None if answered_at is None else now - answered_at,
-            )
-
-    def record_replaced(self, live: LiveEndpoint, successor_id: str) -> None:
-        """Record that an endpoint has exited, and which one has its address now.
-
-        Args:
-            live: The endpoint that has exited.
-            successor_id: The id of the endpoint at its address; empty if unknown.
-        """
-        live.record_ended()
-        if successor_id and successor_id not in self._catalog.endpoints_by_id:
-            self._on_successor(live.endpoint, successor_id)
-
-    def pop_losses(self) -> list[EndpointStart]:
-        """Return the starts of endpoints found unreachable since the last call."""
-        losses, self._losses = self._losses, set()
-        return sorted(losses, key=lambda start: start.endpoint_id)
+    def list_engines(self) -> list[LiveEndpoint]:
+        """Return the endpoints that run generations."""
+        return [live for live in self._live_by_id.values() if live.has_engine]
 
     def loads_by_endpoint(self) -> dict[str, TokenLoad]:
         """Return the load of this host's runs at each endpoint that has any."""
@@ -373,15 +281,10 @@
             if live.kv_tokens or live.prefill_tokens
         }
 
-    def _is_unstable(self, domain: str) -> bool:
-        lost_at = self._lost_at_by_domain.get(domain)
-        if lost_at is None:
-            return False
-        return self._clock.monotonic() - lost_at < UNSTABLE_TIME
-
     def remove(self, endpoint_id: str) -> None:
         """Drop the state of a removed endpoint, unless it has open streams."""
         self.send_limits.forget(endpoint_id)
+        self.call_times.forget(endpoint_id)
         live = self._live_by_id.get(endpoint_id)
         if live is not None and not live.own_streams:
             del self._live_by_id[endpoint_id]
@@ -414,27 +317,29 @@
             for endpoint in self._catalog.endpoints_of(service_id)
             if can_serve(endpoint, service) and is_eligible(endpoint)
         )
-        return [self.view(endpoint.id) for endpoint in placed]
+        slow = self.call_times.list_slow(service_id, now=self._clock.monotonic())
+        return [self._view(self.find(endpoint.id), slow) for endpoint in placed]
 
     def view(self, endpoint_id: str) -> EndpointView:
         """Return the routing view of an endpoint that :meth:`find` knows."""
-        live = self.find(endpoint_id)
+        live, now = self.find(endpoint_id), self._clock.monotonic()
+        slow = self.call_times.list_slow(live.endpoint.service, now=now)
+        return self._view(live, slow)
+
+    def _view(self, live: LiveEndpoint, slow: Collection[str]) -> EndpointView:
+        endpoint, now = live.endpoint, self._clock.monotonic()
         return live.view(
-            is_unstable=self._is_unstable(live.endpoint.failure_domain),
+            speed=self.speeds.speed(endpoint.service, endpoint.url, now=now),
+            is_slow=endpoint.id in slow,
+            is_unstable=self.losses.domain_losses.is_unstable(
+                endpoint.failure_domain, now=now
+            ),
             accepts_requests=self.send_limits.accepts(live),
         )
 
-    def service_capacity(self, service_id: str) -> "Capacity":
+    def service_capacity(self, service_id: str) -> Capacity:
         """Return the total and taken places of a service's available endpoints."""
-        views = [
-            view
-            for view in self.views(service_id)
-            if view.state is EndpointState.ACTIVE and view.accepts_requests
-        ]
-        return Capacity(
-            places=sum(view.max_streams for view in views),
-            taken=sum(min(view.taken, view.max_streams) for view in views),
-        )
+        return Capacity.of(self.views(service_id))
 
     def count_streams(self, endpoint_id: str) -> int:
         """Return the number of open requests of an endpoint known to this host."""
@@ -469,20 +374,6 @@
             if live.endpoint.service == service_id and is_counted(live.endpoint)
         )
 
-    async def refresh_reports(self) -> None:
-        """Probe the endpoint with the oldest load report, one at a time, forever."""
-        while True:
-            await self._clock.sleep(REFRESH_INTERVAL)
-            reporting = [live for live in self._live_by_id.values() if live.has_engine]
-            if not reporting:
-                continue
-            oldest = min(reporting, key=lambda live: live.reported_at)
-            report = await oldest.engine.probe()
-            if report is not None:
-                oldest.update_report(report)
-            else:
-                oldest.reported_at = self._clock.monotonic()
-
     async def watch_silence(self) -> None:
         """Check for silent streams, forever.
 
--- a/passtally/follower.py
+++ b/passtally/follower.py
@@ -17,6 +17,9 @@
 #: Initial and maximum delay before a failed call is retried.
 INITIAL_RETRY_DELAY = timedelta(milliseconds=100)
 MAX_RETRY_DELAY = timedelta(seconds=2)
+#: Number of failed calls before the first answer after which the delay begins to
+#: double. They cover the time for which callers of a starting host wait for it.
+STEADY_RETRIES = 6
 #: Size in bytes above which an answer takes at least 0.1 s on a link of 10 Mbit/s.
 #: Further changes gather during its transfer, so no pause follows it. With 527 KB
 #: changed every 200 ms, a host is then 1.6 s behind instead of 2.9 s.
@@ -96,6 +99,7 @@
         self._out_of_date_after = out_of_date_after
         self._reach_changed = reach_changed
         self._delay = INITIAL_RETRY_DELAY
+        self._failures = 0
         self._updated_at: timedelta | None = None
         self._listed_bytes = 0
         self.is_backlogged = False
@@ -147,7 +151,9 @@
             self._delay = INITIAL_RETRY_DELAY
         self._record_reachability(False, why=error)
         await self._sleep(self._delay)
-        self._delay = min(2 * self._delay, self._max_retry_delay)
+        self._failures += 1
+        if self._updated_at is not None or self._failures >= STEADY_RETRIES:
+            self._delay = min(2 * self._delay, self._max_retry_delay)
 
     async def _list(self) -> bool:
         """List, and return whether any object changed since the last answer."""
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -9,7 +9,7 @@
 import attrs
 from multidict import CIMultiDict
 
-from passtally.admission import AdmissionRequest, RequestClass
+from passtally.admission_request import AdmissionRequest, RequestClass
 from passtally.clock import Clock
 from passtally.crash_guard import CrashGuard
 from passtally.decision import log_event
@@ -22,12 +22,22 @@
 from passtally.generation import Generation, GenerationRequest
 from passtally.metrics import Metric, Metrics
 from passtally.objects import Service, ServiceKind
-from passtally.origin import Origin
+from passtally.origin import KnownAnswer
 from passtally.origin_exchange import OriginExchange, UnknownOriginError
 from passtally.outcome import Code, Outcome, RefusedError, refuse
+from passtally.output_buffers import abort_reason
 from passtally.pause_aware_timeout import PauseAwareTimeout
-from passtally.plain import PlainCall, PlainCaller
-from passtally.routes import ActiveRoutes, CallKind, Route, RouteSet
+from passtally.plain import PlainCaller
+from passtally.plain_call import PlainCall
+from passtally.priority import Priority
+from passtally.routes import (
+    ActiveRoutes,
+    CallKind,
+    Route,
+    RouteSet,
+    WorkspaceKeys,
+    priority_of,
+)
 from passtally.stream_sink import StreamSink
 
 #: Retry-After of refusals that state no other time.
@@ -42,18 +52,17 @@
 #: listing takes about 10 ms, a peer's answer less than 100 ms. A platform that has not
 #: answered by the end is unreachable, and further requests are refused at once.
 COLD_START = timedelta(milliseconds=600)
-#: Default priority of the engines.
-PRIORITY = 5
 
 
 @attrs.frozen(kw_only=True)
 class _Admitted:
-    """A request with its route, service, workspace and deadline."""
+    """A request with its route, service, workspace, priority and deadline."""
 
     request: FrontRequest
     route: Route
     service: str
     workspace: str
+    priority: Priority
     deadline: timedelta
     fingerprint: bytes
 
@@ -115,6 +124,7 @@
         try:
             with self._drain.track():
                 result = await self._serve(request, responder)
+                await responder.flush()
         except RefusedError as error:
             result = f"refused: {error.failure.code}"
             self._metrics.count(Metric.REFUSED, error.failure.code)
@@ -129,9 +139,11 @@
                 why=error.failure.message,
             )
             await responder.refuse(error.failure)
-        except (asyncio.CancelledError, ConnectionError):
+        except (asyncio.CancelledError, ConnectionError) as error:
             if self._drain.is_over:
                 result = "broken off: the host stops"
+            elif reason := abort_reason(error):
+                result = f"broken off: {reason}"
             raise
         except Exception as error:
             result = f"failed: {error!r}"
@@ -159,12 +171,26 @@
             if is_stream
             else RequestClass.LOOKUP,
             timeout=ADMISSION_SHARE * route.target,
+            priority=admitted.priority,
+            size=self._size(admitted),
+            fingerprint=admitted.fingerprint,
         )
         async with self._gate.enter(admitted.service, admission):
             if is_stream:
                 return await self._stream(admitted, responder)
             return await self._call(admitted, responder)
 
+    def _size(self, admitted: _Admitted) -> float:
+        """Return the room that a request takes of its service, in the service's unit.
+
+        A replica takes as much memory as the run itself.
+        """
+        prompt = admitted.request.prompt
+        if prompt is None or not self._routes.capacity_of(admitted.service):
+            return 1.0
+        tokens = max(prompt.tokens + prompt.max_output, 1)
+        return float(tokens * (1 + self._routes.keeps_replicas(admitted.service)))
+
     def _typical_time(self, admitted: _Admitted) -> timedelta:
         """Return the forecast duration of a stream."""
         prompt = admitted.request.prompt
@@ -208,9 +234,14 @@
             request=request,
             route=route,
             service=route.service_for(session.encode()),
-            workspace=workspace,
+            workspace=workspace.workspace if workspace else "",
+            priority=priority_of(route, workspace),
             deadline=self._clock.monotonic() + time_left,
-            fingerprint=fingerprint_of(workspace, request.raw.target, request.raw.body),
+            fingerprint=fingerprint_of(
+                workspace.workspace if workspace else "",
+                request.raw.target,
+                request.raw.body,
+            ),
         )
 
     def _check_current(self, step: str) -> None:
@@ -228,9 +259,14 @@
 
     def _find_workspace(
         self, routes: RouteSet, route: Route, request: FrontRequest
-    ) -> str:
+    ) -> WorkspaceKeys | None:
+        """Return the workspace of a request; None on a public route without a key.
+
+        Raises:
+            RefusedError: The key is missing or unknown.
+        """
         if not routes.needs_keys or (route.is_public and request.key is None):
-            return ""
+            return None
         found = routes.find_workspace(request.key or "")
         if found is None and not route.is_public:
             self._check_current("authenticate")
@@ -240,7 +276,7 @@
                 status=401,
                 step="authenticate",
             )
-        return found.workspace if found else ""
+        return found
 
     async def _call(self, admitted: _Admitted, responder: Responder) -> str:
         route = admitted.route
@@ -257,7 +293,8 @@
         )
         first_id = admitted.request.resumes or request.id
         if position:
-            generation.origin = await self._find_origin(admitted, first_id)
+            known = await self._find_answer(admitted, request.prompt)
+            generation.origin, generation.holder_id = known.origin, known.holder_id
         with self._origins.running(generation, first_id=first_id) as answer:
             sink = StreamSink(
                 responder=responder,
@@ -267,8 +304,8 @@
             )
             return await self._run(admitted, generation, sink, responder)
 
-    async def _find_origin(self, admitted: _Admitted, first_id: str) -> Origin:
-        """Return the origin of a stream that its caller takes up.
+    async def _find_answer(self, admitted: _Admitted, prompt: str) -> KnownAnswer:
+        """Return where a stream began and ran that its caller takes up.
 
         Raises:
             RefusedError: It is not known, and several software versions may serve.
@@ -277,8 +314,9 @@
             return await self._origins.find(
                 workspace=admitted.workspace,
                 service=admitted.service,
-                first_id=first_id,
+                first_id=admitted.request.resumes,
                 request_id=admitted.request.id,
+                prompt=prompt,
             )
         except UnknownOriginError as error:
             raise refuse(
@@ -386,7 +424,7 @@
         model="",
         prompt=prompt.last_part,
         max_tokens=prompt.max_output,
-        priority=PRIORITY,
+        priority=admitted.priority,
         prompt_tokens=prompt.tokens,
         max_attempts=admitted.route.max_attempts if admitted.route.is_resumable else 1,
         deadline=admitted.deadline,
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -5,7 +5,6 @@
 import socket
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from functools import partial
 from typing import Any
 
 import aiomisc
@@ -17,88 +16,47 @@
 from passtally.crash_guard import CrashGuard
 from passtally.decision import log_event
 from passtally.departures import Departures
-from passtally.dispatcher import Dispatcher
 from passtally.drain import Drain
 from passtally.endpoint_backoff import EndpointBackoffs
 from passtally.endpoint_changes import EndpointChanges
 from passtally.endpoint_dialer import EndpointDialer
 from passtally.endpoint_links import EndpointLinks, address_of
-from passtally.endpoint_registry import EndpointRegistry
 from passtally.engine import Engine
 from passtally.fleet import Fleet
-from passtally.follower import Follower
-from passtally.forecast import Forecast
-from passtally.front import Front
-from passtally.gate import Gate
+from passtally.host_config import HostConfig
+from passtally.host_gauges import report_gauges
 from passtally.host_links import HostLinks
 from passtally.host_reload import HostReload
 from passtally.host_servers import HostServers
+from passtally.host_serving import HostServing
 from passtally.host_stop import HostStop
-from passtally.http_server import ServerLimits
+from passtally.http_exchange import ServerLimits
 from passtally.isolation import Isolation
 from passtally.limit_sharers import LimitSharers
 from passtally.listeners import CALLERS, PEERS, TUNNELS, Listeners
 from passtally.load_exchange import LoadExchange, LoadTable
-from passtally.metrics import Metric
-from passtally.object_applier import ObjectApplier
 from passtally.objects import Endpoint
-from passtally.origin_exchange import OriginExchange
+from passtally.output_buffers import OutputBuffers, OutputLimits
 from passtally.overload import Overload
-from passtally.placement import Placement
-from passtally.plain import PlainCaller
 from passtally.quarantine import Quarantine
 from passtally.quarantine_exchange import QuarantineExchange
+from passtally.reach_check import ReachCheck
+from passtally.reported_exits import ReportedExits
+from passtally.request_bodies import RequestBodies
 from passtally.request_limits import RequestLimits
-from passtally.retry import RetryLimits
-from passtally.retry_budget import ServiceBudgets
 from passtally.rollouts import Rollouts
 from passtally.routes import ActiveRoutes
-from passtally.routes_exchange import RoutesExchange
 from passtally.service_index import ServiceIndex
 from passtally.settings import Address, Settings
-from passtally.shared_watch import SharedWatch
 from passtally.silence import Phase, SilenceBounds
+from passtally.successor_search import SuccessorSearch
 from passtally.supervisor import keep_running
-from passtally.survey import Survey
 from passtally.task_set import TaskSet
 from passtally.text_metrics import TextMetrics
-from passtally.versions import AllVersions
-from passtally.view import View
 
-#: Share of the setting ``apply_within``, the time limit for applying a change, that one
-#: watch waits for a change. A store that compacts its history stops sending changes to
-#: open watches and does not always close them. A quiet watch is therefore renewed early
-#: enough to list and apply the missed changes in time.
-WATCH_WAIT_SHARE = 0.6
-#: Share of ``apply_within`` for which changes are batched before the next watch.
-#: Endpoints start and stop by the dozen, each as a change of its own that ends a watch,
-#: and each watch is a billed call: of 2,035 to 3,418 calls a day of 74 hosts, some 500
-#: were listings.
-BATCH_SHARE = 0.125
-#: Time that a watch waits for objects that change a few times a day. Each call is
-#: billed: with the shorter wait, and a listing at each start, the orders of new
-#: versions would take a quarter of the calls of 90 hosts in a quiet minute (256 beside
-#: 789).
-LONG_WATCH = timedelta(seconds=10)
-#: Maximum delay between two attempts to reach the store. The store counts as recovered
-#: three seconds after its return, and a change must be in force two seconds later.
-MAX_RETRY_DELAY = timedelta(milliseconds=800)
-#: Time without updates after which a host lists all objects instead of requesting all
-#: states since. 19 hosts on links of 5 Mbit/s that reconnect after 5.5 s, while 110 KB
-#: change every 200 ms, have the newest state within 0.4 s, without a listing within
-#: 6.1 s.
-OUT_OF_DATE_AFTER = timedelta(seconds=1)
-RELIST_PAUSE = timedelta(milliseconds=200)
 #: Part of the grace period that is reserved for aborting streams and closing
 #: connections.
 STOP_MARGIN = timedelta(milliseconds=600)
-#: Minimum number of hosts that a retry budget is divided by. A host that has just
-#: started, or is cut off from most others, knows fewer hosts than share the budget.
-MIN_BUDGET_HOSTS = 8
-#: Warm-up time of the retry budget. By its end a host knows nearly all others, even if
-#: all 195 start at once. A host without seeds has no warm-up, since it shares its
-#: budget with no other host.
-BUDGET_WARM_UP = timedelta(seconds=3)
 SILENCE_BOUNDS_BY_PHASE = {
     Phase.FIRST_TOKEN: SilenceBounds(
         initial=timedelta(seconds=1),
@@ -149,10 +107,11 @@
         #: Endpoints that exited for good, so that their replicas are lost. Hosts learn
         #: this from each other even if the platform is unreachable.
         self.departures = Departures()
+        self.exits = ReportedExits(clock=self.clock)
         self.dialer = EndpointDialer(clock=clock)
         self.pool = ConnectionPool(clock=clock, dialer=self.dialer)
         #: Set once the routes and some endpoints are known.
-        self._config_ready = asyncio.Event()
+        self.config_ready = asyncio.Event()
         self._stopping = HostStop(
             drain=self.drain,
             clock=clock,
@@ -177,6 +136,8 @@
             ("missing endpoints", self.registry.run),
             ("silence", self.fleet.watch_silence),
             ("gate", self.gate.run),
+            ("usage", self.admission.exchange.run),
+            ("successors", self.successor_search.run),
             ("gossip", self.gossip.run),
             ("roster", lambda: self.roster.run(self.gossip)),
             ("news", self.load_exchange.run),
@@ -188,7 +149,7 @@
         ):
             self.spawn(keep_running(name, work, clock=self.clock))
         self.spawn(self.routes_exchange.run())
-        self._follow_rollouts()
+        self.config.follow_rollouts()
         self.peers.start()
         await self.servers.open(self.settings, front_socket=self._front_socket)
         log_event("daemon", "Started.", listen=self.settings.listen)
@@ -261,13 +222,17 @@
         )
         self.store = self._adapter.open_store(fetcher, self.settings.platform)
         links = HostLinks(
-            settings=self.settings, clock=self.clock, departures=self.departures
+            settings=self.settings,
+            clock=self.clock,
+            departures=self.departures,
+            exits=self.exits,
         )
         self.peers, self.roster = links.peers, links.roster
         self.gossip, self.loans = links.gossip, links.loans
         self.tunnels, self.datagrams = links.tunnels, links.datagrams
         self.load_table = LoadTable()
-        self.rollouts = self._build_rollouts()
+        self.config = HostConfig(host=self, adapter=self._adapter)
+        self.departures.on_successor = changes.learn_successor
         sharers = LimitSharers(roster=self.roster, catalog=self.catalog)
         self.fleet = Fleet(
             limits=RequestLimits(count_hosts=sharers.count, rank=sharers.rank),
@@ -285,170 +250,35 @@
             bounds_by_phase=SILENCE_BOUNDS_BY_PHASE,
             capacity_of=self.routes.capacity_of,
             exits_are_final=True,
+            on_exit=self.exits.report,
         )
-        self.registry = EndpointRegistry(
-            catalog=self.catalog,
-            clock=self.clock,
-            on_removed=changes.remove,
-            on_started=changes.record_start,
-        )
-        object_applier = ObjectApplier(
-            adapter=self._adapter,
-            routes=self.routes,
-            catalog=self.catalog,
-            registry=self.registry,
-            rollouts=self.rollouts,
-            config_ready=self._config_ready,
-            routes_changed=self._publish_config_version,
-        )
-        self._object_applier = object_applier
-        views = [
-            View(prefix=self._adapter.routes_prefix, apply=object_applier.apply_routes),
-            View(
-                prefix=self._adapter.endpoints_prefix,
-                apply=object_applier.apply_endpoints,
-            ),
-        ]
-        if self.rollouts is not None:
-            self.rollouts.set_fleet(self.fleet)
-            views.append(self._make_rollouts_view())
-        self.watch = SharedWatch(
-            host_id=self.settings.host_id,
-            views=views,
-            follow=self._follow,
-            peers=self.peers,
-            roster=self.roster,
-            clock=self.clock,
-            rng=random.Random(),
-            reach_changed=self.registry.record_reachability,
-        )
-        self.routes_exchange = RoutesExchange(
-            routes=self.routes,
-            apply=object_applier.apply_routes,
-            peers=self.peers,
-            linked_ids=lambda: [row.host_id for row in self.roster.linked()],
-            has_seeds=lambda: bool(self.settings.seeds),
-            clock=self.clock,
-        )
-        self.gossip.versions = self.watch.newest
-        self.gossip.seeks_versions = lambda: not self.watch.is_receiving
-
-    def _make_rollouts_view(self) -> View:
-        orders = self._adapter.rollouts_prefix
-        return View(
-            prefix=orders, apply=self._object_applier.apply_rollouts, is_required=False
-        )
-
-    def _follow_rollouts(self) -> None:
-        """Start the task for the roll-outs under way, if they are followed."""
-        if self.rollouts is not None:
-            work = keep_running("roll-outs", self.rollouts.run, clock=self.clock)
-            self._rollouts_task = self.spawn(work)
-
-    def enable_rollouts(self) -> None:
-        """Start following the orders of new versions."""
-        self.rollouts = self._object_applier.rollouts = self._build_rollouts()
-        self.rollouts.set_fleet(self.fleet)
-        for endpoint in self.catalog.endpoints_by_id.values():
-            self.rollouts.record_endpoint(endpoint)
-        self.fleet.versions = self.rollouts
-        self.watch.add(self._make_rollouts_view())
-        self._follow_rollouts()
-
-    def disable_rollouts(self) -> None:
-        """Stop following the orders of new versions."""
-        if self.rollouts is None:
-            return
-        self._rollouts_task.cancel()
-        self.watch.remove(self._adapter.rollouts_prefix)
-        self.fleet.versions = AllVersions()
-        self.rollouts.stop()
-        self.rollouts = None
-
-    def _build_rollouts(self) -> Rollouts | None:
-        """Build the trials of new versions; None if the settings disable them."""
-        settings = self.settings
-        if not settings.trial_share:
-            return None
-        return Rollouts(
-            host_id=settings.host_id,
-            life=int(self.clock.now().timestamp() * 1000),
-            share=settings.trial_share,
-            slack=settings.trial_extra,
-            min_hosts=MIN_BUDGET_HOSTS,
-            catalog=self.catalog,
-            loans=self.loans,
-            peers=self.peers,
-            roster=self.roster,
-            clock=self.clock,
-            rng=random.Random(),
-            is_current=self._knows_orders,
-            record=partial(self._adapter.record_rollout, self.store),
-            metrics=self.metrics,
-        )
-
-    def _publish_config_version(self, version: int) -> None:
-        self.gossip.config_version = version
-
-    def _is_behind(self) -> bool:
-        """Return whether newer routes than those of this host may be in force."""
-        is_watch_behind = self.watch.is_behind(self._adapter.routes_prefix)
-        return is_watch_behind or self.routes_exchange.may_be_behind
-
-    def _knows_orders(self) -> bool:
-        """Return whether this host knows all orders that other hosts know."""
-        orders = self._adapter.rollouts_prefix
-        return self.watch.is_receiving and not self.watch.is_behind(orders)
-
-    def _follow(self, share: SharedWatch, view: View) -> Follower:
-        return Follower(
-            prefix=view.prefix,
-            platform=self.store,
-            replace=lambda listing: share.replace(view, listing),
-            advance=lambda changes: share.advance(view, changes),
-            clock=self.clock,
-            rng=random.Random(),
-            relist_pause=lambda: RELIST_PAUSE,
-            wait=self.watch_wait(view),
-            pause=self.gather_pause(),
-            max_retry_delay=MAX_RETRY_DELAY,
-            out_of_date_after=OUT_OF_DATE_AFTER,
-        )
+        self.exits.on_exit = self.fleet.losses.record_reported
+        self.config.build(changes)
+        self.registry = self.config.registry
+        self.watch = self.config.watch
+        self.routes_exchange = self.config.routes_exchange
 
-    def watch_wait(self, view: View) -> timedelta:
-        """Return the time that one watch of a view waits for a change."""
-        if not view.is_required:
-            return LONG_WATCH
-        return WATCH_WAIT_SHARE * self.settings.apply_within
-
-    def gather_pause(self) -> timedelta:
-        """Return the time for which changes are batched before the next watch."""
-        return BATCH_SHARE * self.settings.apply_within
+    @property
+    def rollouts(self) -> Rollouts | None:
+        """The trials of new versions; None if the settings disable them."""
+        return self.config.rollouts
 
     def _build_serving(self) -> None:
         """Build the components that serve requests."""
-        settings = self.settings
-        loans = self.loans
-        self.budgets = budgets = ServiceBudgets(
-            share=settings.retry_share,
-            extra=lambda: (
-                self.settings.retry_extra
-                / max(self.roster.peak_hosts, MIN_BUDGET_HOSTS)
-            ),
-            window=settings.retry_window,
+        self.successor_search = SuccessorSearch(
+            fleet=self.fleet,
+            members=self.roster,
             clock=self.clock,
-            warm_up=BUDGET_WARM_UP if settings.seeds else timedelta(0),
-            ask_others=loans.ask,
+            is_informed=lambda: self.watch.is_receiving,
         )
-        loans.lend_from(budgets)
         self.load_exchange = LoadExchange(
-            host_id=settings.host_id,
+            host_id=self.settings.host_id,
             load_table=self.load_table,
             fleet=self.fleet,
             peers=self.peers,
             roster=self.roster,
             clock=self.clock,
-            on_lost=self.fleet.record_peer_loss,
+            on_lost=self.fleet.losses.record_reported,
         )
         self.guard = CrashGuard(
             quarantine=Quarantine(),
@@ -471,7 +301,7 @@
         )
         self.overload = Overload()
         self.isolation = Isolation(
-            fleet=self.fleet,
+            reach=ReachCheck(catalog=self.catalog, fleet=self.fleet),
             peers=self.peers,
             roster=self.roster,
             clock=self.clock,
@@ -480,63 +310,11 @@
             overload=self.overload,
             changed=self._record_isolation,
         )
-        forecast = Forecast()
-        self.gate = Gate(fleet=self.fleet, clock=self.clock)
-        self.placement = Placement(
-            fleet=self.fleet,
-            clock=self.clock,
-            failure_domain=settings.failure_domain,
-            keeps_replicas=self.routes.keeps_replicas,
-            survey=Survey(
-                fleet=self.fleet, is_needed=lambda: not self.roster.is_fully_linked
-            ),
-            forecast=forecast,
-            suspects=self.guard,
-        )
-        self.dispatcher = Dispatcher(
-            fleet=self.fleet,
-            clock=self.clock,
-            placement=self.placement,
-            limits=RetryLimits(),
-            budgets=budgets,
-            linger=timedelta(0),
-            metrics=self.metrics,
-            guard=self.guard,
-        )
-        self.caller = PlainCaller(
-            fleet=self.fleet,
-            clock=self.clock,
-            failure_domain=settings.failure_domain,
-            budgets=budgets,
-            sender=self._adapter.make_sender(
-                pool=self.pool, clock=self.clock, recorder=self.fleet.send_limits
-            ),
-            guard=self.guard,
-        )
-        self.origins = OriginExchange(
-            members=self.roster,
-            datagrams=self.datagrams,
-            catalog=self.catalog,
-            rule=self.fleet.origin_rule,
-            clock=self.clock,
-            metrics=self.metrics,
-            is_current=lambda: self.watch.is_receiving,
-            has_others=lambda: self.roster.peak_hosts > 1 or bool(self.settings.seeds),
-        )
-        self.front = Front(
-            routes=self.routes,
-            dispatcher=self.dispatcher,
-            caller=self.caller,
-            gate=self.gate,
-            drain=self.drain,
-            clock=self.clock,
-            metrics=self.metrics,
-            config_ready=self._config_ready,
-            forecast=forecast,
-            guard=self.guard,
-            origins=self.origins,
-            is_behind=self._is_behind,
-        )
+        serving = HostServing(host=self, adapter=self._adapter)
+        self.admission, self.origins = serving.admission, serving.origins
+        self.budgets, self.placement = serving.budgets, serving.placement
+        self.dispatcher, self.caller = serving.dispatcher, serving.caller
+        self.gate, self.front = serving.admission.gate, serving.front
 
     def _record_isolation(self, is_isolated: bool) -> None:
         """Make callers on open connections reconnect while isolated or stopping."""
@@ -565,6 +343,10 @@
             ),
             encode_ready=lambda: self._adapter.encode_ready(self.is_ready),
             render_metrics=self.render_metrics,
+            output=OutputBuffers(
+                limits=OutputLimits.of(self.settings), metrics=self.metrics
+            ),
+            bodies=RequestBodies(limit=self.settings.max_bodies, metrics=self.metrics),
         )
         self.front_server = self.servers.callers
 
@@ -587,26 +369,20 @@
             return None
         return address_of(endpoint.url)
 
+    @property
+    def config_version(self) -> int:
+        """The version of the routes in force; 0 before the first."""
+        current = self.routes.current
+        return 0 if current is None else current.version
+
+    @property
+    def config_behind(self) -> timedelta:
+        """The time since newer routes than those in force were first heard of."""
+        return self.watch.time_behind(self._adapter.routes_prefix)
+
     def render_metrics(self) -> bytes:
         """Return the metrics as text, with the current values of the gauges."""
-        current = self.routes.current
-        self.metrics.gauge(Metric.OPEN, self.drain.open_requests)
-        self.metrics.gauge(Metric.CONFIG_VERSION, current.version if current else 0)
-        behind = self.watch.time_behind(self._adapter.routes_prefix)
-        self.metrics.gauge(Metric.CONFIG_BEHIND, round(behind.total_seconds() * 1000))
-        self.metrics.gauge(Metric.QUARANTINED, len(self.guard.list_quarantined()))
-        self.metrics.gauge(Metric.LINKS_DOWN, len(self.dialer.links.list_down()))
-        now = self.clock.monotonic()
-        self.metrics.gauge(
-            Metric.BRITTLE, self.fleet.send_limits.brittle.count(now=now)
-        )
-        self.metrics.gauge(Metric.TUNNELS, self.tunnels.count)
-        self.metrics.gauge(Metric.TUNNELS_SERVED, self.servers.tunnels.count)
-        bytes_sent = self.peers.bytes_sent + self.datagrams.bytes_sent
-        self.metrics.gauge(Metric.PEER_BYTES, bytes_sent)
-        if self.rollouts is not None:
-            self.metrics.gauge(Metric.ROLLOUTS, self.rollouts.active_count)
-        self.metrics.gauge(Metric.PLATFORM_AWAY, int(not self.watch.is_receiving))
+        report_gauges(self)
         return self.metrics.render()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/passtally/front_request.py
+++ b/passtally/front_request.py
@@ -8,7 +8,7 @@
 from passtally.generation import RawCall
 from passtally.http_client import ResponseHead
 from passtally.outcome import Failure
-from passtally.plain import PlainAnswer
+from passtally.plain_call import PlainAnswer
 
 
 @attrs.frozen(kw_only=True)
@@ -77,5 +77,12 @@
     async def end(self) -> None:
         """Mark the stream as complete."""
 
+    async def flush(self) -> None:
+        """Wait until nearly all of the answer is sent.
+
+        Raises:
+            ConnectionError: The caller disconnected.
+        """
+
     def abort(self) -> None:
         """Abort the stream, so that it can't be taken for complete."""
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -14,6 +14,7 @@
 
 from passtally.http_client import ResponseHead
 from passtally.origin import Origin
+from passtally.priority import Priority
 from passtally.statechart import Machine
 
 #: Finish reason of an answer whose events state none.
@@ -58,7 +59,7 @@
         temperature: The sampling temperature.
         seed: The sampling seed, the same for all attempts.
         stop: Strings that end the answer.
-        priority: The engine's priority; lower goes first.
+        priority: Who goes first where requests compete.
         failure_domain: The preferred failure domain; empty for that of the host.
         prompt_tokens: The prompt's length in tokens; 0 if unknown.
         max_attempts: The maximum number of dispatches; None for the limit of the host.
@@ -85,7 +86,7 @@
     temperature: float = 0.0
     seed: int = 0
     stop: tuple[str, ...] = ()
-    priority: int = 10
+    priority: Priority = Priority()
     failure_domain: str = ""
     prompt_tokens: int = 0
     max_attempts: int | None = None
@@ -158,6 +159,8 @@
         dropped_tokens: Number of tokens that the attempt sent again or sent after it
             was closed.
         head: The head of the endpoint's answer, if it is forwarded.
+        sent_at: Time on the monotonic clock at which the attempt was sent; None before
+            that.
         begun_at: Time on the monotonic clock at which the endpoint began to answer;
             None before that.
         is_separated: Whether it was sent there as a suspect, see
@@ -174,6 +177,7 @@
     resume_ref: str = ""
     dropped_tokens: int = 0
     head: ResponseHead | None = None
+    sent_at: timedelta | None = None
     begun_at: timedelta | None = None
     is_separated: bool = False
     origin: Origin | None = None
@@ -192,6 +196,8 @@
 
     Attributes:
         origin: The origin of the answer; None while it has no output.
+        holder_id: The endpoint that ran the answer last at an earlier entry host;
+            empty if unknown.
     """
 
     def __init__(
@@ -206,6 +212,7 @@
     ) -> None:
         self.request = request
         self.origin = origin
+        self.holder_id = ""
         self.machine = Machine(chart="generation")
         self.attempts: list[Attempt] = []
         self.token_ids = array("I", token_ids)
--- a/passtally/host_links.py
+++ b/passtally/host_links.py
@@ -10,6 +10,7 @@
 from passtally.membership import Gossip
 from passtally.messages import MemberRow
 from passtally.peers import Peers
+from passtally.reported_exits import ReportedExits
 from passtally.roster import Roster
 from passtally.settings import Settings
 from passtally.tunnel_hosts import TunnelHosts
@@ -22,10 +23,16 @@
         settings: The settings of this host.
         clock: The clock.
         departures: The leaving endpoints, spread by gossip.
+        exits: The reported exits of endpoints, spread by gossip.
     """
 
     def __init__(
-        self, *, settings: Settings, clock: Clock, departures: Departures
+        self,
+        *,
+        settings: Settings,
+        clock: Clock,
+        departures: Departures,
+        exits: ReportedExits,
     ) -> None:
         self.peers = Peers(
             host_id=settings.host_id,
@@ -49,6 +56,7 @@
             clock=clock,
             rng=random.Random(),
             departures=departures,
+            exits=exits,
         )
         self.roster = Roster(
             seeds=settings.seeds, table=table, peers=self.peers, clock=clock
--- a/passtally/host_reload.py
+++ b/passtally/host_reload.py
@@ -14,6 +14,7 @@
 
 from passtally.clock import Clock
 from passtally.decision import log_event
+from passtally.host_config import HostConfig
 from passtally.host_servers import HostServers
 from passtally.listeners import CALLERS, METRICS, PEERS, READINESS, TUNNELS
 from passtally.load_exchange import LoadExchange
@@ -34,7 +35,6 @@
     keep_unappliable,
 )
 from passtally.shared_watch import SharedWatch
-from passtally.view import View
 
 #: Time for which a host also signs messages between hosts with the previous key after
 #: a change. The hosts of a fleet are given a new key within seconds of each other, and
@@ -62,6 +62,7 @@
         caller: The forwarding of plain calls.
         budgets: The retry budgets.
         rollouts: The orders of new versions; None if they are not followed.
+        config: What follows the store.
     """
 
     settings: Settings
@@ -78,18 +79,7 @@
     caller: PlainCaller
     budgets: ServiceBudgets
     rollouts: Rollouts | None
-
-    def enable_rollouts(self) -> None:
-        """Start following the orders of new versions."""
-
-    def disable_rollouts(self) -> None:
-        """Stop following the orders of new versions."""
-
-    def watch_wait(self, view: View) -> timedelta:
-        """Return the time that one watch of a view waits for a change."""
-
-    def gather_pause(self) -> timedelta:
-        """Return the time for which changes are batched before the next watch."""
+    config: HostConfig
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Start a task that is cancelled when the host stops."""
@@ -150,6 +140,8 @@
             "trial_share": self._apply_trials,
             "trial_extra": self._apply_trials,
             "apply_within": self._apply_watch_times,
+            "shared_admission": self._use_when_needed,
+            "hedging": self._use_when_needed,
         }
 
     def _use_when_needed(self) -> None:
@@ -164,15 +156,15 @@
         if host.rollouts is not None:
             # Starts over, as after a restart: other hosts keep the reported counts
             # under the old name.
-            host.disable_rollouts()
-            host.enable_rollouts()
+            host.config.disable_rollouts()
+            host.config.enable_rollouts()
 
     def _apply_domain(self) -> None:
         host = self._host
         domain = host.settings.failure_domain
         host.gossip.table.change_own(now=host.clock.monotonic(), failure_domain=domain)
         host.placement.set_failure_domain(domain)
-        host.caller.failure_domain = domain
+        host.caller.router.failure_domain = domain
 
     def _apply_listen(self) -> None:
         self._host.servers.move(CALLERS, self._host.settings.listen)
@@ -233,9 +225,9 @@
         host = self._host
         share, slack = host.settings.trial_share, host.settings.trial_extra
         if not share:
-            host.disable_rollouts()
+            host.config.disable_rollouts()
         elif host.rollouts is None:
-            host.enable_rollouts()
+            host.config.enable_rollouts()
         else:
             host.rollouts.adjust(share=share, slack=slack)
 
@@ -243,5 +235,5 @@
         host = self._host
         for view in host.watch.views:
             view.follower.set_pace(
-                wait=host.watch_wait(view), pause=host.gather_pause()
+                wait=host.config.watch_wait(view), pause=host.config.gather_pause()
             )
--- a/passtally/host_servers.py
+++ b/passtally/host_servers.py
@@ -6,13 +6,8 @@
 from datetime import timedelta
 from functools import partial
 
-from passtally.http_server import (
-    SMALL_SHARE,
-    Exchange,
-    Handle,
-    HttpServer,
-    ServerLimits,
-)
+from passtally.http_exchange import Exchange, Handle, ServerLimits
+from passtally.http_server import SMALL_SHARE, HttpServer
 from passtally.listeners import (
     CALLERS,
     METRICS,
@@ -21,7 +16,9 @@
     TUNNELS,
     Listeners,
 )
+from passtally.output_buffers import OutputBuffers
 from passtally.peers import Peers
+from passtally.request_bodies import RequestBodies
 from passtally.settings import Address, Settings
 from passtally.tunnel_server import TunnelServer
 
@@ -38,6 +35,8 @@
         accepted: Called for each caller's connection with its time in the accept queue.
         encode_ready: Returns the status and the body of the readiness answer.
         render_metrics: Returns the metrics as text.
+        output: The unread output of callers' connections.
+        bodies: The bodies of callers' requests.
     """
 
     def __init__(
@@ -51,13 +50,21 @@
         accepted: Callable[[timedelta], None],
         encode_ready: Callable[[], tuple[int, bytes]],
         render_metrics: Callable[[], bytes],
+        output: OutputBuffers,
+        bodies: RequestBodies,
     ) -> None:
         self._listeners = listeners
         self._peers = peers
         self.tunnels = tunnels
         self._encode_ready = encode_ready
         self._render_metrics = render_metrics
-        self.callers = HttpServer(handle=handle, limits=limits, accepted=accepted)
+        self.callers = HttpServer(
+            handle=handle,
+            limits=limits,
+            accepted=accepted,
+            output=output,
+            bodies=bodies,
+        )
         self._readiness = HttpServer(handle=self._answer_ready, part=SMALL_SHARE)
         self._metrics = HttpServer(handle=self._answer_metrics, part=SMALL_SHARE)
 
--- /dev/null
+++ b/passtally/host_serving.py
@@ -0,0 +1,128 @@
+"""The way of a request through a host: admission, placement, dispatch and retries."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from passtally.adapter import Adapter
+from passtally.dispatcher import Dispatcher
+from passtally.forecast import Forecast
+from passtally.front import Front
+from passtally.hedge import HedgePolicy
+from passtally.host_admission import HostAdmission
+from passtally.host_config import MIN_BUDGET_HOSTS
+from passtally.origin_exchange import OriginExchange
+from passtally.placement import Placement
+from passtally.plain import PlainCaller
+from passtally.retry import RetryLimits
+from passtally.retry_budget import ServiceBudgets
+from passtally.survey import Survey
+
+if TYPE_CHECKING:
+    from passtally.front_host import FrontHost
+
+#: Warm-up time of the retry budget. By its end a host knows nearly all others, even if
+#: all 195 start at once. A host without seeds has no warm-up, since it shares its
+#: budget with no other host.
+BUDGET_WARM_UP = timedelta(seconds=3)
+
+
+class HostServing:
+    """Builds and holds what serves the requests of one host.
+
+    Args:
+        host: The host, with its endpoints and its links to other hosts.
+        adapter: Translates between the host and its platform.
+
+    Attributes:
+        budgets: The retry budgets.
+        admission: Admits the requests.
+        placement: Chooses endpoints for streams.
+        dispatcher: Runs streams.
+        caller: Forwards plain calls.
+        origins: Where answers began.
+        front: Serves each request, from its arrival to its end.
+    """
+
+    def __init__(self, *, host: "FrontHost", adapter: Adapter) -> None:
+        self.budgets = ServiceBudgets(
+            share=host.settings.retry_share,
+            extra=lambda: (
+                host.settings.retry_extra
+                / max(host.roster.peak_hosts, MIN_BUDGET_HOSTS)
+            ),
+            window=host.settings.retry_window,
+            clock=host.clock,
+            warm_up=BUDGET_WARM_UP if host.settings.seeds else timedelta(0),
+            ask_others=host.loans.ask,
+        )
+        host.loans.lend_from(self.budgets)
+        forecast = Forecast()
+        self.admission = HostAdmission(
+            settings=lambda: host.settings,
+            routes=host.routes,
+            fleet=host.fleet,
+            members=host.roster,
+            datagrams=host.datagrams,
+            clock=host.clock,
+            metrics=host.metrics,
+        )
+        self.gate = self.admission.gate
+        self.placement = Placement(
+            fleet=host.fleet,
+            clock=host.clock,
+            failure_domain=host.settings.failure_domain,
+            keeps_replicas=host.routes.keeps_replicas,
+            survey=Survey(
+                fleet=host.fleet, is_needed=lambda: not host.roster.is_fully_linked
+            ),
+            forecast=forecast,
+            suspects=host.guard,
+        )
+        self.dispatcher = Dispatcher(
+            fleet=host.fleet,
+            clock=host.clock,
+            placement=self.placement,
+            limits=RetryLimits(),
+            budgets=self.budgets,
+            linger=timedelta(0),
+            metrics=host.metrics,
+            guard=host.guard,
+        )
+        self.caller = PlainCaller(
+            fleet=host.fleet,
+            clock=host.clock,
+            failure_domain=host.settings.failure_domain,
+            budgets=self.budgets,
+            sender=adapter.make_sender(
+                pool=host.pool, clock=host.clock, recorder=host.fleet.send_limits
+            ),
+            guard=host.guard,
+            hedging=HedgePolicy(
+                fleet=host.fleet, clock=host.clock, mode=lambda: host.settings.hedging
+            ),
+            metrics=host.metrics,
+        )
+        self.origins = OriginExchange(
+            members=host.roster,
+            datagrams=host.datagrams,
+            catalog=host.catalog,
+            rule=host.fleet.origin_rule,
+            clock=host.clock,
+            metrics=host.metrics,
+            is_current=lambda: host.watch.is_receiving,
+            has_others=lambda: host.roster.peak_hosts > 1 or bool(host.settings.seeds),
+        )
+        self.front = Front(
+            routes=host.routes,
+            dispatcher=self.dispatcher,
+            caller=self.caller,
+            gate=self.gate,
+            drain=host.drain,
+            clock=host.clock,
+            metrics=host.metrics,
+            config_ready=host.config_ready,
+            forecast=forecast,
+            guard=host.guard,
+            origins=self.origins,
+            is_behind=host.config.is_behind,
+        )
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -15,7 +15,7 @@
 
 from passtally.clock import Clock
 from passtally.fetch import find_header
-from passtally.http_server import RawHeaders
+from passtally.http_exchange import RawHeaders
 from passtally.socket_options import set_user_timeout
 from passtally.tunnel import TunnelInfo, TunnelLostError, find_tunnel
 
--- a/passtally/http_engine.py
+++ b/passtally/http_engine.py
@@ -97,7 +97,7 @@
             temperature=request.temperature,
             seed=request.seed,
             stop=request.stop,
-            priority=request.priority,
+            priority=request.priority.engine_rank(is_resumed=bool(prior)),
             stream=True,
         )
         data = msgspec.json.encode(body)
--- a/passtally/isolation.py
+++ b/passtally/isolation.py
@@ -14,9 +14,9 @@
 
 from passtally.clock import Clock
 from passtally.decision import log_event
-from passtally.fleet import Fleet
 from passtally.overload import Overload
 from passtally.peers import Peers
+from passtally.reach_check import ReachCheck
 from passtally.roster import Roster
 
 #: Interval between checks. The balancer polls a host once a second and removes it after
@@ -32,7 +32,7 @@
     """Tracks whether the balancer should send this host no new callers.
 
     Args:
-        fleet: The endpoints.
+        reach: Checks whether endpoints are reachable.
         peers: The links to other hosts.
         roster: The known hosts.
         clock: The clock.
@@ -45,7 +45,7 @@
     def __init__(
         self,
         *,
-        fleet: Fleet,
+        reach: ReachCheck,
         peers: Peers,
         roster: Roster,
         clock: Clock,
@@ -54,7 +54,7 @@
         overload: Overload | None = None,
         changed: Callable[[bool], None] = lambda is_isolated: None,
     ) -> None:
-        self._fleet = fleet
+        self._reach = reach
         self._peers = peers
         self._roster = roster
         self._clock = clock
@@ -100,7 +100,7 @@
         return [
             name
             for name in list(self._services())
-            if not await self._fleet.has_reachable(name, domain)
+            if not await self._reach.has_reachable(name, domain)
         ]
 
     async def _is_partitioned(self) -> bool:
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -29,6 +29,9 @@
 IDLE_WATCH_INTERVAL = timedelta(milliseconds=250)
 #: Maximum age of the state that a load report shows when it arrives.
 MAX_REPORT_LAG = timedelta(seconds=2)
+#: Time for which the prompts that wait at an endpoint, by its own report, count as
+#: waiting. An engine reads about one prompt in it.
+WAITING_TIME = timedelta(seconds=1)
 #: Time in which other endpoints are preferred to one that failed a call. A host that
 #: used only that endpoint then gets results of its neighbours to compare it with.
 DEPRIORITIZED_TIME = timedelta(seconds=1.5)
@@ -113,6 +116,8 @@
         }
         self._report = LoadReport(running=0, queued=0, step=0)
         self._deprioritized_until = timedelta(0)
+        self._reported_waiting_tokens = 0
+        self._waiting_reported_at = timedelta(0)
         self.has_exited = False
         self.reset_ejection()
 
@@ -121,6 +126,23 @@
         """The longest recent delay of this host's own timers."""
         return self._lag.longest
 
+    def record_waiting(self, tokens: int) -> None:
+        """Record the prompt tokens that wait there, by the endpoint's own report."""
+        self._reported_waiting_tokens = tokens
+        self._waiting_reported_at = self._clock.monotonic()
+
+    def _waiting_tokens(self, others: TokenLoad) -> int:
+        """Return the prompt tokens that wait for prefill there, of all hosts.
+
+        Where a host receives the loads of a few others only, the endpoint's own report
+        tells more.
+        """
+        known = self.prefill_tokens + others.reading
+        age = self._clock.monotonic() - self._waiting_reported_at
+        if age > WAITING_TIME:
+            return known
+        return max(known, self._reported_waiting_tokens + self.prefill_tokens)
+
     def lose_streams(self) -> None:
         """Fail all streams of the endpoint, which no longer runs any of them."""
         for guard in list(self.guards):
@@ -162,11 +184,18 @@
         )
 
     def view(
-        self, *, is_unstable: bool = False, accepts_requests: bool = True
+        self,
+        *,
+        is_unstable: bool = False,
+        accepts_requests: bool = True,
+        speed: float = 1.0,
+        is_slow: bool = False,
     ) -> EndpointView:
         """Return the routing view of the endpoint.
 
         Args:
+            speed: Its speed beside the others of its service.
+            is_slow: Whether calls take a multiple of their usual time there now.
             is_unstable: Whether a run was recently lost in its failure domain.
             accepts_requests: Whether it accepts a request from this host now.
         """
@@ -186,10 +215,12 @@
             is_unstable=is_unstable or is_deprioritized,
             is_half_open=self._is_half_open,
             kv_tokens=self.kv_tokens + others.held,
-            prefill_tokens=self.prefill_tokens + others.reading,
+            prefill_tokens=self._waiting_tokens(others),
             running_streams=self.running_streams + others.running,
             capacity_tokens=self.capacity_tokens,
             accepts_requests=accepts_requests,
+            speed=speed,
+            is_slow=is_slow,
         )
 
     def update_report(self, report: LoadReport) -> None:
@@ -261,7 +292,7 @@
     def _record_prefill(self) -> None:
         """Update each stream's maximum of the tokens waiting for prefill."""
         others = self._others_load(self.endpoint.start)
-        prefill_tokens = self.prefill_tokens + others.reading
+        prefill_tokens = self._waiting_tokens(others)
         for guard in self.guards:
             guard.max_prefill_tokens = max(guard.max_prefill_tokens, prefill_tokens)
 
--- a/passtally/load_exchange.py
+++ b/passtally/load_exchange.py
@@ -160,7 +160,7 @@
 
     async def _send_updates(self, host_ids: list[str]) -> None:
         loads = self._fleet.loads_by_endpoint()
-        lost = self._fleet.pop_losses()
+        lost = self._fleet.losses.pop_unreported()
         now = self._clock.monotonic()
         limits = self._fleet.send_limits.requests.rows(now=now)
         rates = {(row.endpoint_id, row.incarnation): row.rate for row in limits}
--- a/passtally/loss_handler.py
+++ b/passtally/loss_handler.py
@@ -33,6 +33,9 @@
 #: Time without output after which an answer without a deadline gives up if no endpoint
 #: can be reached. Endpoints are usually replaced within some seconds.
 MAX_UNREACHED_TIME = timedelta(seconds=15)
+#: Time after which a replica may contain a part of a prompt. Before, the prompt still
+#: waits at its endpoint, or its first part is being read.
+REPLICA_START_TIME = timedelta(seconds=2.5)
 CRASHED_TOO_MANY = "it crashed too many endpoints"
 
 
@@ -79,19 +82,21 @@
         """Record the loss of an attempt, and decide how its generation continues."""
         generation.lose_attempt(attempt)
         progress.last_error = loss
+        progress.prompt.record_loss(generation, attempt, loss)
         progress.waiting_since = self._clock.monotonic()
         self._metrics.count(Metric.LOST, loss.kind)
         was_attached = loss.step == ATTACH_STEP
         is_unreachable = is_endpoint_unreachable(loss.kind, was_attached=was_attached)
-        live.has_exited = live.has_exited or loss.has_ended
+        if loss.has_ended:
+            self._fleet.losses.record_exit(live)
         if is_unreachable:
             live.eject(self._clock.monotonic())
-        elif loss.has_ended and self._fleet.is_serving(live):
+        elif loss.has_ended and self._fleet.losses.is_serving(live):
             self._record_end(generation, attempt, live)
         if is_unreachable or loss.kind is LossKind.RESET:
-            self._fleet.record_loss(live, is_endpoint_unreachable=is_unreachable)
+            self._fleet.losses.record(live, is_endpoint_unreachable=is_unreachable)
         if loss.kind is LossKind.REPLACED:
-            self._fleet.record_replaced(live, loss.successor)
+            self._fleet.losses.record_replaced(live, loss.successor)
         if live.engine.keeps_streams and is_endpoint_dead(
             loss.kind, was_attached=was_attached
         ):
@@ -100,12 +105,17 @@
                 live,
                 evidence=_evidence_of(generation, live),
             )
-        holder = _find_holder(generation, attempt, live)
+        # A suspect goes to an endpoint apart from other requests instead.
+        is_suspect = self._guard.is_suspect(generation.request.fingerprint)
+        lost_at = None if is_suspect else self._clock.monotonic()
+        holder = _find_holder(generation, attempt, live, lost_at=lost_at)
         may_attach = holder is Holder.ENDPOINT and loss.kind in CONNECTION_KINDS
         if was_attached or not may_attach:
             progress.excluded.add(live.endpoint.id)
         is_unreached = loss.kind is LossKind.UNREACHABLE
         progress.unreached_attempts += is_unreached
+        if not is_unreached:
+            progress.unreached_since = None
         decision = decide_after_loss(
             loss.kind,
             attempts=generation.attempt_count - progress.unreached_attempts,
@@ -162,7 +172,7 @@
             attempts=generation.attempt_count - progress.unreached_attempts,
             was_attached=False,
             limits=_limits_of(generation, self._limits),
-            holder=_find_holder(generation, attempt, live),
+            holder=_find_holder(generation, attempt, live, lost_at=None),
         )
         excluded = set(progress.excluded)
         if kind is LossKind.FROZEN or not generation.delivered:
@@ -178,18 +188,24 @@
         return may_fail_over
 
     def _is_out_of_reach(self, generation: Generation, progress: Progress) -> bool:
-        """Return whether an answer without a deadline has waited too long.
+        """Return whether an answer has waited too long for a reachable endpoint.
 
-        Attempts that reach no endpoint don't count, so nothing else would end it.
+        Attempts that reach no endpoint don't count, so nothing else would end it before
+        its deadline.
         """
-        silence = self._clock.monotonic() - progress.last_output_at
-        return generation.request.deadline is None and silence > MAX_UNREACHED_TIME
+        now, request = self._clock.monotonic(), generation.request
+        if request.deadline is None:
+            return now - progress.last_output_at > MAX_UNREACHED_TIME
+        if progress.unreached_since is None or not generation.delivered:
+            return False
+        max_wait = self._fleet.losses.return_times.max_wait(request.service)
+        return now - progress.unreached_since > max_wait
 
     def _record_end(
         self, generation: Generation, attempt: Attempt, live: LiveEndpoint
     ) -> None:
         """Record the crash of an endpoint that closed the connection of an attempt."""
-        self._fleet.record_end(live)
+        self._fleet.losses.record_end(live)
         self._guard.record_end(
             generation.request.fingerprint,
             live,
@@ -199,18 +215,38 @@
 
 
 def _find_holder(
-    generation: Generation, attempt: Attempt, live: LiveEndpoint
+    generation: Generation,
+    attempt: Attempt,
+    live: LiveEndpoint,
+    *,
+    lost_at: timedelta | None,
 ) -> Holder:
     """Return what may still have the state of a lost attempt.
 
-    A replica is used only once the answer has begun: before that it may not contain
-    the complete prompt.
+    Before the answer has begun, a replica contains a part of the prompt, if any: the
+    endpoint that keeps it prefills the rest.
+
+    Args:
+        generation: The generation.
+        attempt: The attempt.
+        live: The endpoint that ran it.
+        lost_at: When the attempt was lost, on the monotonic clock; None to use only
+            replicas of answers that have begun.
     """
-    if attempt.replica_id and generation.delivered:
+    if attempt.replica_id and (
+        generation.delivered or _may_have_replica(attempt, lost_at)
+    ):
         return Holder.REPLICA
     return Holder.ENDPOINT if live.engine.keeps_streams else Holder.NONE
 
 
+def _may_have_replica(attempt: Attempt, lost_at: timedelta | None) -> bool:
+    """Return whether a part of an attempt's prompt may be in its replica."""
+    if lost_at is None or attempt.sent_at is None or not attempt.replica_ref:
+        return False
+    return lost_at - attempt.sent_at >= REPLICA_START_TIME
+
+
 def _evidence_of(generation: Generation, live: LiveEndpoint) -> Evidence:
     """Return the evidence of a crash by the attempts at the endpoint so far."""
     is_separated = any(
--- a/passtally/membership.py
+++ b/passtally/membership.py
@@ -17,6 +17,7 @@
 from passtally.member_table import MemberTable, MemberView
 from passtally.messages import DepartureRow, Hello, MemberRow
 from passtally.peers import PeerError, Peers
+from passtally.reported_exits import ReportedExits
 
 #: Interval between rounds while there are no changes to send.
 GOSSIP_INTERVAL = timedelta(seconds=1)
@@ -73,6 +74,7 @@
         clock: The clock.
         rng: The random source for the choice of peers.
         departures: Updates about leaving endpoints, sent in the same messages.
+        exits: Reports of endpoints that have exited, sent in the same messages.
     """
 
     def __init__(
@@ -83,9 +85,11 @@
         clock: Clock,
         rng: random.Random,
         departures: DepartureUpdates,
+        exits: ReportedExits | None = None,
     ) -> None:
         self.table = table
         self._departures = departures
+        self._exits = exits or ReportedExits(clock=clock)
         self.config_version = 0
         self.leaving = False
         #: Returns the newest known version under each prefix, sent in the local row.
@@ -114,7 +118,11 @@
                 task.cancel()
 
     def _interval(self) -> timedelta:
-        has_updates = self.table.has_updates or self._departures.has_updates
+        has_updates = (
+            self.table.has_updates
+            or self._departures.has_updates
+            or self._exits.has_updates
+        )
         is_urgent = has_updates or self.seeks_versions()
         return UPDATE_INTERVAL if is_urgent else GOSSIP_INTERVAL
 
@@ -186,6 +194,7 @@
             rows=[self.table.own, *rows_by_id.values()],
             departures=self._departures.pop_updates(),
             known=self.table.count_reachable(),
+            exits=self._exits.pop_updates(),
         )
 
     async def _answer(self, message: Hello) -> Hello:
@@ -223,6 +232,7 @@
         self.table.merge(message.rows, now)
         self.table.record_contact(message.rows[0].host_id, now)
         self._departures.merge(message.departures)
+        self._exits.merge(message.exits)
 
 
 def choose_probed(
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -123,7 +123,26 @@
 
 
 class DepartureRow(msgspec.Struct, array_like=True, frozen=True):
-    """An incarnation of an endpoint that is leaving."""
+    """An incarnation of an endpoint that is leaving or has ended.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: The endpoint's start.
+        successor: The endpoint that has its address now; empty if unknown.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    successor: str = ""
+
+
+class ExitRow(msgspec.Struct, array_like=True, frozen=True):
+    """A start of an endpoint that a host has found to have exited.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: The endpoint's start.
+    """
 
     endpoint_id: str
     incarnation: int
@@ -136,11 +155,13 @@
         rows: The sender's row first, then rows of other hosts.
         departures: Endpoints that are leaving.
         known: The number of other hosts that the sender knows as reachable.
+        exits: Endpoints that were found to have exited.
     """
 
     rows: list[MemberRow]
     departures: list[DepartureRow] = []
     known: int = 0
+    exits: list[ExitRow] = []
 
 
 class FetchConfig(msgspec.Struct, tag="fetch_config", array_like=True):
@@ -452,19 +473,21 @@
 
 
 class OriginRow(msgspec.Struct, array_like=True, frozen=True):
-    """The software version at which an answer began.
+    """The software version at which an answer began, and where it runs.
 
     Attributes:
         key: The key of the answer; see :func:`passtally.origin_table.origin_key`.
         software: The version; empty if the sender does not know it yet.
         endpoint_id: The endpoint, if the version is not known.
         incarnation: The endpoint's start, if the version is not known.
+        holder_id: The endpoint that runs the answer, or ran it last.
     """
 
     key: bytes
     software: str
     endpoint_id: str = ""
     incarnation: int = UNKNOWN_INCARNATION
+    holder_id: str = ""
 
 
 class TellOrigins(msgspec.Struct, tag="tell_origins", array_like=True):
@@ -505,6 +528,124 @@
     is_current: bool
 
 
+class UseRow(msgspec.Struct, array_like=True, frozen=True):
+    """What requests of one standing use of a service; see :mod:`passtally.usage`.
+
+    Attributes:
+        rank: The rank of their priority.
+        route_rank: The rank of their route.
+        is_new: Whether their callers come for the first time.
+        held: The room of the running requests.
+        waiting: The room that queued requests wait for.
+        refused: The room that requests wanted which were refused of late.
+        promised: The room that callers will want who were told when to return.
+        workspace: The workspace of the requests; empty for all workspaces.
+    """
+
+    rank: int
+    route_rank: int
+    is_new: bool
+    held: int
+    waiting: int = 0
+    refused: int = 0
+    promised: int = 0
+    workspace: str = ""
+
+
+class ServiceUsageRow(msgspec.Struct, array_like=True, frozen=True):
+    """The use of one service.
+
+    Attributes:
+        service: The service.
+        hosts: The number of hosts that use it.
+        standings: The use by standing.
+        claimants: The use by workspace and standing, for the largest ones.
+        released: The room that became free in the last second.
+    """
+
+    service: str
+    hosts: int
+    standings: list[UseRow]
+    claimants: list[UseRow] = []
+    released: int = 0
+
+
+class PaceRow(msgspec.Struct, array_like=True, frozen=True):
+    """The pace of an endpoint; see :mod:`passtally.endpoint_speed`.
+
+    Attributes:
+        service: The endpoint's service.
+        address: The endpoint's address.
+        gap_us: The time between two outputs, in microseconds.
+        age_ms: The time since the last sample, in milliseconds.
+    """
+
+    service: str
+    address: str
+    gap_us: int
+    age_ms: int
+
+
+class PromiseRow(msgspec.Struct, array_like=True, frozen=True):
+    """When a refused caller was told to return; see :mod:`passtally.promises`.
+
+    Attributes:
+        fingerprint: The fingerprint of its request.
+        due_ms: The time until then, in milliseconds; negative if it is over.
+    """
+
+    fingerprint: bytes
+    due_ms: int
+
+
+class UsageReport(msgspec.Struct, tag="usage_report", array_like=True):
+    """The use of services by one host, for the host that adds up.
+
+    Attributes:
+        host_id: The sending host.
+        services: The use of each service.
+        paces: The paces that the host has measured since its last report.
+        promises: What the host has told refused callers since then.
+    """
+
+    host_id: str
+    services: list[ServiceUsageRow]
+    paces: list[PaceRow] = []
+    promises: list[PromiseRow] = []
+
+
+class UsageSums(msgspec.Struct, tag="usage_sums", array_like=True):
+    """The use of services by the hosts of one failure domain, for the other domains.
+
+    Attributes:
+        host_id: The host that added up.
+        failure_domain: The failure domain.
+        services: The use of each service.
+        paces: Some of the known paces of endpoints.
+    """
+
+    host_id: str
+    failure_domain: str
+    services: list[ServiceUsageRow]
+    paces: list[PaceRow] = []
+
+
+class UsageTotals(msgspec.Struct, tag="usage_totals", array_like=True):
+    """The use of services by all hosts, for the hosts that reported theirs.
+
+    Attributes:
+        host_id: The host that added up.
+        services: The use of each service.
+        paces: Some of the known paces of endpoints.
+        promises: What hosts of this failure domain have told refused callers.
+    """
+
+    host_id: str
+    services: list[ServiceUsageRow]
+    paces: list[PaceRow] = []
+    promises: list[PromiseRow] = []
+
+
 Message = (
     StoreCopies
     | CopiesHeld
@@ -532,4 +673,7 @@
     | TellOrigins
     | AskOrigin
     | OriginFound
+    | UsageReport
+    | UsageSums
+    | UsageTotals
 )
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -71,6 +71,39 @@
         "1",
         "Open connections of other hosts to endpoints through this host.",
     )
+    WAITING = "waiting", "gauge", "1", "Requests that wait for admission."
+    PROMISED = (
+        "promised",
+        "gauge",
+        "1",
+        "Refused callers, of this and other hosts, that are expected to return.",
+    )
+    USAGE_AGE = (
+        "usage_age",
+        "gauge",
+        "ms",
+        "Time since the last totals of what all hosts use of shared rooms.",
+    )
+    PACES_KNOWN = (
+        "paces_known",
+        "gauge",
+        "1",
+        "Engines whose pace is known.",
+    )
+    SLOW_ENDPOINTS = (
+        "slow_endpoints",
+        "gauge",
+        "1",
+        "Endpoints that other endpoints of their service are preferred to, since they"
+        " are slow.",
+    )
+    UNREAD = (
+        "unread",
+        "gauge",
+        "bytes",
+        "Output that callers have not read yet.",
+    )
+    BODIES_HELD = "bodies_held", "gauge", "bytes", "Request bodies held."
     TUNNELS_REFUSED = (
         "tunnels_refused",
         "counter",
@@ -110,6 +143,42 @@
         "1",
         "Generations started, or resumed for another host.",
     )
+    ADMITTED = (
+        "admitted",
+        "counter",
+        "1",
+        "Requests admitted; their priority, 0 the most urgent, follows the name.",
+    )
+    NO_ROOM = (
+        "no_room",
+        "counter",
+        "1",
+        "Requests refused for lack of room; their priority follows the name.",
+    )
+    RETURNED = (
+        "returned",
+        "counter",
+        "1",
+        "Requests of callers that returned when a refusal had told them to.",
+    )
+    ADMISSION_WAIT = (
+        "admission_wait",
+        "timer",
+        "ms",
+        "Time in the queue of requests that were admitted after waiting.",
+    )
+    UNREAD_ABORTED = (
+        "unread_aborted",
+        "counter",
+        "1",
+        "Streams aborted because their callers did not read them.",
+    )
+    BODIES_REFUSED = (
+        "bodies_refused",
+        "counter",
+        "1",
+        "Requests refused because the host holds too many request bodies.",
+    )
     REFUSED = (
         "refused",
         "counter",
@@ -131,6 +200,20 @@
         " the service follows the name.",
     )
     ATTEMPTS = "attempts", "counter", "1", "Attempts started at endpoints."
+    HEDGES = "hedges", "counter", "1", "Second copies sent of calls that were slow."
+    HEDGES_WON = (
+        "hedges_won",
+        "counter",
+        "1",
+        "Second copies of calls that were answered before the first ones.",
+    )
+    REPEATED_PREFILLS = (
+        "repeated_prefills",
+        "counter",
+        "1",
+        "Prompts that endpoints prefill again; the cause follows the name:"
+        " lost_in_prefill, no_replica, replica_lost, replica_rejected or taken_up.",
+    )
     LOST = "lost", "counter", "1", "Attempts lost; the kind of loss follows the name."
     FIRST_TOKEN = "first_token", "timer", "ms", "Time from dispatch to the first token."
     RESUME = (
--- a/passtally/origin.py
+++ b/passtally/origin.py
@@ -39,6 +39,20 @@
         return cls(software=endpoint.software, start=endpoint.start)
 
 
+@attrs.frozen(kw_only=True)
+class KnownAnswer:
+    """What is known of an answer that a caller takes up.
+
+    Attributes:
+        origin: Its origin.
+        holder_id: The endpoint that ran it last, whose memory may have its prompt;
+            empty if unknown.
+    """
+
+    origin: Origin
+    holder_id: str = ""
+
+
 class OriginRule:
     """Decides at which endpoints an answer that has begun may go on. Pure.
 
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -1,4 +1,4 @@
-"""Tells a few hosts at which software version each answer began, and asks them.
+"""Tells a few hosts where each answer began and runs, and asks them.
 
 A caller whose answer broke off takes it up at any host, and names the try that brought
 the first output. The host that began the answer may be dead by then, so it tells some
@@ -8,11 +8,8 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from datetime import timedelta
-from functools import lru_cache
-
-import attrs
 
 from passtally.clock import Clock
 from passtally.datagrams import Datagrams
@@ -20,26 +17,25 @@
 from passtally.generation import Generation
 from passtally.messages import (
     AskOrigin,
-    MemberRow,
     OriginFound,
     OriginRow,
     TellOrigins,
 )
 from passtally.metrics import Metric, Metrics
-from passtally.objects import EndpointStart
-from passtally.origin import Origin, OriginRule
+from passtally.origin import KnownAnswer, Origin, OriginRule
 from passtally.origin_keepers import MemberSource, OriginKeepers
-from passtally.origin_table import OriginTable, origin_key
+from passtally.origin_question import OriginQuestion, address_of
+from passtally.origin_rows import from_origin_row, origin_at, to_origin_row
+from passtally.origin_table import OriginTable, origin_key, prompt_key
+from passtally.prefix_finder import MAX_QUERIED
+from passtally.running_answer import RunningAnswer
 from passtally.seen_versions import SeenVersions
 from passtally.service_index import ServiceIndex
-from passtally.settings import Address, parse_address
+from passtally.settings import Address
 
 #: Interval between checks which records are due, and between looks at the versions that
 #: serve.
 CHECK_INTERVAL = timedelta(seconds=1)
-#: Time after which the record of a running answer is renewed. Records that were lost,
-#: or whose hosts have been replaced, are complete again after it.
-RENEW_INTERVAL = timedelta(seconds=10)
 #: Maximum number of records in one datagram, so that it fits into one packet.
 MAX_ROWS = 30
 #: Time after its start in which a host asks again before it refuses, and the interval:
@@ -52,76 +48,11 @@
 #: round trip takes some milliseconds, between regions some ten.
 ANSWER_WAITS = (timedelta(milliseconds=80), timedelta(milliseconds=160))
 
-#: Number of addresses and of versions that are kept in parsed form.
-MAX_CACHED_ADDRESSES = 2048
-MAX_CACHED_VERSIONS = 256
-
-_address_of = lru_cache(maxsize=MAX_CACHED_ADDRESSES)(parse_address)
-
 
 class UnknownOriginError(Exception):
     """No host in reach knows where an answer began, and several versions may serve."""
 
 
-@attrs.define(kw_only=True, eq=False)
-class RunningAnswer:
-    """An answer that this host runs.
-
-    Attributes:
-        key: Its key.
-        generation: The answer.
-        told_at: The monotonic time at which its record was last told; None before the
-            first time.
-    """
-
-    key: bytes
-    generation: Generation
-    told_at: timedelta | None = None
-
-
-@attrs.define(kw_only=True, eq=False)
-class _Question:
-    asked: Sequence[MemberRow]
-    found_by_address: dict[Address, OriginFound] = attrs.field(factory=dict)
-    is_settled: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-    def add(self, sender: Address, found: OriginFound) -> None:
-        self.found_by_address[sender] = found
-        if found.row is not None or len(self.found_by_address) >= len(self.asked):
-            self.is_settled.set()
-
-    def list_told(self) -> list[tuple[Address, OriginFound]]:
-        """Return the answers that name an origin; none if they differ in it."""
-        told = [
-            (sender, found)
-            for sender, found in self.found_by_address.items()
-            if found.row is not None
-        ]
-        origins = [_origin_of(found.row) for _, found in told]
-        agree = all(origins[0].agrees_with(other) for other in origins[1:])
-        return told if agree else []
-
-    @property
-    def is_contradictory(self) -> bool:
-        """Whether hosts were told different versions for the same id."""
-        is_told = any(found.row is not None for found in self.found_by_address.values())
-        return is_told and not self.list_told()
-
-    @property
-    def answered_domains(self) -> set[str]:
-        """The failure domains of the hosts that answered."""
-        return {
-            row.failure_domain
-            for row in self.asked
-            if _address_of(row.address) in self.found_by_address
-        }
-
-    @property
-    def unanswered(self) -> list[Address]:
-        addresses = (_address_of(row.address) for row in self.asked)
-        return [item for item in addresses if item not in self.found_by_address]
-
-
 class OriginExchange:
     """The origins of answers, shared among the hosts.
 
@@ -162,7 +93,7 @@
         self._seen = SeenVersions()
         self._seen_at = -SEEN_INTERVAL
         self._running: set[RunningAnswer] = set()
-        self._questions_by_number: dict[int, _Question] = {}
+        self._questions_by_number: dict[int, OriginQuestion] = {}
         self._numbers = itertools.count(1)
         datagrams.listen(TellOrigins, self._store)
         datagrams.listen(AskOrigin, self._answer)
@@ -178,19 +109,12 @@
         """Tell the records that are due, and look at the versions that serve."""
         now = self._clock.monotonic()
         self._record_seen()
-        due = [
-            answer
-            for answer in self._running
-            if answer.told_at is not None and now - answer.told_at >= RENEW_INTERVAL
-        ]
+        due = [answer for answer in self._running if answer.is_due(now)]
         rows_by_address: dict[Address, list[OriginRow]] = {}
         for answer in due:
-            row = self._record(answer)
-            if row is None:
-                continue
-            for keeper in self._keepers.list_keepers(answer.key):
-                address = _address_of(keeper.address)
-                rows_by_address.setdefault(address, []).append(row)
+            for row in self._record(answer):
+                for address in self._list_keepers(row.key):
+                    rows_by_address.setdefault(address, []).append(row)
         for address, rows in rows_by_address.items():
             for start in range(0, len(rows), MAX_ROWS):
                 part = rows[start : start + MAX_ROWS]
@@ -209,6 +133,9 @@
         request = generation.request
         answer = RunningAnswer(
             key=origin_key(request.workspace, request.service, first_id),
+            prompt_key=prompt_key(request.workspace, request.service, request.prompt)
+            if self._is_large(request.service)
+            else b"",
             generation=generation,
         )
         self._running.add(answer)
@@ -219,43 +146,59 @@
 
     def tell(self, answer: RunningAnswer) -> None:
         """Tell the hosts that keep the record of an answer, without any wait."""
-        row = self._record(answer)
-        if row is not None:
-            keepers = self._keepers.list_keepers(answer.key)
-            addresses = [_address_of(keeper.address) for keeper in keepers]
-            self._datagrams.send(addresses, TellOrigins(rows=[row]))
+        for row in self._record(answer):
+            self._datagrams.send(self._list_keepers(row.key), TellOrigins(rows=[row]))
 
     async def find(
-        self, *, workspace: str, service: str, first_id: str, request_id: str
-    ) -> Origin:
-        """Return the origin of an answer that a caller takes up here.
+        self,
+        *,
+        workspace: str,
+        service: str,
+        first_id: str,
+        request_id: str,
+        prompt: str = "",
+    ) -> KnownAnswer:
+        """Return where an answer began and ran that a caller takes up here.
 
         Args:
             workspace: The caller's workspace.
             service: The service of the answer.
-            first_id: The id of the try that brought its first output.
+            first_id: The id of the try that brought its first output; empty if the
+                caller does not name it.
             request_id: The id of this try, for the log.
+            prompt: Identifies the prompt. Without the id of the first try it tells the
+                endpoint that ran the answer, but not the origin: the same prompt may be
+                answered at two versions.
 
         Raises:
             UnknownOriginError: No endpoint would be right but by a guess.
         """
-        key = origin_key(workspace, service, first_id)
+        key = (
+            origin_key(workspace, service, first_id)
+            if first_id
+            else prompt_key(workspace, service, prompt)
+        )
         fields = {"request": request_id, "resumes": first_id}
         now = self._clock.monotonic()
         record = self.table.find(key, now=now)
-        if record is not None and record.origin is not None:
+        if first_id and record is not None and record.origin is not None:
+            known = KnownAnswer(origin=record.origin, holder_id=record.holder_id)
             age = now - record.told_at
-            return self._found(record.origin, peer="", age=age, **fields)
+            return self._found(known, peer="", age=age, **fields)
         while True:
-            question = await self._ask(key, service)
-            for sender, found in question.list_told():
-                origin = _origin_of(found.row)
-                self.table.put(key, origin, now=self._clock.monotonic())
+            question = await self._ask(key, service, is_settled_by_one=bool(first_id))
+            for sender, found in question.list_told() if first_id else ():
+                self._put(found.row)
+                known = KnownAnswer(
+                    origin=from_origin_row(found.row), holder_id=found.row.holder_id
+                )
                 age = timedelta(milliseconds=found.age_ms)
-                return self._found(origin, peer=sender, age=age, **fields)
+                return self._found(known, peer=sender, age=age, **fields)
             sole = self._find_sole(service, question)
             if sole is not None or not self._is_young():
-                return self._use_sole(sole, question, **fields)
+                holder_id = "" if record is None else record.holder_id
+                holder_id = holder_id or question.holder_id
+                return self._use_sole(sole, question, holder_id=holder_id, **fields)
             await self._clock.sleep(SETTLE_POLL_INTERVAL)
 
     def _is_young(self) -> bool:
@@ -263,8 +206,13 @@
         return self._clock.monotonic() - self._started_at < SETTLE_TIME
 
     def _use_sole(
-        self, sole: str | None, question: _Question, **fields: object
-    ) -> Origin:
+        self,
+        sole: str | None,
+        question: OriginQuestion,
+        *,
+        holder_id: str,
+        **fields: object,
+    ) -> KnownAnswer:
         """Return the origin of an answer that nobody knows, by the only version.
 
         Raises:
@@ -273,21 +221,29 @@
         asked = [row.host_id for row in question.asked]
         answered = len(question.found_by_address)
         log_event(
-            "origin", "Not known.", **fields, asked=asked, answered=answered, sole=sole
+            "origin",
+            "Not known.",
+            **fields,
+            asked=asked,
+            answered=answered,
+            sole=sole,
+            holder=holder_id,
         )
         if sole is None:
             self._metrics.count(Metric.TAKE_UPS, "unknown")
             raise UnknownOriginError(f"none of {len(asked)} hosts asked knows it")
         self._metrics.count(Metric.TAKE_UPS, "sole")
-        return Origin(software=sole)
+        return KnownAnswer(origin=Origin(software=sole), holder_id=holder_id)
 
-    def _found(self, origin: Origin, **fields: object) -> Origin:
+    def _found(self, known: KnownAnswer, **fields: object) -> KnownAnswer:
         self._metrics.count(Metric.TAKE_UPS, "known")
-        software = self._rule.software_of(origin)
-        log_event("origin", "Found.", software=software, **fields)
-        return origin
+        software = self._rule.software_of(known.origin)
+        log_event(
+            "origin", "Found.", software=software, holder=known.holder_id, **fields
+        )
+        return known
 
-    def _find_sole(self, service: str, question: _Question) -> str | None:
+    def _find_sole(self, service: str, question: OriginQuestion) -> str | None:
         """Return the only version that a service had of late, or None.
 
         A host or a domain that is cut off knows only what served before: others may
@@ -309,26 +265,45 @@
         versions.update(*(found.versions for found in replies))
         return versions.pop() if len(versions) == 1 else None
 
-    def _record(self, answer: RunningAnswer) -> OriginRow | None:
-        """Record an answer here, and return the row to tell; None before it begins."""
+    def _record(self, answer: RunningAnswer) -> list[OriginRow]:
+        """Record an answer here, and return the rows to tell; none before it begins."""
         origin = answer.generation.origin
         if origin is None:
-            return None
+            return []
         software = self._rule.software_of(origin)
         if software:
-            origin = _origin_at(software)
-        now = self._clock.monotonic()
-        self.table.put(answer.key, origin, now=now)
-        answer.told_at = now
-        return _row_of(answer.key, origin)
+            origin = origin_at(software)
+        holder_id = answer.holder_id
+        rows = [to_origin_row(answer.key, origin, holder_id=holder_id)]
+        if answer.prompt_key:
+            rows.append(
+                OriginRow(key=answer.prompt_key, software="", holder_id=holder_id)
+            )
+        for row in rows:
+            self._put(row)
+        answer.told_at = self._clock.monotonic()
+        answer.told_holder_id = holder_id
+        return rows
+
+    def _is_large(self, service: str) -> bool:
+        """Return whether a service has too many endpoints to ask all of them."""
+        return len(self._catalog.endpoints_of(service)) > MAX_QUERIED
+
+    def _list_keepers(self, key: bytes) -> list[Address]:
+        keepers = self._keepers.list_keepers(key)
+        return [address_of(keeper.address) for keeper in keepers]
 
     def _record_seen(self) -> None:
         self._seen_at = self._clock.monotonic()
         endpoints = self._catalog.endpoints_by_id.values()
         self._seen.record(endpoints, now=self._seen_at)
 
-    async def _ask(self, key: bytes, service: str) -> _Question:
-        question = _Question(asked=self._keepers.list_asked(key))
+    async def _ask(
+        self, key: bytes, service: str, *, is_settled_by_one: bool
+    ) -> OriginQuestion:
+        question = OriginQuestion(
+            asked=self._keepers.list_asked(key), is_settled_by_one=is_settled_by_one
+        )
         if not question.asked:
             return question
         number = next(self._numbers)
@@ -346,20 +321,25 @@
         return question
 
     def _store(self, message: TellOrigins, sender: Address) -> None:
-        now = self._clock.monotonic()
         for row in message.rows:
-            self.table.put(row.key, _origin_of(row), now=now)
+            self._put(row)
+
+    def _put(self, row: OriginRow) -> None:
+        now = self._clock.monotonic()
+        self.table.put(row.key, from_origin_row(row), now=now, holder_id=row.holder_id)
 
     def _answer(self, message: AskOrigin, sender: Address) -> None:
         now = self._clock.monotonic()
         record = self.table.find(message.key, now=now)
         age = timedelta(0) if record is None else now - record.told_at
-        origin = None if record is None else record.origin
+        row = None
+        if record is not None and record.origin is not None:
+            row = to_origin_row(message.key, record.origin, holder_id=record.holder_id)
         if now - self._seen_at >= SEEN_INTERVAL:
             self._record_seen()
         found = OriginFound(
             number=message.number,
-            row=None if origin is None else _row_of(message.key, origin),
+            row=row,
             age_ms=round(age.total_seconds() * 1000),
             versions=sorted(self._seen.list_versions(message.service)),
             is_current=self._is_current(),
@@ -370,28 +350,3 @@
         question = self._questions_by_number.get(message.number)
         if question is not None:
             question.add(sender, message)
-
-
-@lru_cache(maxsize=MAX_CACHED_VERSIONS)
-def _origin_at(software: str) -> Origin:
-    """Return the origin of answers at a version, one object for all their records."""
-    return Origin(software=software)
-
-
-def _row_of(key: bytes, origin: Origin) -> OriginRow:
-    start = origin.start
-    if origin.software or start is None:
-        return OriginRow(key=key, software=origin.software)
-    return OriginRow(
-        key=key,
-        software="",
-        endpoint_id=start.endpoint_id,
-        incarnation=start.incarnation,
-    )
-
-
-def _origin_of(row: OriginRow) -> Origin:
-    if not row.endpoint_id:
-        return _origin_at(row.software)
-    start = EndpointStart(endpoint_id=row.endpoint_id, incarnation=row.incarnation)
-    return Origin(software=row.software, start=start)
--- a/passtally/origin_table.py
+++ b/passtally/origin_table.py
@@ -1,6 +1,7 @@
-"""The software versions at which answers began, by a short key of their first try."""
+"""Where answers began and run, by a short key of their first try."""
 
 import hashlib
+import sys
 from collections import OrderedDict
 from datetime import timedelta
 
@@ -24,10 +25,12 @@
         origin: Its origin; None if hosts told different ones, so that none of them can
             be relied on.
         told_at: The monotonic time at which this host was last told.
+        holder_id: The endpoint that runs it, or ran it last; empty if unknown.
     """
 
     origin: Origin | None
     told_at: timedelta
+    holder_id: str = ""
 
 
 class OriginTable:
@@ -40,12 +43,17 @@
         """Return the number of records, expired ones included."""
         return len(self._records_by_key)
 
-    def put(self, key: bytes, origin: Origin, *, now: timedelta) -> None:
-        """Record or renew the origin of an answer."""
+    def put(
+        self, key: bytes, origin: Origin, *, now: timedelta, holder_id: str = ""
+    ) -> None:
+        """Record or renew the origin of an answer, and the endpoint that runs it."""
         known = self.find(key, now=now)
         if known is not None:
             origin = _merge(known.origin, origin)
-        self._records_by_key[key] = OriginRecord(origin=origin, told_at=now)
+            holder_id = holder_id or known.holder_id
+        self._records_by_key[key] = OriginRecord(
+            origin=origin, told_at=now, holder_id=sys.intern(holder_id)
+        )
         self._records_by_key.move_to_end(key)
         self._drop_oldest(now)
 
@@ -80,5 +88,22 @@
         service: The service.
         request_id: The id of the try that brought the answer's first output.
     """
-    scope = "\0".join((workspace, service, request_id)).encode()
+    return _hash(workspace, service, request_id)
+
+
+def prompt_key(workspace: str, service: str, prompt: str) -> bytes:
+    """Return the key under which the endpoint of an answer is kept for its prompt.
+
+    A caller that takes an answer up need not name its first try; its prompt is known.
+
+    Args:
+        workspace: The workspace of the caller.
+        service: The service.
+        prompt: Identifies the prompt.
+    """
+    return _hash(workspace, service, "prompt", prompt)
+
+
+def _hash(*parts: str) -> bytes:
+    scope = "\0".join(parts).encode()
     return hashlib.blake2b(scope, digest_size=KEY_BYTES).digest()
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import attrs
+
 from passtally.clock import Clock
 from passtally.decision import log_decision
 from passtally.fleet import Fleet
@@ -26,8 +28,6 @@
 from passtally.survey import Survey
 from passtally.suspect import NoSuspects, Suspects
 
-#: Maximum wait of an answer that has begun for an endpoint that can resume it.
-RESUME_WAIT_TIMEOUT = timedelta(seconds=4)
 RESUME_POLL_INTERVAL = timedelta(milliseconds=50)
 NO_VERSION_LEFT = "no endpoint of the software version that began it is left"
 
@@ -40,6 +40,19 @@
     """No endpoint runs the software version that began an answer."""
 
 
+@attrs.frozen(kw_only=True)
+class Placed:
+    """The endpoint chosen for an attempt.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        caches_prompt: Whether it reports that it caches the prompt.
+    """
+
+    endpoint_id: str
+    caches_prompt: bool = False
+
+
 class Placement:
     """Chooses endpoints for generations and their replicas.
 
@@ -87,13 +100,18 @@
         self._failure_domain = failure_domain
         self._prefixes.failure_domain = failure_domain
 
-    async def place(self, generation: Generation, excluded: set[str]) -> str:
+    async def place(
+        self, generation: Generation, excluded: set[str], *, waiting_since: timedelta
+    ) -> Placed:
         """Choose an endpoint, and wait for a limited time while none is usable.
 
         Args:
             generation: The generation to run.
             excluded: Ids of endpoints that lost the generation. Cleared while an
                 answer that has begun waits, since there may be no other endpoints.
+            waiting_since: The time from which no endpoint could be reached. An answer
+                that has begun waits from then for as long as the endpoints of its
+                service usually take to return.
 
         Raises:
             NoEndpointError: No endpoint is usable, or the answer could not be complete
@@ -103,18 +121,21 @@
         if generation.delivered and not generation.attempts:
             cached_endpoint_id = await self._find_prompt(generation, excluded)
             if cached_endpoint_id is not None:
-                return cached_endpoint_id
+                return Placed(endpoint_id=cached_endpoint_id, caches_prompt=True)
         self._check_deadline(generation)
         trial_endpoint_id = await self._place_trial(generation, excluded)
         if trial_endpoint_id is not None:
-            return trial_endpoint_id
-        wait_time = RESUME_WAIT_TIMEOUT if generation.delivered else request.patience
-        deadline = self._clock.monotonic() + wait_time
+            return Placed(endpoint_id=trial_endpoint_id)
+        deadline = self._clock.monotonic() + request.patience
+        if generation.delivered:
+            max_wait = self._fleet.losses.return_times.max_wait(request.service)
+            deadline = waiting_since + max_wait
         while True:
             decision = self._decide(generation, excluded)
             if decision.endpoint_id is not None:
-                self._check_target(generation, decision.endpoint_id)
-                return await self._survey_and_log(generation, decision)
+                decision = self._meet_target(generation, decision)
+                chosen = await self._survey_and_log(generation, decision)
+                return Placed(endpoint_id=chosen)
             self._check_version(generation)
             if not self._may_wait(generation, until=deadline):
                 self._log(generation, None, decision)
@@ -232,7 +253,9 @@
         self, generation: Generation, decision: RouteDecision
     ) -> str:
         ranked = decision.ranked or (decision.endpoint_id,)
-        survey_result = await self._survey.choose(ranked)
+        survey_result = await self._survey.choose(
+            ranked, prompt_tokens=count_prefill_tokens(generation)
+        )
         asked = [f"{name}:{n}" for name, n in survey_result.waiting_by_id.items()]
         self._log(generation, survey_result.endpoint_id, decision, asked=asked)
         return survey_result.endpoint_id
@@ -247,6 +270,7 @@
             request.prompt,
             origin=generation.origin,
             exclude=excluded,
+            likely=generation.holder_id,
         )
         log_decision(
             "route",
@@ -275,23 +299,42 @@
                 f"the deadline is in {time_left}, and a short answer takes {needed}"
             )
 
-    def _check_target(self, generation: Generation, endpoint_id: str) -> None:
-        """Refuse a new stream whose first output would miss its target.
+    def _meet_target(
+        self, generation: Generation, decision: RouteDecision
+    ) -> RouteDecision:
+        """Limit a new stream to the endpoints that meet the target of its first output.
+
+        Costs are rounded, so that the cheapest endpoint may miss the target while
+        another one meets it. Where all miss it, the prefill would only stall streams
+        that can still meet theirs.
 
-        Its prefill would stall streams that can still meet theirs. An idle endpoint has
-        none, and a host that refused there too would never learn that first outputs
-        have become faster.
+        Raises:
+            NoEndpointError: The first output would miss its target at all candidates.
         """
         request = generation.request
         if request.target is None or generation.delivered or generation.attempts:
-            return
+            return decision
+        ranked = decision.ranked or (decision.endpoint_id,)
+        times_by_id = {
+            name: self._first_output_time(generation, name) for name in ranked
+        }
+        meeting = tuple(name for name in ranked if times_by_id[name] <= request.target)
+        if not meeting:
+            needed = min(times_by_id.values())
+            raise NoEndpointError(f"the first output would take at least {needed}")
+        return attrs.evolve(decision, endpoint_id=meeting[0], ranked=meeting)
+
+    def _first_output_time(self, generation: Generation, endpoint_id: str) -> timedelta:
+        """Return the minimum time to a new stream's first output at an endpoint.
+
+        It is 0 at an idle endpoint: no stream is stalled there, and a host that refused
+        there too would never learn that first outputs have become faster.
+        """
         view = self._fleet.view(endpoint_id)
         if not view.prefill_tokens and not view.running_streams:
-            return
+            return timedelta(0)
         tokens = view.prefill_tokens + count_prefill_tokens(generation)
-        needed = self.forecast.prefill_time(request.service, tokens)
-        if needed > request.target:
-            raise NoEndpointError(f"the first output would take at least {needed}")
+        return self.forecast.prefill_time(generation.request.service, tokens)
 
     def _log(
         self,
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -3,42 +3,41 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Protocol
 
 import attrs
-from multidict import CIMultiDict
 
+from passtally.call_errors import (
+    CONNECT_STEP,
+    RETRY_AFTER,
+    lost_call,
+    not_run_error,
+    out_of_time_error,
+    select_failure,
+    unknown_outcome_error,
+)
+from passtally.call_progress import CallProgress
+from passtally.call_router import CallRouter
 from passtally.clock import Clock
 from passtally.crash_guard import CrashGuard
 from passtally.decision import log_decision
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
+from passtally.hedge import FAILURE_STATUS, HedgePolicy
 from passtally.live_endpoint import LiveEndpoint
 from passtally.loss_inspection import inspect_loss
-from passtally.objects import Service
+from passtally.metrics import Metric, Metrics, NoMetrics
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.pause_aware_timeout import PauseAwareTimeout, sleep_pause_aware
+from passtally.plain_call import PlainAnswer, PlainCall, Sender
 from passtally.quarantine import Quarantine
 from passtally.retry import UNRUN_KINDS, LossKind
 from passtally.retry_budget import Budgets, acquire_retry, wait_for_retry
-from passtally.routing import RouteDecision, RouteQuery, choose_endpoint
+from passtally.settings import Switch
 
 CALL_TIMEOUT = timedelta(seconds=30)
-MAX_ATTEMPTS = 3
 #: Consecutive unanswered calls after which an endpoint is ejected. A single unanswered
 #: call may just be a long one.
 MAX_UNANSWERED = 3
-#: Step reported for a failure before any byte was sent. Trying another endpoint then
-#: takes nothing from the retry budget.
-CONNECT_STEP = "connect"
-#: Failed connects after which a call is refused. Each costs 150 ms, and nothing has
-#: been sent. A host with a saturated link, which fails to connect to some of five
-#: endpoints, has most likely reached another by then. A host that is cut off reaches
-#: none.
-MAX_CONNECT_FAILURES = 4
-RETRY_AFTER = timedelta(seconds=1)
-#: Lowest status that counts as a failed answer in the comparison of versions.
-FAILURE_STATUS = 500
 #: Statuses that count against an endpoint when it is compared with the other endpoints
 #: of its service: the endpoint or one of its dependencies failed. 503 and 504 are left
 #: out, as the endpoint may be full or the time limit of the call too short.
@@ -48,105 +47,6 @@
 FAULT_KINDS = frozenset((LossKind.RESET, LossKind.RESUME_MISMATCH))
 
 
-@attrs.frozen(kw_only=True)
-class PlainCall:
-    """A call to forward to an endpoint.
-
-    Attributes:
-        id: The call's id in the logs.
-        workspace: The id of the calling workspace.
-        service: The service to call.
-        method: The HTTP method.
-        path: The path after the service's name, with the query.
-        headers: The headers to forward.
-        body: The body to forward.
-        repeatable: Whether the call may run more than once.
-        key: The caller's idempotency key, or empty.
-        failure_domain: The preferred failure domain; empty for the local one.
-        max_attempts: The maximum number of endpoints the call is sent to.
-        deadline: The time at which the call is aborted, on the monotonic clock.
-        patience: The time without an answer after which a repeatable call fails over
-            to another endpoint, if there is one and a retry is allowed.
-        needs_new_connection: Whether to send the call on a new connection, because an
-            earlier connection stayed silent.
-        route: The name of the route that selected the service, or empty.
-        fingerprint: The fingerprint shared by the caller's retries of this call, see
-            :func:`passtally.fingerprint.fingerprint_of`; empty if there is none.
-    """
-
-    id: str
-    workspace: str
-    service: Service
-    method: str
-    path: str
-    headers: CIMultiDict[str]
-    body: bytes
-    repeatable: bool
-    key: str
-    failure_domain: str = ""
-    max_attempts: int = MAX_ATTEMPTS
-    deadline: timedelta | None = None
-    patience: timedelta | None = None
-    needs_new_connection: bool = False
-    route: str = ""
-    fingerprint: bytes = b""
-
-
-@attrs.frozen(kw_only=True)
-class PlainAnswer:
-    """The complete answer of an endpoint.
-
-    Attributes:
-        status: The HTTP status.
-        headers: The headers to forward.
-        body: The body.
-        is_framed: Whether the answer had a length or chunked encoding; see
-            :class:`passtally.http_client.ResponseHead`.
-    """
-
-    status: int
-    headers: CIMultiDict[str]
-    body: bytes
-    is_framed: bool = True
-
-
-@attrs.define(kw_only=True)
-class _RetryState:
-    """The remaining limits of one call, and the endpoints that it has tried.
-
-    Attributes:
-        sends_left: The number of endpoints the call may still be sent to.
-        connect_failures_left: The number of failed connects after which it is refused.
-        excluded: The ids of the endpoints that failed the call.
-        has_retry: Whether the retry for the next send has been acquired already.
-        needs_new_connection: Whether further sends use new connections.
-    """
-
-    sends_left: int
-    connect_failures_left: int = MAX_CONNECT_FAILURES
-    excluded: set[str] = attrs.field(factory=set)
-    has_retry: bool = False
-    needs_new_connection: bool = False
-
-
-class Sender(Protocol):
-    """The transport of calls to endpoints."""
-
-    async def send(
-        self,
-        call: PlainCall,
-        live: LiveEndpoint,
-        *,
-        before_send: Callable[[], None] | None = None,
-    ) -> PlainAnswer:
-        """Send a call exactly once and return the answer.
-
-        Raises:
-            AttemptLostError: No complete answer was received. The kind of the error
-                states whether the call may have run.
-        """
-
-
 class PlainCaller:
     """Forwards calls to plain endpoints and retries them within their limits.
 
@@ -157,6 +57,11 @@
         budgets: The retry budgets.
         sender: The transport of calls to endpoints.
         guard: The quarantine of calls that crash endpoints; None for a private one.
+        hedging: Decides which calls get a second copy; None for none.
+        metrics: The sink of metrics.
+
+    Attributes:
+        router: Chooses the endpoints of the calls.
     """
 
     def __init__(
@@ -168,13 +73,21 @@
         budgets: Budgets,
         sender: Sender,
         guard: CrashGuard | None = None,
+        hedging: HedgePolicy | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
-        self.failure_domain = failure_domain
         self._budgets = budgets
         self._sender = sender
         self._guard = guard or CrashGuard(quarantine=Quarantine(), clock=clock)
+        self.router = CallRouter(
+            fleet=fleet, clock=clock, failure_domain=failure_domain, guard=self._guard
+        )
+        self._hedging = hedging or HedgePolicy(
+            fleet=fleet, clock=clock, mode=lambda: Switch.OFF
+        )
+        self._metrics = metrics or NoMetrics()
 
     async def call(
         self, call: PlainCall, *, before_send: Callable[[], None] | None = None
@@ -190,30 +103,44 @@
             RefusedError: No endpoint answered. The outcome states whether an endpoint
                 may have run the call.
         """
-        retry_state = _RetryState(sends_left=call.max_attempts)
+        progress = CallProgress(sends_left=call.max_attempts)
+        try:
+            return await self._call(call, progress, before_send)
+        finally:
+            progress.hedge.cancel()
+
+    async def _call(
+        self,
+        call: PlainCall,
+        progress: CallProgress,
+        before_send: Callable[[], None] | None,
+    ) -> PlainAnswer:
         failure: RefusedError | None = None
         service = call.service.id
         await self._guard.check_settled(call.fingerprint, service=service)
         self._budgets.earn(call.workspace, service=service)
-        endpoint_id = self._route_first(call)
+        endpoint_id = self.router.route_first(call)
         while endpoint_id is not None:
             try:
-                return await self._send(call, endpoint_id, before_send, retry_state)
+                return await self._send(call, endpoint_id, before_send, progress)
             except RefusedError as error:
-                retry_state.excluded.add(endpoint_id)
-                failure = _select_failure(failure, error)
+                progress.excluded.add(endpoint_id)
+                failure = select_failure(failure, error)
+                answer = await progress.hedge.wait()
+                if answer is not None:
+                    return answer
+                if progress.hedge.error is not None:
+                    failure = select_failure(failure, progress.hedge.error)
                 is_connect_failure = error.failure.step == CONNECT_STEP
-                retry_state.connect_failures_left -= is_connect_failure
-                retry_state.sends_left -= not is_connect_failure
-            is_exhausted = (
-                not retry_state.sends_left or not retry_state.connect_failures_left
-            )
-            if is_exhausted or not await self._may_retry(call, failure, retry_state):
+                progress.connect_failures_left -= is_connect_failure
+                progress.sends_left -= not is_connect_failure
+            is_exhausted = not progress.sends_left or not progress.connect_failures_left
+            if is_exhausted or not await self._may_retry(call, failure, progress):
                 break
             call = attrs.evolve(
-                call, needs_new_connection=retry_state.needs_new_connection
+                call, needs_new_connection=progress.needs_new_connection
             )
-            endpoint_id = self._route(call, retry_state.excluded)
+            endpoint_id = self.router.route(call, progress.excluded)
         raise self._with_retry_after(failure, service)
 
     def _with_retry_after(
@@ -237,7 +164,7 @@
         return failure
 
     async def _may_retry(
-        self, call: PlainCall, failure: RefusedError, retry_state: _RetryState
+        self, call: PlainCall, failure: RefusedError, progress: CallProgress
     ) -> bool:
         if await self._guard.is_quarantined(call.fingerprint):
             return False
@@ -248,8 +175,8 @@
             return False
         if failure.failure.step == CONNECT_STEP:
             return True
-        if retry_state.has_retry:
-            retry_state.has_retry = False
+        if progress.has_retry:
+            progress.has_retry = False
             return True
         return await self._acquire_retry(call)
 
@@ -258,45 +185,6 @@
             self._budgets, call.workspace, service=call.service.id, is_resume=False
         )
 
-    def _choose(
-        self, call: PlainCall, excluded: set[str], *, is_trial: bool = False
-    ) -> RouteDecision:
-        is_suspect = self._guard.is_suspect(call.fingerprint)
-        return choose_endpoint(
-            RouteQuery(
-                affinity=call.id.encode(),
-                failure_domain=call.failure_domain or self.failure_domain,
-                exclude=excluded,
-                suspect=call.fingerprint if is_suspect else b"",
-                separated=self._guard.list_separated(),
-            ),
-            self._fleet.views(call.service.id, is_trial=is_trial),
-            now=self._clock.monotonic(),
-        )
-
-    def _route_first(self, call: PlainCall) -> str | None:
-        """Choose the first endpoint; trials go to a new version where possible."""
-        versions = self._fleet.versions
-        if versions.acquire_trial(call.service.id):
-            endpoint_id = self._route(call, set(), is_trial=True)
-            if endpoint_id is not None:
-                return endpoint_id
-            versions.release(call.service.id)
-        return self._route(call, set())
-
-    def _route(
-        self, call: PlainCall, excluded: set[str], *, is_trial: bool = False
-    ) -> str | None:
-        decision = self._choose(call, excluded, is_trial=is_trial)
-        log_decision(
-            "route",
-            request=call.id,
-            choice=decision.endpoint_id,
-            reason=decision.reason,
-            candidates=decision.candidates,
-        )
-        return decision.endpoint_id
-
     def _remaining(self, call: PlainCall) -> timedelta:
         if call.deadline is None:
             return CALL_TIMEOUT
@@ -307,7 +195,7 @@
         call: PlainCall,
         endpoint_id: str,
         before_send: Callable[[], None] | None,
-        retry_state: _RetryState,
+        progress: CallProgress,
     ) -> PlainAnswer:
         """Send the call once and record the result for the endpoint.
 
@@ -319,61 +207,121 @@
         def check_time() -> None:
             nonlocal is_sent
             if self._remaining(call) <= timedelta(0):
-                raise _out_of_time_error(call)
+                raise out_of_time_error(call)
             if before_send is not None:
                 before_send()
             is_sent = True
 
         if self._remaining(call) <= timedelta(0):
-            raise _out_of_time_error(call)
+            raise out_of_time_error(call)
         live = self._fleet.find(endpoint_id)
         self._fleet.send_limits.try_send(live)
         limit = self._remaining(call)
-        failover_task: asyncio.Task[None] | None = None
+        slow_task: asyncio.Task[None] | None = None
         began_at = self._clock.monotonic()
         is_separated = self._guard.is_suspect(call.fingerprint)
         live.enter()
+        open_call = self._fleet.call_times.begin(
+            endpoint_id, service=call.service.id, now=began_at
+        )
+        is_answered = is_superseded = False
         try:
             # Pause-aware, because an answer that arrived while this host was paused is
             # still unread when the timer fires, and the call may not be sent again.
             async with PauseAwareTimeout(limit, clock=self._clock) as scope:
-                if retry_state.sends_left > 1 and call.repeatable and call.patience:
-                    work = self._fail_over_when_slow(
-                        call, endpoint_id, retry_state, scope
-                    )
-                    failover_task = asyncio.create_task(work)
+                if progress.sends_left > 1 and call.repeatable:
+                    work = self._help_when_slow(call, endpoint_id, progress, scope)
+                    slow_task = asyncio.create_task(work)
                 answer = await self._sender.send(call, live, before_send=check_time)
+                is_answered = True
         except AttemptLostError as loss:
             raise await self._handle_loss(
                 call, live, loss, began_at=began_at, is_separated=is_separated
             ) from loss
         except TimeoutError as error:
+            if progress.hedge.answer is not None:
+                is_superseded = True
+                if progress.hedge.answer.status < FAILURE_STATUS:
+                    self._metrics.count(Metric.HEDGES_WON)
+                # Counts as a slow answer of its version.
+                self._record_for_version(call, live, began_at=began_at, failures=0)
+                return progress.hedge.answer
             if not is_sent and self._remaining(call) <= timedelta(0):
-                raise _out_of_time_error(call) from error
+                raise out_of_time_error(call) from error
             loss = lost_call(LossKind.FROZEN, live, error)
             raise await self._handle_loss(
                 call, live, loss, began_at=began_at, is_separated=is_separated
             ) from error
         finally:
             live.leave()
-            if failover_task is not None:
-                failover_task.cancel()
+            now = self._clock.monotonic()
+            self._fleet.call_times.end(
+                open_call, is_timed=is_answered or is_superseded, now=now
+            )
+            if slow_task is not None:
+                slow_task.cancel()
+            progress.hedge.detach()
+        self._fleet.losses.record_present(live)
         self._guard.record_success(call.fingerprint)
         self._fleet.call_failures.record(live, is_fault=answer.status in FAULT_STATUSES)
-        self._fleet.versions.record_answer(
-            live.endpoint,
-            route=call.route,
-            answers=1,
-            failures=int(answer.status >= FAILURE_STATUS),
-            took=self._clock.monotonic() - began_at,
+        self._record_for_version(
+            call, live, began_at=began_at, failures=int(answer.status >= FAILURE_STATUS)
         )
         return answer
 
-    async def _fail_over_when_slow(
+    async def _help_when_slow(
         self,
         call: PlainCall,
         endpoint_id: str,
-        retry_state: _RetryState,
+        progress: CallProgress,
+        scope: PauseAwareTimeout,
+    ) -> None:
+        """Send a second copy of a slow call, or else fail over from it."""
+        excluded = progress.excluded | {endpoint_id}
+        waited = timedelta(0)
+        delay = self._hedging.find_delay(call)
+        if delay is not None and not self._guard.is_suspect(call.fingerprint):
+            await sleep_pause_aware(delay, clock=self._clock)
+            if await self._hedge(call, excluded, progress, scope):
+                return
+            waited = delay
+        if call.patience is not None:
+            await sleep_pause_aware(call.patience - waited, clock=self._clock)
+            await self._fail_over(call, excluded, progress, scope)
+
+    async def _hedge(
+        self,
+        call: PlainCall,
+        excluded: set[str],
+        progress: CallProgress,
+        scope: PauseAwareTimeout,
+    ) -> bool:
+        """Send a second copy of a call, if another endpoint is idle; return whether."""
+        endpoint_id = self.router.choose(call, excluded).endpoint_id
+        if endpoint_id is None or not self._hedging.is_idle(endpoint_id):
+            return False
+        if not await self._acquire_retry(call):
+            return False
+        log_decision(
+            "retry",
+            request=call.id,
+            choice="hedge",
+            reason="the call is slow, and another endpoint is idle",
+            peer=endpoint_id,
+            slow=sorted(excluded),
+        )
+        self._metrics.count(Metric.HEDGES)
+        progress.sends_left -= 1
+        progress.excluded.add(endpoint_id)
+        copy = self._send(call, endpoint_id, None, CallProgress(sends_left=1))
+        progress.hedge.start(copy, on_answer=scope.expire)
+        return True
+
+    async def _fail_over(
+        self,
+        call: PlainCall,
+        excluded: set[str],
+        progress: CallProgress,
         scope: PauseAwareTimeout,
     ) -> None:
         """Abort a call to a slow endpoint once it can fail over to another one.
@@ -381,17 +329,27 @@
         The retry is acquired before the abort. Without a retry or another endpoint,
         the abort would discard the work done so far and the caller would get an error.
         """
-        excluded = retry_state.excluded | {endpoint_id}
 
         async def acquire_failover() -> bool:
-            has_alternative = self._choose(call, excluded).endpoint_id is not None
+            has_alternative = self.router.choose(call, excluded).endpoint_id is not None
             return has_alternative and await self._acquire_retry(call)
 
-        await sleep_pause_aware(call.patience, clock=self._clock)
         await wait_for_retry(acquire_failover, clock=self._clock)
-        retry_state.has_retry = retry_state.needs_new_connection = True
+        progress.has_retry = progress.needs_new_connection = True
         scope.expire()
 
+    def _record_for_version(
+        self, call: PlainCall, live: LiveEndpoint, *, began_at: timedelta, failures: int
+    ) -> None:
+        """Record an answer for the comparison of versions."""
+        self._fleet.versions.record_answer(
+            live.endpoint,
+            route=call.route,
+            answers=1,
+            failures=failures,
+            took=self._clock.monotonic() - began_at,
+        )
+
     async def _handle_loss(
         self,
         call: PlainCall,
@@ -409,7 +367,7 @@
         is_endpoint_unreachable = loss.kind is LossKind.UNREACHABLE
         if loss.kind is LossKind.REPLACED:
             live.record_ended()
-        if loss.has_ended and self._fleet.is_serving(live):
+        if loss.has_ended and self._fleet.losses.is_serving(live):
             self._record_end(call, live, began_at=began_at, is_separated=is_separated)
         if is_endpoint_unreachable or live.unanswered_calls >= MAX_UNANSWERED:
             live.eject(self._clock.monotonic())
@@ -425,12 +383,12 @@
             own_lag=live.longest_own_lag,
         )
         if loss.kind in UNRUN_KINDS:
-            return _not_run_error(loss)
+            return not_run_error(loss)
         if loss.kind is not LossKind.LINK:
             self._fleet.versions.record_answer(
                 live.endpoint, route=call.route, answers=1, failures=1
             )
-        return _unknown_outcome_error(loss)
+        return unknown_outcome_error(loss)
 
     def _record_end(
         self,
@@ -441,54 +399,7 @@
         is_separated: bool,
     ) -> None:
         """Record the crash of an endpoint that reset a call."""
-        self._fleet.record_end(live)
+        self._fleet.losses.record_end(live)
         self._guard.record_end(
             call.fingerprint, live, began_at=began_at, is_separated=is_separated
         )
-
-
-def _select_failure(known: RefusedError | None, new: RefusedError) -> RefusedError:
-    """Return the new error, unless the call may have run according to the known one."""
-    if known is not None and known.failure.outcome is Outcome.UNKNOWN:
-        return known
-    return new
-
-
-def lost_call(kind: LossKind, live: LiveEndpoint, error: Exception) -> AttemptLostError:
-    """Return the error for a call without a complete answer from its endpoint."""
-    detail = str(error) or type(error).__name__
-    return AttemptLostError(kind, step="call", peer=live.endpoint.id, detail=detail)
-
-
-def _out_of_time_error(call: PlainCall) -> RefusedError:
-    return refuse(
-        Code.NO_ENDPOINT,
-        "The caller's time was up before the call could be sent.",
-        status=503,
-        step="send",
-        peer=call.service.id,
-        retry_after=RETRY_AFTER,
-    )
-
-
-def _not_run_error(loss: AttemptLostError) -> RefusedError:
-    return refuse(
-        Code.NO_ENDPOINT,
-        f"The connection failed, or the endpoint rejected the call: {loss.detail}.",
-        status=503,
-        step=CONNECT_STEP if loss.kind is LossKind.UNREACHABLE else "call",
-        peer=loss.peer,
-        retry_after=RETRY_AFTER,
-    )
-
-
-def _unknown_outcome_error(loss: AttemptLostError) -> RefusedError:
-    return refuse(
-        Code.ENDPOINT_LOST,
-        f"The endpoint was lost before it answered: {loss.detail}.",
-        status=504 if loss.kind is LossKind.FROZEN else 502,
-        step="call",
-        peer=loss.peer,
-        outcome=Outcome.UNKNOWN,
-        retry_after=RETRY_AFTER,
-    )
--- a/passtally/plain_handler.py
+++ b/passtally/plain_handler.py
@@ -10,6 +10,7 @@
 from multidict import CIMultiDict
 
 from passtally.api import bad_header, find_service, find_workspace, read_admission
+from passtally.call_errors import lost_call
 from passtally.catalog import Catalog
 from passtally.drain import Drain
 from passtally.fingerprint import fingerprint_of
@@ -17,7 +18,7 @@
 from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Service, ServiceKind, Workspace
 from passtally.outcome import Code, refuse
-from passtally.plain import PlainAnswer, PlainCall, lost_call
+from passtally.plain_call import PlainAnswer, PlainCall
 from passtally.retry import LossKind
 from passtally.unframed_response import UnframedResponse
 
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -7,7 +7,7 @@
 from passtally.endpoint_directives import DirectiveRecorder
 from passtally.fetch import Fetcher
 from passtally.front import Front
-from passtally.http_server import Handle
+from passtally.http_exchange import Handle
 from passtally.object_store import StoredObject
 from passtally.objects import Endpoint
 from passtally.platform.decode import decode_endpoint, decode_routes
--- a/passtally/platform/answer_directives.py
+++ b/passtally/platform/answer_directives.py
@@ -7,11 +7,17 @@
 
 from passtally.endpoint_backoff import MAX_BACKOFF
 from passtally.endpoint_directives import Directive, EndpointDirectives
+from passtally.engine import InstanceLoad
 from passtally.http_client import ResponseHead
 from passtally.platform import names
 
 #: Maximum length of a number of rejections.
 MAX_BRITTLE_DIGITS = 9
+#: Maximum length of a figure of a load.
+MAX_LOAD_DIGITS = 9
+#: Least percentage of the usual time that counts. No machine is ten times as fast as it
+#: usually is.
+MIN_PERCENT = 10
 
 T = TypeVar("T")
 
@@ -48,6 +54,7 @@
         borne=_read(
             head, Directive.BRITTLE, names.BRITTLE, decode_brittle, invalid_by_directive
         ),
+        load=_read(head, Directive.LOAD, names.LOAD, decode_load, invalid_by_directive),
         is_rejection=head.status == 503 and head.header(names.NOT_RUN) is not None,
         invalid_by_directive=invalid_by_directive,
         unknown_headers=tuple(_find_unknown(head)),
@@ -78,6 +85,24 @@
     return int(digits)
 
 
+def decode_load(text: bytes) -> InstanceLoad:
+    """Decode the load that an endpoint reports.
+
+    Raises:
+        ValueError: The text is not three or four whole numbers from 0 on.
+    """
+    figures = [item.strip() for item in text.split(b",")]
+    if len(figures) not in (3, 4) or not all(
+        item.isdigit() and len(item) <= MAX_LOAD_DIGITS for item in figures
+    ):
+        raise ValueError("not a load")
+    running, waiting, slots, *percent = (int(item) for item in figures)
+    slowness = max(percent[0], MIN_PERCENT) / 100 if percent else 1.0
+    return InstanceLoad(
+        running=running, waiting=waiting, slots=slots, slowness=slowness
+    )
+
+
 def decode_leaving(text: bytes) -> bool:
     """Decode the mark of an endpoint that is leaving; return True.
 
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from passtally.http_server import ServerLimits
+from passtally.http_exchange import ServerLimits
 from passtally.objects import UNKNOWN_INCARNATION, Endpoint, EndpointState
 from passtally.routes import (
     CallKind,
@@ -202,7 +202,7 @@
             WorkspaceKeys(
                 workspace=tenant.name,
                 keys=tuple(tenant.api_keys),
-                priority=tenant.priority,
+                rank=tenant.priority,
             )
             for tenant in config.tenants
         ),
@@ -249,7 +249,7 @@
         timeout=_ms(route.timeout_ms),
         target=_ms(route.target_latency_ms),
         max_gap=_ms(route.target_gap_ms) if route.target_gap_ms else None,
-        priority=route.priority,
+        rank=route.priority,
         shares=shares or (ServiceShare(service=route.service, weight=1),),
         max_attempts=max(route.max_attempts, 1),
         is_public=route.public,
--- a/passtally/platform/ingress.py
+++ b/passtally/platform/ingress.py
@@ -8,9 +8,9 @@
 from passtally.front_request import FrontRequest, Prompt
 from passtally.generation import RawCall
 from passtally.http_client import ResponseHead, drop_connection_headers
-from passtally.http_server import Exchange, HttpRequest
+from passtally.http_exchange import Exchange, HttpRequest
 from passtally.outcome import Failure
-from passtally.plain import PlainAnswer
+from passtally.plain_call import PlainAnswer
 from passtally.platform import names
 
 
@@ -91,6 +91,10 @@
         """Mark a stream as complete."""
         await self._exchange.end()
 
+    async def flush(self) -> None:
+        """Wait until nearly all of the answer is sent."""
+        await self._exchange.flush()
+
     def abort(self) -> None:
         """Close the connection, so that the answer can't look complete."""
         self._exchange.abort()
--- a/passtally/platform/names.py
+++ b/passtally/platform/names.py
@@ -29,6 +29,9 @@
 #: Response header: the endpoint falls over if it has to reject more requests than this
 #: in a second for want of room.
 BRITTLE = b"server-brittle"
+#: Response header: the requests that run, wait and have slots at the endpoint, and how
+#: long work takes there in percent of the usual time, joined by commas.
+LOAD = b"x-instance-load"
 #: Response header with status 503: the back-off in seconds that the endpoint asks of
 #: the host whose request it rejected.
 RETRY_AFTER = b"retry-after"
@@ -66,6 +69,7 @@
         LIMIT,
         LEAVING,
         BRITTLE,
+        LOAD,
         RETRY_AFTER,
         WEIGHTS,
     )
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -18,7 +18,7 @@
 )
 from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Endpoint
-from passtally.plain import PlainAnswer, PlainCall
+from passtally.plain_call import PlainAnswer, PlainCall
 from passtally.platform.decode import (
     count_waiting_runs,
     decode_cached_parts,
@@ -33,7 +33,8 @@
 
 #: Maximum size of the answer to a plain call, in bytes.
 MAX_ANSWER_BYTES = 16 << 20
-DEFAULT_PRIORITY = 5
+#: Rank of the least urgent requests at an engine; 0 is the most urgent.
+MAX_ENGINE_RANK = 9
 #: Timeout of copying a run. A copy of 1.8 GB takes 60 to 120 ms, and copies queue for
 #: each other.
 COPY_TIMEOUT = timedelta(seconds=1.5)
@@ -149,6 +150,9 @@
     ) -> "RunnerStream":
         """Resume a run from the replica that this endpoint keeps."""
         extra = [(b"Kv-From", attempt.resume_ref.encode())]
+        if not position:
+            # A replica is used only by a request that states a position.
+            extra.append((b"Last-Event-Id", b"0"))
         return await self._open(request, attempt, position=position, extra=extra)
 
     async def cancel(self, generation_id: str, attempt: int) -> None:
@@ -248,8 +252,9 @@
         headers = [*raw.headers, *extra]
         if position:
             headers.append((b"Last-Event-Id", str(position).encode()))
-        if request.priority != DEFAULT_PRIORITY:
-            headers.append((b"X-Request-Priority", str(request.priority).encode()))
+        rank = request.priority.engine_rank(is_resumed=position > 0)
+        rank_text = str(min(max(rank, 0), MAX_ENGINE_RANK)).encode()
+        headers.append((b"X-Request-Priority", rank_text))
         replica_at = self._find_address(attempt.replica_id)
         if replica_at is not None:
             headers.append((b"X-Kv-Backup", str(replica_at).encode()))
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -23,6 +23,9 @@
 #: are already under way.
 BALANCER_LAG = "2500ms"
 
+#: The entry of the platform's ``contracts`` where callers compete for too little room.
+SCARCE_ROOM = "pressure"
+
 #: The product's settings and the platform's keys that they are read from. The platform
 #: calls a host a "node", the address for callers "front", and the address for other
 #: hosts "control".
@@ -94,6 +97,8 @@
     texts["retry_window"] = values_by_key.get("bounds.budget_window_s", "10") + "s"
     texts["apply_within"] = values_by_key.get("bounds.config_apply_ms", "2000") + "ms"
     texts["balancer_lag"] = BALANCER_LAG
+    contracts = values_by_key.get("contracts", "").split(",")
+    texts["shared_admission"] = "on" if SCARCE_ROOM in contracts else "auto"
     texts["resume_keys"] = resume_keys or f"platform:{_derive_key(values_by_key)}"
     try:
         return check_settings(texts)
--- a/passtally/prefix_finder.py
+++ b/passtally/prefix_finder.py
@@ -64,6 +64,7 @@
         *,
         origin: Origin | None = None,
         exclude: Collection[str] = (),
+        likely: str = "",
     ) -> str | None:
         """Return the id of an endpoint that reports a prompt as cached, or None.
 
@@ -72,6 +73,8 @@
             prompt: Identifies the prompt.
             origin: The origin of the answer that goes on; None if it has no output.
             exclude: Ids of endpoints that are not queried.
+            likely: Id of the endpoint that ran the answer last, which is queried before
+                the others; empty if unknown.
         """
         usable = [
             view
@@ -81,14 +84,19 @@
             and view.id not in exclude
             and self._fleet.is_healthy(view.id)
         ]
+        if any(view.id == likely for view in usable):
+            found = await self._query_all([likely], prompt)
+            if found is not None:
+                return found
         if len(usable) <= MAX_QUERIED:
             return await self._query_all([view.id for view in usable], prompt)
-        local, remote = choose_likely(
+        for endpoint_ids in choose_likely(
             usable, prompt, failure_domain=self.failure_domain
-        )
-        return await self._query_all(local, prompt) or await self._query_all(
-            remote, prompt
-        )
+        ):
+            found = await self._query_all(endpoint_ids, prompt)
+            if found is not None:
+                return found
+        return None
 
     async def _query_all(self, endpoint_ids: Sequence[str], prompt: str) -> str | None:
         """Query endpoints concurrently; return the first with the prompt, or None."""
@@ -143,7 +151,7 @@
 
 def choose_likely(
     views: Sequence[EndpointView], prompt: str, *, failure_domain: str
-) -> tuple[list[str], list[str]]:
+) -> tuple[list[str], list[str], list[str]]:
     """Choose the endpoints that most likely cache a prompt. Pure.
 
     Args:
@@ -152,15 +160,18 @@
         failure_domain: The failure domain of the querying host.
 
     Returns:
-        The endpoint ids in that failure domain, and those in the others.
+        The ids of the most likely endpoints in that failure domain, of those in the
+        others, and of more in that domain, each to be queried if those before do not
+        have the prompt.
     """
     affinity = affinity_of(prompt)
     ranked = sorted(views, key=lambda view: affinity_rank(affinity, view.id))
     ids_by_domain: dict[str, list[str]] = {}
     for view in ranked:
         ids_by_domain.setdefault(view.failure_domain, []).append(view.id)
-    local = ids_by_domain.pop(failure_domain, [])[:MAX_LOCAL_QUERIES]
+    in_domain = ids_by_domain.pop(failure_domain, [])
+    local, further = in_domain[:MAX_LOCAL_QUERIES], in_domain[MAX_LOCAL_QUERIES:]
     remote = [
         name for ids in ids_by_domain.values() for name in ids[:MAX_REMOTE_QUERIES]
     ]
-    return local, remote
+    return local, remote, further[: MAX_QUERIED - len(local) - len(remote)]
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -5,8 +5,6 @@
 from datetime import timedelta
 from typing import Protocol
 
-import attrs
-
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.engine import AttemptLostError, TokenStream
@@ -18,15 +16,13 @@
     TokenEvent,
 )
 from passtally.live_endpoint import LiveEndpoint
+from passtally.pace_meter import PaceMeter
 from passtally.retry import LossKind
 from passtally.stream_guard import StreamGuard
 
 #: Estimated number of characters per token; only used for the budget of resume tokens,
 #: for which an estimate is precise enough.
 CHARACTERS_PER_TOKEN = 4
-#: Engine priority of a resumed answer. Engines run lower numbers first; new requests
-#: have 10 or more.
-RESUME_PRIORITY = 0
 
 
 class Sink(Protocol):
@@ -106,9 +102,15 @@
             max_gap=generation.request.max_gap,
             fingerprint=generation.request.fingerprint,
         )
+        self._pace_meter = PaceMeter(clock=clock)
         self._resume_tokens = 0
         self._prefill_tokens = 0
 
+    @property
+    def pace(self) -> timedelta | None:
+        """The endpoint's time between two outputs; None if it is not known."""
+        return self._pace_meter.pace
+
     @property
     def last_output_at(self) -> timedelta | None:
         """Time of the last output; None before the first."""
@@ -131,7 +133,8 @@
         """
         live = self._live
         self._sink.switch(self._generation, self._attempt)
-        if not attach:
+        # A replica of an answer that has not begun may lack a part of the prompt.
+        if not attach or not self._generation.delivered:
             self._resume_tokens = count_resume_tokens(self._generation)
             self._prefill_tokens = count_prefill_tokens(self._generation)
         live.enter()
@@ -160,6 +163,7 @@
         try:
             async with asyncio.timeout(None) as scope:
                 self._guard.on_loss = lambda: self._start_failover_check(scope)
+                self._attempt.sent_at = self._clock.monotonic()
                 stream = await self._open(attach=attach)
                 self._attempt.begun_at = self._clock.monotonic()
                 self._guard.begun_at = self._attempt.begun_at
@@ -212,8 +216,6 @@
     async def _open(self, *, attach: bool) -> TokenStream:
         generation, engine = self._generation, self._live.engine
         request = generation.request
-        if generation.delivered:
-            request = attrs.evolve(request, priority=RESUME_PRIORITY)
         if attach:
             position = generation.position
             return await engine.attach(request, self._attempt, position=position)
@@ -225,6 +227,7 @@
             self._live.update_report(stream.report)
         while events := await stream.read():
             guard.reads += 1
+            self._pace_meter.record_output(len(events))
             if guard.reads == 1:
                 self._record_first_output()
             if guard.is_kept_waiting:
--- a/passtally/replica.py
+++ b/passtally/replica.py
@@ -12,6 +12,7 @@
 
 from passtally.clock import Clock
 from passtally.decision import log_event
+from passtally.endpoint_check import EndpointCheck
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.generation import Attempt, Generation
@@ -38,6 +39,7 @@
         clock: The clock.
         place: Returns the id of an endpoint for a replica, or empty if none can keep
             it.
+        check: Tells whether the endpoint of the replica is still there.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         fleet: Fleet,
         clock: Clock,
         place: Callable[[], str],
+        check: EndpointCheck,
     ) -> None:
         self._generation = generation
         self._attempt = attempt
@@ -56,6 +59,9 @@
         self._fleet = fleet
         self._clock = clock
         self._place = place
+        self._check = check
+        #: Time of the last check of the replica's endpoint.
+        self._checked_at = clock.monotonic()
         #: The start of the replica's endpoint at which the replica was placed.
         self._replica_start = fleet.start_of(attempt.replica_id)
         #: Time of the last copy; None while the engine itself streams the replica.
@@ -83,13 +89,18 @@
     async def _run(self) -> None:
         while True:
             await self._clock.sleep(CHECK_INTERVAL)
-            if not self._generation.delivered:
+            if not self._has_output:
                 continue
-            if self._is_lost():
+            if self._is_lost() or not await self._is_present():
                 await self._replace()
             elif self._is_due():
                 await self._copy(self._attempt.replica_id)
 
+    @property
+    def _has_output(self) -> bool:
+        """Whether the attempt has output; an engine copies no run in prefill."""
+        return self._generation.position > self._attempt.start_position
+
     async def _replace(self) -> None:
         target = self._place()
         if target:
@@ -97,6 +108,21 @@
         else:
             await self._clock.sleep(FAILED_COPY_DELAY)
 
+    async def _is_present(self) -> bool:
+        """Check the endpoint of the replica if its failure domain was widely lost.
+
+        Other hosts may learn of the end of each endpoint only seconds later, and until
+        then the run has no replica.
+        """
+        live = self._fleet.find(self._attempt.replica_id)
+        if live is None:
+            return False
+        domain, since = live.endpoint.failure_domain, self._checked_at
+        if not self._fleet.losses.domain_losses.widespread_since(domain, since):
+            return True
+        self._checked_at = self._clock.monotonic()
+        return await self._check.is_present(live.endpoint.id)
+
     def _is_due(self) -> bool:
         """Return whether the replica is a copy that has to be renewed."""
         if self._copied_at is None:
@@ -139,6 +165,7 @@
                 lost=attempt.replica_id,
             )
         attempt.replica_id, attempt.replica_ref = target, ref
+        self._checked_at = self._clock.monotonic()
         self._replica_start = start
         self._copied_at = self._clock.monotonic()
 
--- a/passtally/routes.py
+++ b/passtally/routes.py
@@ -11,8 +11,9 @@
 
 import attrs
 
-from passtally.http_server import ServerLimits
+from passtally.http_exchange import ServerLimits
 from passtally.object_store import StoredObject
+from passtally.priority import Priority
 from passtally.store_order import era_of
 
 
@@ -47,7 +48,7 @@
         timeout: Maximum duration of a request in this system.
         target: Target time to the answer, or to a stream's first event.
         max_gap: Target maximum of the pause between two events of a stream.
-        priority: Priority of the requests; 0 is the most urgent.
+        rank: Rank of the requests' priority; 0 is the most urgent.
         shares: The services that serve the requests, with their weights.
         max_attempts: Maximum number of attempts per request.
         is_public: Whether requests need no key.
@@ -61,7 +62,7 @@
     timeout: timedelta
     target: timedelta
     max_gap: timedelta | None = None
-    priority: int = 0
+    rank: int = 0
     shares: tuple[ServiceShare, ...]
     max_attempts: int = 1
     is_public: bool = False
@@ -118,13 +119,13 @@
     Attributes:
         workspace: The workspace's name.
         keys: The keys that authenticate its callers.
-        priority: Priority of its requests, which overrides that of the route; None
+        rank: Rank of its requests' priority, which goes before that of the route; None
             leaves the route's.
     """
 
     workspace: str
     keys: tuple[str, ...]
-    priority: int | None = None
+    rank: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -147,6 +148,7 @@
     _routes_by_host: Mapping[str, Sequence[Route]] = attrs.field(init=False)
     _workspaces_by_key: Mapping[str, WorkspaceKeys] = attrs.field(init=False)
     services_by_id: Mapping[str, ServiceInfo] = attrs.field(init=False)
+    _contended_services: frozenset[str] = attrs.field(init=False)
 
     @_routes_by_host.default
     def _group_routes(self) -> Mapping[str, Sequence[Route]]:
@@ -161,6 +163,25 @@
     def _index_keys(self) -> Mapping[str, WorkspaceKeys]:
         return {key: item for item in self.workspaces for key in item.keys}
 
+    @_contended_services.default
+    def _find_contended(self) -> frozenset[str]:
+        """Return the services that requests of several priorities go to."""
+        one_of_each_rank = {item.rank: item for item in self.workspaces}.values()
+        priorities_by_service: dict[str, set[Priority]] = {}
+        for route in self.routes:
+            priorities = {
+                priority_of(route, workspace)
+                for workspace in one_of_each_rank or (None,)
+            }
+            for share in route.shares:
+                known = priorities_by_service.setdefault(share.service, set())
+                known |= priorities
+        return frozenset(
+            service
+            for service, priorities in priorities_by_service.items()
+            if len(priorities) > 1
+        )
+
     @services_by_id.default
     def _index_services(self) -> Mapping[str, ServiceInfo]:
         return {service.id: service for service in self.services}
@@ -176,12 +197,26 @@
         """Return the workspace that a key belongs to, or None."""
         return self._workspaces_by_key.get(key)
 
+    def has_competing_priorities(self, service_id: str) -> bool:
+        """Return whether requests of different priorities compete for a service."""
+        return service_id in self._contended_services
+
     @property
     def needs_keys(self) -> bool:
         """Whether requests must carry a workspace's key, except on public routes."""
         return bool(self.workspaces)
 
 
+def priority_of(route: Route, workspace: WorkspaceKeys | None) -> Priority:
+    """Return the priority of a request: its workspace's, or else its route's.
+
+    The route's decides between requests whose workspaces are equally urgent.
+    """
+    if workspace is None or workspace.rank is None:
+        return Priority(rank=route.rank, route_rank=route.rank)
+    return Priority(rank=workspace.rank, route_rank=route.rank)
+
+
 @attrs.define(kw_only=True)
 class ActiveRoutes:
     """The set of routes in force on this host.
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -37,6 +37,8 @@
         capacity_tokens: Capacity of its KV memory in tokens; 0 if unknown.
         accepts_requests: Whether its request limit has capacity for a request of this
             host, and it is not in back-off for this host.
+        speed: Its speed beside the others of its service; 1 if it is usual or unknown.
+        is_slow: Whether plain calls take a multiple of their usual time there now.
     """
 
     id: str
@@ -56,6 +58,8 @@
     running_streams: int = 0
     capacity_tokens: int = 0
     accepts_requests: bool = True
+    speed: float = 1.0
+    is_slow: bool = False
 
     @property
     def taken(self) -> int:
@@ -148,6 +152,9 @@
 #: Costs are rounded to multiples of this number of tokens, so that endpoints of nearly
 #: the same cost count as equal.
 COST_STEP_TOKENS = 1_000
+#: What a typical answer takes of an endpoint after its prefill, in prefill tokens. It
+#: counts only where speeds differ.
+DECODE_TOKENS = 10_000
 #: Maximum number of ranked candidates in a decision, for the survey that queries them.
 MAX_RANKED = 4
 #: Maximum number of candidates in the log line of a decision.
@@ -165,13 +172,13 @@
 ) -> RouteDecision:
     """Choose an endpoint for a request.
 
-    Prefers endpoints that are neither ejected nor unstable. Ejected ones are used only
-    if all are ejected, since the fault may then be this host's own. If the KV capacity
-    of all of them is known, the endpoint of the lowest prefill cost is chosen. Else it
-    is chosen by prefix affinity with a bounded load: the prefix gives an order of the
-    endpoints, and the first whose load is not far above the mean is chosen, so that a
-    popular prefix spreads over several. Endpoints of other failure domains are used
-    once the local ones are busy.
+    Prefers endpoints that are neither ejected, unstable nor slow. Ejected ones are used
+    only if all are ejected, since the fault may then be this host's own. If the KV
+    capacity of all of them is known, the endpoint of the lowest prefill cost is chosen.
+    Else it is chosen by prefix affinity with a bounded load: the prefix gives an order
+    of the endpoints, and the first whose load is not far above the mean is chosen, so
+    that a popular prefix spreads over several. Endpoints of other failure domains are
+    used once the local ones are busy.
 
     Args:
         query: The request.
@@ -181,6 +188,7 @@
     allowed = [view for view in endpoints if _is_allowed(view, query)]
     usable = [view for view in allowed if not _is_ejected(view, now)] or allowed
     usable = [view for view in usable if not view.is_unstable] or usable
+    usable = [view for view in usable if not view.is_slow] or usable
     if not usable:
         return RouteDecision(
             endpoint_id=None, candidates=(), reason="no usable endpoint"
@@ -283,6 +291,8 @@
             view.prefill_tokens + query.prompt_tokens * view.running_streams
         )
         tokens = view.prefill_tokens + PREFILL_STALL_SHARE * stalled_tokens
+        if view.speed != 1:
+            tokens = _scale_by_speed(tokens, query, view.speed)
         if view.failure_domain != query.failure_domain:
             tokens += REMOTE_DOMAIN_TOKENS
         overflow = view.kv_tokens + query.tokens - view.capacity_tokens
@@ -305,6 +315,17 @@
     )
 
 
+def _scale_by_speed(tokens: float, query: RouteQuery, speed: float) -> float:
+    """Return the cost at an endpoint that is faster or slower than usual.
+
+    All that a request takes until its answer is complete counts: the prompts before it,
+    its own, and its output. The cost at an endpoint of usual speed is without the last
+    two, so they are taken off again.
+    """
+    own_tokens = query.prompt_tokens + DECODE_TOKENS
+    return (tokens + own_tokens) / speed - own_tokens
+
+
 def _reserve_for_suspects(
     query: RouteQuery, usable: Sequence[EndpointView]
 ) -> set[str]:
--- a/passtally/send_limits.py
+++ b/passtally/send_limits.py
@@ -12,6 +12,7 @@
     EndpointDirectives,
     InvalidDirectiveLog,
 )
+from passtally.engine import InstanceLoad
 from passtally.live_endpoint import LiveEndpoint
 from passtally.messages import BrittleRow
 from passtally.objects import EndpointStart, EndpointState
@@ -31,6 +32,7 @@
         find: Returns the state of an endpoint, or None if it is unknown.
         start_of: Returns the last known start of an endpoint.
         on_changed: Called when other hosts are to learn of a change.
+        on_load: Called with the id of an endpoint and the load that it reports.
         requests: The request limits that endpoints set.
         backoffs: The back-offs that endpoints request.
         brittle: The limits at brittle endpoints.
@@ -45,6 +47,7 @@
         find: Callable[[str], LiveEndpoint | None],
         start_of: Callable[[str], EndpointStart],
         on_changed: Callable[[], None],
+        on_load: Callable[[str, InstanceLoad], None],
         requests: RequestLimits,
         backoffs: EndpointBackoffs,
         brittle: BrittleEndpoints,
@@ -58,6 +61,7 @@
         self._departures = departures
         self._find = find
         self._on_changed = on_changed
+        self._on_load = on_load
         self._invalid_directives = InvalidDirectiveLog()
 
     def record_directives(
@@ -70,6 +74,8 @@
         """Apply the directives of an answer; see :class:`DirectiveRecorder`."""
         now = self._clock.monotonic()
         self._invalid_directives.record(start.endpoint_id, directives)
+        if directives.load is not None:
+            self._on_load(start.endpoint_id, directives.load)
         if directives.is_leaving:
             self._departures.record(start, channel="its answers")
         if Directive.RETRY_AFTER not in directives.invalid_by_directive:
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable, Mapping
 from datetime import timedelta
+from enum import StrEnum
 from ipaddress import ip_address
 from typing import Any
 from urllib.parse import urlsplit
@@ -161,6 +162,25 @@
     return number
 
 
+class Switch(StrEnum):
+    """For which services a part of the system is in use."""
+
+    #: Those whose configuration or endpoints call for it.
+    AUTO = "auto"
+    #: All that allow it.
+    ON = "on"
+    #: None.
+    OFF = "off"
+
+
+def parse_switch(text: str) -> Switch:
+    """Parse ``auto``, ``on`` or ``off``."""
+    try:
+        return Switch(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not one of auto, on and off") from None
+
+
 def parse_path_or_dash(text: str) -> str:
     """Parse a file's path, or ``-`` for standard output."""
     if not text:
@@ -283,6 +303,44 @@
         "The time within which a change of configuration must be in force.",
         "2s",
     )
+    shared_admission: Switch = _setting(
+        parse_switch,
+        "The services whose engines' memory all hosts share out by priority and"
+        " workspace: auto for those where priorities compete, on for all, off for"
+        " none.",
+        "auto",
+    )
+    hedging: Switch = _setting(
+        parse_switch,
+        "The services whose slow calls get a second copy at an idle endpoint, if they"
+        " may run more than once: auto for those whose endpoints report their load, on"
+        " for all, off for none.",
+        "auto",
+    )
+    max_bodies: int = _setting(
+        parse_count,
+        "The maximum size of all request bodies that the host holds, in bytes; further"
+        " requests are refused.",
+        "268435456",
+    )
+    max_unread: int = _setting(
+        parse_count,
+        "The output of a stream, in bytes, that is kept for a caller that reads slowly;"
+        " beyond it the endpoint waits.",
+        "1048576",
+    )
+    max_unread_total: int = _setting(
+        parse_count,
+        "The output that all callers of the host may leave unread, in bytes; beyond it"
+        " the streams with most unread output are aborted.",
+        "33554432",
+    )
+    unread_timeout: timedelta = _setting(
+        parse_duration,
+        "The time after which a stream is aborted if its endpoint waits and its caller"
+        " has read nothing.",
+        "30s",
+    )
     statsd: Address | None = _setting(
         parse_optional_address,
         "The address to which metrics are sent by statsd, as IP:PORT; empty for none.",
--- a/passtally/survey.py
+++ b/passtally/survey.py
@@ -13,6 +13,7 @@
 from passtally.decision import log_event
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
+from passtally.live_endpoint import LiveEndpoint
 from passtally.retry import LossKind
 
 #: Maximum number of endpoints queried per prompt. With two thirds of them idle,
@@ -46,7 +47,9 @@
         self._fleet = fleet
         self._is_needed = is_needed
 
-    async def choose(self, ranked: Sequence[str]) -> SurveyResult:
+    async def choose(
+        self, ranked: Sequence[str], *, prompt_tokens: int = 0
+    ) -> SurveyResult:
         """Return the candidate with the fewest waiting runs.
 
         Candidates are queried in order until one has none waiting. One that does not
@@ -55,34 +58,35 @@
 
         Args:
             ranked: The candidates' ids, the best first.
+            prompt_tokens: Number of tokens of the prompt. The waiting prompts are
+                assumed to be as long.
         """
         waiting_by_id: dict[str, int] = {}
         if not self._is_needed():
             return SurveyResult(endpoint_id=ranked[0], waiting_by_id=waiting_by_id)
         for endpoint_id in ranked[:MAX_QUERIED]:
-            waiting = await self._count_waiting(endpoint_id)
+            live = self._fleet.find(endpoint_id)
+            waiting = None if live is None else await self._count_waiting(live)
             if waiting is not None:
+                live.record_waiting(waiting * prompt_tokens)
                 waiting_by_id[endpoint_id] = waiting
             if waiting == 0:
                 break
         best = min(waiting_by_id, key=waiting_by_id.__getitem__, default=ranked[0])
         return SurveyResult(endpoint_id=best, waiting_by_id=waiting_by_id)
 
-    async def _count_waiting(self, endpoint_id: str) -> int | None:
-        live = self._fleet.find(endpoint_id)
-        if live is None:
-            return None
+    async def _count_waiting(self, live: LiveEndpoint) -> int | None:
         try:
             waiting = await live.engine.count_waiting()
         except AttemptLostError as loss:
             log_event(
                 "survey",
                 "Waiting runs could not be counted.",
-                peer=endpoint_id,
+                peer=live.endpoint.id,
                 why=loss,
             )
             if loss.kind is LossKind.REPLACED:
-                self._fleet.record_replaced(live, loss.successor)
+                self._fleet.losses.record_replaced(live, loss.successor)
             return None
         # The report may be older than the last runs that this host started there.
         return max(waiting, live.waiting_streams)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from soak.caller import Caller
 from soak.evidence import APPLY_SECONDS, MARGIN_SECONDS, Evidence
 from soak.faults import FaultInjector
+from soak.load import LoadFaultInjector
 from soak.requests import RequestFaultInjector
 from soak.settings_changes import SettingsFaultInjector
 from soak.starts import StartFaultInjector
@@ -47,6 +48,8 @@
         words: Whether to let endpoints announce in their answers that they leave or
             ask for back-off, and to restore the store from older copies.
         versions: Whether endpoints of two software versions serve.
+        load: Whether workspaces of two priorities compete, one of which floods the
+            engines at times, and endpoints are slow at times.
     """
 
     seed: int
@@ -57,13 +60,18 @@
     requests: bool = True
     words: bool = True
     versions: bool = True
+    load: bool = True
 
 
 async def play(setup: Setup, folder: Path, evidence: Evidence) -> None:
     """Run one seed and check the promises."""
     rng = random.Random(setup.seed)
     world = World(
-        folder=folder, evidence=evidence, rng=rng, has_versions=setup.versions
+        folder=folder,
+        evidence=evidence,
+        rng=rng,
+        has_versions=setup.versions,
+        has_priorities=setup.load,
     )
     tasks: list[asyncio.Task[None]] = []
     try:
@@ -111,9 +119,15 @@
     words = DirectiveFaultInjector(world=world, evidence=evidence, rng=own_rng)
     if setup.words:
         series.append(words.run(setup.seconds))
+    own_rng = random.Random(f"load of {setup.seed}")
+    load = LoadFaultInjector(world=world, evidence=evidence, rng=own_rng)
+    if setup.load:
+        series.append(load.run(setup.seconds))
     await asyncio.gather(*series)
     await asyncio.sleep(SETTLE_SECONDS)
     words.judge()
+    if setup.load:
+        await load.flood_in_quiet()
     if setup.starts:
         await starts.stop_in_quiet()
 
@@ -236,6 +250,11 @@
     default=True,
     help="Serve with endpoints of two software versions.",
 )
+@click.option(
+    "--load/--no-load",
+    default=True,
+    help="Flood the engines with routine streams, and make endpoints slow.",
+)
 @click.option("--jobs", type=int, default=1, help="Number of seeds to run at a time.")
 def main(
     seed: int | None,
@@ -248,6 +267,7 @@
     requests: bool,
     words: bool,
     versions: bool,
+    load: bool,
     jobs: int,
 ) -> None:
     """Run seeds of the soak; exit with 1 if a promise was broken."""
@@ -262,6 +282,7 @@
         requests=requests,
         words=words,
         versions=versions,
+        load=load,
     )
     if seed is not None:
         sys.exit(0 if play_seed(setup) else 1)
@@ -285,6 +306,7 @@
     command.append("--requests" if setup.requests else "--no-requests")
     command.append("--words" if setup.words else "--no-words")
     command.append("--versions" if setup.versions else "--no-versions")
+    command.append("--load" if setup.load else "--no-load")
     done = subprocess.run(command, capture_output=True, text=True)
     print(done.stdout + done.stderr, end="", flush=True)
     return done.returncode == 0
