--- a/soak/caller.py
+++ b/soak/caller.py
@@ -81,7 +81,8 @@
         evidence: The record for its tries and requests.
         rng: The generator of its choices: hosts, delays, disconnects.
         events: Number of events in a complete stream.
-        leaves: Whether it leaves some requests before the end.
+        disconnects: Whether it leaves some requests before the end.
+        key: The key of its workspace.
     """
 
     def __init__(
@@ -93,8 +94,10 @@
         rng: random.Random,
         events: int,
         disconnects: bool = True,
+        key: str = KEY,
     ) -> None:
         self._disconnects = disconnects
+        self._key = key
         self._kind = kind
         self._addresses_by_host = addresses_by_host
         self._evidence = evidence
@@ -200,7 +203,7 @@
         headers = [
             ("Host", "shop.example"),
             ("X-Request-Id", request_id),
-            ("X-Key", KEY),
+            ("X-Key", self._key),
             ("X-Deadline-Ms", str(int(ANSWER_TIMEOUT_SECONDS * 1000))),
             ("Content-Length", "0"),
         ]
--- a/soak/world.py
+++ b/soak/world.py
@@ -24,7 +24,7 @@
     LoopbackNetwork,
 )
 from standins.object_store import ObjectStoreStandIn, StoreCopy
-from standins.platform_config import ENGINE, LOOKUPS, make_config
+from standins.platform_config import ENGINE, KEY, LOOKUPS, WORKSPACE, make_config
 from standins.runner import RunnerStandIn
 
 #: Number of events in a stream and the interval between them, in seconds; a complete
@@ -41,6 +41,11 @@
 RESTART_DELAY_SECONDS = 1.0
 #: Interval between checks of the hosts, in seconds.
 HOST_POLL_SECONDS = 0.05
+#: Workspace of a lower priority than that of the usual callers, and its key.
+ROUTINE_WORKSPACE, ROUTINE_KEY = "lova12", "ylv0nq5ka3x8wz7h2e4t"
+#: Memory of an engine in tokens if workspaces compete for it: three streams of 600
+#: tokens with their replicas.
+SMALL_CAPACITY = 3_600
 #: Part of the name of the metric with the configuration version in force.
 VERSION_METRIC = "config_version"
 
@@ -115,6 +120,8 @@
         evidence: The record of the run.
         rng: The generator of endpoint names and configuration versions.
         has_versions: Whether endpoints of two software versions serve.
+        has_priorities: Whether workspaces of two priorities compete for engines with
+            little memory.
     """
 
     def __init__(
@@ -124,6 +131,7 @@
         evidence: Evidence,
         rng: random.Random,
         has_versions: bool = True,
+        has_priorities: bool = False,
     ) -> None:
         self.store = ObjectStoreStandIn()
         self.hosts_by_name: dict[str, HostProcess] = {}
@@ -133,6 +141,7 @@
         self.evidence = evidence
         evidence.streams.count_endpoints = self._count_engines
         self._has_versions = has_versions
+        self._has_priorities = has_priorities
         self._rng = rng
         self._network: LoopbackNetwork | None = None
         #: Callback for each endpoint that a request crashed, with its place.
@@ -146,7 +155,7 @@
 
     async def start(self, *, hosts: int, engines: int, lookups: int) -> None:
         """Start the store, endpoints and hosts, without waiting for readiness."""
-        self.store.put("config", "main", make_config(self.version))
+        self._put_config()
         store_port = await self.store.start()
         for number in range(engines + lookups):
             service = ENGINE if number < engines else LOOKUPS
@@ -263,7 +272,7 @@
         Puts the current configuration and endpoint entries, and removes entries of
         the copy whose endpoints no longer run.
         """
-        self.store.put("config", "main", make_config(self.version))
+        self._put_config()
         places = [place for place in self.places if place.runner is not None]
         for place in places:
             self.put_entry(place, state=place.state)
@@ -292,7 +301,18 @@
     def change_config(self) -> None:
         """Publish a new configuration version, 1 to 5 above the last one."""
         self.version += self._rng.randint(1, 5)
-        self.store.put("config", "main", make_config(self.version))
+        self._put_config()
+
+    def _put_config(self) -> None:
+        config = make_config(self.version)
+        if self._has_priorities:
+            config["tenants"] = [
+                {"name": WORKSPACE, "api_keys": [KEY], "priority": 0},
+                {"name": ROUTINE_WORKSPACE, "api_keys": [ROUTINE_KEY], "priority": 2},
+            ]
+            engine = config["services"][0]["engine"]
+            engine["kv_capacity_tokens"] = SMALL_CAPACITY
+        self.store.put("config", "main", config)
 
     async def read_version(self, host: HostProcess) -> int | None:
         """Return the version in force from a host's metrics; None if unreachable."""
--- a/standins/fake_engine.py
+++ b/standins/fake_engine.py
@@ -128,7 +128,7 @@
     async def _produce(
         self, request: GenerationRequest, prior: int
     ) -> AsyncIterator[list[TokenEvent]]:
-        await self._enter_batch(request.priority)
+        await self._enter_batch(request.priority.engine_rank(is_resumed=bool(prior)))
         try:
             await self._prefill(request, prior)
             for position in range(prior, request.max_tokens):
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -1,6 +1,8 @@
 """Stand-in for an endpoint: plain calls, and streams with replicas."""
 
 import asyncio
+import heapq
+import itertools
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 from contextlib import asynccontextmanager
@@ -13,6 +15,8 @@
 
 #: Value of X-Response-Stamp, the proof that the endpoint ran the request.
 PROOF = "3e1b.07.5a2.600.0.c9f2a4d1"
+#: Rank of a request that states none; lower ones run first.
+DEFAULT_RANK = 5
 
 
 @attrs.define(kw_only=True)
@@ -50,6 +54,8 @@
             set, every request is rejected.
         slots: Number of requests that run at a time, or None for any number.
         queue: Number of further requests that wait; others are rejected.
+        slowness_percent: Fourth figure of the X-Instance-Load header of responses, or
+            None for no such header.
         brittle: Server-Brittle header of responses, or None. An endpoint with a number
             there that rejects more requests in a second crashes.
     """
@@ -82,6 +88,7 @@
     slots: int | None = None
     queue: int = 0
     brittle: str | None = None
+    slowness_percent: int | None = None
 
 
 class RunnerStandIn:
@@ -131,6 +138,8 @@
         self.reports = 0
         self._running = 0
         self._slot_freed = asyncio.Condition()
+        self._waiting: list[tuple[int, int]] = []
+        self._arrivals = itertools.count()
         #: Times of the rejections in the last second, by the event loop's clock.
         self._rejected_at: list[float] = []
         self.address = ""
@@ -145,8 +154,8 @@
         self._site: web.TCPSite | None = None
         self._crash_task: asyncio.Task[None] | None = None
 
-    async def start(self) -> str:
-        """Listen on a free loopback port and return the address."""
+    async def start(self, port: int = 0) -> str:
+        """Listen on a loopback port, a free one if it is 0, and return the address."""
         app = web.Application()
         app.router.add_post("/api/kv-move", self._copy)
         app.router.add_delete("/api/kv-handle/{handle}", self._drop)
@@ -157,7 +166,7 @@
             app, access_log=None, shutdown_timeout=0.05, handler_cancellation=True
         )
         await self._runner.setup()
-        self._site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        self._site = web.TCPSite(self._runner, "127.0.0.1", port)
         await self._site.start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
@@ -217,7 +226,8 @@
             return self._reject_for_lack_of_room()
         self.working += 1
         try:
-            async with self._slot():
+            rank = int(request.headers.get("X-Request-Priority", DEFAULT_RANK))
+            async with self._slot(rank):
                 return await self._run(request, body)
         finally:
             self.working -= 1
@@ -232,19 +242,34 @@
         return await self._call(request)
 
     @asynccontextmanager
-    async def _slot(self) -> AsyncIterator[None]:
-        """Wait for a slot, and hold it."""
+    async def _slot(self, rank: int) -> AsyncIterator[None]:
+        """Wait for a slot, in the order of the ranks and of arrival, and hold it."""
+        place = (rank, next(self._arrivals))
         async with self._slot_freed:
-            await self._slot_freed.wait_for(
-                lambda: self.faults.slots is None or self._running < self.faults.slots
-            )
-            self._running += 1
+            heapq.heappush(self._waiting, place)
+            try:
+                await self._slot_freed.wait_for(lambda: self._is_next(place))
+                self._running += 1
+            finally:
+                self._waiting.remove(place)
+                heapq.heapify(self._waiting)
+                self._slot_freed.notify_all()
         try:
             yield
         finally:
             self._running -= 1
             async with self._slot_freed:
-                self._slot_freed.notify()
+                self._slot_freed.notify_all()
+
+    @property
+    def busy_slots(self) -> int:
+        """The number of requests that run now, without those that wait."""
+        return self._running
+
+    def _is_next(self, place: tuple[int, int]) -> bool:
+        slots = self.faults.slots
+        has_slot = slots is None or self._running < slots
+        return has_slot and self._waiting[0] == place
 
     def _reject_for_lack_of_room(self) -> web.Response:
         """Reject a request; a brittle endpoint crashes after too many in a second."""
@@ -267,9 +292,22 @@
             "Server-Limit": self.faults.limit,
             "Server-Leaving": self.faults.leaving,
             "Server-Brittle": self.faults.brittle,
+            "X-Instance-Load": self._load(),
         }
         return {name: value for name, value in directives.items() if value is not None}
 
+    def _load(self) -> str | None:
+        """Return the load that responses report, or None."""
+        if self.faults.slowness_percent is None:
+            return None
+        figures = (
+            self._running,
+            len(self._waiting),
+            self.faults.slots or 0,
+            self.faults.slowness_percent,
+        )
+        return ",".join(map(str, figures))
+
     def _headers(self, request: web.Request) -> dict[str, str]:
         request_id = request.headers["X-Request-Id"]
         headers = {"X-Request-Id": "other" if self.faults.other_id else request_id}
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -10,7 +10,9 @@
 from passtally.member_table import MemberTable
 from passtally.membership import Gossip
 from passtally.messages import Hello, MemberRow
+from passtally.objects import EndpointStart
 from passtally.peers import PeerError
+from passtally.reported_exits import ReportedExits
 from passtally.roster import Roster
 from passtally.settings import Address, PeerAddress, parse_address
 from standins.virtual import VirtualClock
@@ -161,12 +163,17 @@
         self.links = Links(fleet=fleet, host_id=own.host_id)
         self.table = MemberTable(own=own)
         self.departures = Departures()
+        self.own_exits: set[EndpointStart] = set()
+        #: Exits of endpoints heard from other hosts.
+        self.heard_exits: list[EndpointStart] = []
+        self.exits = ReportedExits(clock=fleet.clock, on_exit=self.heard_exits.append)
         self.gossip = Gossip(
             table=self.table,
             peers=self.links,
             clock=fleet.clock,
             rng=random.Random(own.host_id),
             departures=self.departures,
+            exits=self.exits,
         )
         seeds = [parse_address(item.address) for item in fleet.rows[: fleet.SEEDS]]
         self.roster = Roster(
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -2,58 +2,22 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
-from typing import Any
-
-import msgspec
+from collections.abc import Sequence
 
 from passtally.generation import Generation, GenerationRequest
-from passtally.message_signing import MAC_BYTES
-from passtally.messages import MemberRow, Message
+from passtally.messages import MemberRow
 from passtally.metrics import NoMetrics
 from passtally.objects import Endpoint, Service, ServiceKind
-from passtally.origin import Origin, OriginRule
+from passtally.origin import KnownAnswer, Origin, OriginRule
 from passtally.origin_exchange import OriginExchange, UnknownOriginError
-from passtally.settings import Address, parse_address
+from tests.datagram_network import DatagramNetwork
 from tests.fakes import make_catalog
-from tests.gossip_fleet import Fleet, Node
+from tests.gossip_fleet import Fleet
 
 WORKSPACE, SERVICE = "w", "s"
 VERSIONS = ("v1", "v2")
 
 
-class FakeDatagrams:
-    """A host's datagrams, in place of :class:`passtally.datagrams.Datagrams`."""
-
-    def __init__(self, *, fleet: "OriginFleet", node: Node) -> None:
-        self.messages_sent = 0
-        self.bytes_sent = 0
-        self.receivers_by_type: dict[type, Callable[[Any, Address], None]] = {}
-        self._fleet = fleet
-        self._node = node
-        self._own = parse_address(node.table.own.address)
-
-    def listen(self, kind: type, receive: Callable[[Any, Address], None]) -> None:
-        self.receivers_by_type[kind] = receive
-
-    def send(self, addresses: Sequence[Address], message: Message) -> None:
-        size = 1 + MAC_BYTES + len(msgspec.msgpack.encode(message))
-        for address in addresses:
-            self.messages_sent += 1
-            self.bytes_sent += size
-            asyncio.get_running_loop().call_later(
-                Fleet.DELAY, self._deliver, address, message
-            )
-
-    def _deliver(self, address: Address, message: Message) -> None:
-        gossip = self._fleet.gossip
-        node = gossip.nodes_by_address.get(str(address))
-        if node is None or not gossip._passes(self._node.id, node.id):
-            return
-        receivers = self._fleet.datagrams_by_id[node.id].receivers_by_type
-        receivers[type(message)](message, self._own)
-
-
 class OriginFleet:
     """Hosts with gossip, and before them endpoints of some software versions."""
 
@@ -67,7 +31,7 @@
     ) -> None:
         self.gossip = Fleet(hosts=hosts, domains=domains, loss=loss)
         self.rng = random.Random(hosts)
-        self.datagrams_by_id: dict[str, FakeDatagrams] = {}
+        self.network = DatagramNetwork(self.gossip)
         self.exchanges_by_id: dict[str, OriginExchange] = {}
         self.is_current = True
         self.catalog = make_catalog(
@@ -89,10 +53,9 @@
         self.gossip.start(rows, life=life)
         for row in rows:
             node = self.gossip.nodes_by_address[row.address]
-            self.datagrams_by_id[node.id] = FakeDatagrams(fleet=self, node=node)
             exchange = OriginExchange(
                 members=node.roster,
-                datagrams=self.datagrams_by_id[node.id],
+                datagrams=self.network.add(node),
                 catalog=self.catalog,
                 rule=OriginRule(catalog=self.catalog),
                 clock=self.gossip.clock,
@@ -109,10 +72,19 @@
         for row in rows:
             del self.exchanges_by_id[row.host_id]
 
-    def begin(self, host_id: str, request_id: str) -> str:
+    def begin(self, host_id: str, request_id: str, *, version: str = "") -> str:
         """Begin a stream at a host, as before its first event; return its version."""
-        version = self.rng.choice(VERSIONS)
-        generation = Generation(
+        version = version or self.rng.choice(VERSIONS)
+        generation = self.make_generation(request_id, version)
+        exchange = self.exchanges_by_id[host_id]
+        with exchange.running(generation, first_id=request_id) as answer:
+            generation.start_attempt(f"e{VERSIONS.index(version)}")
+            exchange.tell(answer)
+        return version
+
+    def make_generation(self, request_id: str, version: str) -> Generation:
+        """Return an answer that began at a version."""
+        return Generation(
             request=GenerationRequest(
                 id=request_id,
                 workspace=WORKSPACE,
@@ -123,23 +95,26 @@
             ),
             origin=Origin(software=version),
         )
-        exchange = self.exchanges_by_id[host_id]
-        with exchange.running(generation, first_id=request_id) as answer:
-            exchange.tell(answer)
-        return version
 
     async def find(self, host_id: str, first_id: str) -> str | None:
         """Return the version that a host finds for a stream, or None."""
+        known = await self.find_answer(host_id, first_id)
+        return None if known is None else known.origin.software
+
+    async def find_answer(
+        self, host_id: str, first_id: str, *, prompt: str = ""
+    ) -> KnownAnswer | None:
+        """Return what a host finds for a stream, or None."""
         try:
-            origin = await self.exchanges_by_id[host_id].find(
+            return await self.exchanges_by_id[host_id].find(
                 workspace=WORKSPACE,
                 service=SERVICE,
                 first_id=first_id,
                 request_id=f"{first_id}-again",
+                prompt=prompt,
             )
         except UnknownOriginError:
             return None
-        return origin.software
 
     async def count_known(
         self, versions_by_id: dict[str, str], hosts: Sequence[str]
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -25,6 +25,10 @@
 _port_numbers = itertools.count(random.Random(os.getpid()).randrange(PORTS))
 
 
+class UnreachableHostError(ConnectionError):
+    """A host did not accept a caller's connection."""
+
+
 @attrs.frozen(kw_only=True)
 class Answer:
     """The answer that a caller received.
@@ -53,11 +57,17 @@
         self._store_port = 0
 
     async def add_runner(
-        self, name: str, service: str = ENGINE, *, zone: str = "pilar", **fields: Any
+        self,
+        name: str,
+        service: str = ENGINE,
+        *,
+        zone: str = "pilar",
+        port: int = 0,
+        **fields: Any,
     ) -> RunnerStandIn:
-        """Start an endpoint and put its entry into the store."""
+        """Start an endpoint, at a free port if it is 0, and put its entry."""
         runner = RunnerStandIn(name, find=self._find, **fields)
-        await runner.start()
+        await runner.start(port)
         self.runners[name] = runner
         self.store.put("servers", name, runner.entry(service, zone=zone))
         return runner
@@ -137,11 +147,21 @@
         body: bytes = b"",
         host: FrontHost | None = None,
         key: str | None = KEY,
+        on_body: Callable[[], None] = lambda: None,
         **headers: str,
     ) -> Answer:
-        """Send one request and read its answer to the end."""
+        """Send one request and read its answer to the end.
+
+        ``on_body`` is called when the first byte after the head has arrived.
+
+        Raises:
+            UnreachableHostError: If the host does not accept the connection.
+        """
         address = (host or self.hosts[0]).settings.listen
-        reader, writer = await asyncio.open_connection(address.host, address.port)
+        try:
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+        except ConnectionError as error:
+            raise UnreachableHostError(str(error)) from error
         lines = {"Host": "shop.example", "Connection": "close"}
         lines["X-Request-Id"] = f"q{next(self._numbers)}"
         if key is not None:
@@ -152,7 +172,7 @@
         head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
         writer.write(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
         try:
-            return await asyncio.wait_for(_read_answer(reader), 20)
+            return await asyncio.wait_for(_read_answer(reader, on_body), 20)
         finally:
             writer.close()
 
@@ -207,12 +227,17 @@
     return ports
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> Answer:
+async def _read_answer(
+    reader: asyncio.StreamReader, on_body: Callable[[], None]
+) -> Answer:
     received = b""
-    is_reset = False
+    is_reset = has_body = False
     try:
         while data := await reader.read(65536):
             received += data
+            if not has_body and received.partition(b"\r\n\r\n")[2]:
+                has_body = True
+                on_body()
     except ConnectionResetError:
         is_reset = True
     head, _, rest = received.partition(b"\r\n\r\n")
--- a/tests/replica_world.py
+++ b/tests/replica_world.py
@@ -53,6 +53,7 @@
         self.replaced_by = ""
         self.waiting_runs = 0
         self.cached_prompts: set[str] = set()
+        self.prompt_queries = 0
         self.replicas: set[str] = set()
         self.copies = 0
         self.streams: list[ReplicaStream] = []
@@ -90,6 +91,7 @@
         return self.waiting_runs
 
     async def list_cached_prompts(self) -> tuple[str, ...]:
+        self.prompt_queries += 1
         self._check()
         return tuple(self.cached_prompts)
 
@@ -297,6 +299,7 @@
         max_gap: timedelta | None = None,
         origin: Origin | None = None,
         stream_endpoint_id: str = "",
+        holder_id: str = "",
     ) -> asyncio.Task[None]:
         self._watch = asyncio.create_task(self.fleet.watch_silence())
         request = GenerationRequest(
@@ -307,7 +310,6 @@
             prompt="p1",
             max_tokens=700,
             prompt_tokens=5_000,
-            priority=5,
             max_attempts=max_attempts,
             max_gap=max_gap,
             deadline=time_left and self.clock.monotonic() + time_left,
@@ -319,6 +321,7 @@
             delivered=position,
             origin=origin,
         )
+        generation.holder_id = holder_id
         self.task = asyncio.create_task(
             self.dispatcher.run(
                 generation, self.sink, stream_endpoint_id=stream_endpoint_id
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,21 +11,22 @@
 from passtally.admission import (
     AdmissionLimits,
     AdmissionQueue,
-    AdmissionRequest,
-    RequestClass,
     Verdict,
 )
-from passtally.fleet import Capacity
+from passtally.admission_request import AdmissionRequest, RequestClass
+from passtally.capacity import Capacity
 from passtally.gate import Gate
 from passtally.objects import EndpointState
 from passtally.outcome import Code, Outcome, RefusedError
 from passtally.retry_budget import MAX_SAVED, RetryBudgets
+from passtally.room import LocalRoom
 from passtally.routing import (
     RESUME_BUDGET,
     EndpointView,
     RouteQuery,
     choose_endpoint,
 )
+from passtally.text_metrics import TextMetrics
 from standins.virtual import VirtualClock, run_virtually
 
 NOW = timedelta(0)
@@ -45,24 +46,40 @@
     return AdmissionQueue(limits=AdmissionLimits(**options))
 
 
+def at_load(queue: AdmissionQueue, load: float, now: timedelta = NOW) -> LocalRoom:
+    limits = AdmissionLimits()
+    return LocalRoom(
+        load=load,
+        busy_load=limits.busy_load,
+        job_load=limits.job_load,
+        shares_by_workspace=queue.active_shares(now),
+    )
+
+
+def submit(queue: AdmissionQueue, request: AdmissionRequest, *, load, now=NOW):
+    # A new request makes its workspace active before the room is looked at.
+    queue.record_arrival(request, now=now)
+    return queue.submit(request, room=at_load(queue, load, now), now=now)
+
+
 class TestAdmissionQueue:
     def test_free_capacity_admits_at_once(self):
-        decision, waiting = make_queue().submit(make_request(), load=0.5, now=NOW)
+        decision, waiting = submit(make_queue(), make_request(), load=0.5)
         assert (decision.verdict, waiting) == (Verdict.ADMIT, None)
 
     def test_jobs_wait_while_lookups_are_still_admitted(self):
         queue = make_queue()
-        job, _ = queue.submit(make_request(name="job"), load=0.75, now=NOW)
-        lookup, _ = queue.submit(make_request(name="lookup"), load=0.75, now=NOW)
+        job, _ = submit(queue, make_request(name="job"), load=0.75)
+        lookup, _ = submit(queue, make_request(name="lookup"), load=0.75)
         assert (job.verdict, lookup.verdict) == (Verdict.QUEUE, Verdict.ADMIT)
 
     def test_a_workspace_above_its_share_leaves_the_last_capacity_to_others(self):
         queue = make_queue()
         for _ in range(20):
-            queue.submit(make_request("large"), load=0.5, now=NOW)
-        queue.submit(make_request("small"), load=0.5, now=NOW)
-        large, _ = queue.submit(make_request("large"), load=0.9, now=NOW)
-        small, _ = queue.submit(make_request("small"), load=0.9, now=NOW)
+            submit(queue, make_request("large"), load=0.5)
+        submit(queue, make_request("small"), load=0.5)
+        large, _ = submit(queue, make_request("large"), load=0.9)
+        small, _ = submit(queue, make_request("small"), load=0.9)
         assert (large.verdict, small.verdict) == (Verdict.QUEUE, Verdict.ADMIT)
 
     def test_classes_are_admitted_in_order_and_workspaces_take_turns(self):
@@ -74,8 +91,10 @@
             ("b", "interactive"),
             ("b", "lookup"),
         ):
-            queue.submit(make_request(workspace, name), load=1, now=NOW)
-        order = [queue.next(load=0, now=NOW).request for _ in range(5)]
+            submit(queue, make_request(workspace, name), load=1)
+        order = [
+            queue.next(room=at_load(queue, 0, NOW), now=NOW).request for _ in range(5)
+        ]
         assert [(r.workspace, r.request_class.name) for r in order] == [
             ("b", "LOOKUP"),
             ("a", "INTERACTIVE"),
@@ -86,19 +105,19 @@
 
     def test_a_full_queue_refuses_with_a_retry_after(self):
         queue = make_queue(max_queue=1)
-        queue.submit(make_request(), load=1, now=NOW)
-        decision, _ = queue.submit(make_request(), load=1, now=NOW)
+        submit(queue, make_request(), load=1)
+        decision, _ = submit(queue, make_request(), load=1)
         assert decision.verdict is Verdict.REFUSE
         assert decision.retry_after >= timedelta(seconds=1)
 
     def test_a_request_that_can_not_start_in_time_is_refused_without_waiting(self):
         queue = make_queue()
         for _ in range(20):
-            queue.submit(make_request(), load=1, now=NOW)
+            submit(queue, make_request(), load=1)
         for second in range(4):
-            queue.next(load=0, now=timedelta(seconds=second))
+            queue.next(room=at_load(queue, 0), now=timedelta(seconds=second))
         hurried = make_request(timeout=timedelta(seconds=2))
-        decision, _ = queue.submit(hurried, load=1, now=timedelta(seconds=4))
+        decision, _ = submit(queue, hurried, load=1, now=timedelta(seconds=4))
         assert decision.verdict is Verdict.REFUSE
         assert "in time" in decision.reason
 
@@ -121,25 +140,26 @@
         for workspace, name, action, load in script:
             now += timedelta(seconds=0.3)
             if action == "ask":
-                decision, place = queue.submit(
-                    make_request(workspace, name), load=load, now=now
+                decision, place = submit(
+                    queue, make_request(workspace, name), load=load, now=now
                 )
                 if decision.verdict is Verdict.ADMIT:
                     admitted.append(make_request(workspace, name))
                 if place is not None:
                     waiting.append(place)
             elif action == "next":
-                place = queue.next(load=load, now=now)
+                place = queue.next(room=at_load(queue, load, now), now=now)
                 if place is not None:
                     waiting.remove(place)
                     admitted.append(place.request)
             elif action == "leave" and admitted:
-                queue.release(admitted.pop())
+                queue.release(admitted.pop(), now=now)
             elif action == "expire":
                 for place in queue.pop_expired(now):
                     waiting.remove(place)
             assert len(queue) == len(waiting)
-        assert sum(queue._running_by_workspace.values()) == len(admitted)
+        held = [use.held for use in queue.usage(now).by_claimant.values()]
+        assert sum(held) == len(admitted)
 
 
 class TestGate:
@@ -152,7 +172,7 @@
 
         async def run():
             fleet = FakeFleet()
-            gate = Gate(fleet=fleet, clock=VirtualClock())
+            gate = Gate(fleet=fleet, clock=VirtualClock(), metrics=TextMetrics())
             polling = asyncio.ensure_future(gate.run())
             try:
                 await work(gate, fleet)
@@ -216,10 +236,58 @@
             entered.cancel()
             await asyncio.sleep(0.5)
             queue = gate._queues_by_service["s"]
-            assert (len(queue), queue._running_by_workspace) == (0, {})
+            assert (len(queue), queue.usage(NOW).by_claimant) == (0, {})
+
+        self.run_gate(work)
+
+    # Guards against room that stays taken by a caller that disconnects in the moment in
+    # which its request is admitted.
+    def test_a_caller_that_disconnects_as_it_is_admitted_leaves_no_trace(self):
+        async def work(gate, fleet):
+            async def enter():
+                async with gate.enter("s", make_request()):
+                    pytest.fail("the caller has left")
+
+            entered = asyncio.ensure_future(enter())
+            await asyncio.sleep(0.2)
+            fleet.taken = 0
+            gate.admit_waiting()
+            entered.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await entered
+            queue = gate._queues_by_service["s"]
+            assert (len(queue), queue.usage(NOW).by_claimant) == (0, {})
 
         self.run_gate(work)
 
+    # Guards against operators who can't see which callers lack room.
+    def test_metrics_tell_who_is_admitted_waits_and_is_refused(self):
+        async def work(gate, fleet):
+            fleet.taken = 0
+            async with gate.enter("s", make_request()):
+                pass
+            fleet.taken = 1
+            with pytest.raises(RefusedError):
+                async with gate.enter("s", make_request(name="lookup")):
+                    pass
+            waiting = asyncio.ensure_future(self.enter(gate))
+            await asyncio.sleep(0.2)
+            gate.report_gauges()
+            text = gate._metrics.render().decode()
+            fleet.taken = 0
+            await waiting
+            assert 'passtally_admitted_total{part="1"} 1.0' in text
+            assert 'passtally_no_room_total{part="0"} 1.0' in text
+            assert "passtally_waiting 1.0" in text
+            text = gate._metrics.render().decode()
+            assert "passtally_admission_wait_seconds_count 1.0" in text
+
+        self.run_gate(work)
+
+    async def enter(self, gate):
+        async with gate.enter("s", make_request()):
+            pass
+
 
 def view(name: str, **options) -> EndpointView:
     row = {
--- a/tests/test_callers_that_leave.py
+++ b/tests/test_callers_that_leave.py
@@ -13,7 +13,7 @@
 import pytest
 import uvloop
 
-from passtally.fleet import Capacity
+from passtally.capacity import Capacity
 from passtally.front_host import FrontHost
 from standins.platform_config import KEY, LOOKUPS, make_config
 from standins.runner import RunnerStandIn
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -11,18 +11,14 @@
 import pytest
 from multidict import CIMultiDict
 
+from passtally.call_progress import MAX_CONNECT_FAILURES
 from passtally.clock import Clock, ManualClock
 from passtally.engine import AttemptLostError
 from passtally.fleet import Fleet
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.outcome import Outcome, RefusedError
-from passtally.plain import (
-    MAX_CONNECT_FAILURES,
-    PlainAnswer,
-    PlainCall,
-    PlainCaller,
-    Sender,
-)
+from passtally.plain import PlainCaller
+from passtally.plain_call import PlainAnswer, PlainCall, Sender
 from passtally.retry import LossKind
 from passtally.retry_budget import Budgets, RetryBudgets, ServiceBudgets
 from standins.virtual import VirtualClock, run_virtually
--- a/tests/test_change_storms.py
+++ b/tests/test_change_storms.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Collection, Coroutine, Iterable, Sequence
 from datetime import timedelta
 
-from passtally.front_host import (
+from passtally.host_config import (
     BATCH_SHARE,
     MAX_RETRY_DELAY,
     OUT_OF_DATE_AFTER,
--- a/tests/test_domain_return.py
+++ b/tests/test_domain_return.py
@@ -13,7 +13,7 @@
 import pytest
 
 from passtally.follower import Follower
-from passtally.front_host import MAX_RETRY_DELAY, OUT_OF_DATE_AFTER
+from passtally.host_config import MAX_RETRY_DELAY, OUT_OF_DATE_AFTER
 from passtally.shared_watch import SharedWatch
 from passtally.view import View
 from standins.virtual import run_virtually
--- a/tests/test_endpoint_starts.py
+++ b/tests/test_endpoint_starts.py
@@ -173,23 +173,23 @@
     def test_a_reported_loss_does_not_eject_the_next_start(self):
         registered = Registered()
         registered.put(BORN + 1)
-        registered.fleet.record_peer_loss(start_of(BORN))
+        registered.fleet.losses.record_reported(start_of(BORN))
         assert not registered.live.is_ejected
-        registered.fleet.record_peer_loss(start_of(BORN + 1))
+        registered.fleet.losses.record_reported(start_of(BORN + 1))
         assert registered.live.is_ejected
 
     def test_a_loss_is_reported_with_its_start(self):
         registered = Registered()
         registered.put(BORN)
-        registered.fleet.record_loss(registered.live, is_endpoint_unreachable=True)
-        assert registered.fleet.pop_losses() == [start_of(BORN)]
+        registered.fleet.losses.record(registered.live, is_endpoint_unreachable=True)
+        assert registered.fleet.losses.pop_unreported() == [start_of(BORN)]
 
     def test_a_loss_reported_without_a_start_counts(self):
         news = HostNews(host_id="h", loads_by_endpoint={}, lost=["a"])
         assert news.lost_starts() == [start_of(UNKNOWN_INCARNATION)]
         registered = Registered()
         registered.put(BORN)
-        registered.fleet.record_peer_loss(news.lost_starts()[0])
+        registered.fleet.losses.record_reported(news.lost_starts()[0])
         assert registered.live.is_ejected
 
     def test_loads_at_the_previous_start_do_not_count(self):
--- a/tests/test_failing_endpoints.py
+++ b/tests/test_failing_endpoints.py
@@ -21,7 +21,8 @@
 from passtally.fleet import Fleet
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.outcome import Outcome, RefusedError
-from passtally.plain import PlainAnswer, PlainCall, PlainCaller
+from passtally.plain import PlainCaller
+from passtally.plain_call import PlainAnswer, PlainCall
 from passtally.retry import LossKind
 from passtally.retry_budget import RetryBudgets
 from standins.platform_config import LOOKUPS, make_config
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -4,7 +4,9 @@
 import random
 from datetime import timedelta
 
-from passtally.follower import Follower
+import pytest
+
+from passtally.follower import INITIAL_RETRY_DELAY, STEADY_RETRIES, Follower
 from standins.virtual import VirtualClock, run_virtually
 from tests.fakes import FakePlatform
 
@@ -12,7 +14,9 @@
 class RecordedFollower:
     """A follower of a fake platform, with a record of its callbacks."""
 
-    def __init__(self, *, out_of_date_after: timedelta | None = None) -> None:
+    def __init__(
+        self, *, out_of_date_after: timedelta | None = None, seed: int = 1
+    ) -> None:
         self.platform = FakePlatform()
         self.reachability: list[bool] = []
         self.versions_by_key: dict[str, int] = {}
@@ -21,7 +25,7 @@
             prefix="config/",
             platform=self.platform,
             clock=VirtualClock(),
-            rng=random.Random(1),
+            rng=random.Random(seed),
             replace=self._replace,
             advance=self._advance,
             relist_pause=lambda: timedelta(milliseconds=200),
@@ -123,3 +127,32 @@
             assert recorded.versions_by_key == {"config/a": 1}
 
         run_virtually(test())
+
+    # Guards against a starting host whose callers get a 503 because its next listing
+    # comes after the time for which they wait.
+    @pytest.mark.parametrize("seed", range(20))
+    def test_a_short_outage_at_the_start_ends_soon_after_it(self, seed):
+        async def test() -> None:
+            recorded = RecordedFollower(seed=seed)
+            await recorded.platform.create("config/a", b"1")
+            recorded.platform.is_down = True
+            task = asyncio.create_task(recorded.follower.run())
+            await asyncio.sleep(0.35)
+            recorded.platform.is_down = False
+            await asyncio.sleep(INITIAL_RETRY_DELAY.total_seconds() + 0.01)
+            assert recorded.listings == 1
+            task.cancel()
+
+        run_virtually(test())
+
+    def test_a_long_outage_at_the_start_gets_few_calls(self):
+        async def test() -> None:
+            recorded = RecordedFollower()
+            recorded.platform.is_down = True
+            task = asyncio.create_task(recorded.follower.run())
+            await asyncio.sleep(10)
+            calls = len(recorded.platform.calls)
+            assert STEADY_RETRIES < calls <= 10 / 0.2 + STEADY_RETRIES
+            task.cancel()
+
+        run_virtually(test())
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from passtally.http_server import Exchange, HttpRequest, HttpServer, ServerLimits
+from passtally.http_exchange import Exchange, HttpRequest, ServerLimits
+from passtally.http_server import HttpServer
 
 LIMITS = ServerLimits(
     max_header=2000,
--- a/tests/test_idle_hosts.py
+++ b/tests/test_idle_hosts.py
@@ -8,7 +8,8 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
-from passtally.fleet import Capacity, Fleet
+from passtally.capacity import Capacity
+from passtally.fleet import Fleet
 from passtally.gate import Gate
 from passtally.messages import ConfigChanges, FetchConfig
 from passtally.peers import HEARTBEAT_MS
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -8,6 +8,7 @@
 from passtally.fleet import Fleet
 from passtally.isolation import Isolation
 from passtally.objects import Endpoint, Service, ServiceKind
+from passtally.reach_check import ReachCheck
 from tests.fakes import make_catalog
 
 
@@ -70,7 +71,7 @@
         self.changes: list[bool] = []
         self.has_platform = True
         self.isolation = Isolation(
-            fleet=self.fleet,
+            reach=ReachCheck(catalog=self.catalog, fleet=self.fleet),
             peers=self.peers,
             roster=self.roster,
             clock=self.clock,
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -78,8 +78,8 @@
         self.load_changed = asyncio.Event()
         self.loads: dict[str, TokenLoad] = {}
         self.load_table = LoadTable()
-        #: This host is its own fleet, with the limits of one.
-        self.send_limits = self
+        #: This host is its own fleet, with the limits and the losses of one.
+        self.send_limits = self.losses = self
         self.requests = RequestLimits()
         self.brittle = BrittleEndpoints()
         self.exchange = LoadExchange(
@@ -104,7 +104,7 @@
         now = self.net.clock.monotonic()
         self.brittle.merge(rows, count_open=lambda endpoint_id: 0, now=now)
 
-    def pop_losses(self) -> list[EndpointStart]:
+    def pop_unreported(self) -> list[EndpointStart]:
         return []
 
     def linked(self) -> list[MemberRow]:
--- a/tests/test_many_objects.py
+++ b/tests/test_many_objects.py
@@ -11,7 +11,7 @@
 import string
 from datetime import timedelta
 
-from passtally.front_host import (
+from passtally.host_config import (
     BATCH_SHARE,
     MAX_RETRY_DELAY,
     OUT_OF_DATE_AFTER,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -305,6 +305,34 @@
 
         run_virtually(test())
 
+    # Guards against: the hosts that have replicas at an engine that exited learn of it
+    # only when they lose runs, seconds later, and prompts are prefilled again.
+    @pytest.mark.parametrize("hosts", [7, 80, 330])
+    def test_exits_of_a_failure_domain_are_soon_known_to_all_hosts(self, hosts):
+        async def test() -> None:
+            fleet = Fleet(hosts=hosts, domains=3)
+            fleet.start(fleet.rows)
+            fleet.know_all()
+            starts = [make_endpoint(id=f"e{number}").start for number in range(20)]
+            for number, start in enumerate(starts):
+                for node in (fleet.nodes[number % 5], fleet.nodes[number % 7]):
+                    node.own_exits.add(start)
+                    node.exits.report(start)
+
+            def all_informed() -> bool:
+                return all(
+                    set(starts) <= {*node.heard_exits, *node.own_exits}
+                    for node in fleet.nodes
+                )
+
+            assert await fleet.wait_until(all_informed, limit=20) <= 3
+            await asyncio.sleep(20)
+            for node in fleet.nodes:
+                assert len(node.heard_exits) == len(set(node.heard_exits))
+                assert not node.exits.has_updates
+
+        run_virtually(test())
+
     def test_all_start_at_once_and_a_quarter_joins(self):
         async def test() -> None:
             fleet = Fleet(hosts=195, domains=5)
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Sequence
 from datetime import timedelta
 
 import attrs
@@ -16,14 +17,15 @@
 from passtally.messages import MemberRow, OriginRow, TellOrigins
 from passtally.objects import Endpoint, EndpointStart
 from passtally.origin import Origin, OriginRule
-from passtally.origin_exchange import ANSWER_WAITS, SETTLE_TIME
+from passtally.origin_exchange import ANSWER_WAITS, CHECK_INTERVAL, SETTLE_TIME
 from passtally.origin_keepers import KEEPERS, OriginKeepers
 from passtally.origin_table import MAX_RECORDS, RECORD_TTL, OriginTable, origin_key
+from passtally.prefix_finder import MAX_QUERIED
 from passtally.seen_versions import SeenVersions
 from passtally.settings import Address
 from standins.virtual import run_virtually
 from tests.fakes import make_catalog
-from tests.origin_fleet import OriginFleet
+from tests.origin_fleet import VERSIONS, OriginFleet
 from tests.platform_system import free_ports
 
 NOW = timedelta(0)
@@ -210,7 +212,7 @@
             for number in range(STREAMS):
                 fleet.begin(fleet.rng.choice(ids), f"q{number}")
             await asyncio.sleep(1)
-            sent = fleet.datagrams_by_id.values()
+            sent = fleet.network.datagrams_by_id.values()
             records = sum(len(item.table) for item in fleet.exchanges_by_id.values())
             costs.append(
                 (
@@ -396,6 +398,87 @@
         assert version == "v1"
 
 
+class TestHolders:
+    """The endpoint that runs an answer, for a host at which its caller takes it up.
+
+    Guards against prompts that are prefilled again, and against queries to all
+    endpoints of a service, although a host knows which endpoint has the prompt.
+    """
+
+    def test_another_host_finds_the_endpoint_of_a_killed_host(self):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=30)
+            rows = fleet.gossip.rows
+            fleet.start(rows)
+            fleet.gossip.know_all()
+            version = fleet.begin(rows[0].host_id, "q")
+            await asyncio.sleep(0.1)
+            fleet.stop(rows[:1])
+            for row in rows[1:]:
+                known = await fleet.find_answer(row.host_id, "q")
+                assert known.holder_id == f"e{VERSIONS.index(version)}"
+
+        run_virtually(test())
+
+    def test_the_endpoint_of_a_later_attempt_is_told_within_a_second(self):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=7)
+            rows = fleet.gossip.rows
+            fleet.start(rows)
+            fleet.gossip.know_all()
+            exchange = fleet.exchanges_by_id[rows[0].host_id]
+            renewing = asyncio.create_task(exchange.run())
+            generation = fleet.make_generation("q", "v1")
+            with exchange.running(generation, first_id="q") as answer:
+                attempt = generation.start_attempt("e0")
+                exchange.tell(answer)
+                generation.lose_attempt(attempt)
+                generation.start_attempt("e7")
+                await asyncio.sleep(CHECK_INTERVAL.total_seconds() + 0.1)
+                known = await fleet.find_answer(rows[1].host_id, "q")
+                assert known.holder_id == "e7"
+            renewing.cancel()
+
+        run_virtually(test())
+
+    # Guards against an endpoint that is not found since the caller does not name its
+    # first try.
+    def test_the_endpoint_is_found_by_the_prompt_in_a_large_service(self):
+        assert self.find_by_prompt(versions=("v1",) * (MAX_QUERIED + 1)) == "e0"
+
+    # Guards against records for services whose endpoints are all asked for a prompt.
+    def test_nothing_is_told_for_the_prompt_in_a_small_service(self):
+        assert self.find_by_prompt(versions=("v1",) * MAX_QUERIED) == ""
+
+    # Guards against a stream that goes on at the version of another with its prompt.
+    def test_the_prompt_does_not_tell_the_version(self):
+        versions = ("v1", "v2") * MAX_QUERIED
+        assert self.find_by_prompt(versions=versions) is None
+
+    def find_by_prompt(self, *, versions: Sequence[str]) -> str | None:
+        """Return the endpoint that a host finds for a stream of a killed host."""
+
+        async def test() -> str | None:
+            fleet = OriginFleet(hosts=30, versions=versions)
+            rows = fleet.gossip.rows
+            fleet.start(rows)
+            fleet.gossip.know_all()
+            await asyncio.sleep(SETTLE_TIME.total_seconds())
+            fleet.begin(rows[0].host_id, "q", version="v1")
+            await asyncio.sleep(0.1)
+            fleet.stop(rows[:1])
+            known = await fleet.find_answer(rows[1].host_id, "", prompt="p")
+            return None if known is None else known.holder_id
+
+        return run_virtually(test())
+
+    def test_a_record_without_the_endpoint_takes_none_away(self):
+        table, origin = OriginTable(), Origin(software="v1")
+        table.put(b"k", origin, now=NOW, holder_id="e1")
+        table.put(b"k", origin, now=NOW)
+        assert table.find(b"k", now=NOW).holder_id == "e1"
+
+
 class TestDatagrams:
     MESSAGE = TellOrigins(rows=[OriginRow(key=b"12345678", software="v1")])
 
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -329,6 +329,38 @@
 
         run(test)
 
+    # Guards against an engine that does not know which of its requests are urgent, and
+    # against a routine answer that is resumed before urgent ones.
+    @pytest.mark.parametrize(
+        ("route_rank", "workspace_rank", "position", "sent"),
+        [
+            (0, None, 0, "1"),
+            (2, None, 0, "8"),
+            (2, 0, 0, "2"),
+            (0, 1, 0, "4"),
+            (2, None, 8, "6"),
+            (9, None, 0, "9"),
+        ],
+    )
+    def test_the_priority_is_sent_to_the_engine(
+        self, route_rank, workspace_rank, position, sent
+    ):
+        async def test(system: PlatformSystem) -> None:
+            config = make_config()
+            config["routes"][0]["priority"] = route_rank
+            config["tenants"][0]["priority"] = workspace_rank
+            system.store.put("config", "main", config)
+            await system.add_runner("i-a")
+            await system.add_host()
+            await system.wait_ready()
+            headers = {"Last_Event_Id": str(position)} if position else {}
+            answer = await system.stream(**headers)
+            assert answer.is_whole
+            (request,) = busy(system).requests
+            assert request.headers["X-Request-Priority"] == sent
+
+        run(test)
+
     # Guards against a host that refuses all streams after some slow first outputs, and
     # so never sees a faster one.
     def test_an_idle_endpoint_gets_streams_whatever_earlier_ones_took(self):
@@ -342,6 +374,27 @@
 
         run(test)
 
+    # Guards against a refusal for a late first output while another endpoint is idle:
+    # one in another failure domain costs as much as a short queue in this one.
+    def test_a_stream_goes_to_an_idle_endpoint_if_the_cheapest_is_too_late(self):
+        async def test(system: PlatformSystem) -> None:
+            await start_engines(system)
+            forecast = system.hosts[0].placement.forecast
+            for runner in system.runners.values():
+                runner.faults.first_delay = 0.2
+            # The hash of the prompt decides between endpoints of equal cost.
+            for _ in range(16):
+                for _ in range(8):
+                    forecast.record_first(ENGINE, 500, timedelta(seconds=0.2))
+                ran = sum(len(runner.ran) for runner in system.runners.values())
+                first = asyncio.create_task(system.stream())
+                while sum(len(r.ran) for r in system.runners.values()) == ran:
+                    await asyncio.sleep(0.005)
+                answers = [await system.stream(), await first]
+                assert [answer.status for answer in answers] == [200] * 2
+
+        run(test)
+
     @pytest.mark.parametrize("inside", [False, True])
     def test_a_lost_stream_is_resumed_from_its_replica(self, inside):
         async def test(system: PlatformSystem) -> None:
@@ -693,7 +746,7 @@
             ):
                 await asyncio.sleep(0.01)
             lost = next(r for r in system.runners.values() if not r.ran)
-            first.fleet.record_loss(
+            first.fleet.losses.record(
                 first.fleet.find(lost.name), is_endpoint_unreachable=True
             )
             while not second.fleet.find(lost.name).is_ejected:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from passtally.http_server import HttpRequest
+from passtally.http_exchange import HttpRequest
 from passtally.objects import EndpointState
 from passtally.platform import names
 from passtally.platform.decode import (
@@ -23,7 +23,7 @@
 from passtally.platform.settings import read_settings, translate
 from passtally.platform.settings_file import parse_lines
 from passtally.routes import CallKind
-from passtally.settings import Address, SettingsError
+from passtally.settings import Address, SettingsError, Switch
 from standins.platform_config import ENGINE, KEY, LOOKUPS, WORKSPACE, make_config
 
 LINES = """\
@@ -45,6 +45,19 @@
 
 
 class TestSettings:
+    # Guards against a deployment without competing callers that is admitted anew.
+    @pytest.mark.parametrize(
+        ("contracts", "mode"),
+        [
+            ("base,tenants,platform", Switch.AUTO),
+            ("base,pressure,platform", Switch.ON),
+            ("", Switch.AUTO),
+        ],
+    )
+    def test_competing_callers_switch_shared_admission_on(self, contracts, mode):
+        values = parse_lines(LINES) | {"contracts": contracts}
+        assert translate(values).shared_admission is mode
+
     def test_the_file_is_translated_into_settings(self, tmp_path: Path):
         path = tmp_path / "node.conf"
         path.write_text(LINES)
--- a/tests/test_prompts_found.py
+++ b/tests/test_prompts_found.py
@@ -14,7 +14,12 @@
 from datetime import timedelta
 
 from passtally.objects import EndpointState
-from passtally.prefix_finder import MAX_LOCAL_QUERIES, MAX_REMOTE_QUERIES, choose_likely
+from passtally.prefix_finder import (
+    MAX_LOCAL_QUERIES,
+    MAX_QUERIED,
+    MAX_REMOTE_QUERIES,
+    choose_likely,
+)
 from passtally.routing import EndpointView, RouteQuery, affinity_of, choose_endpoint
 
 DOMAINS = 5
@@ -66,12 +71,27 @@
         for number in range(500):
             prompt = f"part{number}"
             placed_at = place(prompt, "d1", rng)
-            local, remote = choose_likely(views, prompt, failure_domain="d1")
+            local, remote, _ = choose_likely(views, prompt, failure_domain="d1")
             assert len(local) == MAX_LOCAL_QUERIES
             assert len(remote) == MAX_REMOTE_QUERIES * (DOMAINS - 1)
             found_local += placed_at in local
         assert found_local > 0.95 * 500
 
+    # Guards against prompts that are prefilled again in their own failure domain.
+    def test_all_local_endpoints_of_a_domain_of_usual_size_are_queried(self):
+        views = [make_view(number, reading=0) for number in range(ENDPOINTS)]
+        batches = choose_likely(views, "part1", failure_domain="d1")
+        queried = [name for batch in batches for name in batch]
+        local = {view.id for view in views if view.failure_domain == "d1"}
+        assert local <= set(queried)
+        assert len(queried) == len(set(queried)) <= MAX_QUERIED
+
+    # Guards against queries without a bound: each reply has about 7 KB.
+    def test_the_number_of_queries_is_bounded(self):
+        views = [make_view(number, reading=0) for number in range(10 * ENDPOINTS)]
+        batches = choose_likely(views, "part1", failure_domain="d1")
+        assert sum(len(batch) for batch in batches) == MAX_QUERIED
+
     def test_most_prompts_are_found_if_the_caller_reconnects_in_another_domain(self):
         rng = random.Random(8)
         views = [make_view(number, reading=0) for number in range(ENDPOINTS)]
@@ -79,6 +99,6 @@
         for number in range(500):
             prompt = f"part{number}"
             placed_at = place(prompt, "d1", rng)
-            local, remote = choose_likely(views, prompt, failure_domain="d3")
+            local, remote, _ = choose_likely(views, prompt, failure_domain="d3")
             found += placed_at in (*local, *remote)
         assert found > 0.8 * 500
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -6,13 +6,16 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 
 import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from passtally.domain_losses import WIDESPREAD_LOSSES
 from passtally.forecast import MIN_SAMPLES
+from passtally.loss_handler import REPLICA_START_TIME
 from passtally.messages import DepartureRow, TokenLoad
 from passtally.objects import EndpointState
 from passtally.outcome import Outcome, RefusedError
@@ -33,6 +36,7 @@
 from tests.replica_world import (
     TARGET,
     WHOLE,
+    ReplicaEngine,
     World,
 )
 
@@ -199,6 +203,10 @@
         assert self.decide(LossKind.RESET, Holder.ENDPOINT) is NextStep.ATTACH
 
 
+#: Time in which a replica has got a part of a prompt, in seconds.
+READ_FOR = REPLICA_START_TIME.total_seconds() + 0.2
+
+
 class TestFailover:
     def test_the_run_of_a_dead_engine_continues_from_the_replica(self):
         async def test() -> None:
@@ -215,6 +223,61 @@
 
         run_virtually(test())
 
+    async def lose_in_prefill(
+        self, world: World, *, after: float, loses_copy: bool = False
+    ) -> None:
+        """Lose the first engine before its first output, and serve the answer."""
+        task = world.start(time_left=timedelta(seconds=25))
+        while not world.engines.opened:
+            await asyncio.sleep(0.01)
+        first = world.engines.by_id[world.engines.opened[0][0]]
+        first.hangs = True
+        await asyncio.sleep(after)
+        if loses_copy:
+            world.keeper().replicas.clear()
+        first.is_dead, first.hangs = True, False
+        await task
+        assert world.sink.data == WHOLE
+
+    # Guards against prompts that are prefilled from their start after a loss, although
+    # the replica has most of them.
+    def test_a_prompt_that_is_lost_in_prefill_goes_on_at_its_replica(self):
+        async def test() -> None:
+            world = World()
+            await self.lose_in_prefill(world, after=READ_FOR)
+            assert world.engines.read_prompts == 1
+            assert [how for _, how in world.engines.opened] == ["read", "attach"]
+
+        run_virtually(test())
+
+    # Guards against attempts at replicas that can't have anything yet.
+    def test_a_prompt_that_is_lost_at_once_is_read_at_another_engine(self):
+        async def test() -> None:
+            world = World()
+            await self.lose_in_prefill(world, after=READ_FOR - 0.4)
+            assert [how for _, how in world.engines.opened] == ["read", "read"]
+
+        run_virtually(test())
+
+    def test_a_prompt_without_a_replica_is_read_at_another_engine(self):
+        async def test() -> None:
+            world = World()
+            await self.lose_in_prefill(world, after=READ_FOR, loses_copy=True)
+            assert world.engines.read_prompts == 2
+
+        run_virtually(test())
+
+    # Guards against suspects that crash one engine after the other which other requests
+    # use.
+    def test_a_suspect_is_not_sent_to_its_replica(self):
+        async def test() -> None:
+            world = World()
+            world.dispatcher._guard.is_suspect = lambda fingerprint: True
+            await self.lose_in_prefill(world, after=READ_FOR)
+            assert [how for _, how in world.engines.opened] == ["read", "read"]
+
+        run_virtually(test())
+
     def test_the_run_of_a_silent_engine_continues_within_the_allowed_pause(self):
         async def test() -> None:
             world = World()
@@ -236,7 +299,7 @@
             first = await world.running()
             keeper = world.keeper()
             keeper.die()
-            world.fleet.record_peer_loss(world.fleet.start_of(keeper.name))
+            world.fleet.losses.record_reported(world.fleet.start_of(keeper.name))
             while not first.copies:
                 assert not task.done()
                 await asyncio.sleep(0.01)
@@ -247,6 +310,76 @@
 
         run_virtually(test())
 
+    # Guards against copies that an engine rejects since it still prefills the prompt.
+    def test_a_run_is_copied_once_it_has_output(self):
+        async def test() -> None:
+            world = World()
+            task = world.start(position=5, time_left=timedelta(seconds=25))
+            while not world.engines.opened:
+                await asyncio.sleep(0.01)
+            first = world.engines.by_id[world.engines.opened[0][0]]
+            first.hangs = True
+            keeper = world.keeper()
+            keeper.die()
+            world.fleet.losses.record_reported(world.fleet.start_of(keeper.name))
+            await asyncio.sleep(0.6)
+            assert first.copies == 0
+            first.hangs = False
+            while not first.copies:
+                assert not task.done()
+                await asyncio.sleep(0.01)
+            await task
+
+        run_virtually(test())
+
+    # Guards against a run whose replica was lost with a whole failure domain, and whose
+    # host is not told of that endpoint: the next loss would repeat the prefill.
+    @pytest.mark.parametrize("how", ["unreachable", "replaced"])
+    def test_a_replica_is_checked_when_its_failure_domain_is_widely_lost(self, how):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            keeper = world.keeper()
+            if how == "replaced":
+                keeper.replaced_by = "new"
+                keeper.replicas.clear()
+            else:
+                keeper.die()
+            now = world.clock.monotonic()
+            domain = world.fleet.find(keeper.name).endpoint.failure_domain
+            losses = world.fleet.losses.domain_losses
+            for number in range(WIDESPREAD_LOSSES):
+                losses.record(domain, f"other-{number}", now=now)
+            await asyncio.sleep(0.5)
+            assert not task.done()
+            assert first.copies == 1
+            first.die()
+            await task
+            assert world.sink.data == WHOLE
+            assert world.engines.read_prompts == 1
+
+        run_virtually(test())
+
+    # Guards against billed questions after each single loss.
+    def test_a_single_loss_in_its_failure_domain_causes_no_question(self):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            await world.running()
+            keeper = world.keeper()
+            asked = []
+            keeper.count_waiting = lambda: asked.append(1)
+            domain = world.fleet.find(keeper.name).endpoint.failure_domain
+            now = world.clock.monotonic()
+            losses = world.fleet.losses.domain_losses
+            for number in range(WIDESPREAD_LOSSES - 1):
+                losses.record(domain, f"other-{number}", now=now)
+            await task
+            assert not asked
+
+        run_virtually(test())
+
     def test_a_reported_departure_of_the_replicas_endpoint_triggers_a_copy(self):
         async def test() -> None:
             world = World()
@@ -275,7 +408,7 @@
                 await asyncio.sleep(0.3)
                 keeper = world.keeper()
                 keeper.die()
-                world.fleet.record_peer_loss(world.fleet.start_of(keeper.name))
+                world.fleet.losses.record_reported(world.fleet.start_of(keeper.name))
                 lost_at = asyncio.get_running_loop().time()
                 while first.copies < copies:
                     assert not task.done()
@@ -293,7 +426,7 @@
             first = await world.running()
             keeper = world.keeper()
             keeper.die()
-            world.fleet.record_peer_loss(world.fleet.start_of(keeper.name))
+            world.fleet.losses.record_reported(world.fleet.start_of(keeper.name))
             while not first.copies:
                 assert not task.done()
                 await asyncio.sleep(0.01)
@@ -373,6 +506,37 @@
 
         run_virtually(test())
 
+    # Guards against queries to all endpoints although it is known which one ran it.
+    def test_the_endpoint_that_ran_it_last_is_queried_alone(self):
+        async def test() -> None:
+            world = World()
+            for name in ("a1", "a2", "b1", "b2"):
+                world.fleet.find(name)
+            world.engines.by_id["b2"].cached_prompts = {"p1"}
+            world.start(position=7, holder_id="b2")
+            await world.running(1)
+            assert world.engines.opened == [("b2", "read")]
+            queries = [item.prompt_queries for item in world.engines.by_id.values()]
+            assert sum(queries) == 1
+            world.task.cancel()
+
+        run_virtually(test())
+
+    @pytest.mark.parametrize("holder_id", ["gone", "b2"])
+    def test_the_others_are_queried_if_it_does_not_have_the_prompt(self, holder_id):
+        async def test() -> None:
+            world = World()
+            for name in ("a1", "a2", "b1", "b2"):
+                world.fleet.find(name)
+            world.engines.by_id["a2"].cached_prompts = {"p1"}
+            world.engines.by_id["b2"].die()
+            world.start(position=7, holder_id=holder_id)
+            await world.running(1)
+            assert world.engines.opened == [("a2", "read")]
+            world.task.cancel()
+
+        run_virtually(test())
+
     def test_an_unreachable_endpoint_does_not_block_the_resume(self):
         async def test() -> None:
             world = World()
@@ -526,6 +690,43 @@
 
         run_virtually(test())
 
+    # Guards against a request that fails since a candidate's entry is deleted while the
+    # candidate is queried.
+    def test_a_candidate_that_is_removed_meanwhile_does_no_harm(self):
+        async def test() -> None:
+            world = World(survey_enabled=True)
+            count_waiting = ReplicaEngine.count_waiting
+
+            async def remove_and_count(engine: ReplicaEngine) -> int:
+                world.catalog.drop_endpoint(engine.name)
+                world.fleet.remove(engine.name)
+                return await count_waiting(engine)
+
+            for endpoint_id in ("a1", "a2"):
+                engine = world.fleet.find(endpoint_id).engine
+                engine.count_waiting = partial(remove_and_count, engine)
+            world.start()
+            await world.running(1)
+            assert world.engines.opened[0][0] in ("b1", "b2")
+
+        run_virtually(test())
+
+    # Guards against prompts that are read anew elsewhere, one after the other, while
+    # all engines have a backlog: the load then feeds itself.
+    @pytest.mark.parametrize(("waiting_runs", "stays"), [(3, True), (0, False)])
+    def test_a_prompt_waits_as_long_as_those_before_it_take(self, waiting_runs, stays):
+        async def test() -> None:
+            world = World(survey_enabled=True)
+            for endpoint_id in ("a1", "a2", "b1", "b2"):
+                world.fleet.find(endpoint_id)
+                engine = world.engines.by_id[endpoint_id]
+                engine.waiting_runs, engine.hangs = waiting_runs, True
+            world.start(time_left=timedelta(seconds=25))
+            await asyncio.sleep(5)
+            assert (len(world.engines.opened) == 1) == stays
+
+        run_virtually(test())
+
     def test_no_endpoint_is_queried_if_all_loads_are_known(self):
         placed = {
             run_virtually(self.place({"a1": load, "a2": 9 - load})) for load in (0, 9)
--- a/tests/test_return_to_platform.py
+++ b/tests/test_return_to_platform.py
@@ -9,7 +9,7 @@
 import asyncio
 from datetime import timedelta
 
-from passtally.front_host import OUT_OF_DATE_AFTER
+from passtally.host_config import OUT_OF_DATE_AFTER
 from passtally.object_store import Listing, StoredObject, UnavailableError
 from standins.virtual import run_virtually
 from tests.fakes import FakePlatform
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from passtally.priority import Priority
 from passtally.routes import (
     ActiveRoutes,
     CallKind,
@@ -13,6 +14,7 @@
     RouteSet,
     ServiceShare,
     WorkspaceKeys,
+    priority_of,
 )
 
 
@@ -58,6 +60,61 @@
         assert ROUTES.needs_keys
 
 
+class TestPriorities:
+    URGENT, ROUTINE = 0, 2
+
+    def has_competing(self, routes=(), workspaces=(), service="s") -> bool:
+        route_set = RouteSet(version=1, routes=routes, workspaces=workspaces)
+        return route_set.has_competing_priorities(service)
+
+    def routes(self, *ranks: int) -> list[Route]:
+        return [
+            make_route(f"r{number}", f"/{number}/", rank=rank)
+            for number, rank in enumerate(ranks)
+        ]
+
+    def workspaces(self, *ranks: int | None) -> list[WorkspaceKeys]:
+        return [
+            WorkspaceKeys(workspace=f"w{number}", keys=(), rank=rank)
+            for number, rank in enumerate(ranks)
+        ]
+
+    def test_the_rank_of_a_workspace_goes_before_that_of_the_route(self):
+        routine, urgent = self.routes(self.ROUTINE, self.URGENT)
+        (own,) = self.workspaces(self.URGENT)
+        (other,) = self.workspaces(1)
+        assert priority_of(routine, own) < priority_of(urgent, other)
+
+    # Guards against urgent routes that wait like others since a workspace has a rank.
+    def test_the_route_decides_between_workspaces_of_the_same_rank(self):
+        routine, urgent = self.routes(self.ROUTINE, self.URGENT)
+        (workspace,) = self.workspaces(1)
+        assert priority_of(urgent, workspace) < priority_of(routine, workspace)
+
+    def test_without_a_rank_of_the_workspace_that_of_the_route_counts(self):
+        (route,) = self.routes(self.ROUTINE)
+        (none,) = self.workspaces(None)
+        expected = Priority(rank=self.ROUTINE, route_rank=self.ROUTINE)
+        assert priority_of(route, none) == priority_of(route, None) == expected
+
+    # Guards against a deployment with one priority that is admitted in another way.
+    def test_one_priority_does_not_compete(self):
+        routes = self.routes(self.URGENT, self.ROUTINE)
+        assert not self.has_competing(self.routes(self.URGENT, self.URGENT))
+        one_workspace = self.workspaces(1)
+        assert not self.has_competing(self.routes(self.URGENT), one_workspace)
+        assert not self.has_competing(routes, service="other")
+
+    def test_priorities_of_routes_or_workspaces_compete(self):
+        routes = self.routes(self.URGENT, self.ROUTINE)
+        assert self.has_competing(routes)
+        assert self.has_competing(routes, self.workspaces(None))
+        assert self.has_competing(routes, self.workspaces(1))
+        one_route = self.routes(self.URGENT)
+        assert self.has_competing(one_route, self.workspaces(self.URGENT, self.ROUTINE))
+        assert self.has_competing(one_route, self.workspaces(None, self.ROUTINE))
+
+
 class TestShares:
     def test_requests_are_split_by_weight(self):
         shares = (
--- a/tests/test_service_budgets.py
+++ b/tests/test_service_budgets.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from passtally.clock import ManualClock
-from passtally.front_host import BUDGET_WARM_UP, MIN_BUDGET_HOSTS
+from passtally.host_config import MIN_BUDGET_HOSTS
+from passtally.host_serving import BUDGET_WARM_UP
 from passtally.retry_budget import ServiceBudgets, acquire_retry
 from standins.virtual import run_virtually
 from tests.gossip_fleet import Fleet, Node
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -55,14 +55,18 @@
 REQUESTS_SEED = 90001
 #: With endpoints that announce leaving and back-off, and a store restored from copies.
 WORDS_SEED = 43001
+#: With workspaces that compete, floods of routine streams, and slow endpoints.
+LOAD_SEED = 15001
 CI_SECONDS = 8
 #: Duration of fault injection when these seeds failed, in seconds.
 FAILED_SECONDS = 20
 #: Seeds from before the soak had faults at starts; they run without them, as they did.
 SEEDS_WITHOUT_STARTS = frozenset((CI_SEED, 302))
-#: Seeds that run with all kinds of faults. The others are older and run without the
-#: kinds that the soak gained later.
-SEEDS_WITH_WORDS = frozenset((WORDS_SEED, 43007, 44009, 50006, 50011, 50019, 62019))
+#: Seeds that run with all kinds of faults but those of load, which one seed has. The
+#: others are older and run without the kinds that the soak gained later.
+SEEDS_WITH_WORDS = frozenset(
+    (WORDS_SEED, LOAD_SEED, 43007, 44009, 50006, 50011, 50019, 62019)
+)
 
 
 def outcome(**fields) -> TryOutcome:
@@ -274,7 +278,7 @@
     ):
         monkeypatch.setattr("soak.world.START_SECONDS", 0.0)
         monkeypatch.setattr("tempfile.mkdtemp", lambda prefix: str(tmp_path))
-        assert not play_seed(Setup(seed=CI_SEED, seconds=1, hosts=2))
+        assert not play_seed(Setup(seed=CI_SEED, seconds=1, hosts=2, load=False))
         printed = capsys.readouterr().out
         assert printed.startswith(f"seed {CI_SEED}: 0 tries")
         assert "2 broken" in printed and f"logs and faults: {tmp_path}" in printed
@@ -286,7 +290,7 @@
     ):
         monkeypatch.setattr("tempfile.mkdtemp", lambda prefix: str(tmp_path))
         monkeypatch.setattr("soak.world.make_config", lambda version: 1 / 0)
-        assert not play_seed(Setup(seed=CI_SEED, seconds=1, hosts=2))
+        assert not play_seed(Setup(seed=CI_SEED, seconds=1, hosts=2, load=False))
         assert "the soak itself failed" in capsys.readouterr().out
 
 
@@ -669,6 +673,7 @@
             (SETTINGS_SEED, CI_SECONDS),
             (REQUESTS_SEED, CI_SECONDS),
             (WORDS_SEED, CI_SECONDS),
+            (LOAD_SEED, CI_SECONDS),
             *((seed, FAILED_SECONDS) for seed in FAILED_SEEDS),
         ],
     )
@@ -684,6 +689,8 @@
             command.append("--no-requests")
         if seed not in SEEDS_WITH_WORDS:
             command.append("--no-words")
+        if seed != LOAD_SEED:
+            command.append("--no-load")
         done = subprocess.run(
             command,
             capture_output=True,
--- /dev/null
+++ b/tests/test_successors.py
@@ -0,0 +1,249 @@
+"""Endpoints that come back at their addresses while the platform is away."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from passtally.departures import Departures
+from passtally.endpoint_changes import EndpointChanges
+from passtally.messages import MemberRow
+from passtally.objects import Endpoint
+from passtally.service_index import ServiceIndex
+from passtally.successor_search import SEARCH_TIME, SuccessorSearch
+from standins.platform_config import make_config
+from standins.virtual import run_virtually
+from tests.platform_system import PlatformSystem, run
+from tests.replica_world import World
+
+#: Time within which all hosts must use an engine that is back, in seconds.
+USED_WITHIN = 5
+ENGINES = ("i-0", "i-1", "i-2")
+
+
+def make_row(host_id: str, domain: str = "d") -> MemberRow:
+    return MemberRow(
+        host_id=host_id,
+        failure_domain=domain,
+        counter=1,
+        config_version=0,
+        leaving=False,
+    )
+
+
+class Members:
+    revision = 1
+
+    def __init__(self, own: MemberRow, *others: MemberRow) -> None:
+        self.own = own
+        self._others = others
+
+    def others(self) -> list[MemberRow]:
+        return list(self._others)
+
+
+def make_search(world: World, *, hosts: int, own: int) -> SuccessorSearch:
+    rows = [make_row(f"h{number}") for number in range(hosts)]
+    own_row = rows.pop(own)
+    return SuccessorSearch(
+        fleet=world.fleet,
+        members=Members(own_row, *rows, make_row("other", "e")),
+        clock=world.clock,
+        is_informed=lambda: False,
+    )
+
+
+class TestSearch:
+    def test_a_replaced_endpoint_is_found_at_its_address(self):
+        async def test() -> None:
+            world = World()
+            live = world.fleet.find("a1")
+            live.engine.replaced_by = "new-a1"
+            world.fleet.losses.record(live, is_endpoint_unreachable=True)
+            make_search(world, hosts=1, own=0).ask(
+                world.fleet.losses.list_recent(within=SEARCH_TIME)
+            )
+            await asyncio.sleep(0.1)
+            assert world.successors == ["new-a1"]
+            assert not world.fleet.losses.list_recent(within=SEARCH_TIME)
+
+        run_virtually(test())
+
+    def test_an_endpoint_that_answers_again_is_used_again(self):
+        async def test() -> None:
+            world = World()
+            live = world.fleet.find("a1")
+            world.fleet.losses.record_end(live)
+            assert live.is_ejected
+            make_search(world, hosts=1, own=0).ask([live])
+            await asyncio.sleep(0.1)
+            assert not live.is_ejected
+            assert not world.fleet.losses.list_recent(within=SEARCH_TIME)
+
+        run_virtually(test())
+
+    # Guards against questions by each of hundreds of hosts; each one is billed.
+    def test_one_host_of_each_failure_domain_asks(self):
+        async def test() -> None:
+            world = World()
+            for name in ("a1", "a2", "b1"):
+                live = world.fleet.find(name)
+                world.fleet.losses.record(live, is_endpoint_unreachable=True)
+            searches = [make_search(world, hosts=20, own=n) for n in range(20)]
+            for live in world.fleet.losses.list_recent(within=SEARCH_TIME):
+                name = live.endpoint.id
+                assert sum(search._is_asker(name) for search in searches) == 1
+
+        run_virtually(test())
+
+    # Guards against questions without end about endpoints that are gone for good.
+    def test_it_ends_some_time_after_the_loss(self):
+        async def test() -> None:
+            world = World()
+            live = world.fleet.find("a1")
+            world.fleet.losses.record(live, is_endpoint_unreachable=True)
+            await asyncio.sleep(SEARCH_TIME.total_seconds() + 1)
+            assert not world.fleet.losses.list_recent(within=SEARCH_TIME)
+
+        run_virtually(test())
+
+
+class TestWithThePlatform:
+    # Guards against questions about endpoints that the platform reports in time, and
+    # against none about those that it does not.
+    @pytest.mark.parametrize(
+        ("is_informed", "seconds", "asked"),
+        [(True, 2, False), (True, 4, True), (False, 2, True)],
+    )
+    def test_it_asks_for_what_the_platform_has_not_reported(
+        self, is_informed, seconds, asked
+    ):
+        async def test() -> None:
+            world = World()
+            live = world.fleet.find("a1")
+            live.engine.replaced_by = "new-a1"
+            world.fleet.losses.record(live, is_endpoint_unreachable=True)
+            search = SuccessorSearch(
+                fleet=world.fleet,
+                members=Members(make_row("h")),
+                clock=world.clock,
+                is_informed=lambda: is_informed,
+            )
+            task = asyncio.create_task(search.run())
+            await asyncio.sleep(seconds + 0.1)
+            task.cancel()
+            assert bool(world.successors) == asked
+
+        run_virtually(test())
+
+
+class ToldHost:
+    """A host that learns of successors from other hosts."""
+
+    def __init__(self, *known: str) -> None:
+        self.catalog = ServiceIndex()
+        for name in known:
+            self.put(Endpoint(id=name, service="s", url="http://x", failure_domain="d"))
+        self.departures = Departures()
+        info = SimpleNamespace(id="s", capacity_tokens=1)
+        self.routes = SimpleNamespace(current=SimpleNamespace(services=[info]))
+        self.registry = SimpleNamespace(put=self.put)
+        changes = EndpointChanges(host=self, adapter=None, connect=lambda _: None)
+        self.departures.on_successor = changes.learn_successor
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Put an endpoint in place of the one that has its address."""
+        for known in list(self.catalog.endpoints_by_id.values()):
+            if known.url == endpoint.url:
+                self.catalog.drop_endpoint(known.id)
+        self.catalog.put_endpoint(endpoint)
+
+    def tell(self, ended: str, successor: str) -> None:
+        """Let another host tell what it found."""
+        teller = Departures()
+        start = Endpoint(
+            id=ended, service="s", url="http://x", failure_domain="d"
+        ).start
+        teller.record(start, channel="test", successor=successor)
+        self.departures.merge(teller.pop_updates())
+
+    @property
+    def known(self) -> list[str]:
+        return list(self.catalog.endpoints_by_id)
+
+
+class TestTold:
+    def test_a_successor_takes_the_place_of_the_one_that_ended(self):
+        host = ToldHost("x")
+        host.tell("x", "y")
+        assert host.known == ["y"]
+        assert not host.catalog.endpoints_by_id["y"].has_entry
+
+    def test_it_spreads_further_although_the_departure_was_known(self):
+        departures = Departures()
+        start = Endpoint(id="x", service="s", url="http://x", failure_domain="d").start
+        departures.record(start, channel="test")
+        while departures.has_updates:
+            departures.pop_updates()
+        departures.record(start, channel="test", successor="y")
+        assert departures.has_updates
+        assert departures.pop_updates()[0].successor == "y"
+
+    # Guards against an endpoint that is dropped for an earlier one at its address.
+    def test_late_news_of_an_earlier_successor_changes_nothing(self):
+        host = ToldHost("z")
+        host.tell("x", "y")
+        assert host.known == ["z"]
+
+    def test_news_in_the_wrong_order_lead_to_the_last_successor(self):
+        host = ToldHost("x")
+        host.tell("y", "z")
+        host.tell("x", "y")
+        assert host.known == ["z"]
+
+    # Guards against news that name each other's endpoints and never end.
+    def test_contradicting_news_end(self):
+        host = ToldHost("x")
+        host.tell("y", "x")
+        host.tell("x", "y")
+        assert len(host.known) == 1
+
+
+class TestWithoutThePlatform:
+    # Guards against engines that are back and get no requests until the platform is.
+    def test_all_hosts_use_engines_that_are_back(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            for name in ENGINES:
+                await system.add_runner(name)
+            first = await system.add_host("front-0")
+            seeds = str(first.settings.peer_listen)
+            for number in range(1, 3):
+                await system.add_host(f"front-{number}", seeds)
+            await system.wait_ready()
+            while any(len(host.roster.linked()) < 2 for host in system.hosts):
+                await asyncio.sleep(0.02)
+            system.store.refusal = 503
+            while any(host.watch.is_receiving for host in system.hosts):
+                await asyncio.sleep(0.02)
+            for name in ENGINES:
+                old = system.runners[name]
+                old.crash()
+                await asyncio.sleep(0.05)
+                port = int(old.address.rpartition(":")[2])
+                await system.add_runner(f"new-{name}", port=port)
+            # The first host has lost streams there, and tells the others.
+            for name in ENGINES:
+                live = first.fleet.find(name)
+                first.fleet.losses.record(live, is_endpoint_unreachable=True)
+            expected = {f"new-{name}" for name in ENGINES}
+            async with asyncio.timeout(USED_WITHIN):
+                while any(
+                    set(host.catalog.endpoints_by_id) != expected
+                    for host in system.hosts
+                ):
+                    await asyncio.sleep(0.05)
+            answers = [await system.stream(host=host) for host in system.hosts]
+            assert [answer.status for answer in answers] == [200] * 3
+
+        run(test)
--- a/tests/test_version_paths.py
+++ b/tests/test_version_paths.py
@@ -1,6 +1,7 @@
 """Each path by which an answer goes on keeps to the version that began it."""
 
 import asyncio
+from datetime import timedelta
 from types import SimpleNamespace
 
 import attrs
@@ -13,7 +14,7 @@
 from passtally.objects import Endpoint, EndpointStart
 from passtally.origin import Origin
 from passtally.outcome import RefusedError
-from passtally.placement import RESUME_WAIT_TIMEOUT
+from passtally.return_times import DEFAULT_WAIT
 from passtally.versions import AllVersions
 from standins.virtual import run_virtually
 from tests.replica_world import WHOLE, World
@@ -49,7 +50,7 @@
             first = await world.running()
             keeper = world.keeper()
             keeper.die()
-            world.fleet.record_peer_loss(world.fleet.start_of(keeper.name))
+            world.fleet.losses.record_reported(world.fleet.start_of(keeper.name))
             await task
             assert world.sink.data == WHOLE
             assert first.copies == 0
@@ -145,7 +146,7 @@
     def test_it_waits_for_endpoints_of_its_version_that_are_in_back_off(self):
         async def test() -> None:
             world = World(software_by_id=TWO_OF_EACH)
-            backoff = RESUME_WAIT_TIMEOUT / 2
+            backoff = DEFAULT_WAIT / 2
             for name in ("a1", "b1"):
                 world.fleet.send_limits.record_directives(
                     world.fleet.start_of(name),
@@ -193,6 +194,42 @@
 
         run_virtually(test())
 
+    # Guards against a caller that is held to its deadline while its service is away.
+    @pytest.mark.parametrize("usual", [None, 1.2], ids=["unknown", "usually-1.2s"])
+    def test_it_waits_for_the_usual_time_of_return_of_its_service(self, usual):
+        async def test() -> None:
+            world = World(software_by_id=dict.fromkeys(TWO_OF_EACH, "v1"))
+            if usual is not None:
+                await learn_return(world, seconds=usual)
+            for engine in world.engines.by_id.values():
+                engine.die()
+            began_at = world.clock.monotonic()
+            with pytest.raises(RefusedError) as refused:
+                await world.start(
+                    position=5, origin=V1, time_left=timedelta(seconds=12)
+                )
+            assert refused.value.failure.status == 503
+            took = world.clock.monotonic() - began_at
+            max_wait = DEFAULT_WAIT if usual is None else timedelta(seconds=2.4)
+            assert max_wait <= took < max_wait + timedelta(seconds=AT_ONCE)
+
+        run_virtually(test())
+
+    # Guards against a wait that ends before endpoints that are restarted are back.
+    def test_it_goes_on_at_an_endpoint_that_is_back_within_that_time(self):
+        async def test() -> None:
+            world = World(software_by_id=dict.fromkeys(TWO_OF_EACH, "v1"))
+            await learn_return(world, seconds=1.2)
+            for engine in world.engines.by_id.values():
+                engine.die()
+            task = world.start(position=5, origin=V1, time_left=timedelta(seconds=12))
+            await asyncio.sleep(1.5)
+            world.engines.by_id["b1"].is_dead = False
+            await task
+            assert world.engines.opened == [("b1", "read")]
+
+        run_virtually(test())
+
     def test_it_does_not_attach_to_a_stream_at_another_version(self):
         async def test() -> None:
             world = World(software_by_id=TWO_OF_EACH)
@@ -202,6 +239,14 @@
         run_virtually(test())
 
 
+async def learn_return(world: World, *, seconds: float) -> None:
+    """Let an endpoint be lost and send output again after a number of seconds."""
+    live = world.fleet.find("a1")
+    world.fleet.losses.record(live, is_endpoint_unreachable=True)
+    await asyncio.sleep(seconds)
+    world.fleet.losses.record_present(live)
+
+
 class OnlyVersion(AllVersions):
     """A roll-out that sends new requests to one version only."""
 
