An urgent stream's first output is forecast from those of its own priority

Cause: the forecast that refuses a stream whose first output would miss its target was fed by streams of all priorities, and counted all prompts that wait at the engine, though engines run the urgent ones first. Beside a flood of routine streams a host refused urgent ones ("the first output would take at least 0.64 s", target 0.6 s). A host that refused all streams of a service with busy engines also kept its slow samples.

Change: samples are kept by priority; prompts that wait count only for the least urgent one; a forecast expires 10 s after its last sample. Services with one priority are forecast as before, but for the expiry.

--- a/passtally/answer_recorder.py
+++ b/passtally/answer_recorder.py
@@ -75,8 +75,13 @@
             return
         self._metrics.time(Metric.FIRST_TOKEN, waited)
         progress.first_output_at = now
-        tokens = count_prefill_tokens(generation)
-        self._forecast.record_first(generation.request.service, tokens, waited)
+        self._forecast.record_first(
+            generation.request.service,
+            count_prefill_tokens(generation),
+            waited,
+            priority=generation.request.priority,
+            now=now,
+        )
 
     def record_failure(
         self,
--- a/passtally/forecast.py
+++ b/passtally/forecast.py
@@ -11,11 +11,17 @@
 
 import attrs
 
+from passtally.priority import Priority
+
 #: Number of recent answers used per service: about ten seconds of a busy host.
 HISTORY_SIZE = 32
 #: Minimum number of answers for a forecast. After a loss of all hosts, a restarted host
 #: has seen about this many when the callers that noticed the loss late reconnect.
 MIN_SAMPLES = 4
+#: Time after a first output for which it tells when the next one is to be expected. A
+#: host that refuses requests for a slow forecast gets no new samples, so that the
+#: forecast has to expire.
+FORGET_FIRST_AFTER = timedelta(seconds=10)
 #: Number of parts for the quantiles below. The nine cut points are indexed from 0, the
 #: lowest, so that index 0 is the 10th percentile.
 _DECILES = 10
@@ -40,12 +46,26 @@
 _MEDIAN = 4
 
 
+@attrs.define(kw_only=True)
+class _FirstOutputs:
+    """Samples from recent first outputs of one priority.
+
+    Attributes:
+        rates: Prompt tokens per second, from dispatch to first output.
+        sampled_at: When the last one was taken, on the monotonic clock.
+    """
+
+    rates: deque[float] = attrs.field(factory=lambda: deque(maxlen=HISTORY_SIZE))
+    sampled_at: timedelta = timedelta(0)
+
+
 @attrs.define(kw_only=True)
 class _History:
     """Samples from recent answers of one service.
 
     Attributes:
         prefill_rates: Prompt tokens per second, from dispatch to first output.
+        first_outputs_by_priority: The same, by the priority of the requests.
         lengths: Lengths of complete answers, in positions.
         steps: Mean duration of a decode step in each answer, in seconds.
     """
@@ -53,6 +73,7 @@
     prefill_rates: deque[float] = attrs.field(
         factory=lambda: deque(maxlen=HISTORY_SIZE)
     )
+    first_outputs_by_priority: dict[Priority, _FirstOutputs] = attrs.field(factory=dict)
     lengths: deque[int] = attrs.field(factory=lambda: deque(maxlen=HISTORY_SIZE))
     steps: deque[float] = attrs.field(factory=lambda: deque(maxlen=HISTORY_SIZE))
 
@@ -63,16 +84,33 @@
     def __init__(self) -> None:
         self._histories_by_service: dict[str, _History] = {}
 
-    def record_first(self, service: str, tokens: int, waited: timedelta) -> None:
+    def record_first(
+        self,
+        service: str,
+        tokens: int,
+        waited: timedelta,
+        *,
+        priority: Priority,
+        now: timedelta,
+    ) -> None:
         """Record the time to first output of a prompt.
 
         Args:
             service: The id of the service.
             tokens: Number of tokens that needed prefill; 0 if unknown.
             waited: Time to the first output.
+            priority: The priority of the request.
+            now: The monotonic time.
         """
-        if tokens and waited:
-            self._history(service).prefill_rates.append(tokens / waited.total_seconds())
+        if not tokens or not waited:
+            return
+        history, rate = self._history(service), tokens / waited.total_seconds()
+        history.prefill_rates.append(rate)
+        first_outputs = history.first_outputs_by_priority.setdefault(
+            priority, _FirstOutputs()
+        )
+        first_outputs.rates.append(rate)
+        first_outputs.sampled_at = now
 
     def record_completion(
         self, service: str, positions: int, duration: timedelta
@@ -113,16 +151,41 @@
             seconds=reading + remaining_positions * _decile(history.steps, _FAST_STEP)
         )
 
-    def prefill_time(self, service: str, tokens: int) -> timedelta:
-        """Return the time for a fast prefill of a number of tokens.
+    def first_output_time(
+        self,
+        service: str,
+        *,
+        tokens: int,
+        tokens_ahead: int,
+        priority: Priority,
+        now: timedelta,
+    ) -> timedelta:
+        """Return the time to first output by a fast prefill of a prompt.
+
+        Engines run the prompts of more urgent requests first. So a request waits as
+        long as others of its priority did, and the prompts that wait at the engine
+        count only for the least urgent priority.
+
+        Args:
+            service: The id of the service.
+            tokens: Number of tokens of the prompt that need prefill.
+            tokens_ahead: Number of tokens of other prompts that wait there.
+            priority: The priority of the request.
+            now: The monotonic time.
 
         Returns:
-            The time, or 0 if there are too few samples.
+            The time, or 0 if there are too few fresh samples.
         """
-        history = self._history(service)
-        if len(history.prefill_rates) < MIN_SAMPLES:
+        by_priority = self._history(service).first_outputs_by_priority
+        first_outputs = by_priority.get(priority)
+        if first_outputs is None or len(first_outputs.rates) < MIN_SAMPLES:
+            return timedelta(0)
+        if now - first_outputs.sampled_at > FORGET_FIRST_AFTER:
             return timedelta(0)
-        return timedelta(seconds=tokens / _decile(history.prefill_rates, _FAST_PREFILL))
+        if priority >= max(by_priority):
+            tokens += tokens_ahead
+        rate = _decile(first_outputs.rates, _FAST_PREFILL)
+        return timedelta(seconds=tokens / rate)
 
     def typical_time(self, service: str, *, tokens: int) -> timedelta:
         """Return the time in which four answers in five are likely to be complete.
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -333,8 +333,13 @@
         view = self._fleet.view(endpoint_id)
         if not view.prefill_tokens and not view.running_streams:
             return timedelta(0)
-        tokens = view.prefill_tokens + count_prefill_tokens(generation)
-        return self.forecast.prefill_time(generation.request.service, tokens)
+        return self.forecast.first_output_time(
+            generation.request.service,
+            tokens=count_prefill_tokens(generation),
+            tokens_ahead=view.prefill_tokens,
+            priority=generation.request.priority,
+            now=self._clock.monotonic(),
+        )
 
     def _log(
         self,
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -8,12 +8,41 @@
 from passtally.forecast import (
     DEFAULT_DURATION,
     FIRST_OUTPUT_SLACK,
+    FORGET_FIRST_AFTER,
     MIN_SAMPLES,
     Forecast,
 )
+from passtally.priority import Priority
 
 SERVICE = "s"
 SECOND = timedelta(seconds=1)
+URGENT, NORMAL, ROUTINE = (Priority(rank=rank) for rank in range(3))
+NOW = timedelta(minutes=1)
+
+
+def record_first(
+    forecast: Forecast,
+    tokens: int,
+    waited: timedelta,
+    *,
+    priority: Priority = NORMAL,
+    count: int = 1,
+) -> None:
+    for _ in range(count):
+        forecast.record_first(SERVICE, tokens, waited, priority=priority, now=NOW)
+
+
+def expect_first(
+    forecast: Forecast,
+    *,
+    ahead: int = 0,
+    priority: Priority = NORMAL,
+    now: timedelta = NOW,
+) -> timedelta:
+    """Return the forecast for a prompt of 5,000 tokens."""
+    return forecast.first_output_time(
+        SERVICE, tokens=5_000, tokens_ahead=ahead, priority=priority, now=now
+    )
 
 
 def make_forecast(answers: int = MIN_SAMPLES) -> Forecast:
@@ -23,7 +52,7 @@
     """
     forecast = Forecast()
     for _ in range(answers):
-        forecast.record_first(SERVICE, 5_000, SECOND)
+        record_first(forecast, 5_000, SECOND)
         forecast.record_completion(SERVICE, 101, SECOND)
     return forecast
 
@@ -45,7 +74,7 @@
     def test_an_outlier_does_not_change_the_forecast(self):
         forecast = make_forecast(answers=20)
         before = forecast.min_time(SERVICE, tokens=5_000, position=0)
-        forecast.record_first(SERVICE, 5_000, timedelta(milliseconds=1))
+        record_first(forecast, 5_000, timedelta(milliseconds=1))
         forecast.record_completion(SERVICE, 2, timedelta(0))
         assert forecast.min_time(SERVICE, tokens=5_000, position=0) == before
 
@@ -65,7 +94,7 @@
         forecast = Forecast()
         for tokens, positions, ms in samples:
             duration = timedelta(milliseconds=ms)
-            forecast.record_first(SERVICE, tokens, duration)
+            record_first(forecast, tokens, duration)
             forecast.record_completion(SERVICE, positions, duration)
         minimum = forecast.min_time(SERVICE, tokens=1_000, position=position)
         slowest = max(1_000 / tokens * ms for tokens, _, ms in samples)
@@ -75,11 +104,31 @@
         assert minimum <= timedelta(milliseconds=most + 1)
 
 
-class TestLimits:
-    def test_the_prefill_time_is_that_of_a_fast_prefill(self):
-        assert make_forecast().prefill_time(SERVICE, 10_000) == 2 * SECOND
-        assert not Forecast().prefill_time(SERVICE, 10_000)
+class TestFirstOutput:
+    def test_a_prompt_waits_for_those_before_it(self):
+        assert expect_first(make_forecast()) == SECOND
+        assert expect_first(make_forecast(), ahead=5_000) == 2 * SECOND
+        assert not expect_first(Forecast())
+
+    # Guards against urgent requests that are refused since routine ones wait: engines
+    # run the urgent ones first.
+    def test_an_urgent_request_waits_only_as_long_as_urgent_ones(self):
+        forecast = make_forecast(0)
+        record_first(forecast, 5_000, SECOND, priority=URGENT, count=MIN_SAMPLES)
+        record_first(forecast, 5_000, 9 * SECOND, priority=ROUTINE, count=20)
+        urgent = expect_first(forecast, ahead=20_000, priority=URGENT)
+        routine = expect_first(forecast, ahead=5_000, priority=ROUTINE)
+        assert (urgent, routine) == (SECOND, 18 * SECOND)
 
+    # Guards against a host that refuses all requests of a priority after some slow
+    # first outputs, and so never sees a faster one.
+    def test_a_forecast_expires(self):
+        later = NOW + FORGET_FIRST_AFTER
+        assert expect_first(make_forecast(), now=later) == SECOND
+        assert not expect_first(make_forecast(), now=later + SECOND)
+
+
+class TestLimits:
     def test_the_first_output_limit_grows_with_the_tokens_in_prefill(self):
         forecast = make_forecast()
         short = forecast.first_output_limit(SERVICE, 5_000)
@@ -92,7 +141,7 @@
     def test_the_first_output_limit_adapts_to_slow_prefill(self):
         forecast = Forecast()
         for _ in range(MIN_SAMPLES):
-            forecast.record_first(SERVICE, 5_000, 4 * SECOND)
+            record_first(forecast, 5_000, 4 * SECOND)
         limit = forecast.first_output_limit(SERVICE, 5_000)
         assert limit == timedelta(seconds=8) + FIRST_OUTPUT_SLACK
         assert limit > Forecast().first_output_limit(SERVICE, 5_000)
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -7,6 +7,7 @@
 import pytest
 
 from passtally.forecast import DEFAULT_DURATION
+from passtally.priority import Priority
 from standins.platform_config import ENGINE, KEY, LOOKUPS, WORKSPACE, make_config
 from standins.runner import PROOF
 from tests.platform_system import PlatformSystem, expected_events, run
@@ -45,6 +46,15 @@
     await system.wait_ready()
 
 
+def record_first_outputs(system: PlatformSystem, *, took: timedelta) -> None:
+    """Record first outputs of streams, in the forecast of the first host."""
+    host = system.hosts[0]
+    for _ in range(8):
+        host.placement.forecast.record_first(
+            ENGINE, 500, took, priority=Priority(), now=host.clock.monotonic()
+        )
+
+
 def busy(system: PlatformSystem):
     """Return the engine that runs a stream."""
     return next(runner for runner in system.runners.values() if runner.ran)
@@ -366,9 +376,7 @@
     def test_an_idle_endpoint_gets_streams_whatever_earlier_ones_took(self):
         async def test(system: PlatformSystem) -> None:
             await start_engines(system)
-            forecast = system.hosts[0].placement.forecast
-            for _ in range(8):
-                forecast.record_first(ENGINE, 500, timedelta(seconds=5))
+            record_first_outputs(system, took=timedelta(seconds=5))
             answers = [await system.stream() for _ in range(3)]
             assert [answer.status for answer in answers] == [200] * 3
 
@@ -379,13 +387,11 @@
     def test_a_stream_goes_to_an_idle_endpoint_if_the_cheapest_is_too_late(self):
         async def test(system: PlatformSystem) -> None:
             await start_engines(system)
-            forecast = system.hosts[0].placement.forecast
             for runner in system.runners.values():
                 runner.faults.first_delay = 0.2
             # The hash of the prompt decides between endpoints of equal cost.
             for _ in range(16):
-                for _ in range(8):
-                    forecast.record_first(ENGINE, 500, timedelta(seconds=0.2))
+                record_first_outputs(system, took=timedelta(seconds=0.2))
                 ran = sum(len(runner.ran) for runner in system.runners.values())
                 first = asyncio.create_task(system.stream())
                 while sum(len(r.ran) for r in system.runners.values()) == ran:
