A tunnel that fails as its caller leaves leaves no stray error

Cause: where the direct attempt had failed and the caller left in the moment in which the tunnel failed too, nobody read the tunnel's error, so that asyncio logged "Task exception was never retrieved".

Change: the tunnel's error is read first.

--- a/passtally/endpoint_dialer.py
+++ b/passtally/endpoint_dialer.py
@@ -309,7 +309,9 @@
                     task.add_done_callback(_abort_connected)
             if tunnel is not None and not tunnel.done():
                 tunnel.cancel()
-            if _is_connected(direct) and tunnel is not None and _is_connected(tunnel):
+            # The tunnel's error is read even if the direct attempt has failed too, or
+            # asyncio logs it as never retrieved.
+            if tunnel is not None and _is_connected(tunnel) and _is_connected(direct):
                 _abort_connected(tunnel)
 
     def _start_direct(
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -1,6 +1,7 @@
 """Tunnels: connections to endpoints through another host."""
 
 import asyncio
+import gc
 import random
 import socket
 import struct
@@ -17,7 +18,7 @@
 from passtally.clock import ManualClock, SystemClock
 from passtally.drain import Drain
 from passtally.endpoint_connector import EndpointConnector
-from passtally.endpoint_dialer import EndpointDialer
+from passtally.endpoint_dialer import TUNNEL_DELAY, EndpointDialer
 from passtally.http_client import ClientConnection, ExchangeError
 from passtally.link_table import (
     FIRST_RETRY,
@@ -34,6 +35,7 @@
 from passtally.settings import Address
 from passtally.tunnel import (
     Connected,
+    ProtocolFactory,
     TunnelInfo,
     TunnelRefusedError,
     open_tunnel,
@@ -285,6 +287,50 @@
         run_far(test, answer_long)
 
 
+class FailingTunnels:
+    """Other hosts of which none connects, once a test says so."""
+
+    def __init__(self) -> None:
+        self.answer = asyncio.Event()
+        self.failed = False
+
+    async def open(self, endpoint_id: str, factory: ProtocolFactory) -> Connected:
+        await self.answer.wait()
+        self.failed = True
+        raise NoTunnelError(endpoint_id, asked=1, is_confirmed=False)
+
+
+class TestCallersThatLeave:
+    # Guards against errors of asyncio in the log, which tell of no fault.
+    def test_a_tunnel_that_fails_as_its_caller_leaves_is_no_stray_error(self):
+        async def test() -> None:
+            strays: list[str] = []
+            asyncio.get_running_loop().set_exception_handler(
+                lambda loop, context: strays.append(context["message"])
+            )
+            with socket.socket() as unused:
+                unused.bind(("127.0.0.1", 0))
+                host, port = unused.getsockname()
+                address = Address(host=host, port=port)
+                tunnels = FailingTunnels()
+                dialer = EndpointDialer(clock=SystemClock(), tunnels=tunnels)
+                connecting = asyncio.create_task(
+                    dialer.connect(address, "e", asyncio.Protocol)
+                )
+                await asyncio.sleep(2 * TUNNEL_DELAY.total_seconds())
+                tunnels.answer.set()
+                while not tunnels.failed:
+                    await asyncio.sleep(0)
+                connecting.cancel()
+                await asyncio.wait([connecting])
+                assert connecting.cancelled()
+            del connecting
+            gc.collect()
+            assert strays == []
+
+        asyncio.run(test())
+
+
 class TestOwnInterface:
     # Guards against requests of one interface that have no other way to an endpoint.
     def test_its_client_sessions_use_tunnels_for_endpoints(self):
