--- a/passtally/api.py
+++ b/passtally/api.py
@@ -13,9 +13,11 @@
 from passtally.metrics import Metric, Metrics
 from passtally.objects import REQUEST_CLASSES, Service, Workspace, digest_token
 from passtally.outcome import Code, Failure, Outcome, RefusedError, refuse
+from passtally.request_bodies import BODY_RETRY_AFTER, RequestBodies
 from passtally.settings import parse_duration
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Middleware = Callable[[web.Request, Handler], Awaitable[web.StreamResponse]]
 
 JSON_TYPE = "application/json"
 CLASS_HEADER = "X-Request-Class"
@@ -161,6 +163,35 @@
         return failure_response(failure)
 
 
+def limit_bodies(bodies: RequestBodies, *, max_body: int) -> Middleware:
+    """Return a middleware that refuses bodies beyond what the host may hold.
+
+    Args:
+        bodies: The bodies that the host holds.
+        max_body: The maximum size of a body, in bytes, which is assumed where the
+            caller does not state the size.
+    """
+
+    @web.middleware
+    async def hold_body(request: web.Request, handler: Handler) -> web.StreamResponse:
+        size = request.content_length
+        body = bodies.open()
+        if not body.reserve(max_body if size is None else min(size, max_body)):
+            raise refuse(
+                Code.OVERLOADED,
+                "The host holds too many request bodies.",
+                status=503,
+                step="parse",
+                retry_after=BODY_RETRY_AFTER,
+            )
+        try:
+            return await handler(request)
+        finally:
+            body.release()
+
+    return hold_body
+
+
 def _not_run_response(code: Code, message: str, status: int) -> web.Response:
     return failure_response(
         Failure(
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -13,7 +13,7 @@
 from eliot import to_file
 
 from passtally.address_space import limit_arenas
-from passtally.api import METRICS_KEY, answer_failures
+from passtally.api import METRICS_KEY, answer_failures, limit_bodies
 from passtally.at_most_once import AtMostOnceCaller
 from passtally.catalog import Catalog, CatalogKeeper
 from passtally.claims import Claims
@@ -55,6 +55,7 @@
 from passtally.plain_handler import PlainHandler, SessionSender, open_session
 from passtally.quarantine import Quarantine
 from passtally.quarantine_exchange import QuarantineExchange
+from passtally.request_bodies import RequestBodies
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
 from passtally.settings import Address, Settings
@@ -407,8 +408,14 @@
             raise
 
     def _build_app(self) -> web.Application:
+        settings = self.settings
+        bodies = RequestBodies(limit=settings.max_bodies, metrics=self.metrics)
         app = web.Application(
-            middlewares=[answer_failures], client_max_size=self.settings.max_body
+            middlewares=[
+                answer_failures,
+                limit_bodies(bodies, max_body=settings.max_body),
+            ],
+            client_max_size=settings.max_body,
         )
         completions = self.completions
         plain = PlainHandler(
--- a/passtally/request_bodies.py
+++ b/passtally/request_bodies.py
@@ -1,11 +1,15 @@
 """A limit on the request bodies that a host holds at once."""
 
+from datetime import timedelta
+
 import attrs
 
 from passtally.metrics import Metric, Metrics, NoMetrics
 
 #: Default limit on the bodies that a host holds, in bytes.
 MAX_BODIES = 256 * 1024 * 1024
+#: Retry-After of a request whose body the host can't hold at present.
+BODY_RETRY_AFTER = timedelta(seconds=1)
 
 
 class RequestBodies:
--- a/passtally/server_connection.py
+++ b/passtally/server_connection.py
@@ -26,10 +26,8 @@
     ServerLimits,
 )
 from passtally.output_buffers import OutputBuffer, OutputBuffers
-from passtally.request_bodies import RequestBodies
+from passtally.request_bodies import BODY_RETRY_AFTER, RequestBodies
 
-#: Retry-After of a request whose body the host can't hold at present.
-BODY_RETRY_AFTER = timedelta(seconds=1)
 #: Size of the buffered input, in bytes, above which reading pauses while a request is
 #: being served.
 MAX_PIPELINED = 64 * 1024
