The own interface's server is a module of its own

Cause: daemon.py held the HTTP server of the own interface beside the parts of a host, in 487 lines.

Change: passtally/own_interface.py builds the application, listens and stops; daemon.py has 448 lines.

Measured: tests of control, listeners, imports, bodies, calls and admission held.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -9,11 +9,9 @@
 import aiohttp
 import aiomisc
 import uvloop
-from aiohttp import web
 from eliot import to_file
 
 from passtally.address_space import limit_arenas
-from passtally.api import METRICS_KEY, answer_failures, limit_bodies
 from passtally.at_most_once import AtMostOnceCaller
 from passtally.catalog import Catalog, CatalogKeeper
 from passtally.claims import Claims
@@ -49,13 +47,13 @@
 from passtally.operator_api import OperatorApi
 from passtally.orders import HttpOrders
 from passtally.output_buffers import OutputBuffers, OutputLimits
+from passtally.own_interface import OwnInterface
 from passtally.peers import Peers
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
 from passtally.plain_handler import PlainHandler, SessionSender, open_session
 from passtally.quarantine import Quarantine
 from passtally.quarantine_exchange import QuarantineExchange
-from passtally.request_bodies import RequestBodies
 from passtally.retry import RetryLimits
 from passtally.retry_budget import RetryBudgets
 from passtally.settings import Address, Settings
@@ -66,8 +64,6 @@
 from passtally.task_set import TaskSet
 from passtally.tunnel_hosts import TunnelHosts
 
-LISTEN_BACKLOG = 2048
-
 
 class EntryHost(aiomisc.Service):
     """All services of one entry host, started and stopped together.
@@ -117,7 +113,7 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Close the sockets, tasks and sessions; :meth:`leave` has drained requests."""
         await self._listeners.stop()
-        await self._site_runner.cleanup()
+        await self._interface.stop()
         await self._tasks.cancel()
         await self.peers.stop()
         self.endpoint_links.server.stop()
@@ -366,6 +362,20 @@
             status=self.status,
             guard=self.guard,
         )
+        self._interface = OwnInterface(
+            settings=settings,
+            metrics=self.metrics,
+            completions=self.completions,
+            plain=PlainHandler(
+                catalog=self.catalog,
+                caller=self.at_most_once,
+                drain=self.drain,
+                gate=self.gate,
+            ),
+            operator_api=self.operator_api,
+            is_ready=lambda: self.keeper.loaded.is_set() and not self.drain.is_stopping,
+            config_version=lambda: self.catalog.config_version,
+        )
 
     def _connect_engine(self, endpoint: Endpoint) -> HttpEngine:
         return HttpEngine(
@@ -376,10 +386,8 @@
         )
 
     async def _listen(self) -> None:
-        self._site_runner = web.AppRunner(
-            self._build_app(), access_log=None, handle_signals=False
-        )
-        await self._site_runner.setup()
+        interface = self._interface
+        await interface.start()
         settings = self.settings
         await self._listeners.open(PEERS, settings.peer_listen, self.peers.bind)
         if settings.tunnel_listen is not None:
@@ -393,54 +401,7 @@
                     settings.tunnel_listen.port,
                 ),
             )
-        await self._listeners.open(CALLERS, settings.listen, self._open_site)
-
-    async def _open_site(self) -> None:
-        listen = self.settings.listen
-        site = web.TCPSite(
-            self._site_runner, listen.host, listen.port, backlog=LISTEN_BACKLOG
-        )
-        try:
-            await site.start()
-        except OSError:
-            # Unregisters the site from its runner, so that a retry can add a new one.
-            await site.stop()
-            raise
-
-    def _build_app(self) -> web.Application:
-        settings = self.settings
-        bodies = RequestBodies(limit=settings.max_bodies, metrics=self.metrics)
-        app = web.Application(
-            middlewares=[
-                answer_failures,
-                limit_bodies(bodies, max_body=settings.max_body),
-            ],
-            client_max_size=settings.max_body,
-        )
-        completions = self.completions
-        plain = PlainHandler(
-            catalog=self.catalog,
-            caller=self.at_most_once,
-            drain=self.drain,
-            gate=self.gate,
-        )
-        app[METRICS_KEY] = self.metrics
-        app.router.add_post("/v1/chat/completions", completions.chat)
-        app.router.add_post("/v1/completions", completions.text)
-        app.router.add_get("/v1/generations/{id}", completions.collect)
-        app.router.add_route("*", "/services/{service}/{path:.*}", plain.serve)
-        self.operator_api.add_routes(app)
-        app.router.add_get("/healthz", self._answer_health)
-        app.router.add_get("/readyz", self._answer_ready)
-        return app
-
-    async def _answer_health(self, request: web.Request) -> web.Response:
-        return web.json_response({"host": self.settings.host_id, "status": "alive"})
-
-    async def _answer_ready(self, request: web.Request) -> web.Response:
-        ready = self.keeper.loaded.is_set() and not self.drain.is_stopping
-        body = {"ready": ready, "config_version": self.catalog.config_version}
-        return web.json_response(body, status=200 if ready else 503)
+        await self._listeners.open(CALLERS, settings.listen, interface.listen)
 
 
 def _open_metrics(settings: Settings) -> Metrics:
