--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -141,7 +141,9 @@
         await self._refuse_quarantined(generation)
         self._metrics.count(Metric.REQUESTS)
         self._budgets.earn(
-            generation.request.workspace, service=generation.request.service
+            generation.request.workspace,
+            service=generation.request.service,
+            priority=generation.request.priority,
         )
         while True:
             if step is NextStep.RESUME:
--- a/passtally/forecast.py
+++ b/passtally/forecast.py
@@ -177,12 +177,15 @@
             The time, or 0 if there are too few fresh samples.
         """
         by_priority = self._history(service).first_outputs_by_priority
-        first_outputs = by_priority.get(priority)
+        fresh_by_priority = {
+            other: outputs
+            for other, outputs in by_priority.items()
+            if now - outputs.sampled_at <= FORGET_FIRST_AFTER
+        }
+        first_outputs = fresh_by_priority.get(priority)
         if first_outputs is None or len(first_outputs.rates) < MIN_SAMPLES:
             return timedelta(0)
-        if now - first_outputs.sampled_at > FORGET_FIRST_AFTER:
-            return timedelta(0)
-        if priority >= max(by_priority):
+        if priority >= max(fresh_by_priority):
             tokens += tokens_ahead
         rate = _decile(first_outputs.rates, _FAST_PREFILL)
         return timedelta(seconds=tokens / rate)
--- a/passtally/usage_exchange.py
+++ b/passtally/usage_exchange.py
@@ -138,7 +138,7 @@
         self, usage_by_service: Mapping[str, ServiceUsage], paces: Sequence[Pace]
     ) -> None:
         now = self._clock.monotonic()
-        self._table.record_reported(usage_by_service, now=now)
+        self._table.record_reported(usage_by_service)
         own_id = self._members.own.host_id
         collectors = self._choice.of_own_domain()
         if not self._is_late(now):
--- a/passtally/usage_table.py
+++ b/passtally/usage_table.py
@@ -38,9 +38,7 @@
         self._reported_by_service: Mapping[str, ServiceUsage] = {}
         self._peaks_by_service: dict[str, dict[Priority, _Peak]] = {}
 
-    def record_reported(
-        self, usage_by_service: Mapping[str, ServiceUsage], *, now: timedelta
-    ) -> None:
+    def record_reported(self, usage_by_service: Mapping[str, ServiceUsage]) -> None:
         """Record what this host has reported as its own use."""
         self._reported_by_service = dict(usage_by_service)
 
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -120,6 +120,17 @@
         routine = expect_first(forecast, ahead=5_000, priority=ROUTINE)
         assert (urgent, routine) == (SECOND, 18 * SECOND)
 
+    # Guards against prompts that wait and are not counted, since routine requests came
+    # long ago.
+    def test_a_priority_without_fresh_samples_competes_no_longer(self):
+        forecast = make_forecast(0)
+        record_first(forecast, 5_000, SECOND, priority=ROUTINE, count=MIN_SAMPLES)
+        later = NOW + FORGET_FIRST_AFTER + SECOND
+        for _ in range(MIN_SAMPLES):
+            forecast.record_first(SERVICE, 5_000, SECOND, priority=URGENT, now=later)
+        urgent = expect_first(forecast, ahead=5_000, priority=URGENT, now=later)
+        assert urgent == 2 * SECOND
+
     # Guards against a host that refuses all requests of a priority after some slow
     # first outputs, and so never sees a faster one.
     def test_a_forecast_expires(self):
