Docstrings and comments of origins, promises and call times

Cause: two public methods had no docstring, and two comments were hard to read.

Change: wording only; the delay that an endpoint reports is named so.

--- a/passtally/call_times.py
+++ b/passtally/call_times.py
@@ -148,7 +148,7 @@
             del self._times_by_id[call.endpoint_id]
         if not is_timed:
             return
-        took = (now - call.began_at) / self._told_delay(times, now)
+        took = (now - call.began_at) / self._reported_delay(times, now)
         times.recent.add(took, now=now)
         times.usual.add(took, now=now)
 
@@ -246,7 +246,7 @@
             return {
                 name
                 for name, times in times_by_id.items()
-                if self._told_delay(times, now) > SLOW_FACTOR
+                if self._reported_delay(times, now) > SLOW_FACTOR
             }
         expected_by_id = {
             name: self._expected(times, now) for name, times in times_by_id.items()
@@ -260,9 +260,9 @@
         recent = times.recent
         mean = recent.value if recent.is_known(now) else timedelta(0)
         ages = [now - call.began_at for call in times.open_calls]
-        return max(mean * self._told_delay(times, now), *ages, timedelta(0))
+        return max(mean * self._reported_delay(times, now), *ages, timedelta(0))
 
-    def _told_delay(self, times: _Times, now: timedelta) -> float:
+    def _reported_delay(self, times: _Times, now: timedelta) -> float:
         """Return the factor by which calls take longer, by an endpoint's fresh report.
 
         The requests that wait there run before a new one.
--- a/passtally/origin_question.py
+++ b/passtally/origin_question.py
@@ -33,6 +33,7 @@
     is_settled: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def add(self, sender: Address, found: OriginFound) -> None:
+        """Record the reply of a host."""
         self.found_by_address[sender] = found
         is_enough = self.is_settled_by_one and found.row is not None
         if is_enough or len(self.found_by_address) >= len(self.asked):
@@ -77,5 +78,6 @@
 
     @property
     def unanswered(self) -> list[Address]:
+        """The addresses of the hosts that have not replied."""
         addresses = (address_of(row.address) for row in self.asked)
         return [item for item in addresses if item not in self.found_by_address]
--- a/passtally/promises.py
+++ b/passtally/promises.py
@@ -10,10 +10,10 @@
 
 import attrs
 
-#: Time before the told one at which a caller counts as returning in time; its clock and
-#: the way take that much.
+#: Time before the promised one from which a caller counts as returning as told. Clocks
+#: and links differ by that much.
 EARLY_TOLERANCE = timedelta(milliseconds=100)
-#: Time after the told one at which a caller is no longer expected.
+#: Time after the promised one from which a caller is no longer expected.
 KEEP_AFTER = timedelta(seconds=5)
 #: Maximum number of promises that are kept.
 MAX_PROMISES = 500
@@ -33,7 +33,7 @@
 
 
 class Promises:
-    """The promises of this host, and those that others have told."""
+    """The promises of this host, and those that other hosts have reported."""
 
     def __init__(self) -> None:
         self._due_by_fingerprint: dict[bytes, timedelta] = {}
