--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -141,9 +141,7 @@
         await self._refuse_quarantined(generation)
         self._metrics.count(Metric.REQUESTS)
         self._budgets.earn(
-            generation.request.workspace,
-            service=generation.request.service,
-            priority=generation.request.priority,
+            generation.request.workspace, service=generation.request.service
         )
         while True:
             if step is NextStep.RESUME:
--- a/passtally/generation_retries.py
+++ b/passtally/generation_retries.py
@@ -54,7 +54,6 @@
             request.workspace,
             service=request.service,
             is_resume=generation.delivered > 0,
-            priority=request.priority,
         )
 
     async def acquire_ahead(self, generation: Generation, progress: Progress) -> bool:
--- a/passtally/retry_budget.py
+++ b/passtally/retry_budget.py
@@ -11,7 +11,6 @@
 import attrs
 
 from passtally.clock import Clock
-from passtally.priority import Priority
 
 #: Retries that each request earns.
 SHARE = 0.1
@@ -24,24 +23,15 @@
 MAX_CHECK_DELAY = timedelta(seconds=1)
 #: Tolerance, in retries, for rounding errors in the sum of borrowed fractions.
 ROUNDING_ERROR = 1e-9
-#: Part of a service's retries that new requests leave to more urgent ones, while there
-#: are such requests. Answers that have begun may use it too.
-URGENT_PART = 0.25
-#: Priority of requests that compete with no others.
-USUAL = Priority()
 
 
 class Budgets(Protocol):
     """A budget from which requests take retries and resumes."""
 
-    def earn(
-        self, workspace: str, *, service: str = "", priority: Priority = USUAL
-    ) -> None:
+    def earn(self, workspace: str, *, service: str = "") -> None:
         """Count one request towards the budget."""
 
-    def try_spend(
-        self, workspace: str, *, service: str = "", priority: Priority = USUAL
-    ) -> bool:
+    def try_spend(self, workspace: str, *, service: str = "") -> bool:
         """Take one retry of a new request, if the budget has one left."""
 
     def try_resume(self, workspace: str, *, service: str = "") -> bool:
@@ -50,19 +40,12 @@
     def release(self, *, service: str) -> None:
         """Return a retry or a resume that was taken but not used."""
 
-    async def borrow(
-        self, *, service: str, is_resume: bool, priority: Priority = USUAL
-    ) -> bool:
+    async def borrow(self, *, service: str, is_resume: bool) -> bool:
         """Take one retry or resume, borrowing what is missing from other hosts."""
 
 
 async def acquire_retry(
-    budgets: Budgets,
-    workspace: str,
-    *,
-    service: str,
-    is_resume: bool,
-    priority: Priority = USUAL,
+    budgets: Budgets, workspace: str, *, service: str, is_resume: bool
 ) -> bool:
     """Take a retry or a resume from the local budget, or borrow from other hosts.
 
@@ -71,15 +54,11 @@
         workspace: The workspace that sent the request.
         service: The service.
         is_resume: Whether the request's answer has begun.
-        priority: The priority of the request.
     """
-    if is_resume:
-        is_taken = budgets.try_resume(workspace, service=service)
-    else:
-        is_taken = budgets.try_spend(workspace, service=service, priority=priority)
-    return is_taken or await budgets.borrow(
-        service=service, is_resume=is_resume, priority=priority
-    )
+    take = budgets.try_resume if is_resume else budgets.try_spend
+    if take(workspace, service=service):
+        return True
+    return await budgets.borrow(service=service, is_resume=is_resume)
 
 
 async def wait_for_retry(
@@ -148,16 +127,12 @@
         self._domain = RetryBudget(max_saved=10 * MAX_SAVED, saved=10 * MAX_SAVED)
         self._by_workspace: dict[str, RetryBudget] = {}
 
-    def earn(
-        self, workspace: str, *, service: str = "", priority: Priority = USUAL
-    ) -> None:
+    def earn(self, workspace: str, *, service: str = "") -> None:
         """Count one request towards the budget."""
         self._domain.earn()
         self._budget_of(workspace).earn()
 
-    def try_spend(
-        self, workspace: str, *, service: str = "", priority: Priority = USUAL
-    ) -> bool:
+    def try_spend(self, workspace: str, *, service: str = "") -> bool:
         """Take one retry, if both its workspace and the domain have one left."""
         workspace_budget = self._budget_of(workspace)
         if not (workspace_budget.has_saved_retry() and self._domain.has_saved_retry()):
@@ -173,9 +148,7 @@
     def release(self, *, service: str) -> None:
         """Do nothing: only resumes are taken in advance, and they are not counted."""
 
-    async def borrow(
-        self, *, service: str, is_resume: bool, priority: Priority = USUAL
-    ) -> bool:
+    async def borrow(self, *, service: str, is_resume: bool) -> bool:
         """Return False: this budget is not shared with other hosts."""
         return False
 
@@ -198,8 +171,7 @@
     the requests in the window, plus a fixed number of extra retries. What requests
     earned before endpoints are lost can thus be spent at once when they are. A part of
     the extra retries is reserved for resumes, so that retries of new requests can't use
-    up what answers that have begun need. Where priorities compete, new requests also
-    leave a part to the more urgent ones.
+    up what answers that have begun need.
 
     Among hundreds of hosts each gets only a request or two per window, and less than
     one of the extra retries. A host may therefore borrow what other hosts have left.
@@ -239,20 +211,14 @@
         self._started_at = clock.monotonic()
         self._recent_by_service: dict[str, _Recent] = {}
 
-    def earn(
-        self, workspace: str, *, service: str = "", priority: Priority = USUAL
-    ) -> None:
+    def earn(self, workspace: str, *, service: str = "") -> None:
         """Count one request towards the budget."""
         now = self._clock.monotonic()
-        recent = self._recent(service, now)
-        recent.requests.append(now)
-        recent.requested_at_by_priority[priority] = now
+        self._recent(service, now).requests.append(now)
 
-    def try_spend(
-        self, workspace: str, *, service: str = "", priority: Priority = USUAL
-    ) -> bool:
-        """Take one retry, unless only what is reserved for others is left."""
-        return self._acquire(service, above=self._reserved(service, priority))
+    def try_spend(self, workspace: str, *, service: str = "") -> bool:
+        """Take one retry, unless only what is reserved for resumes is left."""
+        return self._acquire(service, above=self._reserved_for_resumes())
 
     def try_resume(self, workspace: str, *, service: str = "") -> bool:
         """Take one resume; it may use the reserved part too."""
@@ -264,11 +230,9 @@
         if recent.retries:
             recent.retries.pop()
 
-    async def borrow(
-        self, *, service: str, is_resume: bool, priority: Priority = USUAL
-    ) -> bool:
+    async def borrow(self, *, service: str, is_resume: bool) -> bool:
         """Take one retry or resume, borrowing what is missing from other hosts."""
-        above = 0.0 if is_resume else self._reserved(service, priority)
+        above = 0.0 if is_resume else self._reserved_for_resumes()
         missing = 1 + above - self._available(service)
         lent = await self._ask_others(service, missing) if missing > 0 else 0.0
         now = self._clock.monotonic()
@@ -290,17 +254,8 @@
         self._recent(service, now).lent.append((now, lent))
         return lent
 
-    def _reserved(self, service: str, priority: Priority) -> float:
-        """Return what a new request leaves to resumes and to more urgent requests."""
-        now = self._clock.monotonic()
-        for_resumes = self._resume_part * self._extra_now()
-        recent = self._recent(service, now)
-        if not any(
-            other < priority and now - at < self.window
-            for other, at in recent.requested_at_by_priority.items()
-        ):
-            return for_resumes
-        return for_resumes + URGENT_PART * (self._allowed(recent) - for_resumes)
+    def _reserved_for_resumes(self) -> float:
+        return self._resume_part * self._extra_now()
 
     def _extra_now(self) -> float:
         """Return the current extra retries of this host, which grow during warm-up.
@@ -314,13 +269,10 @@
 
     def _available(self, service: str) -> float:
         recent = self._recent(service, self._clock.monotonic())
+        allowed = self.share * len(recent.requests) + self._extra_now()
         borrowed = sum(amount for _, amount in recent.borrowed)
         lent = sum(amount for _, amount in recent.lent)
-        return self._allowed(recent) + borrowed - lent - len(recent.retries)
-
-    def _allowed(self, recent: "_Recent") -> float:
-        """Return the retries of the last window, without those of other hosts."""
-        return self.share * len(recent.requests) + self._extra_now()
+        return allowed + borrowed - lent - len(recent.retries)
 
     def _acquire(self, service: str, *, above: float) -> bool:
         if self._available(service) < 1 + above - ROUNDING_ERROR:
@@ -342,13 +294,9 @@
 
 @attrs.define(kw_only=True)
 class _Recent:
-    """The times of requests and retries, and the loans, of the last window.
-
-    The last request of each priority may be older.
-    """
+    """The times of requests and retries, and the loans, of the last window."""
 
     requests: deque[timedelta] = attrs.field(factory=deque)
-    requested_at_by_priority: dict[Priority, timedelta] = attrs.field(factory=dict)
     retries: deque[timedelta] = attrs.field(factory=deque)
     borrowed: deque[tuple[timedelta, float]] = attrs.field(factory=deque)
     lent: deque[tuple[timedelta, float]] = attrs.field(factory=deque)
