--- a/passtally/api.py
+++ b/passtally/api.py
@@ -174,6 +174,8 @@
 
     @web.middleware
     async def hold_body(request: web.Request, handler: Handler) -> web.StreamResponse:
+        if not request.body_exists:
+            return await handler(request)
         size = request.content_length
         body = bodies.open()
         if not body.reserve(max_body if size is None else min(size, max_body)):
--- a/passtally/routing.py
+++ b/passtally/routing.py
@@ -174,12 +174,11 @@
 
     Prefers endpoints that are neither ejected, unstable nor slow. Ejected ones are used
     only if all are ejected, since the fault may then be this host's own, and slow ones
-    only while the others are full. If the KV
-    capacity of all of them is known, the endpoint of the lowest prefill cost is chosen.
-    Else it is chosen by prefix affinity with a bounded load: the prefix gives an order
-    of the endpoints, and the first whose load is not far above the mean is chosen, so
-    that a popular prefix spreads over several. Endpoints of other failure domains are
-    used once the local ones are busy.
+    only while the others are full. If the KV capacity of all of them is known, the
+    endpoint of the lowest prefill cost is chosen. Else it is chosen by prefix affinity
+    with a bounded load: the prefix gives an order of the endpoints, and the first whose
+    load is not far above the mean is chosen, so that a popular prefix spreads over
+    several. Endpoints of other failure domains are used once the local ones are busy.
 
     Args:
         query: The request.
--- a/tests/test_own_bodies.py
+++ b/tests/test_own_bodies.py
@@ -30,12 +30,16 @@
         )
         self.app[METRICS_KEY] = NoMetrics()
         self.app.router.add_post("/", self._handle)
+        self.app.router.add_get("/", self._answer)
 
     async def _handle(self, request: web.Request) -> web.Response:
         body = await request.read()
         await self.answer.wait()
         return web.Response(text=str(len(body)))
 
+    async def _answer(self, request: web.Request) -> web.Response:
+        return web.Response(text=str(self.bodies.held))
+
 
 class TestBodies:
     # Guards against many large uploads at once that take the host's memory.
@@ -64,6 +68,18 @@
 
         asyncio.run(test())
 
+    # Guards against health checks and other requests without a body that are refused,
+    # or that count like the longest body, while they are open.
+    def test_a_request_without_one_is_served_while_the_limit_is_reached(self):
+        async def test() -> None:
+            interface = Interface()
+            assert interface.bodies.open().reserve(LIMIT)
+            async with TestClient(TestServer(interface.app)) as client:
+                answer = await client.get("/")
+                assert (answer.status, await answer.text()) == (200, str(LIMIT))
+
+        asyncio.run(test())
+
     def test_one_that_is_too_long_is_told_so(self):
         async def test() -> None:
             interface = Interface()
