Review: a stream goes on at another software version (ORDER)

After a kill of all hosts, a host that takes up a stream takes the only version that it has seen since its start for the one that began it.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,8 @@
-"""A host that stops takes requests on kept channels, and cuts them at its end."""
+"""All hosts are killed while the runners of one software version end."""
 
 import asyncio
+import contextlib
+import re
 import signal
 import sys
 import time
@@ -12,146 +14,160 @@
 import standins  # noqa: E402
 from standins import BROKEN, ENGINES, HELD, STAMP, UnfitError  # noqa: E402
 
-#: Time until the first event, and between two events, in seconds.
+EVENTS = 150
+INTERVAL_SECONDS = 0.06
 PREFILL_SECONDS = 0.3
-INTERVAL_SECONDS = 0.03
-#: Number of events of the usual streams, of the long ones, and of one that runs for
-#: nearly as long as a stop may take.
-USUAL, LONG, LONGEST = (45, 50, 55, 60, 65), 150, 220
-#: Number of usual streams on each channel at first: one stream in nine is long.
-USUAL_TURNS = 6
-#: Number of channels, each of one requester.
-CHANNELS = 4
-#: Time from the start of the long streams to the stop, in seconds.
-STOP_AFTER_SECONDS = 1.0
-#: Time after a SIGTERM up to which the rule excuses a request that is still worked on.
-EXCUSED_SECONDS = 3.0
-
-
-async def stream(request, reader, writer) -> bool:
-    """Run a request; its path tells how many events it makes."""
-    count = int(request.target.rpartition("/")[2])
-    headers = {
-        "X-Request-Id": request.id,
-        "X-Response-Stamp": STAMP,
-        "Content-Type": "text/event-stream",
-        "Transfer-Encoding": "chunked",
-    }
-    await asyncio.sleep(PREFILL_SECONDS)
-    writer.write(standins.head_of(200, headers))
-    for number in range(1, count + 1):
-        data = b"id: %d\ndata: piece %d\n\n" % (number, number)
-        writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+REQUESTERS = 12
+#: Number of further tries of a requester, and the pause before each, in seconds.
+RETRIES, RETRY_PAUSE_SECONDS = 4, 0.8
+BUDGET_SECONDS = 25.0
+#: Time from the requests until the runners of one version say that they leave.
+LEAVE_AFTER_SECONDS = 1.0
+#: Time for which these serve on, in seconds; the sheet's drain_ms and a little longer.
+SERVE_ON_SECONDS = 2.4
+#: Time from the kill of all hosts to the end of these runners, in seconds.
+END_AFTER_SECONDS = 0.2
+#: Time after which the platform starts killed hosts again, in seconds.
+RESTART_SECONDS = 1.0
+#: Number of streams that may hold events of two versions.
+MAX_MIXED = 2
+VERSIONS = ("v1", "v1", "v2", "v2")
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (v\d)\n\n")
+
+
+class Engine(standins.Runner):
+    """A model runner, whose events name the version of its software."""
+
+    def __init__(self, name: str, version: str, record: standins.Record) -> None:
+        super().__init__(name, ENGINES, self._stream, record, version)
+
+    async def _stream(self, request, reader, writer) -> bool:
+        start = int(request.headers.get("last-event-id", "0"))
+        self._record.write(
+            f"{request.id} reaches {self.name} of {self.version}, after event {start}"
+        )
+        await asyncio.sleep(PREFILL_SECONDS)
+        headers = {
+            "X-Request-Id": request.id,
+            "X-Response-Stamp": STAMP,
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        writer.write(standins.head_of(200, headers))
+        for number in range(start + 1, EVENTS + 1):
+            text = f"id: {number}\ndata: piece {number} of {self.version}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+            await writer.drain()
+            await asyncio.sleep(INTERVAL_SECONDS)
+        writer.write(b"0\r\n\r\n")
         await writer.drain()
-        await asyncio.sleep(INTERVAL_SECONDS)
-    writer.write(b"0\r\n\r\n")
-    await writer.drain()
-    return True
+        return True
 
 
 class Requester:
-    """A requester with one channel, which it keeps for its requests."""
-
-    def __init__(self, host: standins.EntryHost, record: standins.Record) -> None:
-        self._host, self._record = host, record
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
-        #: When each request was sent that got no complete answer, by its id.
-        self.cut_at: dict[str, float] = {}
-        #: Whether the host allows another request on the channel.
-        self.is_kept = True
-
-    async def open(self) -> None:
-        """Open the channel."""
-        address = self._host.ip, 8740
-        self._reader, self._writer = await asyncio.open_connection(*address)
-
-    def close(self) -> None:
-        """Close the channel."""
-        self._writer.close()
-
-    async def ask(self, request_id: str, count: int) -> str:
-        """Send a request on the channel and return how its answer ended."""
-        sent_at = time.monotonic()
-        self._writer.write(
+    """A requester that takes its stream up again after a broken channel."""
+
+    def __init__(self, number: int, hosts, record: standins.Record) -> None:
+        self._number, self._hosts, self._record = number, hosts, record
+        self._first_id = ""
+        self._received = 0
+        #: The versions of the events, in the order of their first event.
+        self.versions: list[str] = []
+        self.is_whole = False
+
+    async def run(self) -> None:
+        """Send the request, and take the stream up until it is whole."""
+        until = time.monotonic() + BUDGET_SECONDS
+        for turn in range(1 + RETRIES):
+            if turn:
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+            request_id = f"q{self._number}-{turn}"
+            host = self._hosts[(self._number + turn) % len(self._hosts)]
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await self._try(request_id, host, until - time.monotonic())
+            state = "whole" if self.is_whole else "broken off"
+            self._record.write(
+                f"{request_id} at {host.name}: {state} after event {self._received},"
+                f" versions {self.versions}"
+            )
+            if self.is_whole:
+                return
+
+    async def _try(self, request_id: str, host, left: float) -> None:
+        reader, writer = await asyncio.open_connection(host.ip, 8740)
+        fields = {}
+        if self._received:
+            fields = {"Last_Event_Id": str(self._received), "Resumes": self._first_id}
+        writer.write(
             standins.request_bytes(
-                f"/draft/{count}",
+                "/draft/1",
                 request_id,
                 X_Model="m",
-                X_Token_Usage="1000,1200",
-                X_Prefix_Hash=f"5c1e07a2:200,{request_id.encode().hex()}:800",
+                X_Token_Usage="1000,1000",
+                X_Prefix_Hash=f"5c1e07a2:200,{self._number:x}:800",
+                X_Deadline_Ms=str(int(left * 1000)),
+                **fields,
             )
         )
-        self._record.write(f"{request_id} sent, will have {count} events")
-        try:
-            result = await self._read(count)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            result = "closed without an answer"
-            self.is_kept = False
-        if result.startswith("cut"):
-            self.cut_at[request_id] = sent_at
-        self._record.write(f"{request_id} {result}, channel kept {self.is_kept}")
-        return result
-
-    async def _read(self, count: int) -> str:
-        head = await self._reader.readuntil(b"\r\n\r\n")
-        status = int(head.split()[1])
-        self.is_kept = b"connection: close" not in head.lower()
-        if status != 200:
-            self.is_kept = False
-            return f"refused with {status}"
-        events = 0
         try:
-            while size := int(await self._reader.readuntil(b"\r\n"), 16):
-                data = await self._reader.readexactly(size + 2)
-                events += data.count(b"\n\n")
-            await self._reader.readexactly(2)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            self.is_kept = False
-            return f"cut after {events} of {count} events"
-        return f"answered whole, {events} events"
-
+            await self._read(request_id, reader)
+        finally:
+            writer.close()
 
-async def play(host: standins.EntryHost, record: standins.Record) -> bool:
+    async def _read(self, request_id: str, reader: asyncio.StreamReader) -> None:
+        data = await reader.readuntil(b"\r\n\r\n")
+        status = int(data.split()[1])
+        if status != 200:
+            self._record.write(f"{request_id} is refused with {status}")
+            return
+        while part := await reader.read(65536):
+            data += part
+            while found := EVENT.search(data):
+                data = data[found.end() :]
+                self._first_id = self._first_id or request_id
+                self._received = int(found[1])
+                version = found[2].decode()
+                if version not in self.versions:
+                    self.versions.append(version)
+            if data.endswith(b"0\r\n\r\n"):
+                self.is_whole = self._received == EVENTS
+                return
+
+
+async def kill_all_while_v2_ends(hosts, engines: list[Engine], store, record) -> None:
+    """End the runners of one version as planned, and kill all hosts meanwhile."""
+    leaving = [engine for engine in engines if engine.version == "v2"]
+    await asyncio.sleep(LEAVE_AFTER_SECONDS)
+    for engine in leaving:
+        store.put("servers", engine.name, engine.entry("draining"))
+        record.write(f"{engine.name} of v2 leaves: confirmed by the store")
+    await asyncio.sleep(SERVE_ON_SECONDS)
+    record.write("SIGKILL to all hosts")
+    for host in hosts:
+        host.send_signal(signal.SIGKILL)
+    await asyncio.sleep(END_AFTER_SECONDS)
+    for engine in leaving:
+        record.write(f"{engine.name} of v2 ends")
+        store.remove("servers", engine.name)
+        engine.stop()
+    await asyncio.sleep(RESTART_SECONDS - END_AFTER_SECONDS)
+    record.write("all hosts start again")
+    for host in hosts:
+        host.start()
+
+
+async def play(hosts, engines: list[Engine], store, record) -> bool:
     """Play the case, and return whether the rule was broken."""
-    requesters = [Requester(host, record) for _ in range(CHANNELS + 1)]
-    for requester in requesters:
-        await requester.open()
-
-    async def warm_up(number: int, requester: Requester) -> None:
-        for turn in range(USUAL_TURNS):
-            count = USUAL[(number + turn) % len(USUAL)]
-            await requester.ask(f"usual-{number}-{turn}", count)
-
-    await asyncio.gather(*(warm_up(*item) for item in enumerate(requesters)))
-
-    async def continue_on(number: int, requester: Requester) -> None:
-        await requester.ask(f"first-{number}", LONG)
-        if requester.is_kept:
-            count = LONG if number % 2 else USUAL[number % len(USUAL)]
-            await requester.ask(f"second-{number}", count)
-
-    *others, last = requesters
-    work = [asyncio.create_task(continue_on(*item)) for item in enumerate(others)]
-    await asyncio.sleep(STOP_AFTER_SECONDS)
-    work.append(asyncio.create_task(last.ask("longest", LONGEST)))
-    await asyncio.sleep(0.1)
-    stopped_at = time.monotonic()
+    requesters = [Requester(number, hosts, record) for number in range(REQUESTERS)]
+    work = [asyncio.create_task(requester.run()) for requester in requesters]
     if standins.has_trouble():
-        record.write("SIGTERM to the host")
-        host.send_signal(signal.SIGTERM)
+        await kill_all_while_v2_ends(hosts, engines, store, record)
     await asyncio.gather(*work)
-    lost = {}
-    for requester in requesters:
-        requester.close()
-        for request_id, sent_at in requester.cut_at.items():
-            if sent_at > stopped_at + EXCUSED_SECONDS:
-                lost[request_id] = sent_at - stopped_at
-    for request_id, after in lost.items():
-        record.write(f"LOST: {request_id}, sent {after:.1f} s after the SIGTERM")
-    if not standins.has_trouble() and any(item.cut_at for item in requesters):
+    mixed = [item for item in requesters if len(item.versions) > 1]
+    record.write(f"streams with events of two versions: {len(mixed)}")
+    if not standins.has_trouble() and not all(item.is_whole for item in requesters):
         raise UnfitError("not served without the disruption")
-    return bool(lost)
+    return len(mixed) > MAX_MIXED
 
 
 async def main() -> int:
@@ -169,18 +185,18 @@
         session_affinity=True,
     )
     store.put("config", "main", standins.config([route]))
-    runners = [
-        standins.Runner(f"i-7f3a91c{number}", ENGINES, stream, record)
-        for number in range(2)
+    engines = [
+        Engine(f"i-7f3a91c{number}", version, record)
+        for number, version in enumerate(VERSIONS)
     ]
-    for runner in runners:
-        await runner.start(store)
+    for engine in engines:
+        await engine.start(store)
     try:
-        async with standins.running_hosts(store) as (host, *_):
-            is_broken = await play(host, record)
+        async with standins.running_hosts(store) as hosts:
+            is_broken = await play(hosts, engines, store, record)
     finally:
-        for runner in runners:
-            runner.stop()
+        for engine in engines:
+            engine.stop()
         store.stop()
     record.write("the rule is broken" if is_broken else "the rule holds")
     return BROKEN if is_broken else HELD
--- a/review/standins.py
+++ b/review/standins.py
@@ -322,10 +322,13 @@
         service: Its service.
         run: Answers a request that it runs; returns whether the connection stays open.
         record: The record.
+        version: The version of its software.
     """
 
-    def __init__(self, name: str, service: str, run: Serve, record: Record) -> None:
-        self.name, self.service = name, service
+    def __init__(
+        self, name: str, service: str, run: Serve, record: Record, version: str = "v1"
+    ) -> None:
+        self.name, self.service, self.version = name, service, version
         self._run, self._record = run, record
         self._server = HttpStandIn(self._serve)
         self.is_over = False
@@ -351,7 +354,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "pilar",
-            "version": "v1",
+            "version": self.version,
             "slots": 64,
             "state": state,
             "cold_remaining_ms": 0,
@@ -463,18 +466,20 @@
         self._folder = folder
         self._store = store
         self._process: subprocess.Popen | None = None
+        self._seeds = ""
 
     @property
     def pid(self) -> int:
         """The id of its process."""
         return self._process.pid
 
-    def start(self, seeds: str) -> None:
+    def start(self, seeds: str = "") -> None:
         """Start its process by the command of the deploy file.
 
         Args:
-            seeds: The control addresses of all hosts.
+            seeds: The control addresses of all hosts; empty for those of before.
         """
+        self._seeds = seeds = seeds or self._seeds
         path = self._folder / f"{self.name}.conf"
         text = SETTINGS.format(
             name=self.name,
@@ -492,7 +497,7 @@
         }
         variables["PYTHONPATH"] = str(REPOSITORY / "target" / "deps")
         variables["PASSTALLY_CONFIG"] = str(path)
-        log = (self._folder / f"{self.name}.log").open("wb")
+        log = (self._folder / f"{self.name}.log").open("ab")
         with log:
             self._process = subprocess.Popen(
                 deploy["roles"]["entry"]["run"].split(" "),
