--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,12 @@
-"""All hosts are killed while the runners of one software version end."""
+"""All hosts are killed while the runners of one software version end.
+
+With LEAVING=0 these runners stay; then the script judges LOST of issue 59: whether
+streams that are taken up go on half as often as new ones begin.
+"""
 
 import asyncio
 import contextlib
+import os
 import re
 import signal
 import sys
@@ -18,8 +23,10 @@
 INTERVAL_SECONDS = 0.06
 PREFILL_SECONDS = 0.3
 REQUESTERS = 12
+#: Whether the runners of one version leave.
+IS_LEAVING = os.environ.get("LEAVING", "1") != "0"
 #: Number of further tries of a requester, and the pause before each, in seconds.
-RETRIES, RETRY_PAUSE_SECONDS = 4, 0.8
+RETRIES, RETRY_PAUSE_SECONDS = (4, 0.8) if IS_LEAVING else (6, 1.5)
 BUDGET_SECONDS = 25.0
 #: Time from the requests until the runners of one version say that they leave.
 LEAVE_AFTER_SECONDS = 1.0
@@ -29,6 +36,8 @@
 END_AFTER_SECONDS = 0.2
 #: Time after which the platform starts killed hosts again, in seconds.
 RESTART_SECONDS = 1.0
+#: Time from the restart until machines are in touch, and new streams are sent.
+CONTACT_SECONDS = 3.0
 #: Number of streams that may hold events of two versions.
 MAX_MIXED = 2
 VERSIONS = ("v1", "v1", "v2", "v2")
@@ -136,7 +145,7 @@
 
 async def kill_all_while_v2_ends(hosts, engines: list[Engine], store, record) -> None:
     """End the runners of one version as planned, and kill all hosts meanwhile."""
-    leaving = [engine for engine in engines if engine.version == "v2"]
+    leaving = [item for item in engines if item.version == "v2" and IS_LEAVING]
     await asyncio.sleep(LEAVE_AFTER_SECONDS)
     for engine in leaving:
         store.put("servers", engine.name, engine.entry("draining"))
@@ -162,6 +171,8 @@
     work = [asyncio.create_task(requester.run()) for requester in requesters]
     if standins.has_trouble():
         await kill_all_while_v2_ends(hosts, engines, store, record)
+    if not IS_LEAVING:
+        return await is_work_lost(hosts, requesters, work, record)
     await asyncio.gather(*work)
     mixed = [item for item in requesters if len(item.versions) > 1]
     record.write(f"streams with events of two versions: {len(mixed)}")
@@ -170,6 +181,17 @@
     return len(mixed) > MAX_MIXED
 
 
+async def is_work_lost(hosts, requesters: list[Requester], work, record) -> bool:
+    """Return whether streams taken up go on less than half as often as new begin."""
+    await asyncio.sleep(CONTACT_SECONDS)
+    new = [Requester(REQUESTERS + number, hosts, record) for number in range(12)]
+    await asyncio.gather(*work, *(requester.run() for requester in new))
+    taken_up = sum(item.is_whole for item in requesters) / len(requesters)
+    begun = sum(item.is_whole for item in new) / len(new)
+    record.write(f"share of streams taken up: {taken_up:.2f}, of new ones: {begun:.2f}")
+    return taken_up < begun / 2
+
+
 async def main() -> int:
     """Play the case and return the exit code."""
     record = standins.Record(FOLDER)
