ORDER: a stream of unknown origin goes on only if the service's past is known

Cause: a host that knows nothing of a stream went on at the only version that it, and the hosts that it asked, had seen. None of them was older than the stream.

Change: one host that receives changes must know the past, by 2 min of watching without a gap, or by the store: the record of the service's versions, which the first watching host of each failure domain writes once there are two; that the record could be created just now, so that there was one version; or a history that reaches back to the store's first revision. Else the take-up is refused with 503. A service with one version costs no call until a young host has to know, then one.

The tests of unknown origins had hosts of 1.5 s that relied on one version; their store now has a record or takes one, as the users' store does.

--- a/passtally/adapter.py
+++ b/passtally/adapter.py
@@ -16,6 +16,7 @@
 from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
 from passtally.settings import Address
+from passtally.version_records import VersionStore
 
 
 class Adapter(Protocol):
@@ -36,6 +37,9 @@
     def open_store(self, fetcher: Fetcher, url: str) -> RelocatablePlatform:
         """Return a client of the store at this URL."""
 
+    def open_versions(self, store: RelocatablePlatform) -> VersionStore:
+        """Return the records of software versions in a store."""
+
     def decode_routes(self, stored: StoredObject) -> RouteSet | None:
         """Decode the routes; return None for an object that holds no routes.
 
--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -15,7 +15,9 @@
 from passtally.plain import PlainCaller
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
+from passtally.seen_versions import SeenVersions
 from passtally.survey import Survey
+from passtally.version_records import VersionRecords
 
 if TYPE_CHECKING:
     from passtally.front_host import FrontHost
@@ -39,6 +41,7 @@
         placement: Chooses endpoints for streams.
         dispatcher: Runs streams.
         caller: Forwards plain calls.
+        version_records: The versions that services had before this host's start.
         origins: Where answers began.
         front: Serves each request, from its arrival to its end.
     """
@@ -102,11 +105,20 @@
             ),
             metrics=host.metrics,
         )
+        seen = SeenVersions()
+        self.version_records = VersionRecords(
+            store=adapter.open_versions(host.store),
+            seen=seen,
+            clock=host.clock,
+            is_writer=lambda: host.watch.is_first_watcher,
+        )
         self.origins = OriginExchange(
             members=host.roster,
             datagrams=host.datagrams,
             catalog=host.catalog,
             rule=host.fleet.origin_rule,
+            seen=seen,
+            records=self.version_records,
             clock=host.clock,
             metrics=host.metrics,
             is_current=lambda: host.watch.is_receiving,
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -519,6 +519,8 @@
         age_ms: The time since it was last told, in milliseconds.
         versions: The versions that it saw in the service of late.
         is_current: Whether it receives all changes of endpoints.
+        is_complete: Whether it knows all versions at which answers began that may still
+            be taken up.
     """
 
     number: int
@@ -526,6 +528,7 @@
     age_ms: int
     versions: list[str]
     is_current: bool
+    is_complete: bool = False
 
 
 class UseRow(msgspec.Struct, array_like=True, frozen=True):
--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -5,7 +5,7 @@
 URL.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from datetime import timedelta
 from typing import Any, Protocol, TypeVar
 
@@ -17,6 +17,8 @@
 CALL_TIMEOUT = timedelta(seconds=3)
 WATCH_TIMEOUT = timedelta(seconds=20)
 REMOVED = b"null"
+#: The statuses of a call that was carried out.
+SUCCESSES = (200, 201)
 
 T = TypeVar("T")
 
@@ -158,6 +160,11 @@
         self._fetcher = fetcher
         self.set_url(url)
 
+    @property
+    def url(self) -> str:
+        """The store's base URL."""
+        return self._url
+
     def set_url(self, url: str) -> None:
         """Send all further calls to another URL."""
         self._url = url.rstrip("/")
@@ -176,8 +183,9 @@
         params: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
         data: bytes = b"",
+        accepted: Collection[int] = SUCCESSES,
     ) -> Fetched:
-        """Make one call and return its answer.
+        """Make one call and return its answer, if it has an accepted status.
 
         A ``get`` of an object that does not exist returns an empty body.
 
@@ -199,7 +207,8 @@
         is_missing = fetched.status == 404 and step == "get"
         if is_missing:
             return attrs.evolve(fetched, body=b"")
-        self._check(step, fetched.status)
+        if fetched.status not in accepted:
+            raise self._error(step, fetched.status)
         return fetched
 
     def decode(self, step: str, body: bytes, kind: type[T]) -> T:
@@ -213,10 +222,8 @@
         except msgspec.MsgspecError as error:
             raise UnavailableError(str(error), step=step, peer=self._url) from error
 
-    def _check(self, step: str, status: int) -> None:
-        if status == 200:
-            return
+    def _error(self, step: str, status: int) -> PlatformError:
         kind = {409: ConflictError, 410: TooOldError, 429: ThrottledError}.get(
             status, UnavailableError
         )
-        raise kind(f"status {status}", step=step, peer=self._url)
+        return kind(f"status {status}", step=step, peer=self._url)
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -32,6 +32,7 @@
 from passtally.seen_versions import SeenVersions
 from passtally.service_index import ServiceIndex
 from passtally.settings import Address
+from passtally.version_records import VersionRecords
 
 #: Interval between checks which records are due, and between looks at the versions that
 #: serve.
@@ -61,6 +62,8 @@
         datagrams: The datagrams to and from other hosts.
         catalog: The endpoints.
         rule: Finds the version of an answer that this host began.
+        seen: The versions that this host sees.
+        records: The versions of the time before that.
         clock: The clock.
         metrics: The metrics sink.
         is_current: Returns whether this host receives all changes of endpoints.
@@ -74,6 +77,8 @@
         datagrams: Datagrams,
         catalog: ServiceIndex,
         rule: OriginRule,
+        seen: SeenVersions,
+        records: VersionRecords,
         clock: Clock,
         metrics: Metrics,
         is_current: Callable[[], bool],
@@ -90,7 +95,8 @@
         self._is_current = is_current
         self._has_others = has_others
         self._started_at = clock.monotonic()
-        self._seen = SeenVersions()
+        self._seen = seen
+        self._records = records
         self._seen_at = -SEEN_INTERVAL
         self._running: set[RunningAnswer] = set()
         self._questions_by_number: dict[int, OriginQuestion] = {}
@@ -194,7 +200,7 @@
                 )
                 age = timedelta(milliseconds=found.age_ms)
                 return self._found(known, peer=sender, age=age, **fields)
-            sole = self._find_sole(service, question)
+            sole = await self._find_sole(service, question)
             if sole is not None or not self._is_young():
                 holder_id = "" if record is None else record.holder_id
                 holder_id = holder_id or question.holder_id
@@ -243,27 +249,65 @@
         )
         return known
 
-    def _find_sole(self, service: str, question: OriginQuestion) -> str | None:
-        """Return the only version that a service had of late, or None.
+    async def _find_sole(self, service: str, question: OriginQuestion) -> str | None:
+        """Return the only version at which an answer can have begun, or None.
+
+        That one version serves now does not show it: the answer may be older than the
+        hosts, and its version gone.
+        """
+        if question.is_contradictory or not self._is_informed(question):
+            return None
+        versions = self._list_versions(service, question)
+        if len(versions) == 1 and not self._is_complete(service, question):
+            await self._records.learn(service, versions)
+            versions |= self._list_versions(service, question)
+        is_sole = len(versions) == 1 and self._is_complete(service, question)
+        return versions.pop() if is_sole else None
+
+    def _is_informed(self, question: OriginQuestion) -> bool:
+        """Return whether the versions that serve now are known.
 
         A host or a domain that is cut off knows only what served before: others may
         serve a second version.
         """
-        if question.is_contradictory:
-            return None
         replies = question.found_by_address.values()
         domains = {self._members.own.failure_domain, *question.answered_domains}
-        if not (
+        return (
             self._is_current()
             or any(found.is_current for found in replies)
-            or (replies and domains >= self._keepers.known_domains)
+            or (bool(replies) and domains >= self._keepers.known_domains)
             or not self._has_others()
-        ):
-            return None
+        )
+
+    def _list_versions(self, service: str, question: OriginQuestion) -> set[str]:
+        """Return the versions that a service has or had, as far as they are known."""
         self._record_seen()
         versions = self._seen.list_versions(service)
+        versions.update(self._records.find(service) or ())
+        replies = question.found_by_address.values()
         versions.update(*(found.versions for found in replies))
-        return versions.pop() if len(versions) == 1 else None
+        return versions
+
+    def _is_complete(self, service: str, question: OriginQuestion) -> bool:
+        """Return whether all versions are known at which answers may have begun.
+
+        A host that does not receive changes now may lack those of late; it counts only
+        if nobody receives them.
+        """
+        replies = question.found_by_address.values()
+        is_complete_by_host = [
+            (self._is_current(), self._knows_past(service)),
+            *((found.is_current, found.is_complete) for found in replies),
+        ]
+        current = [
+            complete for is_current, complete in is_complete_by_host if is_current
+        ]
+        return any(current or [complete for _, complete in is_complete_by_host])
+
+    def _knows_past(self, service: str) -> bool:
+        """Return whether this host knows the versions of the time before its start."""
+        is_covered = self._seen.covers(self._clock.monotonic())
+        return is_covered or self._records.find(service) is not None
 
     def _record(self, answer: RunningAnswer) -> list[OriginRow]:
         """Record an answer here, and return the rows to tell; none before it begins."""
@@ -296,7 +340,10 @@
     def _record_seen(self) -> None:
         self._seen_at = self._clock.monotonic()
         endpoints = self._catalog.endpoints_by_id.values()
-        self._seen.record(endpoints, now=self._seen_at)
+        if self._seen.record(
+            endpoints, now=self._seen_at, is_current=self._is_current()
+        ):
+            self._records.forget_past()
 
     async def _ask(
         self, key: bytes, service: str, *, is_settled_by_one: bool
@@ -337,12 +384,15 @@
             row = to_origin_row(message.key, record.origin, holder_id=record.holder_id)
         if now - self._seen_at >= SEEN_INTERVAL:
             self._record_seen()
+        versions = self._seen.list_versions(message.service)
+        versions.update(self._records.find(message.service) or ())
         found = OriginFound(
             number=message.number,
             row=row,
             age_ms=round(age.total_seconds() * 1000),
-            versions=sorted(self._seen.list_versions(message.service)),
+            versions=sorted(versions),
             is_current=self._is_current(),
+            is_complete=self._knows_past(message.service),
         )
         self._datagrams.send([sender], found)
 
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -15,6 +15,7 @@
 from passtally.platform.rollout_object import decode_rollout, encode_status
 from passtally.platform.runner import RunnerEngine, RunnerSender
 from passtally.platform.store import PlatformStore
+from passtally.platform.version_store import PlatformVersionStore
 from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
 from passtally.settings import Address
@@ -36,6 +37,10 @@
             fetcher=fetcher, url=url, full_object_prefixes=(self.rollouts_prefix,)
         )
 
+    def open_versions(self, store: PlatformStore) -> PlatformVersionStore:
+        """Return the records of software versions in a store."""
+        return PlatformVersionStore(store=store, endpoints_prefix=self.endpoints_prefix)
+
     def decode_routes(self, stored: StoredObject) -> RouteSet | None:
         """Decode the routes; return None for any other object, or a removed one."""
         if stored.key != _ROUTES_KEY or stored.is_removed:
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -12,6 +12,7 @@
 from passtally.fetch import Fetched, Fetcher, find_header
 from passtally.object_store import (
     REMOVED,
+    SUCCESSES,
     WATCH_TIMEOUT,
     ConflictError,
     Listing,
@@ -34,8 +35,13 @@
 #: A listing is a host's first call to a silent store that may have recovered, and each
 #: attempt that hangs delays the next one.
 LIST_TIMEOUT = timedelta(seconds=1)
-#: Timeout of a status update; a slow store takes 60 times its usual 4 ms.
-STATUS_TIMEOUT = timedelta(seconds=1)
+#: Timeout of a write; a slow store takes 60 times its usual 4 ms.
+WRITE_TIMEOUT = timedelta(seconds=1)
+#: The status of a write that does not fit the object that exists.
+CONFLICT = 409
+#: The lowest revision of a change. A watch after it returns all changes, if the store
+#: keeps its whole history: the object of this one change is listed, or was removed.
+FIRST_REVISION = 1
 #: An era in decimal; no revision or version is as long.
 ERA = re.compile(rb"[0-9]{1,12}")
 
@@ -171,10 +177,60 @@
             "PUT",
             f"/api/objects/{quote(key)}/status",
             headers={"Content-Type": "application/json"},
-            timeout=STATUS_TIMEOUT,
+            timeout=WRITE_TIMEOUT,
             data=body,
         )
 
+    @property
+    def lineage(self) -> tuple[str, int]:
+        """The address and the era; objects of another one may not exist here."""
+        return self._link.url, self._era
+
+    async def list_history(self, prefix: str) -> Listing:
+        """Return all changes of the objects of a kind, those of removed ones too.
+
+        Raises:
+            TooOldError: The store does not keep its history from the beginning.
+        """
+        params = {"watch": str(FIRST_REVISION), "wait_ms": "0"}
+        era, changes = await self._get("watch", prefix, params, LIST_TIMEOUT, _Changes)
+        objects = tuple(
+            self._to_stored(prefix, event.object, era)
+            for event in _decode_each(prefix, changes.events, _Event)
+        )
+        return Listing(version=version_of(era, changes.store_revision), objects=objects)
+
+    async def find_or_create(self, key: str, spec: bytes) -> StoredObject:
+        """Create an object, and return the object of this key that now exists."""
+        prefix, name = _split_key(key)
+        self.calls += 1
+        fetched = await self._link.fetch(
+            "create",
+            "POST",
+            f"/api/objects/{quote(prefix.rstrip('/'))}",
+            headers={"Content-Type": "application/json"},
+            timeout=WRITE_TIMEOUT,
+            data=_encode_object(name, spec),
+            accepted=(*SUCCESSES, CONFLICT),
+        )
+        if fetched.status != CONFLICT:
+            return StoredObject(key=key, version=0, value=msgspec.Raw(spec))
+        item = self._link.decode("create", fetched.body, _Object)
+        return self._to_stored(prefix, item, self._era)
+
+    async def replace(self, key: str, spec: bytes) -> None:
+        """Replace the spec of an object, whatever its revision is."""
+        _, name = _split_key(key)
+        self.calls += 1
+        await self._link.call(
+            "replace",
+            "PUT",
+            f"/api/objects/{quote(key)}",
+            headers={"Content-Type": "application/json"},
+            timeout=WRITE_TIMEOUT,
+            data=_encode_object(name, spec),
+        )
+
     def _record_era(self, fetched: Fetched) -> None:
         """Record the era of an answer, whatever else the answer contains."""
         text = find_header(fetched.headers, names.STORE_ERA)
@@ -251,6 +307,16 @@
             return era, self._link.decode(step, replace_deep_values(body), kind)
 
 
+def _split_key(key: str) -> tuple[str, str]:
+    """Return the prefix of a key's kind, and the name."""
+    kind, _, name = key.partition("/")
+    return f"{kind}/", name
+
+
+def _encode_object(name: str, spec: bytes) -> bytes:
+    return msgspec.json.encode({"metadata": {"name": name}, "spec": msgspec.Raw(spec)})
+
+
 def decode_era(text: bytes | None) -> int:
     """Decode the era of an answer; return 0 for an answer without one.
 
--- a/passtally/shared_watch.py
+++ b/passtally/shared_watch.py
@@ -127,6 +127,12 @@
         views = self._views_by_prefix.values()
         return all(view.follower.is_watching for view in views if view.is_required)
 
+    @property
+    def is_first_watcher(self) -> bool:
+        """Whether this host is the first of those of its domain that watch."""
+        watching = self._watching_ids(self._clock.monotonic())
+        return self.is_up and all(self._host_id <= name for name in watching)
+
     def replace(self, view: View, listing: Listing) -> None:
         """Apply a complete listing from the platform, and forward its changes."""
         since = view.mirror.newest
--- /dev/null
+++ b/passtally/version_records.py
@@ -0,0 +1,168 @@
+"""The software versions of services, recorded in the store, which outlives the hosts.
+
+Hosts that have all been restarted know the versions that serve now, but not those at
+which answers began before. Without a record they could only presume that there was no
+other version. A service that has one version all along costs no call: its record is
+created by the first host that has to know.
+"""
+
+import asyncio
+from collections.abc import Callable, Hashable, Iterable
+from datetime import timedelta
+from typing import Protocol
+
+from passtally.clock import Clock
+from passtally.decision import log_event
+from passtally.object_store import PlatformError
+from passtally.seen_versions import SeenVersions
+
+#: Interval between checks whether the record of a service is up to date.
+CHECK_INTERVAL = timedelta(seconds=1)
+#: Time for which a caller waits for the record. A slow store takes 240 ms a call.
+LEARN_TIMEOUT = timedelta(milliseconds=600)
+#: Time after a failed attempt in which no further one is made.
+RETRY_INTERVAL = timedelta(seconds=1)
+
+
+class VersionStore(Protocol):
+    """The records of versions in the store. Each call may raise a PlatformError."""
+
+    @property
+    def lineage(self) -> Hashable:
+        """What changes when the store moves, or is restored from an older copy."""
+
+    async def create(self, service: str, versions: Iterable[str]) -> frozenset[str]:
+        """Create the record of a service, and return the record that now exists."""
+
+    async def replace(self, service: str, versions: Iterable[str]) -> None:
+        """Replace the record of a service."""
+
+    async def list_past(self, service: str) -> frozenset[str]:
+        """Return the versions of all endpoints that the store has ever held.
+
+        Raises:
+            PlatformError: The store no longer keeps its history from the beginning.
+        """
+
+
+class VersionRecords:
+    """The records of versions that this host wrote or read.
+
+    A record holds the versions at which answers may have begun that can still be taken
+    up. It is written once a service has two versions, and again after each change.
+
+    Args:
+        store: The records in the store.
+        seen: The versions that this host sees.
+        clock: The clock.
+        is_writer: Returns whether this host writes the records of what it sees.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: VersionStore,
+        seen: SeenVersions,
+        clock: Clock,
+        is_writer: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._seen = seen
+        self._clock = clock
+        self._is_writer = is_writer
+        self._lineage = store.lineage
+        #: The versions of the time before this host began to see them.
+        self._past_by_service: dict[str, frozenset[str]] = {}
+        #: The records as this host last wrote or read them.
+        self._recorded_by_service: dict[str, frozenset[str]] = {}
+        self._failed_at_by_service: dict[str, timedelta] = {}
+        self._learning = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Keep the records up to date until cancelled."""
+        while True:
+            if self._is_writer():
+                for service, versions in self._seen.versions_by_service().items():
+                    await self._save(service, versions)
+            await self._clock.sleep(CHECK_INTERVAL)
+
+    def find(self, service: str) -> frozenset[str] | None:
+        """Return the versions that a service had in the past, or None if unknown."""
+        self._check_lineage()
+        return self._past_by_service.get(service)
+
+    def forget_past(self) -> None:
+        """Forget what was learned, since this host may have missed changes."""
+        self._past_by_service.clear()
+
+    async def learn(self, service: str, versions: Iterable[str]) -> None:
+        """Ask the store which versions a service had in the past, unless it is known.
+
+        Args:
+            service: The service.
+            versions: The versions that it has now.
+        """
+        async with self._learning:
+            if self.find(service) is not None or self._has_just_failed(service):
+                return
+            past = await self._read_past(service, frozenset(versions))
+            if past is None:
+                self._failed_at_by_service[service] = self._clock.monotonic()
+            else:
+                self._past_by_service[service] = past
+                log_event(
+                    "versions", "Learned.", service=service, versions=sorted(past)
+                )
+
+    def _has_just_failed(self, service: str) -> bool:
+        failed_at = self._failed_at_by_service.get(service)
+        now = self._clock.monotonic()
+        return failed_at is not None and now - failed_at < RETRY_INTERVAL
+
+    async def _read_past(
+        self, service: str, versions: frozenset[str]
+    ) -> frozenset[str] | None:
+        """Return the versions in a service's record, else in the store's history.
+
+        A record that could be created just now shows that there was only one version:
+        a second one would have been recorded.
+        """
+        try:
+            async with asyncio.timeout(LEARN_TIMEOUT.total_seconds()):
+                try:
+                    return await self._store.create(service, versions)
+                except PlatformError as error:
+                    log_event("versions", "No record.", service=service, why=error)
+                return await self._store.list_past(service)
+        except (PlatformError, TimeoutError) as error:
+            why = error or "no answer in time"
+            log_event("versions", "No complete history.", service=service, why=why)
+            return None
+
+    async def _save(self, service: str, versions: frozenset[str]) -> None:
+        """Record the versions of a service if it has, or had, several."""
+        self._check_lineage()
+        recorded = self._recorded_by_service.get(service)
+        if recorded is None and len(versions) < 2:
+            return
+        try:
+            if recorded is None:
+                recorded = await self._store.create(service, versions)
+            # A host that has not seen the service for long enough may not know all.
+            is_whole = self._seen.covers(self._clock.monotonic())
+            wanted = versions if is_whole else versions | recorded
+            if wanted != recorded:
+                await self._store.replace(service, wanted)
+        except PlatformError as error:
+            log_event("versions", "Not recorded.", service=service, why=error)
+            return
+        if wanted != self._recorded_by_service.get(service):
+            log_event("versions", "Recorded.", service=service, versions=sorted(wanted))
+        self._recorded_by_service[service] = wanted
+
+    def _check_lineage(self) -> None:
+        """Forget the records of a store that was replaced or restored since."""
+        if self._lineage != self._store.lineage:
+            self._lineage = self._store.lineage
+            self._past_by_service.clear()
+            self._recorded_by_service.clear()
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -32,6 +32,8 @@
     Attributes:
         page: Number of objects on one page of a listing.
         refusal: HTTP status that rejects every call, or None.
+        write_refusal: HTTP status that rejects writes of whole objects, or None.
+        writes: Number of writes of whole objects received.
         is_silent: Whether calls get no response.
         is_deaf: Whether watches return no events and never advance.
         list_delay: Duration of a listing, in seconds.
@@ -46,6 +48,8 @@
     def __init__(self) -> None:
         self.page = PAGE
         self.refusal: int | None = None
+        self.write_refusal: int | None = None
+        self.writes = 0
         self.is_silent = False
         self.is_deaf = False
         self.list_delay = 0.0
@@ -64,6 +68,8 @@
         """Listen on a free loopback port and return the port."""
         app = web.Application(middlewares=[self._add_era_header])
         app.router.add_get("/api/objects/{kind}", self._serve)
+        app.router.add_post("/api/objects/{kind}", self._create)
+        app.router.add_put("/api/objects/{kind}/{name}", self._replace)
         app.router.add_put("/api/objects/{kind}/{name}/status", self._put_status)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
@@ -93,6 +99,10 @@
             _Change(revision=self.revision, kind=kind, item=item, removed=False)
         )
 
+    def find(self, kind: str, name: str) -> Any:
+        """Return the spec of an object, or None if it does not exist."""
+        return self._items.get((kind, name), {}).get("spec")
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists."""
         item = self._items.pop((kind, name), None)
@@ -167,6 +177,28 @@
             }
         )
 
+    async def _create(self, request: web.Request) -> web.Response:
+        change = await request.json()
+        key = request.match_info["kind"], change["metadata"]["name"]
+        return self._write(key, change, is_allowed=key not in self._items)
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        key = request.match_info["kind"], request.match_info["name"]
+        if key not in self._items:
+            return web.Response(status=404)
+        return self._write(key, await request.json(), is_allowed=True)
+
+    def _write(
+        self, key: tuple[str, str], change: dict[str, Any], *, is_allowed: bool
+    ) -> web.Response:
+        self.calls += 1
+        self.writes += 1
+        if (refusal := self.refusal or self.write_refusal) is not None:
+            return web.Response(status=refusal)
+        if is_allowed:
+            self.put(*key, change["spec"])
+        return web.json_response(self._items[key], status=200 if is_allowed else 409)
+
     async def _put_status(self, request: web.Request) -> web.Response:
         self.calls += 1
         if self.refusal is not None:
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from functools import partial
 
 from passtally.generation import Generation, GenerationRequest
 from passtally.messages import MemberRow
 from passtally.metrics import NoMetrics
+from passtally.object_store import UnavailableError
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.origin import KnownAnswer, Origin, OriginRule
 from passtally.origin_exchange import OriginExchange, UnknownOriginError
+from passtally.seen_versions import SeenVersions
+from passtally.version_records import VersionRecords
 from tests.datagram_network import DatagramNetwork
 from tests.fakes import make_catalog
 from tests.gossip_fleet import Fleet
@@ -18,6 +22,44 @@
 VERSIONS = ("v1", "v2")
 
 
+class VersionStoreFake:
+    """The records of versions of a store that takes writes, unless it refuses.
+
+    Attributes:
+        versions_by_service: The records.
+        history: The versions in its history; None if it does not reach back far enough.
+        is_refusing: Whether it refuses to create and replace records.
+        calls: Number of calls received.
+        lineage: Its address and era.
+    """
+
+    def __init__(self) -> None:
+        self.versions_by_service: dict[str, frozenset[str]] = {}
+        self.history: frozenset[str] | None = None
+        self.is_refusing = False
+        self.calls = 0
+        self.lineage = 0
+
+    async def create(self, service: str, versions: Iterable[str]) -> frozenset[str]:
+        self._count()
+        return self.versions_by_service.setdefault(service, frozenset(versions))
+
+    async def replace(self, service: str, versions: Iterable[str]) -> None:
+        self._count()
+        self.versions_by_service[service] = frozenset(versions)
+
+    async def list_past(self, service: str) -> frozenset[str]:
+        self.calls += 1
+        if self.history is None:
+            raise UnavailableError("too old", step="watch", peer="store")
+        return self.history
+
+    def _count(self) -> None:
+        self.calls += 1
+        if self.is_refusing:
+            raise UnavailableError("status 404", step="create", peer="store")
+
+
 class OriginFleet:
     """Hosts with gossip, and before them endpoints of some software versions."""
 
@@ -34,6 +76,10 @@
         self.network = DatagramNetwork(self.gossip)
         self.exchanges_by_id: dict[str, OriginExchange] = {}
         self.is_current = True
+        #: The hosts that receive changes; None if all of them do while is_current.
+        self.current_ids: set[str] | None = None
+        self.store = VersionStoreFake()
+        self.records_by_id: dict[str, VersionRecords] = {}
         self.catalog = make_catalog(
             [Service(id=SERVICE, kind=ServiceKind.MODEL, model="m", version="1")],
             [
@@ -53,19 +99,33 @@
         self.gossip.start(rows, life=life)
         for row in rows:
             node = self.gossip.nodes_by_address[row.address]
+            seen = SeenVersions()
+            records = self.records_by_id[node.id] = VersionRecords(
+                store=self.store,
+                seen=seen,
+                clock=self.gossip.clock,
+                is_writer=lambda: True,
+            )
             exchange = OriginExchange(
                 members=node.roster,
                 datagrams=self.network.add(node),
                 catalog=self.catalog,
                 rule=OriginRule(catalog=self.catalog),
+                seen=seen,
+                records=records,
                 clock=self.gossip.clock,
                 metrics=NoMetrics(),
-                is_current=lambda: self.is_current,
+                is_current=partial(self._receives_changes, node.id),
                 has_others=lambda: True,
             )
             self.exchanges_by_id[node.id] = exchange
             exchange.renew()
 
+    def _receives_changes(self, host_id: str) -> bool:
+        return self.is_current and (
+            self.current_ids is None or host_id in self.current_ids
+        )
+
     def stop(self, rows: Sequence[MemberRow]) -> None:
         """Kill hosts."""
         self.gossip.stop(rows)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -41,14 +41,14 @@
         self.system = system
         self.callers = [ResumingCaller() for _ in range(STREAMS)]
 
-    async def start(self) -> None:
+    async def start(self, *, versions: int = 2) -> None:
         system = self.system
         config = make_config()
         # A busy machine may take several seconds to make and read all streams, which is
         # not what is tested.
         config["routes"][0]["timeout_ms"] = TIMEOUT_MS
         system.store.put("config", "main", config)
-        for number in range(2 * PER_VERSION):
+        for number in range(versions * PER_VERSION):
             await self._add_runner(number)
         for zone in ZONES:
             await self.add_host(zone)
@@ -81,6 +81,28 @@
     def hosts(self) -> list[FrontHost]:
         return self.system.hosts
 
+    async def restart_all_hosts(self) -> None:
+        """End all hosts, so that nothing is left of what they knew, and start three."""
+        for host in self.hosts:
+            await host.stop()
+        self.hosts.clear()
+        for zone in ZONES:
+            await self.add_host(zone)
+        await self.system.wait_ready()
+
+    async def wait_recorded(self) -> None:
+        """Wait until the store holds a record of the service's versions."""
+        while self.system.store.find("software-versions", ENGINE) is None:
+            await asyncio.sleep(0.02)
+
+    def remove_version(self, version: int) -> None:
+        """End all endpoints of a version as planned."""
+        first = (version - 1) * PER_VERSION
+        for runner in self.runners(*range(first, first + PER_VERSION)):
+            self.system.store.remove("servers", runner.name)
+            runner.crash()
+            del self.system.runners[runner.name]
+
     def crash(self, *numbers: int) -> None:
         for number in numbers:
             self.system.runners[f"i-{number}"].crash()
@@ -218,3 +240,55 @@
                 assert max(item.ended_after for item in tries) < AT_ONCE
 
         run(test)
+
+
+class TestAllHostsLost:
+    """All hosts end at once, so that none has a record of the streams that ran."""
+
+    # Guards against streams that go on at the only version that restarted hosts have
+    # seen, while the version that began them is gone.
+    @pytest.mark.parametrize("keeps_records", [True, False], ids=["records", "none"])
+    @pytest.mark.parametrize("keeps_history", [True, False], ids=["history", "no-past"])
+    def test_no_stream_goes_on_at_the_version_that_is_left(
+        self, keeps_records, keeps_history
+    ):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            system.store.write_refusal = None if keeps_records else 404
+            await scene.start()
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            if keeps_records:
+                await scene.wait_recorded()
+            scene.remove_version(2)
+            if not keeps_history:
+                system.store.forget_history()
+            await scene.restart_all_hosts()
+            tries = await scene.send_all(scene.hosts)
+            assert count_mixed(scene.callers) == 0
+            assert {item.status for item in tries} == {503}
+
+        run(test)
+
+    # Guards against streams that are refused although no other version ever served.
+    @pytest.mark.parametrize("write_refusal", [None, 404], ids=["records", "none"])
+    def test_streams_of_the_only_version_go_on(self, write_refusal):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            system.store.write_refusal = write_refusal
+            # A store that was restored from a copy has lost a part of its history.
+            system.store.era = None
+            await scene.start(versions=1)
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            if write_refusal is None:
+                # A store that takes writes need not keep its history.
+                system.store.forget_history()
+            assert system.store.writes == 0
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served == STREAMS
+            # However many streams a host takes up, it asks once, and once more after it
+            # begins to receive changes.
+            assert system.store.writes <= 2 * len(scene.hosts)
+
+        run(test)
--- /dev/null
+++ b/tests/test_version_records.py
@@ -0,0 +1,265 @@
+"""The versions that services had before a host's start, as the store tells them."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from passtally.objects import Endpoint
+from passtally.origin_exchange import CHECK_INTERVAL, SETTLE_TIME
+from passtally.origin_table import RECORD_TTL
+from passtally.seen_versions import SeenVersions
+from passtally.version_records import RETRY_INTERVAL, VersionRecords
+from standins.virtual import VirtualClock, run_virtually
+from tests.origin_fleet import SERVICE, OriginFleet, VersionStoreFake
+
+NOW = timedelta(0)
+SECOND = timedelta(seconds=1)
+BOTH = frozenset(("v1", "v2"))
+ONLY = frozenset(("v1",))
+
+
+def endpoint(software: str) -> Endpoint:
+    return Endpoint(
+        id=software,
+        service=SERVICE,
+        url=f"http://{software}:1",
+        failure_domain="d",
+        software=software,
+    )
+
+
+def sleep(duration: timedelta):
+    return asyncio.sleep(duration.total_seconds())
+
+
+class TestCoveredTime:
+    """The time for which a host has seen the versions of services."""
+
+    # Guards against a young host that takes what it has seen for all there was.
+    def test_a_host_knows_all_versions_after_the_time_that_answers_last(self):
+        seen = SeenVersions()
+        assert not seen.covers(NOW)
+        seen.record([endpoint("v1")], now=NOW)
+        assert not seen.covers(RECORD_TTL - SECOND)
+        assert seen.covers(RECORD_TTL)
+
+    # Guards against versions that came and went while a host received no changes.
+    def test_the_time_begins_anew_after_changes_were_missed(self):
+        seen = SeenVersions()
+        assert not seen.record([], now=NOW, is_current=False)
+        assert seen.record([], now=NOW)
+        assert not seen.record([], now=RECORD_TTL, is_current=False)
+        assert seen.covers(RECORD_TTL)
+        assert seen.record([], now=RECORD_TTL + SECOND)
+        assert not seen.covers(2 * RECORD_TTL)
+        assert seen.covers(2 * RECORD_TTL + SECOND)
+
+
+class World:
+    """The records of one host."""
+
+    def __init__(self, *, store: VersionStoreFake | None = None) -> None:
+        self.store = store or VersionStoreFake()
+        self.seen = SeenVersions()
+        self.clock = VirtualClock()
+        self.records = VersionRecords(
+            store=self.store, seen=self.seen, clock=self.clock, is_writer=lambda: True
+        )
+
+    def see(self, *versions: str) -> None:
+        endpoints = map(endpoint, versions)
+        self.seen.record(endpoints, now=self.clock.monotonic())
+
+    async def learn(self) -> frozenset[str] | None:
+        await self.records.learn(SERVICE, ONLY)
+        return self.records.find(SERVICE)
+
+
+class TestLearning:
+    @pytest.mark.parametrize("recorded", [ONLY, BOTH])
+    def test_a_record_names_the_versions(self, recorded):
+        async def test() -> None:
+            world = World()
+            world.store.versions_by_service[SERVICE] = recorded
+            assert await world.learn() == recorded
+
+        run_virtually(test())
+
+    def test_a_service_without_a_record_has_had_one_version(self):
+        async def test() -> None:
+            world = World()
+            assert await world.learn() == ONLY
+            assert world.store.versions_by_service == {SERVICE: ONLY}
+
+        run_virtually(test())
+
+    # Guards against a missing record that is taken for one version by a host whose
+    # store takes no writes, so that no host could have recorded a second one.
+    @pytest.mark.parametrize("history", [ONLY, BOTH, None])
+    def test_without_writes_the_whole_history_is_needed(self, history):
+        async def test() -> None:
+            world = World()
+            world.store.is_refusing, world.store.history = True, history
+            assert await world.learn() == history
+
+        run_virtually(test())
+
+    # Guards against a call for each stream that is taken up.
+    def test_all_callers_share_one_call(self):
+        async def test() -> None:
+            world = World()
+            await asyncio.gather(*(world.learn() for _ in range(20)))
+            assert world.store.calls == 1
+
+        run_virtually(test())
+
+    def test_a_failed_attempt_is_repeated_after_a_while_only(self):
+        async def test() -> None:
+            world = World()
+            world.store.is_refusing = True
+            await asyncio.gather(*(world.learn() for _ in range(20)))
+            assert world.store.calls == 2
+            world.store.is_refusing = False
+            assert await world.learn() is None
+            await sleep(RETRY_INTERVAL)
+            assert await world.learn() == ONLY
+
+        run_virtually(test())
+
+    # Guards against evidence of another store, or of one that has lost writes since.
+    def test_nothing_is_known_of_a_store_that_was_restored(self):
+        async def test() -> None:
+            world = World()
+            await world.learn()
+            world.store.lineage += 1
+            assert world.records.find(SERVICE) is None
+
+        run_virtually(test())
+
+
+class TestRecording:
+    def run(self, test) -> None:
+        async def main() -> None:
+            world = World()
+            task = asyncio.create_task(world.records.run())
+            try:
+                await test(world)
+            finally:
+                task.cancel()
+
+        run_virtually(main())
+
+    async def watch(self, world: World, *versions: str, until: timedelta) -> None:
+        """See versions, as a host does each second."""
+        while world.clock.monotonic() < until:
+            world.see(*versions)
+            await sleep(CHECK_INTERVAL)
+
+    # Guards against calls on behalf of services that have one version.
+    def test_one_version_costs_no_call(self):
+        async def test(world: World) -> None:
+            await self.watch(world, "v1", until=world.clock.monotonic() + RECORD_TTL)
+            assert world.store.calls == 0
+
+        self.run(test)
+
+    def test_two_versions_are_recorded_once(self):
+        async def test(world: World) -> None:
+            until = world.clock.monotonic() + timedelta(seconds=30)
+            await self.watch(world, "v1", "v2", until=until)
+            assert world.store.versions_by_service == {SERVICE: BOTH}
+            assert world.store.calls == 1
+
+        self.run(test)
+
+    def test_a_version_that_is_gone_is_dropped_once_no_answer_of_it_is_left(self):
+        async def test(world: World) -> None:
+            start = world.clock.monotonic()
+            await self.watch(world, "v1", "v2", until=start + 2 * SECOND)
+            await self.watch(world, "v1", until=start + RECORD_TTL)
+            assert world.store.versions_by_service == {SERVICE: BOTH}
+            await self.watch(world, "v1", until=start + RECORD_TTL + 5 * SECOND)
+            assert world.store.versions_by_service == {SERVICE: ONLY}
+
+        self.run(test)
+
+    # Guards against a host that has just started and takes a version off the record.
+    def test_a_young_host_only_adds_versions(self):
+        async def test(world: World) -> None:
+            world.store.versions_by_service[SERVICE] = frozenset(("v0", "v1"))
+            until = world.clock.monotonic() + 5 * SECOND
+            await self.watch(world, "v1", "v2", until=until)
+            assert world.store.versions_by_service[SERVICE] == {"v0", "v1", "v2"}
+
+        self.run(test)
+
+    def test_a_refused_write_is_repeated(self):
+        async def test(world: World) -> None:
+            world.store.is_refusing = True
+            until = world.clock.monotonic() + 3 * SECOND
+            await self.watch(world, "v1", "v2", until=until)
+            world.store.is_refusing = False
+            await self.watch(world, "v1", "v2", until=until + 2 * SECOND)
+            assert world.store.versions_by_service == {SERVICE: BOTH}
+
+        self.run(test)
+
+    # Guards against a record that is lost with an older copy of the store.
+    def test_it_is_written_again_to_a_restored_store(self):
+        async def test(world: World) -> None:
+            until = world.clock.monotonic() + 3 * SECOND
+            await self.watch(world, "v1", "v2", until=until)
+            world.store.versions_by_service.clear()
+            world.store.lineage += 1
+            await self.watch(world, "v1", "v2", until=until + 2 * SECOND)
+            assert world.store.versions_by_service == {SERVICE: BOTH}
+
+        self.run(test)
+
+
+class TestYoungHosts:
+    """Hosts that have not seen a service for as long as answers last."""
+
+    def find(
+        self, *, recorded: frozenset[str] | None = None, old: int = 0, current: int = 7
+    ) -> str | None:
+        """Ask a young host for a stream that no host knows, while one version serves.
+
+        Args:
+            recorded: The record of the service; None if the store takes no writes.
+            old: Number of hosts that have seen the service for long enough.
+            current: Number of hosts that receive changes.
+        """
+
+        async def test() -> str | None:
+            fleet = OriginFleet(hosts=7, versions=("v1", "v1"))
+            fleet.store.is_refusing = recorded is None
+            fleet.store.versions_by_service[SERVICE] = recorded
+            rows = fleet.gossip.rows
+            if old:
+                fleet.start(rows[-old:])
+                fleet.gossip.know_all()
+                await sleep(RECORD_TTL)
+            fleet.start(rows[: len(rows) - old])
+            fleet.gossip.know_all()
+            fleet.current_ids = {row.host_id for row in rows[:current]}
+            await sleep(SETTLE_TIME)
+            return await fleet.find(rows[0].host_id, "nobody's")
+
+        return run_virtually(test())
+
+    # Guards against streams at a version that is only presumed.
+    def test_hosts_that_are_all_young_refuse_without_a_record(self):
+        assert self.find() is None
+
+    def test_the_record_decides(self):
+        assert self.find(recorded=BOTH) is None
+        assert self.find(recorded=ONLY) == "v1"
+
+    def test_one_old_host_is_enough(self):
+        assert self.find(old=1) == "v1"
+
+    # Guards against an old host that misses the changes of late.
+    def test_an_old_host_that_receives_no_changes_is_not_enough(self):
+        assert self.find(old=1, current=6) is None
