--- a/passtally/output_buffers.py
+++ b/passtally/output_buffers.py
@@ -131,6 +131,8 @@
         self.is_stream = False
         #: Why the stream was aborted; empty if it was not.
         self.abort_reason = ""
+        #: Whether unsent output was dropped.
+        self.is_dropped = False
         self._closing_watch: _ProgressWatch | None = None
         self._buffers = buffers
         self._transport = transport
@@ -196,6 +198,11 @@
         peer = self._transport.get_extra_info("peername")
         log_event("output", "Stream aborted.", peer=peer, unread=self.size, why=reason)
         self._buffers.metrics.count(Metric.UNREAD_ABORTED)
+        self.drop()
+
+    def drop(self) -> None:
+        """Close the connection at once, and drop its unsent output."""
+        self.is_dropped = True
         self._transport.abort()
 
     def close_when_read(self, timeout: timedelta) -> None:
@@ -206,7 +213,7 @@
         """
         if self._transport.get_write_buffer_size():
             self._closing_watch = _ProgressWatch(
-                buffer=self, timeout=timeout, on_stall=self._transport.abort
+                buffer=self, timeout=timeout, on_stall=self.drop
             )
         self._transport.close()
 
--- a/passtally/server_connection.py
+++ b/passtally/server_connection.py
@@ -7,8 +7,6 @@
 import asyncio
 import contextlib
 import re
-import socket
-import struct
 from collections.abc import Callable
 from datetime import timedelta
 from email.utils import formatdate
@@ -27,12 +25,11 @@
 )
 from passtally.output_buffers import OutputBuffer, OutputBuffers
 from passtally.request_bodies import BODY_RETRY_AFTER, RequestBodies
+from passtally.socket_options import set_reset_on_close
 
 #: Size of the buffered input, in bytes, above which reading pauses while a request is
 #: being served.
 MAX_PIPELINED = 64 * 1024
-#: Value of SO_LINGER with which closing a socket resets its connection.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Parser states after a complete answer; after MUST_CLOSE the connection is closed.
 _ANSWERED = (h11.DONE, h11.MUST_CLOSE)
 
@@ -88,6 +85,8 @@
         self._is_serving = False
         self._is_lost = False
         self._has_request_bytes = False
+        #: Whether only the close of the connection marks the end of the answer.
+        self._ends_by_close = False
         self._problem: BadRequestError | None = None
         self.task: asyncio.Task[None] | None = None
         self.closed = asyncio.Event()
@@ -123,6 +122,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request being served."""
         self._is_lost = True
+        if self._ends_by_close and error is None and self._is_delivered:
+            set_reset_on_close(self._transport, False)
         self._server.remove(self)
         self._output.close()
         self._body.release()
@@ -141,18 +142,9 @@
         self._writable.set()
 
     def abort(self) -> None:
-        """Close at once and drop unsent output.
-
-        A body that ends with its connection would look complete after an orderly close,
-        so its connection is reset.
-        """
-        if self._transport is None or self.closed.is_set():
-            return
-        is_unframed = self._parser.their_http_version == b"1.0"
-        if is_unframed and self._parser.our_state is h11.SEND_BODY:
-            sock = self._transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        self._transport.abort()
+        """Close at once and drop unsent output."""
+        if self._transport is not None and not self.closed.is_set():
+            self._output.drop()
 
     def stop(self) -> None:
         """Abort a request being served; otherwise close after flushing the output."""
@@ -182,8 +174,14 @@
             headers.append((b"Date", formatdate(usegmt=True).encode()))
         if self._server.is_closing:
             headers.append((b"Connection", b"close"))
+        has_length = any(name.lower() == b"content-length" for name, _ in headers)
+        if not has_length and self._parser.their_http_version == b"1.0":
+            # The answer would look complete after an orderly close at any point, also
+            # by the system after the death of this process.
+            self._ends_by_close = True
+            set_reset_on_close(self._transport, True)
         self._send(h11.Response(status_code=status, headers=headers))
-        if not any(name.lower() == b"content-length" for name, _ in headers):
+        if not has_length:
             self._output.begin_stream()
 
     async def send_data(self, data: bytes) -> None:
@@ -206,6 +204,11 @@
                 await self._writable.wait()
             self._check_open()
 
+    @property
+    def _is_delivered(self) -> bool:
+        """Whether the whole answer was passed on to the system."""
+        return self._parser.our_state in _ANSWERED and not self._output.is_dropped
+
     def _send(self, event: h11.Event) -> None:
         data = self._parser.send(event)
         if data:
