Bytes without end: interim answers are bounded, and parsing leaves turns to others

One call to an endpoint that sends 100 Continue heads without end held a host for 2 s at a time; six kept it from answering anyone, its readiness check too.

Cause: interim answers were read without a bound, and what has arrived is parsed without a wait, so that the event loop ran nothing else meanwhile. Bodies in chunks of one byte did the same, in answers and in requests.

Change: after eight interim answers the connection is closed, and the try counts as failed. After each 16 events that are parsed of one connection the loop runs other tasks. A caller's connection is not read on while over 64 KB are not parsed.

--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -15,7 +15,7 @@
 
 from passtally.clock import Clock
 from passtally.fetch import find_header
-from passtally.http_exchange import RawHeaders
+from passtally.http_exchange import EVENTS_PER_TURN, RawHeaders
 from passtally.socket_options import set_user_timeout
 from passtally.tunnel import TunnelInfo, TunnelLostError, find_tunnel
 
@@ -25,6 +25,9 @@
 IDLE_SHARE = 0.7
 #: Size of the unread input, in bytes, above which reading pauses.
 READ_HIGH_WATER = 256 * 1024
+#: Maximum number of interim answers (1xx) before an answer. A peer in trouble may send
+#: them without end.
+MAX_INTERIM_ANSWERS = 8
 
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
@@ -114,6 +117,8 @@
         self._transport: asyncio.Transport | None = None
         self._arrived = asyncio.Event()
         self._buffered = 0
+        #: Number of events parsed since the event loop last ran other tasks.
+        self._parsed = 0
         self._step = ExchangeStep.CONNECT
         self._is_broken = False
         self._is_idle = False
@@ -193,13 +198,14 @@
             data += self._parser.send(h11.Data(data=body))
         data += self._parser.send(h11.EndOfMessage())
         self._transport.write(data)
-        while True:
+        for _ in range(1 + MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._step = ExchangeStep.ANSWER
                 return _to_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise self._fail("closed before an answer")
+        raise self._fail("too many interim answers", is_garbled=True)
 
     async def read(self) -> bytes:
         """Return the next part of the body, or empty bytes at its end.
@@ -280,6 +286,10 @@
             self._transport.abort()
 
     async def _next_event(self) -> h11.Event:
+        self._parsed += 1
+        if self._parsed >= EVENTS_PER_TURN:
+            self._parsed = 0
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._parser.next_event()
@@ -288,7 +298,7 @@
                 raise self._fail(str(error), is_garbled=not closed) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._buffered = 0
+            self._buffered = self._parsed = 0
             if self._is_broken:
                 raise self._fail(str(self._error or "the peer closed"))
             self._transport.resume_reading()
--- a/passtally/http_exchange.py
+++ b/passtally/http_exchange.py
@@ -7,6 +7,9 @@
 import attrs
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
+#: Number of events of one connection that are parsed before the event loop runs other
+#: tasks. A body in chunks of one byte has 43,000 events in 256 KB.
+EVENTS_PER_TURN = 16
 
 
 @attrs.frozen(kw_only=True)
--- a/passtally/server_connection.py
+++ b/passtally/server_connection.py
@@ -16,6 +16,7 @@
 
 from passtally.decision import log_event
 from passtally.http_exchange import (
+    EVENTS_PER_TURN,
     BadRequestError,
     Exchange,
     Handle,
@@ -28,7 +29,7 @@
 from passtally.socket_options import set_reset_on_close
 
 #: Size of the buffered input, in bytes, above which reading pauses while a request is
-#: being served.
+#: being parsed or served.
 MAX_PIPELINED = 64 * 1024
 #: Parser states after a complete answer; after MUST_CLOSE the connection is closed.
 _ANSWERED = (h11.DONE, h11.MUST_CLOSE)
@@ -87,6 +88,10 @@
         self._is_serving = False
         self._is_lost = False
         self._has_request_bytes = False
+        #: Size of the input since the parser last had none left, in bytes.
+        self._unparsed = 0
+        #: Number of events parsed since the event loop last ran other tasks.
+        self._parsed = 0
         #: Whether only the close of the connection marks the end of the answer.
         self._ends_by_close = False
         self._problem: BadRequestError | None = None
@@ -109,6 +114,9 @@
             if len(self._pending_input) > MAX_PIPELINED:
                 self._transport.pause_reading()
             return
+        self._unparsed += len(data)
+        if self._unparsed > MAX_PIPELINED:
+            self._transport.pause_reading()
         self._feed(data)
 
     def eof_received(self) -> bool:
@@ -248,6 +256,8 @@
         except TimeoutError:
             raise BadRequestError(408, "the request came too slowly") from None
         self._is_serving = True
+        # Reading goes on while the request is served, so that a close is noticed.
+        self._resume_reading()
         await self._check_for_close()
         exchange = Exchange(request=request, connection=self)
         try:
@@ -325,6 +335,10 @@
         )
 
     async def _next_event(self) -> h11.Event:
+        self._parsed += 1
+        if self._parsed >= EVENTS_PER_TURN:
+            self._parsed = 0
+            await asyncio.sleep(0)
         while True:
             if self._problem is not None:
                 raise self._problem
@@ -333,12 +347,17 @@
             except h11.RemoteProtocolError as error:
                 raise BadRequestError(error.error_status_hint, str(error)) from error
             if event is h11.NEED_DATA:
+                self._resume_reading()
                 await self._wait()
                 continue
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed before a complete request")
             return event
 
+    def _resume_reading(self) -> None:
+        self._unparsed = self._parsed = 0
+        self._transport.resume_reading()
+
     async def _wait(self) -> None:
         self._arrived.clear()
         await self._arrived.wait()
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,240 @@
+"""Endpoints in trouble whose bytes are no answer and have no end."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+
+from passtally.clock import SystemClock
+from passtally.http_client import (
+    MAX_INTERIM_ANSWERS,
+    ClientConnection,
+    ExchangeError,
+)
+from passtally.http_exchange import EVENTS_PER_TURN
+from passtally.http_server import HttpServer
+from standins.platform_config import ENGINE, LOOKUPS, make_config
+from standins.runner import PROOF
+from tests.platform_system import PlatformSystem, run
+
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+PROVEN_HEAD = f"HTTP/1.1 200 OK\r\nX-Response-Stamp: {PROOF}\r\n\r\n".encode()
+#: What endpoints send first, and what they repeat without end.
+INTERIM_ONLY = b"", INTERIM
+#: Number of repetitions that are sent at once.
+AT_ONCE = 200
+#: Time in which an answer that is none is to be recognized, in seconds.
+SOON = 2.0
+#: Longest time that a host's other callers may wait, in seconds.
+UNNOTICED = 0.5
+CALLS = 6
+
+
+class EndlessEndpoint:
+    """An endpoint that answers each request without end, until it is closed."""
+
+    def __init__(self, first: bytes, repeated: bytes) -> None:
+        self.first, self.repeated = first, repeated * AT_ONCE
+        self.open = 0
+        self.requests = 0
+        self.address = ""
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.open += 1
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            writer.write(self.first)
+            while True:
+                writer.write(self.repeated)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+
+@contextlib.asynccontextmanager
+async def endless(
+    system: PlatformSystem, service: str, shape: tuple[bytes, bytes]
+) -> AsyncIterator[EndlessEndpoint]:
+    """Start a host before one endpoint that answers without end."""
+    endpoint = EndlessEndpoint(*shape)
+    await endpoint.start()
+    try:
+        system.store.put("config", "main", make_config())
+        entry = {
+            "service": service,
+            "address": endpoint.address,
+            "zone": "pilar",
+            "version": "v1",
+            "slots": 64,
+            "state": "ready",
+        }
+        system.store.put("servers", "i-endless", entry)
+        await system.add_host()
+        await system.wait_ready(1)
+        yield endpoint
+    finally:
+        endpoint.stop()
+
+
+async def longest_pause(until: asyncio.Future) -> float:
+    """Return the longest time for which the event loop ran nothing else, in seconds."""
+    longest, last = 0.0, time.monotonic()
+    while not until.done():
+        await asyncio.sleep(0.005)
+        now = time.monotonic()
+        longest, last = max(longest, now - last), now
+    return longest
+
+
+class TestHosts:
+    # Guards against a host that is stalled, and a caller that is held, by an endpoint
+    # that sends interim answers without end.
+    @pytest.mark.parametrize(
+        ("service", "path"), [(LOOKUPS, "/look/1"), (ENGINE, "/draft/1")]
+    )
+    def test_interim_answers_without_end_are_no_answer(self, service, path):
+        async def test(system: PlatformSystem) -> None:
+            async with endless(system, service, INTERIM_ONLY) as endpoint:
+                send = system.send if service == LOOKUPS else system.stream
+                sent = asyncio.gather(*(send(path) for _ in range(CALLS)))
+                pause = await longest_pause(sent)
+                answers = await sent
+                assert {answer.status for answer in answers} <= {502, 503}
+                assert pause < UNNOTICED
+                async with asyncio.timeout(SOON):
+                    while endpoint.open:
+                        await asyncio.sleep(0.01)
+
+        run(test)
+
+
+def make_connection() -> tuple[ClientConnection, asyncio.Transport]:
+    """Return a connection that has been sent a request, without a peer."""
+    connection = ClientConnection(clock=SystemClock())
+    transport = FakeTransport()
+    connection.connection_made(transport)
+    return connection, transport
+
+
+class FakeTransport(asyncio.Transport):
+    """A transport that drops what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def is_closing(self) -> bool:
+        return self.is_aborted
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+async def count_turns(work: asyncio.Task) -> int:
+    """Return how often other tasks run until some work is done."""
+    turns = 0
+    while not work.done():
+        turns += 1
+        await asyncio.sleep(0)
+    return turns
+
+
+class TestOneConnection:
+    """What one connection sends must not hold the event loop, whatever its shape."""
+
+    def send(self, connection: ClientConnection) -> asyncio.Task:
+        return asyncio.create_task(
+            connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
+        )
+
+    @pytest.mark.parametrize("count", [0, 1, MAX_INTERIM_ANSWERS])
+    def test_some_interim_answers_are_passed_over(self, count):
+        async def test() -> None:
+            connection, _ = make_connection()
+            sending = self.send(connection)
+            await asyncio.sleep(0)
+            connection.data_received(INTERIM * count + PROVEN_HEAD)
+            assert (await sending).status == 200
+
+        asyncio.run(test())
+
+    def test_more_are_no_answer(self):
+        async def test() -> None:
+            connection, transport = make_connection()
+            sending = self.send(connection)
+            await asyncio.sleep(0)
+            connection.data_received(INTERIM * (MAX_INTERIM_ANSWERS + 1) + PROVEN_HEAD)
+            with pytest.raises(ExchangeError) as caught:
+                await sending
+            assert caught.value.is_garbled
+            assert transport.is_aborted
+
+        asyncio.run(test())
+
+    # Guards against a loop that is held by an answer in chunks of one byte.
+    def test_an_answer_in_tiny_chunks_leaves_turns_to_others(self):
+        async def test() -> None:
+            connection, _ = make_connection()
+            sending = self.send(connection)
+            await asyncio.sleep(0)
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            count = 100 * EVENTS_PER_TURN
+            chunks = b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+            connection.data_received(head + chunks)
+            await sending
+            reading = asyncio.create_task(connection.read_all(count))
+            assert await count_turns(reading) >= 100
+            assert await reading == b"x" * count
+
+        asyncio.run(test())
+
+    # The same for the body of a caller's request.
+    def test_a_request_in_tiny_chunks_leaves_turns_to_others(self):
+        async def test() -> None:
+            bodies: list[bytes] = []
+
+            async def handle(exchange) -> None:
+                bodies.append(exchange.request.body)
+                await exchange.answer(200, [], b"")
+
+            server = HttpServer(handle=handle)
+            port = await server.start("127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            count = 1000 * EVENTS_PER_TURN
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + b"1\r\nx\r\n" * count + b"0\r\n\r\n")
+            reading = asyncio.create_task(reader.readuntil(b"\r\n\r\n"))
+            assert await count_turns(reading) >= 1000
+            assert bodies == [b"x" * count]
+            writer.close()
+            await server.stop()
+
+        asyncio.run(test())
