Bytes without end: what the answers of calls hold together is bounded

Cause: the bound was one of each answer, none of all. Besides, bodies were gathered in lists of parts, which takes up to 40 times the memory of small parts.

Change: answers that are being read hold 64 MB together at most; above that the one that grows is given up with 502, logged and counted. The first 64 KB of each do not count. RequestBodies is HeldBodies, which serves requests and answers. Bodies are gathered in one buffer, of requests too.

Evidence: test_bodies_without_end_are_held_up_to_a_limit, forty calls: at most 64 MB are held, none afterwards, all are answered. The memory of a process was not measured.

--- a/passtally/adapter.py
+++ b/passtally/adapter.py
@@ -9,6 +9,7 @@
 from passtally.engine import Engine
 from passtally.fetch import Fetcher
 from passtally.front import Front
+from passtally.held_bodies import HeldBodies
 from passtally.http_exchange import Handle
 from passtally.object_store import Platform, RelocatablePlatform, StoredObject
 from passtally.objects import Endpoint
@@ -85,7 +86,12 @@
         """Return whether a model engine answers through this client."""
 
     def make_sender(
-        self, *, pool: ConnectionPool, clock: Clock, recorder: DirectiveRecorder
+        self,
+        *,
+        pool: ConnectionPool,
+        clock: Clock,
+        recorder: DirectiveRecorder,
+        answers: HeldBodies,
     ) -> Sender:
         """Return the sender of plain calls to endpoints."""
 
--- a/passtally/api.py
+++ b/passtally/api.py
@@ -10,10 +10,10 @@
 from passtally.admission_request import AdmissionRequest, RequestClass
 from passtally.catalog import Catalog
 from passtally.decision import log_event
+from passtally.held_bodies import BODY_RETRY_AFTER, HeldBodies
 from passtally.metrics import Metric, Metrics
 from passtally.objects import REQUEST_CLASSES, Service, Workspace, digest_token
 from passtally.outcome import Code, Failure, Outcome, RefusedError, refuse
-from passtally.request_bodies import BODY_RETRY_AFTER, RequestBodies
 from passtally.settings import parse_duration
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -163,7 +163,7 @@
         return failure_response(failure)
 
 
-def limit_bodies(bodies: RequestBodies, *, max_body: int) -> Middleware:
+def limit_bodies(bodies: HeldBodies, *, max_body: int) -> Middleware:
     """Return a middleware that refuses bodies beyond what the host may hold.
 
     Args:
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -23,6 +23,7 @@
 from passtally.endpoint_links import EndpointLinks, address_of
 from passtally.engine import Engine
 from passtally.fleet import Fleet
+from passtally.held_bodies import HeldBodies
 from passtally.host_config import HostConfig
 from passtally.host_gauges import report_gauges
 from passtally.host_links import HostLinks
@@ -42,7 +43,6 @@
 from passtally.quarantine_exchange import QuarantineExchange
 from passtally.reach_check import ReachCheck
 from passtally.reported_exits import ReportedExits
-from passtally.request_bodies import RequestBodies
 from passtally.request_limits import RequestLimits
 from passtally.rollouts import Rollouts
 from passtally.routes import ActiveRoutes
@@ -349,7 +349,7 @@
             output=OutputBuffers(
                 limits=OutputLimits.of(self.settings), metrics=self.metrics
             ),
-            bodies=RequestBodies(limit=self.settings.max_bodies, metrics=self.metrics),
+            bodies=HeldBodies(limit=self.settings.max_bodies, metrics=self.metrics),
         )
         self.front_server = self.servers.callers
 
--- a/passtally/host_servers.py
+++ b/passtally/host_servers.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from functools import partial
 
+from passtally.held_bodies import HeldBodies
 from passtally.http_exchange import Exchange, Handle, ServerLimits
 from passtally.http_server import SMALL_SHARE, HttpServer
 from passtally.listeners import (
@@ -18,7 +19,6 @@
 )
 from passtally.output_buffers import OutputBuffers
 from passtally.peers import Peers
-from passtally.request_bodies import RequestBodies
 from passtally.settings import Address, Settings
 from passtally.tunnel_server import TunnelServer
 
@@ -51,7 +51,7 @@
         encode_ready: Callable[[], tuple[int, bytes]],
         render_metrics: Callable[[], bytes],
         output: OutputBuffers,
-        bodies: RequestBodies,
+        bodies: HeldBodies,
     ) -> None:
         self._listeners = listeners
         self._peers = peers
--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -8,8 +8,10 @@
 from passtally.forecast import Forecast
 from passtally.front import Front
 from passtally.hedge import HedgePolicy
+from passtally.held_bodies import FREE_ANSWER, MAX_ANSWERS, HeldBodies
 from passtally.host_admission import HostAdmission
 from passtally.host_config import MIN_BUDGET_HOSTS
+from passtally.metrics import Metric
 from passtally.origin_exchange import OriginExchange
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
@@ -97,7 +99,15 @@
             failure_domain=host.settings.failure_domain,
             budgets=self.budgets,
             sender=adapter.make_sender(
-                pool=host.pool, clock=host.clock, recorder=host.fleet.send_limits
+                pool=host.pool,
+                clock=host.clock,
+                recorder=host.fleet.send_limits,
+                answers=HeldBodies(
+                    limit=MAX_ANSWERS,
+                    free=FREE_ANSWER,
+                    metrics=host.metrics,
+                    refused=Metric.ANSWERS_REFUSED,
+                ),
             ),
             guard=host.guard,
             hedging=HedgePolicy(
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -223,26 +223,33 @@
         raise self._fail("closed inside an answer")
 
     async def read_all(
-        self, most: int, *, on_part: Callable[[], None] = lambda: None
+        self,
+        most: int,
+        *,
+        on_part: Callable[[], None] = lambda: None,
+        reserve: Callable[[int], bool] = lambda size: True,
     ) -> bytes:
         """Return the complete body.
 
         Args:
             most: The maximum size of the body, in bytes.
             on_part: Called for each part received.
+            reserve: Called with the size of each part; returns whether it may be held.
 
         Raises:
-            ExchangeError: The answer is truncated, invalid or too long.
+            ExchangeError: The answer is truncated, invalid or too long, or may not be
+                held.
         """
-        parts: list[bytes] = []
-        size = 0
+        # A list of the parts would take 40 times the memory of parts of one byte.
+        body = bytearray()
         while part := await self.read():
             on_part()
-            size += len(part)
-            if size > most:
+            if len(body) + len(part) > most:
                 raise self._fail("the answer is too long", is_garbled=True)
-            parts.append(part)
-        return b"".join(parts)
+            if not reserve(len(part)):
+                raise self._fail("the host holds too many answers")
+            body += part
+        return bytes(body)
 
     def make_idle(self, keep_alive: bytes | None) -> bool:
         """Make the connection idle, or close it if it cannot be reused.
--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -15,9 +15,9 @@
 from datetime import timedelta
 
 from passtally.decision import log_event
+from passtally.held_bodies import MAX_BODIES, HeldBodies
 from passtally.http_exchange import Handle, ServerLimits
 from passtally.output_buffers import OutputBuffers
-from passtally.request_bodies import MAX_BODIES, RequestBodies
 from passtally.server_connection import ServerConnection
 
 LISTEN_BACKLOG = 2048
@@ -64,10 +64,10 @@
         part: float = CALLERS_SHARE,
         accepted: Callable[[timedelta], None] | None = None,
         output: OutputBuffers | None = None,
-        bodies: RequestBodies | None = None,
+        bodies: HeldBodies | None = None,
     ) -> None:
         self.output = output or OutputBuffers()
-        self.bodies = bodies or RequestBodies(limit=MAX_BODIES)
+        self.bodies = bodies or HeldBodies(limit=MAX_BODIES)
         self.handle = handle
         self.limits = limits
         self._accepted = accepted
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -179,6 +179,12 @@
         "1",
         "Requests refused because the host holds too many request bodies.",
     )
+    ANSWERS_REFUSED = (
+        "answers_refused",
+        "counter",
+        "1",
+        "Answers of calls given up because the host holds too many of them.",
+    )
     REFUSED = (
         "refused",
         "counter",
--- a/passtally/own_interface.py
+++ b/passtally/own_interface.py
@@ -6,11 +6,11 @@
 
 from passtally.api import METRICS_KEY, answer_failures, limit_bodies
 from passtally.completion_handler import CompletionHandler
+from passtally.held_bodies import HeldBodies
 from passtally.http_server import LISTEN_BACKLOG
 from passtally.metrics import Metrics
 from passtally.operator_api import OperatorApi
 from passtally.plain_handler import PlainHandler
-from passtally.request_bodies import RequestBodies
 from passtally.settings import Settings
 
 
@@ -76,7 +76,7 @@
 
     def _build_app(self) -> web.Application:
         settings = self._settings
-        bodies = RequestBodies(limit=settings.max_bodies, metrics=self._metrics)
+        bodies = HeldBodies(limit=settings.max_bodies, metrics=self._metrics)
         app = web.Application(
             middlewares=[
                 answer_failures,
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -7,6 +7,7 @@
 from passtally.endpoint_directives import DirectiveRecorder
 from passtally.fetch import Fetcher
 from passtally.front import Front
+from passtally.held_bodies import HeldBodies
 from passtally.http_exchange import Handle
 from passtally.object_store import StoredObject
 from passtally.objects import Endpoint
@@ -89,10 +90,15 @@
         return await engine.is_engine()
 
     def make_sender(
-        self, *, pool: ConnectionPool, clock: Clock, recorder: DirectiveRecorder
+        self,
+        *,
+        pool: ConnectionPool,
+        clock: Clock,
+        recorder: DirectiveRecorder,
+        answers: HeldBodies,
     ) -> RunnerSender:
         """Return a sender of plain calls."""
-        return RunnerSender(pool=pool, clock=clock, recorder=recorder)
+        return RunnerSender(pool=pool, clock=clock, recorder=recorder, answers=answers)
 
     def make_handler(self, front: Front) -> Handle:
         """Return the HTTP handler that passes callers' requests to the front."""
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -11,6 +11,7 @@
 from passtally.endpoint_directives import DirectiveRecorder
 from passtally.engine import AttemptLostError, LoadReport
 from passtally.generation import Attempt, GenerationRequest
+from passtally.held_bodies import HeldBodies
 from passtally.http_client import (
     ExchangeError,
     RawHeaders,
@@ -57,14 +58,21 @@
         pool: The connection pool.
         clock: The clock.
         recorder: Records the directives in the answers.
+        answers: The bodies of the answers that are being read.
     """
 
     def __init__(
-        self, *, pool: ConnectionPool, clock: Clock, recorder: DirectiveRecorder
+        self,
+        *,
+        pool: ConnectionPool,
+        clock: Clock,
+        recorder: DirectiveRecorder,
+        answers: HeldBodies,
     ) -> None:
         self._pool = pool
         self._clock = clock
         self._recorder = recorder
+        self._answers = answers
 
     async def send(
         self,
@@ -94,13 +102,19 @@
             before_send=before_send,
             checks_link=True,
         )
+        held = self._answers.open()
         try:
-            body = await connection.read_all(MAX_ANSWER_BYTES)
+            body = await connection.read_all(MAX_ANSWER_BYTES, reserve=held.reserve)
         except ExchangeError as error:
+            log_event(
+                "calls", "No complete answer.", peer=link.endpoint_id, size=held.size
+            )
             raise link.lost_in_exchange(error) from error
         except BaseException:
             link.abandon(connection)
             raise
+        finally:
+            held.release()
         link.release(connection, head)
         headers = CIMultiDict(
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/passtally/server_connection.py
+++ b/passtally/server_connection.py
@@ -15,6 +15,7 @@
 import h11
 
 from passtally.decision import log_event
+from passtally.held_bodies import BODY_RETRY_AFTER, HeldBodies
 from passtally.http_exchange import (
     EVENTS_PER_TURN,
     BadRequestError,
@@ -25,7 +26,6 @@
     ServerLimits,
 )
 from passtally.output_buffers import OutputBuffer, OutputBuffers
-from passtally.request_bodies import BODY_RETRY_AFTER, RequestBodies
 from passtally.socket_options import set_reset_on_close
 
 #: Size of the buffered input, in bytes, above which reading pauses while a request is
@@ -55,7 +55,7 @@
     handle: Handle
     limits: Callable[[], ServerLimits]
     output: OutputBuffers
-    bodies: RequestBodies
+    bodies: HeldBodies
     is_closing: bool
 
     def add(self, connection: "ServerConnection", transport: asyncio.Transport) -> bool:
@@ -314,11 +314,9 @@
         _check_framing(head)
         if self._parser.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while isinstance(event := await self._next_event(), h11.Data):
-            size += len(event.data)
-            if size > limits.max_body:
+            if len(body) + len(event.data) > limits.max_body:
                 raise BadRequestError(413, "the body is too long")
             if not self._body.reserve(len(event.data)):
                 raise BadRequestError(
@@ -326,12 +324,12 @@
                     "the host holds too many request bodies; the request has not run",
                     retry_after=BODY_RETRY_AFTER,
                 )
-            parts.append(bytes(event.data))
+            body += event.data
         return HttpRequest(
             method=bytes(head.method),
             target=bytes(head.target),
             headers=head.headers.raw_items(),
-            body=b"".join(parts),
+            body=bytes(body),
         )
 
     async def _next_event(self) -> h11.Event:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,6 +8,8 @@
 import pytest
 
 from passtally.clock import SystemClock
+from passtally.front_host import FrontHost
+from passtally.held_bodies import FREE_ANSWER, MAX_ANSWERS, HeldBodies
 from passtally.http_client import (
     MAX_INTERIM_ANSWERS,
     ClientConnection,
@@ -23,6 +25,7 @@
 PROVEN_HEAD = f"HTTP/1.1 200 OK\r\nX-Response-Stamp: {PROOF}\r\n\r\n".encode()
 #: What endpoints send first, and what they repeat without end.
 INTERIM_ONLY = b"", INTERIM
+BODY_ONLY = PROVEN_HEAD, b"x" * 1024
 #: Number of repetitions that are sent at once.
 AT_ONCE = 200
 #: Time in which an answer that is none is to be recognized, in seconds.
@@ -30,6 +33,8 @@
 #: Longest time that a host's other callers may wait, in seconds.
 UNNOTICED = 0.5
 CALLS = 6
+#: Number of calls that would hold more than the limit.
+MANY_CALLS = 40
 
 
 class EndlessEndpoint:
@@ -120,6 +125,44 @@
 
         run(test)
 
+    # Guards against a host that is ended by its memory limit, since calls whose answers
+    # have no end hold 16 MB each.
+    def test_bodies_without_end_are_held_up_to_a_limit(self):
+        async def test(system: PlatformSystem) -> None:
+            async with endless(system, LOOKUPS, BODY_ONLY) as endpoint:
+                sent = asyncio.gather(
+                    *(system.send("/book/1", body=b"1") for _ in range(MANY_CALLS))
+                )
+                held = 0
+                while not sent.done():
+                    held = max(held, sender_of(system.hosts[0]).held)
+                    await asyncio.sleep(0.005)
+                assert FREE_ANSWER < held <= MAX_ANSWERS
+                assert {answer.status for answer in await sent} <= {502, 504}
+                assert endpoint.requests
+                assert sender_of(system.hosts[0]).held == 0
+
+        run(test)
+
+
+def sender_of(host: FrontHost) -> HeldBodies:
+    """Return the answers that a host is reading."""
+    return host.caller._sender._answers
+
+
+class TestHeldBodies:
+    # Guards against usual answers that are given up for others without end.
+    def test_a_small_body_is_held_at_the_limit(self):
+        bodies = HeldBodies(limit=100, free=10)
+        large, small, other = bodies.open(), bodies.open(), bodies.open()
+        assert large.reserve(110)
+        assert not large.reserve(1)
+        assert small.reserve(10)
+        assert not other.reserve(11)
+        large.release()
+        assert other.reserve(11)
+        assert bodies.held == 1
+
 
 def make_connection() -> tuple[ClientConnection, asyncio.Transport]:
     """Return a connection that has been sent a request, without a peer."""
--- a/tests/test_own_bodies.py
+++ b/tests/test_own_bodies.py
@@ -8,8 +8,8 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from passtally.api import METRICS_KEY, answer_failures, limit_bodies
+from passtally.held_bodies import HeldBodies
 from passtally.metrics import NoMetrics
-from passtally.request_bodies import RequestBodies
 
 MAX_BODY, LIMIT = 1_000, 2_500
 
@@ -22,7 +22,7 @@
     """A server whose handler waits until a test lets it answer."""
 
     def __init__(self) -> None:
-        self.bodies = RequestBodies(limit=LIMIT)
+        self.bodies = HeldBodies(limit=LIMIT)
         self.answer = asyncio.Event()
         self.app = web.Application(
             middlewares=[answer_failures, limit_bodies(self.bodies, max_body=MAX_BODY)],
--- a/tests/test_unread_output.py
+++ b/tests/test_unread_output.py
@@ -8,11 +8,11 @@
 
 import pytest
 
+from passtally.held_bodies import HeldBodies
 from passtally.http_exchange import Exchange
 from passtally.http_server import HttpServer
 from passtally.metrics import Metric, NoMetrics
 from passtally.output_buffers import OutputBuffers, OutputLimits
-from passtally.request_bodies import RequestBodies
 
 CHUNK = b"x" * 16_384
 #: More than the socket buffers of a connection hold, in chunks.
@@ -41,7 +41,7 @@
     ) -> None:
         self.metrics = CountingMetrics()
         self.output = OutputBuffers(limits=limits, metrics=self.metrics)
-        self.bodies = RequestBodies(limit=bodies, metrics=self.metrics)
+        self.bodies = HeldBodies(limit=bodies, metrics=self.metrics)
         self.chunks = chunks
         #: Chunks written per path.
         self.written: dict[str, int] = {}
