What is known of versions is a module of its own; the store writes in one place

PlatformStore writes in _write. No behaviour changes.

Result: tests/test_origins, test_version_records, test_version_paths, test_store_comeback and TestAllHostsLost hold.

--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -11,8 +11,10 @@
 from passtally.held_bodies import FREE_ANSWER, MAX_ANSWERS, HeldBodies
 from passtally.host_admission import HostAdmission
 from passtally.host_config import MIN_BUDGET_HOSTS
+from passtally.known_versions import KnownVersions
 from passtally.metrics import Metric
 from passtally.origin_exchange import OriginExchange
+from passtally.origin_keepers import OriginKeepers
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
 from passtally.retry import RetryLimits
@@ -122,17 +124,25 @@
             clock=host.clock,
             is_writer=lambda: host.watch.is_first_watcher,
         )
+        keepers = OriginKeepers(members=host.roster)
         self.origins = OriginExchange(
-            members=host.roster,
+            keepers=keepers,
             datagrams=host.datagrams,
             catalog=host.catalog,
             rule=host.fleet.origin_rule,
-            seen=seen,
-            records=self.version_records,
+            versions=KnownVersions(
+                catalog=host.catalog,
+                seen=seen,
+                records=self.version_records,
+                clock=host.clock,
+                is_current=lambda: host.watch.is_receiving,
+                has_others=lambda: (
+                    host.roster.peak_hosts > 1 or bool(host.settings.seeds)
+                ),
+                keepers=keepers,
+            ),
             clock=host.clock,
             metrics=host.metrics,
-            is_current=lambda: host.watch.is_receiving,
-            has_others=lambda: host.roster.peak_hosts > 1 or bool(host.settings.seeds),
         )
         self.front = Front(
             routes=host.routes,
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -8,13 +8,14 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from datetime import timedelta
 
 from passtally.clock import Clock
 from passtally.datagrams import Datagrams
 from passtally.decision import log_event
 from passtally.generation import Generation
+from passtally.known_versions import KnownVersions
 from passtally.messages import (
     AskOrigin,
     OriginFound,
@@ -23,16 +24,14 @@
 )
 from passtally.metrics import Metric, Metrics
 from passtally.origin import KnownAnswer, Origin, OriginRule
-from passtally.origin_keepers import MemberSource, OriginKeepers
+from passtally.origin_keepers import OriginKeepers
 from passtally.origin_question import OriginQuestion, address_of
 from passtally.origin_rows import from_origin_row, origin_at, to_origin_row
 from passtally.origin_table import OriginTable, origin_key, prompt_key
 from passtally.prefix_finder import MAX_QUERIED
 from passtally.running_answer import RunningAnswer
-from passtally.seen_versions import SeenVersions
 from passtally.service_index import ServiceIndex
 from passtally.settings import Address
-from passtally.version_records import VersionRecords
 
 #: Interval between checks which records are due, and between looks at the versions that
 #: serve.
@@ -43,8 +42,6 @@
 #: it learns of the other hosts and of the endpoints within about a second.
 SETTLE_TIME = timedelta(seconds=1.5)
 SETTLE_POLL_INTERVAL = timedelta(milliseconds=50)
-#: Minimum interval between two looks at the versions that serve, for other hosts.
-SEEN_INTERVAL = timedelta(milliseconds=100)
 #: Waits for answers to a question, after which it is asked again, and given up. A
 #: round trip takes some milliseconds, between regions some ten.
 ANSWER_WAITS = (timedelta(milliseconds=80), timedelta(milliseconds=160))
@@ -58,46 +55,35 @@
     """The origins of answers, shared among the hosts.
 
     Args:
-        members: The known hosts.
+        keepers: Chooses the hosts that keep the record of an answer.
         datagrams: The datagrams to and from other hosts.
         catalog: The endpoints.
         rule: Finds the version of an answer that this host began.
-        seen: The versions that this host sees.
-        records: The versions of the time before that.
+        versions: The versions of services.
         clock: The clock.
         metrics: The metrics sink.
-        is_current: Returns whether this host receives all changes of endpoints.
-        has_others: Returns whether there are, or have been, other hosts.
     """
 
     def __init__(
         self,
         *,
-        members: MemberSource,
+        keepers: OriginKeepers,
         datagrams: Datagrams,
         catalog: ServiceIndex,
         rule: OriginRule,
-        seen: SeenVersions,
-        records: VersionRecords,
+        versions: KnownVersions,
         clock: Clock,
         metrics: Metrics,
-        is_current: Callable[[], bool],
-        has_others: Callable[[], bool],
     ) -> None:
         self.table = OriginTable()
-        self._members = members
-        self._keepers = OriginKeepers(members=members)
+        self._keepers = keepers
         self._datagrams = datagrams
         self._catalog = catalog
         self._rule = rule
         self._clock = clock
         self._metrics = metrics
-        self._is_current = is_current
-        self._has_others = has_others
         self._started_at = clock.monotonic()
-        self._seen = seen
-        self._records = records
-        self._seen_at = -SEEN_INTERVAL
+        self._versions = versions
         self._running: set[RunningAnswer] = set()
         self._questions_by_number: dict[int, OriginQuestion] = {}
         self._numbers = itertools.count(1)
@@ -114,7 +100,7 @@
     def renew(self) -> None:
         """Tell the records that are due, and look at the versions that serve."""
         now = self._clock.monotonic()
-        self._record_seen()
+        self._versions.record()
         due = [answer for answer in self._running if answer.is_due(now)]
         rows_by_address: dict[Address, list[OriginRow]] = {}
         for answer in due:
@@ -200,7 +186,9 @@
                 )
                 age = timedelta(milliseconds=found.age_ms)
                 return self._found(known, peer=sender, age=age, **fields)
-            sole = await self._find_sole(service, question)
+            sole = None
+            if not question.is_contradictory:
+                sole = await self._versions.find_sole(service, question)
             if sole is not None or not self._is_young():
                 holder_id = "" if record is None else record.holder_id
                 holder_id = holder_id or question.holder_id
@@ -249,66 +237,6 @@
         )
         return known
 
-    async def _find_sole(self, service: str, question: OriginQuestion) -> str | None:
-        """Return the only version at which an answer can have begun, or None.
-
-        That one version serves now does not show it: the answer may be older than the
-        hosts, and its version gone.
-        """
-        if question.is_contradictory or not self._is_informed(question):
-            return None
-        versions = self._list_versions(service, question)
-        if len(versions) == 1 and not self._is_complete(service, question):
-            await self._records.learn(service, versions)
-            versions |= self._list_versions(service, question)
-        is_sole = len(versions) == 1 and self._is_complete(service, question)
-        return versions.pop() if is_sole else None
-
-    def _is_informed(self, question: OriginQuestion) -> bool:
-        """Return whether the versions that serve now are known.
-
-        A host or a domain that is cut off knows only what served before: others may
-        serve a second version.
-        """
-        replies = question.found_by_address.values()
-        domains = {self._members.own.failure_domain, *question.answered_domains}
-        return (
-            self._is_current()
-            or any(found.is_current for found in replies)
-            or (bool(replies) and domains >= self._keepers.known_domains)
-            or not self._has_others()
-        )
-
-    def _list_versions(self, service: str, question: OriginQuestion) -> set[str]:
-        """Return the versions that a service has or had, as far as they are known."""
-        self._record_seen()
-        versions = self._seen.list_versions(service)
-        versions.update(self._records.find(service) or ())
-        replies = question.found_by_address.values()
-        versions.update(*(found.versions for found in replies))
-        return versions
-
-    def _is_complete(self, service: str, question: OriginQuestion) -> bool:
-        """Return whether all versions are known at which answers may have begun.
-
-        A host that does not receive changes now may lack those of late; it counts only
-        if nobody receives them.
-        """
-        replies = question.found_by_address.values()
-        is_complete_by_host = [
-            (self._is_current(), self._knows_past(service)),
-            *((found.is_current, found.is_complete) for found in replies),
-        ]
-        current = [
-            complete for is_current, complete in is_complete_by_host if is_current
-        ]
-        return any(current or [complete for _, complete in is_complete_by_host])
-
-    def _knows_past(self, service: str) -> bool:
-        """Return whether this host knows the versions of the time before its start."""
-        is_covered = self._seen.covers(self._clock.monotonic())
-        return is_covered or self._records.find(service) is not None
-
     def _record(self, answer: RunningAnswer) -> list[OriginRow]:
         """Record an answer here, and return the rows to tell; none before it begins."""
         origin = answer.generation.origin
@@ -337,14 +265,6 @@
         keepers = self._keepers.list_keepers(key)
         return [address_of(keeper.address) for keeper in keepers]
 
-    def _record_seen(self) -> None:
-        self._seen_at = self._clock.monotonic()
-        endpoints = self._catalog.endpoints_by_id.values()
-        if self._seen.record(
-            endpoints, now=self._seen_at, is_current=self._is_current()
-        ):
-            self._records.forget_past()
-
     async def _ask(
         self, key: bytes, service: str, *, is_settled_by_one: bool
     ) -> OriginQuestion:
@@ -382,17 +302,14 @@
         row = None
         if record is not None and record.origin is not None:
             row = to_origin_row(message.key, record.origin, holder_id=record.holder_id)
-        if now - self._seen_at >= SEEN_INTERVAL:
-            self._record_seen()
-        versions = self._seen.list_versions(message.service)
-        versions.update(self._records.find(message.service) or ())
+        versions = self._versions.of_service(message.service)
         found = OriginFound(
             number=message.number,
             row=row,
             age_ms=round(age.total_seconds() * 1000),
-            versions=sorted(versions),
-            is_current=self._is_current(),
-            is_complete=self._knows_past(message.service),
+            versions=sorted(versions.names),
+            is_current=versions.is_current,
+            is_complete=versions.is_complete,
         )
         self._datagrams.send([sender], found)
 
--- a/passtally/origin_keepers.py
+++ b/passtally/origin_keepers.py
@@ -51,10 +51,15 @@
         self._revision: int | None = None
         self._rings_by_domain: dict[str, HostRing] = {}
 
+    @property
+    def own_domain(self) -> str:
+        """The failure domain of this host."""
+        return self._members.own.failure_domain
+
     def list_keepers(self, key: bytes) -> list[MemberRow]:
         """Return the hosts that keep the record of an answer that began here."""
         rings = dict(self._rings())
-        local = rings.pop(self._members.own.failure_domain, None)
+        local = rings.pop(self.own_domain, None)
         count = max(LOCAL_KEEPERS, KEEPERS - len(rings))
         chosen = [] if local is None else local.list_hosts(key, count)
         domains = sorted(rings, key=lambda domain: rank_of(key.hex(), domain))
@@ -81,5 +86,5 @@
             self._rings_by_domain = {
                 domain: HostRing(rows) for domain, rows in rows_by_domain.items()
             }
-            self.known_domains |= {self._members.own.failure_domain, *rows_by_domain}
+            self.known_domains |= {self.own_domain, *rows_by_domain}
         return self._rings_by_domain
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -171,15 +171,7 @@
         """
         if era_of(version) != self._era:
             raise ConflictError("another era has begun", step="status", peer=key)
-        self.calls += 1
-        await self._link.call(
-            "status",
-            "PUT",
-            f"/api/objects/{quote(key)}/status",
-            headers={"Content-Type": "application/json"},
-            timeout=WRITE_TIMEOUT,
-            data=body,
-        )
+        await self._write("status", "PUT", f"{quote(key)}/status", body)
 
     @property
     def lineage(self) -> tuple[str, int]:
@@ -202,33 +194,42 @@
 
     async def find_or_create(self, key: str, spec: bytes) -> StoredObject:
         """Create an object, and return the object of this key that now exists."""
-        prefix, name = _split_key(key)
-        self.calls += 1
-        fetched = await self._link.fetch(
+        kind, _, name = key.partition("/")
+        fetched = await self._write(
             "create",
             "POST",
-            f"/api/objects/{quote(prefix.rstrip('/'))}",
-            headers={"Content-Type": "application/json"},
-            timeout=WRITE_TIMEOUT,
-            data=_encode_object(name, spec),
+            quote(kind),
+            _encode_object(name, spec),
             accepted=(*SUCCESSES, CONFLICT),
         )
         if fetched.status != CONFLICT:
             return StoredObject(key=key, version=0, value=msgspec.Raw(spec))
         item = self._link.decode("create", fetched.body, _Object)
-        return self._to_stored(prefix, item, self._era)
+        return self._to_stored(f"{kind}/", item, self._era)
 
     async def replace(self, key: str, spec: bytes) -> None:
         """Replace the spec of an object, whatever its revision is."""
-        _, name = _split_key(key)
+        _, _, name = key.partition("/")
+        await self._write("replace", "PUT", quote(key), _encode_object(name, spec))
+
+    async def _write(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: bytes,
+        *,
+        accepted: Collection[int] = SUCCESSES,
+    ) -> Fetched:
         self.calls += 1
-        await self._link.call(
-            "replace",
-            "PUT",
-            f"/api/objects/{quote(key)}",
+        return await self._link.fetch(
+            step,
+            method,
+            f"/api/objects/{path}",
             headers={"Content-Type": "application/json"},
             timeout=WRITE_TIMEOUT,
-            data=_encode_object(name, spec),
+            data=body,
+            accepted=accepted,
         )
 
     def _record_era(self, fetched: Fetched) -> None:
@@ -307,12 +308,6 @@
             return era, self._link.decode(step, replace_deep_values(body), kind)
 
 
-def _split_key(key: str) -> tuple[str, str]:
-    """Return the prefix of a key's kind, and the name."""
-    kind, _, name = key.partition("/")
-    return f"{kind}/", name
-
-
 def _encode_object(name: str, spec: bytes) -> bytes:
     return msgspec.json.encode({"metadata": {"name": name}, "spec": msgspec.Raw(spec)})
 
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -6,12 +6,14 @@
 from functools import partial
 
 from passtally.generation import Generation, GenerationRequest
+from passtally.known_versions import KnownVersions
 from passtally.messages import MemberRow
 from passtally.metrics import NoMetrics
 from passtally.object_store import UnavailableError
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.origin import KnownAnswer, Origin, OriginRule
 from passtally.origin_exchange import OriginExchange, UnknownOriginError
+from passtally.origin_keepers import OriginKeepers
 from passtally.seen_versions import SeenVersions
 from passtally.version_records import VersionRecords
 from tests.datagram_network import DatagramNetwork
@@ -106,17 +108,23 @@
                 clock=self.gossip.clock,
                 is_writer=lambda: True,
             )
+            keepers = OriginKeepers(members=node.roster)
             exchange = OriginExchange(
-                members=node.roster,
+                keepers=keepers,
                 datagrams=self.network.add(node),
                 catalog=self.catalog,
                 rule=OriginRule(catalog=self.catalog),
-                seen=seen,
-                records=records,
+                versions=KnownVersions(
+                    catalog=self.catalog,
+                    seen=seen,
+                    records=records,
+                    clock=self.gossip.clock,
+                    is_current=partial(self._receives_changes, node.id),
+                    has_others=lambda: True,
+                    keepers=keepers,
+                ),
                 clock=self.gossip.clock,
                 metrics=NoMetrics(),
-                is_current=partial(self._receives_changes, node.id),
-                has_others=lambda: True,
             )
             self.exchanges_by_id[node.id] = exchange
             exchange.renew()
