Answers without end take less memory: a lower limit, smaller input buffers

Cause: forty calls whose answers have no end still brought a host to 343 MB with the limit of 64 MB: the buffers of their connections and the growth of their bodies come on top.

Change: answers that are being read hold 24 MB together, and a connection to an endpoint is not read on while over 64 KB of its input are unread.

--- a/passtally/held_bodies.py
+++ b/passtally/held_bodies.py
@@ -9,8 +9,9 @@
 #: Default limit on the bodies of requests that a host holds, in bytes.
 MAX_BODIES = 256 * 1024 * 1024
 #: Limit on the bodies of calls' answers that a host is reading, in bytes. Endpoints in
-#: trouble send without end, and the platform ends a host that holds 300 MB.
-MAX_ANSWERS = 64 * 1024 * 1024
+#: trouble send without end, and the platform ends a host that takes 300 MB. The buffers
+#: of the connections come on top.
+MAX_ANSWERS = 24 * 1024 * 1024
 #: Size up to which an answer does not count, in bytes, so that usual answers arrive
 #: while others without end use up the limit.
 FREE_ANSWER = 64 * 1024
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -24,7 +24,7 @@
 #: Share of the peer's keep-alive timeout after which a connection is not reused.
 IDLE_SHARE = 0.7
 #: Size of the unread input, in bytes, above which reading pauses.
-READ_HIGH_WATER = 256 * 1024
+READ_HIGH_WATER = 64 * 1024
 #: Maximum number of interim answers (1xx) before an answer. A peer in trouble may send
 #: them without end.
 MAX_INTERIM_ANSWERS = 8
