Records of versions are replaced under a condition, and read at each change

A replacement without an answer may be carried out seconds later, so that one without a condition undoes a newer record. A host also took the record for what it had written last, although hosts of other failure domains replace it too; a version that came back was then not recorded, and hosts that all restart would go on at the version that is left.

Change: a record is read at each change of what a host sees, and replaced only if it still has that revision. Callers of one service no longer wait for the record of another.

Evidence: test_a_late_write_does_not_undo_a_newer_one fails with a replacement that has no condition, test_a_version_that_returns_is_recorded_after_another_host_ dropped_it with a record that is kept in memory; both hold now.

--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -199,18 +199,18 @@
             "create",
             "POST",
             quote(kind),
-            _encode_object(name, spec),
+            _encode_object({"name": name}, spec),
             accepted=(*SUCCESSES, CONFLICT),
         )
-        if fetched.status != CONFLICT:
-            return StoredObject(key=key, version=0, value=msgspec.Raw(spec))
         item = self._link.decode("create", fetched.body, _Object)
         return self._to_stored(f"{kind}/", item, self._era)
 
-    async def replace(self, key: str, spec: bytes) -> None:
-        """Replace the spec of an object, whatever its revision is."""
+    async def replace(self, key: str, spec: bytes, *, revision: int) -> None:
+        """Replace the spec of an object if it has exactly this revision."""
         _, _, name = key.partition("/")
-        await self._write("replace", "PUT", quote(key), _encode_object(name, spec))
+        metadata = {"name": name, "revision": revision}
+        body = _encode_object(metadata, spec)
+        await self._write("replace", "PUT", quote(key), body)
 
     async def _write(
         self,
@@ -308,8 +308,8 @@
             return era, self._link.decode(step, replace_deep_values(body), kind)
 
 
-def _encode_object(name: str, spec: bytes) -> bytes:
-    return msgspec.json.encode({"metadata": {"name": name}, "spec": msgspec.Raw(spec)})
+def _encode_object(metadata: dict[str, str | int], spec: bytes) -> bytes:
+    return msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(spec)})
 
 
 def decode_era(text: bytes | None) -> int:
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -7,7 +7,8 @@
 from passtally.object_store import UnavailableError
 from passtally.platform.decode import decode_endpoint
 from passtally.platform.store import PlatformStore
-from passtally.store_order import era_of
+from passtally.store_order import era_of, revision_of
+from passtally.version_records import VersionRecord
 
 #: The kind of the records, one for each service.
 _PREFIX = "software-versions/"
@@ -34,18 +35,22 @@
         """The store's address and era."""
         return self._store.lineage
 
-    async def create(self, service: str, versions: Iterable[str]) -> frozenset[str]:
+    async def create(self, service: str, versions: Iterable[str]) -> VersionRecord:
         """Create the record of a service, and return the record that now exists."""
         stored = await self._store.find_or_create(_PREFIX + service, _encode(versions))
         try:
             record = msgspec.json.decode(bytes(stored.value), type=_Record)
         except msgspec.MsgspecError as error:
             raise UnavailableError(str(error), step="create", peer=_PREFIX) from error
-        return frozenset(record.versions)
-
-    async def replace(self, service: str, versions: Iterable[str]) -> None:
-        """Replace the record of a service."""
-        await self._store.replace(_PREFIX + service, _encode(versions))
+        revision = revision_of(stored.version)
+        return VersionRecord(versions=frozenset(record.versions), revision=revision)
+
+    async def replace(
+        self, service: str, versions: Iterable[str], *, revision: int
+    ) -> None:
+        """Replace the record of a service if it has exactly this revision."""
+        key = _PREFIX + service
+        await self._store.replace(key, _encode(versions), revision=revision)
 
     async def list_past(self, service: str) -> frozenset[str]:
         """Return the versions of all endpoints of a service in the store's history."""
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -7,10 +7,13 @@
 """
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable, Hashable, Iterable
 from datetime import timedelta
 from typing import Protocol
 
+import attrs
+
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.object_store import PlatformError
@@ -24,6 +27,19 @@
 RETRY_INTERVAL = timedelta(seconds=1)
 
 
+@attrs.frozen(kw_only=True)
+class VersionRecord:
+    """The record of a service.
+
+    Attributes:
+        versions: The versions at which answers may have begun.
+        revision: The revision of the record in the store.
+    """
+
+    versions: frozenset[str]
+    revision: int
+
+
 class VersionStore(Protocol):
     """The records of versions in the store. Each call may raise a PlatformError."""
 
@@ -31,11 +47,13 @@
     def lineage(self) -> Hashable:
         """What changes when the store moves, or is restored from an older copy."""
 
-    async def create(self, service: str, versions: Iterable[str]) -> frozenset[str]:
+    async def create(self, service: str, versions: Iterable[str]) -> VersionRecord:
         """Create the record of a service, and return the record that now exists."""
 
-    async def replace(self, service: str, versions: Iterable[str]) -> None:
-        """Replace the record of a service."""
+    async def replace(
+        self, service: str, versions: Iterable[str], *, revision: int
+    ) -> None:
+        """Replace the record of a service if it has exactly this revision."""
 
     async def list_past(self, service: str) -> frozenset[str]:
         """Return the versions of all endpoints that the store has ever held.
@@ -73,10 +91,11 @@
         self._lineage = store.lineage
         #: The versions of the time before this host began to see them.
         self._past_by_service: dict[str, frozenset[str]] = {}
-        #: The records as this host last wrote or read them.
-        self._recorded_by_service: dict[str, frozenset[str]] = {}
+        #: What this host saw when it last brought a record up to date, and whether it
+        #: had seen the service for as long as answers last.
+        self._saved_by_service: dict[str, tuple[frozenset[str], bool]] = {}
         self._failed_at_by_service: dict[str, timedelta] = {}
-        self._learning = asyncio.Lock()
+        self._locks_by_service: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
 
     async def run(self) -> None:
         """Keep the records up to date until cancelled."""
@@ -102,7 +121,7 @@
             service: The service.
             versions: The versions that it has now.
         """
-        async with self._learning:
+        async with self._locks_by_service[service]:
             if self.find(service) is not None or self._has_just_failed(service):
                 return
             past = await self._read_past(service, frozenset(versions))
@@ -130,7 +149,7 @@
         try:
             async with asyncio.timeout(LEARN_TIMEOUT.total_seconds()):
                 try:
-                    return await self._store.create(service, versions)
+                    return (await self._store.create(service, versions)).versions
                 except PlatformError as error:
                     log_event("versions", "No record.", service=service, why=error)
                 return await self._store.list_past(service)
@@ -140,29 +159,31 @@
             return None
 
     async def _save(self, service: str, versions: frozenset[str]) -> None:
-        """Record the versions of a service if it has, or had, several."""
+        """Bring the record of a service up to date if it has, or had, several.
+
+        The record is read again at each change: another host may have replaced it.
+        """
         self._check_lineage()
-        recorded = self._recorded_by_service.get(service)
-        if recorded is None and len(versions) < 2:
+        # A host that has not seen the service for long enough may not know all.
+        is_whole = self._seen.covers(self._clock.monotonic())
+        saved = self._saved_by_service.get(service)
+        if saved == (versions, is_whole) or (saved is None and len(versions) < 2):
             return
         try:
-            if recorded is None:
-                recorded = await self._store.create(service, versions)
-            # A host that has not seen the service for long enough may not know all.
-            is_whole = self._seen.covers(self._clock.monotonic())
-            wanted = versions if is_whole else versions | recorded
-            if wanted != recorded:
-                await self._store.replace(service, wanted)
+            record = await self._store.create(service, versions)
+            wanted = versions if is_whole else versions | record.versions
+            if wanted != record.versions:
+                revision = record.revision
+                await self._store.replace(service, wanted, revision=revision)
         except PlatformError as error:
             log_event("versions", "Not recorded.", service=service, why=error)
             return
-        if wanted != self._recorded_by_service.get(service):
-            log_event("versions", "Recorded.", service=service, versions=sorted(wanted))
-        self._recorded_by_service[service] = wanted
+        log_event("versions", "Recorded.", service=service, versions=sorted(wanted))
+        self._saved_by_service[service] = versions, is_whole
 
     def _check_lineage(self) -> None:
         """Forget the records of a store that was replaced or restored since."""
         if self._lineage != self._store.lineage:
             self._lineage = self._store.lineage
             self._past_by_service.clear()
-            self._recorded_by_service.clear()
+            self._saved_by_service.clear()
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -186,7 +186,10 @@
         key = request.match_info["kind"], request.match_info["name"]
         if key not in self._items:
             return web.Response(status=404)
-        return self._write(key, await request.json(), is_allowed=True)
+        change = await request.json()
+        known = self._items[key]["metadata"]["revision"]
+        is_allowed = change["metadata"].get("revision", known) == known
+        return self._write(key, change, is_allowed=is_allowed)
 
     def _write(
         self, key: tuple[str, str], change: dict[str, Any], *, is_allowed: bool
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -1,6 +1,7 @@
 """Hosts that share the origins of answers over simulated datagrams, in virtual time."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Iterable, Sequence
 from functools import partial
@@ -9,13 +10,13 @@
 from passtally.known_versions import KnownVersions
 from passtally.messages import MemberRow
 from passtally.metrics import NoMetrics
-from passtally.object_store import UnavailableError
+from passtally.object_store import ConflictError, UnavailableError
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.origin import KnownAnswer, Origin, OriginRule
 from passtally.origin_exchange import OriginExchange, UnknownOriginError
 from passtally.origin_keepers import OriginKeepers
 from passtally.seen_versions import SeenVersions
-from passtally.version_records import VersionRecords
+from passtally.version_records import VersionRecord, VersionRecords
 from tests.datagram_network import DatagramNetwork
 from tests.fakes import make_catalog
 from tests.gossip_fleet import Fleet
@@ -33,6 +34,7 @@
         is_refusing: Whether it refuses to create and replace records.
         calls: Number of calls received.
         lineage: Its address and era.
+        late_writes: Number of further writes that get no answer.
     """
 
     def __init__(self) -> None:
@@ -41,14 +43,46 @@
         self.is_refusing = False
         self.calls = 0
         self.lineage = 0
+        self.late_writes = 0
+        self._revision = 0
+        self._revisions_by_service: dict[str, int] = {}
+        self._unanswered: list[tuple[str, frozenset[str], int]] = []
+
+    def put(self, service: str, versions: Iterable[str]) -> None:
+        """Replace a record, as by another host."""
+        self._revision += 1
+        self._revisions_by_service[service] = self._revision
+        self.versions_by_service[service] = frozenset(versions)
 
-    async def create(self, service: str, versions: Iterable[str]) -> frozenset[str]:
+    async def create(self, service: str, versions: Iterable[str]) -> VersionRecord:
         self._count()
-        return self.versions_by_service.setdefault(service, frozenset(versions))
+        if service not in self.versions_by_service:
+            self.put(service, versions)
+        revision = self._revisions_by_service.get(service, 0)
+        return VersionRecord(
+            versions=self.versions_by_service[service], revision=revision
+        )
 
-    async def replace(self, service: str, versions: Iterable[str]) -> None:
+    async def replace(
+        self, service: str, versions: Iterable[str], *, revision: int
+    ) -> None:
         self._count()
-        self.versions_by_service[service] = frozenset(versions)
+        if self.late_writes:
+            self.late_writes -= 1
+            self._unanswered.append((service, frozenset(versions), revision))
+            raise UnavailableError("no answer", step="replace", peer="store")
+        self._replace(service, versions, revision)
+
+    async def carry_out_late_writes(self) -> None:
+        """Carry out the writes that got no answer, if their condition holds."""
+        for service, versions, revision in self._unanswered:
+            with contextlib.suppress(ConflictError):
+                self._replace(service, versions, revision)
+
+    def _replace(self, service: str, versions: Iterable[str], revision: int) -> None:
+        if revision != self._revisions_by_service.get(service, 0):
+            raise ConflictError("status 409", step="replace", peer="store")
+        self.put(service, versions)
 
     async def list_past(self, service: str) -> frozenset[str]:
         self.calls += 1
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -81,7 +81,7 @@
     def test_a_record_names_the_versions(self, recorded):
         async def test() -> None:
             world = World()
-            world.store.versions_by_service[SERVICE] = recorded
+            world.store.put(SERVICE, recorded)
             assert await world.learn() == recorded
 
         run_virtually(test())
@@ -187,7 +187,7 @@
     # Guards against a host that has just started and takes a version off the record.
     def test_a_young_host_only_adds_versions(self):
         async def test(world: World) -> None:
-            world.store.versions_by_service[SERVICE] = frozenset(("v0", "v1"))
+            world.store.put(SERVICE, ("v0", "v1"))
             until = world.clock.monotonic() + 5 * SECOND
             await self.watch(world, "v1", "v2", until=until)
             assert world.store.versions_by_service[SERVICE] == {"v0", "v1", "v2"}
@@ -205,6 +205,36 @@
 
         self.run(test)
 
+    # Guards against a version that is not recorded, since this host takes the record
+    # for what it wrote earlier, while another host has dropped the version since.
+    def test_a_version_that_returns_is_recorded_after_another_host_dropped_it(self):
+        async def test(world: World) -> None:
+            until = world.clock.monotonic() + 3 * SECOND
+            await self.watch(world, "v1", "v2", until=until)
+            await self.watch(world, "v1", until=until + RECORD_TTL / 2)
+            world.seen.record([], now=world.clock.monotonic(), is_current=False)
+            await self.watch(world, "v1", until=until + RECORD_TTL + 5 * SECOND)
+            world.store.put(SERVICE, ONLY)
+            until = world.clock.monotonic() + 3 * SECOND
+            await self.watch(world, "v1", "v2", until=until)
+            assert world.store.versions_by_service == {SERVICE: BOTH}
+
+        self.run(test)
+
+    # Guards against a write without an answer that is carried out after a newer one.
+    def test_a_late_write_does_not_undo_a_newer_one(self):
+        async def test(world: World) -> None:
+            world.store.put(SERVICE, ONLY)
+            world.store.late_writes = 1
+            until = world.clock.monotonic() + 3 * SECOND
+            await self.watch(world, "v1", "v2", until=until)
+            await self.watch(world, "v1", "v2", "v3", until=until + 3 * SECOND)
+            await world.store.carry_out_late_writes()
+            recorded = world.store.versions_by_service[SERVICE]
+            assert recorded == {"v1", "v2", "v3"}
+
+        self.run(test)
+
     # Guards against a record that is lost with an older copy of the store.
     def test_it_is_written_again_to_a_restored_store(self):
         async def test(world: World) -> None:
@@ -235,7 +265,8 @@
         async def test() -> str | None:
             fleet = OriginFleet(hosts=7, versions=("v1", "v1"))
             fleet.store.is_refusing = recorded is None
-            fleet.store.versions_by_service[SERVICE] = recorded
+            if recorded is not None:
+                fleet.store.put(SERVICE, recorded)
             rows = fleet.gossip.rows
             if old:
                 fleet.start(rows[-old:])
