The bound of answers blames no endpoint, is a setting, and holds for the own interface

An answer that the host can't hold counted as a reset by its endpoint: as a fault of it, of a new version on trial, and as a loss to be looked into. The own interface read answers without any bound. The limit of 24 MB was fixed, so that hosts with more memory gave up large answers that they had served.

Change: such a loss has a kind of its own, which tells nothing of the endpoint. Plain calls at the own interface have the same two bounds. The log line names the reason. The memory of a list of parts is given as measured.

Evidence: test_the_limit_of_a_host_is_no_fault_of_the_endpoint fails with the former kind of loss (one fault recorded), and holds now; TestOwnInterface holds, the code before has no bound to fail at.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -32,6 +32,7 @@
 from passtally.gate import Gate
 from passtally.handle import HandleSigner
 from passtally.hedge import HedgePolicy
+from passtally.held_bodies import HeldBodies
 from passtally.http_engine import HttpEngine
 from passtally.http_platform import HttpPlatform
 from passtally.intents import Intents
@@ -284,7 +285,10 @@
             clock=self.clock,
             failure_domain=settings.failure_domain,
             budgets=budgets,
-            sender=SessionSender(session=self._plain_session),
+            sender=SessionSender(
+                session=self._plain_session,
+                answers=HeldBodies.of_answers(settings, self.metrics),
+            ),
             guard=self.guard,
             hedging=HedgePolicy(
                 fleet=self.fleet, clock=self.clock, mode=lambda: settings.hedging
--- a/passtally/held_bodies.py
+++ b/passtally/held_bodies.py
@@ -5,13 +5,12 @@
 import attrs
 
 from passtally.metrics import Metric, Metrics, NoMetrics
+from passtally.settings import Settings
 
 #: Default limit on the bodies of requests that a host holds, in bytes.
 MAX_BODIES = 256 * 1024 * 1024
-#: Limit on the bodies of calls' answers that a host is reading, in bytes. Endpoints in
-#: trouble send without end, and the platform ends a host that takes 300 MB. The buffers
-#: of the connections come on top.
-MAX_ANSWERS = 24 * 1024 * 1024
+#: Maximum size of the answer to a plain call, in bytes.
+MAX_ANSWER_BYTES = 16 << 20
 #: Size up to which an answer does not count, in bytes, so that usual answers arrive
 #: while others without end use up the limit.
 FREE_ANSWER = 64 * 1024
@@ -45,6 +44,16 @@
         self._metrics = metrics or NoMetrics()
         self._refused = refused
 
+    @classmethod
+    def of_answers(cls, settings: Settings, metrics: Metrics) -> "HeldBodies":
+        """Return the limit on the answers that a host is reading."""
+        return cls(
+            limit=settings.max_answers,
+            free=FREE_ANSWER,
+            metrics=metrics,
+            refused=Metric.ANSWERS_REFUSED,
+        )
+
     def open(self) -> "HeldBody":
         """Return an empty body."""
         return HeldBody(bodies=self)
--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -8,11 +8,10 @@
 from passtally.forecast import Forecast
 from passtally.front import Front
 from passtally.hedge import HedgePolicy
-from passtally.held_bodies import FREE_ANSWER, MAX_ANSWERS, HeldBodies
+from passtally.held_bodies import HeldBodies
 from passtally.host_admission import HostAdmission
 from passtally.host_config import MIN_BUDGET_HOSTS
 from passtally.known_versions import KnownVersions
-from passtally.metrics import Metric
 from passtally.origin_exchange import OriginExchange
 from passtally.origin_keepers import OriginKeepers
 from passtally.placement import Placement
@@ -104,12 +103,7 @@
                 pool=host.pool,
                 clock=host.clock,
                 recorder=host.fleet.send_limits,
-                answers=HeldBodies(
-                    limit=MAX_ANSWERS,
-                    free=FREE_ANSWER,
-                    metrics=host.metrics,
-                    refused=Metric.ANSWERS_REFUSED,
-                ),
+                answers=HeldBodies.of_answers(host.settings, host.metrics),
             ),
             guard=host.guard,
             hedging=HedgePolicy(
--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -53,6 +53,7 @@
         is_garbled: Whether the peer sent an invalid or an oversized answer.
         is_link_lost: Whether the host that the connection passes through was lost, so
             that nothing is known of the peer.
+        is_not_held: Whether this host holds too much to read the answer.
     """
 
     def __init__(
@@ -62,11 +63,13 @@
         *,
         is_garbled: bool = False,
         is_link_lost: bool = False,
+        is_not_held: bool = False,
     ) -> None:
         self.step = step
         self.detail = detail
         self.is_garbled = is_garbled
         self.is_link_lost = is_link_lost
+        self.is_not_held = is_not_held
         super().__init__(f"{step}: {detail}")
 
 
@@ -240,14 +243,14 @@
             ExchangeError: The answer is truncated, invalid or too long, or may not be
                 held.
         """
-        # A list of the parts would take 40 times the memory of parts of one byte.
+        # A list of the parts takes 28 times the memory of parts of two bytes.
         body = bytearray()
         while part := await self.read():
             on_part()
             if len(body) + len(part) > most:
                 raise self._fail("the answer is too long", is_garbled=True)
             if not reserve(len(part)):
-                raise self._fail("the host holds too many answers")
+                raise self._fail("the host holds too many answers", is_not_held=True)
             body += part
         return bytes(body)
 
@@ -312,13 +315,16 @@
             self._arrived.clear()
             await self._arrived.wait()
 
-    def _fail(self, detail: str, *, is_garbled: bool = False) -> ExchangeError:
+    def _fail(
+        self, detail: str, *, is_garbled: bool = False, is_not_held: bool = False
+    ) -> ExchangeError:
         self.abort()
         return ExchangeError(
             self._step,
             detail,
             is_garbled=is_garbled,
             is_link_lost=isinstance(self._error, TunnelLostError),
+            is_not_held=is_not_held,
         )
 
 
--- a/passtally/plain.py
+++ b/passtally/plain.py
@@ -30,7 +30,7 @@
 from passtally.pause_aware_timeout import PauseAwareTimeout, sleep_pause_aware
 from passtally.plain_call import PlainAnswer, PlainCall, Sender
 from passtally.quarantine import Quarantine
-from passtally.retry import UNRUN_KINDS, LossKind
+from passtally.retry import BLAMELESS_KINDS, UNRUN_KINDS, LossKind
 from passtally.retry_budget import Budgets, acquire_retry, wait_for_retry
 from passtally.settings import Switch
 
@@ -384,7 +384,7 @@
         )
         if loss.kind in UNRUN_KINDS:
             return not_run_error(loss)
-        if loss.kind is not LossKind.LINK:
+        if loss.kind not in BLAMELESS_KINDS:
             self._fleet.versions.record_answer(
                 live.endpoint, route=call.route, answers=1, failures=1
             )
--- a/passtally/plain_handler.py
+++ b/passtally/plain_handler.py
@@ -15,6 +15,7 @@
 from passtally.drain import Drain
 from passtally.fingerprint import fingerprint_of
 from passtally.gate import Gate
+from passtally.held_bodies import MAX_ANSWER_BYTES, HeldBodies
 from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Service, ServiceKind, Workspace
 from passtally.outcome import Code, refuse
@@ -51,10 +52,12 @@
     Args:
         session: The client session. It must not retry a call by itself; see
             :func:`open_session`. Redirects are not followed.
+        answers: The bodies of the answers that are being read.
     """
 
-    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+    def __init__(self, *, session: aiohttp.ClientSession, answers: HeldBodies) -> None:
         self._session = session
+        self._answers = answers
 
     async def send(
         self,
@@ -77,7 +80,7 @@
                 allow_redirects=False,
                 trace_request_ctx=before_send,
             ) as response:
-                body = await response.read()
+                body = await self._read(response, live)
                 return PlainAnswer(
                     status=response.status,
                     headers=_forwarded_headers(response.headers),
@@ -89,6 +92,29 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise lost_call(LossKind.RESET, live, error) from error
 
+    async def _read(
+        self, response: aiohttp.ClientResponse, live: LiveEndpoint
+    ) -> bytes:
+        """Return the complete body.
+
+        Raises:
+            AttemptLostError: The body is too long, or the host holds too many.
+        """
+        held = self._answers.open()
+        body = bytearray()
+        try:
+            async for part in response.content.iter_any():
+                if len(body) + len(part) > MAX_ANSWER_BYTES:
+                    error = ValueError("the answer is too long")
+                    raise lost_call(LossKind.RESUME_MISMATCH, live, error)
+                if not held.reserve(len(part)):
+                    error = ValueError("the host holds too many answers")
+                    raise lost_call(LossKind.NOT_HELD, live, error)
+                body += part
+        finally:
+            held.release()
+        return bytes(body)
+
 
 class Caller(Protocol):
     """The part of a caller that the handler needs."""
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -11,7 +11,7 @@
 from passtally.endpoint_directives import DirectiveRecorder
 from passtally.engine import AttemptLostError, LoadReport
 from passtally.generation import Attempt, GenerationRequest
-from passtally.held_bodies import HeldBodies
+from passtally.held_bodies import MAX_ANSWER_BYTES, HeldBodies
 from passtally.http_client import (
     ExchangeError,
     RawHeaders,
@@ -32,8 +32,6 @@
 from passtally.retry import LossKind
 from passtally.settings import Address
 
-#: Maximum size of the answer to a plain call, in bytes.
-MAX_ANSWER_BYTES = 16 << 20
 #: Rank of the least urgent requests at an engine; 0 is the most urgent.
 MAX_ENGINE_RANK = 9
 #: Timeout of copying a run. A copy of 1.8 GB takes 60 to 120 ms, and copies queue for
@@ -107,7 +105,11 @@
             body = await connection.read_all(MAX_ANSWER_BYTES, reserve=held.reserve)
         except ExchangeError as error:
             log_event(
-                "calls", "No complete answer.", peer=link.endpoint_id, size=held.size
+                "calls",
+                "No complete answer.",
+                peer=link.endpoint_id,
+                size=held.size,
+                why=error,
             )
             raise link.lost_in_exchange(error) from error
         except BaseException:
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -279,6 +279,8 @@
             return self.lost(LossKind.UNREACHABLE, error.detail)
         if error.is_link_lost:
             return self.lost(LossKind.LINK, error.detail)
+        if error.is_not_held:
+            return self.lost(LossKind.NOT_HELD, error.detail)
         kind = LossKind.RESUME_MISMATCH if error.is_garbled else LossKind.RESET
         return self.lost(kind, error.detail)
 
--- a/passtally/retry.py
+++ b/passtally/retry.py
@@ -25,6 +25,8 @@
     #: The link to the endpoint failed, or a host on the way, but not the endpoint,
     #: which may go on with the request.
     LINK = "link"
+    #: This host holds too much to read on; the endpoint is not at fault.
+    NOT_HELD = "not_held"
     #: The endpoint closed the connection of an answer without a length or chunked
     #: encoding: the answer may be complete or truncated.
     UNMARKED_END = "unmarked_end"
@@ -44,6 +46,9 @@
 #: Losses after which the request is known not to have run at the endpoint.
 UNRUN_KINDS = frozenset((LossKind.REFUSED, LossKind.UNREACHABLE, LossKind.REPLACED))
 
+#: Losses that tell nothing of the endpoint.
+BLAMELESS_KINDS = frozenset((LossKind.LINK, LossKind.NOT_HELD))
+
 #: Losses of which only the connection is the cause, so that an endpoint that keeps
 #: streams still has the stream.
 CONNECTION_KINDS = frozenset((LossKind.RESET, LossKind.LINK))
--- a/passtally/server_connection.py
+++ b/passtally/server_connection.py
@@ -132,8 +132,6 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request being served."""
         self._is_lost = True
-        if self._ends_by_close and error is None and self._is_delivered:
-            set_reset_on_close(self._transport, False)
         self._server.remove(self)
         self._output.close()
         self._body.release()
@@ -142,6 +140,8 @@
         self._writable.set()
         if self.task is not None:
             self.task.cancel(self._output.abort_reason or None)
+        if self._ends_by_close and error is None and self._is_delivered:
+            set_reset_on_close(self._transport, False)
 
     def pause_writing(self) -> None:
         """Block writers until the output buffer drains."""
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -330,6 +330,13 @@
         " requests are refused.",
         "268435456",
     )
+    max_answers: int = _setting(
+        parse_count,
+        "The maximum size of all answers to calls that the host is reading, in bytes;"
+        " those that grow beyond it are given up. The first 64 KB of each do not"
+        " count.",
+        "25165824",
+    )
     max_unread: int = _setting(
         parse_count,
         "The output of a stream, in bytes, that is kept for a caller that reads slowly;"
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,12 +4,14 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator
+from types import SimpleNamespace
 
 import pytest
 
 from passtally.clock import SystemClock
+from passtally.engine import AttemptLostError
 from passtally.front_host import FrontHost
-from passtally.held_bodies import FREE_ANSWER, MAX_ANSWERS, HeldBodies
+from passtally.held_bodies import FREE_ANSWER, MAX_ANSWER_BYTES, HeldBodies
 from passtally.http_client import (
     MAX_INTERIM_ANSWERS,
     ClientConnection,
@@ -17,9 +19,12 @@
 )
 from passtally.http_exchange import EVENTS_PER_TURN
 from passtally.http_server import HttpServer
+from passtally.plain_handler import SessionSender, open_session
+from passtally.retry import LossKind
 from standins.platform_config import ENGINE, LOOKUPS, make_config
 from standins.runner import PROOF
 from tests.platform_system import PlatformSystem, run
+from tests.test_calls import make_call
 
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 PROVEN_HEAD = f"HTTP/1.1 200 OK\r\nX-Response-Stamp: {PROOF}\r\n\r\n".encode()
@@ -137,19 +142,73 @@
                 while not sent.done():
                     held = max(held, sender_of(system.hosts[0]).held)
                     await asyncio.sleep(0.005)
-                assert FREE_ANSWER < held <= MAX_ANSWERS
+                assert FREE_ANSWER < held <= system.hosts[0].settings.max_answers
                 assert {answer.status for answer in await sent} <= {502, 504}
                 assert endpoint.requests
                 assert sender_of(system.hosts[0]).held == 0
 
         run(test)
 
+    # Guards against an endpoint, or a new version, that is held to be at fault for what
+    # its host can't hold.
+    def test_the_limit_of_a_host_is_no_fault_of_the_endpoint(self):
+        async def test(system: PlatformSystem) -> None:
+            async with endless(system, LOOKUPS, BODY_ONLY):
+                host = system.hosts[0]
+                sender_of(host).limit = 0
+                faults = []
+                host.fleet.call_failures.record = lambda live, *, is_fault: (
+                    faults.append(is_fault)
+                )
+                answer = await system.send("/book/1", body=b"1")
+                assert answer.status == 502
+                assert faults == []
+                refused = b"answers_refused"
+                assert refused in host.render_metrics()
+
+        run(test)
+
 
 def sender_of(host: FrontHost) -> HeldBodies:
     """Return the answers that a host is reading."""
     return host.caller._sender._answers
 
 
+class TestOwnInterface:
+    """Plain calls at the own interface, which another client library sends."""
+
+    def send(self, *, limit: int) -> tuple[AttemptLostError, HeldBodies]:
+        """Send a call to an endpoint whose answer has no end."""
+        bodies = HeldBodies(limit=limit, free=FREE_ANSWER)
+
+        async def test() -> AttemptLostError:
+            endpoint = EndlessEndpoint(*BODY_ONLY)
+            await endpoint.start()
+            live = SimpleNamespace(
+                endpoint=SimpleNamespace(id="e", url=f"http://{endpoint.address}")
+            )
+            async with open_session() as session:
+                sender = SessionSender(session=session, answers=bodies)
+                with pytest.raises(AttemptLostError) as caught:
+                    async with asyncio.timeout(10 * SOON):
+                        await sender.send(make_call(), live)
+            endpoint.stop()
+            return caught.value
+
+        return asyncio.run(test()), bodies
+
+    # Guards against an answer that is read for as long as it comes.
+    def test_an_answer_without_end_is_no_answer(self):
+        loss, bodies = self.send(limit=2 * MAX_ANSWER_BYTES)
+        assert loss.kind is LossKind.RESUME_MISMATCH
+        assert bodies.held == 0
+
+    def test_the_limit_of_the_host_applies(self):
+        loss, bodies = self.send(limit=FREE_ANSWER)
+        assert loss.kind is LossKind.NOT_HELD
+        assert bodies.held == 0
+
+
 class TestHeldBodies:
     # Guards against usual answers that are given up for others without end.
     def test_a_small_body_is_held_at_the_limit(self):
