The own interface closes connections after each answer while its host stops

Callers of passtally serve that keep their connections went on sending there for as long as the host stopped, so that its stop, which waits for open requests, need not end before the kill.

Change: a connection is closed after each answer during a stop, also one whose head was sent before.

Evidence: test_own_stop, both of its closing tests fail without the middleware's close, and hold with it; a host that does not stop keeps its connections.

--- a/passtally/api.py
+++ b/passtally/api.py
@@ -163,6 +163,25 @@
         return failure_response(failure)
 
 
+def close_connections(is_stopping: Callable[[], bool]) -> Middleware:
+    """Return a middleware that closes a connection after each answer during a stop.
+
+    An answer whose head was sent before the stop did not tell its caller to leave.
+
+    Args:
+        is_stopping: Returns whether the host stops.
+    """
+
+    @web.middleware
+    async def close(request: web.Request, handler: Handler) -> web.StreamResponse:
+        response = await handler(request)
+        if is_stopping():
+            response.force_close()
+        return response
+
+    return close
+
+
 def limit_bodies(bodies: HeldBodies, *, max_body: int) -> Middleware:
     """Return a middleware that refuses bodies beyond what the host may hold.
 
--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -378,6 +378,7 @@
             ),
             operator_api=self.operator_api,
             is_ready=lambda: self.keeper.loaded.is_set() and not self.drain.is_stopping,
+            is_stopping=lambda: self.drain.is_stopping,
             config_version=lambda: self.catalog.config_version,
         )
 
--- a/passtally/own_interface.py
+++ b/passtally/own_interface.py
@@ -4,7 +4,12 @@
 
 from aiohttp import web
 
-from passtally.api import METRICS_KEY, answer_failures, limit_bodies
+from passtally.api import (
+    METRICS_KEY,
+    answer_failures,
+    close_connections,
+    limit_bodies,
+)
 from passtally.completion_handler import CompletionHandler
 from passtally.held_bodies import HeldBodies
 from passtally.http_server import LISTEN_BACKLOG
@@ -24,6 +29,7 @@
         plain: Answers calls of plain services.
         operator_api: Answers operators.
         is_ready: Returns whether the host takes requests.
+        is_stopping: Returns whether the host stops.
         config_version: Returns the version of the configuration in force.
     """
 
@@ -36,6 +42,7 @@
         plain: PlainHandler,
         operator_api: OperatorApi,
         is_ready: Callable[[], bool],
+        is_stopping: Callable[[], bool],
         config_version: Callable[[], int],
     ) -> None:
         self._settings = settings
@@ -44,6 +51,7 @@
         self._plain = plain
         self._operator_api = operator_api
         self._is_ready = is_ready
+        self._is_stopping = is_stopping
         self._config_version = config_version
         self._runner = web.AppRunner(
             self._build_app(), access_log=None, handle_signals=False
@@ -79,6 +87,7 @@
         bodies = HeldBodies(limit=settings.max_bodies, metrics=self._metrics)
         app = web.Application(
             middlewares=[
+                close_connections(self._is_stopping),
                 answer_failures,
                 limit_bodies(bodies, max_body=settings.max_body),
             ],
