Evidence of past versions ends once a host has seen a service for long enough

Found on reading the change again. What a host had learned from the store counted for as long as it ran, so that it refused streams of the only version long after the other had gone. And the record itself kept such a version for good, if all hosts restarted before anybody took it off.

That costs calls only where a record with two versions was read.

Evidence: three new tests of test_version_records fail on the commit before, and hold now.

--- a/passtally/known_versions.py
+++ b/passtally/known_versions.py
@@ -136,8 +136,8 @@
         )
 
     def _own(self, service: str) -> ServiceVersions:
-        past = self._records.find(service)
         is_covered = self._seen.covers(self._clock.monotonic())
+        past = None if is_covered else self._records.find(service)
         return ServiceVersions(
             names=self._seen.list_versions(service) | (past or frozenset()),
             is_current=self._is_current(),
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -100,11 +100,19 @@
     async def run(self) -> None:
         """Keep the records up to date until cancelled."""
         while True:
-            if self._is_writer():
-                for service, versions in self._seen.versions_by_service().items():
+            for service, versions in self._seen.versions_by_service().items():
+                if self._is_writer() or self._is_outdated(service, versions):
                     await self._save(service, versions)
             await self._clock.sleep(CHECK_INTERVAL)
 
+    def _is_outdated(self, service: str, versions: frozenset[str]) -> bool:
+        """Return whether a record that this host read has a version that is gone.
+
+        The hosts that saw the version go may be gone too.
+        """
+        past = self._past_by_service.get(service, versions)
+        return past != versions and self._seen.covers(self._clock.monotonic())
+
     def find(self, service: str) -> frozenset[str] | None:
         """Return the versions that a service had in the past, or None if unknown."""
         self._check_lineage()
@@ -167,7 +175,10 @@
         # A host that has not seen the service for long enough may not know all.
         is_whole = self._seen.covers(self._clock.monotonic())
         saved = self._saved_by_service.get(service)
-        if saved == (versions, is_whole) or (saved is None and len(versions) < 2):
+        if saved == (versions, is_whole):
+            return
+        is_known_to_exist = saved is not None or self._is_outdated(service, versions)
+        if not is_known_to_exist and len(versions) < 2:
             return
         try:
             record = await self._store.create(service, versions)
@@ -180,6 +191,8 @@
             return
         log_event("versions", "Recorded.", service=service, versions=sorted(wanted))
         self._saved_by_service[service] = versions, is_whole
+        if is_whole:
+            self._past_by_service.pop(service, None)
 
     def _check_lineage(self) -> None:
         """Forget the records of a store that was replaced or restored since."""
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -63,8 +63,12 @@
         self.store = store or VersionStoreFake()
         self.seen = SeenVersions()
         self.clock = VirtualClock()
+        self.is_writer = True
         self.records = VersionRecords(
-            store=self.store, seen=self.seen, clock=self.clock, is_writer=lambda: True
+            store=self.store,
+            seen=self.seen,
+            clock=self.clock,
+            is_writer=lambda: self.is_writer,
         )
 
     def see(self, *versions: str) -> None:
@@ -205,6 +209,26 @@
 
         self.run(test)
 
+    # Guards against a record that keeps a version for good which no writer saw, so that
+    # hosts which all restart refuse streams of the only version each time.
+    @pytest.mark.parametrize("is_writer", [True, False])
+    def test_a_host_that_learned_of_a_version_long_gone_drops_it(self, is_writer):
+        async def test(world: World) -> None:
+            world.is_writer = is_writer
+            world.store.put(SERVICE, BOTH)
+            start = world.clock.monotonic()
+            await self.watch(world, "v1", until=start + SECOND)
+            assert await world.learn() == BOTH
+            await self.watch(world, "v1", until=start + RECORD_TTL - SECOND)
+            assert world.store.versions_by_service == {SERVICE: BOTH}
+            await self.watch(world, "v1", until=start + RECORD_TTL + 5 * SECOND)
+            assert world.store.versions_by_service == {SERVICE: ONLY}
+            calls = world.store.calls
+            await self.watch(world, "v1", until=start + 2 * RECORD_TTL)
+            assert world.store.calls == calls
+
+        self.run(test)
+
     # Guards against a version that is not recorded, since this host takes the record
     # for what it wrote earlier, while another host has dropped the version since.
     def test_a_version_that_returns_is_recorded_after_another_host_dropped_it(self):
@@ -288,6 +312,21 @@
         assert self.find(recorded=BOTH) is None
         assert self.find(recorded=ONLY) == "v1"
 
+    # Guards against a host that refuses for good what the record names no longer.
+    def test_a_host_that_has_become_old_relies_on_what_it_saw(self):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=7, versions=("v1", "v1"))
+            fleet.store.put(SERVICE, BOTH)
+            fleet.start(fleet.gossip.rows)
+            fleet.gossip.know_all()
+            await sleep(SETTLE_TIME)
+            name = fleet.gossip.rows[0].host_id
+            assert await fleet.find(name, "q0") is None
+            await sleep(RECORD_TTL)
+            assert await fleet.find(name, "q1") == "v1"
+
+        run_virtually(test())
+
     def test_one_old_host_is_enough(self):
         assert self.find(old=1) == "v1"
 
