--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -53,6 +53,8 @@
         self.store = ObjectStoreStandIn()
         self.runners: dict[str, RunnerStandIn] = {}
         self.hosts: list[FrontHost] = []
+        #: All hosts, also those that a test took off ``hosts`` or that did not start.
+        self._all_hosts: list[FrontHost] = []
         self._numbers = itertools.count(1)
         self._store_port = 0
 
@@ -119,6 +121,7 @@
         host = FrontHost(
             settings=settings, clock=SystemClock(), adapter=PlatformAdapter()
         )
+        self._all_hosts.append(host)
         await host.start()
         self.hosts.append(host)
         return host
@@ -133,14 +136,16 @@
     async def stop(self) -> None:
         """Stop the hosts, the endpoints and the store, each whatever the others raise.
 
-        The sockets of a host that is not stopped block the garbage collector for ever.
+        The sockets of a host that is not stopped block the garbage collector for ever,
+        so that a test that fails would be followed by one that never ends. A host that
+        the test stopped is stopped again, which changes nothing.
         """
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self.store.stop)
             # A test may still be replacing endpoints that crashed.
             for runner in list(self.runners.values()):
                 stack.push_async_callback(runner.stop)
-            for host in reversed(self.hosts):
+            for host in reversed(self._all_hosts):
                 stack.push_async_callback(host.stop)
 
     async def send(
