LOST: request bodies are limited by the memory of a host, and refusals arrive

A body was copied behind the head of the request to the endpoint. A body counted only as it arrived, and the connection was closed while a refused caller still sent, which resets it.

Change: a quarter of limits.memory_mb on the platform; head and body are written as two parts; a stated length counts from the head on; the rest of a refused body is read and dropped, for as long as a request may take.

--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -196,11 +196,12 @@
         if body or method in _METHODS_WITH_BODY:
             headers.append((b"Content-Length", str(len(body)).encode()))
         head = h11.Request(method=method, target=target, headers=headers)
-        data = self._parser.send(head)
+        # A large body is not copied behind the head.
+        parts = [self._parser.send(head)]
         if body:
-            data += self._parser.send(h11.Data(data=body))
-        data += self._parser.send(h11.EndOfMessage())
-        self._transport.write(data)
+            parts.append(self._parser.send(h11.Data(data=body)))
+        parts.append(self._parser.send(h11.EndOfMessage()))
+        self._transport.writelines(parts)
         for _ in range(1 + MAX_INTERIM_ANSWERS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -23,6 +23,10 @@
 #: are already under way.
 BALANCER_LAG = "2500ms"
 
+#: Share of a host's memory for the bodies of requests. While a request runs, its body
+#: is held a second time for a moment, and parts of others are on their way.
+BODIES_SHARE = 0.25
+
 #: The entry of the platform's ``contracts`` where callers compete for too little room.
 SCARCE_ROOM = "pressure"
 
@@ -97,6 +101,7 @@
     texts["retry_window"] = values_by_key.get("bounds.budget_window_s", "10") + "s"
     texts["apply_within"] = values_by_key.get("bounds.config_apply_ms", "2000") + "ms"
     texts["balancer_lag"] = BALANCER_LAG
+    texts["max_bodies"] = _pick_max_bodies(values_by_key.get("limits.memory_mb", ""))
     contracts = values_by_key.get("contracts", "").split(",")
     texts["shared_admission"] = "on" if SCARCE_ROOM in contracts else "auto"
     texts["resume_keys"] = resume_keys or f"platform:{_derive_key(values_by_key)}"
@@ -128,6 +133,23 @@
     return ",".join(picked)
 
 
+def _pick_max_bodies(memory: str) -> str | None:
+    """Return the limit on all request bodies, or None if the memory is not known.
+
+    Args:
+        memory: The memory of the host, in MB.
+    """
+    try:
+        limit = int(float(memory) * 1_000_000 * BODIES_SHARE)
+    except (ValueError, OverflowError):
+        limit = 0
+    if limit > 0:
+        return str(limit)
+    if memory:
+        log_event("daemon", "Skipped an invalid memory limit.", memory=memory)
+    return None
+
+
 def _pick_tunnel_address(ip: str, values_by_key: Mapping[str, str]) -> str:
     """Return the first of the ports that are free for messages between hosts."""
     port = values_by_key.get("port_range", "").partition(",")[0].strip()
--- a/passtally/server_connection.py
+++ b/passtally/server_connection.py
@@ -234,7 +234,9 @@
             while await self._serve_next():
                 pass
         except BadRequestError as error:
+            self._body.release()
             self._refuse(error)
+            await self._discard_rest()
         except (ConnectionError, h11.LocalProtocolError) as error:
             log_event("http", "The connection was aborted.", why=error)
             self.abort()
@@ -314,16 +316,10 @@
         _check_framing(head)
         if self._parser.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        self._hold(_length_of(head), limits)
         body = bytearray()
         while isinstance(event := await self._next_event(), h11.Data):
-            if len(body) + len(event.data) > limits.max_body:
-                raise BadRequestError(413, "the body is too long")
-            if not self._body.reserve(len(event.data)):
-                raise BadRequestError(
-                    503,
-                    "the host holds too many request bodies; the request has not run",
-                    retry_after=BODY_RETRY_AFTER,
-                )
+            self._hold(len(body) + len(event.data), limits)
             body += event.data
         return HttpRequest(
             method=bytes(head.method),
@@ -332,6 +328,33 @@
             body=bytes(body),
         )
 
+    def _hold(self, size: int, limits: ServerLimits) -> None:
+        """Count the body, of which this much is known to come.
+
+        Raises:
+            BadRequestError: It is too long, or the host holds too many.
+        """
+        if size > limits.max_body:
+            raise BadRequestError(413, "the body is too long")
+        if not self._body.reserve(max(0, size - self._body.size)):
+            raise BadRequestError(
+                503,
+                "the host holds too many request bodies; the request has not run",
+                retry_after=BODY_RETRY_AFTER,
+            )
+
+    async def _discard_rest(self) -> None:
+        """Read on after a request was refused before the end of its body.
+
+        Closing with unread input resets the connection, so that a caller that is still
+        sending gets no answer.
+        """
+        timeout = self._server.limits().header_timeout
+        with contextlib.suppress(BadRequestError, ConnectionError, TimeoutError):
+            async with asyncio.timeout(timeout.total_seconds()):
+                while self._parser.their_state is h11.SEND_BODY:
+                    await self._next_event()
+
     async def _next_event(self) -> h11.Event:
         self._parsed += 1
         if self._parsed >= EVENTS_PER_TURN:
@@ -404,6 +427,13 @@
             self._send(h11.EndOfMessage())
 
 
+def _length_of(head: h11.Request) -> int:
+    """Return the length that a request states for its body, or 0 if it states none."""
+    return next(
+        (int(value) for name, value in head.headers if name == b"content-length"), 0
+    )
+
+
 def _check_framing(head: h11.Request) -> None:
     """Reject a request whose framing headers are ambiguous.
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -15,6 +15,8 @@
 
 #: Value of X-Response-Stamp, the proof that the endpoint ran the request.
 PROOF = "3e1b.07.5a2.600.0.c9f2a4d1"
+#: Maximum size of a request's body, in bytes.
+MAX_BODY = 8 * 1024 * 1024
 #: Rank of a request that states none; lower ones run first.
 DEFAULT_RANK = 5
 
@@ -156,7 +158,7 @@
 
     async def start(self, port: int = 0) -> str:
         """Listen on a loopback port, a free one if it is 0, and return the address."""
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_BODY)
         app.router.add_post("/api/kv-move", self._copy)
         app.router.add_delete("/api/kv-handle/{handle}", self._drop)
         app.router.add_get("/api/report", self._report)
--- a/tests/host_process.py
+++ b/tests/host_process.py
@@ -144,8 +144,13 @@
 
 
 @contextlib.asynccontextmanager
-async def settled(folder: Path) -> AsyncIterator[HostFiles]:
-    """Write the settings of a host beside a store that has a configuration."""
+async def settled(folder: Path, *, lines: str = "") -> AsyncIterator[HostFiles]:
+    """Write the settings of a host beside a store that has a configuration.
+
+    Args:
+        folder: The folder of the host's files.
+        lines: Additional lines of the settings.
+    """
     store = ObjectStoreStandIn()
     store.put("config", "main", make_config())
     port = await store.start()
@@ -162,7 +167,7 @@
     text = LINES.format(
         ip=place.ip, front=front, ready=ready, control=control, store=port
     )
-    place.path.write_text(text)
+    place.path.write_text(text + lines)
     try:
         yield place
     finally:
@@ -171,10 +176,13 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: Path, *, prepare: Callable[[], None] | None = None
+    folder: Path, *, prepare: Callable[[], None] | None = None, lines: str = ""
 ) -> AsyncIterator[Running]:
     """Start a host beside a store that has a configuration."""
-    async with settled(folder) as place, started(place, prepare=prepare) as host:
+    async with (
+        settled(folder, lines=lines) as place,
+        started(place, prepare=prepare) as host,
+    ):
         yield host
 
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -58,6 +58,16 @@
         values = parse_lines(LINES) | {"contracts": contracts}
         assert translate(values).shared_admission is mode
 
+    # Guards against bodies that together take more than the memory of the host.
+    def test_bodies_take_a_quarter_of_the_memory(self):
+        settings = translate(parse_lines(LINES + "limits.memory_mb=300"))
+        assert settings.max_bodies == 75_000_000
+
+    @pytest.mark.parametrize("memory", ["", "much", "nan", "inf", "0", "-1"])
+    def test_without_a_usable_memory_the_default_limit_holds(self, memory):
+        settings = translate(parse_lines(f"{LINES}limits.memory_mb={memory}"))
+        assert settings.max_bodies == translate(parse_lines(LINES)).max_bodies
+
     def test_the_file_is_translated_into_settings(self, tmp_path: Path):
         path = tmp_path / "node.conf"
         path.write_text(LINES)
