DRAIN: a lost stream does not go on at a replica whose endpoint leaves

Cause: LossHandler decided on an attach by what the replica may hold, and Dispatcher.run asked only whether the endpoint is known, and its version. An endpoint whose entry was removed keeps its last state at a host that still runs requests there.

Change: both ask Fleet.takes_requests: an entry, and not leaving. What is not attached names no replica.

Evidence: four tests of test_replicas fail before and hold now.

--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -154,11 +154,12 @@
             if (
                 live is None
                 or not self._may_continue(generation, live)
+                or (step is NextStep.ATTACH and not self._may_attach(live))
                 or not self._fleet.send_limits.try_send(live)
             ):
-                # The endpoint was removed, runs another software version, or rejects
-                # requests now by its limit or back-off. Resume at another, even if this
-                # one has the stream's state.
+                # The endpoint was removed, leaves, runs another software version, or
+                # rejects requests now by its limit or back-off. Resume at another, even
+                # if this one has the stream's state.
                 step, resume_ref = NextStep.RESUME, ""
                 continue
             if step is NextStep.RESUME and not placed.caches_prompt:
@@ -197,7 +198,7 @@
                 )
                 step = decision.step
                 endpoint_id = attempt.replica_id or endpoint_id
-                resume_ref = attempt.replica_ref
+                resume_ref = attempt.replica_ref if step is NextStep.ATTACH else ""
             if step is NextStep.GIVE_UP:
                 raise self._give_up(generation, progress, decision.reason)
 
@@ -217,6 +218,10 @@
         )
         return False
 
+    def _may_attach(self, live: LiveEndpoint) -> bool:
+        """Return whether an endpoint keeps the stream itself, or takes requests."""
+        return live.engine.keeps_streams or self._fleet.takes_requests(live.endpoint.id)
+
     async def _run_attempt(
         self,
         generation: Generation,
--- a/passtally/fleet.py
+++ b/passtally/fleet.py
@@ -221,12 +221,17 @@
         has_exited = live.has_exited and self._exits_are_final
         return live.state is EndpointState.ACTIVE and not has_exited
 
-    def is_healthy(self, endpoint_id: str) -> bool:
-        """Return whether an endpoint is known, and neither leaving nor ejected."""
+    def takes_requests(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint has an entry, and is not leaving."""
         if endpoint_id not in self._catalog.endpoints_by_id:
             return False
-        live = self.find(endpoint_id)
-        return live.state is EndpointState.ACTIVE and not live.is_ejected
+        return self.find(endpoint_id).state is EndpointState.ACTIVE
+
+    def is_healthy(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint takes requests and is not ejected."""
+        return (
+            self.takes_requests(endpoint_id) and not self.find(endpoint_id).is_ejected
+        )
 
     def end_streams(self, fingerprint: bytes) -> None:
         """Fail this host's attempts at one request that have no output yet."""
--- a/passtally/loss_handler.py
+++ b/passtally/loss_handler.py
@@ -108,7 +108,7 @@
         # A suspect goes to an endpoint apart from other requests instead.
         is_suspect = self._guard.is_suspect(generation.request.fingerprint)
         lost_at = None if is_suspect else self._clock.monotonic()
-        holder = _find_holder(generation, attempt, live, lost_at=lost_at)
+        holder = self._find_holder(generation, attempt, live, lost_at=lost_at)
         may_attach = holder is Holder.ENDPOINT and loss.kind in CONNECTION_KINDS
         if was_attached or not may_attach:
             progress.excluded.add(live.endpoint.id)
@@ -172,7 +172,7 @@
             attempts=generation.attempt_count - progress.unreached_attempts,
             was_attached=False,
             limits=_limits_of(generation, self._limits),
-            holder=_find_holder(generation, attempt, live, lost_at=None),
+            holder=self._find_holder(generation, attempt, live, lost_at=None),
         )
         excluded = set(progress.excluded)
         if kind is LossKind.FROZEN or not generation.delivered:
@@ -187,6 +187,32 @@
             live.eject(self._clock.monotonic())
         return may_fail_over
 
+    def _find_holder(
+        self,
+        generation: Generation,
+        attempt: Attempt,
+        live: LiveEndpoint,
+        *,
+        lost_at: timedelta | None,
+    ) -> Holder:
+        """Return what may still have the state of a lost attempt.
+
+        Before the answer has begun, a replica contains a part of the prompt, if any:
+        the endpoint that keeps it prefills the rest. An endpoint that is leaving gets
+        no further request, not even one whose replica it keeps.
+
+        Args:
+            generation: The generation.
+            attempt: The attempt.
+            live: The endpoint that ran it.
+            lost_at: When the attempt was lost, on the monotonic clock; None to use only
+                replicas of answers that have begun.
+        """
+        may_attach = self._fleet.takes_requests(attempt.replica_id)
+        if may_attach and (generation.delivered or _may_have_replica(attempt, lost_at)):
+            return Holder.REPLICA
+        return Holder.ENDPOINT if live.engine.keeps_streams else Holder.NONE
+
     def _is_out_of_reach(self, generation: Generation, progress: Progress) -> bool:
         """Return whether an answer has waited too long for a reachable endpoint.
 
@@ -214,32 +240,6 @@
         )
 
 
-def _find_holder(
-    generation: Generation,
-    attempt: Attempt,
-    live: LiveEndpoint,
-    *,
-    lost_at: timedelta | None,
-) -> Holder:
-    """Return what may still have the state of a lost attempt.
-
-    Before the answer has begun, a replica contains a part of the prompt, if any: the
-    endpoint that keeps it prefills the rest.
-
-    Args:
-        generation: The generation.
-        attempt: The attempt.
-        live: The endpoint that ran it.
-        lost_at: When the attempt was lost, on the monotonic clock; None to use only
-            replicas of answers that have begun.
-    """
-    if attempt.replica_id and (
-        generation.delivered or _may_have_replica(attempt, lost_at)
-    ):
-        return Holder.REPLICA
-    return Holder.ENDPOINT if live.engine.keeps_streams else Holder.NONE
-
-
 def _may_have_replica(attempt: Attempt, lost_at: timedelta | None) -> bool:
     """Return whether a part of an attempt's prompt may be in its replica."""
     if lost_at is None or attempt.sent_at is None or not attempt.replica_ref:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 
@@ -207,6 +208,21 @@
 READ_FOR = REPLICA_START_TIME.total_seconds() + 0.2
 
 
+def report_departure(world: World) -> None:
+    """Let the engine that keeps the replica say that it leaves."""
+    row = DepartureRow(endpoint_id=world.keeper().name, incarnation=0)
+    world.departures.merge([row])
+
+
+def remove_entry(world: World) -> None:
+    """Remove the entry of the engine that keeps the replica, which serves on."""
+    world.catalog.drop_endpoint(world.keeper().name)
+
+
+#: The ways in which an engine leaves.
+LEAVES = [report_departure, remove_entry]
+
+
 class TestFailover:
     def test_the_run_of_a_dead_engine_continues_from_the_replica(self):
         async def test() -> None:
@@ -224,7 +240,12 @@
         run_virtually(test())
 
     async def lose_in_prefill(
-        self, world: World, *, after: float, loses_copy: bool = False
+        self,
+        world: World,
+        *,
+        after: float,
+        loses_copy: bool = False,
+        leave: Callable[[World], None] = lambda world: None,
     ) -> None:
         """Lose the first engine before its first output, and serve the answer."""
         task = world.start(time_left=timedelta(seconds=25))
@@ -235,6 +256,7 @@
         await asyncio.sleep(after)
         if loses_copy:
             world.keeper().replicas.clear()
+        leave(world)
         first.is_dead, first.hangs = True, False
         await task
         assert world.sink.data == WHOLE
@@ -267,6 +289,35 @@
 
         run_virtually(test())
 
+    # Guards against a lost stream that goes on at an engine which is leaving, after the
+    # time in which it may still get requests.
+    @pytest.mark.parametrize("leave", LEAVES)
+    def test_a_prompt_whose_replica_is_leaving_is_read_at_another_engine(self, leave):
+        async def test() -> None:
+            world = World()
+            await self.lose_in_prefill(world, after=READ_FOR, leave=leave)
+            assert [how for _, how in world.engines.opened] == ["read", "read"]
+            assert world.engines.opened[-1][0] != world.keeper().name
+
+        run_virtually(test())
+
+    # Guards against the same with an answer that has begun.
+    @pytest.mark.parametrize("leave", LEAVES)
+    def test_a_run_whose_replica_is_leaving_goes_on_at_another_engine(self, leave):
+        async def test() -> None:
+            world = World()
+            task = world.start()
+            first = await world.running()
+            keeper = world.keeper()
+            leave(world)
+            first.die()
+            await task
+            assert world.sink.data == WHOLE
+            assert [how for _, how in world.engines.opened] == ["read", "read"]
+            assert world.engines.opened[-1][0] != keeper.name
+
+        run_virtually(test())
+
     # Guards against suspects that crash one engine after the other which other requests
     # use.
     def test_a_suspect_is_not_sent_to_its_replica(self):
