--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -89,8 +89,10 @@
 
     def _store(self, kind: str, name: str, spec: Any, *, status: Any) -> None:
         self.revision += 1
+        known = self._items.get((kind, name), {}).get("metadata", {})
+        created = known.get("created", self.revision)
         item = {
-            "metadata": {"name": name, "revision": self.revision, "created": 1},
+            "metadata": {"name": name, "revision": self.revision, "created": created},
             "spec": spec,
             "status": status,
         }
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -41,6 +41,12 @@
         self.system = system
         self.callers = [ResumingCaller() for _ in range(STREAMS)]
 
+    async def add_version(self, version: int) -> None:
+        """Start the endpoints of a version."""
+        first = (version - 1) * PER_VERSION
+        for number in range(first, first + PER_VERSION):
+            await self._add_runner(number)
+
     async def start(self, *, versions: int = 2) -> None:
         system = self.system
         config = make_config()
@@ -81,11 +87,15 @@
     def hosts(self) -> list[FrontHost]:
         return self.system.hosts
 
-    async def restart_all_hosts(self) -> None:
-        """End all hosts, so that nothing is left of what they knew, and start three."""
+    async def stop_all_hosts(self) -> None:
+        """End all hosts, so that nothing is left of what they knew."""
         for host in self.hosts:
             await host.stop()
         self.hosts.clear()
+
+    async def restart_all_hosts(self) -> None:
+        """End all hosts, and start three."""
+        await self.stop_all_hosts()
         for zone in ZONES:
             await self.add_host(zone)
         await self.system.wait_ready()
@@ -269,6 +279,26 @@
 
         run(test)
 
+    # Guards against streams that go on at a version which replaced theirs while no host
+    # ran to see it, so that no record names theirs.
+    def test_no_stream_goes_on_at_a_version_that_came_meanwhile(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            system.store.era = None
+            await scene.start(versions=1)
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            # As after the time for which the store keeps its history.
+            system.store.forget_history()
+            await scene.stop_all_hosts()
+            scene.remove_version(1)
+            await scene.add_version(2)
+            await scene.restart_all_hosts()
+            tries = await scene.send_all(scene.hosts)
+            assert count_mixed(scene.callers) == 0
+            assert {item.status for item in tries} == {503}
+
+        run(test)
+
     # Guards against streams that are refused although no other version ever served.
     @pytest.mark.parametrize("write_refusal", [None, 404], ids=["records", "none"])
     def test_streams_of_the_only_version_go_on(self, write_refusal):
