ORDER: a missing record of versions is evidence only if the version served while hosts ran

Callers got one text of two versions after all hosts were lost: where the only version had been replaced while no host ran, 48 of 48 streams went on at the new one. The first host that was asked found no record, created one with what it saw, and it and all others relied on it.

Hosts record a second version when they see one, so a missing record shows that there was one, but not which: it has to be a version that served before the hosts were lost. A host now creates the record only if an endpoint of the version is older than the history that the store keeps (a watch from its creation on is refused as too old); otherwise the whole history decides, or the take-up is refused. The same cause beside it: a record in a store that was restored from a copy may lack what was recorded later. It states the era in which it was written, and is relied on in that era only.

--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -62,11 +62,13 @@
         key: The object's path.
         version: The store-wide version of its last change.
         value: The object's JSON; ``null`` in a change that removed it.
+        created_version: The store-wide version of its creation; None if not told.
     """
 
     key: str
     version: int
     value: msgspec.Raw
+    created_version: int | None = None
 
     @property
     def is_removed(self) -> bool:
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -51,6 +51,7 @@
 class _Metadata(msgspec.Struct):
     name: str
     revision: int
+    #: The revision of the object's creation; 0 if not told.
     created: int = 0
 
 
@@ -271,10 +272,12 @@
         value = item.spec
         if prefix in self._full_object_prefixes:
             value = msgspec.Raw(msgspec.json.encode(item))
+        created = item.metadata.created
         return StoredObject(
             key=prefix + item.metadata.name,
             version=version_of(era, item.metadata.revision),
             value=msgspec.Raw(REMOVED) if is_removed else value,
+            created_version=version_of(era, created) if created > 0 else None,
         )
 
     async def _get(
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -3,7 +3,8 @@
 Hosts that have all been restarted know the versions that serve now, but not those at
 which answers began before. Without a record they could only presume that there was no
 other version. A service that has one version all along costs no call: its record is
-created by the first host that has to know.
+created by the first host that has to know, and can show that the version is no newer
+than the loss of the hosts.
 """
 
 import asyncio
@@ -21,8 +22,9 @@
 
 #: Interval between checks whether the record of a service is up to date.
 CHECK_INTERVAL = timedelta(seconds=1)
-#: Time for which a caller waits for the record. A slow store takes 240 ms a call.
-LEARN_TIMEOUT = timedelta(milliseconds=600)
+#: Time for which a caller waits for the record. A slow store takes 240 ms a call, and
+#: without a record there are four.
+LEARN_TIMEOUT = timedelta(milliseconds=1200)
 #: Time after a failed attempt in which no further one is made.
 RETRY_INTERVAL = timedelta(seconds=1)
 
@@ -34,10 +36,14 @@
     Attributes:
         versions: The versions at which answers may have begun.
         revision: The revision of the record in the store.
+        is_current: Whether it was written since the store was last restored from an
+            older copy. An earlier one may lack versions that were recorded after the
+            copy was made.
     """
 
     versions: frozenset[str]
     revision: int
+    is_current: bool = True
 
 
 class VersionStore(Protocol):
@@ -47,6 +53,9 @@
     def lineage(self) -> Hashable:
         """What changes when the store moves, or is restored from an older copy."""
 
+    async def find(self, service: str) -> VersionRecord | None:
+        """Return the record of a service, or None where there is none."""
+
     async def create(self, service: str, versions: Iterable[str]) -> VersionRecord:
         """Create the record of a service, and return the record that now exists."""
 
@@ -62,6 +71,13 @@
             PlatformError: The store no longer keeps its history from the beginning.
         """
 
+    async def is_older_than_history(self, service: str, version: str) -> bool:
+        """Return whether an endpoint of a version is older than the store's history.
+
+        Raises:
+            PlatformError: The store's history does not tell.
+        """
+
 
 class VersionRecords:
     """The records of versions that this host wrote or read.
@@ -149,23 +165,40 @@
     async def _read_past(
         self, service: str, versions: frozenset[str]
     ) -> frozenset[str] | None:
-        """Return the versions in a service's record, else in the store's history.
-
-        A record that could be created just now shows that there was only one version:
-        a second one would have been recorded.
-        """
+        """Return the versions in a service's record, else in the store's history."""
         try:
             async with asyncio.timeout(LEARN_TIMEOUT.total_seconds()):
                 try:
-                    return (await self._store.create(service, versions)).versions
+                    past = await self._read_record(service, versions)
                 except PlatformError as error:
                     log_event("versions", "No record.", service=service, why=error)
-                return await self._store.list_past(service)
+                    past = None
+                return past or await self._store.list_past(service)
         except (PlatformError, TimeoutError) as error:
             why = error or "no answer in time"
             log_event("versions", "No complete history.", service=service, why=why)
             return None
 
+    async def _read_record(
+        self, service: str, versions: frozenset[str]
+    ) -> frozenset[str] | None:
+        """Return the versions in a service's record, or None where it shows nothing.
+
+        Hosts record a second version as soon as they see one. A missing record
+        therefore shows that there was only one, if that version already served while
+        hosts ran: it may have replaced another one while all of them were down.
+        """
+        record = await self._store.find(service)
+        if record is not None:
+            return record.versions if record.is_current else None
+        for version in versions:
+            if not await self._store.is_older_than_history(service, version):
+                log_event(
+                    "versions", "Came too recently.", service=service, version=version
+                )
+                return None
+        return (await self._store.create(service, versions)).versions
+
     async def _save(self, service: str, versions: frozenset[str]) -> None:
         """Bring the record of a service up to date if it has, or had, several.
 
@@ -183,7 +216,7 @@
         try:
             record = await self._store.create(service, versions)
             wanted = versions if is_whole else versions | record.versions
-            if wanted != record.versions:
+            if wanted != record.versions or not record.is_current:
                 revision = record.revision
                 await self._store.replace(service, wanted, revision=revision)
         except PlatformError as error:
