--- a/passtally/adapter.py
+++ b/passtally/adapter.py
@@ -13,6 +13,7 @@
 from passtally.http_exchange import Handle
 from passtally.object_store import Platform, RelocatablePlatform, StoredObject
 from passtally.objects import Endpoint
+from passtally.origin_backup import OriginBackupStore
 from passtally.plain_call import Sender
 from passtally.rollout import RecordedState, RolloutRecord
 from passtally.routes import RouteSet
@@ -41,6 +42,9 @@
     def open_versions(self, store: RelocatablePlatform) -> VersionStore:
         """Return the records of software versions in a store."""
 
+    def open_origins(self, store: RelocatablePlatform) -> OriginBackupStore:
+        """Return the backups of the origins of answers in a store."""
+
     def decode_routes(self, stored: StoredObject) -> RouteSet | None:
         """Decode the routes; return None for an object that holds no routes.
 
--- /dev/null
+++ b/passtally/backed_up_origins.py
@@ -0,0 +1,90 @@
+"""Looks up where an answer began in the backups that all hosts keep in the store."""
+
+import asyncio
+from datetime import timedelta
+
+import attrs
+
+from passtally.clock import Clock
+from passtally.decision import log_event
+from passtally.object_store import PlatformError
+from passtally.origin_backup import OriginBackup, OriginBackupStore
+from passtally.origin_table import RECORD_TTL
+
+#: Minimum interval between two listings. Callers that come back at once share one.
+LIST_INTERVAL = timedelta(seconds=2)
+#: Time for which callers wait for a listing. A slow store takes 240 ms a page.
+LIST_TIMEOUT = timedelta(milliseconds=1500)
+
+
+@attrs.frozen(kw_only=True)
+class BackedUpOrigin:
+    """An answer's origin in a backup.
+
+    Attributes:
+        software: The software version that began the answer; None if backups differ.
+        backup: The backup.
+    """
+
+    software: str | None
+    backup: OriginBackup
+
+
+class BackedUpOrigins:
+    """The origins in the backups of all hosts, listed when they are needed.
+
+    Args:
+        store: The backups in the store.
+        clock: The clock.
+    """
+
+    def __init__(self, *, store: OriginBackupStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._origins_by_key: dict[bytes, BackedUpOrigin] = {}
+        self._listed_at: timedelta | None = None
+        self._lock = asyncio.Lock()
+
+    async def find(self, key: bytes) -> BackedUpOrigin | None:
+        """Return an answer's origin, or None if no backup is known to name it."""
+        if key not in self._origins_by_key:
+            async with self._lock:
+                if key not in self._origins_by_key and self._is_due():
+                    await self._list()
+        return self._origins_by_key.get(key)
+
+    def expire(self) -> None:
+        """Forget the origins once the answers can't be taken up any more."""
+        listed_at = self._listed_at
+        if listed_at is not None and self._clock.monotonic() - listed_at > RECORD_TTL:
+            self._origins_by_key = {}
+
+    def _is_due(self) -> bool:
+        listed_at = self._listed_at
+        return listed_at is None or self._clock.monotonic() - listed_at >= LIST_INTERVAL
+
+    async def _list(self) -> None:
+        try:
+            async with asyncio.timeout(LIST_TIMEOUT.total_seconds()):
+                backups = await self._store.list_all()
+        except (PlatformError, TimeoutError) as error:
+            log_event("origin", "No backups.", why=error or "no answer in time")
+        else:
+            self._origins_by_key = {}
+            for backup in backups:
+                self._add(backup)
+            log_event(
+                "origin",
+                "Listed the backups.",
+                hosts=len(backups),
+                origins=len(self._origins_by_key),
+            )
+        self._listed_at = self._clock.monotonic()
+
+    def _add(self, backup: OriginBackup) -> None:
+        for key, software in backup.software_by_key.items():
+            known = self._origins_by_key.get(key)
+            is_other = known is not None and known.software != software
+            self._origins_by_key[key] = BackedUpOrigin(
+                software=None if is_other else software, backup=backup
+            )
--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -147,6 +147,7 @@
             ("datagrams", self.datagrams.run),
             ("origins", self.origins.run),
             ("versions", self.version_records.run),
+            ("origin backup", self.origin_backup.run),
         ):
             self.spawn(keep_running(name, work, clock=self.clock))
         self.spawn(self.routes_exchange.run())
@@ -315,6 +316,7 @@
         serving = HostServing(host=self, adapter=self._adapter)
         self.admission, self.origins = serving.admission, serving.origins
         self.version_records = serving.version_records
+        self.origin_backup = serving.origin_backup
         self.budgets, self.placement = serving.budgets, serving.placement
         self.dispatcher, self.caller = serving.dispatcher, serving.caller
         self.gate, self.front = serving.admission.gate, serving.front
--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from passtally.adapter import Adapter
+from passtally.backed_up_origins import BackedUpOrigins
 from passtally.dispatcher import Dispatcher
 from passtally.forecast import Forecast
 from passtally.front import Front
@@ -12,6 +13,7 @@
 from passtally.host_admission import HostAdmission
 from passtally.host_config import MIN_BUDGET_HOSTS
 from passtally.known_versions import KnownVersions
+from passtally.origin_backup import OriginBackupWriter
 from passtally.origin_exchange import OriginExchange
 from passtally.origin_keepers import OriginKeepers
 from passtally.placement import Placement
@@ -46,6 +48,7 @@
         caller: Forwards plain calls.
         version_records: The versions that services had before this host's start.
         origins: Where answers began.
+        origin_backup: Keeps that of this host's answers in the store.
         front: Serves each request, from its arrival to its end.
     """
 
@@ -119,6 +122,7 @@
             is_writer=lambda: host.watch.is_first_watcher,
         )
         keepers = OriginKeepers(members=host.roster)
+        backups = adapter.open_origins(host.store)
         self.origins = OriginExchange(
             keepers=keepers,
             datagrams=host.datagrams,
@@ -135,9 +139,17 @@
                 ),
                 keepers=keepers,
             ),
+            backups=BackedUpOrigins(store=backups, clock=host.clock),
             clock=host.clock,
             metrics=host.metrics,
         )
+        self.origin_backup = OriginBackupWriter(
+            store=backups,
+            host_id=host.settings.host_id,
+            clock=host.clock,
+            take_origins=self.origins.take_origins,
+            count_hosts=lambda: host.roster.peak_hosts,
+        )
         self.front = Front(
             routes=host.routes,
             dispatcher=self.dispatcher,
--- a/passtally/known_versions.py
+++ b/passtally/known_versions.py
@@ -66,6 +66,11 @@
         self._keepers = keepers
         self._seen_at = -SEEN_INTERVAL
 
+    @property
+    def is_current(self) -> bool:
+        """Whether this host receives all changes of endpoints from the store."""
+        return self._is_current()
+
     def record(self) -> None:
         """Look at the versions that serve now."""
         self._seen_at = self._clock.monotonic()
@@ -78,11 +83,15 @@
             self._records.forget_past()
 
     def of_service(self, service: str) -> ServiceVersions:
-        """Return what this host knows of a service, for other hosts."""
+        """Return what this host knows of a service."""
         if self._clock.monotonic() - self._seen_at >= SEEN_INTERVAL:
             self.record()
         return self._own(service)
 
+    def has_several(self, service: str) -> bool:
+        """Return whether answers of a service may have begun at several versions."""
+        return len(self.of_service(service).names) > 1
+
     async def find_sole(self, service: str, question: OriginQuestion) -> str | None:
         """Return the only version at which an answer can have begun, or None.
 
--- a/passtally/metrics.py
+++ b/passtally/metrics.py
@@ -196,7 +196,7 @@
         "counter",
         "1",
         "Streams that callers take up midway; what was found of the software version"
-        " that began them follows the name: known, sole or unknown.",
+        " that began them follows the name: known, backup, sole or unknown.",
     )
     VERSION_REFUSED = (
         "version_refused",
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -2,7 +2,8 @@
 
 A caller whose answer broke off takes it up at any host, and names the try that brought
 the first output. The host that began the answer may be dead by then, so it tells some
-others, which every host can compute from that id (:mod:`passtally.origin_keepers`).
+others, which every host can compute from that id (:mod:`passtally.origin_keepers`). If
+these are lost too, the backups in the store may tell (:mod:`passtally.origin_backup`).
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
+from passtally.backed_up_origins import BackedUpOrigins
 from passtally.clock import Clock
 from passtally.datagrams import Datagrams
 from passtally.decision import log_event
@@ -60,6 +62,7 @@
         catalog: The endpoints.
         rule: Finds the version of an answer that this host began.
         versions: The versions of services.
+        backups: The origins in the store.
         clock: The clock.
         metrics: The metrics sink.
     """
@@ -72,6 +75,7 @@
         catalog: ServiceIndex,
         rule: OriginRule,
         versions: KnownVersions,
+        backups: BackedUpOrigins,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -84,7 +88,10 @@
         self._metrics = metrics
         self._started_at = clock.monotonic()
         self._versions = versions
+        self._backups = backups
         self._running: set[RunningAnswer] = set()
+        #: The answers that ended since the last call of :meth:`take_origins`.
+        self._just_ended: list[RunningAnswer] = []
         self._questions_by_number: dict[int, OriginQuestion] = {}
         self._numbers = itertools.count(1)
         datagrams.listen(TellOrigins, self._store)
@@ -101,6 +108,7 @@
         """Tell the records that are due, and look at the versions that serve."""
         now = self._clock.monotonic()
         self._versions.record()
+        self._backups.expire()
         due = [answer for answer in self._running if answer.is_due(now)]
         rows_by_address: dict[Address, list[OriginRow]] = {}
         for answer in due:
@@ -135,12 +143,29 @@
             yield answer
         finally:
             self._running.discard(answer)
+            self._just_ended.append(answer)
 
     def tell(self, answer: RunningAnswer) -> None:
         """Tell the hosts that keep the record of an answer, without any wait."""
         for row in self._record(answer):
             self._datagrams.send(self._list_keepers(row.key), TellOrigins(rows=[row]))
 
+    def take_origins(self) -> dict[bytes, str]:
+        """Return the versions of the answers that ran here since the last call, by key.
+
+        Only services are covered where several versions may have begun answers.
+        """
+        software_by_key: dict[bytes, str] = {}
+        just_ended, self._just_ended = self._just_ended, []
+        for answer in (*self._running, *just_ended):
+            generation = answer.generation
+            if generation.origin is None:
+                continue
+            software = self._rule.software_of(generation.origin)
+            if software and self._versions.has_several(generation.request.service):
+                software_by_key[answer.key] = software
+        return software_by_key
+
     async def find(
         self,
         *,
@@ -189,12 +214,40 @@
             sole = None
             if not question.is_contradictory:
                 sole = await self._versions.find_sole(service, question)
+            if sole is None and first_id and not self._is_contradictory(key, question):
+                known = await self._find_backup(key, **fields)
+                if known is not None:
+                    return known
             if sole is not None or not self._is_young():
                 holder_id = "" if record is None else record.holder_id
                 holder_id = holder_id or question.holder_id
                 return self._use_sole(sole, question, holder_id=holder_id, **fields)
             await self._clock.sleep(SETTLE_POLL_INTERVAL)
 
+    def _is_contradictory(self, key: bytes, question: OriginQuestion) -> bool:
+        """Return whether hosts were told different versions for the same id."""
+        record = self.table.find(key, now=self._clock.monotonic())
+        is_known_as_such = record is not None and record.origin is None
+        return is_known_as_such or question.is_contradictory
+
+    async def _find_backup(self, key: bytes, **fields: object) -> KnownAnswer | None:
+        """Return the origin of an answer in the backup of a host that is gone.
+
+        A host that the store sends no changes does not wait for it: another host may
+        reach the store.
+        """
+        found = await self._backups.find(key) if self._versions.is_current else None
+        if found is None:
+            return None
+        host_id = found.backup.host_id
+        if found.software is None:
+            log_event("origin", "Backups differ.", backup=host_id, **fields)
+            return None
+        known = KnownAnswer(origin=origin_at(found.software))
+        self._put(to_origin_row(key, known.origin, holder_id=""))
+        age = self._clock.now() - found.backup.written_at
+        return self._found(known, source="backup", backup=host_id, age=age, **fields)
+
     def _is_young(self) -> bool:
         """Return whether this host may not know all others and all endpoints yet."""
         return self._clock.monotonic() - self._started_at < SETTLE_TIME
@@ -229,8 +282,10 @@
         self._metrics.count(Metric.TAKE_UPS, "sole")
         return KnownAnswer(origin=Origin(software=sole), holder_id=holder_id)
 
-    def _found(self, known: KnownAnswer, **fields: object) -> KnownAnswer:
-        self._metrics.count(Metric.TAKE_UPS, "known")
+    def _found(
+        self, known: KnownAnswer, *, source: str = "known", **fields: object
+    ) -> KnownAnswer:
+        self._metrics.count(Metric.TAKE_UPS, source)
         software = self._rule.software_of(known.origin)
         log_event(
             "origin", "Found.", software=software, holder=known.holder_id, **fields
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -13,6 +13,7 @@
 from passtally.objects import Endpoint
 from passtally.platform.decode import decode_endpoint, decode_routes
 from passtally.platform.ingress import Ingress, encode_ready
+from passtally.platform.origin_store import PlatformOriginStore
 from passtally.platform.rollout_object import decode_rollout, encode_status
 from passtally.platform.runner import RunnerEngine, RunnerSender
 from passtally.platform.store import PlatformStore
@@ -42,6 +43,10 @@
         """Return the records of software versions in a store."""
         return PlatformVersionStore(store=store, endpoints_prefix=self.endpoints_prefix)
 
+    def open_origins(self, store: PlatformStore) -> PlatformOriginStore:
+        """Return the backups of the origins of answers in a store."""
+        return PlatformOriginStore(store=store)
+
     def decode_routes(self, stored: StoredObject) -> RouteSet | None:
         """Decode the routes; return None for any other object, or a removed one."""
         if stored.key != _ROUTES_KEY or stored.is_removed:
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -206,12 +206,14 @@
         item = self._link.decode("create", fetched.body, _Object)
         return self._to_stored(f"{kind}/", item, self._era)
 
-    async def replace(self, key: str, spec: bytes, *, revision: int) -> None:
-        """Replace the spec of an object if it has exactly this revision."""
-        _, _, name = key.partition("/")
+    async def replace(self, key: str, spec: bytes, *, revision: int) -> StoredObject:
+        """Replace the spec of an object of exactly this revision; return the object."""
+        kind, _, name = key.partition("/")
         metadata = {"name": name, "revision": revision}
         body = _encode_object(metadata, spec)
-        await self._write("replace", "PUT", quote(key), body)
+        fetched = await self._write("replace", "PUT", quote(key), body)
+        item = self._link.decode("replace", fetched.body, _Object)
+        return self._to_stored(f"{kind}/", item, self._era)
 
     async def _write(
         self,
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -6,6 +6,9 @@
 from collections.abc import Iterable, Sequence
 from functools import partial
 
+import attrs
+
+from passtally.backed_up_origins import BackedUpOrigins
 from passtally.generation import Generation, GenerationRequest
 from passtally.known_versions import KnownVersions
 from passtally.messages import MemberRow
@@ -13,6 +16,7 @@
 from passtally.object_store import ConflictError, UnavailableError
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.origin import KnownAnswer, Origin, OriginRule
+from passtally.origin_backup import OriginBackup, OriginBackupWriter
 from passtally.origin_exchange import OriginExchange, UnknownOriginError
 from passtally.origin_keepers import OriginKeepers
 from passtally.seen_versions import SeenVersions
@@ -118,6 +122,71 @@
             raise UnavailableError("status 404", step="create", peer="store")
 
 
+class OriginBackupStoreFake:
+    """The backups of origins in a store.
+
+    Attributes:
+        backups_by_host: The backups.
+        is_refusing: Whether it refuses all calls.
+        calls: Number of calls received.
+        lineage: Its address and era.
+        late_writes: Number of further replacements that get no answer.
+    """
+
+    def __init__(self) -> None:
+        self.backups_by_host: dict[str, OriginBackup] = {}
+        self.is_refusing = False
+        self.calls = 0
+        self.lineage = 0
+        self.late_writes = 0
+        self._revision = 0
+        self._unanswered: list[OriginBackup] = []
+
+    async def list_all(self) -> list[OriginBackup]:
+        self._count()
+        # All callers of a moment wait for the same listing.
+        await asyncio.sleep(0)
+        return list(self.backups_by_host.values())
+
+    async def create(self, backup: OriginBackup) -> OriginBackup:
+        self._count()
+        if backup.host_id not in self.backups_by_host:
+            self.put(backup)
+        return self.backups_by_host[backup.host_id]
+
+    async def replace(self, backup: OriginBackup) -> OriginBackup:
+        self._count()
+        if self.late_writes:
+            self.late_writes -= 1
+            self._unanswered.append(backup)
+            raise UnavailableError("no answer", step="replace", peer="store")
+        return self._replace(backup)
+
+    async def carry_out_late_writes(self) -> None:
+        """Carry out the writes that got no answer, if their condition holds."""
+        for backup in self._unanswered:
+            with contextlib.suppress(ConflictError):
+                self._replace(backup)
+
+    def put(self, backup: OriginBackup) -> OriginBackup:
+        """Store a backup, whatever its revision."""
+        self._revision += 1
+        stored = attrs.evolve(backup, revision=self._revision)
+        self.backups_by_host[backup.host_id] = stored
+        return stored
+
+    def _replace(self, backup: OriginBackup) -> OriginBackup:
+        known = self.backups_by_host.get(backup.host_id)
+        if known is None or known.revision != backup.revision:
+            raise ConflictError("status 409", step="replace", peer="store")
+        return self.put(backup)
+
+    def _count(self) -> None:
+        self.calls += 1
+        if self.is_refusing:
+            raise UnavailableError("status 503", step="call", peer="store")
+
+
 class OriginFleet:
     """Hosts with gossip, and before them endpoints of some software versions."""
 
@@ -137,6 +206,8 @@
         #: The hosts that receive changes; None if all of them do while is_current.
         self.current_ids: set[str] | None = None
         self.store = VersionStoreFake()
+        self.backups = OriginBackupStoreFake()
+        self.writers_by_id: dict[str, OriginBackupWriter] = {}
         self.records_by_id: dict[str, VersionRecords] = {}
         self.catalog = make_catalog(
             [Service(id=SERVICE, kind=ServiceKind.MODEL, model="m", version="1")],
@@ -179,10 +250,18 @@
                     has_others=lambda: True,
                     keepers=keepers,
                 ),
+                backups=BackedUpOrigins(store=self.backups, clock=self.gossip.clock),
                 clock=self.gossip.clock,
                 metrics=NoMetrics(),
             )
             self.exchanges_by_id[node.id] = exchange
+            self.writers_by_id[node.id] = OriginBackupWriter(
+                store=self.backups,
+                host_id=node.id,
+                clock=self.gossip.clock,
+                take_origins=exchange.take_origins,
+                count_hosts=lambda: len(self.gossip.rows),
+            )
             exchange.renew()
 
     def _receives_changes(self, host_id: str) -> bool:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,6 +1,7 @@
 """Two software versions of one service, whose streams must not be joined."""
 
 import asyncio
+import base64
 import contextlib
 import itertools
 from collections.abc import Awaitable, Callable, Iterable, Sequence
@@ -8,6 +9,7 @@
 import pytest
 
 from passtally.front_host import FrontHost
+from passtally.origin_table import KEY_BYTES
 from standins.platform_config import ENGINE, make_config
 from standins.runner import RunnerStandIn
 from tests.busy_machine import busy_machine
@@ -21,6 +23,8 @@
 EVENTS = 60
 #: Interval between two events, in seconds; a stream takes 1.2 s.
 GAP = 0.02
+#: The interval where streams outlive the loss of all hosts, in seconds: 6 s a stream.
+SLOW_GAP = 0.1
 #: Number of events after which callers leave.
 MIDWAY = 20
 #: Least share of the streams that go on while two endpoints of their version serve.
@@ -40,6 +44,7 @@
     def __init__(self, system: PlatformSystem) -> None:
         self.system = system
         self.callers = [ResumingCaller() for _ in range(STREAMS)]
+        self.gap = GAP
 
     async def add_version(self, version: int) -> None:
         """Start the endpoints of a version."""
@@ -47,7 +52,8 @@
         for number in range(first, first + PER_VERSION):
             await self._add_runner(number)
 
-    async def start(self, *, versions: int = 2) -> None:
+    async def start(self, *, versions: int = 2, gap: float = GAP) -> None:
+        self.gap = gap
         system = self.system
         config = make_config()
         # A busy machine may take several seconds to make and read all streams, which is
@@ -67,7 +73,7 @@
             name,
             zone=zone,
             events=EVENTS,
-            gap=GAP,
+            gap=self.gap,
             version=f"v{1 + number // PER_VERSION}",
             marks_version=True,
         )
@@ -105,6 +111,28 @@
         while self.system.store.find("software-versions", ENGINE) is None:
             await asyncio.sleep(0.02)
 
+    def count_backed_up(self) -> int:
+        """Return the number of streams whose origin the store holds."""
+        backups = [
+            self.system.store.find("stream-origins", host.settings.host_id)
+            for host in self.hosts
+        ]
+        return sum(
+            len(base64.b64decode(keys)) // KEY_BYTES
+            for backup in backups
+            if backup is not None
+            for keys in backup["keys_by_version"].values()
+        )
+
+    async def lose_all_hosts_midway(self) -> None:
+        """Kill all hosts while all streams run, once the store holds their origins."""
+        sent = asyncio.create_task(self.send_all(self.hosts))
+        await self.wait_midway()
+        while self.count_backed_up() < STREAMS:
+            await asyncio.sleep(0.02)
+        await self.stop_all_hosts()
+        await sent
+
     def remove_version(self, version: int) -> None:
         """End all endpoints of a version as planned."""
         first = (version - 1) * PER_VERSION
@@ -273,6 +301,66 @@
             if not keeps_history:
                 system.store.forget_history()
             await scene.restart_all_hosts()
+            began_at = [set(caller.versions) for caller in scene.callers]
+            tries = await scene.send_all(scene.hosts)
+            assert count_mixed(scene.callers) == 0
+            # Where the store holds origins, the streams of the version that is left may
+            # go on; all others are refused.
+            may_go_on = [keeps_records and began == {"v1"} for began in began_at]
+            statuses = {
+                item.status
+                for item, may in zip(tries, may_go_on, strict=True)
+                if not (may and item.is_complete)
+            }
+            assert statuses == {503}
+
+        run(test)
+
+    # Guards against streams that are refused although endpoints of their version serve.
+    def test_streams_of_both_versions_go_on(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(gap=SLOW_GAP)
+            await scene.lose_all_hosts_midway()
+            await scene.restart_all_hosts()
+            listings = system.store.calls
+            await scene.send_all(scene.hosts)
+            assert system.store.calls - listings < STREAMS
+            assert count_mixed(scene.callers) == 0
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
+    # Guards against streams that are known after the first loss only, since the hosts
+    # replaced what the store held.
+    def test_streams_go_on_after_a_second_loss_soon_after(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(gap=SLOW_GAP)
+            await scene.lose_all_hosts_midway()
+            await scene.restart_all_hosts()
+            first, second = scene.callers[: STREAMS // 2], scene.callers[STREAMS // 2 :]
+            sent = asyncio.create_task(scene.send_all(scene.hosts, first))
+            await asyncio.sleep(1.5)
+            await scene.stop_all_hosts()
+            await sent
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts, [*first, *second])
+            assert count_mixed(scene.callers) == 0
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
+    # Guards against streams that go on at a guess where the store takes no writes.
+    def test_streams_are_refused_where_the_store_takes_no_writes(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            system.store.write_refusal = 404
+            await scene.start()
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            await scene.restart_all_hosts()
             tries = await scene.send_all(scene.hosts)
             assert count_mixed(scene.callers) == 0
             assert {item.status for item in tries} == {503}
