ORDER: a store that sends an era from its start has evidence too

Callers at a young host were refused although one version served all along: two tests of test_platform_host (a caller resumes, another host resumes), whose store sends era 1 from its start. An era above 0 was taken for a restored store. Where no record exists, the whole history now counts as well as an endpoint that is older than it, whatever the era; the two tests hold again.

Origins are collected once for each service instead of once for each stream.

--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -155,16 +155,19 @@
 
         Only services are covered where several versions may have begun answers.
         """
-        software_by_key: dict[bytes, str] = {}
-        just_ended, self._just_ended = self._just_ended, []
-        for answer in (*self._running, *just_ended):
-            generation = answer.generation
-            if generation.origin is None:
-                continue
-            software = self._rule.software_of(generation.origin)
-            if software and self._versions.has_several(generation.request.service):
-                software_by_key[answer.key] = software
-        return software_by_key
+        generation_by_key = {
+            answer.key: answer.generation
+            for answer in (*self._running, *self._just_ended)
+        }
+        self._just_ended.clear()
+        services = {item.request.service for item in generation_by_key.values()}
+        covered = {name for name in services if self._versions.has_several(name)}
+        software_by_key = {
+            key: self._rule.software_of(generation.origin)
+            for key, generation in generation_by_key.items()
+            if generation.origin is not None and generation.request.service in covered
+        }
+        return {key: software for key, software in software_by_key.items() if software}
 
     async def find(
         self,
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -6,7 +6,12 @@
 import msgspec
 
 from passtally.decision import log_event
-from passtally.object_store import StoredObject, TooOldError, UnavailableError
+from passtally.object_store import (
+    Listing,
+    StoredObject,
+    TooOldError,
+    UnavailableError,
+)
 from passtally.objects import Endpoint
 from passtally.platform.decode import decode_endpoint
 from passtally.platform.store import PlatformStore
@@ -66,20 +71,15 @@
         if era_of(history.version):
             # What was written after the copy is not in the history any more.
             raise UnavailableError("restored from a copy", step="history", peer=prefix)
-        try:
-            endpoints = [self._to_endpoint(stored) for stored in history.objects]
-        except ValueError as error:
-            raise UnavailableError(str(error), step="history", peer=prefix) from error
-        found = [item.software for item in endpoints if item.service == service]
-        return frozenset(found)
+        return self._collect_versions(history, service)
 
-    async def is_older_than_history(self, service: str, version: str) -> bool:
-        """Return whether an endpoint of a version is older than the store's history."""
+    async def has_served_long(self, service: str, version: str) -> bool:
+        """Return whether a version served before the history that the store keeps.
+
+        A version that the whole history shows as the only one counts too.
+        """
         prefix = self._endpoints_prefix
         listing = await self._store.list_objects(prefix)
-        if era_of(listing.version):
-            # The history of a store that was restored begins at that time.
-            raise UnavailableError("restored from a copy", step="list", peer=prefix)
         created = [
             stored.created_version
             for stored in listing.objects
@@ -92,7 +92,22 @@
             await self._store.watch(prefix, after=min(created), wait=timedelta(0))
         except TooOldError:
             return True
-        return False
+        history = await self._store.list_history(prefix)
+        return self._collect_versions(history, service) == {version}
+
+    def _collect_versions(self, history: Listing, service: str) -> frozenset[str]:
+        """Return the versions of the endpoints in a history.
+
+        Raises:
+            UnavailableError: An entry can't be read; it may be of another version.
+        """
+        try:
+            endpoints = [self._to_endpoint(stored) for stored in history.objects]
+        except ValueError as error:
+            raise UnavailableError(
+                str(error), step="history", peer=self._endpoints_prefix
+            ) from error
+        return frozenset(item.software for item in endpoints if item.service == service)
 
     def _is_of_version(self, stored: StoredObject, service: str, version: str) -> bool:
         try:
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -23,7 +23,7 @@
 #: Interval between checks whether the record of a service is up to date.
 CHECK_INTERVAL = timedelta(seconds=1)
 #: Time for which a caller waits for the record. A slow store takes 240 ms a call, and
-#: without a record there are four.
+#: without a record there are up to five.
 LEARN_TIMEOUT = timedelta(milliseconds=1200)
 #: Time after a failed attempt in which no further one is made.
 RETRY_INTERVAL = timedelta(seconds=1)
@@ -71,8 +71,10 @@
             PlatformError: The store no longer keeps its history from the beginning.
         """
 
-    async def is_older_than_history(self, service: str, version: str) -> bool:
-        """Return whether an endpoint of a version is older than the store's history.
+    async def has_served_long(self, service: str, version: str) -> bool:
+        """Return whether a version served before the history that the store keeps.
+
+        A version that the whole history shows as the only one counts too.
 
         Raises:
             PlatformError: The store's history does not tell.
@@ -192,7 +194,7 @@
         if record is not None:
             return record.versions if record.is_current else None
         for version in versions:
-            if not await self._store.is_older_than_history(service, version):
+            if not await self._store.has_served_long(service, version):
                 log_event(
                     "versions", "Came too recently.", service=service, version=version
                 )
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -36,8 +36,8 @@
         versions_by_service: The records.
         history: The versions in its history; None if it does not reach back far enough.
         is_refusing: Whether it refuses to create and replace records.
-        is_longer_served: Whether the version that serves is older than its history;
-            None if it cannot tell.
+        served_long: Whether the version that serves is older than its history; None
+            if it can't tell.
         calls: Number of calls received.
         lineage: Its address and era.
         late_writes: Number of further writes that get no answer.
@@ -47,7 +47,7 @@
         self.versions_by_service: dict[str, frozenset[str]] = {}
         self.history: frozenset[str] | None = None
         self.is_refusing = False
-        self.is_longer_served: bool | None = True
+        self.served_long: bool | None = True
         #: The services whose record was written before a restore of the store.
         self.outdated: set[str] = set()
         self.calls = 0
@@ -110,11 +110,11 @@
             raise UnavailableError("too old", step="watch", peer="store")
         return self.history
 
-    async def is_older_than_history(self, service: str, version: str) -> bool:
+    async def has_served_long(self, service: str, version: str) -> bool:
         self.calls += 1
-        if self.is_longer_served is None:
+        if self.served_long is None:
             raise UnavailableError("restored", step="list", peer="store")
-        return self.is_longer_served
+        return self.served_long
 
     def _count(self) -> None:
         self.calls += 1
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -100,14 +100,14 @@
 
     # Guards against a record that a host without evidence makes, and others rely on:
     # the version may have replaced another one while no host ran.
-    @pytest.mark.parametrize("is_longer_served", [False, None])
+    @pytest.mark.parametrize("served_long", [False, None])
     @pytest.mark.parametrize("history", [ONLY, BOTH, None])
     def test_without_a_record_a_young_version_needs_the_whole_history(
-        self, is_longer_served, history
+        self, served_long, history
     ):
         async def test() -> None:
             world = World()
-            world.store.is_longer_served = is_longer_served
+            world.store.served_long = served_long
             world.store.history = history
             assert await world.learn() == history
             assert world.store.versions_by_service == {}
