A reset that arrives with data is no end of an answer

What callers saw: an answer without a length or chunks whose endpoint sent a part and reset its connection looked whole: a 200 whose connection ended in order.

Cause: libuv reports a connection as closed in order where data and a reset arrive together; the error stays in the socket. aiohttp takes a reset and each other loss for the end of a body that has no length. An answer without a length was whole if either said so.

Change: at the end of a direct connection its socket is asked for a reset, in ClientConnection and in the far end of tunnels. A whole answer with a marked end is kept when a reset follows it; it was lost where the reset was seen before the answer was read.

--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -16,7 +16,7 @@
 from passtally.clock import Clock
 from passtally.fetch import find_header
 from passtally.http_exchange import EVENTS_PER_TURN, RawHeaders
-from passtally.socket_options import set_user_timeout
+from passtally.socket_options import set_user_timeout, was_reset
 from passtally.tunnel import TunnelInfo, TunnelLostError, find_tunnel
 
 #: Maximum idle time of a reused connection, unless the peer states a shorter one.
@@ -152,8 +152,10 @@
         self._arrived.set()
 
     def eof_received(self) -> bool:
-        """Mark the connection as closed by the peer."""
-        if not self._is_idle:
+        """Mark the connection as closed by the peer, unless it was reset."""
+        if self.tunnel is None and was_reset(self._transport):
+            self._error = ConnectionResetError("connection reset by the peer")
+        elif not self._is_idle:
             self._parser.receive_data(b"")
         self._is_broken = True
         self._arrived.set()
@@ -162,7 +164,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Record the error and wake the reader."""
         self._is_broken = True
-        self._error = error
+        self._error = error or self._error
         self._arrived.set()
 
     @property
@@ -221,8 +223,8 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            if self._error is not None:
-                raise self._fail(str(self._error))
+            # The end is marked, or the connection ended in order; a reset after it
+            # takes nothing from the answer.
             return b""
         raise self._fail("closed inside an answer")
 
--- a/passtally/socket_options.py
+++ b/passtally/socket_options.py
@@ -1,6 +1,7 @@
 """Options of TCP sockets."""
 
 import asyncio
+import errno
 import socket
 import struct
 from datetime import timedelta
@@ -27,6 +28,19 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
 
+def was_reset(transport: asyncio.BaseTransport) -> bool:
+    """Return whether a connection whose end was just reported was lost instead.
+
+    uvloop reports the end of a connection in order where data and a reset arrive
+    together. The error then stands in the socket until it is read here.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return error in (errno.ECONNRESET, errno.ETIMEDOUT)
+
+
 def set_user_timeout(transport: asyncio.BaseTransport) -> None:
     """Set the TCP user timeout, so that a dead peer is detected."""
     sock = transport.get_extra_info("socket")
--- a/passtally/tunnel_server.py
+++ b/passtally/tunnel_server.py
@@ -15,7 +15,7 @@
 from passtally.http_server import count_connections
 from passtally.message_signing import MessageSigner
 from passtally.metrics import Metric, Metrics
-from passtally.socket_options import set_user_timeout
+from passtally.socket_options import set_user_timeout, was_reset
 from passtally.tunnel_frames import (
     FrameDecoder,
     FrameError,
@@ -307,9 +307,9 @@
         self._tunnel.forward(data)
 
     def eof_received(self) -> bool:
-        """Report that the endpoint has closed the connection in order."""
+        """Report that the endpoint has closed the connection, or has reset it."""
         self._has_ended = True
-        self._tunnel.end(is_reset=False)
+        self._tunnel.end(is_reset=was_reset(self.transport))
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
