Streams: an end that adds nothing to a lost run is confirmed first

Cause: the marked end of the run that goes on was taken for the end of the answer, without a look at what the lost run had sent.

Change: such an end is `unconfirmed_end`, a loss that counts against nobody. The answer is complete once another attempt ends at the same event. Where a run was lost inside an event, no end before that event counts. A stream whose last mark alone is lost costs one attempt more than before.

--- a/passtally/answer_recorder.py
+++ b/passtally/answer_recorder.py
@@ -10,7 +10,7 @@
 from passtally.live_endpoint import LiveEndpoint
 from passtally.metrics import Metric, Metrics
 from passtally.relay import count_prefill_tokens
-from passtally.retry import UNRUN_KINDS, LossKind
+from passtally.retry import UNRUN_KINDS, UNSURE_ENDS, LossKind
 
 
 class AnswerRecorder:
@@ -93,10 +93,10 @@
     ) -> None:
         """Count a failed answer of the endpoint's version, if it may have run.
 
-        An unmarked end is not counted, since the answer may be complete, nor a loss of
-        the link.
+        An unmarked or unconfirmed end is not counted, since the answer may be complete,
+        nor a loss of the link.
         """
-        uncounted = (LossKind.UNMARKED_END, LossKind.LINK)
+        uncounted = (*UNSURE_ENDS, LossKind.LINK)
         if loss.kind in UNRUN_KINDS or loss.kind in uncounted:
             return
         self._fleet.versions.record_answer(
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -37,6 +37,7 @@
 from passtally.replica import ReplicaKeeper
 from passtally.retry import (
     UNRUN_KINDS,
+    UNSURE_ENDS,
     LossKind,
     NextStep,
     RetryLimits,
@@ -330,18 +331,18 @@
         loss: AttemptLostError,
         progress: Progress,
     ) -> bool:
-        """Return whether an attempt without a mark of its end completed the answer.
+        """Return whether an attempt that ended unsurely completed the answer.
 
         Such an end counts once a further attempt that resumes behind it ends at the
-        same position. A request with a single attempt can't be checked in this way:
-        its caller gets the answer without a mark of its end either. An endpoint that
-        has exited did not complete anything: a killed process closes its connections
-        in order.
+        same position, unless an attempt was lost inside output behind it. An unmarked
+        end of a request with a single attempt can't be checked in this way: its caller
+        gets the answer without a mark of its end either. An endpoint that has exited
+        did not complete anything: a killed process closes its connections in order.
         """
-        if loss.kind is not LossKind.UNMARKED_END or loss.has_ended:
+        if loss.kind not in UNSURE_ENDS or loss.has_ended or generation.has_more:
             return False
-        is_confirmed = progress.unmarked_end == generation.position
-        progress.unmarked_end = generation.position
+        is_confirmed = progress.unconfirmed_end == generation.position
+        progress.unconfirmed_end = generation.position
         is_complete = is_confirmed or not generation.request.may_resume
         if is_complete:
             log_decision(
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -167,6 +167,10 @@
             :mod:`passtally.quarantine`.
         origin: The origin of an answer that begins with this attempt; None if the
             endpoint is not known.
+        follows_lost_run: Whether an earlier attempt was lost after its endpoint began
+            to answer.
+        broken_off_at: Position of the output that the attempt was lost in the middle
+            of; None if it was lost between two outputs.
     """
 
     number: int
@@ -181,6 +185,8 @@
     begun_at: timedelta | None = None
     is_separated: bool = False
     origin: Origin | None = None
+    follows_lost_run: bool = False
+    broken_off_at: int | None = None
 
 
 class Generation:
@@ -228,6 +234,12 @@
         """Number of tokens on this host; the next attempt continues from here."""
         return len(self.token_ids)
 
+    @property
+    def has_more(self) -> bool:
+        """Whether an attempt was lost inside output behind the current position."""
+        broken_off = (attempt.broken_off_at for attempt in self.attempts)
+        return any(at is not None and at >= self.position for at in broken_off)
+
     @property
     def current(self) -> Attempt | None:
         """The open attempt, the only one whose output is accepted; None if none is."""
@@ -270,6 +282,7 @@
             resume_ref=resume_ref,
             is_separated=is_separated,
             origin=origin,
+            follows_lost_run=any(item.begun_at is not None for item in self.attempts),
         )
         self.attempts.append(attempt)
         self._current = attempt
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -288,5 +288,9 @@
             raise self._link.lost(LossKind.RESET, f"status {head.status}")
         attempt.head = head
         return RunnerStream(
-            link=self._link, connection=connection, head=head, position=position
+            link=self._link,
+            connection=connection,
+            head=head,
+            attempt=attempt,
+            position=position,
         )
--- a/passtally/platform/runner_stream.py
+++ b/passtally/platform/runner_stream.py
@@ -3,7 +3,7 @@
 import re
 
 from passtally.engine import LoadReport
-from passtally.generation import END_OF_STREAM, TokenEvent
+from passtally.generation import END_OF_STREAM, Attempt, TokenEvent
 from passtally.http_client import (
     ClientConnection,
     ExchangeError,
@@ -25,6 +25,7 @@
         link: The link to the endpoint.
         connection: The connection that the events arrive on.
         head: The head of the answer.
+        attempt: The attempt; where it broke off is recorded there.
         position: The number of the last event that was delivered before this attempt.
     """
 
@@ -36,11 +37,13 @@
         link: RunnerLink,
         connection: ClientConnection,
         head: ResponseHead,
+        attempt: Attempt,
         position: int,
     ) -> None:
         self._link = link
         self._connection = connection
         self._head = head
+        self._attempt = attempt
         self._position = position
         #: The last event of this attempt; empty before the first.
         self._last_event = b""
@@ -65,8 +68,10 @@
         """Release the connection after a complete answer, otherwise abort it."""
         if self._is_complete:
             self._link.release(self._connection, self._head)
-        else:
-            self._connection.abort()
+            return
+        self._connection.abort()
+        if self._buffer.strip():
+            self._attempt.broken_off_at = self._position
 
     def _end(self) -> TokenEvent:
         if self._buffer.strip():
@@ -75,6 +80,10 @@
             raise self._link.lost(
                 LossKind.UNMARKED_END, f"the stream closed after event {self._position}"
             )
+        if self._attempt.follows_lost_run and not self._last_event:
+            raise self._link.lost(
+                LossKind.UNCONFIRMED_END, f"no event behind {self._position}"
+            )
         self._is_complete = True
         return TokenEvent(
             position=self._position,
--- a/passtally/retry.py
+++ b/passtally/retry.py
@@ -30,6 +30,9 @@
     #: The endpoint closed the connection of an answer without a length or chunked
     #: encoding: the answer may be complete or truncated.
     UNMARKED_END = "unmarked_end"
+    #: An attempt that goes on behind a lost one ended without output: the answer may be
+    #: complete, or the endpoint has lost the rest.
+    UNCONFIRMED_END = "unconfirmed_end"
 
 
 class Holder(StrEnum):
@@ -56,6 +59,9 @@
 #: Losses by a close of the connection, which may show that the endpoint has exited.
 CLOSED_KINDS = frozenset((LossKind.RESET, LossKind.UNMARKED_END))
 
+#: Ends of attempts after which the answer may be complete.
+UNSURE_ENDS = frozenset((LossKind.UNMARKED_END, LossKind.UNCONFIRMED_END))
+
 
 class NextStep(StrEnum):
     """The next step after an attempt is lost."""
