--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -51,6 +51,7 @@
         body: Its body.
         is_framed: Whether its end is marked.
         is_odd: Whether it contradicts the protocol, so that it may be no answer.
+        method: The method of its request.
     """
 
     head: bytes
@@ -58,6 +59,7 @@
     body: bytes = b""
     is_framed: bool = True
     is_odd: bool = False
+    method: str = "GET"
 
     @property
     def sent(self) -> bytes:
@@ -76,6 +78,12 @@
     ),
     "no body": WholeAnswer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n\r\n"),
     "no content": WholeAnswer(b"HTTP/1.1 204 No Content\r\n" + PROOF + b"\r\n"),
+    "not modified": WholeAnswer(
+        b"HTTP/1.1 304 Not Modified\r\nContent-Length: 1234\r\n\r\n"
+    ),
+    "to HEAD": WholeAnswer(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n", method="HEAD"
+    ),
     "chunks": WholeAnswer(
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + PROOF + b"\r\n",
         CHUNKS,
@@ -130,14 +138,14 @@
 
 
 Connect = Callable[[ProtocolFactory], Coroutine[Any, Any, Connected]]
-Ask = Callable[[Connect], Coroutine[Any, Any, Received | None]]
+Ask = Callable[[Connect, str], Coroutine[Any, Any, Received | None]]
 
 
-async def ask_for_route(connect: Connect) -> Received | None:
+async def ask_for_route(connect: Connect, method: str) -> Received | None:
     """Send a request as for a route; return None if no whole answer arrives."""
     _, connection = await connect(lambda: ClientConnection(clock=SystemClock()))
     try:
-        head = await connection.send(*REQUEST)
+        head = await connection.send(method.encode(), b"/", [(b"Host", b"e")], b"")
         body = await connection.read_all(1000)
     except ExchangeError:
         return None
@@ -146,7 +154,7 @@
     return Received(body, head.is_framed)
 
 
-async def ask_for_own_interface(connect: Connect) -> Received | None:
+async def ask_for_own_interface(connect: Connect, method: str) -> Received | None:
     """Send a call of the own interface; return None if no whole answer arrives."""
     dialer = SimpleNamespace(connect=lambda address, name, make: connect(make))
     connector = EndpointConnector(dialer=dialer, find_endpoint_id=lambda address: "e")
@@ -154,7 +162,7 @@
     async with open_session(connector) as session:
         sender = SessionSender(session=session, answers=HeldBodies(limit=1 << 20))
         try:
-            answer = await sender.send(make_call(), live)
+            answer = await sender.send(attrs.evolve(make_call(), method=method), live)
         except AttemptLostError:
             return None
     return Received(answer.body, answer.is_framed)
@@ -304,7 +312,9 @@
             async with open_way(way, server) as connect:
                 for cut in cut_all(answer, resets=resets):
                     server.parts = cut.sent
-                    received = await asyncio.wait_for(ask(connect), ANSWER_SECONDS)
+                    received = await asyncio.wait_for(
+                        ask(connect, answer.method), ANSWER_SECONDS
+                    )
                     if why := find_wrong(answer, cut, received):
                         wrong.append((cut.arrived, why, received))
             serving.cancel()
--- a/tests/test_cut_streams.py
+++ b/tests/test_cut_streams.py
@@ -1,11 +1,31 @@
 """Streams that are broken off and go on at an answer that is cut in its head."""
 
+import asyncio
+import contextlib
+from types import SimpleNamespace
+
 import pytest
+import uvloop
 from aiohttp import web
 
+from passtally.endpoint_connector import EndpointConnector
+from passtally.engine import AttemptLostError
+from passtally.generation import Generation
+from passtally.http_engine import HttpEngine
+from passtally.plain_handler import open_session
 from standins.platform_config import ENGINE, make_config
 from standins.runner import RunnerStandIn
 from tests.platform_system import Answer, PlatformSystem, expected_events, run
+from tests.test_cut_answers import (
+    ANSWER_SECONDS,
+    Connect,
+    CuttingServer,
+    WholeAnswer,
+    cut_answer,
+    cut_frames,
+    open_way,
+)
+from tests.test_generation import make_generation
 
 EVENTS = 6
 #: Number of events that arrive before an answer is broken off.
@@ -136,3 +156,66 @@
         answer, _ = stream(first, *[SECOND_RUNS_BY_NAME[second]] * 9)
         assert answer.body == expected_events(FIRST_EVENTS)
         assert not answer.is_whole
+
+
+def engine_event(position: int, text: str, reason: str = "null") -> bytes:
+    """Return an event of a model engine at the own interface."""
+    choice = b'{"position":%d,"token_ids":[1],"text_offset":%d,"text":"%s"'
+    choice %= position, position, text.encode()
+    return b'data: {"choices":[%s,"finish_reason":%s}]}\n\n' % (choice, reason.encode())
+
+
+LAST_ENGINE_EVENT = engine_event(1, "b", '"stop"')
+ENGINE_ANSWERS_BY_NAME = {
+    "chunks": WholeAnswer(
+        b"HTTP/1.1 200 OK\r\n" + CHUNKED,
+        chunk(engine_event(0, "a")) + chunk(LAST_ENGINE_EVENT) + chunk(b""),
+    ),
+    "unmarked": WholeAnswer(
+        b"HTTP/1.1 200 OK\r\n\r\n", engine_event(0, "a") + LAST_ENGINE_EVENT
+    ),
+}
+
+
+async def read_engine(connect: Connect) -> Generation:
+    """Run a generation at an engine, until it is complete or lost."""
+    generation = make_generation()
+    attempt = generation.start_attempt("e")
+    dialer = SimpleNamespace(connect=lambda address, name, make: connect(make))
+    connector = EndpointConnector(dialer=dialer, find_endpoint_id=lambda address: "e")
+    async with open_session(connector) as session:
+        engine = HttpEngine(session=session, endpoint_id="e", url="http://127.0.0.1:1")
+        try:
+            output = await engine.generate(generation.request, attempt, ())
+            with contextlib.closing(output):
+                while events := await output.read():
+                    for item in events:
+                        generation.accept(attempt, item)
+        except AttemptLostError:
+            generation.lose_attempt(attempt)
+    return generation
+
+
+@pytest.mark.parametrize("name", ENGINE_ANSWERS_BY_NAME)
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("way", ["directly", "through a tunnel", "from another host"])
+class TestEngineStreams:
+    # Guards against a part of an engine's output that counts as complete.
+    def test_no_part_of_one_is_complete(self, way, resets, name):
+        answer = ENGINE_ANSWERS_BY_NAME[name]
+        cut_all = cut_frames if way == "from another host" else cut_answer
+
+        async def test() -> None:
+            server = CuttingServer(resets=resets)
+            serving = asyncio.create_task(server.serve())
+            async with open_way(way, server) as connect:
+                for cut in cut_all(answer, resets=resets):
+                    server.parts = cut.sent
+                    work = read_engine(connect)
+                    generation = await asyncio.wait_for(work, ANSWER_SECONDS)
+                    is_complete = generation.finish_reason == "stop"
+                    if cut.is_ended or is_complete:
+                        assert is_complete == (LAST_ENGINE_EVENT in cut.arrived)
+            serving.cancel()
+
+        uvloop.run(test())
