--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -16,7 +16,7 @@
 from passtally.clock import Clock
 from passtally.fetch import find_header
 from passtally.http_exchange import EVENTS_PER_TURN, RawHeaders
-from passtally.socket_options import set_user_timeout
+from passtally.socket_options import set_user_timeout, was_reset
 from passtally.tunnel import TunnelInfo, TunnelLostError, find_tunnel
 
 #: Maximum idle time of a reused connection, unless the peer states a shorter one.
@@ -30,6 +30,9 @@
 MAX_INTERIM_ANSWERS = 8
 
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
+#: A status line at the end of a reason phrase or of a header's value. There an earlier
+#: answer was cut, and the next one follows it.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)", re.MULTILINE)
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -152,8 +155,10 @@
         self._arrived.set()
 
     def eof_received(self) -> bool:
-        """Mark the connection as closed by the peer."""
-        if not self._is_idle:
+        """Mark the connection as closed by the peer, unless it was reset."""
+        if self.tunnel is None and was_reset(self._transport):
+            self._error = ConnectionResetError("connection reset by the peer")
+        elif not self._is_idle:
             self._parser.receive_data(b"")
         self._is_broken = True
         self._arrived.set()
@@ -162,7 +167,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Record the error and wake the reader."""
         self._is_broken = True
-        self._error = error
+        self._error = error or self._error
         self._arrived.set()
 
     @property
@@ -206,6 +211,8 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._step = ExchangeStep.ANSWER
+                if _holds_status_line(event):
+                    raise self._fail("two heads in one", is_garbled=True)
                 return _to_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise self._fail("closed before an answer")
@@ -221,8 +228,8 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            if self._error is not None:
-                raise self._fail(str(self._error))
+            # The end is marked, or the connection ended in order; a reset after it
+            # takes nothing from the answer.
             return b""
         raise self._fail("closed inside an answer")
 
@@ -339,6 +346,15 @@
     )
 
 
+def _holds_status_line(response: h11.Response) -> bool:
+    """Return whether another answer's head begins within a head.
+
+    The status and the headers before it are then those of an earlier answer.
+    """
+    values = [value for _, value in response.headers]
+    return _STATUS_LINE.search(b"\n".join([response.reason, *values])) is not None
+
+
 def _idle_limit(keep_alive: bytes | None) -> timedelta:
     found = _KEEP_ALIVE_TIMEOUT.search(keep_alive or b"")
     if found is None:
