Configuration: reject durations out of range

A route whose timeout_ms, target_latency_ms or target_gap_ms is 1e300 or -1 was decoded by decode_routes, which then let the OverflowError of timedelta out instead of the ValueError that it names. Hosts logged "Task failed, restarting." for `follow config/`, and no line named the configuration that is not followed. A host that starts while it stands began that task again each second and answered 503.

Durations are now from 0 to 100 years by the schema, so that adding one to a time can't overflow either; a negative one is rejected too, since no request could meet it. The log line states the version of the rejected configuration, if it can be decoded. The one before stays in force, and a host that starts takes the next good one.

--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -21,8 +21,15 @@
 #: none.
 DEFAULT_SLOTS = 1
 
+#: Maximum duration in the configuration. A longer one can't be added to a time.
+MAX_DURATION = timedelta(days=36_500)
+
 T = TypeVar("T")
 
+_Milliseconds = Annotated[
+    float, msgspec.Meta(ge=0, le=MAX_DURATION / timedelta(milliseconds=1))
+]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION.total_seconds())]
 #: Hosts send incarnations to each other as 64-bit integers.
 _Incarnation = Annotated[int, msgspec.Meta(ge=UNKNOWN_INCARNATION, le=(1 << 63) - 1)]
 
@@ -37,21 +44,21 @@
     hostname: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
+    timeout_ms: _Milliseconds
+    target_latency_ms: _Milliseconds
     priority: int = 0
     service: str = ""
     traffic_split: list[_Split] = []
     max_attempts: int = 1
     public: bool = False
     resume_streams: bool = False
-    target_gap_ms: float = 0
+    target_gap_ms: _Milliseconds = 0
 
 
 class _Engine(msgspec.Struct):
     kv_capacity_tokens: int = 0
     backups: bool = False
-    handle_s: float = 0
+    handle_s: _Seconds = 0
 
 
 class _Service(msgspec.Struct):
@@ -63,8 +70,8 @@
 class _Limits(msgspec.Struct):
     max_header_bytes: int
     max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    header_timeout_ms: _Milliseconds
+    idle_timeout_ms: _Milliseconds
 
 
 class _Tenant(msgspec.Struct):
@@ -73,8 +80,11 @@
     priority: int | None = None
 
 
-class _Config(msgspec.Struct):
+class _ConfigVersion(msgspec.Struct):
     version: int
+
+
+class _Config(_ConfigVersion, kw_only=True):
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -191,28 +201,13 @@
     """Decode the configuration of routes, services, workspaces and limits.
 
     Raises:
-        ValueError: The configuration does not match the schema.
+        ValueError: The configuration does not match the schema, or a number is out of
+            range. The message states the version, if it can be decoded.
     """
-    config = _decode(spec, _Config)
-    return RouteSet(
-        version=config.version,
-        routes=tuple(_to_route(route) for route in config.routes),
-        services=tuple(_to_service(service) for service in config.services),
-        workspaces=tuple(
-            WorkspaceKeys(
-                workspace=tenant.name,
-                keys=tuple(tenant.api_keys),
-                rank=tenant.priority,
-            )
-            for tenant in config.tenants
-        ),
-        limits=ServerLimits(
-            max_header=config.limits.max_header_bytes,
-            max_body=config.limits.max_body_bytes,
-            header_timeout=_ms(config.limits.header_timeout_ms),
-            idle_timeout=_ms(config.limits.idle_timeout_ms),
-        ),
-    )
+    try:
+        return _to_route_set(_decode(spec, _Config))
+    except ValueError as error:
+        raise ValueError(f"{_describe_version(spec)}: {error}") from error
 
 
 def decode_endpoint(endpoint_id: str, spec: bytes) -> Endpoint:
@@ -236,6 +231,35 @@
     )
 
 
+def _describe_version(spec: bytes) -> str:
+    try:
+        return f"version {_decode(spec, _ConfigVersion).version}"
+    except ValueError:
+        return "unknown version"
+
+
+def _to_route_set(config: _Config) -> RouteSet:
+    return RouteSet(
+        version=config.version,
+        routes=tuple(_to_route(route) for route in config.routes),
+        services=tuple(_to_service(service) for service in config.services),
+        workspaces=tuple(
+            WorkspaceKeys(
+                workspace=tenant.name,
+                keys=tuple(tenant.api_keys),
+                rank=tenant.priority,
+            )
+            for tenant in config.tenants
+        ),
+        limits=ServerLimits(
+            max_header=config.limits.max_header_bytes,
+            max_body=config.limits.max_body_bytes,
+            header_timeout=_ms(config.limits.header_timeout_ms),
+            idle_timeout=_ms(config.limits.idle_timeout_ms),
+        ),
+    )
+
+
 def _to_route(route: _Route) -> Route:
     shares = tuple(
         ServiceShare(service=split.service, weight=split.weight)
