Objects of the store: reject counts out of range

Numbers of endpoint entries and of the configuration were taken at any size and failed where they are used. Tried with stand-ins, two hosts, four endpoints:

- slots 1e30 at an endpoint that states that it is brittle: OverflowError ends the task `news` again and again, so that hosts tell each other no loads and no losses.
- slots or kv_capacity_tokens 1e400, with shared admission: calls and streams get 500.
- kv_capacity_tokens -1, with shared admission: streams get 503 after the first ones.
- priority 1e30: OverflowError ends the task `usage`, that tells other hosts the use.
- version of the configuration 1e30: OverflowError in the gossip's probes; hosts do not find each other.

Hosts compute with these numbers as floats and send them as 64-bit integers. Counts, ranks and weights are now bounded by MAX_COUNT in the schema, versions by 64 bits. An endpoint entry out of range is ignored with the line that invalid entries have, and the others are followed; a configuration out of range leaves the one before in force. Fewer slots than one still count as one.

--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -23,20 +23,26 @@
 
 #: Maximum duration in the configuration. A longer one can't be added to a time.
 MAX_DURATION = timedelta(days=36_500)
+_MAX_MS = MAX_DURATION / timedelta(milliseconds=1)
+
+#: Maximum of a count of requests, tokens, connections or bytes. Hosts compute with such
+#: counts as floats, and send sums of them to each other as 64-bit integers.
+MAX_COUNT = 10**12
 
 T = TypeVar("T")
 
-_Milliseconds = Annotated[
-    float, msgspec.Meta(ge=0, le=MAX_DURATION / timedelta(milliseconds=1))
-]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_MS)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION.total_seconds())]
-#: Hosts send incarnations to each other as 64-bit integers.
-_Incarnation = Annotated[int, msgspec.Meta(ge=UNKNOWN_INCARNATION, le=(1 << 63) - 1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+#: A rank, a weight, or a count that may be below zero, which then stands for the least.
+_Number = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+#: Hosts send incarnations and versions to each other as 64-bit integers.
+_Int64 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: int
+    weight: _Number
 
 
 class _Route(msgspec.Struct):
@@ -46,30 +52,30 @@
     kind: str
     timeout_ms: _Milliseconds
     target_latency_ms: _Milliseconds
-    priority: int = 0
+    priority: _Number = 0
     service: str = ""
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: _Number = 1
     public: bool = False
     resume_streams: bool = False
     target_gap_ms: _Milliseconds = 0
 
 
 class _Engine(msgspec.Struct):
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: _Count = 0
     backups: bool = False
     handle_s: _Seconds = 0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 0
+    max_connections: _Count = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: _Count
+    max_body_bytes: _Count
     header_timeout_ms: _Milliseconds
     idle_timeout_ms: _Milliseconds
 
@@ -77,11 +83,11 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str]
-    priority: int | None = None
+    priority: _Number | None = None
 
 
 class _ConfigVersion(msgspec.Struct):
-    version: int
+    version: _Int64
 
 
 class _Config(_ConfigVersion, kw_only=True):
@@ -96,10 +102,10 @@
     address: str
     zone: str
     state: Literal["ready", "draining"]
-    slots: int = DEFAULT_SLOTS
+    slots: _Number = DEFAULT_SLOTS
     #: The Unix time in milliseconds of the endpoint's start. An endpoint may start
     #: again under the same id.
-    born: _Incarnation = UNKNOWN_INCARNATION
+    born: _Int64 = UNKNOWN_INCARNATION
     #: The version of the endpoint's software, not of its weights or of this entry.
     version: str = ""
     #: Remaining time of the slow phase after a start, in milliseconds, as of the last
@@ -117,9 +123,9 @@
 
 class _Report(msgspec.Struct):
     models: list[msgspec.Raw]
-    queued: int = 0
+    queued: _Count = 0
     #: All runs that have a slot, including those in prefill.
-    running: int = 0
+    running: _Count = 0
     #: Only the runs that have output, not all that are running; None if the report
     #: does not list them.
     runs: list[_Run] | None = None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -12,11 +12,22 @@
 import pytest
 from hypothesis import given, settings
 
-from passtally.platform.decode import decode_routes
+from passtally.platform.decode import decode_endpoint, decode_routes
 from standins.platform_config import LOOKUPS, make_config
 from tests.odd_json import odd_versions, replace_part
 from tests.platform_system import PlatformSystem, run
 
+ENTRY = {
+    "service": "s",
+    "address": "127.0.0.1:1",
+    "zone": "z",
+    "state": "ready",
+    "slots": 4,
+    "born": 5,
+    "version": "v",
+    "cold_remaining_ms": 0,
+}
+IGNORED_ENTRY = "endpoints: Ignored an invalid entry."
 IGNORED_CONFIG = "config: Ignored a broken configuration."
 TASK_FAILED = "daemon: Task failed, restarting."
 
@@ -58,6 +69,85 @@
         with pytest.raises(ValueError, match="version 7"):
             decode_routes(spec)
 
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            (("version",), b"1" + b"0" * 30),
+            (("version",), b"-1"),
+            (("routes", 0, "priority"), b"1" + b"0" * 30),
+            (("routes", 0, "max_attempts"), b"1" + b"0" * 30),
+            (("tenants", 0, "priority"), b"-1" + b"0" * 30),
+            (("services", 0, "engine", "kv_capacity_tokens"), b"1" + b"0" * 400),
+            (("services", 0, "engine", "kv_capacity_tokens"), b"-1"),
+            (("services", 0, "max_connections"), b"1" + b"0" * 30),
+            (("limits", "max_body_bytes"), b"1" + b"0" * 30),
+        ],
+    )
+    def test_a_number_out_of_range_is_rejected(self, path, value):
+        """Guards against numbers that hosts can't send to each other or compute with.
+
+        With such a rank, hosts stop telling each other what they use; with such a
+        version they do not find each other; with such a capacity streams get 500.
+        """
+        with pytest.raises(ValueError, match=path[-1]):
+            decode_routes(replace_part(make_config(), path, value))
+
+
+class TestEndpointEntry:
+    @settings(deadline=None, derandomize=True)
+    @given(odd_versions(ENTRY))
+    def test_it_is_decoded_or_rejected(self, spec):
+        check_total(lambda text: decode_endpoint("i-1", text), spec)
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("slots", b"1" + b"0" * 30),
+            ("slots", b"1" + b"0" * 400),
+            ("born", b"1" + b"0" * 30),
+            ("cold_remaining_ms", b"1e999"),
+            ("address", b'"127.0.0.1:70000"'),
+            ("address", b'"127.0.0.1:-1"'),
+            ("address", b'"127.0.0.1:' + b"9" * 5000 + b'"'),
+        ],
+    )
+    def test_a_number_out_of_range_is_rejected(self, name, value):
+        with pytest.raises(ValueError, match=r"."):
+            decode_endpoint("i-1", replace_part(ENTRY, (name,), value))
+
+    def test_fewer_slots_than_one_count_as_one(self):
+        entry = replace_part(ENTRY, ("slots",), b"-1")
+        assert decode_endpoint("i-1", entry).max_streams == 1
+
+
+class TestEndpointEntryOnThePlatform:
+    # Guards against a host that stops telling others its loads and losses: the number
+    # of a brittle endpoint's slots is part of the same message.
+    def test_a_count_that_no_message_can_hold_affects_no_other_endpoint(self, logged):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            for name in ("i-odd", "i-look"):
+                runner = await system.add_runner(name, LOOKUPS)
+                runner.faults.brittle = "3"
+            odd = system.store.find("servers", "i-odd") | {"slots": 10**30}
+            system.store.put("servers", "i-odd", odd)
+            host = await system.add_host()
+            await system.add_host("front-2", seeds=str(host.settings.peer_listen))
+            await system.wait_ready(endpoints=1)
+            for _ in range(4):
+                assert (await system.send("/look/1")).status == 200
+            # The hosts tell each other of brittle endpoints meanwhile.
+            await asyncio.sleep(0.5)
+            system.store.put("servers", "i-odd", odd | {"slots": 8})
+            await system.wait_ready(endpoints=2)
+            system.store.remove("servers", "i-odd")
+            await system.wait_ready(endpoints=1)
+            assert (await system.send("/look/1")).status == 200
+
+        run(test)
+        assert not find(logged, TASK_FAILED)
+        assert find(logged, IGNORED_ENTRY)[0]["peer"] == "i-odd"
+
 
 def odd_config(version: int) -> dict:
     """Return a configuration with a time limit that no duration can hold."""
