Configuration: reject limits that refuse every request

A configuration whose max_header_bytes or idle_timeout_ms is 0 came into force: hosts answered 431 to all calls, or closed each connection before its first request (10 of 10 calls and streams each, with stand-ins). With a header_timeout_ms of 0 calls without a body were still answered.

A max_body_bytes of 0 stays allowed: requests without a body are served.

The three cases of test_a_limit_that_refuses_every_request_is_rejected failed before.

--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -36,6 +36,9 @@
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 #: A rank, a weight, or a count that may be below zero, which then stands for the least.
 _Number = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+#: Limits of the HTTP server. A limit of zero would refuse every request.
+_SizeLimit = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+_TimeLimit = Annotated[float, msgspec.Meta(gt=0, le=_MAX_MS)]
 #: Hosts send incarnations and versions to each other as 64-bit integers.
 _Int64 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
@@ -74,10 +77,10 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: _Count
+    max_header_bytes: _SizeLimit
     max_body_bytes: _Count
-    header_timeout_ms: _Milliseconds
-    idle_timeout_ms: _Milliseconds
+    header_timeout_ms: _TimeLimit
+    idle_timeout_ms: _TimeLimit
 
 
 class _Tenant(msgspec.Struct):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -92,6 +92,14 @@
         with pytest.raises(ValueError, match=path[-1]):
             decode_routes(replace_part(make_config(), path, value))
 
+    @pytest.mark.parametrize(
+        "name", ["max_header_bytes", "header_timeout_ms", "idle_timeout_ms"]
+    )
+    def test_a_limit_that_refuses_every_request_is_rejected(self, name):
+        spec = replace_part(make_config(), ("limits", name), b"0")
+        with pytest.raises(ValueError, match=name):
+            decode_routes(spec)
+
 
 class TestEndpointEntry:
     @settings(deadline=None, derandomize=True)
