Records of versions: reject values nested too deep

A record of software versions that another writer nested too deep raised RecursionError out of PlatformStore.find_or_create, which names PlatformError only. It ended the task that keeps the records up to date again and again, and each look-up for a caller who comes back.

find_or_create now decodes its answer as listings and watches do: values nested too deep become null, with a log line. That what a decoder raises is ValueError alone is said once, in json_decoding.decode_json, which the decoders of the platform share; five of them had lists of exceptions of their own, two of which lacked RecursionError and one UnicodeDecodeError.

Roll-out orders held already: their status is part of the same text.

--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from passtally.fetch import Fetched, Fetcher, FetchError
+from passtally.json_decoding import NestingError, decode_json
 
 CALL_TIMEOUT = timedelta(seconds=3)
 WATCH_TIMEOUT = timedelta(seconds=20)
@@ -42,6 +43,10 @@
     """No usable answer came; a write may have taken effect nevertheless."""
 
 
+class TooDeepError(UnavailableError):
+    """The answer is nested too deep to be decoded; no other answer came."""
+
+
 class ThrottledError(PlatformError):
     """The platform rejected the call over its rate limit, without running it."""
 
@@ -215,11 +220,14 @@
         """Decode an answer's JSON body.
 
         Raises:
+            TooDeepError: The body is nested too deep.
             UnavailableError: The body is not valid JSON of this type.
         """
         try:
-            return msgspec.json.decode(body, type=kind)
-        except msgspec.MsgspecError as error:
+            return decode_json(body, kind)
+        except NestingError as error:
+            raise TooDeepError(str(error), step=step, peer=self._url) from error
+        except ValueError as error:
             raise UnavailableError(str(error), step=step, peer=self._url) from error
 
     def _error(self, step: str, status: int) -> PlatformError:
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -1,11 +1,12 @@
 """Decodes the platform's objects into the product's types."""
 
 from datetime import timedelta
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Literal
 
 import msgspec
 
 from passtally.http_exchange import ServerLimits
+from passtally.json_decoding import decode_json
 from passtally.objects import UNKNOWN_INCARNATION, Endpoint, EndpointState
 from passtally.routes import (
     CallKind,
@@ -29,8 +30,6 @@
 #: counts as floats, and send sums of them to each other as 64-bit integers.
 MAX_COUNT = 10**12
 
-T = TypeVar("T")
-
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_MS)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION.total_seconds())]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
@@ -170,13 +169,13 @@
     Raises:
         ValueError: The answer does not match the schema.
     """
-    return _decode(body, _Copied).handle
+    return decode_json(body, _Copied).handle
 
 
 def is_engine_report(body: bytes) -> bool:
     """Return whether an endpoint's report is that of a model engine."""
     try:
-        return bool(_decode(body, _Report).models)
+        return bool(decode_json(body, _Report).models)
     except ValueError:
         return False
 
@@ -187,7 +186,7 @@
     Raises:
         ValueError: The report does not match the schema.
     """
-    report = _decode(body, _Report)
+    report = decode_json(body, _Report)
     if report.runs is None:
         return report.queued
     with_output = sum(run.events > 0 for run in report.runs)
@@ -201,7 +200,7 @@
         ValueError: The events do not match the schema.
     """
     signs_by_part = {
-        event.part: event.sign for event in _decode(body, _CacheEvents).events
+        event.part: event.sign for event in decode_json(body, _CacheEvents).events
     }
     return frozenset(part for part, sign in signs_by_part.items() if sign == "+")
 
@@ -214,7 +213,7 @@
             range. The message states the version, if it can be decoded.
     """
     try:
-        return _to_route_set(_decode(spec, _Config))
+        return _to_route_set(decode_json(spec, _Config))
     except ValueError as error:
         raise ValueError(f"{_describe_version(spec)}: {error}") from error
 
@@ -225,7 +224,7 @@
     Raises:
         ValueError: The entry does not match the schema; it may be of another writer.
     """
-    server = _decode(spec, _Server)
+    server = decode_json(spec, _Server)
     is_ready = server.state == "ready"
     return Endpoint(
         id=endpoint_id,
@@ -242,7 +241,7 @@
 
 def _describe_version(spec: bytes) -> str:
     try:
-        return f"version {_decode(spec, _ConfigVersion).version}"
+        return f"version {decode_json(spec, _ConfigVersion).version}"
     except ValueError:
         return "unknown version"
 
@@ -303,10 +302,3 @@
 
 def _ms(value: float) -> timedelta:
     return timedelta(milliseconds=value)
-
-
-def _decode(spec: bytes, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(spec, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise ValueError(str(error)) from error
--- a/passtally/platform/rollout_object.py
+++ b/passtally/platform/rollout_object.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from passtally.json_decoding import decode_json
 from passtally.object_store import StoredObject
 from passtally.rollout import RecordedState, RolloutOrder, RolloutRecord
 from passtally.store_order import revision_of
@@ -60,10 +61,7 @@
     Raises:
         ValueError: The object does not match the schema, or is not a valid order.
     """
-    try:
-        rollout = msgspec.json.decode(stored.value, type=_Rollout)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise ValueError(str(error)) from error
+    rollout = decode_json(stored.value, _Rollout)
     spec = rollout.spec
     if spec.service != rollout.metadata.name:
         raise ValueError(
@@ -109,8 +107,8 @@
     another writer.
     """
     try:
-        status = msgspec.json.decode(rollout.status, type=_Status | None)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        status = decode_json(rollout.status, _Status | None)
+    except ValueError:
         return None
     if status is None or status.target_version != rollout.spec.target_version:
         return None
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -10,6 +10,7 @@
 
 from passtally.decision import log_event
 from passtally.fetch import Fetched, Fetcher, find_header
+from passtally.json_decoding import decode_json
 from passtally.object_store import (
     REMOVED,
     SUCCESSES,
@@ -18,6 +19,7 @@
     Listing,
     StoredObject,
     StoreLink,
+    TooDeepError,
     TooOldError,
     UnavailableError,
 )
@@ -202,8 +204,9 @@
             _encode_object({"name": name}, spec),
             accepted=(*SUCCESSES, CONFLICT),
         )
-        item = self._link.decode("create", fetched.body, _Object)
-        return self._to_stored(f"{kind}/", item, self._era)
+        prefix = f"{kind}/"
+        item = self._decode("create", prefix, fetched.body, _Object)
+        return self._to_stored(prefix, item, self._era)
 
     async def replace(self, key: str, spec: bytes, *, revision: int) -> None:
         """Replace the spec of an object if it has exactly this revision."""
@@ -298,14 +301,22 @@
         era = self._era
         if self._is_of_earlier_era(fetched):
             raise self._superseded(step)
-        body = replace_lone_surrogates(fetched.body)
+        return era, self._decode(step, prefix, fetched.body, kind)
+
+    def _decode(self, step: str, prefix: str, body: bytes, kind: type[T]) -> T:
+        """Decode an answer, without the values of other writers that no decoder takes.
+
+        Raises:
+            UnavailableError: The answer is not valid JSON of this type.
+        """
+        body = replace_lone_surrogates(body)
         try:
-            return era, self._link.decode(step, body, kind)
-        except RecursionError:
+            return self._link.decode(step, body, kind)
+        except TooDeepError:
             log_event(
                 "store", "Replaced values nested too deep by null.", prefix=prefix
             )
-            return era, self._link.decode(step, replace_deep_values(body), kind)
+            return self._link.decode(step, replace_deep_values(body), kind)
 
 
 def _encode_object(metadata: dict[str, str | int], spec: bytes) -> bytes:
@@ -333,7 +344,7 @@
     read: list[T] = []
     for raw in raws:
         try:
-            read.append(msgspec.json.decode(raw, type=kind))
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            read.append(decode_json(raw, kind))
+        except ValueError as error:
             log_event("store", "Skipped an invalid object.", prefix=prefix, why=error)
     return read
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from passtally.json_decoding import decode_json
 from passtally.object_store import UnavailableError
 from passtally.platform.decode import decode_endpoint
 from passtally.platform.store import PlatformStore
@@ -39,8 +40,8 @@
         """Create the record of a service, and return the record that now exists."""
         stored = await self._store.find_or_create(_PREFIX + service, _encode(versions))
         try:
-            record = msgspec.json.decode(bytes(stored.value), type=_Record)
-        except msgspec.MsgspecError as error:
+            record = decode_json(stored.value, _Record)
+        except ValueError as error:
             raise UnavailableError(str(error), step="create", peer=_PREFIX) from error
         revision = revision_of(stored.version)
         return VersionRecord(versions=frozenset(record.versions), revision=revision)
--- a/tests/odd_json.py
+++ b/tests/odd_json.py
@@ -6,6 +6,8 @@
 import msgspec
 from hypothesis import strategies as st
 
+from passtally.fetch import Fetched
+
 #: JSON values that decoders, or the types behind them, reject in ways of their own.
 ODD_VALUES = [
     b"null",
@@ -43,6 +45,22 @@
 _PLACE = b'"the place of the odd value"'
 
 
+class Answers:
+    """A fetcher that returns prepared answers one after the other."""
+
+    def __init__(self, *bodies: bytes) -> None:
+        self.bodies = list(bodies)
+
+    async def fetch(self, method: str, url: str, **fields) -> Fetched:
+        return Fetched(status=200, body=self.bodies.pop(0))
+
+
+def item(name: str, revision: int, spec: bytes) -> bytes:
+    """Return an object of the store, with raw JSON for its spec."""
+    head = b'{"metadata":{"name":"%b","revision":%d},"spec":'
+    return head % (name.encode(), revision) + spec + b"}"
+
+
 def odd_versions(sample: Any) -> st.SearchStrategy[bytes]:
     """Return a strategy for the JSON of a sample in which one part is replaced.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,16 +5,23 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, ClassVar
 
 import eliot
+import msgspec
 import pytest
 from hypothesis import given, settings
 
+from passtally.object_store import PlatformError, StoredObject, UnavailableError
 from passtally.platform.decode import decode_endpoint, decode_routes
+from passtally.platform.rollout_object import decode_rollout
+from passtally.platform.store import PlatformStore
+from passtally.platform.version_store import PlatformVersionStore
+from passtally.version_records import VersionRecord
 from standins.platform_config import LOOKUPS, make_config
-from tests.odd_json import odd_versions, replace_part
+from tests.odd_json import Answers, item, odd_versions, replace_part
 from tests.platform_system import PlatformSystem, run
 
 ENTRY = {
@@ -128,6 +135,36 @@
         assert decode_endpoint("i-1", entry).max_streams == 1
 
 
+class TestRolloutOrder:
+    sample: ClassVar[dict[str, Any]] = {
+        "metadata": {"name": "s", "revision": 7, "created": 3},
+        "spec": {"service": "s", "target_version": "v2", "duration_s": 4},
+        "status": {"state": "running", "target_version": "v2"},
+    }
+
+    @settings(deadline=None, derandomize=True)
+    @given(odd_versions(sample))
+    def test_it_is_decoded_or_rejected(self, text):
+        check_total(lambda text: decode_rollout(to_stored(text)), text)
+
+
+class TestVersionRecord:
+    """Guards against a record that ends the task which keeps records up to date."""
+
+    @settings(deadline=None, derandomize=True)
+    @given(odd_versions({"versions": ["v1", "v2"]}))
+    def test_it_is_decoded_or_rejected(self, spec):
+        with contextlib.suppress(PlatformError):
+            create_record(spec)
+
+    @pytest.mark.parametrize(
+        "spec", [b'"\xff"', b"[" * 100_000 + b"]" * 100_000, b'{"versions":[7]}']
+    )
+    def test_one_that_is_no_record_is_not_available(self, spec):
+        with pytest.raises(UnavailableError):
+            create_record(spec)
+
+
 class TestEndpointEntryOnThePlatform:
     # Guards against a host that stops telling others its loads and losses: the number
     # of a brittle endpoint's slots is part of the same message.
@@ -157,6 +194,18 @@
         assert find(logged, IGNORED_ENTRY)[0]["peer"] == "i-odd"
 
 
+def to_stored(text: bytes) -> StoredObject:
+    return StoredObject(key="rollouts/s", version=7, value=msgspec.Raw(text))
+
+
+def create_record(spec: bytes) -> VersionRecord:
+    """Return the record that a host reads if the store holds this one."""
+    answers = Answers(item("s", 5, spec))
+    store = PlatformStore(fetcher=answers, url="http://127.0.0.1:1")
+    versions = PlatformVersionStore(store=store, endpoints_prefix="servers/")
+    return asyncio.run(versions.create("s", ["v1"]))
+
+
 def odd_config(version: int) -> dict:
     """Return a configuration with a time limit that no duration can hold."""
     config = make_config(version)
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -12,7 +12,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from passtally.fetch import Fetched
 from passtally.object_store import Listing, StoredObject, UnavailableError
 from passtally.object_transfer import pack_listing, unpack_listing
 from passtally.platform.adapter import PlatformAdapter
@@ -24,6 +23,7 @@
 )
 from passtally.platform.store import PlatformStore
 from standins.platform_config import LOOKUPS, make_config
+from tests.odd_json import Answers, anything, item
 from tests.platform_system import PlatformSystem, run
 
 GOOD = {
@@ -55,22 +55,11 @@
     b"[" * 3000 + b"]" * 3000,
 ]
 
-anything = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
-    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
-    max_leaves=6,
-)
-
 
 def encode(spec: object) -> bytes:
     return msgspec.json.encode(spec)
 
 
-def item(name: str, revision: int, spec: bytes) -> bytes:
-    head = b'{"metadata":{"name":"%b","revision":%d},"spec":'
-    return head % (name.encode(), revision) + spec + b"}"
-
-
 class TestOneEntry:
     @pytest.mark.parametrize(("name", "value"), WRONG)
     def test_a_field_of_a_wrong_type_or_without_a_referent(self, name, value):
@@ -111,16 +100,6 @@
     )
 
 
-class Answers:
-    """A fetcher that returns prepared answers one after the other."""
-
-    def __init__(self, *bodies: bytes) -> None:
-        self.bodies = list(bodies)
-
-    async def fetch(self, method: str, url: str, **fields) -> Fetched:
-        return Fetched(status=200, body=self.bodies.pop(0))
-
-
 def list_all(*bodies: bytes) -> Listing:
     store = PlatformStore(fetcher=Answers(*bodies), url="http://127.0.0.1:1")
     return asyncio.run(store.list_objects("servers/"))
