Past versions: one odd entry does not hide the history

PlatformVersionStore.list_past, which a host asks which versions a service ever had where no record of them can be read, failed as a whole if one entry in the store's history could not be decoded. The history keeps that entry, so that all services lost this evidence until the store forgets it: a host that has just started can then not tell whether an answer began at the only version there is.

What is read is now what the question needs: the service and the version that an entry names. An entry that names no service is skipped: no host sends requests to an endpoint by such an entry, and what the endpoint's own entry said before is in the history too. An entry of this service counts with its version whatever else it holds, also where that can't be followed; if its version can't be decoded, the history stays unknown, as before, for this service. The same holds for one that is nested too deep to tell.

--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from passtally.http_exchange import ServerLimits
-from passtally.json_decoding import decode_json
+from passtally.json_decoding import NestingError, decode_json
 from passtally.objects import UNKNOWN_INCARNATION, Endpoint, EndpointState
 from passtally.routes import (
     CallKind,
@@ -99,8 +99,16 @@
     tenants: list[_Tenant] = []
 
 
-class _Server(msgspec.Struct):
+class _EndpointService(msgspec.Struct):
     service: str
+
+
+class _EndpointSoftware(_EndpointService):
+    #: The version of the endpoint's software, not of its weights or of this entry.
+    version: str = ""
+
+
+class _Server(_EndpointSoftware, kw_only=True):
     address: str
     zone: str
     state: Literal["ready", "draining"]
@@ -108,8 +116,6 @@
     #: The Unix time in milliseconds of the endpoint's start. An endpoint may start
     #: again under the same id.
     born: _Int64 = UNKNOWN_INCARNATION
-    #: The version of the endpoint's software, not of its weights or of this entry.
-    version: str = ""
     #: Remaining time of the slow phase after a start, in milliseconds, as of the last
     #: change of the entry.
     cold_remaining_ms: float = 0
@@ -239,6 +245,31 @@
     )
 
 
+def decode_software(spec: bytes, *, service: str) -> str | None:
+    """Return the software version that an endpoint's entry states.
+
+    Unlike :func:`decode_endpoint`, this needs no other field to be valid.
+
+    Args:
+        spec: The entry, of any writer.
+        service: The service whose endpoints are meant.
+
+    Returns:
+        The version, or None for an entry that does not name this service.
+
+    Raises:
+        ValueError: The entry names this service, or may name it, but its version can't
+            be decoded.
+    """
+    try:
+        named = decode_json(spec, _EndpointService).service
+    except NestingError:
+        raise
+    except ValueError:
+        return None
+    return decode_json(spec, _EndpointSoftware).version if named == service else None
+
+
 def _describe_version(spec: bytes) -> str:
     try:
         return f"version {decode_json(spec, _ConfigVersion).version}"
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -6,7 +6,7 @@
 
 from passtally.json_decoding import decode_json
 from passtally.object_store import UnavailableError
-from passtally.platform.decode import decode_endpoint
+from passtally.platform.decode import decode_software
 from passtally.platform.store import PlatformStore
 from passtally.store_order import era_of, revision_of
 from passtally.version_records import VersionRecord
@@ -61,14 +61,15 @@
             # What was written after the copy is not in the history any more.
             raise UnavailableError("restored from a copy", step="history", peer=prefix)
         try:
-            endpoints = [
-                decode_endpoint(stored.key.removeprefix(prefix), bytes(stored.value))
+            # An entry without a readable service is of another writer: no endpoint got
+            # requests by it, and so it does not hide what the others show.
+            found = [
+                decode_software(bytes(stored.value), service=service)
                 for stored in history.objects
             ]
         except ValueError as error:
             raise UnavailableError(str(error), step="history", peer=prefix) from error
-        found = [item.software for item in endpoints if item.service == service]
-        return frozenset(found)
+        return frozenset(version for version in found if version is not None)
 
 
 def _encode(versions: Iterable[str]) -> bytes:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -165,6 +165,46 @@
             create_record(spec)
 
 
+class TestVersionsInTheHistory:
+    good = msgspec.json.encode(ENTRY)
+
+    # Guards against one odd entry that hides the history of all services until the
+    # store forgets it. Hosts send no requests to an endpoint by such an entry.
+    @pytest.mark.parametrize(
+        "spec",
+        [
+            b"null",
+            b"7",
+            b"{}",
+            b'"\xff"',
+            b'{"service":7,"version":"v2"}',
+            b'{"service":"other","version":7}',
+            b"[" * 100_000 + b"]" * 100_000,
+        ],
+    )
+    def test_an_entry_of_no_service_hides_no_version(self, spec):
+        assert list_past(spec, self.good) == {"v"}
+
+    # Guards against a version that counts as never seen: an entry that can't be
+    # followed now may have been followed by hosts of another version of passtally.
+    def test_a_version_counts_whatever_else_the_entry_holds(self):
+        odd = replace_part(ENTRY | {"version": "v2"}, ("slots",), b"1" + b"0" * 30)
+        assert list_past(odd, self.good) == {"v", "v2"}
+
+    @pytest.mark.parametrize("version", [b"7", b"null", b"[]"])
+    def test_an_unknown_version_of_the_service_leaves_the_history_unknown(
+        self, version
+    ):
+        with pytest.raises(UnavailableError):
+            list_past(self.good, replace_part(ENTRY, ("version",), version))
+
+    @settings(deadline=None, derandomize=True)
+    @given(odd_versions(ENTRY))
+    def test_any_entry_is_decoded_or_the_history_is_unknown(self, spec):
+        with contextlib.suppress(PlatformError):
+            assert "v" in list_past(spec, self.good)
+
+
 class TestEndpointEntryOnThePlatform:
     # Guards against a host that stops telling others its loads and losses: the number
     # of a brittle endpoint's slots is part of the same message.
@@ -198,6 +238,15 @@
     return StoredObject(key="rollouts/s", version=7, value=msgspec.Raw(text))
 
 
+def list_past(*specs: bytes) -> frozenset[str]:
+    """Return the versions of service "s" if the store's history has these entries."""
+    events = b",".join(b'{"object":%b}' % item("i-1", 5, spec) for spec in specs)
+    body = b'{"events":[%b],"store_revision":9}' % events
+    store = PlatformStore(fetcher=Answers(body), url="http://127.0.0.1:1")
+    versions = PlatformVersionStore(store=store, endpoints_prefix="servers/")
+    return asyncio.run(versions.list_past("s"))
+
+
 def create_record(spec: bytes) -> VersionRecord:
     """Return the record that a host reads if the store holds this one."""
     answers = Answers(item("s", 5, spec))
