Streams: an event number out of range ends the attempt

RunnerStream names AttemptLostError, but raised ValueError for an event of an endpoint whose id has more than 4,300 digits, and followed ids beyond 64 bits, which can't be sent to other hosts. Event numbers now have 18 digits at most; an event with a longer one ends the attempt as one without a number does. No caller was seen to be affected.

TestNumbersOfEvents: 3 of 4 failed before.

--- a/passtally/platform/runner_stream.py
+++ b/passtally/platform/runner_stream.py
@@ -14,7 +14,8 @@
 
 #: Maximum size of one event of a stream, in bytes.
 MAX_EVENT_BYTES = 1 << 20
-_EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+#: The number of an event; hosts send it to each other as a 64-bit integer.
+_EVENT_ID = re.compile(rb"^id:[ ]?(\d{1,18})\r?$", re.MULTILINE)
 _EVENT_END = b"\n\n"
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,9 +14,14 @@
 import pytest
 from hypothesis import given, settings
 
+from passtally.engine import AttemptLostError
+from passtally.generation import TokenEvent
+from passtally.http_client import ResponseHead
 from passtally.object_store import PlatformError, StoredObject, UnavailableError
 from passtally.platform.decode import decode_endpoint, decode_routes
 from passtally.platform.rollout_object import decode_rollout
+from passtally.platform.runner_link import RunnerLink
+from passtally.platform.runner_stream import RunnerStream
 from passtally.platform.store import PlatformStore
 from passtally.platform.version_store import PlatformVersionStore
 from passtally.version_records import VersionRecord
@@ -234,6 +239,35 @@
         assert find(logged, IGNORED_ENTRY)[0]["peer"] == "i-odd"
 
 
+class TestNumbersOfEvents:
+    # Guards against an event whose number ends its request with an error of the host's
+    # own, instead of the attempt at this endpoint.
+    @pytest.mark.parametrize("digits", [19, 400, 5000])
+    def test_one_out_of_range_ends_the_attempt(self, digits):
+        with pytest.raises(AttemptLostError):
+            read_event(b"id: " + b"9" * digits + b"\ndata: x\n\n")
+
+    def test_the_largest_number_is_followed(self):
+        assert read_event(b"id: " + b"9" * 18 + b"\ndata: x\n\n")
+
+
+def read_event(event: bytes) -> list[TokenEvent]:
+    """Read one event of an endpoint's stream."""
+
+    class Connection:
+        async def read(self) -> bytes:
+            return event
+
+    endpoint = decode_endpoint("i-1", msgspec.json.encode(ENTRY))
+    stream = RunnerStream(
+        link=RunnerLink(endpoint=endpoint, pool=None, clock=None, recorder=None),
+        connection=Connection(),
+        head=ResponseHead(status=200, headers=[], is_framed=True),
+        position=0,
+    )
+    return asyncio.run(stream.read())
+
+
 def to_stored(text: bytes) -> StoredObject:
     return StoredObject(key="rollouts/s", version=7, value=msgspec.Raw(text))
 
