Callers: refuse numbers of tokens out of range

A caller whose request states 1e30 tokens of prompt or output (X-Token-Usage) was served, and the host then could not encode its loads and its use for other hosts: OverflowError ended the tasks `news` and `usage` again and again. With 1e400 tokens the request got 500. Tried with stand-ins, two hosts, shared admission on.

Such a request is now refused with 400, as one is whose other numbers can't be read, and so is one with a number below zero.

--- a/passtally/platform/ingress.py
+++ b/passtally/platform/ingress.py
@@ -12,6 +12,7 @@
 from passtally.outcome import Failure
 from passtally.plain_call import PlainAnswer
 from passtally.platform import names
+from passtally.platform.decode import MAX_COUNT
 
 
 class Ingress:
@@ -139,10 +140,24 @@
     counts = (_text(request, names.TOKEN_COUNTS) or "0,0").split(",")
     last_part, _, _ = parts.rsplit(",", 1)[-1].strip().partition(":")
     return Prompt(
-        last_part=last_part, tokens=int(counts[0]), max_output=int(counts[-1])
+        last_part=last_part,
+        tokens=_decode_count(counts[0]),
+        max_output=_decode_count(counts[-1]),
     )
 
 
+def _decode_count(text: str) -> int:
+    """Decode a number of tokens.
+
+    Raises:
+        ValueError: The text is not a whole number from 0 to ``MAX_COUNT``.
+    """
+    count = int(text)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError(f"{names.TOKEN_COUNTS.decode()}: out of range")
+    return count
+
+
 def _text(request: HttpRequest, name: bytes) -> str | None:
     value = request.header(name)
     return None if value is None else value.decode("latin-1").strip()
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -303,3 +303,14 @@
     def test_an_invalid_number_is_rejected(self, value):
         with pytest.raises(ValueError):
             decode_request(make_request(X_Deadline_Ms=value))
+
+    # Guards against a caller that makes hosts fail: they send the sums of such numbers
+    # to each other, and compute with them.
+    @pytest.mark.parametrize(
+        "counts",
+        [b"1" + b"0" * 30 + b",1", b"1,1" + b"0" * 400, b"9" * 5000, b"-5,1", b"1,-6"],
+    )
+    def test_a_number_of_tokens_out_of_range_is_rejected(self, counts):
+        request = make_request(X_Prefix_Hash=b"5c1e07a2:200", X_Token_Usage=counts)
+        with pytest.raises(ValueError, match=r"."):
+            decode_request(request)
