Connections: keep an answer whatever its Keep-Alive says

At most nine digits are read; any such time is longer than the one for which connections are kept.

test_a_connection_may_be_kept_for_any_number_of_seconds failed before with 400 and 5,000 digits.

--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -30,7 +30,7 @@
 MAX_INTERIM_ANSWERS = 8
 
 _METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*0*(\d{1,9})")
 
 
 class ExchangeStep(StrEnum):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -166,6 +166,21 @@
 
         run(peer, test)
 
+    # Guards against an answer that is lost after it was received, since the number of
+    # seconds fits no duration.
+    @pytest.mark.parametrize("digits", [10, 30, 400, 5000])
+    def test_a_connection_may_be_kept_for_any_number_of_seconds(self, digits):
+        head = b"Keep-Alive: timeout=%b\r\n" % (b"9" * digits)
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + head + b"\r\nok"
+        peer = Peer(answer, answer)
+
+        async def test(pool: ConnectionPool) -> None:
+            assert await call(pool, peer) == b"ok"
+            assert await call(pool, peer) == b"ok"
+            assert peer.connections == 1
+
+        run(peer, test)
+
 
 class TestInvalidation:
     """Idle connections that may be silent are closed, and the others are reused."""
