--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -33,7 +33,7 @@
 #: A status line at the end of a reason phrase or of a header's value. There an earlier
 #: answer was cut, and the next one follows it.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}( |$)", re.MULTILINE)
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*0*(\d{1,9})")
 
 
 class ExchangeStep(StrEnum):
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -1,11 +1,12 @@
 """Decodes the platform's objects into the product's types."""
 
 from datetime import timedelta
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Literal
 
 import msgspec
 
 from passtally.http_exchange import ServerLimits
+from passtally.json_decoding import NestingError, decode_json
 from passtally.objects import UNKNOWN_INCARNATION, Endpoint, EndpointState
 from passtally.routes import (
     CallKind,
@@ -21,15 +22,29 @@
 #: none.
 DEFAULT_SLOTS = 1
 
-T = TypeVar("T")
+#: Maximum duration in the configuration. A longer one can't be added to a time.
+MAX_DURATION = timedelta(days=36_500)
+_MAX_MS = MAX_DURATION / timedelta(milliseconds=1)
 
-#: Hosts send incarnations to each other as 64-bit integers.
-_Incarnation = Annotated[int, msgspec.Meta(ge=UNKNOWN_INCARNATION, le=(1 << 63) - 1)]
+#: Maximum of a count of requests, tokens, connections or bytes. Hosts compute with such
+#: counts as floats, and send sums of them to each other as 64-bit integers.
+MAX_COUNT = 10**12
+
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_MS)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION.total_seconds())]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+#: A rank, a weight, or a count that may be below zero, which then stands for the least.
+_Number = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+#: Limits of the HTTP server. A limit of zero would refuse every request.
+_SizeLimit = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+_TimeLimit = Annotated[float, msgspec.Meta(gt=0, le=_MAX_MS)]
+#: Hosts send incarnations and versions to each other as 64-bit integers.
+_Int64 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: int
+    weight: _Number
 
 
 class _Route(msgspec.Struct):
@@ -37,61 +52,70 @@
     hostname: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 0
+    timeout_ms: _Milliseconds
+    target_latency_ms: _Milliseconds
+    priority: _Number = 0
     service: str = ""
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: _Number = 1
     public: bool = False
     resume_streams: bool = False
-    target_gap_ms: float = 0
+    target_gap_ms: _Milliseconds = 0
 
 
 class _Engine(msgspec.Struct):
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: _Count = 0
     backups: bool = False
-    handle_s: float = 0
+    handle_s: _Seconds = 0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 0
+    max_connections: _Count = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _SizeLimit
+    max_body_bytes: _Count
+    header_timeout_ms: _TimeLimit
+    idle_timeout_ms: _TimeLimit
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str]
-    priority: int | None = None
+    priority: _Number | None = None
+
+
+class _ConfigVersion(msgspec.Struct):
+    version: _Int64
 
 
-class _Config(msgspec.Struct):
-    version: int
+class _Config(_ConfigVersion, kw_only=True):
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
     tenants: list[_Tenant] = []
 
 
-class _Server(msgspec.Struct):
+class _EndpointService(msgspec.Struct):
     service: str
+
+
+class _EndpointSoftware(_EndpointService):
+    #: The version of the endpoint's software, not of its weights or of this entry.
+    version: str = ""
+
+
+class _Server(_EndpointSoftware, kw_only=True):
     address: str
     zone: str
     state: Literal["ready", "draining"]
-    slots: int = DEFAULT_SLOTS
+    slots: _Number = DEFAULT_SLOTS
     #: The Unix time in milliseconds of the endpoint's start. An endpoint may start
     #: again under the same id.
-    born: _Incarnation = UNKNOWN_INCARNATION
-    #: The version of the endpoint's software, not of its weights or of this entry.
-    version: str = ""
+    born: _Int64 = UNKNOWN_INCARNATION
     #: Remaining time of the slow phase after a start, in milliseconds, as of the last
     #: change of the entry.
     cold_remaining_ms: float = 0
@@ -107,9 +131,9 @@
 
 class _Report(msgspec.Struct):
     models: list[msgspec.Raw]
-    queued: int = 0
+    queued: _Count = 0
     #: All runs that have a slot, including those in prefill.
-    running: int = 0
+    running: _Count = 0
     #: Only the runs that have output, not all that are running; None if the report
     #: does not list them.
     runs: list[_Run] | None = None
@@ -151,13 +175,13 @@
     Raises:
         ValueError: The answer does not match the schema.
     """
-    return _decode(body, _Copied).handle
+    return decode_json(body, _Copied).handle
 
 
 def is_engine_report(body: bytes) -> bool:
     """Return whether an endpoint's report is that of a model engine."""
     try:
-        return bool(_decode(body, _Report).models)
+        return bool(decode_json(body, _Report).models)
     except ValueError:
         return False
 
@@ -168,7 +192,7 @@
     Raises:
         ValueError: The report does not match the schema.
     """
-    report = _decode(body, _Report)
+    report = decode_json(body, _Report)
     if report.runs is None:
         return report.queued
     with_output = sum(run.events > 0 for run in report.runs)
@@ -182,7 +206,7 @@
         ValueError: The events do not match the schema.
     """
     signs_by_part = {
-        event.part: event.sign for event in _decode(body, _CacheEvents).events
+        event.part: event.sign for event in decode_json(body, _CacheEvents).events
     }
     return frozenset(part for part, sign in signs_by_part.items() if sign == "+")
 
@@ -191,28 +215,13 @@
     """Decode the configuration of routes, services, workspaces and limits.
 
     Raises:
-        ValueError: The configuration does not match the schema.
+        ValueError: The configuration does not match the schema, or a number is out of
+            range. The message states the version, if it can be decoded.
     """
-    config = _decode(spec, _Config)
-    return RouteSet(
-        version=config.version,
-        routes=tuple(_to_route(route) for route in config.routes),
-        services=tuple(_to_service(service) for service in config.services),
-        workspaces=tuple(
-            WorkspaceKeys(
-                workspace=tenant.name,
-                keys=tuple(tenant.api_keys),
-                rank=tenant.priority,
-            )
-            for tenant in config.tenants
-        ),
-        limits=ServerLimits(
-            max_header=config.limits.max_header_bytes,
-            max_body=config.limits.max_body_bytes,
-            header_timeout=_ms(config.limits.header_timeout_ms),
-            idle_timeout=_ms(config.limits.idle_timeout_ms),
-        ),
-    )
+    try:
+        return _to_route_set(decode_json(spec, _Config))
+    except ValueError as error:
+        raise ValueError(f"{_describe_version(spec)}: {error}") from error
 
 
 def decode_endpoint(endpoint_id: str, spec: bytes) -> Endpoint:
@@ -221,7 +230,7 @@
     Raises:
         ValueError: The entry does not match the schema; it may be of another writer.
     """
-    server = _decode(spec, _Server)
+    server = decode_json(spec, _Server)
     is_ready = server.state == "ready"
     return Endpoint(
         id=endpoint_id,
@@ -236,6 +245,60 @@
     )
 
 
+def decode_software(spec: bytes, *, service: str) -> str | None:
+    """Return the software version that an endpoint's entry states.
+
+    Unlike :func:`decode_endpoint`, this needs no other field to be valid.
+
+    Args:
+        spec: The entry, of any writer.
+        service: The service whose endpoints are meant.
+
+    Returns:
+        The version, or None for an entry that does not name this service.
+
+    Raises:
+        ValueError: The entry names this service, or may name it, but its version can't
+            be decoded.
+    """
+    try:
+        named = decode_json(spec, _EndpointService).service
+    except NestingError:
+        raise
+    except ValueError:
+        return None
+    return decode_json(spec, _EndpointSoftware).version if named == service else None
+
+
+def _describe_version(spec: bytes) -> str:
+    try:
+        return f"version {decode_json(spec, _ConfigVersion).version}"
+    except ValueError:
+        return "unknown version"
+
+
+def _to_route_set(config: _Config) -> RouteSet:
+    return RouteSet(
+        version=config.version,
+        routes=tuple(_to_route(route) for route in config.routes),
+        services=tuple(_to_service(service) for service in config.services),
+        workspaces=tuple(
+            WorkspaceKeys(
+                workspace=tenant.name,
+                keys=tuple(tenant.api_keys),
+                rank=tenant.priority,
+            )
+            for tenant in config.tenants
+        ),
+        limits=ServerLimits(
+            max_header=config.limits.max_header_bytes,
+            max_body=config.limits.max_body_bytes,
+            header_timeout=_ms(config.limits.header_timeout_ms),
+            idle_timeout=_ms(config.limits.idle_timeout_ms),
+        ),
+    )
+
+
 def _to_route(route: _Route) -> Route:
     shares = tuple(
         ServiceShare(service=split.service, weight=split.weight)
@@ -270,10 +333,3 @@
 
 def _ms(value: float) -> timedelta:
     return timedelta(milliseconds=value)
-
-
-def _decode(spec: bytes, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(spec, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise ValueError(str(error)) from error
--- a/passtally/platform/origin_store.py
+++ b/passtally/platform/origin_store.py
@@ -3,10 +3,12 @@
 from base64 import b64decode, b64encode
 from collections.abc import Mapping, Sequence
 from datetime import UTC, datetime, timedelta
+from typing import Annotated
 
 import msgspec
 
 from passtally.decision import log_event
+from passtally.json_decoding import decode_json
 from passtally.object_store import StoredObject, UnavailableError
 from passtally.origin_backup import OriginBackup
 from passtally.origin_table import KEY_BYTES
@@ -16,13 +18,15 @@
 #: The kind of the backups, one for each host.
 _PREFIX = "stream-origins/"
 _EPOCH = datetime.fromtimestamp(0, UTC)
+#: The latest time that can be represented.
+_MAX_MS = (datetime.max.replace(tzinfo=UTC) - _EPOCH) // timedelta(milliseconds=1)
 
 
 class _Backup(msgspec.Struct):
     #: The keys of the answers of each version, one after the other, in base64.
     keys_by_version: dict[str, str]
     #: The Unix time of the write, in milliseconds.
-    written_ms: int = 0
+    written_ms: Annotated[int, msgspec.Meta(ge=0, le=_MAX_MS)] = 0
 
 
 class PlatformOriginStore:
@@ -96,15 +100,11 @@
     Raises:
         ValueError: The object is not a backup; it may be of another writer.
     """
-    try:
-        backup = msgspec.json.decode(bytes(stored.value), type=_Backup)
-        written_at = _EPOCH + timedelta(milliseconds=backup.written_ms)
-    except (msgspec.MsgspecError, RecursionError, OverflowError) as error:
-        raise ValueError(str(error)) from error
+    backup = decode_json(stored.value, _Backup)
     return OriginBackup(
         host_id=stored.key.removeprefix(_PREFIX),
         software_by_key=_split_keys(backup.keys_by_version),
-        written_at=written_at,
+        written_at=_EPOCH + timedelta(milliseconds=backup.written_ms),
         revision=revision_of(stored.version),
     )
 
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -6,14 +6,14 @@
 import msgspec
 
 from passtally.decision import log_event
+from passtally.json_decoding import decode_json
 from passtally.object_store import (
     Listing,
     StoredObject,
     TooOldError,
     UnavailableError,
 )
-from passtally.objects import Endpoint
-from passtally.platform.decode import decode_endpoint
+from passtally.platform.decode import decode_endpoint, decode_software
 from passtally.platform.store import PlatformStore
 from passtally.store_order import era_of, revision_of
 from passtally.version_records import VersionRecord
@@ -98,41 +98,47 @@
     def _collect_versions(self, history: Listing, service: str) -> frozenset[str]:
         """Return the versions of the endpoints in a history.
 
+        An entry without a readable service is of another writer: no endpoint got
+        requests by it, and so it does not hide what the others show.
+
         Raises:
-            UnavailableError: An entry can't be read; it may be of another version.
+            UnavailableError: The version of an entry of the service can't be read.
         """
         try:
-            endpoints = [self._to_endpoint(stored) for stored in history.objects]
+            found = [
+                decode_software(bytes(stored.value), service=service)
+                for stored in history.objects
+            ]
         except ValueError as error:
             raise UnavailableError(
                 str(error), step="history", peer=self._endpoints_prefix
             ) from error
-        return frozenset(item.software for item in endpoints if item.service == service)
+        return frozenset(version for version in found if version is not None)
 
     def _is_of_version(self, stored: StoredObject, service: str, version: str) -> bool:
+        endpoint_id = stored.key.removeprefix(self._endpoints_prefix)
         try:
-            endpoint = self._to_endpoint(stored)
+            endpoint = decode_endpoint(endpoint_id, bytes(stored.value))
         except ValueError as error:
             log_event("versions", "Skipped an entry.", key=stored.key, why=error)
             return False
         return endpoint.service == service and endpoint.software == version
 
-    def _to_endpoint(self, stored: StoredObject) -> Endpoint:
-        endpoint_id = stored.key.removeprefix(self._endpoints_prefix)
-        return decode_endpoint(endpoint_id, bytes(stored.value))
-
     def _encode(self, versions: Iterable[str]) -> bytes:
         _, era = self._store.lineage
         return msgspec.json.encode(_Record(versions=sorted(versions), era=era))
 
 
 def _to_record(stored: StoredObject) -> VersionRecord:
+    """Decode a record; one of another writer counts as outdated, and is replaced."""
+    revision = revision_of(stored.version)
     try:
-        record = msgspec.json.decode(bytes(stored.value), type=_Record)
-    except msgspec.MsgspecError as error:
-        raise UnavailableError(str(error), step="decode", peer=stored.key) from error
+        record = decode_json(stored.value, _Record)
+    except ValueError as error:
+        log_event("versions", "Invalid record.", key=stored.key, why=error)
+        return VersionRecord(versions=frozenset(), revision=revision, is_current=False)
     return VersionRecord(
         versions=frozenset(record.versions),
-        revision=revision_of(stored.version),
+        revision=revision,
         is_current=record.era == era_of(stored.version),
     )
