Several restored entries of one address no longer fail the task of lapsed endpoints

Cause: entries whose address is in use wait. When its endpoint was removed, they were applied from a list made before; the first one that is applied removes the others of the address, and the next raised a KeyError in the task "missing endpoints". In the order of arrival, an entry of the copy could displace the endpoint that has the address now.

Change: the latest start is applied and the others are removed; starts that are not known to differ follow the order of arrival, and an entry that is put again counts as new.

Evidence: three cases of TestOlderCopy fail with the KeyError before and hold now. test_endpoint_registry and test_store_comeback hold.

--- a/passtally/endpoint_registry.py
+++ b/passtally/endpoint_registry.py
@@ -80,6 +80,8 @@
             )
             return
         if before is None and self._is_superseded(endpoint):
+            # Taken out first, so that the entries stay in the order of their arrival.
+            self._superseded_by_id.pop(endpoint.id, None)
             self._superseded_by_id[endpoint.id] = endpoint
             log_event("endpoints", "Ignored a reused address.", peer=endpoint.id)
             return
@@ -205,12 +207,23 @@
         self._catalog.drop_endpoint(endpoint_id)
         self._gone(endpoint_id)
         log_event("endpoints", "Endpoint removed.", peer=endpoint_id, why=reason)
-        for superseded in list(self._superseded_by_id.values()):
-            if superseded.url == dropped.url:
-                self._put_superseded(superseded)
-
-    def _put_superseded(self, endpoint: Endpoint) -> None:
-        """Apply a superseded entry after all: the endpoint with its address is gone."""
-        del self._superseded_by_id[endpoint.id]
-        if endpoint.id not in self._catalog.endpoints_by_id:
-            self.put(endpoint)
+        self._put_superseded(dropped.url)
+
+    def _put_superseded(self, url: str) -> None:
+        """Apply the superseded entries of an address whose endpoint is gone.
+
+        The latest start is applied first and removes the others, since an address has
+        one endpoint. Starts that are not known to differ follow the order of arrival.
+        """
+        waiting = [
+            endpoint
+            for endpoint in self._superseded_by_id.values()
+            if endpoint.url == url
+        ]
+        waiting.reverse()
+        waiting.sort(key=lambda endpoint: endpoint.incarnation, reverse=True)
+        for endpoint in waiting:
+            if self._superseded_by_id.pop(endpoint.id, None) is None:
+                continue
+            if endpoint.id not in self._catalog.endpoints_by_id:
+                self.put(endpoint)
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -137,6 +137,31 @@
         returned.registry.remove(["a"])
         assert returned.ids == {"after-b"}
 
+    @pytest.mark.parametrize("names", [("first", "third"), ("third", "first")])
+    def test_of_several_entries_for_its_address_the_latest_start_is_applied(
+        self, returned, names
+    ):
+        # The first one that was applied removed the others from the waiting ones, which
+        # raised a KeyError, and an entry of the copy displaced the one in use.
+        incarnations_by_name = {"first": 1, "third": 3}
+        returned.put("second", port=3, incarnation=2)
+        returned.registry.record_era(3)
+        for name in names:
+            returned.put(name, port=3, incarnation=incarnations_by_name[name])
+        returned.registry.remove(["second"])
+        assert returned.ids == {"a", "b", "second"}
+        returned.clock.advance(MISSING_ENTRY_GRACE)
+        returned.registry.drop_missing()
+        assert returned.ids == {"a", "b", "third"}
+
+    def test_of_entries_that_tell_no_start_the_last_one_is_applied(self, returned):
+        # A waiting entry that was put again kept its place before later ones.
+        for name in ("first", "third", "first"):
+            returned.put(name, port=2)
+        returned.clock.advance(MISSING_ENTRY_GRACE)
+        returned.registry.remove(["b"])
+        assert returned.ids == {"a", "first"}
+
     def test_an_endpoint_that_the_copy_lacks_is_kept_for_the_grace_period(
         self, returned
     ):
