FAULT: an address that is taken between bind and listen no longer ends a host

Cause: with SO_REUSEADDR two sockets may be bound to one address while neither listens, and the kernel refuses the listen() of the second. uvloop 0.22.1 drops the error of listen() and returns a server without a socket. The servers read its port from None, and Listeners retries an OSError only. After a change of settings the same error ended the task that opens the new address, without a line.

Change: passtally/listening.py binds and listens with a socket of Python, which raises both errors; the servers of callers, readiness, metrics and tunnels, the own interface and the early socket use it. A closed early socket is replaced instead of tried for ever. The backlog of tunnels is that of the other listeners now, 2048 instead of 100.

Evidence: tests/test_listening.py injects the order of events; seven of its eight cases fail before (AttributeError, or never opened) and hold now. One process whose nth listen() is made to fail by strace: before, readiness and metrics ended it with status 1; now each address is tried again and opened, and the host is ready. The test of the shared address held in 30 of 30 runs in a row, beside a load of 8 to 13 on 8 cores; it also held in all runs on the code before that were made here, so these 30 alone show little.

--- a/passtally/host_servers.py
+++ b/passtally/host_servers.py
@@ -96,7 +96,7 @@
             server = self._find(name)
             start = partial(server.start, address.host, address.port)
             if name == CALLERS and front_socket is not None:
-                start = partial(server.start_on, front_socket)
+                start = partial(self._start_callers, address, front_socket)
             close = partial(server.leave, address.host, address.port)
             await self._listeners.open(name, address, start, close=close)
 
@@ -125,6 +125,15 @@
         servers = (self.callers, self._readiness, self._metrics)
         await asyncio.gather(*(server.stop() for server in servers))
 
+    async def _start_callers(
+        self, address: Address, front_socket: socket.socket
+    ) -> None:
+        """Listen for callers, on the socket given if it is still open."""
+        if front_socket.fileno() >= 0:
+            await self.callers.start_on(front_socket)
+        else:
+            await self.callers.start(address.host, address.port)
+
     def _find(self, name: str) -> HttpServer | TunnelServer:
         return {
             CALLERS: self.callers,
--- a/passtally/http_server.py
+++ b/passtally/http_server.py
@@ -17,10 +17,10 @@
 from passtally.decision import log_event
 from passtally.held_bodies import MAX_BODIES, HeldBodies
 from passtally.http_exchange import Handle, ServerLimits
+from passtally.listening import LISTEN_BACKLOG, listen_at
 from passtally.output_buffers import OutputBuffers
 from passtally.server_connection import ServerConnection
 
-LISTEN_BACKLOG = 2048
 #: Time that a stopping server allows for sending complete answers. The output that a
 #: writer does not wait for, 64 KB, takes 105 ms on an idle link of 5 Mbit/s.
 FLUSH_TIMEOUT = timedelta(milliseconds=400)
@@ -81,18 +81,26 @@
         self._listening_by_address: dict[tuple[str, int], asyncio.Server] = {}
 
     async def start(self, host: str, port: int) -> int:
-        """Listen at one more address; return the port."""
-        loop = asyncio.get_running_loop()
-        listening = await loop.create_server(
-            lambda: ServerConnection(server=self), host, port, backlog=LISTEN_BACKLOG
-        )
-        self._listening_by_address[host, port] = listening
-        return listening.sockets[0].getsockname()[1]
+        """Listen at one more address; return the port.
+
+        Raises:
+            OSError: The address can't be used now.
+        """
+        listening = listen_at(host, port)
+        port_in_use = listening.getsockname()[1]
+        await self._accept((host, port), listening)
+        return port_in_use
 
     async def start_on(self, listening: socket.socket) -> None:
-        """Accept the connections of a socket that is already listening."""
+        """Accept the connections of a socket that is already listening.
+
+        Raises:
+            OSError: The socket is closed.
+        """
+        await self._accept(listening.getsockname(), listening)
+
+    async def _accept(self, address: tuple[str, int], listening: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        address = listening.getsockname()
         self._listening_by_address[address] = await loop.create_server(
             lambda: ServerConnection(server=self),
             sock=listening,
--- a/passtally/own_interface.py
+++ b/passtally/own_interface.py
@@ -12,7 +12,7 @@
 )
 from passtally.completion_handler import CompletionHandler
 from passtally.held_bodies import HeldBodies
-from passtally.http_server import LISTEN_BACKLOG
+from passtally.listening import LISTEN_BACKLOG, listen_at
 from passtally.metrics import Metrics
 from passtally.operator_api import OperatorApi
 from passtally.plain_handler import PlainHandler
@@ -68,15 +68,8 @@
             OSError: The address can't be used.
         """
         address = self._settings.listen
-        site = web.TCPSite(
-            self._runner, address.host, address.port, backlog=LISTEN_BACKLOG
-        )
-        try:
-            await site.start()
-        except OSError:
-            # Unregisters the site from its runner, so that a retry can add a new one.
-            await site.stop()
-            raise
+        listening = listen_at(address.host, address.port)
+        await web.SockSite(self._runner, listening, backlog=LISTEN_BACKLOG).start()
 
     async def stop(self) -> None:
         """Close the sockets and connections."""
--- a/passtally/platform/settings_file.py
+++ b/passtally/platform/settings_file.py
@@ -1,17 +1,18 @@
-"""Reads the platform's settings file with the standard library alone.
+"""Reads the platform's settings file before the rest of the program is imported.
 
-This runs before the rest of the program is imported: see ``__main__``.
+See ``__main__``: this module imports little besides the standard library.
 """
 
 import os
 import socket
 from pathlib import Path
 
+from passtally.listening import listen_at
+
 #: The environment variable with the path of the settings file.
 FILE_VARIABLE = "PASSTALLY_CONFIG"
 #: The key of the address that callers connect to, as IP:PORT.
 FRONT_KEY = "listen.front"
-LISTEN_BACKLOG = 2048
 
 
 def settings_path() -> Path:
@@ -53,16 +54,4 @@
     """
     address = parse_lines(read_text(path)).get(FRONT_KEY, "")
     host, _, port = address.rpartition(":")
-    return _listen(host, int(port))
-
-
-def _listen(host: str, port: int) -> socket.socket:
-    front = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        front.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        front.bind((host, port))
-        front.listen(LISTEN_BACKLOG)
-    except OSError:
-        front.close()
-        raise
-    return front
+    return listen_at(host, int(port))
--- a/passtally/tunnel_server.py
+++ b/passtally/tunnel_server.py
@@ -13,6 +13,7 @@
 from passtally.decision import log_event
 from passtally.drain import Drain
 from passtally.http_server import count_connections
+from passtally.listening import LISTEN_BACKLOG, listen_at
 from passtally.message_signing import MessageSigner
 from passtally.metrics import Metric, Metrics
 from passtally.socket_options import set_user_timeout
@@ -89,12 +90,18 @@
         return len(self._tunnels)
 
     async def start(self, host: str, port: int) -> int:
-        """Listen at one more address; return the port."""
-        listening = await asyncio.get_running_loop().create_server(
-            lambda: _ServedTunnel(server=self), host, port
+        """Listen at one more address; return the port.
+
+        Raises:
+            OSError: The address can't be used now.
+        """
+        listening = listen_at(host, port)
+        port_in_use = listening.getsockname()[1]
+        loop = asyncio.get_running_loop()
+        self._listening_by_address[host, port] = await loop.create_server(
+            lambda: _ServedTunnel(server=self), sock=listening, backlog=LISTEN_BACKLOG
         )
-        self._listening_by_address[host, port] = listening
-        return listening.sockets[0].getsockname()[1]
+        return port_in_use
 
     def leave(self, host: str, port: int) -> None:
         """Stop listening at an address; keep its tunnels open."""
