Streams: a run that starts over confirms no end before its own

Cause: an attempt counted as adding to the answer if it had sent any event, and an unmarked end as a confirmation wherever it was.

Change: an end is compared with the position at which its attempt began: before it, it is a mismatch; at it, it is unconfirmed.

--- a/passtally/platform/runner_stream.py
+++ b/passtally/platform/runner_stream.py
@@ -76,11 +76,17 @@
     def _end(self) -> TokenEvent:
         if self._buffer.strip():
             raise self._link.lost(LossKind.RESET, "the stream ended inside an event")
+        start = self._attempt.start_position
+        if self._position < start:
+            raise self._link.lost(
+                LossKind.RESUME_MISMATCH,
+                f"the stream ended at event {self._position}, before {start}",
+            )
         if not self._head.is_framed:
             raise self._link.lost(
                 LossKind.UNMARKED_END, f"the stream closed after event {self._position}"
             )
-        if self._attempt.follows_lost_run and not self._last_event:
+        if self._attempt.follows_lost_run and self._position == start:
             raise self._link.lost(
                 LossKind.UNCONFIRMED_END, f"no event behind {self._position}"
             )
--- a/tests/test_cut_streams.py
+++ b/tests/test_cut_streams.py
@@ -67,9 +67,13 @@
     "length 0": HEAD + b"Content-Length: 0\r\n\r\n",
     "a longer length": HEAD + b"Content-Length: 1234\r\n\r\n" + event(4),
     "chunks without events": HEAD + CHUNKED + b"0\r\n\r\n",
+    "the same events": FIRST_CHUNKS + chunk(b""),
     "no proof": HEAD.replace(b"X-Response-Stamp", b"X-Other")
     + b"Content-Length: 0\r\n\r\n",
     "1.0 without events": HEAD.replace(b"1.1", b"1.0") + b"\r\n",
+    "1.0 with fewer events": HEAD.replace(b"1.1", b"1.0")
+    + b"\r\n"
+    + expected_events(2),
     "1.0 with an event": HEAD.replace(b"1.1", b"1.0") + b"\r\n" + event(4),
     "in an event": HEAD + CHUNKED + chunk(event(4) + b"id: 5\nda"),
 }
@@ -78,6 +82,7 @@
     "no content",
     "length 0",
     "chunks without events",
+    "the same events",
     "1.0 without events",
 }
 RUNS = [
