The parts of a front host no longer import it

host_config, host_gauges and host_serving took the whole host and imported its type under TYPE_CHECKING, so that front_host and they imported each other.

HostConfig gets what it needs by its constructor and by build(): settings, clock, adapter, store, links, catalog, metrics and spawn, then the changes, the fleet, the routes and the event. Behaviour is unchanged.

Evidence: test_platform_host, test_settings_changes, test_service_budgets, test_domain_return, test_return_to_platform, test_store_comeback, test_large_changes, test_origins, test_version_records, the tests of roll-outs, test_process, test_change_storms, test_many_objects and test_host_stop hold.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -232,7 +232,16 @@
         self.gossip, self.loans = links.gossip, links.loans
         self.tunnels, self.datagrams = links.tunnels, links.datagrams
         self.load_table = LoadTable()
-        self.config = HostConfig(host=self, adapter=self._adapter)
+        self.config = HostConfig(
+            settings=lambda: self.settings,
+            clock=self.clock,
+            adapter=self._adapter,
+            store=self.store,
+            links=links,
+            catalog=self.catalog,
+            metrics=self.metrics,
+            spawn=self.spawn,
+        )
         self.departures.on_successor = changes.learn_successor
         sharers = LimitSharers(roster=self.roster, catalog=self.catalog)
         self.fleet = Fleet(
@@ -255,7 +264,12 @@
             avoid_slow=lambda: self.settings.avoid_slow,
         )
         self.exits.on_exit = self.fleet.losses.record_reported
-        self.config.build(changes)
+        self.config.build(
+            changes=changes,
+            fleet=self.fleet,
+            routes=self.routes,
+            config_ready=self.config_ready,
+        )
         self.registry = self.config.registry
         self.watch = self.config.watch
         self.routes_exchange = self.config.routes_exchange
--- a/passtally/host_config.py
+++ b/passtally/host_config.py
@@ -1,25 +1,32 @@
 """What a host knows of its configuration: watches, routes, endpoints and roll-outs."""
 
+import asyncio
 import random
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Any
 
 from passtally.adapter import Adapter
+from passtally.clock import Clock
 from passtally.endpoint_changes import EndpointChanges
 from passtally.endpoint_registry import EndpointRegistry
+from passtally.fleet import Fleet
 from passtally.follower import Follower
+from passtally.host_links import HostLinks
+from passtally.metrics import Metrics
 from passtally.object_applier import ObjectApplier
+from passtally.object_store import RelocatablePlatform
 from passtally.rollouts import Rollouts
+from passtally.routes import ActiveRoutes
 from passtally.routes_exchange import RoutesExchange
+from passtally.service_index import ServiceIndex
+from passtally.settings import Settings
 from passtally.shared_watch import SharedWatch
 from passtally.supervisor import keep_running
 from passtally.versions import AllVersions
 from passtally.view import View
 
-if TYPE_CHECKING:
-    from passtally.front_host import FrontHost
-
 #: Share of the setting ``apply_within``, the time limit for applying a change, that one
 #: watch waits for a change. A store that compacts its history stops sending changes to
 #: open watches and does not always close them. A quiet watch is therefore renewed early
@@ -53,8 +60,14 @@
     """Follows the objects of the store for one host.
 
     Args:
-        host: The host.
+        settings: Returns the settings in force.
+        clock: The clock.
         adapter: Translates between the host and its platform.
+        store: The client of the store.
+        links: The links to other hosts.
+        catalog: The known endpoints.
+        metrics: The sink of metrics.
+        spawn: Starts a task that is cancelled when the host stops.
 
     Attributes:
         rollouts: The trials of new versions; None if the settings disable them.
@@ -67,30 +80,58 @@
     watch: SharedWatch
     routes_exchange: RoutesExchange
 
-    def __init__(self, *, host: "FrontHost", adapter: Adapter) -> None:
-        self._host = host
+    def __init__(
+        self,
+        *,
+        settings: Callable[[], Settings],
+        clock: Clock,
+        adapter: Adapter,
+        store: RelocatablePlatform,
+        links: HostLinks,
+        catalog: ServiceIndex,
+        metrics: Metrics,
+        spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
         self._adapter = adapter
+        self._store = store
+        self._links = links
+        self._catalog = catalog
+        self._metrics = metrics
+        self._spawn = spawn
         self.rollouts = self._build_rollouts()
 
-    def build(self, changes: EndpointChanges) -> None:
+    def build(
+        self,
+        *,
+        changes: EndpointChanges,
+        fleet: Fleet,
+        routes: ActiveRoutes,
+        config_ready: asyncio.Event,
+    ) -> None:
         """Build what follows the store, once the host has its endpoints.
 
         Args:
             changes: Applies changes of endpoints to the host.
+            fleet: The recorded states of endpoints.
+            routes: The routes in force.
+            config_ready: Set once the routes and some endpoints are known.
         """
+        self._fleet = fleet
         self.registry = EndpointRegistry(
-            catalog=self._host.catalog,
-            clock=self._host.clock,
+            catalog=self._catalog,
+            clock=self._clock,
             on_removed=changes.remove,
             on_started=changes.record_start,
         )
         object_applier = ObjectApplier(
             adapter=self._adapter,
-            routes=self._host.routes,
-            catalog=self._host.catalog,
+            routes=routes,
+            catalog=self._catalog,
             registry=self.registry,
             rollouts=self.rollouts,
-            config_ready=self._host.config_ready,
+            config_ready=config_ready,
             routes_changed=self._publish_config_version,
         )
         self._object_applier = object_applier
@@ -102,28 +143,28 @@
             ),
         ]
         if self.rollouts is not None:
-            self.rollouts.set_fleet(self._host.fleet)
+            self.rollouts.set_fleet(self._fleet)
             views.append(self._make_rollouts_view())
         self.watch = SharedWatch(
-            host_id=self._host.settings.host_id,
+            host_id=self._settings().host_id,
             views=views,
             follow=self._follow,
-            peers=self._host.peers,
-            roster=self._host.roster,
-            clock=self._host.clock,
+            peers=self._links.peers,
+            roster=self._links.roster,
+            clock=self._clock,
             rng=random.Random(),
             reach_changed=self.registry.record_reachability,
         )
         self.routes_exchange = RoutesExchange(
-            routes=self._host.routes,
+            routes=routes,
             apply=object_applier.apply_routes,
-            peers=self._host.peers,
-            linked_ids=lambda: [row.host_id for row in self._host.roster.linked()],
-            has_seeds=lambda: bool(self._host.settings.seeds),
-            clock=self._host.clock,
+            peers=self._links.peers,
+            linked_ids=lambda: [row.host_id for row in self._links.roster.linked()],
+            has_seeds=lambda: bool(self._settings().seeds),
+            clock=self._clock,
         )
-        self._host.gossip.versions = self.watch.newest
-        self._host.gossip.seeks_versions = lambda: not self.watch.is_receiving
+        self._links.gossip.versions = self.watch.newest
+        self._links.gossip.seeks_versions = lambda: not self.watch.is_receiving
 
     def _make_rollouts_view(self) -> View:
         orders = self._adapter.rollouts_prefix
@@ -134,16 +175,16 @@
     def follow_rollouts(self) -> None:
         """Start the task for the roll-outs under way, if they are followed."""
         if self.rollouts is not None:
-            work = keep_running("roll-outs", self.rollouts.run, clock=self._host.clock)
-            self._rollouts_task = self._host.spawn(work)
+            work = keep_running("roll-outs", self.rollouts.run, clock=self._clock)
+            self._rollouts_task = self._spawn(work)
 
     def enable_rollouts(self) -> None:
         """Start following the orders of new versions."""
         self.rollouts = self._object_applier.rollouts = self._build_rollouts()
-        self.rollouts.set_fleet(self._host.fleet)
-        for endpoint in self._host.catalog.endpoints_by_id.values():
+        self.rollouts.set_fleet(self._fleet)
+        for endpoint in self._catalog.endpoints_by_id.values():
             self.rollouts.record_endpoint(endpoint)
-        self._host.fleet.versions = self.rollouts
+        self._fleet.versions = self.rollouts
         self.watch.add(self._make_rollouts_view())
         self.follow_rollouts()
 
@@ -153,34 +194,34 @@
             return
         self._rollouts_task.cancel()
         self.watch.remove(self._adapter.rollouts_prefix)
-        self._host.fleet.versions = AllVersions()
+        self._fleet.versions = AllVersions()
         self.rollouts.stop()
         self.rollouts = None
 
     def _build_rollouts(self) -> Rollouts | None:
         """Build the trials of new versions; None if the settings disable them."""
-        settings = self._host.settings
+        settings = self._settings()
         if not settings.trial_share:
             return None
         return Rollouts(
             host_id=settings.host_id,
-            life=int(self._host.clock.now().timestamp() * 1000),
+            life=int(self._clock.now().timestamp() * 1000),
             share=settings.trial_share,
             slack=settings.trial_extra,
             min_hosts=MIN_BUDGET_HOSTS,
-            catalog=self._host.catalog,
-            loans=self._host.loans,
-            peers=self._host.peers,
-            roster=self._host.roster,
-            clock=self._host.clock,
+            catalog=self._catalog,
+            loans=self._links.loans,
+            peers=self._links.peers,
+            roster=self._links.roster,
+            clock=self._clock,
             rng=random.Random(),
             is_current=self._knows_orders,
-            record=partial(self._adapter.record_rollout, self._host.store),
-            metrics=self._host.metrics,
+            record=partial(self._adapter.record_rollout, self._store),
+            metrics=self._metrics,
         )
 
     def _publish_config_version(self, version: int) -> None:
-        self._host.gossip.config_version = version
+        self._links.gossip.config_version = version
 
     def is_behind(self) -> bool:
         """Return whether newer routes than those of this host may be in force."""
@@ -195,10 +236,10 @@
     def _follow(self, share: SharedWatch, view: View) -> Follower:
         return Follower(
             prefix=view.prefix,
-            platform=self._host.store,
+            platform=self._store,
             replace=lambda listing: share.replace(view, listing),
             advance=lambda changes: share.advance(view, changes),
-            clock=self._host.clock,
+            clock=self._clock,
             rng=random.Random(),
             relist_pause=lambda: RELIST_PAUSE,
             wait=self.watch_wait(view),
@@ -211,8 +252,8 @@
         """Return the time that one watch of a view waits for a change."""
         if not view.is_required:
             return LONG_WATCH
-        return WATCH_WAIT_SHARE * self._host.settings.apply_within
+        return WATCH_WAIT_SHARE * self._settings().apply_within
 
     def gather_pause(self) -> timedelta:
         """Return the time for which changes are batched before the next watch."""
-        return BATCH_SHARE * self._host.settings.apply_within
+        return BATCH_SHARE * self._settings().apply_within
--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -1,41 +1,93 @@
 """The way of a request through a host: admission, placement, dispatch and retries."""
 
+import asyncio
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from passtally.adapter import Adapter
+from passtally.budget_loans import BudgetLoans
+from passtally.clock import Clock
+from passtally.connection_pool import ConnectionPool
+from passtally.crash_guard import CrashGuard
+from passtally.datagrams import Datagrams
 from passtally.dispatcher import Dispatcher
+from passtally.drain import Drain
+from passtally.fleet import Fleet
 from passtally.forecast import Forecast
 from passtally.front import Front
 from passtally.hedge import HedgePolicy
 from passtally.held_bodies import HeldBodies
 from passtally.host_admission import HostAdmission
-from passtally.host_config import MIN_BUDGET_HOSTS
+from passtally.host_config import MIN_BUDGET_HOSTS, HostConfig
 from passtally.known_versions import KnownVersions
+from passtally.metrics import Metrics
+from passtally.object_store import RelocatablePlatform
 from passtally.origin_exchange import OriginExchange
 from passtally.origin_keepers import OriginKeepers
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
 from passtally.retry import RetryLimits
 from passtally.retry_budget import ServiceBudgets
+from passtally.roster import Roster
+from passtally.routes import ActiveRoutes
 from passtally.seen_versions import SeenVersions
+from passtally.service_index import ServiceIndex
+from passtally.settings import Settings
+from passtally.shared_watch import SharedWatch
 from passtally.survey import Survey
 from passtally.version_records import VersionRecords
 
-if TYPE_CHECKING:
-    from passtally.front_host import FrontHost
-
 #: Warm-up time of the retry budget. By its end a host knows nearly all others, even if
 #: all 195 start at once. A host without seeds has no warm-up, since it shares its
 #: budget with no other host.
 BUDGET_WARM_UP = timedelta(seconds=3)
 
 
+class ServingHost(Protocol):
+    """A host that serves requests.
+
+    Attributes:
+        settings: The settings in force.
+        clock: The clock.
+        metrics: The sink of metrics.
+        drain: Counts the open requests.
+        catalog: The known endpoints.
+        routes: The routes in force.
+        config: What follows the store.
+        config_ready: Set once the routes and some endpoints are known.
+        store: The client of the store.
+        watch: The watch of the store's objects.
+        roster: The known other hosts.
+        loans: Lends parts of the retry budgets to other hosts and from them.
+        datagrams: The datagrams to and from other hosts.
+        fleet: The recorded states of endpoints.
+        pool: The open connections to endpoints.
+        guard: Recognizes requests that crash endpoints.
+    """
+
+    settings: Settings
+    clock: Clock
+    metrics: Metrics
+    drain: Drain
+    catalog: ServiceIndex
+    routes: ActiveRoutes
+    config: HostConfig
+    config_ready: asyncio.Event
+    store: RelocatablePlatform
+    watch: SharedWatch
+    roster: Roster
+    loans: BudgetLoans
+    datagrams: Datagrams
+    fleet: Fleet
+    pool: ConnectionPool
+    guard: CrashGuard
+
+
 class HostServing:
     """Builds and holds what serves the requests of one host.
 
     Args:
-        host: The host, with its endpoints and its links to other hosts.
+        host: What a host knows and holds before it serves.
         adapter: Translates between the host and its platform.
 
     Attributes:
@@ -49,7 +101,7 @@
         front: Serves each request, from its arrival to its end.
     """
 
-    def __init__(self, *, host: "FrontHost", adapter: Adapter) -> None:
+    def __init__(self, *, host: ServingHost, adapter: Adapter) -> None:
         self.budgets = ServiceBudgets(
             share=host.settings.retry_share,
             extra=lambda: (
