Settings: name a duration out of range

A duration of the settings with 20 digits raised the OverflowError of timedelta, where the checks name all invalid settings as SettingsError: neither a host that starts nor one whose file changes told the key. parse_duration is also used for the callers' X-Timeout.

Durations of more than 100 years are invalid, like those of the configuration.

test_a_duration_out_of_range_is_rejected and test_any_value_is_translated_or_named, which replaces each value of a settings file by odd texts: 4 failed before.

--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -16,14 +16,12 @@
     ServiceShare,
     WorkspaceKeys,
 )
-from passtally.settings import parse_address
+from passtally.settings import MAX_DURATION, parse_address
 
 #: Concurrent requests of an endpoint of a service without an engine if its entry states
 #: none.
 DEFAULT_SLOTS = 1
 
-#: Maximum duration in the configuration. A longer one can't be added to a time.
-MAX_DURATION = timedelta(days=36_500)
 _MAX_MS = MAX_DURATION / timedelta(milliseconds=1)
 
 #: Maximum of a count of requests, tokens, connections or bytes. Hosts compute with such
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -12,6 +12,8 @@
 
 ENV_PREFIX = "PASSTALLY_"
 MIN_KEY_CHARACTERS = 16
+#: Maximum of any duration that is read. A longer one can't be added to a time.
+MAX_DURATION = timedelta(days=36_500)
 
 _SUFFIX_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
 
@@ -73,11 +75,18 @@
 
 
 def parse_duration(text: str) -> timedelta:
-    """Parse a duration such as ``250ms``, ``2s``, ``5m`` or ``1h``."""
+    """Parse a duration such as ``250ms``, ``2s``, ``5m`` or ``1h``.
+
+    Raises:
+        ValueError: The text is not a duration, or one longer than ``MAX_DURATION``.
+    """
     for suffix in ("ms", "s", "m", "h"):
         number = text.removesuffix(suffix)
         if number != text and number.replace(".", "", 1).isdigit():
-            return timedelta(seconds=float(number) * _SUFFIX_SECONDS[suffix])
+            seconds = float(number) * _SUFFIX_SECONDS[suffix]
+            if seconds > MAX_DURATION.total_seconds():
+                raise ValueError(f"{text!r} is longer than {MAX_DURATION.days} days")
+            return timedelta(seconds=seconds)
     raise ValueError(f"{text!r} is not a duration such as 250ms, 2s or 5m")
 
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from passtally.http_exchange import HttpRequest
@@ -42,6 +42,34 @@
 platform.address=10.200.1.7:8742
 unknown.field=1
 """
+OTHER_LINES = (
+    LINES
+    + """\
+port_range=8750,8759
+contracts=base
+limits.memory_mb=300
+bounds.budget_window_s=10
+bounds.config_apply_ms=2000
+bounds.exposure_share=0.1
+bounds.exposure_slack=5
+"""
+)
+ODD_TEXTS = [
+    "-1",
+    "nan",
+    "inf",
+    "1e300",
+    "9" * 20,
+    "9" * 400,
+    "9" * 5000,
+    "1.5.5",
+    "\u00b2",
+    "\u0663",
+    "127.0.0.1:70000",
+    "127.0.0.1:" + "9" * 5000,
+    "[::1:80",
+    "http://[",
+]
 
 
 class TestSettings:
@@ -95,6 +123,22 @@
         path.write_bytes(data)
         assert read_settings(path) == translate(parse_lines(LINES))
 
+    @settings(deadline=None, derandomize=True)
+    @given(
+        st.sampled_from([line.partition("=")[0] for line in OTHER_LINES.splitlines()]),
+        st.sampled_from(ODD_TEXTS) | st.text(st.characters(exclude_categories=["Cs"])),
+    )
+    def test_any_value_is_translated_or_named(self, key, text):
+        """Guards against an error other than that of invalid settings.
+
+        A host that starts would end without naming the key, and one that runs would
+        not read the file again.
+        """
+        try:
+            translate(parse_lines(OTHER_LINES) | {key: text})
+        except SettingsError as error:
+            assert error.problems_by_flag
+
     def test_all_problems_are_reported_at_once_under_the_files_names(self):
         values = parse_lines(LINES)
         del values["zone"]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -61,3 +61,11 @@
 )
 def test_parse_duration(text, seconds):
     assert parse_duration(text) == timedelta(seconds=seconds)
+
+
+# Guards against an error that the checks of settings and of callers' headers do not
+# catch: no duration can hold these numbers.
+@pytest.mark.parametrize("text", ["9" * 10 + "m", "9" * 20 + "h", "9" * 400 + "ms"])
+def test_a_duration_out_of_range_is_rejected(text):
+    with pytest.raises(ValueError, match="longer than"):
+        parse_duration(text)
