Own platform: decoders raise the errors that they name

Objects of the product's own platform that another writer left, answers of the platform, and reports of engines raised msgspec's errors or RecursionError through code that expects PlatformError, ValueError, OrderError or AttemptLostError (by tests of these modules; not tried with running hosts): the watch of the configuration by a broken ledger or an object nested too deep, the list of intents by one broken intent, the removal of old jobs by one broken job, the renewal of a lease by a broken record. A caller's body nested too deep was not refused as a bad request; an engine's event without a choice raised IndexError.

All decode with decode_json or, where the object is the answer of the platform, decode_stored, which raises UnavailableError; read_intent, read_ledger, read_job and decode_object are gone. A broken intent is left out of the list and a broken job is left alone, each with a log line. A broken lease is not taken over and beside a broken segment of claims no key is granted: what they hold is not known.

--- a/passtally/catalog.py
+++ b/passtally/catalog.py
@@ -10,7 +10,8 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.follower import Follower
-from passtally.intent import LEDGER_KEY, Ledger, read_ledger
+from passtally.intent import LEDGER_KEY, Ledger
+from passtally.json_decoding import decode_json
 from passtally.membership import Gossip
 from passtally.messages import ConfigChanges, FetchConfig
 from passtally.mirror import ObjectMirror
@@ -22,7 +23,6 @@
 from passtally.objects import (
     CONFIG_KINDS,
     Workspace,
-    decode_object,
 )
 from passtally.peers import PeerError, Peers
 from passtally.service_index import ServiceIndex
@@ -91,7 +91,7 @@
 
     def _apply(self, stored: StoredObject) -> None:
         if stored.key == LEDGER_KEY:
-            self.ledger = Ledger() if stored.is_removed else read_ledger(stored.value)
+            self._store_ledger(stored)
         _, _, rest = stored.key.partition(CONFIG_PREFIX)
         kind, _, object_id = rest.partition("/")
         if kind not in CONFIG_KINDS:
@@ -107,6 +107,14 @@
         if kind == "endpoints":
             self._index_service(before, objects_by_id.get(object_id))
 
+    def _store_ledger(self, stored: StoredObject) -> None:
+        try:
+            self.ledger = (
+                Ledger() if stored.is_removed else decode_json(stored.value, Ledger)
+            )
+        except ValueError as error:
+            log_event("config", "Ignored a broken ledger.", why=error)
+
     def _store(
         self,
         objects_by_id: dict[str, object],
@@ -115,7 +123,7 @@
         value: msgspec.Raw,
     ) -> None:
         try:
-            objects_by_id[object_id] = decode_object(bytes(value), CONFIG_KINDS[kind])
+            objects_by_id[object_id] = decode_json(value, CONFIG_KINDS[kind])
         except ValueError as error:
             # The last valid object stays in force, so that callers are still served.
             log_event("config", "Ignored a broken object.", id=object_id, why=error)
@@ -196,10 +204,15 @@
         except PeerError as error:
             log_event("config", "Peer did not answer.", peer=host_id, why=error)
             return
-        if isinstance(reply, ConfigChanges):
-            changes = msgspec.json.decode(reply.listing, type=Listing)
-            self.catalog.advance(changes)
-            self._record_update("Learned from a peer.", peer=host_id)
+        if not isinstance(reply, ConfigChanges):
+            return
+        try:
+            changes = decode_json(reply.listing, Listing)
+        except ValueError as error:
+            log_event("config", "Ignored a broken answer.", peer=host_id, why=error)
+            return
+        self.catalog.advance(changes)
+        self._record_update("Learned from a peer.", peer=host_id)
 
     async def _answer(self, message: FetchConfig) -> ConfigChanges:
         changes = self.catalog.changes_after(message.after)
--- a/passtally/claim_log.py
+++ b/passtally/claim_log.py
@@ -17,6 +17,8 @@
 import attrs
 import msgspec
 
+from passtally.json_decoding import decode_json
+
 DIGEST_BYTES = 16
 NONCE_BYTES = 8
 
@@ -99,9 +101,9 @@
     """Decode a segment from the JSON stored in the platform.
 
     Raises:
-        ValueError: The JSON is malformed.
+        ValueError: The JSON is malformed, or no segment.
     """
-    row = msgspec.json.decode(value, type=_SegmentRow)
+    row = decode_json(value, _SegmentRow)
     claims = tuple(
         Claim(
             digest=_bytes(digest),
--- a/passtally/claims.py
+++ b/passtally/claims.py
@@ -193,7 +193,7 @@
         if stored is None:
             self.log.synced_at = None
             return False
-        found = read_segment(bytes(stored.value))
+        _, found = _read_numbered(stored)
         self.log.apply(number, found, self._clock.monotonic())
         return found.nonce == segment.nonce
 
@@ -363,4 +363,13 @@
 
 
 def _read_numbered(stored: StoredObject) -> tuple[int, Segment]:
-    return int(stored.key.rpartition("/")[2]), read_segment(bytes(stored.value))
+    """Return the number and the content of a segment.
+
+    Raises:
+        UnavailableError: The object is no segment. It is not skipped: the claims that
+            it may hold are not known.
+    """
+    try:
+        return int(stored.key.rpartition("/")[2]), read_segment(stored.value)
+    except ValueError as error:
+        raise UnavailableError(str(error), step="decode", peer=stored.key) from error
--- a/passtally/completion.py
+++ b/passtally/completion.py
@@ -73,7 +73,7 @@
         body = msgspec.json.decode(raw, type=CompletionBody)
     except msgspec.ValidationError as error:
         raise _bad_request(Code.BAD_REQUEST, str(error)) from error
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise _bad_request(Code.BAD_JSON, f"The body is not JSON: {error}") from error
     problem = _find_problem(body, flavour)
     if problem:
--- a/passtally/config_store.py
+++ b/passtally/config_store.py
@@ -7,13 +7,12 @@
 import msgspec
 
 from passtally.clock import Clock
+from passtally.decision import log_event
 from passtally.intent import (
     INTENTS_PREFIX,
     LEDGER_KEY,
     Intent,
     Ledger,
-    read_intent,
-    read_ledger,
 )
 from passtally.object_store import (
     ConflictError,
@@ -21,6 +20,7 @@
     StoredObject,
     ThrottledError,
     UnavailableError,
+    decode_stored,
 )
 
 T = TypeVar("T")
@@ -111,16 +111,26 @@
         return {stored.key: stored.version for stored in listing.objects}
 
     async def list_intents(self) -> list[Intent]:
-        """Return all intents."""
+        """Return all intents; those that can't be decoded are logged and left out."""
         listing = await self._platform.list_objects(INTENTS_PREFIX)
-        return [read_intent(bytes(stored.value)) for stored in listing.objects]
+        intents: list[Intent] = []
+        for stored in listing.objects:
+            try:
+                intents.append(decode_stored(stored, Intent))
+            except UnavailableError as error:
+                log_event("intent", "Left out a broken intent.", why=error)
+        return intents
 
     async def get_intent(self, intent_id: str) -> tuple[Intent, int] | None:
-        """Return an intent and its version, or None where there is none."""
+        """Return an intent and its version, or None where there is none.
+
+        Raises:
+            PlatformError: The platform did not answer, or the intent can't be decoded.
+        """
         stored = await self._platform.get(INTENTS_PREFIX + intent_id)
         if stored is None:
             return None
-        return read_intent(bytes(stored.value)), stored.version
+        return decode_stored(stored, Intent), stored.version
 
     async def change_ledger(self, change: Callable[[Ledger], Ledger]) -> None:
         """Change the ledger, and retry as long as another host's write conflicts.
@@ -131,7 +141,7 @@
         """
         while True:
             stored = await self._platform.get(LEDGER_KEY)
-            ledger = read_ledger(bytes(stored.value)) if stored else Ledger()
+            ledger = decode_stored(stored, Ledger) if stored else Ledger()
             changed = change(ledger)
             if changed == ledger:
                 return
--- a/passtally/http_engine.py
+++ b/passtally/http_engine.py
@@ -1,6 +1,7 @@
 """Model engines over HTTP; docs/ENGINE.md describes their protocol."""
 
 import contextlib
+import re
 from collections.abc import Collection, Sequence
 from datetime import timedelta
 from http import HTTPStatus
@@ -14,6 +15,7 @@
 from passtally.fetch import FetchError
 from passtally.generation import Attempt, GenerationRequest, TokenEvent
 from passtally.http import fetch
+from passtally.json_decoding import decode_json
 from passtally.retry import LossKind
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
@@ -51,6 +53,8 @@
     stream: bool
 
 
+#: A figure of a load report.
+_FIGURE = re.compile("[0-9]{1,9}")
 _decode_chunk = msgspec.json.Decoder(_Chunk).decode
 
 
@@ -127,8 +131,8 @@
             fetched = await fetch(self._session, "GET", url, timeout=PROBE_TIMEOUT)
             if fetched.status != HTTPStatus.OK:
                 return None
-            return msgspec.json.decode(fetched.body, type=LoadReport)
-        except (FetchError, msgspec.MsgspecError):
+            return decode_json(fetched.body, LoadReport)
+        except (FetchError, ValueError):
             return None
 
     async def copy_run(self, generation_id: str, target: str) -> str:
@@ -231,7 +235,7 @@
                     return events
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise self._lost(LossKind.RESET, _describe(error)) from error
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise self._lost(LossKind.RESUME_MISMATCH, str(error)) from error
         return []
 
@@ -252,6 +256,8 @@
 
     def _decode_one(self, data: bytes) -> TokenEvent:
         chunk = _decode_chunk(data)
+        if not chunk.choices:
+            raise ValueError("an event without a choice")
         event = chunk.choices[0]
         if event.finish_reason is not None:
             self._has_ended = True
@@ -265,7 +271,7 @@
 def _read_report(text: str) -> LoadReport | None:
     """Parse the load report in an answer's head: ``running,queued,step,draining``."""
     parts = text.split(",")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts):
+    if len(parts) != 4 or not all(_FIGURE.fullmatch(part) for part in parts):
         return None
     running, queued, step, draining = map(int, parts)
     return LoadReport(
--- a/passtally/http_platform.py
+++ b/passtally/http_platform.py
@@ -5,7 +5,6 @@
 
 import aiohttp
 import attrs
-import msgspec
 
 from passtally.http import SessionFetcher
 from passtally.object_store import (
@@ -39,12 +38,12 @@
         """Return the objects whose keys start with a prefix."""
         params = {"prefix": prefix}
         body = await self._link.call("list", "GET", "/v1/objects", params=params)
-        return msgspec.json.decode(body, type=Listing)
+        return self._link.decode("list", body, Listing)
 
     async def get(self, key: str) -> StoredObject | None:
         """Return one object, or None where there is none."""
         body = await self._link.call("get", "GET", f"/v1/objects/{key}")
-        return msgspec.json.decode(body, type=StoredObject) if body else None
+        return self._link.decode("get", body, StoredObject) if body else None
 
     async def create(self, key: str, value: bytes) -> int:
         """Create an object that must not exist; return its version."""
@@ -52,7 +51,7 @@
         body = await self._link.call(
             "create", "PUT", f"/v1/objects/{key}", headers=headers, data=value
         )
-        return msgspec.json.decode(body, type=_Written).version
+        return self._link.decode("create", body, _Written).version
 
     async def update(self, key: str, value: bytes, *, version: int) -> int:
         """Replace an object of exactly this version; return its new version."""
@@ -60,7 +59,7 @@
         body = await self._link.call(
             "update", "PUT", f"/v1/objects/{key}", headers=headers, data=value
         )
-        return msgspec.json.decode(body, type=_Written).version
+        return self._link.decode("update", body, _Written).version
 
     async def delete(self, key: str, *, version: int) -> None:
         """Remove an object of exactly this version."""
@@ -80,9 +79,9 @@
         body = await self._link.call(
             "watch", "GET", "/v1/watch", params=params, timeout=limit
         )
-        return msgspec.json.decode(body, type=Listing)
+        return self._link.decode("watch", body, Listing)
 
     async def hosts(self) -> Sequence[HostEntry]:
         """Return the platform's host list, which lags behind the hosts' state."""
         body = await self._link.call("hosts", "GET", "/v1/hosts")
-        return msgspec.json.decode(body, type=tuple[HostEntry, ...])
+        return self._link.decode("hosts", body, tuple[HostEntry, ...])
--- a/passtally/intent.py
+++ b/passtally/intent.py
@@ -233,24 +233,6 @@
     return f"{kind}-{secrets.token_hex(4)}"
 
 
-def read_intent(value: bytes) -> Intent:
-    """Decode a stored intent.
-
-    Raises:
-        msgspec.MsgspecError: The value is no valid intent.
-    """
-    return msgspec.json.decode(value, type=Intent)
-
-
-def read_ledger(value: bytes) -> Ledger:
-    """Decode the stored ledger.
-
-    Raises:
-        msgspec.MsgspecError: The value is no valid ledger.
-    """
-    return msgspec.json.decode(value, type=Ledger)
-
-
 def find_stale(plan: Plan, versions_by_key: Mapping[str, int]) -> list[str]:
     """Return the keys whose objects changed since a plan was made."""
     return sorted(
--- a/passtally/job.py
+++ b/passtally/job.py
@@ -59,12 +59,3 @@
     def to_json(self) -> bytes:
         """Return the job's value in the platform."""
         return msgspec.json.encode(self)
-
-
-def read_job(value: bytes) -> Job:
-    """Decode a job's value in the platform.
-
-    Raises:
-        msgspec.MsgspecError: The value is damaged.
-    """
-    return msgspec.json.decode(value, type=Job)
--- a/passtally/jobs.py
+++ b/passtally/jobs.py
@@ -12,9 +12,16 @@
 from passtally.decision import log_decision, log_event
 from passtally.drain import Drain
 from passtally.intents import platform_away
-from passtally.job import JOBS_PREFIX, MAX_ANSWER_BYTES, Job, JobState, read_job
+from passtally.job import JOBS_PREFIX, MAX_ANSWER_BYTES, Job, JobState
 from passtally.membership import Gossip
-from passtally.object_store import ConflictError, Platform, PlatformError
+from passtally.object_store import (
+    ConflictError,
+    Platform,
+    PlatformError,
+    StoredObject,
+    UnavailableError,
+    decode_stored,
+)
 from passtally.outcome import Code, Failure, Outcome, RefusedError, refuse
 from passtally.task_set import TaskSet
 
@@ -81,9 +88,9 @@
         """
         try:
             stored = await self._platform.get(JOBS_PREFIX + job_id)
+            job = decode_stored(stored, Job) if stored else None
         except PlatformError as error:
             raise platform_away(error) from error
-        job = read_job(bytes(stored.value)) if stored else None
         if job is None or job.workspace != workspace:
             raise refuse(
                 Code.UNKNOWN_GENERATION,
@@ -112,12 +119,20 @@
         for key in self._ended_seen_at.keys() - listed:
             del self._ended_seen_at[key]
         for stored in listing.objects:
-            if read_job(bytes(stored.value)).state is JobState.RUNNING:
+            if not self._has_ended(stored):
                 continue
             since = self._ended_seen_at.setdefault(stored.key, now)
             if now - since >= RETENTION_TIME:
                 await self._store.remove(stored.key, version=None)
 
+    def _has_ended(self, stored: StoredObject) -> bool:
+        """Return whether an object is a job that has ended; leave any other alone."""
+        try:
+            return decode_stored(stored, Job).state is not JobState.RUNNING
+        except UnavailableError as error:
+            log_event("jobs", "Left a broken job alone.", why=error)
+            return False
+
     def _is_orphaned(self, job: Job) -> bool:
         if job.holder == self._host_id:
             # After a restart under the same id, this host runs none of its former jobs.
--- a/passtally/lease.py
+++ b/passtally/lease.py
@@ -18,6 +18,7 @@
     PlatformError,
     StoredObject,
     UnavailableError,
+    decode_stored,
 )
 
 LEASE_DURATION = timedelta(seconds=5)
@@ -118,7 +119,7 @@
         self._version = stored.version if stored else 0
         self._record = None
         if stored is not None:
-            self._record = msgspec.json.decode(bytes(stored.value), type=LeaseRecord)
+            self._record = decode_stored(stored, LeaseRecord)
 
     def _next_record(self) -> LeaseRecord:
         known = self._record or LeaseRecord(holder="", fence=0, renewal=0)
@@ -155,7 +156,7 @@
         """Read the lease after a failed write; return its version if it was written."""
         stored = await self._platform.get(self._key)
         if stored is not None:
-            found = msgspec.json.decode(bytes(stored.value), type=LeaseRecord)
+            found = decode_stored(stored, LeaseRecord)
             if found == record:
                 return stored.version
         self._held_until = None
--- a/passtally/object_store.py
+++ b/passtally/object_store.py
@@ -235,3 +235,16 @@
             status, UnavailableError
         )
         return kind(f"status {status}", step=step, peer=self._url)
+
+
+def decode_stored(stored: StoredObject, kind: type[T]) -> T:
+    """Decode the value of an object.
+
+    Raises:
+        UnavailableError: The value is not valid JSON of this type; it may be of another
+            writer.
+    """
+    try:
+        return decode_json(stored.value, kind)
+    except ValueError as error:
+        raise UnavailableError(str(error), step="decode", peer=stored.key) from error
--- a/passtally/object_transfer.py
+++ b/passtally/object_transfer.py
@@ -17,6 +17,7 @@
 
 from passtally.clock import Clock
 from passtally.decision import log_event
+from passtally.json_decoding import decode_json
 from passtally.messages import FetchPart, ObjectPart, ObjectRef
 from passtally.object_store import Listing, StoredObject
 from passtally.peers import PeerError, Peers, UnknownPeerError
@@ -118,7 +119,7 @@
     Raises:
         ValueError: The bytes cannot be decompressed or decoded.
     """
-    return msgspec.json.decode(unpack(packed), type=Listing)
+    return decode_json(unpack(packed), Listing)
 
 
 class ObjectTransfer:
--- a/passtally/objects.py
+++ b/passtally/objects.py
@@ -5,7 +5,6 @@
 from typing import TypeVar
 
 import attrs
-import msgspec
 
 ObjectT = TypeVar("ObjectT")
 
@@ -248,19 +247,3 @@
 def digest_token(token: str) -> str:
     """Return the hex SHA-256 digest that is stored for a caller's token."""
     return hashlib.sha256(token.encode()).hexdigest()
-
-
-def decode_object(value: bytes, kind: type[ObjectT]) -> ObjectT:
-    """Decode a configuration object from JSON.
-
-    Args:
-        value: The JSON.
-        kind: The class of the object.
-
-    Raises:
-        ValueError: The JSON is malformed or does not match the class.
-    """
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
-        raise ValueError(str(error)) from error
--- a/passtally/operator_api.py
+++ b/passtally/operator_api.py
@@ -12,8 +12,9 @@
 from passtally.crash_guard import CrashGuard
 from passtally.intent import IntentKind
 from passtally.intents import Intents, platform_away
+from passtally.json_decoding import decode_json
 from passtally.object_store import ConflictError, PlatformError
-from passtally.objects import CONFIG_KINDS, decode_object, find_problems
+from passtally.objects import CONFIG_KINDS, find_problems
 from passtally.outcome import Code, RefusedError, refuse
 from passtally.status import StatusReader
 
@@ -144,8 +145,8 @@
     async def declare(self, request: web.Request) -> web.Response:
         """Declare an intent and answer with its plan."""
         try:
-            wanted = msgspec.json.decode(await request.read(), type=_Declaration)
-        except msgspec.MsgspecError as error:
+            wanted = decode_json(await request.read(), _Declaration)
+        except ValueError as error:
             raise refuse(
                 Code.BAD_REQUEST, str(error), status=400, step="parse"
             ) from error
@@ -217,7 +218,7 @@
 def _check_object(kind: str, object_id: str, raw: bytes) -> None:
     """Raise one RefusedError that lists all problems of an object."""
     try:
-        value = decode_object(raw, CONFIG_KINDS[kind])
+        value = decode_json(raw, CONFIG_KINDS[kind])
         problems = find_problems(kind, object_id, value)
     except ValueError as error:
         problems = [str(error)]
--- a/passtally/orders.py
+++ b/passtally/orders.py
@@ -9,6 +9,7 @@
 
 from passtally.fetch import FetchError
 from passtally.http import fetch
+from passtally.json_decoding import decode_json
 from passtally.objects import Endpoint
 
 #: Time limit of one call to an endpoint.
@@ -109,7 +110,10 @@
     async def report(self, endpoint: Endpoint) -> EndpointReport:
         """Return an endpoint's state; raise OrderError if it cannot be read."""
         body = await self._call(endpoint, "report", "GET", "/v1/state")
-        return msgspec.json.decode(body, type=EndpointReport)
+        try:
+            return decode_json(body, EndpointReport)
+        except ValueError as error:
+            raise OrderError(str(error), step="report", peer=endpoint.id) from error
 
     async def _call(
         self,
