Messages of hosts: reject what can't be decoded by ValueError alone

A signed message of a host, of another version for instance, that is nested too deep raised RecursionError out of the readers of links, datagrams and tunnels, which expect msgspec's errors. The reader of a link's replies would end and not be started again. Ages beyond what a duration holds raised OverflowError where they were used.

decode_message raises ValueError alone, and durations have a range in the messages.

--- a/passtally/datagrams.py
+++ b/passtally/datagrams.py
@@ -16,7 +16,7 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.message_signing import MAC_BYTES, MessageSigner
-from passtally.messages import Message
+from passtally.messages import Message, decode_message
 from passtally.settings import Address
 
 #: Interval between two attempts to open the socket.
@@ -31,7 +31,6 @@
 Receive = Callable[[Any, Address], None]
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Message).decode
 
 
 class Datagrams:
@@ -128,8 +127,8 @@
             log_event("datagrams", "Dropped, wrong signature.", peer=sender)
             return
         try:
-            message = _decode(payload)
-        except msgspec.MsgspecError as error:
+            message = decode_message(payload)
+        except ValueError as error:
             log_event("datagrams", "Dropped, unknown message.", peer=sender, why=error)
             return
         receive = self._receivers_by_type.get(type(message))
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -4,9 +4,18 @@
 added at the end, and with a default.
 """
 
+from datetime import timedelta
+from typing import Annotated
+
 import msgspec
 
 from passtally.objects import UNKNOWN_INCARNATION, EndpointStart
+from passtally.settings import MAX_DURATION
+
+_MAX_MS = MAX_DURATION // timedelta(milliseconds=1)
+#: Durations that can be added to a time; negative for a time that is over.
+Milliseconds = Annotated[int, msgspec.Meta(ge=-_MAX_MS, le=_MAX_MS)]
+Microseconds = Annotated[int, msgspec.Meta(ge=-1000 * _MAX_MS, le=1000 * _MAX_MS)]
 
 
 class CopiedRun(msgspec.Struct, array_like=True):
@@ -253,7 +262,7 @@
     endpoint_id: str
     incarnation: int
     rate: float | None
-    age_ms: int
+    age_ms: Milliseconds
 
 
 class BrittleRow(msgspec.Struct, array_like=True, frozen=True):
@@ -272,9 +281,9 @@
     endpoint_id: str
     incarnation: int
     borne: int | None
-    age_ms: int
+    age_ms: Milliseconds
     places: int
-    rejected_ago_ms: int | None
+    rejected_ago_ms: Milliseconds | None
 
 
 class HostNews(msgspec.Struct, tag="host_news", array_like=True):
@@ -436,7 +445,7 @@
     fingerprint: bytes
     crashed: list[str]
     cleared: list[str]
-    age_ms: int
+    age_ms: Milliseconds
     weak: list[str] = []
     strong: list[str] = []
 
@@ -525,7 +534,7 @@
 
     number: int
     row: OriginRow | None
-    age_ms: int
+    age_ms: Milliseconds
     versions: list[str]
     is_current: bool
     is_complete: bool = False
@@ -585,8 +594,8 @@
 
     service: str
     address: str
-    gap_us: int
-    age_ms: int
+    gap_us: Microseconds
+    age_ms: Milliseconds
 
 
 class PromiseRow(msgspec.Struct, array_like=True, frozen=True):
@@ -598,7 +607,7 @@
     """
 
     fingerprint: bytes
-    due_ms: int
+    due_ms: Milliseconds
 
 
 class UsageReport(msgspec.Struct, tag="usage_report", array_like=True):
@@ -680,3 +689,18 @@
     | UsageSums
     | UsageTotals
 )
+
+_decode = msgspec.msgpack.Decoder(Message).decode
+
+
+def decode_message(payload: bytes) -> Message:
+    """Decode a message of another host.
+
+    Raises:
+        ValueError: The message can't be decoded; the sender probably runs another
+            version of passtally.
+    """
+    try:
+        return _decode(payload)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise ValueError(str(error)) from error
--- a/passtally/peers.py
+++ b/passtally/peers.py
@@ -18,7 +18,7 @@
 from passtally.decision import log_event
 from passtally.descriptors import check_free
 from passtally.message_signing import MessageSigner
-from passtally.messages import Message
+from passtally.messages import Message, decode_message
 from passtally.settings import Address, PeerAddress
 from passtally.task_set import TaskSet
 
@@ -82,7 +82,6 @@
 RequestHandler = Callable[[Any], Awaitable[Message]]
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Message).decode
 
 
 class Peers:
@@ -385,9 +384,8 @@
             log_event("peers", "Dropped a message with a wrong signature.")
             return None
         try:
-            return _decode(payload)
-        except msgspec.MsgspecError as error:
-            # The sender probably runs another version of passtally.
+            return decode_message(payload)
+        except ValueError as error:
             log_event(
                 "peers", "Dropped a message that could not be decoded.", why=error
             )
--- a/passtally/tunnel_frames.py
+++ b/passtally/tunnel_frames.py
@@ -79,5 +79,5 @@
             raise FrameError("a message with a wrong signature")
         try:
             return _decode(encoded)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise FrameError(str(error)) from error
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from datetime import timedelta
 from unittest import mock
@@ -28,6 +29,8 @@
 from passtally.intent import INTENTS_PREFIX, LEDGER_KEY
 from passtally.jobs import JOBS_PREFIX, Jobs
 from passtally.lease import Lease
+from passtally.message_signing import MessageSigner
+from passtally.messages import HostNews, LimitRow, decode_message
 from passtally.object_store import (
     Listing,
     PlatformError,
@@ -38,6 +41,7 @@
 from passtally.objects import Endpoint, Workspace, digest_token
 from passtally.orders import HttpOrders, OrderError
 from passtally.outcome import RefusedError
+from passtally.tunnel_frames import FrameDecoder, FrameError, encode_message
 from tests.fakes import FakePlatform
 from tests.odd_json import ODD_VALUES, Answers, odd_versions
 from tests.test_claims import make_claim, make_writer
@@ -200,6 +204,37 @@
         assert open_stream(b"", load=text).report is None
 
 
+class TestMessages:
+    """Messages of hosts of another version: a reader that ends would never reply."""
+
+    deep = b"\x91" * 100_000 + b"\x01"
+
+    def test_a_message_nested_too_deep_is_rejected(self):
+        message = b"\x93" + msgspec.msgpack.encode("fetch_routes") + b"\x01" + self.deep
+        with pytest.raises(ValueError, match="recursion"):
+            decode_message(message)
+
+    @pytest.mark.parametrize("age", [1 << 62, -(1 << 62), (1 << 64) - 1])
+    def test_a_time_that_no_duration_holds_is_rejected(self, age):
+        row = LimitRow(endpoint_id="e", incarnation=1, rate=1.0, age_ms=age)
+        news = HostNews(host_id="a", loads_by_endpoint={}, lost=[], limits=[row])
+        with pytest.raises(ValueError, match="int"):
+            decode_message(msgspec.msgpack.encode(news))
+
+    @settings(deadline=None, derandomize=True)
+    @given(st.binary())
+    def test_bytes_are_decoded_or_rejected(self, payload):
+        with contextlib.suppress(ValueError):
+            decode_message(payload)
+
+    def test_a_frame_nested_too_deep_is_rejected(self):
+        signer = MessageSigner(keys=[b"k" * 16])
+        message = b"\x93" + msgspec.msgpack.encode("tunnel_ended") + b"\xc3" + self.deep
+        frame = encode_message(msgspec.Raw(message), signer)
+        with pytest.raises(FrameError):
+            list(FrameDecoder(signer=signer).feed(frame))
+
+
 class TestCallers:
     @pytest.mark.parametrize("value", [DEEP_FIELD, DEEP, b'"\xff"'])
     def test_a_body_that_is_no_request_is_refused(self, value):
