Store: skip objects whose revision is out of range

A version holds the revision in twelve digits and the era above them. An object with a revision of 1e30 counted as one of a later era of the store, and its version could not be sent to other hosts as a 64-bit integer.

Revisions have their range in the schema. Such an object is skipped with a log line; an answer with such a revision of the store is none.

--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Collection, Sequence
 from datetime import timedelta
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -28,7 +28,13 @@
     replace_deep_values,
     replace_lone_surrogates,
 )
-from passtally.store_order import MAX_ERA, era_of, revision_of, version_of
+from passtally.store_order import (
+    MAX_ERA,
+    REVISIONS_PER_ERA,
+    era_of,
+    revision_of,
+    version_of,
+)
 
 #: Time beyond the requested wait after which a watch times out. A slow store takes 60
 #: times its usual 4 ms.
@@ -49,10 +55,13 @@
 
 T = TypeVar("T")
 
+#: A larger one would name a later era of the store.
+_Revision = Annotated[int, msgspec.Meta(ge=0, lt=REVISIONS_PER_ERA)]
+
 
 class _Metadata(msgspec.Struct):
     name: str
-    revision: int
+    revision: _Revision
     created: int = 0
 
 
@@ -71,14 +80,14 @@
 class _Page(msgspec.Struct):
     #: Each is an :class:`_Object`, unless another writer made it.
     items: list[msgspec.Raw]
-    store_revision: int
+    store_revision: _Revision
     has_more: bool = False
 
 
 class _Changes(msgspec.Struct):
     #: Each is an :class:`_Event`, unless another writer made it.
     events: list[msgspec.Raw]
-    store_revision: int
+    store_revision: _Revision
 
 
 class PlatformStore:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,7 +17,12 @@
 from passtally.engine import AttemptLostError
 from passtally.generation import TokenEvent
 from passtally.http_client import ResponseHead
-from passtally.object_store import PlatformError, StoredObject, UnavailableError
+from passtally.object_store import (
+    Listing,
+    PlatformError,
+    StoredObject,
+    UnavailableError,
+)
 from passtally.platform.decode import decode_endpoint, decode_routes
 from passtally.platform.rollout_object import decode_rollout
 from passtally.platform.runner_link import RunnerLink
@@ -239,6 +244,28 @@
         assert find(logged, IGNORED_ENTRY)[0]["peer"] == "i-odd"
 
 
+class TestRevisions:
+    good = item("good", 3, msgspec.json.encode(ENTRY))
+
+    def list_all(self, items: bytes, store_revision: int) -> Listing:
+        body = b'{"items":[%b],"store_revision":%d}' % (items, store_revision)
+        store = PlatformStore(fetcher=Answers(body), url="http://127.0.0.1:1")
+        return asyncio.run(store.list_objects("servers/"))
+
+    # Guards against a version that no message to another host can hold, and that counts
+    # as one of a store that was restored since.
+    @pytest.mark.parametrize("revision", [10**12, 10**30, -1])
+    def test_an_object_with_one_out_of_range_is_skipped(self, revision):
+        odd = item("odd", revision, b"{}")
+        listing = self.list_all(odd + b"," + self.good, 9)
+        assert [stored.key for stored in listing.objects] == ["servers/good"]
+
+    @pytest.mark.parametrize("revision", [10**12, 10**30, -1])
+    def test_an_answer_with_one_out_of_range_is_none(self, revision):
+        with pytest.raises(UnavailableError):
+            self.list_all(self.good, revision)
+
+
 class TestNumbersOfEvents:
     # Guards against an event whose number ends its request with an error of the host's
     # own, instead of the attempt at this endpoint.
