Endpoints: a request limit out of range is invalid

Limits above 1e9 requests a second are invalid and are logged as such; what they mean, no limit, holds. A Retry-After of any length is read as before.

TestOddValues: the cases 1.7e308 and 1e10 failed before. The heads of answers held otherwise: any bytes in any of these headers are read or recorded as invalid.

--- a/passtally/platform/answer_directives.py
+++ b/passtally/platform/answer_directives.py
@@ -11,6 +11,9 @@
 from passtally.http_client import ResponseHead
 from passtally.platform import names
 
+#: Maximum of a request limit, in requests per second. No host sends as many, and hosts
+#: share limits by computing with them.
+MAX_LIMIT = 1e9
 #: Maximum length of a number of rejections.
 MAX_BRITTLE_DIGITS = 9
 #: Maximum length of a figure of a load.
@@ -65,10 +68,10 @@
     """Decode an endpoint's request limit, in requests per second.
 
     Raises:
-        ValueError: The text is not a finite decimal number from 0 on.
+        ValueError: The text is not a decimal number from 0 to ``MAX_LIMIT``.
     """
     rate = float(text)
-    if not 0 <= rate < math.inf:
+    if not 0 <= rate <= MAX_LIMIT:
         raise ValueError("not within range")
     return rate
 
@@ -121,7 +124,10 @@
         ValueError: The text is not a finite decimal number from 0 on. A date is not
             accepted either: the clocks of machines differ by seconds.
     """
-    return decode_limit(text)
+    seconds = float(text)
+    if not 0 <= seconds < math.inf:
+        raise ValueError("not within range")
+    return seconds
 
 
 def _read_backoff(
--- a/tests/test_endpoint_directives.py
+++ b/tests/test_endpoint_directives.py
@@ -4,8 +4,11 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from passtally.clock import ManualClock
+from passtally.endpoint_backoff import MAX_BACKOFF
 from passtally.endpoint_directives import (
     MAX_LOGGED,
     Directive,
@@ -18,6 +21,7 @@
 from passtally.platform import names
 from passtally.platform.answer_directives import read_directives
 from tests.fakes import make_catalog
+from tests.odd_json import ODD_VALUES
 
 #: Headers that endpoints send in their answers, from the platform's documentation.
 DOCUMENTED_HEADERS = {
@@ -47,6 +51,34 @@
     return EndpointDirectives(invalid_by_directive={Directive.LIMIT: text})
 
 
+class TestOddValues:
+    # Guards against an answer that is lost since a directive in its head is not read.
+    @settings(deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(sorted(names.ENDPOINT_HEADERS)),
+                st.binary() | st.sampled_from(ODD_VALUES),
+            )
+        ),
+        st.sampled_from([200, 421, 503]),
+    )
+    def test_any_value_is_read_or_recorded_as_invalid(self, headers, status):
+        head = ResponseHead(status=status, headers=headers)
+        read_directives(head, endpoint_id="e")
+
+    # Guards against 500 for each request to an endpoint that names such a limit: the
+    # number of hosts that share it is computed from it.
+    @pytest.mark.parametrize("text", ["1.7e308", "1e10", "inf", "nan", "-1"])
+    def test_a_limit_out_of_range_is_invalid(self, text):
+        head = head_of(Server_Limit=text)
+        assert read_directives(head, endpoint_id="e") == invalid_limit(text)
+
+    def test_a_back_off_of_any_length_is_read(self):
+        head = head_of(503, Retry_After="1e300")
+        assert read_directives(head, endpoint_id="e").backoff == MAX_BACKOFF
+
+
 class TestHeaders:
     # Guards against a header that the platform documents and that no code reads.
     @pytest.mark.parametrize("name", sorted(DOCUMENTED_HEADERS))
