Names: reject those that no header can carry

Hosts tell an endpoint its own name and that of the caller's workspace in headers. An endpoint's entry whose name has a line break, a NUL or a space at its end came into force, and requests that were sent there got 500, since the head can't be written: 1 to 3 of 4 calls with one other endpoint, and streams too (with stand-ins). A workspace with such a name would take all its requests with it; an endpoint's handle for a replica is part of a path in the same way.

Such entries and configurations are now ignored like others that are invalid, and so are names of more than 1,024 bytes, which servers refuse. A handle that no path can hold counts as an answer that can't be read.

--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -1,5 +1,6 @@
 """Decodes the platform's objects into the product's types."""
 
+import re
 from datetime import timedelta
 from typing import Annotated, Literal
 
@@ -28,6 +29,12 @@
 #: counts as floats, and send sums of them to each other as 64-bit integers.
 MAX_COUNT = 10**12
 
+#: Maximum size of a name that is sent in a header, in bytes.
+MAX_NAME_BYTES = 1024
+#: Visible characters, with spaces and tabs between them, in any encoding.
+_NAME = re.compile(rb"[^\x00-\x20\x7f]([^\x00-\x08\x0a-\x1f\x7f]*[^\x00-\x20\x7f])?")
+_HANDLE = re.compile(r"[\x21-\x7e]+", re.ASCII)
+
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_MS)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION.total_seconds())]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
@@ -171,9 +178,13 @@
     """Return the handle under which the source reports the copy.
 
     Raises:
-        ValueError: The answer does not match the schema.
+        ValueError: The answer does not match the schema, or the handle can't be sent as
+            part of a path.
     """
-    return decode_json(body, _Copied).handle
+    handle = decode_json(body, _Copied).handle
+    if len(handle) > MAX_NAME_BYTES or not _HANDLE.fullmatch(handle):
+        raise ValueError("the handle can't be part of a path")
+    return handle
 
 
 def is_engine_report(body: bytes) -> bool:
@@ -226,8 +237,10 @@
     """Decode an endpoint's entry.
 
     Raises:
-        ValueError: The entry does not match the schema; it may be of another writer.
+        ValueError: The entry does not match the schema, or its name can't be sent in a
+            header; it may be of another writer.
     """
+    _check_name(endpoint_id)
     server = decode_json(spec, _Server)
     is_ready = server.state == "ready"
     return Endpoint(
@@ -280,14 +293,7 @@
         version=config.version,
         routes=tuple(_to_route(route) for route in config.routes),
         services=tuple(_to_service(service) for service in config.services),
-        workspaces=tuple(
-            WorkspaceKeys(
-                workspace=tenant.name,
-                keys=tuple(tenant.api_keys),
-                rank=tenant.priority,
-            )
-            for tenant in config.tenants
-        ),
+        workspaces=tuple(_to_workspace(tenant) for tenant in config.tenants),
         limits=ServerLimits(
             max_header=config.limits.max_header_bytes,
             max_body=config.limits.max_body_bytes,
@@ -318,6 +324,25 @@
     )
 
 
+def _to_workspace(tenant: _Tenant) -> WorkspaceKeys:
+    if tenant.name:
+        _check_name(tenant.name)
+    return WorkspaceKeys(
+        workspace=tenant.name, keys=tuple(tenant.api_keys), rank=tenant.priority
+    )
+
+
+def _check_name(name: str) -> None:
+    """Check a name that is sent to endpoints in a header.
+
+    Raises:
+        ValueError: The name can't be a header's value.
+    """
+    encoded = name.encode()
+    if len(encoded) > MAX_NAME_BYTES or not _NAME.fullmatch(encoded):
+        raise ValueError(f"the name {name[:40]!r} can't be sent in a header")
+
+
 def _to_service(service: _Service) -> ServiceInfo:
     engine = service.engine or _Engine()
     return ServiceInfo(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,9 +10,11 @@
 from typing import Any, ClassVar
 
 import eliot
+import h11
 import msgspec
 import pytest
 from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from passtally.engine import AttemptLostError
 from passtally.generation import TokenEvent
@@ -23,14 +25,21 @@
     StoredObject,
     UnavailableError,
 )
-from passtally.platform.decode import decode_endpoint, decode_routes
+from passtally.platform.decode import (
+    count_waiting_runs,
+    decode_cached_parts,
+    decode_copy_handle,
+    decode_endpoint,
+    decode_routes,
+    is_engine_report,
+)
 from passtally.platform.rollout_object import decode_rollout
 from passtally.platform.runner_link import RunnerLink
 from passtally.platform.runner_stream import RunnerStream
 from passtally.platform.store import PlatformStore
 from passtally.platform.version_store import PlatformVersionStore
 from passtally.version_records import VersionRecord
-from standins.platform_config import LOOKUPS, make_config
+from standins.platform_config import ENGINE, LOOKUPS, make_config
 from tests.odd_json import Answers, item, odd_versions, replace_part
 from tests.platform_system import PlatformSystem, run
 
@@ -45,6 +54,7 @@
     "cold_remaining_ms": 0,
 }
 IGNORED_ENTRY = "endpoints: Ignored an invalid entry."
+IGNORED_ORDER = "rollout: Ignored a broken order."
 IGNORED_CONFIG = "config: Ignored a broken configuration."
 TASK_FAILED = "daemon: Task failed, restarting."
 
@@ -145,6 +155,64 @@
         assert decode_endpoint("i-1", entry).max_streams == 1
 
 
+#: Names that no header can carry.
+ODD_NAMES = ["", " a", "a ", "a\nb", "a\r\nX-Key: 1", "a\0b", "a\x7f", "x" * 2000]
+
+
+class TestNames:
+    """Endpoints are told their name, and that of the caller's workspace, in headers."""
+
+    @pytest.mark.parametrize("name", ODD_NAMES)
+    def test_an_endpoint_whose_name_no_header_can_carry_is_rejected(self, name):
+        with pytest.raises(ValueError, match="name"):
+            decode_endpoint(name, msgspec.json.encode(ENTRY))
+
+    @pytest.mark.parametrize("name", ODD_NAMES[1:])
+    def test_a_workspace_whose_name_no_header_can_carry_is_rejected(self, name):
+        path = ("tenants", 0, "name")
+        with pytest.raises(ValueError, match="name"):
+            decode_routes(replace_part(make_config(), path, msgspec.json.encode(name)))
+
+    @settings(deadline=None, derandomize=True)
+    @given(st.text() | st.sampled_from(["a b", "a\tb", "\u00e9", "\u65e5\u672c"]))
+    def test_a_name_that_is_taken_can_be_sent(self, name):
+        try:
+            decode_endpoint(name, msgspec.json.encode(ENTRY))
+        except ValueError:
+            return
+        headers = [("Host", "h"), ("X-Expect-Instance", name.encode())]
+        assert h11.Request(method="GET", target="/", headers=headers)
+
+    @pytest.mark.parametrize("handle", ["", "a b", "a\nb", "\u00e9", "x" * 2000])
+    def test_a_handle_that_no_path_can_hold_is_rejected(self, handle):
+        with pytest.raises(ValueError, match="handle"):
+            decode_copy_handle(msgspec.json.encode({"handle": handle}))
+
+
+class TestReports:
+    """Reports of endpoints that are queried before a prompt is placed."""
+
+    samples: ClassVar[list[tuple[Callable[[bytes], object], Any]]] = [
+        (decode_copy_handle, {"handle": "h1"}),
+        (
+            count_waiting_runs,
+            {"models": [{}], "queued": 2, "running": 3, "runs": [["q1", 5, 14]]},
+        ),
+        (decode_cached_parts, {"events": [[1, "+", "", "5c1e"], [2, "-", "", "5c1e"]]}),
+    ]
+
+    @settings(deadline=None, derandomize=True)
+    @given(st.data())
+    def test_they_are_decoded_or_rejected(self, data):
+        for decode, sample in self.samples:
+            check_total(decode, data.draw(odd_versions(sample)))
+
+    @settings(deadline=None, derandomize=True)
+    @given(odd_versions({"models": [{}], "queued": 2}))
+    def test_whether_one_is_of_an_engine_is_told(self, body):
+        assert is_engine_report(body) in (True, False)
+
+
 class TestRolloutOrder:
     sample: ClassVar[dict[str, Any]] = {
         "metadata": {"name": "s", "revision": 7, "created": 3},
@@ -216,6 +284,21 @@
 
 
 class TestEndpointEntryOnThePlatform:
+    # Guards against 500 for each call that is sent to an endpoint of such a name.
+    @pytest.mark.parametrize("name", [" odd", "o\0d"])
+    def test_an_odd_name_affects_no_other_endpoint(self, name, logged):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            runner = await system.add_runner("i-look", LOOKUPS)
+            await system.add_host()
+            await system.wait_ready()
+            system.store.put("servers", name, runner.entry(LOOKUPS) | {"slots": 99})
+            await log_of(logged, IGNORED_ENTRY)
+            for _ in range(4):
+                assert (await system.send("/look/1")).status == 200
+
+        run(test)
+
     # Guards against a host that stops telling others its loads and losses: the number
     # of a brittle endpoint's slots is part of the same message.
     def test_a_count_that_no_message_can_hold_affects_no_other_endpoint(self, logged):
@@ -323,6 +406,50 @@
     return config
 
 
+class TestRolloutOrderOnThePlatform:
+    def test_it_affects_no_later_order(self, logged):
+        async def test(system: PlatformSystem) -> None:
+            odd = {"service": LOOKUPS, "target_version": "v2", "duration_s": 1e300}
+            system.store.put("config", "main", make_config())
+            system.store.put("rollouts", LOOKUPS, odd)
+            await system.add_runner("i-look", LOOKUPS)
+            host = await system.add_host(exposure_share="0.1", exposure_slack="50")
+            await system.wait_ready()
+            await log_of(logged, IGNORED_ORDER)
+            assert (await system.send("/look/1")).status == 200
+            system.store.put("rollouts", LOOKUPS, odd | {"duration_s": 4})
+            while not host.config.rollouts.states_by_service:
+                await asyncio.sleep(0.01)
+            system.store.put("rollouts", LOOKUPS, odd | {"duration_s": "soon"})
+            await log_of(logged, IGNORED_ORDER, count=2)
+            system.store.remove("rollouts", LOOKUPS)
+            while host.config.rollouts.states_by_service:
+                await asyncio.sleep(0.01)
+            assert (await system.send("/look/1")).status == 200
+
+        run(test)
+        assert not find(logged, TASK_FAILED)
+
+
+class TestVersionRecordOnThePlatform:
+    def test_hosts_go_on_and_record_again_once_it_is_readable(self, logged):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            system.store.put("software-versions", ENGINE, {"versions": 7})
+            for version in ("v1", "v2"):
+                await system.add_runner(f"i-{version}", version=version)
+            await system.add_host()
+            await system.wait_ready()
+            await log_of(logged, "versions: Not recorded.")
+            assert (await system.stream()).status == 200
+            system.store.put("software-versions", ENGINE, {"versions": ["v0"]})
+            await log_of(logged, "versions: Recorded.")
+            assert (await system.stream()).status == 200
+
+        run(test)
+        assert not find(logged, TASK_FAILED)
+
+
 class TestConfigurationOnThePlatform:
     def test_the_one_before_stays_in_force(self, logged):
         async def test(system: PlatformSystem) -> None:
@@ -331,8 +458,7 @@
             host = await system.add_host()
             await system.wait_ready()
             system.store.put("config", "main", odd_config(2))
-            while not find(logged, IGNORED_CONFIG):
-                await asyncio.sleep(0.01)
+            await log_of(logged, IGNORED_CONFIG)
             assert host.routes.current.version == 1
             assert (await system.send("/look/1")).status == 200
             system.store.put("config", "main", make_config(3))
@@ -348,8 +474,7 @@
             system.store.put("config", "main", odd_config(2))
             await system.add_runner("i-look", LOOKUPS)
             host = await system.add_host()
-            while not find(logged, IGNORED_CONFIG):
-                await asyncio.sleep(0.01)
+            await log_of(logged, IGNORED_CONFIG)
             assert not host.is_ready
             assert (await system.send("/look/1")).status == 503
             system.store.put("config", "main", make_config(3))
@@ -367,5 +492,11 @@
     assert "version 2" in event["why"]
 
 
+async def log_of(events: list[dict[str, Any]], message: str, *, count: int = 1) -> None:
+    """Wait until an event has been logged."""
+    while len(find(events, message)) < count:
+        await asyncio.sleep(0.01)
+
+
 def find(events: list[dict[str, Any]], message: str) -> list[dict[str, Any]]:
     return [event for event in events if event.get("message") == message]
