LOST: requests that ended are not held for the backup of their origins

The list of answers that have just ended keeps their key, service and origin, and only if they have begun.

test_the_request_of_an_ended_answer_is_not_held failed before, in both cases.

--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
+import attrs
+
 from passtally.backed_up_origins import BackedUpOrigins
 from passtally.clock import Clock
 from passtally.datagrams import Datagrams
@@ -53,6 +55,24 @@
     """No host in reach knows where an answer began, and several versions may serve."""
 
 
+@attrs.frozen(kw_only=True)
+class _BegunAnswer:
+    """What is kept of an answer after its end: not its request, which may be large."""
+
+    key: bytes
+    service: str
+    origin: Origin
+
+    @classmethod
+    def of(cls, answer: RunningAnswer) -> "_BegunAnswer | None":
+        """Return this of an answer, or None if it has not begun."""
+        generation = answer.generation
+        if generation.origin is None:
+            return None
+        service = generation.request.service
+        return cls(key=answer.key, service=service, origin=generation.origin)
+
+
 class OriginExchange:
     """The origins of answers, shared among the hosts.
 
@@ -91,7 +111,7 @@
         self._backups = backups
         self._running: set[RunningAnswer] = set()
         #: The answers that ended since the last call of :meth:`take_origins`.
-        self._just_ended: list[RunningAnswer] = []
+        self._just_ended: list[_BegunAnswer] = []
         self._questions_by_number: dict[int, OriginQuestion] = {}
         self._numbers = itertools.count(1)
         datagrams.listen(TellOrigins, self._store)
@@ -143,7 +163,8 @@
             yield answer
         finally:
             self._running.discard(answer)
-            self._just_ended.append(answer)
+            if (begun := _BegunAnswer.of(answer)) is not None:
+                self._just_ended.append(begun)
 
     def tell(self, answer: RunningAnswer) -> None:
         """Tell the hosts that keep the record of an answer, without any wait."""
@@ -157,12 +178,10 @@
         """
         software_by_key: dict[bytes, str] = {}
         just_ended, self._just_ended = self._just_ended, []
-        for answer in (*self._running, *just_ended):
-            generation = answer.generation
-            if generation.origin is None:
-                continue
-            software = self._rule.software_of(generation.origin)
-            if software and self._versions.has_several(generation.request.service):
+        running = map(_BegunAnswer.of, self._running)
+        for answer in (*filter(None, running), *just_ended):
+            software = self._rule.software_of(answer.origin)
+            if software and self._versions.has_several(answer.service):
                 software_by_key[answer.key] = software
         return software_by_key
 
--- a/tests/test_origin_backups.py
+++ b/tests/test_origin_backups.py
@@ -1,6 +1,8 @@
 """The origins of answers in the store, after the loss of all hosts."""
 
 import asyncio
+import gc
+import weakref
 from base64 import b64encode
 from datetime import UTC, datetime, timedelta
 
@@ -298,6 +300,29 @@
         run_virtually(test())
 
 
+class TestEndedAnswers:
+    # Guards against requests whose bodies stay in memory after their end, beyond the
+    # limit on the bodies that a host holds.
+    @pytest.mark.parametrize("has_begun", [False, True])
+    def test_the_request_of_an_ended_answer_is_not_held(self, has_begun):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=1)
+            fleet.start(fleet.gossip.rows)
+            (exchange,) = fleet.exchanges_by_id.values()
+            generation = fleet.make_generation("q0", "v1")
+            if not has_begun:
+                generation.origin = None
+            with exchange.running(generation, first_id="q0"):
+                pass
+            request = weakref.ref(generation.request)
+            del generation
+            gc.collect()
+            assert request() is None
+            assert len(exchange.take_origins()) == int(has_begun)
+
+        run_virtually(test())
+
+
 class TestLossOfAllHosts:
     """All hosts are killed while streams of two versions run, and start again."""
 
