ORDER, LOST: an object nested too deep does not end the tasks that write to the store

The answer to a write contains the object that exists. If another writer had put values nested thousands of levels deep into it, the decoder's RecursionError ended the task that records versions of all services, or the one that keeps a host's backup of origins, again and again. A lone surrogate in such an object made each write fail for good. Listings had a remedy for both, which writes now share. A record of versions that is not text, or nested too deep, counts as not usable.

--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -203,7 +203,7 @@
             _encode_object({"name": name}, spec),
             accepted=(*SUCCESSES, CONFLICT),
         )
-        item = self._link.decode("create", fetched.body, _Object)
+        item = self._decode("create", f"{kind}/", fetched.body, _Object)
         return self._to_stored(f"{kind}/", item, self._era)
 
     async def replace(self, key: str, spec: bytes, *, revision: int) -> StoredObject:
@@ -212,7 +212,7 @@
         metadata = {"name": name, "revision": revision}
         body = _encode_object(metadata, spec)
         fetched = await self._write("replace", "PUT", quote(key), body)
-        item = self._link.decode("replace", fetched.body, _Object)
+        item = self._decode("replace", f"{kind}/", fetched.body, _Object)
         return self._to_stored(f"{kind}/", item, self._era)
 
     async def _write(
@@ -303,14 +303,22 @@
         era = self._era
         if self._is_of_earlier_era(fetched):
             raise self._superseded(step)
-        body = replace_lone_surrogates(fetched.body)
+        return era, self._decode(step, prefix, fetched.body, kind)
+
+    def _decode(self, step: str, prefix: str, body: bytes, kind: type[T]) -> T:
+        """Decode an answer, which may contain what another writer put into an object.
+
+        Raises:
+            UnavailableError: The body is not valid JSON of this type.
+        """
+        body = replace_lone_surrogates(body)
         try:
-            return era, self._link.decode(step, body, kind)
+            return self._link.decode(step, body, kind)
         except RecursionError:
             log_event(
                 "store", "Replaced values nested too deep by null.", prefix=prefix
             )
-            return era, self._link.decode(step, replace_deep_values(body), kind)
+            return self._link.decode(step, replace_deep_values(body), kind)
 
 
 def _encode_object(metadata: dict[str, str | int], spec: bytes) -> bytes:
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -114,7 +114,7 @@
 def _to_record(stored: StoredObject) -> VersionRecord:
     try:
         record = msgspec.json.decode(bytes(stored.value), type=_Record)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise UnavailableError(str(error), step="decode", peer=stored.key) from error
     return VersionRecord(
         versions=frozenset(record.versions),
