LOST: a host's new answers displace those of its earlier life in its backup

A host that is killed again within 2 min keeps what its backup held. With as many of these as a backup may hold, the backup became larger than its limit once, and then the answers of the new life that had ended were dropped before those of the earlier one: callers take up the newest.

test_the_newest_answers_displace_those_of_the_time_before_a_restart failed before: the backup held 4,100 origins, then none of the 100 that had just ended.

--- a/passtally/origin_backup.py
+++ b/passtally/origin_backup.py
@@ -159,10 +159,12 @@
             return
         self._has_read_earlier = True
         expires_at = self._clock.monotonic() + RECORD_TTL
-        for key, software in existing.software_by_key.items():
-            if key not in self._kept_by_key:
-                kept = _KeptOrigin(software=software, expires_at=expires_at)
-                self._kept_by_key[key] = kept
+        earlier = {
+            key: _KeptOrigin(software=software, expires_at=expires_at)
+            for key, software in existing.software_by_key.items()
+            if key not in self._kept_by_key
+        }
+        self._kept_by_key = _limit({**earlier, **self._kept_by_key})
 
     def _update_kept(self) -> None:
         now = self._clock.monotonic()
@@ -171,5 +173,15 @@
             self._kept_by_key[key] = _KeptOrigin(
                 software=software, expires_at=now + RETENTION
             )
-        kept = [item for item in self._kept_by_key.items() if item[1].expires_at > now]
-        self._kept_by_key = dict(kept[-MAX_ORIGINS:])
+        self._kept_by_key = _limit(
+            {
+                key: kept
+                for key, kept in self._kept_by_key.items()
+                if kept.expires_at > now
+            }
+        )
+
+
+def _limit(kept_by_key: Mapping[bytes, _KeptOrigin]) -> dict[bytes, _KeptOrigin]:
+    """Return the origins without the first of them, if there are too many."""
+    return dict(list(kept_by_key.items())[-MAX_ORIGINS:])
--- a/tests/test_origin_backups.py
+++ b/tests/test_origin_backups.py
@@ -120,6 +120,25 @@
 
         run_virtually(test())
 
+    # Guards against a backup beyond its limit, and against streams that are unknown
+    # since those of the host's earlier life take up the room.
+    def test_the_newest_answers_displace_those_of_the_time_before_a_restart(self):
+        async def test() -> None:
+            store = OriginBackupStoreFake()
+            earlier = {key(number): "v1" for number in range(MAX_ORIGINS)}
+            store.put(make_backup(earlier))
+            host = Host(store)
+            ended = {key(MAX_ORIGINS + number): "v2" for number in range(100)}
+            host.running = ended
+            await host.writer.write()
+            assert len(host.saved) == MAX_ORIGINS
+            host.running = {key(2 * MAX_ORIGINS): "v2"}
+            await host.writer.write()
+            assert len(host.saved) == MAX_ORIGINS
+            assert ended.items() <= host.saved.items()
+
+        run_virtually(test())
+
     # Guards against a write without an answer that is carried out after a newer one.
     def test_a_late_write_does_not_undo_a_newer_one(self):
         async def test() -> None:
