LOST: a write of a host's earlier life that is carried out late is kept in its backup

A host that starts again reads its backup once, and keeps what it finds. Its last write before it was killed may be carried out after that: the origins in it were dropped with the next write, and these streams were unknown after a second loss.

Each backup that exists when the host reads it anew is kept now. test_a_late_write_of_the_time_before_a_restart_is_kept failed before.

--- a/passtally/origin_backup.py
+++ b/passtally/origin_backup.py
@@ -101,7 +101,6 @@
         self._kept_by_key: dict[bytes, _KeptOrigin] = {}
         #: What the store is known to hold.
         self._saved: OriginBackup | None = None
-        self._has_read_earlier = False
 
     async def run(self) -> None:
         """Keep the backup up to date until cancelled."""
@@ -154,10 +153,10 @@
         )
 
     def _keep_earlier(self, existing: OriginBackup) -> None:
-        """Keep what this host wrote before it was killed: it may be killed again."""
-        if self._has_read_earlier:
-            return
-        self._has_read_earlier = True
+        """Keep what this host wrote before it was killed: it may be killed again.
+
+        A write of that time may be carried out after this host has read its backup.
+        """
         expires_at = self._clock.monotonic() + RECORD_TTL
         earlier = {
             key: _KeptOrigin(software=software, expires_at=expires_at)
--- a/tests/test_origin_backups.py
+++ b/tests/test_origin_backups.py
@@ -139,6 +139,26 @@
 
         run_virtually(test())
 
+    # Guards against streams that are unknown after a second loss since the host's last
+    # write before the first one was carried out after the host had read its backup.
+    def test_a_late_write_of_the_time_before_a_restart_is_kept(self):
+        async def test() -> None:
+            store = OriginBackupStoreFake()
+            killed = Host(store)
+            for number in range(2):
+                killed.running[key(number)] = "v1"
+                store.late_writes = number
+                await killed.writer.write()
+            host = Host(store)
+            host.running = {key(2): "v1"}
+            store.late_writes = 1
+            await host.writer.write()
+            await store.carry_out_late_writes()
+            await host.writer.write()
+            assert host.saved == killed.running | host.running
+
+        run_virtually(test())
+
     # Guards against a write without an answer that is carried out after a newer one.
     def test_a_late_write_does_not_undo_a_newer_one(self):
         async def test() -> None:
