ORDER: an id that was used at two versions is not relied on in one host's backup

A caller that uses an id twice may mean either answer. The hosts' tables and the lookup in several backups rely on none then, but one host's backup held either the first version or the last, and after the loss of all hosts the stream went on there.

test_an_id_that_was_used_at_two_versions_is_refused failed before in the three cases of one host; the three of two hosts held.

--- a/passtally/backed_up_origins.py
+++ b/passtally/backed_up_origins.py
@@ -8,7 +8,7 @@
 from passtally.clock import Clock
 from passtally.decision import log_event
 from passtally.object_store import PlatformError
-from passtally.origin_backup import OriginBackup, OriginBackupStore
+from passtally.origin_backup import OriginBackup, OriginBackupStore, merge_software
 from passtally.origin_table import RECORD_TTL
 
 #: Minimum interval between two listings. Callers that come back at once share one.
@@ -22,11 +22,12 @@
     """An answer's origin in a backup.
 
     Attributes:
-        software: The software version that began the answer; None if backups differ.
+        software: The software version that began the answer; empty if answers of this
+            key began at different versions.
         backup: The backup.
     """
 
-    software: str | None
+    software: str
     backup: OriginBackup
 
 
@@ -84,7 +85,5 @@
     def _add(self, backup: OriginBackup) -> None:
         for key, software in backup.software_by_key.items():
             known = self._origins_by_key.get(key)
-            is_other = known is not None and known.software != software
-            self._origins_by_key[key] = BackedUpOrigin(
-                software=None if is_other else software, backup=backup
-            )
+            merged = merge_software(None if known is None else known.software, software)
+            self._origins_by_key[key] = BackedUpOrigin(software=merged, backup=backup)
--- a/passtally/origin_backup.py
+++ b/passtally/origin_backup.py
@@ -37,7 +37,7 @@
     Attributes:
         host_id: The host that wrote it.
         software_by_key: The software versions that began its answers, by the answers'
-            keys.
+            keys; empty where answers of one key began at different versions.
         written_at: The wall clock time of the host that wrote it.
         revision: The revision of the backup in the store.
     """
@@ -65,6 +65,14 @@
         """Replace the backup of exactly this revision, and return the new one."""
 
 
+def merge_software(known: str | None, told: str) -> str:
+    """Return the version of an answer that is named twice; empty if these differ.
+
+    Callers choose the ids of their requests, and may use one again.
+    """
+    return told if known in (None, told) else ""
+
+
 @attrs.frozen(kw_only=True)
 class _KeptOrigin:
     software: str
@@ -79,7 +87,8 @@
         host_id: The name of this host.
         clock: The clock.
         take_origins: Returns the versions that began the answers that ran here since
-            the last call, by the answers' keys, in services with several versions.
+            the last call, by the answers' keys, in services with several versions;
+            empty where answers of one key began at different versions.
         count_hosts: Returns the number of hosts.
     """
 
@@ -121,7 +130,7 @@
             self._saved = None
         self._update_kept()
         saved = {} if self._saved is None else self._saved.software_by_key
-        if self._kept_by_key.keys() <= saved.keys():
+        if self._software_by_key().items() <= saved.items():
             return
         try:
             self._saved = await self._save()
@@ -145,32 +154,36 @@
     def _make_backup(self, *, revision: int) -> OriginBackup:
         return OriginBackup(
             host_id=self._host_id,
-            software_by_key={
-                key: kept.software for key, kept in self._kept_by_key.items()
-            },
+            software_by_key=self._software_by_key(),
             written_at=self._clock.now(),
             revision=revision,
         )
 
+    def _software_by_key(self) -> dict[bytes, str]:
+        return {key: kept.software for key, kept in self._kept_by_key.items()}
+
     def _keep_earlier(self, existing: OriginBackup) -> None:
         """Keep what this host wrote before it was killed: it may be killed again.
 
         A write of that time may be carried out after this host has read its backup.
         """
         expires_at = self._clock.monotonic() + RECORD_TTL
-        earlier = {
-            key: _KeptOrigin(software=software, expires_at=expires_at)
-            for key, software in existing.software_by_key.items()
-            if key not in self._kept_by_key
-        }
+        earlier: dict[bytes, _KeptOrigin] = {}
+        for key, software in existing.software_by_key.items():
+            known = self._kept_by_key.get(key)
+            if known is None:
+                earlier[key] = _KeptOrigin(software=software, expires_at=expires_at)
+            elif known.software != software:
+                self._kept_by_key[key] = attrs.evolve(known, software="")
         self._kept_by_key = _limit({**earlier, **self._kept_by_key})
 
     def _update_kept(self) -> None:
         now = self._clock.monotonic()
         for key, software in self._take_origins().items():
-            self._kept_by_key.pop(key, None)
+            known = self._kept_by_key.pop(key, None)
+            merged = merge_software(known and known.software, software)
             self._kept_by_key[key] = _KeptOrigin(
-                software=software, expires_at=now + RETENTION
+                software=merged, expires_at=now + RETENTION
             )
         self._kept_by_key = _limit(
             {
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -28,6 +28,7 @@
 )
 from passtally.metrics import Metric, Metrics
 from passtally.origin import KnownAnswer, Origin, OriginRule
+from passtally.origin_backup import merge_software
 from passtally.origin_keepers import OriginKeepers
 from passtally.origin_question import OriginQuestion, address_of
 from passtally.origin_rows import from_origin_row, origin_at, to_origin_row
@@ -174,7 +175,8 @@
     def take_origins(self) -> dict[bytes, str]:
         """Return the versions of the answers that ran here since the last call, by key.
 
-        Only services are covered where several versions may have begun answers.
+        Only services are covered where several versions may have begun answers. The
+        version is empty where answers of one key began at different ones.
         """
         software_by_key: dict[bytes, str] = {}
         just_ended, self._just_ended = self._just_ended, []
@@ -182,7 +184,8 @@
         for answer in (*filter(None, running), *just_ended):
             software = self._rule.software_of(answer.origin)
             if software and self._versions.has_several(answer.service):
-                software_by_key[answer.key] = software
+                known = software_by_key.get(answer.key)
+                software_by_key[answer.key] = merge_software(known, software)
         return software_by_key
 
     async def find(
@@ -259,8 +262,8 @@
         if found is None:
             return None
         host_id = found.backup.host_id
-        if found.software is None:
-            log_event("origin", "Backups differ.", backup=host_id, **fields)
+        if not found.software:
+            log_event("origin", "Several versions.", backup=host_id, **fields)
             return None
         known = KnownAnswer(origin=origin_at(found.software))
         self._put(to_origin_row(key, known.origin, holder_id=""))
