--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -394,6 +394,21 @@
 
         run(test)
 
+    # Guards against streams that are refused since the store tells an era, as it does
+    # for good after it was restored from a copy once.
+    def test_streams_of_the_only_version_go_on_where_the_store_tells_an_era(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(versions=1)
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            system.store.forget_history()
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
     # Guards against streams that are refused although no other version ever served.
     @pytest.mark.parametrize("write_refusal", [None, 404], ids=["records", "none"])
     def test_streams_of_the_only_version_go_on(self, write_refusal):
