--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -409,6 +409,27 @@
 
         run(test)
 
+    # Guards against streams that no backup names, since the hosts that began them saw
+    # one version only: another one may still be in the record.
+    def test_streams_go_on_after_a_second_loss_with_one_version_left(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(gap=SLOW_GAP)
+            await scene.wait_recorded()
+            scene.remove_version(1)
+            await scene.restart_all_hosts()
+            sent = asyncio.create_task(scene.send_all(scene.hosts))
+            await scene.wait_midway()
+            await scene.stop_all_hosts()
+            await sent
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            assert count_mixed(scene.callers) == 0
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
     # Guards against streams that are refused although no other version ever served.
     @pytest.mark.parametrize("write_refusal", [None, 404], ids=["records", "none"])
     def test_streams_of_the_only_version_go_on(self, write_refusal):
