--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -430,6 +430,29 @@
 
         run(test)
 
+    # Guards against a second version that is not recorded yet when all hosts are lost.
+    def test_no_stream_goes_on_after_a_version_that_had_just_come(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            system.store.era = None
+            await scene.start(versions=1, gap=SLOW_GAP)
+            system.store.forget_history()
+            await scene.add_version(2)
+            for host in scene.hosts:
+                while len(host.catalog.endpoints_by_id) < 2 * PER_VERSION:
+                    await asyncio.sleep(0.01)
+            sent = asyncio.create_task(scene.send_all(scene.hosts))
+            while not any("v2" in caller.versions for caller in scene.callers):
+                await asyncio.sleep(0.01)
+            await scene.stop_all_hosts()
+            scene.remove_version(2)
+            await sent
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            assert count_mixed(scene.callers) == 0
+
+        run(test)
+
     # Guards against streams that are refused although no other version ever served.
     @pytest.mark.parametrize("write_refusal", [None, 404], ids=["records", "none"])
     def test_streams_of_the_only_version_go_on(self, write_refusal):
