ORDER: a test of a backup that names another version than the record (fails)

A record of versions and the backups are written by tasks of their own, so a backup may name a version that the record lacks. The only version of the record is relied on before the backups are looked at, and the stream goes on there.

--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -1,17 +1,18 @@
 """The versions that services had before a host's start, as the store tells them."""
 
 import asyncio
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 import pytest
 
 from passtally.objects import Endpoint
+from passtally.origin_backup import OriginBackup
 from passtally.origin_exchange import CHECK_INTERVAL, SETTLE_TIME
-from passtally.origin_table import RECORD_TTL
+from passtally.origin_table import RECORD_TTL, origin_key
 from passtally.seen_versions import SeenVersions
 from passtally.version_records import RETRY_INTERVAL, VersionRecords
 from standins.virtual import VirtualClock, run_virtually
-from tests.origin_fleet import SERVICE, OriginFleet, VersionStoreFake
+from tests.origin_fleet import SERVICE, WORKSPACE, OriginFleet, VersionStoreFake
 
 NOW = timedelta(0)
 SECOND = timedelta(seconds=1)
@@ -383,3 +384,25 @@
     # Guards against an old host that misses the changes of late.
     def test_an_old_host_that_receives_no_changes_is_not_enough(self):
         assert self.find(old=1, current=6) is None
+
+
+class TestBackupsAgainstTheRecord:
+    # Guards against a stream that goes on at the only version of a record which lacks
+    # the one that a host's backup names: it came just before all hosts were lost.
+    def test_a_backup_that_names_another_version_is_relied_on(self):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=7, versions=("v1", "v1"))
+            fleet.store.put(SERVICE, ONLY)
+            fleet.backups.put(
+                OriginBackup(
+                    host_id="killed",
+                    software_by_key={origin_key(WORKSPACE, SERVICE, "q0"): "v2"},
+                    written_at=datetime(2026, 1, 1, tzinfo=UTC),
+                )
+            )
+            fleet.start(fleet.gossip.rows)
+            fleet.gossip.know_all()
+            await sleep(SETTLE_TIME)
+            assert await fleet.find(fleet.gossip.rows[0].host_id, "q0") == "v2"
+
+        run_virtually(test())
