--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
+import attrs
+
 from passtally.backed_up_origins import BackedUpOrigins
 from passtally.clock import Clock
 from passtally.datagrams import Datagrams
@@ -26,6 +28,7 @@
 )
 from passtally.metrics import Metric, Metrics
 from passtally.origin import KnownAnswer, Origin, OriginRule
+from passtally.origin_backup import merge_software
 from passtally.origin_keepers import OriginKeepers
 from passtally.origin_question import OriginQuestion, address_of
 from passtally.origin_rows import from_origin_row, origin_at, to_origin_row
@@ -53,6 +56,24 @@
     """No host in reach knows where an answer began, and several versions may serve."""
 
 
+@attrs.frozen(kw_only=True)
+class _BegunAnswer:
+    """What is kept of an answer after its end: not its request, which may be large."""
+
+    key: bytes
+    service: str
+    origin: Origin
+
+    @classmethod
+    def of(cls, answer: RunningAnswer) -> "_BegunAnswer | None":
+        """Return this of an answer, or None if it has not begun."""
+        generation = answer.generation
+        if generation.origin is None:
+            return None
+        service = generation.request.service
+        return cls(key=answer.key, service=service, origin=generation.origin)
+
+
 class OriginExchange:
     """The origins of answers, shared among the hosts.
 
@@ -91,7 +112,7 @@
         self._backups = backups
         self._running: set[RunningAnswer] = set()
         #: The answers that ended since the last call of :meth:`take_origins`.
-        self._just_ended: list[RunningAnswer] = []
+        self._just_ended: list[_BegunAnswer] = []
         self._questions_by_number: dict[int, OriginQuestion] = {}
         self._numbers = itertools.count(1)
         datagrams.listen(TellOrigins, self._store)
@@ -143,7 +164,8 @@
             yield answer
         finally:
             self._running.discard(answer)
-            self._just_ended.append(answer)
+            if (begun := _BegunAnswer.of(answer)) is not None:
+                self._just_ended.append(begun)
 
     def tell(self, answer: RunningAnswer) -> None:
         """Tell the hosts that keep the record of an answer, without any wait."""
@@ -153,21 +175,21 @@
     def take_origins(self) -> dict[bytes, str]:
         """Return the versions of the answers that ran here since the last call, by key.
 
-        Only services are covered where several versions may have begun answers.
+        Only services are covered where several versions may have begun answers. The
+        version is empty where answers of one key began at different ones.
         """
-        generation_by_key = {
-            answer.key: answer.generation
-            for answer in (*self._running, *self._just_ended)
-        }
+        begun = map(_BegunAnswer.of, self._running)
+        answers = [*filter(None, begun), *self._just_ended]
         self._just_ended.clear()
-        services = {item.request.service for item in generation_by_key.values()}
+        services = {answer.service for answer in answers}
         covered = {name for name in services if self._versions.has_several(name)}
-        software_by_key = {
-            key: self._rule.software_of(generation.origin)
-            for key, generation in generation_by_key.items()
-            if generation.origin is not None and generation.request.service in covered
-        }
-        return {key: software for key, software in software_by_key.items() if software}
+        software_by_key: dict[bytes, str] = {}
+        for answer in answers:
+            software = self._rule.software_of(answer.origin)
+            if software and answer.service in covered:
+                known = software_by_key.get(answer.key)
+                software_by_key[answer.key] = merge_software(known, software)
+        return software_by_key
 
     async def find(
         self,
@@ -243,8 +265,8 @@
         if found is None:
             return None
         host_id = found.backup.host_id
-        if found.software is None:
-            log_event("origin", "Backups differ.", backup=host_id, **fields)
+        if not found.software:
+            log_event("origin", "Several versions.", backup=host_id, **fields)
             return None
         known = KnownAnswer(origin=origin_at(found.software))
         self._put(to_origin_row(key, known.origin, holder_id=""))
--- a/passtally/platform/store.py
+++ b/passtally/platform/store.py
@@ -224,7 +224,7 @@
         metadata = {"name": name, "revision": revision}
         body = _encode_object(metadata, spec)
         fetched = await self._write("replace", "PUT", quote(key), body)
-        item = self._link.decode("replace", fetched.body, _Object)
+        item = self._decode("replace", f"{kind}/", fetched.body, _Object)
         return self._to_stored(f"{kind}/", item, self._era)
 
     async def _write(
--- a/tests/test_origin_backups.py
+++ b/tests/test_origin_backups.py
@@ -1,6 +1,8 @@
 """The origins of answers in the store, after the loss of all hosts."""
 
 import asyncio
+import gc
+import weakref
 from base64 import b64encode
 from datetime import UTC, datetime, timedelta
 
@@ -118,6 +120,45 @@
 
         run_virtually(test())
 
+    # Guards against a backup beyond its limit, and against streams that are unknown
+    # since those of the host's earlier life take up the room.
+    def test_the_newest_answers_displace_those_of_the_time_before_a_restart(self):
+        async def test() -> None:
+            store = OriginBackupStoreFake()
+            earlier = {key(number): "v1" for number in range(MAX_ORIGINS)}
+            store.put(make_backup(earlier))
+            host = Host(store)
+            ended = {key(MAX_ORIGINS + number): "v2" for number in range(100)}
+            host.running = ended
+            await host.writer.write()
+            assert len(host.saved) == MAX_ORIGINS
+            host.running = {key(2 * MAX_ORIGINS): "v2"}
+            await host.writer.write()
+            assert len(host.saved) == MAX_ORIGINS
+            assert ended.items() <= host.saved.items()
+
+        run_virtually(test())
+
+    # Guards against streams that are unknown after a second loss since the host's last
+    # write before the first one was carried out after the host had read its backup.
+    def test_a_late_write_of_the_time_before_a_restart_is_kept(self):
+        async def test() -> None:
+            store = OriginBackupStoreFake()
+            killed = Host(store)
+            for number in range(2):
+                killed.running[key(number)] = "v1"
+                store.late_writes = number
+                await killed.writer.write()
+            host = Host(store)
+            host.running = {key(2): "v1"}
+            store.late_writes = 1
+            await host.writer.write()
+            await store.carry_out_late_writes()
+            await host.writer.write()
+            assert host.saved == killed.running | host.running
+
+        run_virtually(test())
+
     # Guards against a write without an answer that is carried out after a newer one.
     def test_a_late_write_does_not_undo_a_newer_one(self):
         async def test() -> None:
@@ -213,7 +254,7 @@
             for host_id, software in (("a", "v1"), ("b", "v2"), ("c", "v1")):
                 store.put(make_backup({key(1): software}, host_id))
             origins = BackedUpOrigins(store=store, clock=VirtualClock())
-            assert (await origins.find(key(1))).software is None
+            assert not (await origins.find(key(1))).software
 
         run_virtually(test())
 
@@ -298,6 +339,29 @@
         run_virtually(test())
 
 
+class TestEndedAnswers:
+    # Guards against requests whose bodies stay in memory after their end, beyond the
+    # limit on the bodies that a host holds.
+    @pytest.mark.parametrize("has_begun", [False, True])
+    def test_the_request_of_an_ended_answer_is_not_held(self, has_begun):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=1)
+            fleet.start(fleet.gossip.rows)
+            (exchange,) = fleet.exchanges_by_id.values()
+            generation = fleet.make_generation("q0", "v1")
+            if not has_begun:
+                generation.origin = None
+            with exchange.running(generation, first_id="q0"):
+                pass
+            request = weakref.ref(generation.request)
+            del generation
+            gc.collect()
+            assert request() is None
+            assert len(exchange.take_origins()) == int(has_begun)
+
+        run_virtually(test())
+
+
 class TestLossOfAllHosts:
     """All hosts are killed while streams of two versions run, and start again."""
 
@@ -328,6 +392,42 @@
 
         run_virtually(test())
 
+    # Guards against a stream that goes on at one of two versions at which answers of
+    # its id began, since a caller used the id twice.
+    @pytest.mark.parametrize("second", [0, 1], ids=["same-host", "other-host"])
+    @pytest.mark.parametrize("between", ["nothing", "a-write", "a-loss"])
+    def test_an_id_that_was_used_at_two_versions_is_refused(self, second, between):
+        async def test() -> None:
+            fleet = OriginFleet(hosts=3)
+            rows = fleet.gossip.rows
+            names = [row.host_id for row in rows]
+
+            async def start(life: int) -> None:
+                fleet.start(rows, life=life)
+                fleet.gossip.know_all()
+                await pass_time(SETTLE_TIME)
+
+            async def write() -> None:
+                for writer in fleet.writers_by_id.values():
+                    await writer.write()
+                # Records that were told arrive before the hosts are lost.
+                await pass_time(MIN_WRITE_INTERVAL)
+
+            await start(1)
+            fleet.begin(names[0], "q0", version="v1")
+            if between != "nothing":
+                await write()
+            if between == "a-loss":
+                fleet.stop(rows)
+                await start(2)
+            fleet.begin(names[second], "q0", version="v2")
+            await write()
+            fleet.stop(rows)
+            await start(3)
+            assert await fleet.find(names[0], "q0") is None
+
+        run_virtually(test())
+
     # Guards against a stream that goes on at a version that is only presumed.
     def test_a_stream_that_no_backup_names_is_refused(self):
         async def test() -> None:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -369,24 +369,90 @@
 
     # Guards against streams that go on at a version which replaced theirs while no host
     # ran to see it, so that no record names theirs.
-    def test_no_stream_goes_on_at_a_version_that_came_meanwhile(self):
+    # The store keeps its history for some time only: less than the hosts are away, or
+    # less than it takes callers to come back.
+    @pytest.mark.parametrize("forgets", ["before", "while-away", "after-the-return"])
+    def test_no_stream_goes_on_at_a_version_that_came_meanwhile(self, forgets):
         async def test(system: PlatformSystem) -> None:
             scene = Scene(system)
             system.store.era = None
             await scene.start(versions=1)
             await scene.send_all(scene.hosts, leave_after=MIDWAY)
-            # As after the time for which the store keeps its history.
-            system.store.forget_history()
+            if forgets == "before":
+                system.store.forget_history()
             await scene.stop_all_hosts()
             scene.remove_version(1)
             await scene.add_version(2)
+            if forgets == "while-away":
+                system.store.forget_history()
             await scene.restart_all_hosts()
+            if forgets == "after-the-return":
+                system.store.forget_history()
             tries = await scene.send_all(scene.hosts)
             assert count_mixed(scene.callers) == 0
             assert {item.status for item in tries} == {503}
 
         run(test)
 
+    # Guards against streams that are refused since the store tells an era, as it does
+    # for good after it was restored from a copy once.
+    def test_streams_of_the_only_version_go_on_where_the_store_tells_an_era(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(versions=1)
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            system.store.forget_history()
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
+    # Guards against streams that no backup names, since the hosts that began them saw
+    # one version only: another one may still be in the record.
+    def test_streams_go_on_after_a_second_loss_with_one_version_left(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(gap=SLOW_GAP)
+            await scene.wait_recorded()
+            scene.remove_version(1)
+            await scene.restart_all_hosts()
+            sent = asyncio.create_task(scene.send_all(scene.hosts))
+            await scene.wait_midway()
+            await scene.stop_all_hosts()
+            await sent
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            assert count_mixed(scene.callers) == 0
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
+    # Guards against a second version that is not recorded yet when all hosts are lost.
+    def test_no_stream_goes_on_after_a_version_that_had_just_come(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            system.store.era = None
+            await scene.start(versions=1, gap=SLOW_GAP)
+            system.store.forget_history()
+            await scene.add_version(2)
+            for host in scene.hosts:
+                while len(host.catalog.endpoints_by_id) < 2 * PER_VERSION:
+                    await asyncio.sleep(0.01)
+            sent = asyncio.create_task(scene.send_all(scene.hosts))
+            while not any("v2" in caller.versions for caller in scene.callers):
+                await asyncio.sleep(0.01)
+            await scene.stop_all_hosts()
+            scene.remove_version(2)
+            await sent
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            assert count_mixed(scene.callers) == 0
+
+        run(test)
+
     # Guards against streams that are refused although no other version ever served.
     @pytest.mark.parametrize("write_refusal", [None, 404], ids=["records", "none"])
     def test_streams_of_the_only_version_go_on(self, write_refusal):
