--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -420,6 +420,8 @@
             await scene.restart_all_hosts()
             sent = asyncio.create_task(scene.send_all(scene.hosts))
             await scene.wait_midway()
+            # Longer than the interval between two writes of a backup.
+            await asyncio.sleep(1.5)
             await scene.stop_all_hosts()
             await sent
             await scene.restart_all_hosts()
