ORDER: a young host looks for a stream in the backups before it relies on the record

A stream went on at v1 although a host's backup named v2 for it, where the record of versions named v1 alone: the record and the backups are written by tasks of their own. A host that has not seen the service for as long as answers last now looks in the backups first; one that has relies on what it saw, without a call.

--- a/passtally/known_versions.py
+++ b/passtally/known_versions.py
@@ -71,6 +71,11 @@
         """Whether this host receives all changes of endpoints from the store."""
         return self._is_current()
 
+    @property
+    def has_seen_long(self) -> bool:
+        """Whether this host has seen all versions for as long as answers last."""
+        return self._seen.covers(self._clock.monotonic())
+
     def record(self) -> None:
         """Look at the versions that serve now."""
         self._seen_at = self._clock.monotonic()
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -237,10 +237,14 @@
                 age = timedelta(milliseconds=found.age_ms)
                 return self._found(known, peer=sender, age=age, **fields)
             sole = None
-            if not question.is_contradictory:
-                sole = await self._versions.find_sole(service, question)
-            if sole is None and first_id and not self._is_contradictory(key, question):
-                known = await self._find_backup(key, **fields)
+            if not self._is_contradictory(key, question):
+                # The record of versions may lack one that a backup names.
+                is_young = not self._versions.has_seen_long
+                known = await self._find_backup(key, **fields) if is_young else None
+                if known is None:
+                    sole = await self._versions.find_sole(service, question)
+                if known is None and sole is None and not is_young:
+                    known = await self._find_backup(key, **fields)
                 if known is not None:
                     return known
             if sole is not None or not self._is_young():
@@ -261,7 +265,9 @@
         A host that the store sends no changes does not wait for it: another host may
         reach the store.
         """
-        found = await self._backups.find(key) if self._versions.is_current else None
+        is_named = bool(fields["resumes"])
+        may_ask = is_named and self._versions.is_current
+        found = await self._backups.find(key) if may_ask else None
         if found is None:
             return None
         host_id = found.backup.host_id
