ORDER: a version that appears is recorded at once

The index of endpoints now tells when a service has a new version, and the record is written then; the first output of a stream takes longer.

test_no_stream_goes_on_after_a_version_that_had_just_come failed before.

--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 from typing import Protocol
 
 from passtally.adapter import Adapter
@@ -175,22 +176,22 @@
         )
         keepers = OriginKeepers(members=host.roster)
         backups = adapter.open_origins(host.store)
+        versions = KnownVersions(
+            catalog=host.catalog,
+            seen=seen,
+            records=self.version_records,
+            clock=host.clock,
+            is_current=lambda: host.watch.is_receiving,
+            has_others=lambda: host.roster.peak_hosts > 1 or bool(host.settings.seeds),
+            keepers=keepers,
+        )
+        host.catalog.on_new_version = partial(self._record_versions, versions)
         self.origins = OriginExchange(
             keepers=keepers,
             datagrams=host.datagrams,
             catalog=host.catalog,
             rule=host.fleet.origin_rule,
-            versions=KnownVersions(
-                catalog=host.catalog,
-                seen=seen,
-                records=self.version_records,
-                clock=host.clock,
-                is_current=lambda: host.watch.is_receiving,
-                has_others=lambda: (
-                    host.roster.peak_hosts > 1 or bool(host.settings.seeds)
-                ),
-                keepers=keepers,
-            ),
+            versions=versions,
             backups=BackedUpOrigins(store=backups, clock=host.clock),
             clock=host.clock,
             metrics=host.metrics,
@@ -216,3 +217,8 @@
             origins=self.origins,
             is_behind=host.config.is_behind,
         )
+
+    def _record_versions(self, versions: KnownVersions) -> None:
+        """Record a version that has appeared before streams begin at it."""
+        versions.record()
+        self.version_records.wake()
--- a/passtally/service_index.py
+++ b/passtally/service_index.py
@@ -1,10 +1,16 @@
 """Index of services and their endpoints on a host."""
 
+from collections.abc import Callable
+
 import attrs
 
 from passtally.objects import Endpoint, Service
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 @attrs.define(kw_only=True)
 class ServiceIndex:
     """The services and endpoints in force on this host, with endpoints by service.
@@ -12,10 +18,13 @@
     Attributes:
         services_by_id: The services by id.
         endpoints_by_id: The endpoints by id.
+        on_new_version: Called when a service has an endpoint of a version that none of
+            its others states.
     """
 
     services_by_id: dict[str, Service] = attrs.field(factory=dict)
     endpoints_by_id: dict[str, Endpoint] = attrs.field(factory=dict)
+    on_new_version: Callable[[], None] = _ignore
     _endpoint_ids_by_service: dict[str, dict[str, None]] = attrs.field(factory=dict)
 
     def endpoints_of(self, service_id: str) -> list[Endpoint]:
@@ -26,8 +35,14 @@
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Add or replace an endpoint that registered itself."""
         before = self.endpoints_by_id.get(endpoint.id)
+        is_new = endpoint.has_entry and not any(
+            other.software == endpoint.software and other.has_entry
+            for other in self.endpoints_of(endpoint.service)
+        )
         self.endpoints_by_id[endpoint.id] = endpoint
         self._index_service(before, endpoint)
+        if is_new:
+            self.on_new_version()
 
     def drop_endpoint(self, endpoint_id: str) -> None:
         """Remove an endpoint that registered itself."""
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 from collections import defaultdict
 from collections.abc import Callable, Hashable, Iterable
 from datetime import timedelta
@@ -102,6 +103,7 @@
         clock: Clock,
         is_writer: Callable[[], bool],
     ) -> None:
+        self._started_at = clock.monotonic()
         self._store = store
         self._seen = seen
         self._clock = clock
@@ -112,16 +114,32 @@
         #: What this host saw when it last brought a record up to date, and whether it
         #: had seen the service for as long as answers last.
         self._saved_by_service: dict[str, tuple[frozenset[str], bool]] = {}
+        self._changed = asyncio.Event()
         self._failed_at_by_service: dict[str, timedelta] = {}
         self._locks_by_service: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
 
     async def run(self) -> None:
         """Keep the records up to date until cancelled."""
         while True:
+            self._changed.clear()
             for service, versions in self._seen.versions_by_service().items():
-                if self._is_writer() or self._is_outdated(service, versions):
+                if self._may_write() or self._is_outdated(service, versions):
                     await self._save(service, versions)
-            await self._clock.sleep(CHECK_INTERVAL)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL.total_seconds()):
+                    await self._changed.wait()
+
+    def wake(self) -> None:
+        """Bring the records up to date now, since a version has appeared."""
+        self._changed.set()
+
+    def _may_write(self) -> bool:
+        """Return whether this host writes; one that knows no others yet does not."""
+        return self._age >= CHECK_INTERVAL and self._is_writer()
+
+    @property
+    def _age(self) -> timedelta:
+        return self._clock.monotonic() - self._started_at
 
     def _is_outdated(self, service: str, versions: frozenset[str]) -> bool:
         """Return whether a record that this host read has a version that is gone.
@@ -233,5 +251,5 @@
         """Forget the records of a store that was replaced or restored since."""
         if self._lineage != self._store.lineage:
             self._lineage = self._store.lineage
-            self._past_by_service.clear()
+            self.forget_past()
             self._saved_by_service.clear()
