ORDER, LOST: a host looks at its start for what served before

48 of 48 streams went on at the version that replaced theirs if callers came back after the store had forgotten the change: an endpoint that came while no host ran is older than the history by then. And none of 48 streams went on after a second loss where one of two versions had been left before: young hosts saw one version only, and backed up nothing, while the record still named both.

A host reads the records at its start, and asks for the age of an only version without a record within 5 s of it; later ages show nothing. At the first start of the whole system (setting first_start, the platform's bootstrap) no answer is older than the hosts, and nothing is read.

The cases after-the-return and second_loss_with_one_version_left failed before. The case while-away fails still: a store that forgot the change before any host started can't show it; it is listed.

--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -173,6 +173,7 @@
             seen=seen,
             clock=host.clock,
             is_writer=lambda: host.watch.is_first_watcher,
+            looks_back=not host.settings.first_start,
         )
         keepers = OriginKeepers(members=host.roster)
         backups = adapter.open_origins(host.store)
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -102,6 +102,8 @@
     texts["apply_within"] = values_by_key.get("bounds.config_apply_ms", "2000") + "ms"
     texts["balancer_lag"] = BALANCER_LAG
     texts["max_bodies"] = _pick_max_bodies(values_by_key.get("limits.memory_mb", ""))
+    is_first = values_by_key.get("bootstrap") == "true"
+    texts["first_start"] = "true" if is_first else "false"
     contracts = values_by_key.get("contracts", "").split(",")
     texts["shared_admission"] = "on" if SCARCE_ROOM in contracts else "auto"
     texts["resume_keys"] = resume_keys or f"platform:{_derive_key(values_by_key)}"
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -190,6 +190,13 @@
         raise ValueError(f"{text!r} is not one of auto, on and off") from None
 
 
+def parse_flag(text: str) -> bool:
+    """Parse ``true`` or ``false``."""
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is not one of true and false")
+    return text == "true"
+
+
 def parse_path_or_dash(text: str) -> str:
     """Parse a file's path, or ``-`` for standard output."""
     if not text:
@@ -319,6 +326,12 @@
         " none.",
         "auto",
     )
+    first_start: bool = _setting(
+        parse_flag,
+        "Whether the whole system starts for the first time, so that no answer is older"
+        " than its hosts: true or false.",
+        "false",
+    )
     hedging: Switch = _setting(
         parse_switch,
         "The services whose slow calls get a second copy at an idle endpoint, if they"
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -26,6 +26,9 @@
 #: Time for which a caller waits for the record. A slow store takes 240 ms a call, and
 #: without a record there are up to five.
 LEARN_TIMEOUT = timedelta(milliseconds=1200)
+#: Time after a host's start in which the store's history tells whether a version served
+#: before that start. Stores keep it for 20 s; callers may return later.
+LOOK_BACK_TIME = timedelta(seconds=5)
 #: Time after a failed attempt in which no further one is made.
 RETRY_INTERVAL = timedelta(seconds=1)
 
@@ -93,6 +96,8 @@
         seen: The versions that this host sees.
         clock: The clock.
         is_writer: Returns whether this host writes the records of what it sees.
+        looks_back: Whether answers may be older than this host, so that it finds out at
+            its start what served before; not at the first start of the whole system.
     """
 
     def __init__(
@@ -102,7 +107,9 @@
         seen: SeenVersions,
         clock: Clock,
         is_writer: Callable[[], bool],
+        looks_back: bool = False,
     ) -> None:
+        self._looks_back = looks_back
         self._started_at = clock.monotonic()
         self._store = store
         self._seen = seen
@@ -114,6 +121,10 @@
         #: What this host saw when it last brought a record up to date, and whether it
         #: had seen the service for as long as answers last.
         self._saved_by_service: dict[str, tuple[frozenset[str], bool]] = {}
+        #: The services whose past was looked for since this host last missed changes.
+        self._looked_back: set[str] = set()
+        #: The versions, by service, that served long before this host's start.
+        self._served_long: set[tuple[str, str]] = set()
         self._changed = asyncio.Event()
         self._failed_at_by_service: dict[str, timedelta] = {}
         self._locks_by_service: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
@@ -123,6 +134,8 @@
         while True:
             self._changed.clear()
             for service, versions in self._seen.versions_by_service().items():
+                if self._looks_back:
+                    await self._look_back(service, versions)
                 if self._may_write() or self._is_outdated(service, versions):
                     await self._save(service, versions)
             with contextlib.suppress(TimeoutError):
@@ -141,6 +154,28 @@
     def _age(self) -> timedelta:
         return self._clock.monotonic() - self._started_at
 
+    async def _look_back(self, service: str, versions: frozenset[str]) -> None:
+        """Find out whether the only version of a service served before this host."""
+        is_known = service in self._looked_back or len(versions) > 1
+        if is_known or self._seen.covers(self._clock.monotonic()):
+            return
+        try:
+            record = await self._store.find(service)
+            if record is not None and record.is_current:
+                self._past_by_service[service] = record.versions
+            if record is None and self._age <= LOOK_BACK_TIME:
+                await self._find_served_long(service, *versions)
+        except PlatformError as error:
+            log_event("versions", "No look back.", service=service, why=error)
+            return
+        self._looked_back.add(service)
+
+    async def _find_served_long(self, service: str, version: str) -> bool:
+        is_long = await self._store.has_served_long(service, version)
+        if is_long:
+            self._served_long.add((service, version))
+        return is_long
+
     def _is_outdated(self, service: str, versions: frozenset[str]) -> bool:
         """Return whether a record that this host read has a version that is gone.
 
@@ -157,6 +192,7 @@
     def forget_past(self) -> None:
         """Forget what was learned, since this host may have missed changes."""
         self._past_by_service.clear()
+        self._looked_back.clear()
 
     async def learn(self, service: str, versions: Iterable[str]) -> None:
         """Ask the store which versions a service had in the past, unless it is known.
@@ -212,13 +248,26 @@
         if record is not None:
             return record.versions if record.is_current else None
         for version in versions:
-            if not await self._store.has_served_long(service, version):
+            if not await self._has_served_long(service, version):
                 log_event(
                     "versions", "Came too recently.", service=service, version=version
                 )
                 return None
         return (await self._store.create(service, versions)).versions
 
+    async def _has_served_long(self, service: str, version: str) -> bool:
+        """Return whether a version served before the hosts were lost.
+
+        What the store tells of a version's age counts right after this host's start:
+        later, a version that came while no host ran has become old too.
+        """
+        if (service, version) in self._served_long:
+            return True
+        is_late = service in self._looked_back or self._age > LOOK_BACK_TIME
+        if self._looks_back and is_late:
+            return False
+        return await self._find_served_long(service, version)
+
     async def _save(self, service: str, versions: frozenset[str]) -> None:
         """Bring the record of a service up to date if it has, or had, several.
 
