LOST: a listing of backups that takes long goes on for later callers

It is a task of its own now; callers wait for it, and it goes on for those that return. A host without the store uses what it listed before.

test_a_slow_listing_goes_on_for_later_callers failed before (None).

--- a/passtally/backed_up_origins.py
+++ b/passtally/backed_up_origins.py
@@ -13,7 +13,7 @@
 
 #: Minimum interval between two listings. Callers that come back at once share one.
 LIST_INTERVAL = timedelta(seconds=2)
-#: Time for which callers wait for a listing. A slow store takes 240 ms a page.
+#: Time for which a caller waits for a listing. A slow store takes 240 ms a page.
 LIST_TIMEOUT = timedelta(milliseconds=1500)
 
 
@@ -44,14 +44,17 @@
         self._clock = clock
         self._origins_by_key: dict[bytes, BackedUpOrigin] = {}
         self._listed_at: timedelta | None = None
-        self._lock = asyncio.Lock()
-
-    async def find(self, key: bytes) -> BackedUpOrigin | None:
-        """Return an answer's origin, or None if no backup is known to name it."""
-        if key not in self._origins_by_key:
-            async with self._lock:
-                if key not in self._origins_by_key and self._is_due():
-                    await self._list()
+        self._listing: asyncio.Task[None] | None = None
+
+    async def find(self, key: bytes, *, may_list: bool = True) -> BackedUpOrigin | None:
+        """Return an answer's origin, or None if no backup is known to name it.
+
+        Args:
+            key: The key of the answer.
+            may_list: Whether the store may be asked; else what was listed counts.
+        """
+        if key not in self._origins_by_key and may_list:
+            await self._wait_listed()
         return self._origins_by_key.get(key)
 
     def expire(self) -> None:
@@ -60,16 +63,25 @@
         if listed_at is not None and self._clock.monotonic() - listed_at > RECORD_TTL:
             self._origins_by_key = {}
 
+    async def _wait_listed(self) -> None:
+        """Wait for a listing, unless there was one just before.
+
+        It goes on for later callers if it takes longer than this one waits.
+        """
+        if self._listing is None and self._is_due():
+            self._listing = asyncio.create_task(self._list())
+        if self._listing is not None:
+            await asyncio.wait([self._listing], timeout=LIST_TIMEOUT.total_seconds())
+
     def _is_due(self) -> bool:
         listed_at = self._listed_at
         return listed_at is None or self._clock.monotonic() - listed_at >= LIST_INTERVAL
 
     async def _list(self) -> None:
         try:
-            async with asyncio.timeout(LIST_TIMEOUT.total_seconds()):
-                backups = await self._store.list_all()
-        except (PlatformError, TimeoutError) as error:
-            log_event("origin", "No backups.", why=error or "no answer in time")
+            backups = await self._store.list_all()
+        except PlatformError as error:
+            log_event("origin", "No backups.", why=error)
         else:
             self._origins_by_key = {}
             for backup in backups:
@@ -80,7 +92,9 @@
                 hosts=len(backups),
                 origins=len(self._origins_by_key),
             )
-        self._listed_at = self._clock.monotonic()
+        finally:
+            self._listed_at = self._clock.monotonic()
+            self._listing = None
 
     def _add(self, backup: OriginBackup) -> None:
         for key, software in backup.software_by_key.items():
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -265,9 +265,9 @@
         A host that the store sends no changes does not wait for it: another host may
         reach the store.
         """
-        is_named = bool(fields["resumes"])
-        may_ask = is_named and self._versions.is_current
-        found = await self._backups.find(key) if may_ask else None
+        if not fields["resumes"]:
+            return None
+        found = await self._backups.find(key, may_list=self._versions.is_current)
         if found is None:
             return None
         host_id = found.backup.host_id
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -131,6 +131,7 @@
         calls: Number of calls received.
         lineage: Its address and era.
         late_writes: Number of further replacements that get no answer.
+        list_seconds: Duration of a listing.
     """
 
     def __init__(self) -> None:
@@ -139,13 +140,14 @@
         self.calls = 0
         self.lineage = 0
         self.late_writes = 0
+        self.list_seconds = 0.0
         self._revision = 0
         self._unanswered: list[OriginBackup] = []
 
     async def list_all(self) -> list[OriginBackup]:
         self._count()
         # All callers of a moment wait for the same listing.
-        await asyncio.sleep(0)
+        await asyncio.sleep(self.list_seconds)
         return list(self.backups_by_host.values())
 
     async def create(self, backup: OriginBackup) -> OriginBackup:
--- a/tests/test_origin_backups.py
+++ b/tests/test_origin_backups.py
@@ -9,7 +9,11 @@
 import msgspec
 import pytest
 
-from passtally.backed_up_origins import LIST_INTERVAL, BackedUpOrigins
+from passtally.backed_up_origins import (
+    LIST_INTERVAL,
+    LIST_TIMEOUT,
+    BackedUpOrigins,
+)
 from passtally.object_store import Listing, StoredObject
 from passtally.origin_backup import (
     MAX_ORIGINS,
@@ -247,6 +251,36 @@
 
         run_virtually(test())
 
+    # Guards against a listing of many pages that no caller waits for, and that is begun
+    # anew each time.
+    def test_a_slow_listing_goes_on_for_later_callers(self):
+        async def test() -> None:
+            store = OriginBackupStoreFake()
+            store.put(make_backup({key(1): "v1"}))
+            store.list_seconds = 3 * LIST_TIMEOUT.total_seconds()
+            origins = BackedUpOrigins(store=store, clock=VirtualClock())
+            assert await origins.find(key(1)) is None
+            assert await origins.find(key(1)) is None
+            assert (await origins.find(key(1))).software == "v1"
+            assert store.calls == 1
+
+        run_virtually(test())
+
+    # Guards against a host without the store that forgets what it listed before.
+    def test_what_was_listed_counts_without_the_store(self):
+        async def test() -> None:
+            store = OriginBackupStoreFake()
+            store.put(make_backup({key(1): "v1"}))
+            origins = BackedUpOrigins(store=store, clock=VirtualClock())
+            assert await origins.find(key(1), may_list=False) is None
+            assert store.calls == 0
+            await origins.find(key(2))
+            store.is_refusing = True
+            found = await origins.find(key(1), may_list=False)
+            assert found.software == "v1"
+
+        run_virtually(test())
+
     # Guards against a stream that goes on at one of two versions that claim its id.
     def test_an_id_with_two_versions_is_not_relied_on(self):
         async def test() -> None:
