LOST: an origin is backed up at once if the last write was long enough ago

The writer looked once a second. It is woken now when an answer has its first output, and writes at once unless it wrote within the interval.

--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -204,6 +204,7 @@
             take_origins=self.origins.take_origins,
             count_hosts=lambda: host.roster.peak_hosts,
         )
+        self.origins.on_told = self.origin_backup.wake
         self.front = Front(
             routes=host.routes,
             dispatcher=self.dispatcher,
--- a/passtally/origin_backup.py
+++ b/passtally/origin_backup.py
@@ -5,6 +5,8 @@
 keeps one object in the store that names the versions of its answers.
 """
 
+import asyncio
+import contextlib
 from collections.abc import Callable, Hashable, Mapping, Sequence
 from datetime import datetime, timedelta
 from typing import Protocol
@@ -16,8 +18,8 @@
 from passtally.object_store import PlatformError
 from passtally.origin_table import RECORD_TTL
 
-#: Minimum interval between two writes of one host. What began in between is unknown
-#: after the loss of all hosts; most streams take over ten seconds.
+#: Minimum interval between two writes of one host. What began since the last one is
+#: unknown after the loss of all hosts; most streams take over ten seconds.
 MIN_WRITE_INTERVAL = timedelta(seconds=1)
 #: Maximum number of writes per second of all hosts together, a quarter of what the
 #: smallest stores take.
@@ -108,14 +110,27 @@
         self._count_hosts = count_hosts
         self._lineage = store.lineage
         self._kept_by_key: dict[bytes, _KeptOrigin] = {}
+        self._has_begun = asyncio.Event()
         #: What the store is known to hold.
         self._saved: OriginBackup | None = None
 
     async def run(self) -> None:
         """Keep the backup up to date until cancelled."""
         while True:
-            await self.write()
-            await self._clock.sleep(self.interval)
+            self._has_begun.clear()
+            if await self.write():
+                await self._clock.sleep(self.interval)
+            else:
+                await self._wait_begun()
+
+    def wake(self) -> None:
+        """Write the backup as soon as allowed, since an answer has begun."""
+        self._has_begun.set()
+
+    async def _wait_begun(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.interval.total_seconds()):
+                await self._has_begun.wait()
 
     @property
     def interval(self) -> timedelta:
@@ -123,21 +138,26 @@
         shared = timedelta(seconds=self._count_hosts() / MAX_WRITES_PER_SECOND)
         return max(MIN_WRITE_INTERVAL, shared)
 
-    async def write(self) -> None:
-        """Write the backup if answers have begun since the last time."""
+    async def write(self) -> bool:
+        """Write the backup if answers have begun since the last time.
+
+        Returns:
+            Whether the store was called.
+        """
         if self._lineage != self._store.lineage:
             self._lineage = self._store.lineage
             self._saved = None
         self._update_kept()
         saved = {} if self._saved is None else self._saved.software_by_key
         if self._software_by_key().items() <= saved.items():
-            return
+            return False
         try:
             self._saved = await self._save()
         except PlatformError as error:
             # The write may be carried out yet, so its revision is not known.
             self._saved = None
             log_event("origin", "Not backed up.", why=error)
+        return True
 
     async def _save(self) -> OriginBackup:
         if self._saved is None:
--- a/passtally/origin_exchange.py
+++ b/passtally/origin_exchange.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 
 import attrs
@@ -52,6 +52,10 @@
 ANSWER_WAITS = (timedelta(milliseconds=80), timedelta(milliseconds=160))
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 class UnknownOriginError(Exception):
     """No host in reach knows where an answer began, and several versions may serve."""
 
@@ -101,6 +105,8 @@
         metrics: Metrics,
     ) -> None:
         self.table = OriginTable()
+        #: Called when an answer that runs here was told to others, at its first output.
+        self.on_told: Callable[[], None] = _ignore
         self._keepers = keepers
         self._datagrams = datagrams
         self._catalog = catalog
@@ -171,6 +177,7 @@
         """Tell the hosts that keep the record of an answer, without any wait."""
         for row in self._record(answer):
             self._datagrams.send(self._list_keepers(row.key), TellOrigins(rows=[row]))
+        self.on_told()
 
     def take_origins(self) -> dict[bytes, str]:
         """Return the versions of the answers that ran here since the last call, by key.
--- a/tests/test_origin_backups.py
+++ b/tests/test_origin_backups.py
@@ -93,6 +93,30 @@
 
         run_virtually(test())
 
+    # Guards against streams that begin right before all hosts are lost and are unknown
+    # after it, although the last write was long ago.
+    def test_an_answer_that_begins_after_a_pause_is_written_at_once(self):
+        async def test() -> None:
+            host = Host(OriginBackupStoreFake())
+            task = asyncio.create_task(host.writer.run())
+            for number in range(3):
+                await pass_time(1.3 * MIN_WRITE_INTERVAL)
+                host.running[key(number)] = "v1"
+                host.writer.wake()
+                await asyncio.sleep(0.001)
+                assert host.saved == host.running
+            for number in range(10, 15):
+                host.running[key(number)] = "v1"
+                host.writer.wake()
+                await asyncio.sleep(0.001)
+            calls = host.store.calls
+            await pass_time(1.1 * MIN_WRITE_INTERVAL)
+            assert host.saved == host.running
+            assert host.store.calls == calls + 1
+            task.cancel()
+
+        run_virtually(test())
+
     def test_an_answer_that_ended_is_kept_for_a_while(self):
         async def test() -> None:
             host = Host(OriginBackupStoreFake())
