OriginLookup: the search for where an answer began, in a module of its own

Seen: OriginExchange told other hosts of answers, kept records, asked other hosts, looked in the backups and fell back to the only version. `find` held most of this in one loop, and passed the fields of its log lines on as a map that a function also read to learn whether the first try was named.

Change: origin_exchange keeps what tells, stores and answers questions. origin_lookup asks, looks in the backups and uses the only version.

--- a/passtally/front.py
+++ b/passtally/front.py
@@ -23,7 +23,8 @@
 from passtally.metrics import Metric, Metrics
 from passtally.objects import Service, ServiceKind
 from passtally.origin import KnownAnswer
-from passtally.origin_exchange import OriginExchange, UnknownOriginError
+from passtally.origin_exchange import OriginExchange
+from passtally.origin_lookup import OriginLookup, UnknownOriginError
 from passtally.outcome import Code, Outcome, RefusedError, refuse
 from passtally.output_buffers import abort_reason
 from passtally.pause_aware_timeout import PauseAwareTimeout
@@ -82,7 +83,8 @@
             known.
         forecast: The forecast of the duration of streams.
         guard: The quarantine of requests that crash endpoints.
-        origins: The origins of streams that callers take up.
+        origins: Tells other hosts where streams begin and run.
+        origin_lookup: Finds where streams began that callers take up.
         is_behind: A callback that returns whether newer routes than those of this host
             are known to exist.
     """
@@ -101,6 +103,7 @@
         forecast: Forecast,
         guard: CrashGuard,
         origins: OriginExchange,
+        origin_lookup: OriginLookup,
         is_behind: Callable[[], bool] = lambda: False,
     ) -> None:
         self._config_ready = config_ready
@@ -108,6 +111,7 @@
         self._forecast = forecast
         self._guard = guard
         self._origins = origins
+        self._origin_lookup = origin_lookup
         self._cold_start_until = clock.monotonic() + COLD_START
         self._routes = routes
         self._dispatcher = dispatcher
@@ -313,7 +317,7 @@
             RefusedError: It is not known, and several software versions may serve.
         """
         try:
-            return await self._origins.find(
+            return await self._origin_lookup.find(
                 workspace=admitted.workspace,
                 service=admitted.service,
                 first_id=admitted.request.resumes,
--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -27,6 +27,7 @@
 from passtally.origin_backup import OriginBackupWriter
 from passtally.origin_exchange import OriginExchange
 from passtally.origin_keepers import OriginKeepers
+from passtally.origin_lookup import OriginLookup
 from passtally.placement import Placement
 from passtally.plain import PlainCaller
 from passtally.retry import RetryLimits
@@ -100,8 +101,8 @@
         dispatcher: Runs streams.
         caller: Forwards plain calls.
         version_records: The versions that services had before this host's start.
-        origins: Where answers began.
-        origin_backup: Keeps that of this host's answers in the store.
+        origins: Tells other hosts where answers began.
+        origin_backup: Keeps the origins of this host's answers in the store.
         front: Serves each request, from its arrival to its end.
     """
 
@@ -176,7 +177,8 @@
             looks_back=not host.settings.first_start,
         )
         keepers = OriginKeepers(members=host.roster)
-        backups = adapter.open_origins(host.store)
+        backup_store = adapter.open_origins(host.store)
+        backups = BackedUpOrigins(store=backup_store, clock=host.clock)
         versions = KnownVersions(
             catalog=host.catalog,
             seen=seen,
@@ -193,12 +195,11 @@
             catalog=host.catalog,
             rule=host.fleet.origin_rule,
             versions=versions,
-            backups=BackedUpOrigins(store=backups, clock=host.clock),
+            backups=backups,
             clock=host.clock,
-            metrics=host.metrics,
         )
         self.origin_backup = OriginBackupWriter(
-            store=backups,
+            store=backup_store,
             host_id=host.settings.host_id,
             clock=host.clock,
             take_origins=self.origins.take_origins,
@@ -216,6 +217,16 @@
             forecast=forecast,
             guard=host.guard,
             origins=self.origins,
+            origin_lookup=OriginLookup(
+                table=self.origins.table,
+                keepers=keepers,
+                datagrams=host.datagrams,
+                rule=host.fleet.origin_rule,
+                versions=versions,
+                backups=backups,
+                clock=host.clock,
+                metrics=host.metrics,
+            ),
             is_behind=host.config.is_behind,
         )
 
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -17,8 +17,9 @@
 from passtally.objects import Endpoint, Service, ServiceKind
 from passtally.origin import KnownAnswer, Origin, OriginRule
 from passtally.origin_backup import OriginBackup, OriginBackupWriter
-from passtally.origin_exchange import OriginExchange, UnknownOriginError
+from passtally.origin_exchange import OriginExchange
 from passtally.origin_keepers import OriginKeepers
+from passtally.origin_lookup import OriginLookup, UnknownOriginError
 from passtally.seen_versions import SeenVersions
 from passtally.version_records import VersionRecord, VersionRecords
 from tests.datagram_network import DatagramNetwork
@@ -202,6 +203,7 @@
         self.rng = random.Random(hosts)
         self.network = DatagramNetwork(self.gossip)
         self.exchanges_by_id: dict[str, OriginExchange] = {}
+        self.lookups_by_id: dict[str, OriginLookup] = {}
         self.is_current = True
         #: The hosts that receive changes; None if all of them do while is_current.
         self.current_ids: set[str] | None = None
@@ -236,25 +238,38 @@
                 is_writer=lambda: True,
             )
             keepers = OriginKeepers(members=node.roster)
+            rule = OriginRule(catalog=self.catalog)
+            datagrams = self.network.add(node)
+            versions = KnownVersions(
+                catalog=self.catalog,
+                seen=seen,
+                records=records,
+                clock=self.gossip.clock,
+                is_current=partial(self._receives_changes, node.id),
+                has_others=lambda: True,
+                keepers=keepers,
+            )
+            backups = BackedUpOrigins(store=self.backups, clock=self.gossip.clock)
             exchange = OriginExchange(
                 keepers=keepers,
-                datagrams=self.network.add(node),
+                datagrams=datagrams,
                 catalog=self.catalog,
-                rule=OriginRule(catalog=self.catalog),
-                versions=KnownVersions(
-                    catalog=self.catalog,
-                    seen=seen,
-                    records=records,
-                    clock=self.gossip.clock,
-                    is_current=partial(self._receives_changes, node.id),
-                    has_others=lambda: True,
-                    keepers=keepers,
-                ),
-                backups=BackedUpOrigins(store=self.backups, clock=self.gossip.clock),
+                rule=rule,
+                versions=versions,
+                backups=backups,
                 clock=self.gossip.clock,
-                metrics=NoMetrics(),
             )
             self.exchanges_by_id[node.id] = exchange
+            self.lookups_by_id[node.id] = OriginLookup(
+                table=exchange.table,
+                keepers=keepers,
+                datagrams=datagrams,
+                rule=rule,
+                versions=versions,
+                backups=backups,
+                clock=self.gossip.clock,
+                metrics=NoMetrics(),
+            )
             self.writers_by_id[node.id] = OriginBackupWriter(
                 store=self.backups,
                 host_id=node.id,
@@ -274,6 +289,7 @@
         self.gossip.stop(rows)
         for row in rows:
             del self.exchanges_by_id[row.host_id]
+            del self.lookups_by_id[row.host_id]
 
     def begin(self, host_id: str, request_id: str, *, version: str = "") -> str:
         """Begin a stream at a host, as before its first event; return its version."""
@@ -309,7 +325,7 @@
     ) -> KnownAnswer | None:
         """Return what a host finds for a stream, or None."""
         try:
-            return await self.exchanges_by_id[host_id].find(
+            return await self.lookups_by_id[host_id].find(
                 workspace=WORKSPACE,
                 service=SERVICE,
                 first_id=first_id,
--- a/tests/test_origin_backups.py
+++ b/tests/test_origin_backups.py
@@ -19,7 +19,7 @@
     OriginBackup,
     OriginBackupWriter,
 )
-from passtally.origin_exchange import SETTLE_TIME
+from passtally.origin_lookup import SETTLE_TIME
 from passtally.origin_table import KEY_BYTES, RECORD_TTL
 from passtally.platform.origin_store import PlatformOriginStore
 from standins.virtual import VirtualClock, run_virtually
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -17,8 +17,9 @@
 from passtally.messages import MemberRow, OriginRow, TellOrigins
 from passtally.objects import Endpoint, EndpointStart
 from passtally.origin import Origin, OriginRule
-from passtally.origin_exchange import ANSWER_WAITS, CHECK_INTERVAL, SETTLE_TIME
+from passtally.origin_exchange import CHECK_INTERVAL
 from passtally.origin_keepers import KEEPERS, OriginKeepers
+from passtally.origin_lookup import ANSWER_WAITS, SETTLE_TIME
 from passtally.origin_table import MAX_RECORDS, RECORD_TTL, OriginTable, origin_key
 from passtally.prefix_finder import MAX_QUERIED
 from passtally.seen_versions import SeenVersions
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -7,7 +7,8 @@
 
 from passtally.objects import Endpoint
 from passtally.origin_backup import OriginBackup
-from passtally.origin_exchange import CHECK_INTERVAL, SETTLE_TIME
+from passtally.origin_exchange import CHECK_INTERVAL
+from passtally.origin_lookup import SETTLE_TIME
 from passtally.origin_table import RECORD_TTL, origin_key
 from passtally.seen_versions import SeenVersions
 from passtally.version_records import RETRY_INTERVAL, VersionRecords
