Ends that may lack the rest: names and comments that tell them apart

Seen: Progress.unconfirmed_end held ends of both kinds, UNMARKED_END and UNCONFIRMED_END, under the name of one. Generation.has_more was true of output that was lost. The comment on Attempt.broken_off_at named the position of the cut output; the code records that of the last whole output before it.

Change: unsure_end, has_lost_output, and the comments. No behaviour.

Measured: tests/test_dispatcher.py, test_generation.py, test_generation_machine.py, test_catalog.py, test_endpoint_registry.py, test_cut_answers.py, test_cut_streams.py and test_retry_release.py pass (384), as do test_origins.py, test_origin_backups.py and test_version_records.py (146).

--- a/passtally/dispatch_progress.py
+++ b/passtally/dispatch_progress.py
@@ -25,8 +25,8 @@
         has_retry: Whether the retry for the next loss is acquired already.
         prompt: Why the prompt has to be prefilled again, if it has.
         last_error: The error of the last lost attempt.
-        unconfirmed_end: Position at which an attempt last ended although the answer
-            may not be complete; None if none did.
+        unsure_end: Position at which an attempt last ended by one of ``UNSURE_ENDS``;
+            None if none did.
     """
 
     unreached_attempts: int = 0
@@ -39,4 +39,4 @@
     has_retry: bool = False
     prompt: PromptState = attrs.field(factory=PromptState)
     last_error: AttemptLostError | None = None
-    unconfirmed_end: int | None = None
+    unsure_end: int | None = None
--- a/passtally/dispatcher.py
+++ b/passtally/dispatcher.py
@@ -331,18 +331,18 @@
         loss: AttemptLostError,
         progress: Progress,
     ) -> bool:
-        """Return whether an attempt that ended unsurely completed the answer.
+        """Return whether the answer is complete after one of ``UNSURE_ENDS``.
 
-        Such an end counts once a further attempt that resumes behind it ends at the
-        same position, unless an attempt was lost inside output behind it. An unmarked
+        Such an end counts once a further attempt that resumes after it ends at the
+        same position, unless an attempt was lost inside output after it. An unmarked
         end of a request with a single attempt can't be checked in this way: its caller
         gets the answer without a mark of its end either. An endpoint that has exited
         did not complete anything: a killed process closes its connections in order.
         """
-        if loss.kind not in UNSURE_ENDS or loss.has_ended or generation.has_more:
+        if loss.kind not in UNSURE_ENDS or loss.has_ended or generation.has_lost_output:
             return False
-        is_confirmed = progress.unconfirmed_end == generation.position
-        progress.unconfirmed_end = generation.position
+        is_confirmed = progress.unsure_end == generation.position
+        progress.unsure_end = generation.position
         is_complete = is_confirmed or not generation.request.may_resume
         if is_complete:
             log_decision(
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -169,8 +169,8 @@
             endpoint is not known.
         follows_lost_run: Whether an earlier attempt was lost after its endpoint began
             to answer.
-        broken_off_at: Position of the output that the attempt was lost in the middle
-            of; None if it was lost between two outputs.
+        broken_off_at: Position of the last whole output, if the attempt was lost inside
+            the output after it; None if it was lost between two outputs.
     """
 
     number: int
@@ -235,8 +235,8 @@
         return len(self.token_ids)
 
     @property
-    def has_more(self) -> bool:
-        """Whether an attempt was lost inside output behind the current position."""
+    def has_lost_output(self) -> bool:
+        """Whether an attempt was lost inside output after the current position."""
         broken_off = (attempt.broken_off_at for attempt in self.attempts)
         return any(at is not None and at >= self.position for at in broken_off)
 
--- a/passtally/retry.py
+++ b/passtally/retry.py
@@ -30,7 +30,7 @@
     #: The endpoint closed the connection of an answer without a length or chunked
     #: encoding: the answer may be complete or truncated.
     UNMARKED_END = "unmarked_end"
-    #: An attempt that goes on behind a lost one ended without output: the answer may be
+    #: An attempt that continues a lost one ended without output: the answer may be
     #: complete, or the endpoint has lost the rest.
     UNCONFIRMED_END = "unconfirmed_end"
 
@@ -59,7 +59,7 @@
 #: Losses by a close of the connection, which may show that the endpoint has exited.
 CLOSED_KINDS = frozenset((LossKind.RESET, LossKind.UNMARKED_END))
 
-#: Ends of attempts after which the answer may be complete.
+#: Losses by an end after which the answer may be complete or lack the rest.
 UNSURE_ENDS = frozenset((LossKind.UNMARKED_END, LossKind.UNCONFIRMED_END))
 
 
