Backups and records of versions: missing doc comments, names told apart

Seen: VersionRecords._find_served_long and _has_served_long read alike; one asks the store, the other also weighs the host's age. on_new_version was described by the state of a service, not by the moment of the call.

Change: _ask_served_long; doc comments with the clock and the errors of _KeptOrigin, _save, _update_kept and _age. No behaviour.

--- a/passtally/origin_backup.py
+++ b/passtally/origin_backup.py
@@ -75,6 +75,13 @@
 
 @attrs.frozen(kw_only=True)
 class _KeptOrigin:
+    """An origin in this host's backup.
+
+    Attributes:
+        software: The software version; empty if it is ambiguous.
+        expires_at: The monotonic time after which it is left out.
+    """
+
     software: str
     expires_at: timedelta
 
@@ -140,6 +147,11 @@
             log_event("origin", "Not backed up.", why=error)
 
     async def _save(self) -> OriginBackup:
+        """Create or replace the backup, and return what the store holds then.
+
+        Raises:
+            PlatformError: The store did not take it.
+        """
         if self._saved is None:
             wanted = self._make_backup(revision=0)
             existing = await self._store.create(wanted)
@@ -178,10 +190,11 @@
         self._kept_by_key = _limit({**earlier, **self._kept_by_key})
 
     def _update_kept(self) -> None:
+        """Add the origins since the last call, and drop those that have expired."""
         now = self._clock.monotonic()
         for key, software in self._take_origins().items():
             known = self._kept_by_key.pop(key, None)
-            merged = merge_software(known and known.software, software)
+            merged = merge_software(None if known is None else known.software, software)
             self._kept_by_key[key] = _KeptOrigin(
                 software=merged, expires_at=now + RETENTION
             )
--- a/passtally/service_index.py
+++ b/passtally/service_index.py
@@ -18,8 +18,8 @@
     Attributes:
         services_by_id: The services by id.
         endpoints_by_id: The endpoints by id.
-        on_new_version: Called when a service has an endpoint of a version that none of
-            its others states.
+        on_new_version: Called after an endpoint was added or replaced whose software
+            version its service lacked before.
     """
 
     services_by_id: dict[str, Service] = attrs.field(factory=dict)
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -121,9 +121,10 @@
         #: What this host saw when it last brought a record up to date, and whether it
         #: had seen the service for as long as answers last.
         self._saved_by_service: dict[str, tuple[frozenset[str], bool]] = {}
-        #: The services whose past was looked for since this host last missed changes.
+        #: The services whose past was looked up since this host last missed changes.
         self._looked_back: set[str] = set()
-        #: The versions, by service, that served long before this host's start.
+        #: The service and the version of each positive reply of the store to
+        #: :meth:`VersionStore.has_served_long`.
         self._served_long: set[tuple[str, str]] = set()
         self._changed = asyncio.Event()
         self._failed_at_by_service: dict[str, timedelta] = {}
@@ -152,6 +153,7 @@
 
     @property
     def _age(self) -> timedelta:
+        """The time since this host's start."""
         return self._clock.monotonic() - self._started_at
 
     async def _look_back(self, service: str, versions: frozenset[str]) -> None:
@@ -164,13 +166,14 @@
             if record is not None and record.is_current:
                 self._past_by_service[service] = record.versions
             if record is None and self._age <= LOOK_BACK_TIME:
-                await self._find_served_long(service, *versions)
+                await self._ask_served_long(service, *versions)
         except PlatformError as error:
             log_event("versions", "No look back.", service=service, why=error)
             return
         self._looked_back.add(service)
 
-    async def _find_served_long(self, service: str, version: str) -> bool:
+    async def _ask_served_long(self, service: str, version: str) -> bool:
+        """Ask the store whether a version has served long; keep a positive answer."""
         is_long = await self._store.has_served_long(service, version)
         if is_long:
             self._served_long.add((service, version))
@@ -266,7 +269,7 @@
         is_late = service in self._looked_back or self._age > LOOK_BACK_TIME
         if self._looks_back and is_late:
             return False
-        return await self._find_served_long(service, version)
+        return await self._ask_served_long(service, version)
 
     async def _save(self, service: str, versions: frozenset[str]) -> None:
         """Bring the record of a service up to date if it has, or had, several.
