--- a/passtally/origin_backup.py
+++ b/passtally/origin_backup.py
@@ -77,6 +77,13 @@
 
 @attrs.frozen(kw_only=True)
 class _KeptOrigin:
+    """An origin in this host's backup.
+
+    Attributes:
+        software: The software version; empty if it is ambiguous.
+        expires_at: The monotonic time after which it is left out.
+    """
+
     software: str
     expires_at: timedelta
 
@@ -160,6 +167,11 @@
         return True
 
     async def _save(self) -> OriginBackup:
+        """Create or replace the backup, and return what the store holds then.
+
+        Raises:
+            PlatformError: The store did not take it.
+        """
         if self._saved is None:
             wanted = self._make_backup(revision=0)
             existing = await self._store.create(wanted)
@@ -198,10 +210,11 @@
         self._kept_by_key = _limit({**earlier, **self._kept_by_key})
 
     def _update_kept(self) -> None:
+        """Add the origins since the last call, and drop those that have expired."""
         now = self._clock.monotonic()
         for key, software in self._take_origins().items():
             known = self._kept_by_key.pop(key, None)
-            merged = merge_software(known and known.software, software)
+            merged = merge_software(None if known is None else known.software, software)
             self._kept_by_key[key] = _KeptOrigin(
                 software=merged, expires_at=now + RETENTION
             )
--- a/passtally/service_index.py
+++ b/passtally/service_index.py
@@ -7,10 +7,6 @@
 from passtally.objects import Endpoint, Service
 
 
-def _ignore() -> None:
-    """Do nothing."""
-
-
 @attrs.define(kw_only=True)
 class ServiceIndex:
     """The services and endpoints in force on this host, with endpoints by service.
@@ -18,13 +14,13 @@
     Attributes:
         services_by_id: The services by id.
         endpoints_by_id: The endpoints by id.
-        on_new_version: Called when a service has an endpoint of a version that none of
-            its others states.
+        on_new_version: Called after an endpoint was added or replaced whose software
+            version its service lacked before.
     """
 
     services_by_id: dict[str, Service] = attrs.field(factory=dict)
     endpoints_by_id: dict[str, Endpoint] = attrs.field(factory=dict)
-    on_new_version: Callable[[], None] = _ignore
+    on_new_version: Callable[[], None] = lambda: None
     _endpoint_ids_by_service: dict[str, dict[str, None]] = attrs.field(factory=dict)
 
     def endpoints_of(self, service_id: str) -> list[Endpoint]:
