--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -174,7 +174,9 @@
             seen=seen,
             clock=host.clock,
             is_writer=lambda: host.watch.is_first_watcher,
-            looks_back=not host.settings.first_start,
+            looks_back=lambda service: (
+                not host.settings.first_start and host.routes.may_resume(service)
+            ),
         )
         keepers = OriginKeepers(members=host.roster)
         backup_store = adapter.open_origins(host.store)
--- a/passtally/routes.py
+++ b/passtally/routes.py
@@ -240,6 +240,15 @@
         info = self._find_service(service_id)
         return 0 if info is None else info.capacity_tokens
 
+    def may_resume(self, service_id: str) -> bool:
+        """Return whether a route to a service lets streams be taken up midway."""
+        routes = () if self.current is None else self.current.routes
+        return any(
+            route.is_resumable
+            and any(item.service == service_id for item in route.shares)
+            for route in routes
+        )
+
     def _find_service(self, service_id: str) -> ServiceInfo | None:
         return self.current.services_by_id.get(service_id) if self.current else None
 
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -96,8 +96,8 @@
         seen: The versions that this host sees.
         clock: The clock.
         is_writer: Returns whether this host writes the records of what it sees.
-        looks_back: Whether answers may be older than this host, so that it finds out at
-            its start what served before; not at the first start of the whole system.
+        looks_back: Returns whether this host finds out at its start what served before
+            it in a service: answers that can be taken up may be older than the host.
     """
 
     def __init__(
@@ -107,7 +107,7 @@
         seen: SeenVersions,
         clock: Clock,
         is_writer: Callable[[], bool],
-        looks_back: bool = False,
+        looks_back: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._looks_back = looks_back
         self._started_at = clock.monotonic()
@@ -121,8 +121,10 @@
         #: What this host saw when it last brought a record up to date, and whether it
         #: had seen the service for as long as answers last.
         self._saved_by_service: dict[str, tuple[frozenset[str], bool]] = {}
-        #: The services whose past was looked up since this host last missed changes.
+        #: The services whose past was looked up after this host's start.
         self._looked_back: set[str] = set()
+        #: The services whose only version the store was asked about.
+        self._asked: set[str] = set()
         #: The service and the version of each positive reply of the store to
         #: :meth:`VersionStore.has_served_long`.
         self._served_long: set[tuple[str, str]] = set()
@@ -135,7 +137,7 @@
         while True:
             self._changed.clear()
             for service, versions in self._seen.versions_by_service().items():
-                if self._looks_back:
+                if self._looks_back(service):
                     await self._look_back(service, versions)
                 if self._may_write() or self._is_outdated(service, versions):
                     await self._save(service, versions)
@@ -156,16 +158,22 @@
         """The time since this host's start."""
         return self._clock.monotonic() - self._started_at
 
+    @property
+    def _has_seen_long(self) -> bool:
+        """Whether this host has seen all versions for as long as answers last."""
+        return self._seen.covers(self._clock.monotonic())
+
     async def _look_back(self, service: str, versions: frozenset[str]) -> None:
         """Find out whether the only version of a service served before this host."""
         is_known = service in self._looked_back or len(versions) > 1
-        if is_known or self._seen.covers(self._clock.monotonic()):
+        if is_known or self._has_seen_long:
             return
         try:
             record = await self._store.find(service)
             if record is not None and record.is_current:
                 self._past_by_service[service] = record.versions
-            if record is None and self._age <= LOOK_BACK_TIME:
+            may_ask = service not in self._asked and self._age <= LOOK_BACK_TIME
+            if record is None and may_ask:
                 await self._ask_served_long(service, *versions)
         except PlatformError as error:
             log_event("versions", "No look back.", service=service, why=error)
@@ -175,6 +183,7 @@
     async def _ask_served_long(self, service: str, version: str) -> bool:
         """Ask the store whether a version has served long; keep a positive answer."""
         is_long = await self._store.has_served_long(service, version)
+        self._asked.add(service)
         if is_long:
             self._served_long.add((service, version))
         return is_long
@@ -185,7 +194,7 @@
         The hosts that saw the version go may be gone too.
         """
         past = self._past_by_service.get(service, versions)
-        return past != versions and self._seen.covers(self._clock.monotonic())
+        return past != versions and self._has_seen_long
 
     def find(self, service: str) -> frozenset[str] | None:
         """Return the versions that a service had in the past, or None if unknown."""
@@ -195,7 +204,9 @@
     def forget_past(self) -> None:
         """Forget what was learned, since this host may have missed changes."""
         self._past_by_service.clear()
-        self._looked_back.clear()
+        # Later, another look would cost calls of all hosts after each gap.
+        if self._age <= LOOK_BACK_TIME:
+            self._looked_back.clear()
 
     async def learn(self, service: str, versions: Iterable[str]) -> None:
         """Ask the store which versions a service had in the past, unless it is known.
@@ -266,8 +277,8 @@
         """
         if (service, version) in self._served_long:
             return True
-        is_late = service in self._looked_back or self._age > LOOK_BACK_TIME
-        if self._looks_back and is_late:
+        is_late = service in self._asked or self._age > LOOK_BACK_TIME
+        if self._looks_back(service) and is_late:
             return False
         return await self._ask_served_long(service, version)
 
@@ -278,7 +289,7 @@
         """
         self._check_lineage()
         # A host that has not seen the service for long enough may not know all.
-        is_whole = self._seen.covers(self._clock.monotonic())
+        is_whole = self._has_seen_long
         saved = self._saved_by_service.get(service)
         if saved == (versions, is_whole):
             return
