ORDER: a host looks back as soon as its routes are known

In one run of all tests 48 of 48 streams went on at the version that replaced theirs (after-the-return): since a look back is made for services with routes that may be resumed, it waited up to a second for the next check if the endpoints came before the routes, and the store forgot meanwhile.

--- a/passtally/front_host.py
+++ b/passtally/front_host.py
@@ -151,11 +151,17 @@
         ):
             self.spawn(keep_running(name, work, clock=self.clock))
         self.spawn(self.routes_exchange.run())
+        self.spawn(self._look_back())
         self.config.follow_rollouts()
         self.peers.start()
         await self.servers.open(self.settings, front_socket=self._front_socket)
         log_event("daemon", "Started.", listen=self.settings.listen)
 
+    async def _look_back(self) -> None:
+        """Look up the past versions of services as soon as the routes name these."""
+        await self.config_ready.wait()
+        self.version_records.wake()
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Close the listening sockets, tasks and connections."""
         self.drain.is_over = True
