Tests: processes get distinct ports, outside the range of connections

What is shown: `free_port` took any free port of the kernel's range for connections and gave it back at once. A connection of another process may take such a port as well.

The tests on the platform already drew distinct ports below that range. This is one module now, and all processes of tests, demo and benchmarks draw from it.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -10,7 +10,8 @@
 from bench.load import LoadResult, cpu_seconds, memory_mb, run_streams
 from bench.report import Figure
 from passtally.objects import Protection
-from standins.processes import Process, Processes, free_port
+from standins.ports import free_port
+from standins.processes import Process, Processes
 
 STREAMS = 500
 SHORT_TOKENS = 40
--- a/bench/survive.py
+++ b/bench/survive.py
@@ -16,7 +16,8 @@
 from bench.report import Figure, percentile
 from passtally.objects import Protection
 from standins.caller import Answer, Caller
-from standins.processes import Processes, free_port
+from standins.ports import free_port
+from standins.processes import Processes
 
 ROUNDS = 3
 STREAMS = 8
--- a/binary/check.py
+++ b/binary/check.py
@@ -9,7 +9,8 @@
 import time
 from pathlib import Path
 
-from standins.processes import Processes, call_json, free_port
+from standins.ports import free_port
+from standins.processes import Processes, call_json
 
 BINARY = Path(__file__).parent.parent / "dist" / "passtally"
 FORBIDDEN_CALLS = "fork,vfork,clone,clone3,io_uring_setup,shmget"
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -21,6 +21,7 @@
     Workspace,
     digest_token,
 )
+from standins.ports import free_port
 
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
@@ -273,13 +274,6 @@
     return {}
 
 
-def free_port() -> int:
-    """Return a loopback port that was free when it was checked."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def call_json(
     method: str, url: str, value: object = None, headers: dict[str, str] | None = None
 ) -> Any:
--- a/tests/host_process.py
+++ b/tests/host_process.py
@@ -18,7 +18,7 @@
 from passtally.platform.settings_file import FILE_VARIABLE
 from standins.object_store import ObjectStoreStandIn
 from standins.platform_config import make_config
-from tests.platform_system import free_ports
+from standins.ports import free_ports
 
 LINES = """\
 node_name=front-pilar-1
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -3,9 +3,6 @@
 import asyncio
 import contextlib
 import itertools
-import os
-import random
-import socket
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -17,13 +14,9 @@
 from passtally.platform.settings import translate
 from standins.object_store import ObjectStoreStandIn
 from standins.platform_config import ENGINE, KEY
+from standins.ports import free_ports
 from standins.runner import RunnerStandIn
 
-#: The range from which tests draw their ports. A settings file that is cut short names
-#: a tenth of such a port, which is still above the system ports, 0 to 1023.
-FIRST_PORT, PORTS = 11_000, 20_000
-_port_numbers = itertools.count(random.Random(os.getpid()).randrange(PORTS))
-
 
 class UnreachableHostError(ConnectionError):
     """A host did not accept a caller's connection."""
@@ -221,21 +214,6 @@
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return unused ports for hosts that bind them later.
-
-    The kernel assigns no ports of this range to connections or to listeners on port 0,
-    and concurrent runs of the tests start at other ports of the range.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = FIRST_PORT + next(_port_numbers) % PORTS
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            ports.append(port)
-    return ports
-
-
 async def _read_answer(
     reader: asyncio.StreamReader, on_body: Callable[[], None]
 ) -> Answer:
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from standins.processes import Process, Processes, free_port
+from standins.ports import free_port
+from standins.processes import Process, Processes
 from tests.conftest import EXPECTED, System
 from tests.test_control import run_operator_command, status, wait_until
 from tests.test_plain import book, runs
--- a/tests/test_idle_hosts.py
+++ b/tests/test_idle_hosts.py
@@ -14,9 +14,9 @@
 from passtally.messages import ConfigChanges, FetchConfig
 from passtally.peers import HEARTBEAT_MS
 from passtally.settings import Address, PeerAddress
+from standins.ports import free_ports
 from standins.virtual import VirtualClock, run_virtually
 from tests.fakes import make_catalog
-from tests.platform_system import free_ports
 from tests.test_admission import make_request
 from tests.test_peers import answer, make_peers
 
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -37,8 +37,8 @@
 from passtally.own_interface import OwnInterface
 from passtally.settings import Address, check_settings
 from passtally.tunnel_server import TunnelServer
+from standins.ports import free_ports
 from tests.host_process import connect
-from tests.platform_system import free_ports
 
 #: Settings of which only the addresses and the limits are used.
 SETTINGS = check_settings(
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -24,10 +24,10 @@
 from passtally.prefix_finder import MAX_QUERIED
 from passtally.seen_versions import SeenVersions
 from passtally.settings import Address
+from standins.ports import free_ports
 from standins.virtual import run_virtually
 from tests.fakes import make_catalog
 from tests.origin_fleet import VERSIONS, OriginFleet
-from tests.platform_system import free_ports
 
 NOW = timedelta(0)
 SIZES = [(7, 3), (30, 3), (330, 6)]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,7 +9,7 @@
 from passtally.messages import ConfigChanges, FetchConfig, HostNews
 from passtally.peers import PeerError, Peers
 from passtally.settings import Address, PeerAddress
-from tests.platform_system import free_ports
+from standins.ports import free_ports
 
 KEY = b"a key of both hosts"
 
--- a/tests/test_process_limits.py
+++ b/tests/test_process_limits.py
@@ -19,6 +19,7 @@
 from passtally.peers import PeerError, Peers
 from passtally.roster import Roster
 from passtally.settings import Address, PeerAddress
+from standins.ports import free_ports
 from tests.host_process import (
     is_ready,
     limit_descriptors,
@@ -27,7 +28,6 @@
     wait_for,
     wait_ready,
 )
-from tests.platform_system import free_ports
 
 KEY = b"a key of both hosts"
 #: Memory limit of a host on the platform, in bytes.
--- a/tests/test_replaced_addresses.py
+++ b/tests/test_replaced_addresses.py
@@ -29,9 +29,9 @@
 from passtally.platform.settings import translate_text
 from passtally.platform.settings_watch import SETTLE_TIME, SettingsWatch
 from passtally.settings import Address, Settings
+from standins.ports import free_ports
 from standins.virtual import VirtualClock, run_virtually
 from tests.host_process import Running, messages, running, wait_for, wait_ready
-from tests.platform_system import free_ports
 from tests.test_settings_changes import cut_at, is_open, replace_line
 
 TEXT = """\
--- a/tests/test_retry_release.py
+++ b/tests/test_retry_release.py
@@ -8,8 +8,8 @@
 from passtally.messages import FetchConfig
 from passtally.peers import PeerError, Peers
 from passtally.settings import PeerAddress, parse_address
+from standins.ports import free_ports
 from standins.virtual import run_virtually
-from tests.platform_system import free_ports
 from tests.replica_world import WHOLE, World
 
 TIME_LEFT = timedelta(seconds=20)
--- a/tests/test_settings_changes.py
+++ b/tests/test_settings_changes.py
@@ -29,6 +29,7 @@
 from passtally.settings_change import find_changes
 from standins.object_store import ObjectStoreStandIn
 from standins.platform_config import ENGINE, LOOKUPS, make_config
+from standins.ports import free_ports
 from tests.host_process import (
     Running,
     connect,
@@ -40,7 +41,7 @@
     wait_for,
     wait_ready,
 )
-from tests.platform_system import PlatformSystem, expected_events, free_ports, run
+from tests.platform_system import PlatformSystem, expected_events, run
 from tests.test_passing_states import is_ready_within
 from tests.test_starts import REQUEST, ask, held
 
--- a/tests/test_silent_channels.py
+++ b/tests/test_silent_channels.py
@@ -18,8 +18,9 @@
 from passtally.platform.store import LIST_TIMEOUT
 from soak.link import FaultyLink
 from standins.platform_config import LOOKUPS, make_config
+from standins.ports import free_ports
 from standins.runner import RunnerStandIn
-from tests.platform_system import PlatformSystem, expected_events, free_ports, run
+from tests.platform_system import PlatformSystem, expected_events, run
 from tests.test_peers import answer, make_peers
 
 ENGINES = 3
--- a/tests/test_starved_hosts.py
+++ b/tests/test_starved_hosts.py
@@ -21,6 +21,7 @@
 
 import attrs
 
+from standins.ports import free_ports
 from tests.busy_machine import busy_machine
 from tests.host_process import (
     HostFiles,
@@ -30,7 +31,6 @@
     started,
     wait_ready,
 )
-from tests.platform_system import free_ports
 from tests.test_own_pauses import call, serving
 
 BUSY_PROCESSES = 14
