ORDER, LOST: the heartbeats of endpoints tell whether a version served before

Two faults of one cause: how long the only version has served was taken from the age of its entries in the store.

- LOST: entries lapse while the store is down, and are created anew.
Hosts that start after that got 410 for the history and refused each stream that nobody knew, although one version had served all along.

An entry tells how often its endpoint has written it since its start, the settings in what interval. An endpoint that had run for 20 s when the host started ran while there were hosts. It needs no haste after the start, so a version that becomes old later is not taken for evidence at any time, and it costs one listing in place of a listing and one or two watches. A host that gets no evidence at its start does not ask again until a caller needs it.

The fake store tells a running time in place of a yes or no, which the tests of young versions now set just below the bound.

--- a/passtally/adapter.py
+++ b/passtally/adapter.py
@@ -1,6 +1,7 @@
 """The interface between an entry host and its store, engines and callers."""
 
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Protocol
 
 from passtally.clock import Clock
@@ -39,8 +40,16 @@
     def open_store(self, fetcher: Fetcher, url: str) -> RelocatablePlatform:
         """Return a client of the store at this URL."""
 
-    def open_versions(self, store: RelocatablePlatform) -> VersionStore:
-        """Return the records of software versions in a store."""
+    def open_versions(
+        self, store: RelocatablePlatform, *, heartbeat: Callable[[], timedelta]
+    ) -> VersionStore:
+        """Return the records of software versions in a store.
+
+        Args:
+            store: The store.
+            heartbeat: Returns the interval in which endpoints write their entries; zero
+                if it is not known.
+        """
 
     def open_origins(self, store: RelocatablePlatform) -> OriginBackupStore:
         """Return the backups of the origins of answers in a store."""
--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -170,7 +170,9 @@
         )
         seen = SeenVersions()
         self.version_records = VersionRecords(
-            store=adapter.open_versions(host.store),
+            store=adapter.open_versions(
+                host.store, heartbeat=lambda: host.settings.endpoint_heartbeat
+            ),
             seen=seen,
             clock=host.clock,
             is_writer=lambda: host.watch.is_first_watcher,
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -1,6 +1,7 @@
 """The platform's implementation of the product's adapter interface."""
 
 from collections.abc import Callable
+from datetime import timedelta
 
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
@@ -39,9 +40,13 @@
             fetcher=fetcher, url=url, full_object_prefixes=(self.rollouts_prefix,)
         )
 
-    def open_versions(self, store: PlatformStore) -> PlatformVersionStore:
+    def open_versions(
+        self, store: PlatformStore, *, heartbeat: Callable[[], timedelta]
+    ) -> PlatformVersionStore:
         """Return the records of software versions in a store."""
-        return PlatformVersionStore(store=store, endpoints_prefix=self.endpoints_prefix)
+        return PlatformVersionStore(
+            store=store, endpoints_prefix=self.endpoints_prefix, heartbeat=heartbeat
+        )
 
     def open_origins(self, store: PlatformStore) -> PlatformOriginStore:
         """Return the backups of the origins of answers in a store."""
--- a/passtally/platform/decode.py
+++ b/passtally/platform/decode.py
@@ -113,6 +113,11 @@
     version: str = ""
 
 
+class _EndpointHeartbeats(_EndpointSoftware):
+    #: How often the endpoint has written its entry since its start.
+    sequence: _Count = 0
+
+
 class _Server(_EndpointSoftware, kw_only=True):
     address: str
     zone: str
@@ -281,6 +286,25 @@
     return decode_json(spec, _EndpointSoftware).version if named == service else None
 
 
+def decode_heartbeats(spec: bytes, *, service: str, software: str) -> int:
+    """Return how often an endpoint has written its entry since its start.
+
+    Args:
+        spec: The entry, of any writer.
+        service: The service whose endpoints are meant.
+        software: The software version whose endpoints are meant.
+
+    Returns:
+        The number; 0 for other endpoints.
+
+    Raises:
+        ValueError: The entry does not match the schema.
+    """
+    entry = decode_json(spec, _EndpointHeartbeats)
+    is_meant = (entry.service, entry.version) == (service, software)
+    return entry.sequence if is_meant else 0
+
+
 def _describe_version(spec: bytes) -> str:
     try:
         return f"version {decode_json(spec, _ConfigVersion).version}"
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -1,6 +1,6 @@
 """The records of software versions in the platform's store."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import msgspec
@@ -13,7 +13,7 @@
     TooOldError,
     UnavailableError,
 )
-from passtally.platform.decode import decode_endpoint, decode_software
+from passtally.platform.decode import decode_heartbeats, decode_software
 from passtally.platform.store import PlatformStore
 from passtally.store_order import era_of, revision_of
 from passtally.version_records import VersionRecord
@@ -34,11 +34,20 @@
     Args:
         store: The store.
         endpoints_prefix: Key prefix of the endpoints' entries.
+        heartbeat: Returns the interval in which endpoints write their entries; zero
+            if it is not known.
     """
 
-    def __init__(self, *, store: PlatformStore, endpoints_prefix: str) -> None:
+    def __init__(
+        self,
+        *,
+        store: PlatformStore,
+        endpoints_prefix: str,
+        heartbeat: Callable[[], timedelta],
+    ) -> None:
         self._store = store
         self._endpoints_prefix = endpoints_prefix
+        self._heartbeat = heartbeat
 
     @property
     def lineage(self) -> tuple[str, int]:
@@ -73,28 +82,39 @@
             raise UnavailableError("restored from a copy", step="history", peer=prefix)
         return self._collect_versions(history, service)
 
-    async def has_served_long(self, service: str, version: str) -> bool:
-        """Return whether a version served before the history that the store keeps.
+    async def served_before(
+        self, service: str, version: str, *, ago: timedelta
+    ) -> bool:
+        """Return whether a version served that long ago.
 
-        A version that the whole history shows as the only one counts too.
+        How long an endpoint has run is told by the number of its heartbeats. The age of
+        its entry does not tell it: entries lapse while the store is down.
         """
         prefix = self._endpoints_prefix
         listing = await self._store.list_objects(prefix)
-        created = [
-            stored.created_version
+        counts = [
+            self._count_heartbeats(stored, service, version)
             for stored in listing.objects
-            if stored.created_version is not None
-            and self._is_of_version(stored, service, version)
         ]
-        if not created:
-            return False
+        heartbeat = self._heartbeat()
+        if heartbeat and max(counts, default=0) >= ago / heartbeat:
+            return True
         try:
-            await self._store.watch(prefix, after=min(created), wait=timedelta(0))
+            history = await self._store.list_history(prefix)
         except TooOldError:
-            return True
-        history = await self._store.list_history(prefix)
+            return False
         return self._collect_versions(history, service) == {version}
 
+    def _count_heartbeats(
+        self, stored: StoredObject, service: str, version: str
+    ) -> int:
+        value = bytes(stored.value)
+        try:
+            return decode_heartbeats(value, service=service, software=version)
+        except ValueError as error:
+            log_event("versions", "Skipped an entry.", key=stored.key, why=error)
+            return 0
+
     def _collect_versions(self, history: Listing, service: str) -> frozenset[str]:
         """Return the versions of the endpoints in a history.
 
@@ -115,15 +135,6 @@
             ) from error
         return frozenset(version for version in found if version is not None)
 
-    def _is_of_version(self, stored: StoredObject, service: str, version: str) -> bool:
-        endpoint_id = stored.key.removeprefix(self._endpoints_prefix)
-        try:
-            endpoint = decode_endpoint(endpoint_id, bytes(stored.value))
-        except ValueError as error:
-            log_event("versions", "Skipped an entry.", key=stored.key, why=error)
-            return False
-        return endpoint.service == service and endpoint.software == version
-
     def _encode(self, versions: Iterable[str]) -> bytes:
         _, era = self._store.lineage
         return msgspec.json.encode(_Record(versions=sorted(versions), era=era))
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -332,6 +332,12 @@
         " than its hosts: true or false.",
         "false",
     )
+    endpoint_heartbeat: timedelta = _setting(
+        parse_duration,
+        "The interval in which endpoints write their entries in the store; 0 if it is"
+        " not known.",
+        "0s",
+    )
     hedging: Switch = _setting(
         parse_switch,
         "The services whose slow calls get a second copy at an idle endpoint, if they"
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -26,8 +26,12 @@
 #: Time for which a caller waits for the record. A slow store takes 240 ms a call, and
 #: without a record there are up to five.
 LEARN_TIMEOUT = timedelta(milliseconds=1200)
-#: Time after a host's start in which the store's history tells whether a version served
-#: before that start. Stores keep it for 20 s; callers may return later.
+#: Longest time without any host after which the only version is taken for the one that
+#: served before: an endpoint that had run for longer when this host started ran while
+#: there were hosts.
+MAX_LOSS_TIME = timedelta(seconds=20)
+#: Time after its start in which a host that may have missed changes looks back again.
+#: Later, this would cost calls of all hosts after each gap.
 LOOK_BACK_TIME = timedelta(seconds=5)
 #: Time after a failed attempt in which no further one is made.
 RETRY_INTERVAL = timedelta(seconds=1)
@@ -75,13 +79,12 @@
             PlatformError: The store no longer keeps its history from the beginning.
         """
 
-    async def has_served_long(self, service: str, version: str) -> bool:
-        """Return whether a version served before the history that the store keeps.
+    async def served_before(
+        self, service: str, version: str, *, ago: timedelta
+    ) -> bool:
+        """Return whether a version served that long ago.
 
         A version that the whole history shows as the only one counts too.
-
-        Raises:
-            PlatformError: The store's history does not tell.
         """
 
 
@@ -123,11 +126,8 @@
         self._saved_by_service: dict[str, tuple[frozenset[str], bool]] = {}
         #: The services whose past was looked up after this host's start.
         self._looked_back: set[str] = set()
-        #: The services whose only version the store was asked about.
-        self._asked: set[str] = set()
-        #: The service and the version of each positive reply of the store to
-        #: :meth:`VersionStore.has_served_long`.
-        self._served_long: set[tuple[str, str]] = set()
+        #: The services and versions that served before the hosts were lost.
+        self._served_before: set[tuple[str, str]] = set()
         self._changed = asyncio.Event()
         self._failed_at_by_service: dict[str, timedelta] = {}
         self._locks_by_service: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
@@ -172,22 +172,13 @@
             record = await self._store.find(service)
             if record is not None and record.is_current:
                 self._past_by_service[service] = record.versions
-            may_ask = service not in self._asked and self._age <= LOOK_BACK_TIME
-            if record is None and may_ask:
-                await self._ask_served_long(service, *versions)
+            if record is None:
+                await self._has_served_before(service, *versions)
         except PlatformError as error:
             log_event("versions", "No look back.", service=service, why=error)
             return
         self._looked_back.add(service)
 
-    async def _ask_served_long(self, service: str, version: str) -> bool:
-        """Ask the store whether a version has served long; keep a positive answer."""
-        is_long = await self._store.has_served_long(service, version)
-        self._asked.add(service)
-        if is_long:
-            self._served_long.add((service, version))
-        return is_long
-
     def _is_outdated(self, service: str, versions: frozenset[str]) -> bool:
         """Return whether a record that this host read has a version that is gone.
 
@@ -204,7 +195,6 @@
     def forget_past(self) -> None:
         """Forget what was learned, since this host may have missed changes."""
         self._past_by_service.clear()
-        # Later, another look would cost calls of all hosts after each gap.
         if self._age <= LOOK_BACK_TIME:
             self._looked_back.clear()
 
@@ -262,25 +252,24 @@
         if record is not None:
             return record.versions if record.is_current else None
         for version in versions:
-            if not await self._has_served_long(service, version):
+            if not await self._has_served_before(service, version):
                 log_event(
                     "versions", "Came too recently.", service=service, version=version
                 )
                 return None
         return (await self._store.create(service, versions)).versions
 
-    async def _has_served_long(self, service: str, version: str) -> bool:
-        """Return whether a version served before the hosts were lost.
-
-        What the store tells of a version's age counts right after this host's start:
-        later, a version that came while no host ran has become old too.
-        """
-        if (service, version) in self._served_long:
+    async def _has_served_before(self, service: str, version: str) -> bool:
+        """Return whether a version served before the hosts were lost."""
+        if (service, version) in self._served_before:
             return True
-        is_late = service in self._asked or self._age > LOOK_BACK_TIME
-        if self._looks_back(service) and is_late:
-            return False
-        return await self._ask_served_long(service, version)
+        ago = MAX_LOSS_TIME
+        if self._looks_back(service):
+            ago += self._age
+        is_before = await self._store.served_before(service, version, ago=ago)
+        if is_before:
+            self._served_before.add((service, version))
+        return is_before
 
     async def _save(self, service: str, versions: frozenset[str]) -> None:
         """Bring the record of a service up to date if it has, or had, several.
--- a/tests/odd_json.py
+++ b/tests/odd_json.py
@@ -1,12 +1,16 @@
 """JSON as other writers may leave it: nested too deep, too large, of another type."""
 
 from collections.abc import Iterator
+from datetime import timedelta
 from typing import Any
 
 import msgspec
 from hypothesis import strategies as st
 
 from passtally.fetch import Fetched
+from passtally.platform.adapter import PlatformAdapter
+from passtally.platform.store import PlatformStore
+from passtally.platform.version_store import PlatformVersionStore
 
 #: JSON values that decoders, or the types behind them, reject in ways of their own.
 ODD_VALUES = [
@@ -55,6 +59,13 @@
         return Fetched(status=200, body=self.bodies.pop(0))
 
 
+def open_versions(
+    store: PlatformStore, *, heartbeat: timedelta = timedelta(seconds=1)
+) -> PlatformVersionStore:
+    """Return the records of software versions in a store."""
+    return PlatformAdapter().open_versions(store, heartbeat=lambda: heartbeat)
+
+
 def item(name: str, revision: int, spec: bytes) -> bytes:
     """Return an object of the store, with raw JSON for its spec."""
     head = b'{"metadata":{"name":"%b","revision":%d},"spec":'
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections.abc import Iterable, Sequence
+from datetime import timedelta
 from functools import partial
 
 import attrs
@@ -37,8 +38,7 @@
         versions_by_service: The records.
         history: The versions in its history; None if it does not reach back far enough.
         is_refusing: Whether it refuses to create and replace records.
-        served_long: Whether the version that serves is older than its history; None
-            if it can't tell.
+        running: For how long the oldest endpoint has run; None if it can't tell.
         calls: Number of calls received.
         lineage: Its address and era.
         late_writes: Number of further writes that get no answer.
@@ -48,7 +48,7 @@
         self.versions_by_service: dict[str, frozenset[str]] = {}
         self.history: frozenset[str] | None = None
         self.is_refusing = False
-        self.served_long: bool | None = True
+        self.running: timedelta | None = timedelta(hours=1)
         #: The services whose record was written before a restore of the store.
         self.outdated: set[str] = set()
         self.calls = 0
@@ -111,11 +111,13 @@
             raise UnavailableError("too old", step="watch", peer="store")
         return self.history
 
-    async def has_served_long(self, service: str, version: str) -> bool:
+    async def served_before(
+        self, service: str, version: str, *, ago: timedelta
+    ) -> bool:
         self.calls += 1
-        if self.served_long is None:
-            raise UnavailableError("restored", step="list", peer="store")
-        return self.served_long
+        if self.running is None:
+            raise UnavailableError("status 503", step="list", peer="store")
+        return self.running >= ago
 
     def _count(self) -> None:
         self.calls += 1
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -37,10 +37,9 @@
 from passtally.platform.runner_link import RunnerLink
 from passtally.platform.runner_stream import RunnerStream
 from passtally.platform.store import PlatformStore
-from passtally.platform.version_store import PlatformVersionStore
 from passtally.version_records import VersionRecord
 from standins.platform_config import ENGINE, LOOKUPS, make_config
-from tests.odd_json import Answers, item, odd_versions, replace_part
+from tests.odd_json import Answers, item, odd_versions, open_versions, replace_part
 from tests.platform_system import PlatformSystem, run
 
 ENTRY = {
@@ -390,7 +389,7 @@
     events = b",".join(b'{"object":%b}' % item("i-1", 5, spec) for spec in specs)
     body = b'{"events":[%b],"store_revision":9}' % events
     store = PlatformStore(fetcher=Answers(body), url="http://127.0.0.1:1")
-    versions = PlatformVersionStore(store=store, endpoints_prefix="servers/")
+    versions = open_versions(store)
     return asyncio.run(versions.list_past("s"))
 
 
@@ -398,7 +397,7 @@
     """Return the record that a host reads if the store holds this one."""
     answers = Answers(item("s", 5, spec))
     store = PlatformStore(fetcher=answers, url="http://127.0.0.1:1")
-    versions = PlatformVersionStore(store=store, endpoints_prefix="servers/")
+    versions = open_versions(store)
     return asyncio.run(versions.create("s", ["v1"]))
 
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -32,6 +32,8 @@
 #: Time within which a stream must be refused if its version serves no more, in seconds.
 AT_ONCE = 0.5
 BUSY_PROCESSES = 8
+#: Heartbeats of endpoints that have run for long.
+HEARTBEATS = 1000
 #: Timeout of the route of the streams.
 TIMEOUT_MS = 20_000
 
@@ -50,7 +52,7 @@
         """Start the endpoints of a version."""
         first = (version - 1) * PER_VERSION
         for number in range(first, first + PER_VERSION):
-            await self._add_runner(number)
+            await self._add_runner(number, heartbeats=1)
 
     async def start(self, *, versions: int = 2, gap: float = GAP) -> None:
         self.gap = gap
@@ -61,12 +63,12 @@
         config["routes"][0]["timeout_ms"] = TIMEOUT_MS
         system.store.put("config", "main", config)
         for number in range(versions * PER_VERSION):
-            await self._add_runner(number)
+            await self._add_runner(number, heartbeats=HEARTBEATS)
         for zone in ZONES:
             await self.add_host(zone)
         await system.wait_ready()
 
-    async def _add_runner(self, number: int) -> None:
+    async def _add_runner(self, number: int, *, heartbeats: int) -> None:
         zone = ZONES[number % PER_VERSION]
         name = f"i-{number}"
         runner = await self.system.add_runner(
@@ -77,9 +79,17 @@
             version=f"v{1 + number // PER_VERSION}",
             marks_version=True,
         )
-        entry = runner.entry(ENGINE, zone=zone, slots=STREAMS)
+        entry = runner.entry(ENGINE, zone=zone, slots=STREAMS, sequence=heartbeats)
         self.system.store.put("servers", name, entry)
 
+    def renew_entries(self) -> None:
+        """Let the entries of all endpoints lapse, as while the store is down."""
+        store = self.system.store
+        for name in self.system.runners:
+            entry = store.find("servers", name)
+            store.remove("servers", name)
+            store.put("servers", name, entry)
+
     async def add_host(self, zone: str) -> FrontHost:
         """Start a host, and wait until it is linked to all others."""
         hosts = self.system.hosts
@@ -409,6 +419,23 @@
 
         run(test)
 
+    # Guards against streams that are refused since the entries of all endpoints were
+    # created anew: they lapse while the store is down.
+    def test_streams_of_the_only_version_go_on_after_all_entries_lapsed(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(versions=1)
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            await scene.stop_all_hosts()
+            system.store.forget_history()
+            scene.renew_entries()
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
     # Guards against streams that no backup names, since the hosts that began them saw
     # one version only: another one may still be in the record.
     def test_streams_go_on_after_a_second_loss_with_one_version_left(self):
--- a/tests/test_store_garbage.py
+++ b/tests/test_store_garbage.py
@@ -12,8 +12,8 @@
 from passtally.fetch import Fetched
 from passtally.platform.origin_store import PlatformOriginStore
 from passtally.platform.store import PlatformStore
-from passtally.platform.version_store import PlatformVersionStore
 from standins.virtual import run_virtually
+from tests.odd_json import open_versions
 from tests.test_origin_backups import key, make_backup
 
 NAME = "a"
@@ -52,9 +52,7 @@
     # Guards also against a record that no host ever replaces.
     def test_a_record_of_versions_shows_nothing(self, spec):
         async def test() -> None:
-            store = PlatformVersionStore(
-                store=make_store(spec), endpoints_prefix="servers/"
-            )
+            store = open_versions(make_store(spec))
             for record in (await store.find(NAME), await store.create(NAME, ["v1"])):
                 assert (record.versions, record.revision) == (frozenset(), 3)
                 assert not record.is_current
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -5,14 +5,24 @@
 
 import pytest
 
+from passtally.fetch import Fetched
 from passtally.objects import Endpoint
 from passtally.origin_backup import OriginBackup
 from passtally.origin_exchange import CHECK_INTERVAL
 from passtally.origin_lookup import SETTLE_TIME
 from passtally.origin_table import RECORD_TTL, origin_key
+from passtally.platform.store import PlatformStore
 from passtally.seen_versions import SeenVersions
-from passtally.version_records import RETRY_INTERVAL, VersionRecords
+from passtally.version_records import (
+    CHECK_INTERVAL as LOOK_INTERVAL,
+)
+from passtally.version_records import (
+    MAX_LOSS_TIME,
+    RETRY_INTERVAL,
+    VersionRecords,
+)
 from standins.virtual import VirtualClock, run_virtually
+from tests.odd_json import item, open_versions
 from tests.origin_fleet import SERVICE, WORKSPACE, OriginFleet, VersionStoreFake
 
 NOW = timedelta(0)
@@ -61,7 +71,9 @@
 class World:
     """The records of one host."""
 
-    def __init__(self, *, store: VersionStoreFake | None = None) -> None:
+    def __init__(
+        self, *, store: VersionStoreFake | None = None, looks_back: bool = False
+    ) -> None:
         self.store = store or VersionStoreFake()
         self.seen = SeenVersions()
         self.clock = VirtualClock()
@@ -71,6 +83,7 @@
             seen=self.seen,
             clock=self.clock,
             is_writer=lambda: self.is_writer,
+            looks_back=lambda service: looks_back,
         )
 
     def see(self, *versions: str) -> None:
@@ -102,20 +115,47 @@
 
     # Guards against a record that a host without evidence makes, and others rely on:
     # the version may have replaced another one while no host ran.
-    @pytest.mark.parametrize("served_long", [False, None])
+    @pytest.mark.parametrize(
+        "running", [MAX_LOSS_TIME - SECOND, None], ids=["young", "unknown"]
+    )
     @pytest.mark.parametrize("history", [ONLY, BOTH, None])
     def test_without_a_record_a_young_version_needs_the_whole_history(
-        self, served_long, history
+        self, running, history
     ):
         async def test() -> None:
             world = World()
-            world.store.served_long = served_long
+            world.store.running = running
             world.store.history = history
             assert await world.learn() == history
             assert world.store.versions_by_service == {}
 
         run_virtually(test())
 
+    # Guards against a version that came while no host ran, and has become old when a
+    # caller takes an answer up.
+    @pytest.mark.parametrize("running_at_start", [0 * SECOND, MAX_LOSS_TIME - SECOND])
+    def test_a_version_that_became_old_since_the_start_needs_the_whole_history(
+        self, running_at_start
+    ):
+        async def test() -> None:
+            world = World(looks_back=True)
+            await sleep(MAX_LOSS_TIME)
+            world.store.running = running_at_start + MAX_LOSS_TIME
+            assert await world.learn() is None
+            assert world.store.versions_by_service == {}
+
+        run_virtually(test())
+
+    # Guards against innocent streams that are refused at a host that has run for long.
+    def test_a_version_that_was_old_at_the_start_is_evidence_later(self):
+        async def test() -> None:
+            world = World(looks_back=True)
+            await sleep(MAX_LOSS_TIME)
+            world.store.running = 2 * MAX_LOSS_TIME
+            assert await world.learn() == ONLY
+
+        run_virtually(test())
+
     # Guards against a record that lacks what was written after the copy of the store.
     def test_a_record_from_before_a_restore_is_not_relied_on(self):
         async def test() -> None:
@@ -181,6 +221,74 @@
         run_virtually(test())
 
 
+class TestLookingBack:
+    """What a host asks the store at its start."""
+
+    # Guards against a host that asks again each second, since it gets no evidence.
+    @pytest.mark.parametrize("running", [0 * SECOND, 2 * MAX_LOSS_TIME])
+    def test_a_host_asks_once(self, running):
+        async def test() -> None:
+            world = World(looks_back=True)
+            world.store.running = running
+            task = asyncio.create_task(world.records.run())
+            for _ in range(10):
+                world.see("v1")
+                await sleep(LOOK_INTERVAL)
+            task.cancel()
+            # Whether there is a record, and whether the version served before.
+            assert world.store.calls == 2
+
+        run_virtually(test())
+
+
+class EntriesFake:
+    """A store with entries of endpoints, which has forgotten its history."""
+
+    def __init__(self, *specs: bytes) -> None:
+        items = b",".join(item(f"i-{n}", 5, spec) for n, spec in enumerate(specs))
+        self._listing = b'{"items":[%b],"store_revision":9}' % items
+
+    async def fetch(self, method: str, url: str, *, params, **options) -> Fetched:
+        if "watch" in params:
+            return Fetched(status=410, body=b"")
+        return Fetched(status=200, body=self._listing)
+
+
+class TestRunningTime:
+    """For how long a version has served, by the heartbeats of its endpoints."""
+
+    def ask(self, *specs: bytes, seconds: int = 20, heartbeat: float = 1.2) -> bool:
+        """Return whether version v1 of service s served some seconds ago."""
+        store = PlatformStore(fetcher=EntriesFake(*specs), url="http://127.0.0.1:1")
+        versions = open_versions(store, heartbeat=timedelta(seconds=heartbeat))
+        ago = timedelta(seconds=seconds)
+        return asyncio.run(versions.served_before("s", "v1", ago=ago))
+
+    def spec(self, sequence: str, version: str = "v1", service: str = "s") -> bytes:
+        text = '{"service":"%s","version":"%s","sequence":%s}'
+        return (text % (service, version, sequence)).encode()
+
+    # Guards against streams that are refused after the store was down: the entries of
+    # all endpoints lapse meanwhile, and are created anew.
+    def test_the_oldest_endpoint_of_the_version_counts(self):
+        assert self.ask(self.spec("1"), self.spec("17"))
+        assert not self.ask(self.spec("1"), self.spec("16"))
+        assert not self.ask()
+
+    def test_endpoints_of_others_do_not_count(self):
+        assert not self.ask(self.spec("99", version="v2"), self.spec("99", service="t"))
+
+    def test_without_the_interval_heartbeats_tell_nothing(self):
+        assert not self.ask(self.spec("99"), heartbeat=0)
+
+    # Guards against an odd entry that hides what the others show, or is taken for one
+    # of an endpoint that has run for long.
+    @pytest.mark.parametrize("odd", ["null", '"9"', "-1", "1e300", "9" * 400, "[]"])
+    def test_an_odd_number_does_not_count(self, odd):
+        assert not self.ask(self.spec(odd))
+        assert self.ask(self.spec(odd), self.spec("17"))
+
+
 class TestRecording:
     def run(self, test) -> None:
         async def main() -> None:
