--- a/passtally/forecast.py
+++ b/passtally/forecast.py
@@ -146,10 +146,16 @@
         remaining_positions = max(
             0.0, _decile(history.lengths, _SHORT_LENGTH) - position
         )
-        reading = tokens / _decile(history.prefill_rates, _FAST_PREFILL)
-        return timedelta(
-            seconds=reading + remaining_positions * _decile(history.steps, _FAST_STEP)
-        )
+        decode = remaining_positions * _decile(history.steps, _FAST_STEP)
+        prefill_time = self.min_prefill_time(service, tokens=tokens)
+        return prefill_time + timedelta(seconds=decode)
+
+    def min_prefill_time(self, service: str, *, tokens: int) -> timedelta:
+        """Return the time for a fast prefill; 0 if there are too few samples."""
+        rates = self._history(service).prefill_rates
+        if len(rates) < MIN_SAMPLES:
+            return timedelta(0)
+        return timedelta(seconds=tokens / _decile(rates, _FAST_PREFILL))
 
     def first_output_time(
         self,
--- a/passtally/generation.py
+++ b/passtally/generation.py
@@ -234,6 +234,11 @@
         """Number of tokens on this host; the next attempt continues from here."""
         return len(self.token_ids)
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether its caller takes it up here, and no attempt was made for that yet."""
+        return self.delivered > 0 and not self.attempts
+
     @property
     def has_lost_output(self) -> bool:
         """Whether an attempt was lost inside output after the current position."""
--- a/passtally/placement.py
+++ b/passtally/placement.py
@@ -118,7 +118,7 @@
                 before its deadline.
         """
         request = generation.request
-        if generation.delivered and not generation.attempts:
+        if generation.is_taken_up:
             cached_endpoint_id = await self._find_prompt(generation, excluded)
             if cached_endpoint_id is not None:
                 return Placed(endpoint_id=cached_endpoint_id, caches_prompt=True)
@@ -284,19 +284,27 @@
         return cached_endpoint_id
 
     def _check_deadline(self, generation: Generation) -> None:
-        """Refuse an answer that could not be complete before its caller's deadline."""
+        """Refuse an answer that could not be complete before its caller's deadline.
+
+        One that a caller takes up goes on if its prefill fits: each further event is of
+        use to a caller that has the others, and what is left of it may be short.
+        """
         request = generation.request
         if request.deadline is None:
             return
         time_left = request.deadline - self._clock.monotonic()
-        needed = self.forecast.min_time(
-            request.service,
-            tokens=count_prefill_tokens(generation),
-            position=generation.position,
-        )
+        tokens = count_prefill_tokens(generation)
+        if generation.is_taken_up:
+            part = "the prefill"
+            needed = self.forecast.min_prefill_time(request.service, tokens=tokens)
+        else:
+            part = "a short answer"
+            needed = self.forecast.min_time(
+                request.service, tokens=tokens, position=generation.position
+            )
         if time_left < needed:
             raise NoEndpointError(
-                f"the deadline is in {time_left}, and a short answer takes {needed}"
+                f"the deadline is in {time_left}, and {part} takes {needed}"
             )
 
     def _meet_target(
