Stops: only the main thread receives stop signals

Before its exit a host blocks the signals, gives them back their default action, as the event loop does when a handler is removed, and then ignores them. They were blocked in the main thread only. A signal to a process goes to any thread that does not block it: the log's writer and the pool's thread of the event loop did not (SigBlk 0 in /proc), so that one which arrived in these microseconds ended the process.

Both threads block the signals now. The new test reads the masks of all threads, and fails on the code before.

--- a/passtally/daemon.py
+++ b/passtally/daemon.py
@@ -60,7 +60,7 @@
 from passtally.settings import Address, Settings
 from passtally.statsd_metrics import StatsdMetrics, report_gauges
 from passtally.status import StatusReader
-from passtally.stop_signals import StopSignals
+from passtally.stop_signals import StopSignals, block_here
 from passtally.supervisor import keep_running
 from passtally.task_set import TaskSet
 from passtally.tunnel_hosts import TunnelHosts
@@ -447,6 +447,8 @@
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     signals.hand_over(loop, stopping.set)
+    # The one thread of the loop's pool.
+    await asyncio.to_thread(block_here)
     await stopping.wait()
     log_event("daemon", "Stopping.", open=host.drain.open_requests)
     await host.leave()
--- a/passtally/log_output.py
+++ b/passtally/log_output.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from passtally.stop_signals import block_here
+
 #: Default maximum number of queued lines. At 300 bytes per line they take 0.3 MB.
 MAX_WAITING = 1000
 STANDARD_ERROR = 2
@@ -55,6 +57,7 @@
         self._thread.join(timeout=1)
 
     def _run(self) -> None:
+        block_here()
         while not self._is_closing or self._queue:
             self._wake.wait()
             self._wake.clear()
--- a/passtally/platform/process.py
+++ b/passtally/platform/process.py
@@ -25,7 +25,7 @@
 from passtally.platform.settings import read_settings
 from passtally.platform.settings_watch import SettingsWatch
 from passtally.settings import Address, Settings, SettingsError
-from passtally.stop_signals import StopSignals
+from passtally.stop_signals import StopSignals, block_here
 from passtally.supervisor import keep_running
 
 EXIT_USAGE = 2
@@ -143,6 +143,8 @@
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     signals.hand_over(loop, stopping.set)
+    # The one thread of the loop's pool.
+    await asyncio.to_thread(block_here)
     loop.add_signal_handler(signal.SIGHUP, watch.check_now)
     work = keep_running("settings", partial(watch.run, host), clock=host.clock)
     watching = loop.create_task(work)
--- a/passtally/stop_signals.py
+++ b/passtally/stop_signals.py
@@ -20,6 +20,14 @@
 _ALL = (*NUMBERS, signal.SIGHUP)
 
 
+def block_here() -> None:
+    """Block the signals in this thread, which is not the main one.
+
+    A signal that the main thread blocks is delivered to any other thread that does not.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, _ALL)
+
+
 class StopSignals:
     """Signal handlers that replace the default actions, which kill the process.
 
@@ -57,7 +65,8 @@
         A closing event loop restores the default actions, and a stop signal may be
         repeated until the process has exited.
         """
-        # Blocked, since the signals have their default actions until SIG_IGN is set.
+        # Blocked, as in all other threads (block_here), since the signals have their
+        # default actions until SIG_IGN is set.
         signal.pthread_sigmask(signal.SIG_BLOCK, _ALL)
         for number in _ALL:
             loop.remove_signal_handler(number)
--- a/tests/test_passing_states.py
+++ b/tests/test_passing_states.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import time
+from pathlib import Path
 
 import pytest
 
@@ -168,6 +169,40 @@
             os.close(ends[1])
 
 
+class TestThreads:
+    # Guards against a host that a repeated stop signal kills at its exit: a signal that
+    # the main thread blocks goes to any other thread, with its default action.
+    def test_only_the_main_thread_receives_stop_signals(self, tmp_path):
+        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        bits = sum(1 << (number - 1) for number in numbers)
+
+        def blocked_by_thread(pid: int) -> dict[int, int]:
+            """Return the stop signals that each thread blocks, by its id."""
+            return {
+                int(task.name): bits & _blocked_signals(task / "status")
+                for task in Path(f"/proc/{pid}/task").iterdir()
+            }
+
+        def is_blocked_elsewhere(pid: int) -> bool:
+            masks = blocked_by_thread(pid)
+            return masks.pop(pid) == 0 and set(masks.values()) == {bits}
+
+        async def main() -> None:
+            async with running(tmp_path) as host:
+                await wait_ready(host)
+                async with asyncio.timeout(SECONDS_TO_READY):
+                    while not is_blocked_elsewhere(host.process.pid):
+                        await asyncio.sleep(0.02)
+
+        asyncio.run(main())
+
+
+def _blocked_signals(status: Path) -> int:
+    fields = (line.partition(":") for line in status.read_text().splitlines())
+    texts_by_name = {name: text for name, _, text in fields}
+    return int(texts_by_name["SigBlk"], 16)
+
+
 class TestStopWithoutSettings:
     def test_a_stop_while_waiting_for_settings_exits_with_status_0(self, tmp_path):
         async def main() -> None:
