--- a/passtally/admission_request.py
+++ b/passtally/admission_request.py
@@ -29,7 +29,8 @@
         priority: Who goes first; that of the class if nothing else states one.
         size: The room that the request takes of its service, in the service's unit.
         fingerprint: The same for all tries of the request; empty if unknown.
-        is_returning: Whether its caller was refused before, and returns as it was told.
+        is_returning: Whether its caller was refused before, and returns as it was told,
+            or takes up an answer that has begun.
     """
 
     id: str
@@ -64,7 +65,8 @@
     Attributes:
         priority: The priority of the requests.
         is_new: Whether their callers come for the first time. Those that return after a
-            refusal, as they were told, go before new ones of their priority.
+            refusal, as they were told, or that take up an answer, go before new ones of
+            their priority.
     """
 
     priority: Priority
--- a/passtally/front.py
+++ b/passtally/front.py
@@ -178,6 +178,7 @@
             priority=admitted.priority,
             size=self._size(admitted),
             fingerprint=admitted.fingerprint,
+            is_returning=admitted.request.position > 0,
         )
         async with self._gate.enter(admitted.service, admission):
             # The request may have waited, and the host be about to stop by now.
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,7 +5,9 @@
 import contextlib
 import itertools
 from collections.abc import Awaitable, Callable, Iterable, Sequence
+from typing import Any
 
+import eliot
 import pytest
 
 from passtally.front_host import FrontHost
@@ -34,6 +36,8 @@
 BUSY_PROCESSES = 8
 #: Heartbeats of endpoints that have run for long.
 HEARTBEATS = 1000
+#: The type of the log lines of admission.
+ADMISSION = "passtally:admit"
 #: Timeout of the route of the streams.
 TIMEOUT_MS = 20_000
 
@@ -342,6 +346,26 @@
 
         run(test)
 
+    # Guards against streams that are refused for want of room while new ones begin: a
+    # part of such an answer was served, and its caller has little time left.
+    def test_streams_that_are_taken_up_are_admitted_before_new_ones(self):
+        events: list[dict[str, Any]] = []
+
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(versions=1)
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            await scene.send_all(scene.rotated())
+
+        eliot.add_destinations(events.append)
+        try:
+            run(test)
+        finally:
+            eliot.remove_destination(events.append)
+        admitted = [event for event in events if event["message_type"] == ADMISSION]
+        are_new = [event["is_new"] for event in admitted]
+        assert are_new == [True] * STREAMS + [False] * STREAMS
+
     # Guards against streams that are known after the first loss only, since the hosts
     # replaced what the store held.
     def test_streams_go_on_after_a_second_loss_soon_after(self):
