ORDER: the history of a restored store does not show that a version served before

A store that was restored from an older copy lacks the changes after the copy in its history. list_past refuses such a history; served_before relied on it, so that a host created the record of versions from it, and others rely on that record.

test_the_history_of_a_restored_store_tells_nothing fails on the code before (era 1).

--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -103,7 +103,9 @@
             history = await self._store.list_history(prefix)
         except TooOldError:
             return False
-        return self._collect_versions(history, service) == {version}
+        # What was written after the copy of a restored store is not in its history.
+        is_whole = not era_of(history.version)
+        return is_whole and self._collect_versions(history, service) == {version}
 
     def _count_heartbeats(
         self, stored: StoredObject, service: str, version: str
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -242,16 +242,28 @@
 
 
 class EntriesFake:
-    """A store with entries of endpoints, which has forgotten its history."""
+    """A store with entries of endpoints, which has forgotten its history.
 
-    def __init__(self, *specs: bytes) -> None:
-        items = b",".join(item(f"i-{n}", 5, spec) for n, spec in enumerate(specs))
-        self._listing = b'{"items":[%b],"store_revision":9}' % items
+    Args:
+        specs: The entries.
+        era: The era of the store, which keeps its history from the beginning; None if
+            it has forgotten it.
+    """
+
+    def __init__(self, *specs: bytes, era: int | None = None) -> None:
+        items = [item(f"i-{n}", 5, spec) for n, spec in enumerate(specs)]
+        events = b",".join(b'{"object":%b}' % stored for stored in items)
+        self._listing = b'{"items":[%b],"store_revision":9}' % b",".join(items)
+        self._history = b'{"events":[%b],"store_revision":9}' % events
+        self._era = era
 
     async def fetch(self, method: str, url: str, *, params, **options) -> Fetched:
-        if "watch" in params:
+        headers = [] if self._era is None else [(b"store-era", b"%d" % self._era)]
+        if "watch" not in params:
+            return Fetched(status=200, body=self._listing, headers=headers)
+        if self._era is None:
             return Fetched(status=410, body=b"")
-        return Fetched(status=200, body=self._listing)
+        return Fetched(status=200, body=self._history, headers=headers)
 
 
 class TestRunningTime:
@@ -278,6 +290,15 @@
     def test_endpoints_of_others_do_not_count(self):
         assert not self.ask(self.spec("99", version="v2"), self.spec("99", service="t"))
 
+    # Guards against a version that came while no host ran, and is the only one in the
+    # history of a store that was restored from a copy: later changes are not in it.
+    @pytest.mark.parametrize(("era", "is_before"), [(0, True), (1, False)])
+    def test_the_history_of_a_restored_store_tells_nothing(self, era, is_before):
+        fetcher = EntriesFake(self.spec("1"), era=era)
+        store = PlatformStore(fetcher=fetcher, url="http://127.0.0.1:1")
+        asked = open_versions(store).served_before("s", "v1", ago=MAX_LOSS_TIME)
+        assert asyncio.run(asked) is is_before
+
     def test_without_the_interval_heartbeats_tell_nothing(self):
         assert not self.ask(self.spec("99"), heartbeat=0)
 
