--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -156,6 +156,24 @@
 
         run_virtually(test())
 
+    # Guards against streams that go on at a version which came while no host ran: to a
+    # host that starts later than the first ones it looks as if it had served before.
+    def test_a_host_that_starts_after_others_without_evidence_creates_no_record(self):
+        async def test() -> None:
+            store = VersionStoreFake()
+            for running in (SECOND, MAX_LOSS_TIME + 2 * SECOND):
+                world = World(store=store, looks_back=True)
+                store.running = running
+                task = asyncio.create_task(world.records.run())
+                world.see("v1")
+                await sleep(SECOND)
+                store.running += SECOND
+                assert await world.learn() is None
+                task.cancel()
+                await sleep(MAX_LOSS_TIME)
+
+        run_virtually(test())
+
     # Guards against a record that lacks what was written after the copy of the store.
     def test_a_record_from_before_a_restore_is_not_relied_on(self):
         async def test() -> None:
@@ -242,16 +260,28 @@
 
 
 class EntriesFake:
-    """A store with entries of endpoints, which has forgotten its history."""
+    """A store with entries of endpoints, which has forgotten its history.
 
-    def __init__(self, *specs: bytes) -> None:
-        items = b",".join(item(f"i-{n}", 5, spec) for n, spec in enumerate(specs))
-        self._listing = b'{"items":[%b],"store_revision":9}' % items
+    Args:
+        specs: The entries.
+        era: The era of the store, which keeps its history from the beginning; None if
+            it has forgotten it.
+    """
+
+    def __init__(self, *specs: bytes, era: int | None = None) -> None:
+        items = [item(f"i-{n}", 5, spec) for n, spec in enumerate(specs)]
+        events = b",".join(b'{"object":%b}' % stored for stored in items)
+        self._listing = b'{"items":[%b],"store_revision":9}' % b",".join(items)
+        self._history = b'{"events":[%b],"store_revision":9}' % events
+        self._era = era
 
     async def fetch(self, method: str, url: str, *, params, **options) -> Fetched:
-        if "watch" in params:
+        headers = [] if self._era is None else [(b"store-era", b"%d" % self._era)]
+        if "watch" not in params:
+            return Fetched(status=200, body=self._listing, headers=headers)
+        if self._era is None:
             return Fetched(status=410, body=b"")
-        return Fetched(status=200, body=self._listing)
+        return Fetched(status=200, body=self._history, headers=headers)
 
 
 class TestRunningTime:
@@ -278,6 +308,15 @@
     def test_endpoints_of_others_do_not_count(self):
         assert not self.ask(self.spec("99", version="v2"), self.spec("99", service="t"))
 
+    # Guards against a version that came while no host ran, and is the only one in the
+    # history of a store that was restored from a copy: later changes are not in it.
+    @pytest.mark.parametrize(("era", "is_before"), [(0, True), (1, False)])
+    def test_the_history_of_a_restored_store_tells_nothing(self, era, is_before):
+        fetcher = EntriesFake(self.spec("1"), era=era)
+        store = PlatformStore(fetcher=fetcher, url="http://127.0.0.1:1")
+        asked = open_versions(store).served_before("s", "v1", ago=MAX_LOSS_TIME)
+        assert asyncio.run(asked) is is_before
+
     def test_without_the_interval_heartbeats_tell_nothing(self):
         assert not self.ask(self.spec("99"), heartbeat=0)
 
