ORDER: a second version is recorded without a wait for looks back that get no answer

A host looked back in each service, one after the other, before it recorded what it saw in the services behind them. Looks back have a task of their own now. They are repeated after 2, 4 and 8 s, in place of each second without an end, while the store does not answer.

Both new tests fail on the code before.

--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -35,6 +35,8 @@
 LOOK_BACK_TIME = timedelta(seconds=5)
 #: Time after a failed attempt in which no further one is made.
 RETRY_INTERVAL = timedelta(seconds=1)
+#: Longest pause between attempts to look back while the store does not answer.
+MAX_RETRY_PAUSE = timedelta(seconds=8)
 
 
 @attrs.frozen(kw_only=True)
@@ -128,26 +130,43 @@
         self._looked_back: set[str] = set()
         #: The services and versions that served before the hosts were lost.
         self._served_before: set[tuple[str, str]] = set()
-        self._changed = asyncio.Event()
+        self._must_save = asyncio.Event()
+        self._must_look_back = asyncio.Event()
         self._failed_at_by_service: dict[str, timedelta] = {}
         self._locks_by_service: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
 
     async def run(self) -> None:
-        """Keep the records up to date until cancelled."""
+        """Keep the records up to date, and look back, until cancelled."""
+        # A second version is recorded without a wait for a store that answers no reads.
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._keep_saved())
+            tasks.create_task(self._keep_looking_back())
+
+    def wake(self) -> None:
+        """Bring the records up to date now, since a version has appeared."""
+        self._must_save.set()
+        self._must_look_back.set()
+
+    async def _keep_saved(self) -> None:
         while True:
-            self._changed.clear()
+            self._must_save.clear()
             for service, versions in self._seen.versions_by_service().items():
-                if self._looks_back(service):
-                    await self._look_back(service, versions)
                 if self._may_write() or self._is_outdated(service, versions):
                     await self._save(service, versions)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CHECK_INTERVAL.total_seconds()):
-                    await self._changed.wait()
+            await _wait(self._must_save, CHECK_INTERVAL)
 
-    def wake(self) -> None:
-        """Bring the records up to date now, since a version has appeared."""
-        self._changed.set()
+    async def _keep_looking_back(self) -> None:
+        pause = CHECK_INTERVAL
+        while True:
+            self._must_look_back.clear()
+            are_answered = [
+                await self._look_back(service, versions)
+                for service, versions in self._seen.versions_by_service().items()
+                if self._looks_back(service)
+            ]
+            is_answered = all(are_answered)
+            pause = CHECK_INTERVAL if is_answered else min(2 * pause, MAX_RETRY_PAUSE)
+            await _wait(self._must_look_back, pause)
 
     def _may_write(self) -> bool:
         """Return whether this host writes; one that knows no others yet does not."""
@@ -163,11 +182,16 @@
         """Whether this host has seen all versions for as long as answers last."""
         return self._seen.covers(self._clock.monotonic())
 
-    async def _look_back(self, service: str, versions: frozenset[str]) -> None:
-        """Find out whether the only version of a service served before this host."""
+    async def _look_back(self, service: str, versions: frozenset[str]) -> bool:
+        """Find out whether the only version of a service served before this host.
+
+        Returns:
+            Whether nothing is left to ask, since the store has answered or the host
+            knows more by itself.
+        """
         is_known = service in self._looked_back or len(versions) > 1
         if is_known or self._has_seen_long:
-            return
+            return True
         try:
             record = await self._store.find(service)
             if record is not None and record.is_current:
@@ -176,8 +200,9 @@
                 await self._has_served_before(service, *versions)
         except PlatformError as error:
             log_event("versions", "No look back.", service=service, why=error)
-            return
+            return False
         self._looked_back.add(service)
+        return True
 
     def _is_outdated(self, service: str, versions: frozenset[str]) -> bool:
         """Return whether a record that this host read has a version that is gone.
@@ -305,3 +330,10 @@
             self._lineage = self._store.lineage
             self.forget_past()
             self._saved_by_service.clear()
+
+
+async def _wait(event: asyncio.Event, duration: timedelta) -> None:
+    """Wait until an event is set, or for a time."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(duration.total_seconds()):
+            await event.wait()
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -42,9 +42,11 @@
         calls: Number of calls received.
         lineage: Its address and era.
         late_writes: Number of further writes that get no answer.
+        read_timeout: Time after which a look-up of a record fails; None if it doesn't.
     """
 
     def __init__(self) -> None:
+        self.read_timeout: timedelta | None = None
         self.versions_by_service: dict[str, frozenset[str]] = {}
         self.history: frozenset[str] | None = None
         self.is_refusing = False
@@ -67,6 +69,9 @@
 
     async def find(self, service: str) -> VersionRecord | None:
         self.calls += 1
+        if self.read_timeout is not None:
+            await asyncio.sleep(self.read_timeout.total_seconds())
+            raise UnavailableError("no answer", step="list", peer="store")
         return self._find(service)
 
     async def create(self, service: str, versions: Iterable[str]) -> VersionRecord:
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -3,6 +3,7 @@
 import asyncio
 from datetime import UTC, datetime, timedelta
 
+import attrs
 import pytest
 
 from passtally.fetch import Fetched
@@ -258,6 +259,37 @@
 
         run_virtually(test())
 
+    # Guards against a second version that is recorded late, since a host looks back in
+    # other services first and the store does not answer.
+    def test_a_second_version_is_recorded_while_reads_fail(self):
+        async def test() -> None:
+            world = World(looks_back=True)
+            world.store.read_timeout = SECOND
+            others = [attrs.evolve(endpoint("v1"), service=f"s{n}") for n in range(9)]
+            world.seen.record(others, now=world.clock.monotonic())
+            task = asyncio.create_task(world.records.run())
+            await sleep(2.5 * SECOND)
+            world.see("v1", "v2")
+            world.records.wake()
+            await sleep(0.1 * SECOND)
+            task.cancel()
+            assert world.store.versions_by_service == {SERVICE: BOTH}
+
+        run_virtually(test())
+
+    # Guards against calls each second for as long as the store does not answer.
+    def test_a_store_that_does_not_answer_is_asked_less_and_less_often(self):
+        async def test() -> None:
+            world = World(looks_back=True)
+            world.store.read_timeout = timedelta(0)
+            world.see("v1")
+            task = asyncio.create_task(world.records.run())
+            await sleep(60 * SECOND)
+            task.cancel()
+            assert world.store.calls <= 10
+
+        run_virtually(test())
+
 
 class EntriesFake:
     """A store with entries of endpoints, which has forgotten its history.
