LOST: the age of entries is evidence again, beside the heartbeats of endpoints

The store shows the number of the entry's last change: heartbeats alone change nothing, as the users' page says, and a play showed (`sequence` 1 for all endpoints after 22 s).

Both count now: heartbeats at any time, with the host's own age, and the age of entries within 5 s of a host's start, as before.

The stand-in's entries tell the heartbeats of their last change now, as the store's do; with them, the tests of the only version failed on.

--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -30,8 +30,9 @@
 #: served before: an endpoint that had run for longer when this host started ran while
 #: there were hosts.
 MAX_LOSS_TIME = timedelta(seconds=20)
-#: Time after its start in which a host that may have missed changes looks back again.
-#: Later, this would cost calls of all hosts after each gap.
+#: Time after a host's start in which the age of entries tells whether a version served
+#: before that start: stores keep their history for 20 s. A host that may have missed
+#: changes in that time looks back again; later, this would cost calls after each gap.
 LOOK_BACK_TIME = timedelta(seconds=5)
 #: Time after a failed attempt in which no further one is made.
 RETRY_INTERVAL = timedelta(seconds=1)
@@ -82,11 +83,18 @@
         """
 
     async def served_before(
-        self, service: str, version: str, *, ago: timedelta
+        self, service: str, version: str, *, ago: timedelta, by_entries: bool
     ) -> bool:
         """Return whether a version served that long ago.
 
         A version that the whole history shows as the only one counts too.
+
+        Args:
+            service: The service.
+            version: The version.
+            ago: The time for which an endpoint of it has to have run.
+            by_entries: Whether an entry that is older than the history that the store
+                keeps counts too.
         """
 
 
@@ -128,6 +136,8 @@
         self._saved_by_service: dict[str, tuple[frozenset[str], bool]] = {}
         #: The services whose past was looked up after this host's start.
         self._looked_back: set[str] = set()
+        #: The services whose only version the store was asked about.
+        self._asked: set[str] = set()
         #: The services and versions that served before the hosts were lost.
         self._served_before: set[tuple[str, str]] = set()
         self._must_save = asyncio.Event()
@@ -285,13 +295,21 @@
         return (await self._store.create(service, versions)).versions
 
     async def _has_served_before(self, service: str, version: str) -> bool:
-        """Return whether a version served before the hosts were lost."""
+        """Return whether a version served before the hosts were lost.
+
+        The age of entries counts right after this host's start: later, those of a
+        version that came while no host ran have become old too.
+        """
         if (service, version) in self._served_before:
             return True
-        ago = MAX_LOSS_TIME
+        ago, by_entries = MAX_LOSS_TIME, True
         if self._looks_back(service):
             ago += self._age
-        is_before = await self._store.served_before(service, version, ago=ago)
+            by_entries = service not in self._asked and self._age <= LOOK_BACK_TIME
+        is_before = await self._store.served_before(
+            service, version, ago=ago, by_entries=by_entries
+        )
+        self._asked.add(service)
         if is_before:
             self._served_before.add((service, version))
         return is_before
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -38,7 +38,9 @@
         versions_by_service: The records.
         history: The versions in its history; None if it does not reach back far enough.
         is_refusing: Whether it refuses to create and replace records.
-        running: For how long the oldest endpoint has run; None if it can't tell.
+        running: For how long the oldest endpoint has run, by its entry; None if the
+            store doesn't answer.
+        has_old_entries: Whether an entry is older than the history.
         calls: Number of calls received.
         lineage: Its address and era.
         late_writes: Number of further writes that get no answer.
@@ -51,6 +53,7 @@
         self.history: frozenset[str] | None = None
         self.is_refusing = False
         self.running: timedelta | None = timedelta(hours=1)
+        self.has_old_entries = False
         #: The services whose record was written before a restore of the store.
         self.outdated: set[str] = set()
         self.calls = 0
@@ -117,12 +120,12 @@
         return self.history
 
     async def served_before(
-        self, service: str, version: str, *, ago: timedelta
+        self, service: str, version: str, *, ago: timedelta, by_entries: bool
     ) -> bool:
         self.calls += 1
         if self.running is None:
             raise UnavailableError("status 503", step="list", peer="store")
-        return self.running >= ago
+        return self.running >= ago or (by_entries and self.has_old_entries)
 
     def _count(self) -> None:
         self.calls += 1
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -56,7 +56,7 @@
         """Start the endpoints of a version."""
         first = (version - 1) * PER_VERSION
         for number in range(first, first + PER_VERSION):
-            await self._add_runner(number, heartbeats=1)
+            await self._add_runner(number)
 
     async def start(self, *, versions: int = 2, gap: float = GAP) -> None:
         self.gap = gap
@@ -67,12 +67,12 @@
         config["routes"][0]["timeout_ms"] = TIMEOUT_MS
         system.store.put("config", "main", config)
         for number in range(versions * PER_VERSION):
-            await self._add_runner(number, heartbeats=HEARTBEATS)
+            await self._add_runner(number)
         for zone in ZONES:
             await self.add_host(zone)
         await system.wait_ready()
 
-    async def _add_runner(self, number: int, *, heartbeats: int) -> None:
+    async def _add_runner(self, number: int) -> None:
         zone = ZONES[number % PER_VERSION]
         name = f"i-{number}"
         runner = await self.system.add_runner(
@@ -83,16 +83,19 @@
             version=f"v{1 + number // PER_VERSION}",
             marks_version=True,
         )
-        entry = runner.entry(ENGINE, zone=zone, slots=STREAMS, sequence=heartbeats)
+        entry = runner.entry(ENGINE, zone=zone, slots=STREAMS)
         self.system.store.put("servers", name, entry)
 
     def renew_entries(self) -> None:
-        """Let the entries of all endpoints lapse, as while the store is down."""
+        """Let the entries of all endpoints lapse, as while the store is down.
+
+        Heartbeats alone change no entry: it tells those of its last change.
+        """
         store = self.system.store
         for name in self.system.runners:
             entry = store.find("servers", name)
             store.remove("servers", name)
-            store.put("servers", name, entry)
+            store.put("servers", name, entry | {"sequence": HEARTBEATS})
 
     async def add_host(self, zone: str) -> FrontHost:
         """Start a host, and wait until it is linked to all others."""
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -18,6 +18,7 @@
     CHECK_INTERVAL as LOOK_INTERVAL,
 )
 from passtally.version_records import (
+    LOOK_BACK_TIME,
     MAX_LOSS_TIME,
     RETRY_INTERVAL,
     VersionRecords,
@@ -147,6 +148,21 @@
 
         run_virtually(test())
 
+    # Guards against streams that are refused where no entry ever changed, and against a
+    # version that came while no host ran and whose entries became old later.
+    @pytest.mark.parametrize(
+        ("age", "learned"), [(LOOK_BACK_TIME, ONLY), (LOOK_BACK_TIME + SECOND, None)]
+    )
+    def test_the_age_of_entries_is_evidence_right_after_the_start(self, age, learned):
+        async def test() -> None:
+            world = World(looks_back=True)
+            world.store.running = 0 * SECOND
+            world.store.has_old_entries = True
+            await sleep(age)
+            assert await world.learn() == learned
+
+        run_virtually(test())
+
     # Guards against innocent streams that are refused at a host that has run for long.
     def test_a_version_that_was_old_at_the_start_is_evidence_later(self):
         async def test() -> None:
@@ -324,7 +340,8 @@
         store = PlatformStore(fetcher=EntriesFake(*specs), url="http://127.0.0.1:1")
         versions = open_versions(store, heartbeat=timedelta(seconds=heartbeat))
         ago = timedelta(seconds=seconds)
-        return asyncio.run(versions.served_before("s", "v1", ago=ago))
+        asked = versions.served_before("s", "v1", ago=ago, by_entries=False)
+        return asyncio.run(asked)
 
     def spec(self, sequence: str, version: str = "v1", service: str = "s") -> bytes:
         text = '{"service":"%s","version":"%s","sequence":%s}'
@@ -346,7 +363,9 @@
     def test_the_history_of_a_restored_store_tells_nothing(self, era, is_before):
         fetcher = EntriesFake(self.spec("1"), era=era)
         store = PlatformStore(fetcher=fetcher, url="http://127.0.0.1:1")
-        asked = open_versions(store).served_before("s", "v1", ago=MAX_LOSS_TIME)
+        asked = open_versions(store).served_before(
+            "s", "v1", ago=MAX_LOSS_TIME, by_entries=False
+        )
         assert asyncio.run(asked) is is_before
 
     def test_without_the_interval_heartbeats_tell_nothing(self):
