--- a/review/testbed.py
+++ b/review/testbed.py
@@ -126,6 +126,8 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        #: The revision from which on the history is kept.
+        self.oldest = 0
         #: Whether each call is answered with 503, as nothing was done.
         self.is_down = False
         #: Number of objects on a page of a list.
@@ -166,6 +168,11 @@
         self._record(Change(self.revision, kind, item, removed=False))
         return self.revision
 
+    def forget_history(self) -> None:
+        """Forget the changes so far; a watch from before gets 410."""
+        self.changes.clear()
+        self.oldest = self.revision
+
     def beat(self, name: str) -> None:
         """Take a check-in of a runner: only its number changes, so nobody is told."""
         item = self.items.get(("servers", name))
@@ -260,6 +267,8 @@
         while True:
             if self.is_down:
                 return 503, {}
+            if after < self.oldest:
+                return 410, {}
             events = [
                 {"object": change.item, "removed": change.removed}
                 for change in self.changes
@@ -334,6 +343,7 @@
     log: Path
     #: Whether it writes its entry, once the store takes it.
     is_announced: bool = True
+    version: str = "v1"
 
     def runs(self) -> list[dict[str, Any]]:
         """Return what the runner has recorded so far."""
@@ -346,7 +356,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -441,6 +451,7 @@
         *options: str,
         port: int = 0,
         is_announced: bool = True,
+        version: str = "v1",
     ) -> Runner:
         """Start a runner and write its entry."""
         ready = self.folder / f"{name}-{time.monotonic_ns()}.port"
@@ -454,6 +465,7 @@
                 f"--port={port}",
                 f"--ready={ready}",
                 f"--log={log}",
+                f"--version={version}",
                 *options,
             ]
         )
@@ -462,7 +474,8 @@
             if time.monotonic() > until:
                 raise CouldNotRunError(f"runner {name} does not start")
             await asyncio.sleep(0.01)
-        runner = Runner(name, service, ready.read_text(), popen, log, is_announced)
+        address = ready.read_text()
+        runner = Runner(name, service, address, popen, log, is_announced, version)
         self.runners[name] = runner
         if is_announced and not self.store.is_down:
             self.store.put("servers", name, runner.entry())
--- a/review/testbed_runner.py
+++ b/review/testbed_runner.py
@@ -138,7 +138,8 @@
         writer.write(encode_head("HTTP/1.1 200 OK", head))
         start = int(asked.get("last-event-id", "0"))
         for number in range(start + 1, self.options.events + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            text = f"id: {number}\ndata: piece {number} of {self.options.version}\n\n"
+            event = text.encode()
             chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             writer.write(chunk if is_chunked else event)
             await writer.drain()
@@ -164,6 +165,7 @@
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--ready", required=True)
     parser.add_argument("--log", required=True)
+    parser.add_argument("--version", default="v1")
     parser.add_argument("--delay", type=float, default=0.02)
     parser.add_argument("--size", type=int, default=800)
     parser.add_argument("--unframed", action="store_true")
