--- a/review/testbed.py
+++ b/review/testbed.py
@@ -13,11 +13,13 @@
 import shlex
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -373,6 +375,7 @@
     settings: Path
     log: Path
     ports: dict[str, int]
+    say: Callable[[str], None]
     popen: subprocess.Popen | None = None
 
     @property
@@ -398,6 +401,8 @@
         store: The store.
         lines: The lines of ``record.txt``.
         tasks: Tasks of the case that run beside it.
+        processes: All processes that were started.
+        ports: The ports of each host, by its number.
     """
 
     case: Path
@@ -407,6 +412,8 @@
     hosts: list[Host] = field(default_factory=list)
     lines: list[str] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
+    processes: list[subprocess.Popen] = field(default_factory=list)
+    ports: dict[int, dict[str, int]] = field(default_factory=dict)
     began_at: float = field(default_factory=time.monotonic)
     #: Loopback addresses of this run, so that concurrent runs keep apart.
     net: str = field(
@@ -469,6 +476,7 @@
                 *options,
             ]
         )
+        self.processes.append(popen)
         until = time.monotonic() + 10
         while not ready.exists() or not ready.read_text():
             if time.monotonic() > until:
@@ -481,10 +489,36 @@
             self.store.put("servers", name, runner.entry())
         return runner
 
+    def check_served(self, text: str) -> None:
+        """Raise CouldNotRunError if no line of the record holds a text."""
+        if not any(text in line for line in self.lines):
+            raise CouldNotRunError(f"nothing was served: no {text!r}")
+
+    def _ports_of(self, number: int) -> dict[str, int]:
+        """Return ports that are free at a host's address."""
+        if number not in self.ports:
+            names = ("front", "ready", "control", "range")
+            with contextlib.ExitStack() as stack:
+                held = [stack.enter_context(socket.socket()) for _ in names]
+                for sock in held:
+                    sock.bind((f"{self.net}.{10 + number}", 0))
+                found = [sock.getsockname()[1] for sock in held]
+            self.ports[number] = dict(zip(names, found, strict=True))
+        return self.ports[number]
+
+    def _control_of(self, number: int) -> str:
+        return f"{self.net}.{10 + number}:{self._ports_of(number)['control']}"
+
+    def check_dose(self, what: str, measured: float, limit: float) -> None:
+        """Record a dose; raise CouldNotRunError if it is over the pages' limit."""
+        self.say(f"dose: {what} {measured:.3f}, limit {limit:g}")
+        if measured > limit:
+            raise CouldNotRunError(f"{what}: {measured:.3f} is over {limit:g}")
+
     def add_host(self, number: int, *, zone: str = "zone-a", **fields: str) -> Host:
         """Write the settings of a host."""
         ip = f"{self.net}.{10 + number}"
-        ports = {"front": 8740, "ready": 8749, "control": 8748}
+        ports = self._ports_of(number)
         settings = {
             "node_name": f"front-{number}",
             "role": "entry",
@@ -497,8 +531,8 @@
             "listen.front": f"{ip}:{ports['front']}",
             "listen.ready": f"{ip}:{ports['ready']}",
             "listen.control": f"{ip}:{ports['control']}",
-            "port_range": "7200,7215",
-            "seeds": f"{self.net}.11:8748,{self.net}.12:8748",
+            "port_range": f"{ports['range']},{ports['range']}",
+            "seeds": ",".join(self._control_of(seed) for seed in (1, 2)),
             "bootstrap": "true",
             "in_tolerance": "false",
             "limits.cpu_share": "0.537",
@@ -531,7 +565,7 @@
         text = "".join(f"{name}={value}\n" for name, value in settings.items())
         path.write_text(text)
         log = self.folder / f"host-{number}.log"
-        host = Host(settings["node_name"], ip, path, log, ports)
+        host = Host(settings["node_name"], ip, path, log, ports, self.say)
         self.hosts.append(host)
         return host
 
@@ -553,6 +587,7 @@
             host.popen = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=output, stderr=output
             )
+        self.processes.append(host.popen)
 
     async def wait_ready(self, host: Host) -> None:
         """Wait until a host calls itself ready."""
@@ -577,15 +612,16 @@
 
     def stop(self) -> None:
         """End all processes and write the record."""
-        processes = [runner.popen for runner in self.runners.values()]
-        processes += [host.popen for host in self.hosts if host.popen is not None]
-        for popen in processes:
+        for popen in self.processes:
             if popen.poll() is None:
                 popen.send_signal(signal.SIGCONT)
                 popen.kill()
-        for popen in processes:
+        for popen in self.processes:
             popen.wait()
         self.store.stop()
+        for runner in self.runners.values():
+            ran = [item["id"] for item in runner.runs() if item["what"] == "runs"]
+            self.say(f"runner {runner.name} ran {len(ran)}: {' '.join(ran)}")
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
         (self.case / "record.txt").write_text("\n".join(self.lines) + "\n")
@@ -616,6 +652,7 @@
         headers: dict[str, str] | None = None,
     ) -> None:
         """Send a request."""
+        self._host.say(f"sent {request_id} to {self._host.name}: {method} {path}")
         head = {
             "Host": HOST_NAME,
             "X-Request-Id": request_id,
@@ -673,11 +710,16 @@
             finally:
                 keeping.cancel()
 
+    def end(number: int, frame: Any) -> None:
+        raise CouldNotRunError(f"signal {number}")
+
+    signal.signal(signal.SIGTERM, end)
+    code = COULD_NOT_RUN
     try:
         code = HELD if asyncio.run(run()) else BROKEN
-    except (CouldNotRunError, TimeoutError, OSError) as error:
+    except (Exception, KeyboardInterrupt) as error:
+        # Only a rule that was seen to be broken may give the exit code for that.
         bed.say(f"could not run: {error!r}")
-        code = COULD_NOT_RUN
     finally:
         bed.stop()
     sys.exit(code)
