--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,7 +23,7 @@
 RUNNERS, HOSTS = 7, 6
 OPTIONS = ("--events=20", "--gap=0.01")
 #: Seconds for which the store is down, and after which an address may be used again.
-STORE_DOWN, REUSE_AFTER = 4.5, 2.0
+STORE_DOWN, STORE_LIMIT, REUSE_AFTER = 4.4, 4.5, 2.0
 #: Seconds between two streams, and seconds of traffic after the store is back.
 INTERVAL, REST = 0.02, 2.0
 
@@ -74,6 +74,7 @@
         bed.say(f"{request_id}: {answer.status if answer else None}")
 
     port = 0
+    began_at = time.monotonic()
     if is_trouble_on():
         bed.store.is_down = True
         bed.say("the store is down: 503")
@@ -81,16 +82,17 @@
         runners[0].popen.wait()
         bed.say("runner i-0 crashed")
         port = int(runners[0].address.rpartition(":")[2])
-    began_at = time.monotonic()
     drafts: list[asyncio.Task] = []
     other = None
     while (at := time.monotonic() - began_at) < STORE_DOWN + REST:
         if other is None and at > REUSE_AFTER + 0.1:
+            started_at = time.monotonic()
             other = await bed.start_runner("z-0", OTHER, *OPTIONS, port=port)
             bed.say(f"a runner of {OTHER} starts at {other.address}")
         if bed.store.is_down and at >= STORE_DOWN:
             bed.store.is_down = False
             bed.say("the store is back")
+            bed.check_dose("store down, s", time.monotonic() - began_at, STORE_LIMIT)
         drafts.append(asyncio.create_task(draft(len(drafts))))
         await asyncio.sleep(INTERVAL)
     await asyncio.gather(*drafts)
@@ -98,6 +100,8 @@
     rejected = [item["id"] for item in other.runs() if item["what"] == "rejected"]
     bed.say(f"the runner of {OTHER} rejected {' '.join(rejected) or 'nothing'}")
     bed.say(f"the runner of {OTHER} ran {' '.join(foreign) or 'nothing'}")
+    bed.say(f"an address was used again {started_at - began_at:.3f} s after the crash")
+    bed.check_served(": 200")
     return not foreign
 
 
