--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,8 +29,9 @@
 EVENTS, GAP = 200, 0.03
 OPTIONS = (f"--events={EVENTS}", f"--gap={GAP}")
 RUNNERS, HOSTS, STREAMS = 3, 3, 12
-#: Seconds from the start of the streams to the loss of the hosts, and of that loss.
-LOSS_AT, LOSS = 2.0, 2.6
+#: Seconds from the start of the streams to the loss of the hosts, of that loss, and of
+#: the longest one.
+LOSS_AT, LOSS, LOSS_LIMIT = 2.0, 2.5, 2.6
 #: Seconds for which a runner serves on after its entry has gone, and a little more.
 DRAIN = 2.0 + 0.2
 #: Tries of a requester after the first one, and its time budget in seconds.
@@ -167,16 +168,17 @@
     await asyncio.gather(*drafts)
     mixed = [item.name for item in requesters if len(set(item.versions)) > 1]
     bed.say(f"streams of two versions: {' '.join(mixed) or 'none'}")
+    bed.check_served(": 200, ")
     return len(mixed) <= ALLOWED
 
 
 async def replace_all(bed: Testbed, hosts: list[Host], runners: list[Runner]) -> None:
     """Stop all hosts for a time, in which v2 replaces v1 and the store forgets it."""
+    lost_at = time.monotonic()
     for host in hosts:
         host.popen.kill()
     for host in hosts:
         host.popen.wait()
-    lost_at = time.monotonic()
     bed.say("all hosts lose power")
     for number in range(RUNNERS):
         await bed.start_runner(f"j-{number}", SERVICE, *OPTIONS, version="v2")
@@ -198,7 +200,7 @@
     await asyncio.sleep(max(0.0, lost_at + LOSS - time.monotonic()))
     for host in hosts:
         bed.start_host(host)
-    bed.say("the hosts start")
+    bed.check_dose("hosts without power, s", time.monotonic() - lost_at, LOSS_LIMIT)
 
 
 if __name__ == "__main__":
