--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -176,9 +176,8 @@
             seen=seen,
             clock=host.clock,
             is_writer=lambda: host.watch.is_first_watcher,
-            looks_back=lambda service: (
-                not host.settings.first_start and host.routes.may_resume(service)
-            ),
+            is_resumable=lambda service: host.routes.may_resume(service),
+            is_first_start=lambda: host.settings.first_start,
         )
         keepers = OriginKeepers(members=host.roster)
         backup_store = adapter.open_origins(host.store)
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -83,14 +83,14 @@
         return self._collect_versions(history, service)
 
     async def served_before(
-        self, service: str, version: str, *, ago: timedelta, by_entries: bool
+        self, service: str, version: str, *, ago: timedelta
     ) -> bool:
         """Return whether a version served that long ago.
 
         An entry tells the heartbeats of its endpoint up to its last change, so that
-        those of an entry that never changed tell nothing, but its age does. The age of
-        an entry that was created anew, since it lapsed while the store was down, does
-        not tell that of its endpoint, but its heartbeats do.
+        those of an entry that never changed tell nothing. Neither does the age of an
+        entry: the store may forget its history at any time, and does not tell when it
+        did. The whole history shows each version that ever had an entry.
         """
         prefix = self._endpoints_prefix
         listing = await self._store.list_objects(prefix)
@@ -101,34 +101,12 @@
         heartbeat = self._heartbeat()
         if heartbeat and max(counts, default=0) >= ago / heartbeat:
             return True
-        if by_entries and await self._is_older_than_history(listing, service, version):
-            return True
         try:
             history = await self._store.list_history(prefix)
         except TooOldError:
             return False
         return self._collect_versions(history, service) == {version}
 
-    async def _is_older_than_history(
-        self, listing: Listing, service: str, version: str
-    ) -> bool:
-        """Return whether the store has forgotten when a version's oldest entry came."""
-        created = [
-            stored.created_version
-            for stored in listing.objects
-            if stored.created_version is not None
-            and self._is_of_version(stored, service, version)
-        ]
-        if not created:
-            return False
-        try:
-            await self._store.watch(
-                self._endpoints_prefix, after=min(created), wait=timedelta(0)
-            )
-        except TooOldError:
-            return True
-        return False
-
     def _count_heartbeats(
         self, stored: StoredObject, service: str, version: str
     ) -> int:
@@ -159,14 +137,6 @@
             ) from error
         return frozenset(version for version in found if version is not None)
 
-    def _is_of_version(self, stored: StoredObject, service: str, version: str) -> bool:
-        try:
-            software = decode_software(bytes(stored.value), service=service)
-        except ValueError as error:
-            log_event("versions", "Skipped an entry.", key=stored.key, why=error)
-            return False
-        return software == version
-
     def _encode(self, versions: Iterable[str]) -> bytes:
         _, era = self._store.lineage
         return msgspec.json.encode(_Record(versions=sorted(versions), era=era))
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -1,10 +1,10 @@
 """The software versions of services, recorded in the store, which outlives the hosts.
 
 Hosts that have all been restarted know the versions that serve now, but not those at
-which answers began before. Without a record they could only presume that there was no
-other version. A service that has one version all along costs no call: its record is
-created by the first host that has to know, and can show that the version is no newer
-than the loss of the hosts.
+which answers began before. So each service whose answers can be taken up has a record
+from the time on at which a host knows that no answer began at another version. Evidence
+that is collected after the loss of all hosts is weak: what the store keeps then is the
+same whether the version served all along or replaced another one meanwhile.
 """
 
 import asyncio
@@ -30,13 +30,13 @@
 #: served before: an endpoint that had run for longer when this host started ran while
 #: there were hosts.
 MAX_LOSS_TIME = timedelta(seconds=20)
-#: Time after a host's start in which the age of entries tells whether a version served
-#: before that start: stores keep their history for 20 s. A host that may have missed
-#: changes in that time looks back again; later, this would cost calls after each gap.
+#: Time after a host's start in which it looks back again if it may have missed changes;
+#: later, this would cost calls after each gap.
 LOOK_BACK_TIME = timedelta(seconds=5)
 #: Time after a failed attempt in which no further one is made.
 RETRY_INTERVAL = timedelta(seconds=1)
-#: Longest pause between attempts to look back while the store does not answer.
+#: Longest pause between attempts to look back while the store does not answer, and the
+#: pause between attempts to record an only version while it takes no writes.
 MAX_RETRY_PAUSE = timedelta(seconds=8)
 
 
@@ -83,7 +83,7 @@
         """
 
     async def served_before(
-        self, service: str, version: str, *, ago: timedelta, by_entries: bool
+        self, service: str, version: str, *, ago: timedelta
     ) -> bool:
         """Return whether a version served that long ago.
 
@@ -93,8 +93,6 @@
             service: The service.
             version: The version.
             ago: The time for which an endpoint of it has to have run.
-            by_entries: Whether an entry that is older than the history that the store
-                keeps counts too.
         """
 
 
@@ -102,15 +100,17 @@
     """The records of versions that this host wrote or read.
 
     A record holds the versions at which answers may have begun that can still be taken
-    up. It is written once a service has two versions, and again after each change.
+    up. It is written once a service has two versions, or one that is known to be the
+    only one, and again after each change.
 
     Args:
         store: The records in the store.
         seen: The versions that this host sees.
         clock: The clock.
         is_writer: Returns whether this host writes the records of what it sees.
-        looks_back: Returns whether this host finds out at its start what served before
-            it in a service: answers that can be taken up may be older than the host.
+        is_resumable: Returns whether answers of a service can be taken up.
+        is_first_start: Returns whether the whole system starts for the first time, so
+            that no answer is older than this host.
     """
 
     def __init__(
@@ -120,9 +120,11 @@
         seen: SeenVersions,
         clock: Clock,
         is_writer: Callable[[], bool],
-        looks_back: Callable[[str], bool] = lambda service: False,
+        is_resumable: Callable[[str], bool] = lambda service: False,
+        is_first_start: Callable[[], bool] = lambda: False,
     ) -> None:
-        self._looks_back = looks_back
+        self._is_resumable = is_resumable
+        self._is_first_start = is_first_start
         self._started_at = clock.monotonic()
         self._store = store
         self._seen = seen
@@ -134,10 +136,13 @@
         #: What this host saw when it last brought a record up to date, and whether it
         #: had seen the service for as long as answers last.
         self._saved_by_service: dict[str, tuple[frozenset[str], bool]] = {}
+        #: The last record that this host wrote or read. It is written again if the
+        #: store is restored from a copy.
+        self._recorded_by_service: dict[str, frozenset[str]] = {}
+        #: When the store last took no record of a service's only version.
+        self._refused_at_by_service: dict[str, timedelta] = {}
         #: The services whose past was looked up after this host's start.
         self._looked_back: set[str] = set()
-        #: The services whose only version the store was asked about.
-        self._asked: set[str] = set()
         #: The services and versions that served before the hosts were lost.
         self._served_before: set[tuple[str, str]] = set()
         self._must_save = asyncio.Event()
@@ -182,6 +187,10 @@
         """Return whether this host writes; one that knows no others yet does not."""
         return self._age >= CHECK_INTERVAL and self._is_writer()
 
+    def _looks_back(self, service: str) -> bool:
+        """Return whether this host finds out at its start what served before it."""
+        return self._is_resumable(service) and not self._is_first_start()
+
     @property
     def _age(self) -> timedelta:
         """The time since this host's start."""
@@ -206,6 +215,9 @@
             record = await self._store.find(service)
             if record is not None and record.is_current:
                 self._past_by_service[service] = record.versions
+                self._recorded_by_service[service] = record.versions
+                if record.versions == versions:
+                    self._saved_by_service.setdefault(service, (versions, False))
             if record is None:
                 await self._has_served_before(service, *versions)
         except PlatformError as error:
@@ -295,53 +307,75 @@
         return (await self._store.create(service, versions)).versions
 
     async def _has_served_before(self, service: str, version: str) -> bool:
-        """Return whether a version served before the hosts were lost.
-
-        The age of entries counts right after this host's start: later, those of a
-        version that came while no host ran have become old too.
-        """
+        """Return whether a version served before the hosts were lost."""
         if (service, version) in self._served_before:
             return True
-        ago, by_entries = MAX_LOSS_TIME, True
+        ago = MAX_LOSS_TIME
         if self._looks_back(service):
             ago += self._age
-            by_entries = service not in self._asked and self._age <= LOOK_BACK_TIME
-        is_before = await self._store.served_before(
-            service, version, ago=ago, by_entries=by_entries
-        )
-        self._asked.add(service)
+        is_before = await self._store.served_before(service, version, ago=ago)
         if is_before:
             self._served_before.add((service, version))
         return is_before
 
     async def _save(self, service: str, versions: frozenset[str]) -> None:
-        """Bring the record of a service up to date if it has, or had, several.
+        """Bring the record of a service up to date.
 
         The record is read again at each change: another host may have replaced it.
         """
         self._check_lineage()
         # A host that has not seen the service for long enough may not know all.
         is_whole = self._has_seen_long
-        saved = self._saved_by_service.get(service)
-        if saved == (versions, is_whole):
+        if self._saved_by_service.get(service) == (versions, is_whole):
             return
-        is_known_to_exist = saved is not None or self._is_outdated(service, versions)
-        if not is_known_to_exist and len(versions) < 2:
+        if not self._must_record(service, versions):
             return
+        known = self._recorded_by_service.get(service, frozenset())
         try:
-            record = await self._store.create(service, versions)
-            wanted = versions if is_whole else versions | record.versions
+            record = await self._store.create(service, versions | known)
+            wanted = versions | record.versions
+            if not record.is_current:
+                wanted |= known
+            if is_whole:
+                wanted = versions
             if wanted != record.versions or not record.is_current:
                 revision = record.revision
                 await self._store.replace(service, wanted, revision=revision)
         except PlatformError as error:
             log_event("versions", "Not recorded.", service=service, why=error)
+            self._refused_at_by_service[service] = self._clock.monotonic()
             return
         log_event("versions", "Recorded.", service=service, versions=sorted(wanted))
+        self._refused_at_by_service.pop(service, None)
+        self._recorded_by_service[service] = wanted
         self._saved_by_service[service] = versions, is_whole
         if is_whole:
             self._past_by_service.pop(service, None)
 
+    def _must_record(self, service: str, versions: frozenset[str]) -> bool:
+        """Return whether the versions that this host sees belong in a record.
+
+        An only version is recorded if no answer that can be taken up began at another
+        one: hosts which start later rely on the record.
+        """
+        if len(versions) > 1 or self._is_outdated(service, versions):
+            return True
+        if service in self._saved_by_service:
+            return True
+        if not self._is_resumable(service) or self._was_just_refused(service):
+            return False
+        return (
+            service in self._recorded_by_service
+            or self._is_first_start()
+            or self._has_seen_long
+            or all((service, version) in self._served_before for version in versions)
+        )
+
+    def _was_just_refused(self, service: str) -> bool:
+        refused_at = self._refused_at_by_service.get(service)
+        now = self._clock.monotonic()
+        return refused_at is not None and now - refused_at < MAX_RETRY_PAUSE
+
     def _check_lineage(self) -> None:
         """Forget the records of a store that was replaced or restored since."""
         if self._lineage != self._store.lineage:
