Use a successor without its entry only if it is of the service (review/6)

Callers of review/6 got answers that another service's model had generated: while the store was down, an endpoint of a service that no config names started at the address of a crashed one, and hosts sent it the crashed one's requests under its own id.

EndpointChanges presumed the service if one service has engines and the report of the endpoint lists a model, and other hosts took this over by gossip.

Change: an address passes to another service only some time after the end of its endpoint (bounds.reuse_after_s, setting address_reuse_after). A successor is used before its entry is read only if the ended endpoint certainly ran less than that time before: it answered a request that was sent since then. Only such successors are gossiped, and the message marks them, so that those of earlier builds are not used.

Tests that failed before: test_an_endpoint_of_another_service_gets_no_requests (14 requests ran there), two cases of TestServiceOfASuccessor, test_a_successor_of_a_presumed_service_is_not_used. test_all_hosts_use_engines_that_are_back sends a stream by each host to each engine first: without a sign of an engine nothing shows that its address can't have passed on.

--- a/passtally/departures.py
+++ b/passtally/departures.py
@@ -49,7 +49,8 @@
         Args:
             start: The start.
             channel: How this host learned of it.
-            successor: The endpoint that has its address now; empty if unknown.
+            successor: The endpoint of the same service that has its address now; empty
+                if unknown.
         """
         endpoint_id = start.endpoint_id
         known = self._incarnations_by_id.get(endpoint_id, -1)
@@ -67,7 +68,7 @@
             self._forget(next(iter(self._incarnations_by_id)))
 
     def find_successor(self, endpoint_id: str) -> str:
-        """Return the endpoint that has the address of an ended one, or empty."""
+        """Return the endpoint of its service at an ended one's address, or empty."""
         return self._successors_by_id.get(endpoint_id, "")
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
@@ -94,6 +95,7 @@
                 endpoint_id=endpoint_id,
                 incarnation=self._incarnations_by_id[endpoint_id],
                 successor=self.find_successor(endpoint_id),
+                is_of_service=bool(self.find_successor(endpoint_id)),
             )
             for endpoint_id in chosen
         ]
@@ -104,10 +106,11 @@
             start = EndpointStart(
                 endpoint_id=row.endpoint_id, incarnation=row.incarnation
             )
-            is_new = row.successor and not self.find_successor(row.endpoint_id)
-            self.record(start, channel="peer", successor=row.successor)
+            successor = row.successor if row.is_of_service else ""
+            is_new = successor and not self.find_successor(row.endpoint_id)
+            self.record(start, channel="peer", successor=successor)
             if is_new:
-                self.on_successor(row.endpoint_id, row.successor)
+                self.on_successor(row.endpoint_id, successor)
 
     def merge_host_list(
         self, hosts: Sequence[HostEntry], catalog: ServiceIndex
--- a/passtally/endpoint_changes.py
+++ b/passtally/endpoint_changes.py
@@ -6,7 +6,9 @@
 import attrs
 
 from passtally.adapter import Adapter
+from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
+from passtally.decision import log_event
 from passtally.departures import Departures
 from passtally.endpoint_dialer import EndpointDialer
 from passtally.endpoint_links import address_of
@@ -17,6 +19,7 @@
 from passtally.rollouts import Rollouts
 from passtally.routes import ActiveRoutes
 from passtally.service_index import ServiceIndex
+from passtally.settings import Settings
 
 
 class EndpointHost(Protocol):
@@ -24,6 +27,7 @@
 
     Attributes:
         catalog: The known endpoints.
+        clock: The clock.
         departures: The endpoints that have ended, and their successors.
         dialer: Opens the connections to endpoints.
         pool: The open connections to endpoints.
@@ -31,9 +35,11 @@
         registry: The endpoints that registered themselves.
         rollouts: The orders of new versions; None if they are not followed.
         routes: The routes in force.
+        settings: The settings in force.
     """
 
     catalog: ServiceIndex
+    clock: Clock
     departures: Departures
     dialer: EndpointDialer
     pool: ConnectionPool
@@ -41,6 +47,7 @@
     registry: EndpointRegistry
     rollouts: Rollouts | None
     routes: ActiveRoutes
+    settings: Settings
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> object:
         """Start a task that is cancelled when the host stops."""
@@ -89,10 +96,17 @@
     def use_successor(self, ended: Endpoint, successor_id: str) -> None:
         """Use a new endpoint at the address of one that exited.
 
-        The platform reports the new endpoint too, but may be unreachable. The service
-        of the new endpoint is certain only if a single service has engines.
+        The platform reports the new endpoint too, but may be unreachable. It is used
+        only if it is certainly of the same service.
         """
-        if self._has_only_engines_of(ended.service):
+        if not self._is_address_kept(ended):
+            log_event(
+                "successor",
+                "Waits for its entry: its service is not known.",
+                peer=successor_id,
+                ended=ended.id,
+            )
+        elif self._has_only_engines_of(ended.service):
             self._host.spawn(self._put_if_engine(ended, successor_id))
 
     def learn_successor(self, ended_id: str, successor_id: str) -> None:
@@ -113,6 +127,18 @@
             self._host.registry.put(_successor_of(ended, successor_id))
             successor_id = departures.find_successor(successor_id)
 
+    def _is_address_kept(self, ended: Endpoint) -> bool:
+        """Return whether only an endpoint of the same service can have the address.
+
+        The new endpoint has just answered. What names no service shows it by time: an
+        address passes to another service only some time after the end of its endpoint.
+        """
+        live = self._host.fleet.find(ended.id)
+        if live is None or live.alive_at is None:
+            return False
+        since_alive = self._host.clock.monotonic() - live.alive_at
+        return since_alive < self._host.settings.address_reuse_after
+
     def _has_only_engines_of(self, service: str) -> bool:
         routes = self._host.routes.current
         engines = [info.id for info in routes.services if info.capacity_tokens]
--- a/passtally/endpoint_check.py
+++ b/passtally/endpoint_check.py
@@ -65,7 +65,7 @@
         if live is None:
             return False
         try:
-            await live.engine.count_waiting()
+            await live.count_waiting()
         except AttemptLostError as loss:
             if loss.kind is LossKind.REPLACED:
                 self._fleet.losses.record_replaced(live, loss.successor)
--- a/passtally/live_endpoint.py
+++ b/passtally/live_endpoint.py
@@ -88,6 +88,10 @@
         self.ejected_until: timedelta | None = None
         #: Time of its last good answer to this host; None before the first.
         self.answered_at: timedelta | None = None
+        #: The latest time at which it certainly ran, that of the last request which it
+        #: answered; None before the first. An answer may be read late, when it has
+        #: exited already.
+        self.alive_at: timedelta | None = None
         #: Whether a probing request is under way at an ejected or failing endpoint.
         self._is_half_open = False
         #: Whether it was ejected for failed calls and has not answered well since.
@@ -272,6 +276,26 @@
         self.has_exited = False
         self.reset_ejection()
 
+    def record_alive(self, sent_at: timedelta) -> None:
+        """Record that it answered a request.
+
+        Args:
+            sent_at: The time at which the request was sent, or an earlier one.
+        """
+        if self.alive_at is None or sent_at > self.alive_at:
+            self.alive_at = sent_at
+
+    async def count_waiting(self) -> int:
+        """Ask the endpoint for the number of its runs that have no output yet.
+
+        Raises:
+            AttemptLostError: The question was rejected, or no answer arrived in time.
+        """
+        sent_at = self._clock.monotonic()
+        waiting = await self.engine.count_waiting()
+        self.record_alive(sent_at)
+        return waiting
+
     def reset_ejection(self) -> None:
         """Reset ejections and unanswered calls, after an answer or a restart."""
         self.unanswered_calls = 0
--- a/passtally/messages.py
+++ b/passtally/messages.py
@@ -138,11 +138,14 @@
         endpoint_id: The endpoint.
         incarnation: The endpoint's start.
         successor: The endpoint that has its address now; empty if unknown.
+        is_of_service: Whether the successor is known to be of the same service. Hosts
+            of an earlier build only presume it, and do not send this.
     """
 
     endpoint_id: str
     incarnation: int
     successor: str = ""
+    is_of_service: bool = False
 
 
 class ExitRow(msgspec.Struct, array_like=True, frozen=True):
--- a/passtally/platform/settings.py
+++ b/passtally/platform/settings.py
@@ -100,6 +100,7 @@
     texts["grace"] = values_by_key.get("bounds.grace_s", "8") + "s"
     texts["retry_window"] = values_by_key.get("bounds.budget_window_s", "10") + "s"
     texts["apply_within"] = values_by_key.get("bounds.config_apply_ms", "2000") + "ms"
+    texts["address_reuse_after"] = values_by_key.get("bounds.reuse_after_s", "0") + "s"
     texts["endpoint_heartbeat"] = values_by_key.get("heartbeat_ms", "0") + "ms"
     texts["balancer_lag"] = BALANCER_LAG
     texts["max_bodies"] = _pick_max_bodies(values_by_key.get("limits.memory_mb", ""))
--- a/passtally/relay.py
+++ b/passtally/relay.py
@@ -242,6 +242,7 @@
 
     def _record_first_output(self) -> None:
         self._live.record_answer(self._clock.monotonic())
+        self._live.record_alive(self._guard.started_at)
         self._end_prefill()
         self._load_changed()
         self._on_first()
--- a/passtally/settings.py
+++ b/passtally/settings.py
@@ -338,6 +338,12 @@
         " not known.",
         "0s",
     )
+    address_reuse_after: timedelta = _setting(
+        parse_duration,
+        "The time after the end of an endpoint from which on an endpoint of another"
+        " service may have its address; 0 if it is not known.",
+        "0s",
+    )
     hedging: Switch = _setting(
         parse_switch,
         "The services whose slow calls get a second copy at an idle endpoint, if they"
--- a/passtally/successor_search.py
+++ b/passtally/successor_search.py
@@ -84,7 +84,7 @@
 
     async def _ask(self, live: LiveEndpoint) -> None:
         try:
-            await live.engine.count_waiting()
+            await live.count_waiting()
         except AttemptLostError as loss:
             if loss.kind is LossKind.REPLACED:
                 log_event(
--- a/passtally/survey.py
+++ b/passtally/survey.py
@@ -77,7 +77,7 @@
 
     async def _count_waiting(self, live: LiveEndpoint) -> int | None:
         try:
-            waiting = await live.engine.count_waiting()
+            waiting = await live.count_waiting()
         except AttemptLostError as loss:
             log_event(
                 "survey",
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -103,6 +103,7 @@
                 "platform.address": f"127.0.0.1:{self._store_port}",
                 "heartbeat_ms": "1200",
                 "bounds.grace_s": "2",
+                "bounds.reuse_after_s": "2",
                 "bounds.retry_budget_ratio": "0.8",
                 "bounds.budget_extra": "150",
             }
--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -1,13 +1,15 @@
 """Endpoints that come back at their addresses while the platform is away."""
 
 import asyncio
+from datetime import timedelta
 from types import SimpleNamespace
 
 import pytest
 
+from passtally.clock import ManualClock
 from passtally.departures import Departures
 from passtally.endpoint_changes import EndpointChanges
-from passtally.messages import MemberRow
+from passtally.messages import DepartureRow, MemberRow
 from passtally.objects import Endpoint
 from passtally.service_index import ServiceIndex
 from passtally.successor_search import SEARCH_TIME, SuccessorSearch
@@ -201,6 +203,18 @@
         host.tell("x", "y")
         assert host.known == ["z"]
 
+    # Guards against an endpoint of another service that a host of an earlier build
+    # takes for the successor, since it presumes the service.
+    def test_a_successor_of_a_presumed_service_is_not_used(self):
+        host = ToldHost("x")
+        host.departures.merge(
+            [DepartureRow(endpoint_id="x", incarnation=0, successor="y")]
+        )
+        assert host.known == ["x"]
+        assert not host.departures.find_successor("x")
+        host.tell("x", "z")
+        assert host.known == ["z"]
+
     # Guards against news that name each other's endpoints and never end.
     def test_contradicting_news_end(self):
         host = ToldHost("x")
@@ -209,7 +223,121 @@
         assert len(host.known) == 1
 
 
+class FoundHost:
+    """A host that finds another endpoint at the address of one that exited.
+
+    Args:
+        alive_at: The latest time at which the one that exited certainly ran.
+    """
+
+    REUSE_AFTER = timedelta(seconds=2)
+
+    def __init__(self, *, alive_at: timedelta | None) -> None:
+        self.clock = ManualClock()
+        info = SimpleNamespace(id="s", capacity_tokens=1)
+        self.routes = SimpleNamespace(current=SimpleNamespace(services=[info]))
+        self.settings = SimpleNamespace(address_reuse_after=self.REUSE_AFTER)
+        live = SimpleNamespace(alive_at=alive_at)
+        self.fleet = SimpleNamespace(find=lambda endpoint_id: live)
+        self.used: list[str] = []
+        self.registry = SimpleNamespace(put=lambda found: self.used.append(found.id))
+        self.departures = Departures()
+        self.spawn = asyncio.ensure_future
+
+    async def find(self) -> list[str]:
+        """Find an endpoint, and return which endpoints are used."""
+
+        async def is_engine(engine: object) -> bool:
+            return True
+
+        changes = EndpointChanges(
+            host=self,
+            adapter=SimpleNamespace(is_engine=is_engine),
+            connect=lambda _: None,
+        )
+        ended = Endpoint(id="x", service="s", url="http://x", failure_domain="d")
+        changes.use_successor(ended, "y")
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return self.used
+
+
+class TestServiceOfASuccessor:
+    """No answer names the service of its sender."""
+
+    # Guards against requests that run at an endpoint of another service, which has the
+    # address while the platform is away.
+    @pytest.mark.parametrize(
+        ("alive_ago", "is_used"),
+        [
+            (FoundHost.REUSE_AFTER - timedelta(milliseconds=1), True),
+            (FoundHost.REUSE_AFTER, False),
+            (None, False),
+        ],
+    )
+    def test_it_is_known_while_the_address_can_not_have_passed_on(
+        self, alive_ago, is_used
+    ):
+        now = ManualClock().monotonic()
+        alive_at = None if alive_ago is None else now - alive_ago
+        host = FoundHost(alive_at=alive_at)
+        assert asyncio.run(host.find()) == (["y"] if is_used else [])
+        assert bool(host.departures.find_successor("x")) == is_used
+
+    def test_without_the_time_in_the_settings_it_is_not_known(self):
+        host = FoundHost(alive_at=ManualClock().monotonic())
+        host.settings.address_reuse_after = timedelta(0)
+        assert asyncio.run(host.find()) == []
+
+    # Guards against an answer that is read late, after its sender has exited, and is
+    # taken for a sign that it still runs.
+    def test_an_endpoint_ran_when_the_request_that_it_answered_was_sent(self):
+        async def test() -> None:
+            world = World()
+            live = world.fleet.find("a1")
+            assert live.alive_at is None
+            sent_at = world.clock.monotonic()
+
+            async def answer_late() -> int:
+                await asyncio.sleep(3)
+                return 0
+
+            live.engine.count_waiting = answer_late
+            await live.count_waiting()
+            assert live.alive_at == sent_at
+            live.record_alive(sent_at - timedelta(seconds=1))
+            assert live.alive_at == sent_at
+
+        run_virtually(test())
+
+
 class TestWithoutThePlatform:
+    # Guards against requests of a service that run at an endpoint of another one, which
+    # started at the address of one that crashed while the platform is away.
+    def test_an_endpoint_of_another_service_gets_no_requests(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            for name in ENGINES[:2]:
+                await system.add_runner(name)
+            first = await system.add_host("front-0")
+            await system.add_host("front-1", str(first.settings.peer_listen))
+            await system.wait_ready()
+            for host in system.hosts * 2:
+                assert (await system.stream(host=host)).status == 200
+            system.store.refusal = 503
+            old = system.runners["i-0"]
+            old.crash()
+            await asyncio.sleep(FoundHost.REUSE_AFTER.total_seconds())
+            port = int(old.address.rpartition(":")[2])
+            other = await system.add_runner("other", "foreign", port=port)
+            until = asyncio.get_running_loop().time() + 3
+            while asyncio.get_running_loop().time() < until:
+                for host in system.hosts:
+                    assert (await system.stream(host=host)).status == 200
+            assert other.ran == []
+
+        run(test)
+
     # Guards against engines that are back and get no requests until the platform is.
     def test_all_hosts_use_engines_that_are_back(self):
         async def test(system: PlatformSystem) -> None:
@@ -226,6 +354,15 @@
             system.store.refusal = 503
             while any(host.watch.is_receiving for host in system.hosts):
                 await asyncio.sleep(0.02)
+            # The address of an endpoint passes to another service only some time after
+            # its end, and it ran when a host sent it what it answered.
+            while any(
+                host.fleet.find(name).alive_at is None
+                for host in system.hosts
+                for name in ENGINES
+            ):
+                for host in system.hosts:
+                    await system.stream(host=host)
             for name in ENGINES:
                 old = system.runners[name]
                 old.crash()
--- a/tests/test_version_paths.py
+++ b/tests/test_version_paths.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from passtally.clock import ManualClock
 from passtally.completion import AnswerFormat, EventWriter, Flavour
 from passtally.endpoint_changes import EndpointChanges
 from passtally.endpoint_directives import EndpointDirectives
@@ -336,7 +337,11 @@
             return True
 
         async def test() -> None:
+            live = SimpleNamespace(alive_at=timedelta(0))
             host = SimpleNamespace(
+                clock=ManualClock(),
+                fleet=SimpleNamespace(find=lambda endpoint_id: live),
+                settings=SimpleNamespace(address_reuse_after=timedelta(seconds=2)),
                 routes=SimpleNamespace(
                     current=SimpleNamespace(
                         services=[SimpleNamespace(id="s", capacity_tokens=1)]
