--- a/passtally/endpoint_changes.py
+++ b/passtally/endpoint_changes.py
@@ -96,9 +96,11 @@
     def use_successor(self, ended: Endpoint, successor_id: str) -> None:
         """Use a new endpoint at the address of one that exited.
 
-        The platform reports the new endpoint too, but may be unreachable. It is used
-        only if it is certainly of the same service.
+        The platform reports the new endpoint too, but may be unreachable. Without its
+        entry it is used only if it is certainly of the same service.
         """
+        if self._host.registry.use_set_aside(successor_id):
+            return
         if not self._is_address_kept(ended):
             log_event(
                 "successor",
@@ -161,4 +163,5 @@
         incarnation=UNKNOWN_INCARNATION,
         software="",
         has_entry=False,
+        created_version=None,
     )
--- a/passtally/endpoint_registry.py
+++ b/passtally/endpoint_registry.py
@@ -5,6 +5,11 @@
 only if the entry has not reappeared by then. A platform that was restored from an older
 copy lacks the endpoints that registered since, and has outdated entries of others:
 during the grace period the known state takes precedence.
+
+An address has one endpoint, but the entry of one that has exited stays for some seconds
+beside that of its successor. The later one is used, and the other one is kept aside for
+as long as its entry exists: which is later is not always known, and an endpoint whose
+entry does not change is not reported again.
 """
 
 from collections.abc import Callable, Iterable
@@ -57,34 +62,23 @@
         #: The era of the newest entry, and when an older copy was restored.
         self._era: int | None = None
         self._restored_at: timedelta | None = None
-        #: Entries of a restored copy whose address another endpoint has since taken.
+        #: Endpoints with an entry whose address another endpoint has, in the order of
+        #: their arrival.
         self._superseded_by_id: dict[str, Endpoint] = {}
 
     def put(self, endpoint: Endpoint) -> None:
         """Apply a new or changed entry."""
         self._missing.discard(endpoint.id)
         before = self._catalog.endpoints_by_id.get(endpoint.id)
-        if before == endpoint:
-            return
-        if before is not None and endpoint.start.precedes(before.start):
-            # Entries arrive in the order of the store. Even if the endpoint's clock was
-            # set back, ignoring its new start does no harm: the endpoint is reached by
-            # the same id.
-            log_event("endpoints", "Ignored an earlier start.", peer=endpoint.id)
-            return
-        if before is not None and endpoint.incarnation == UNKNOWN_INCARNATION:
-            endpoint = attrs.evolve(endpoint, incarnation=before.incarnation)
-        if before is not None and self._would_undo_departure(before, endpoint):
-            log_event(
-                "endpoints", "Ignored an outdated active state.", peer=endpoint.id
-            )
-            return
-        if before is None and self._is_superseded(endpoint):
-            # Taken out first, so that the entries stay in the order of their arrival.
-            self._superseded_by_id.pop(endpoint.id, None)
-            self._superseded_by_id[endpoint.id] = endpoint
+        if before is not None:
+            endpoint = _complete(endpoint, before)
+            if before == endpoint or self._is_outdated(before, endpoint):
+                return
+        elif self._is_superseded(endpoint):
+            self._set_aside(endpoint)
             log_event("endpoints", "Ignored a reused address.", peer=endpoint.id)
             return
+        self._superseded_by_id.pop(endpoint.id, None)
         if before is None or before.start != endpoint.start:
             self._came(endpoint)
         self._drop_predecessor(endpoint)
@@ -98,6 +92,20 @@
             url=endpoint.url,
         )
 
+    def use_set_aside(self, endpoint_id: str) -> bool:
+        """Use an endpoint that was set aside, since it has answered at its address.
+
+        Returns:
+            Whether the endpoint has an entry and was set aside for another one.
+        """
+        endpoint = self._superseded_by_id.pop(endpoint_id, None)
+        if endpoint is None:
+            return False
+        for known in self._others_at(endpoint):
+            self._set_aside_known(known, reason="another endpoint answers there")
+        self.put(endpoint)
+        return True
+
     def put_unreadable(self, endpoint_id: str, *, reason: str) -> None:
         """Apply an entry that can't be parsed.
 
@@ -110,9 +118,13 @@
         """
         self._missing.discard(endpoint_id)
         known = self._catalog.endpoints_by_id.get(endpoint_id)
+        aside = self._superseded_by_id.get(endpoint_id)
         if known is not None:
             unusable = attrs.evolve(known, state=EndpointState.DRAINING)
             self._catalog.put_endpoint(unusable)
+        elif aside is not None:
+            unusable = attrs.evolve(aside, state=EndpointState.DRAINING)
+            self._superseded_by_id[endpoint_id] = unusable
         log_event(
             "endpoints", "Ignored an invalid entry.", peer=endpoint_id, why=reason
         )
@@ -131,7 +143,7 @@
                     "endpoints", "Entry missing, endpoint kept.", peer=endpoint_id
                 )
             else:
-                self._drop(endpoint_id, reason="its entry was removed")
+                self._drop_and_replace(endpoint_id, reason="its entry was removed")
 
     def record_reachability(self, is_reachable: bool) -> None:
         """Record whether the platform is reachable."""
@@ -155,7 +167,20 @@
         """Remove the endpoints without an entry, if the grace period is over."""
         if self._missing and not self._may_have_lapsed():
             for endpoint_id in list(self._missing):
-                self._drop(endpoint_id, reason="missing since an outage")
+                self._drop_and_replace(endpoint_id, reason="missing since an outage")
+
+    def _is_outdated(self, before: Endpoint, after: Endpoint) -> bool:
+        """Return whether an entry is older than the known state of its endpoint."""
+        if after.start.precedes(before.start):
+            # Entries arrive in the order of the store. Even if the endpoint's clock was
+            # set back, ignoring its new start does no harm: the endpoint is reached by
+            # the same id.
+            log_event("endpoints", "Ignored an earlier start.", peer=after.id)
+            return True
+        if self._would_undo_departure(before, after):
+            log_event("endpoints", "Ignored an outdated active state.", peer=after.id)
+            return True
+        return False
 
     def _would_undo_departure(self, before: Endpoint, after: Endpoint) -> bool:
         """Return whether an entry may be outdated and would undo a departure."""
@@ -166,27 +191,47 @@
         return is_back and before.start == after.start and self._may_have_lapsed()
 
     def _is_superseded(self, endpoint: Endpoint) -> bool:
-        """Return whether a restored entry has an address that another endpoint uses."""
-        if self._restored_at is None or not self._is_within_grace(self._restored_at):
-            return False
+        """Return whether a later endpoint has the address of a new entry."""
+        is_restored = self._restored_at is not None and self._is_within_grace(
+            self._restored_at
+        )
         return any(
-            known.url == endpoint.url
-            for known in self._catalog.endpoints_by_id.values()
+            is_restored or (self._is_configured(known) and known.starts_after(endpoint))
+            for known in self._others_at(endpoint)
         )
 
     def _drop_predecessor(self, endpoint: Endpoint) -> None:
-        """Remove the endpoint that had the address before: it must have terminated.
+        """Remove the endpoint that had the address before: it must have exited.
 
         An entry of a service that is not configured removes no other endpoint.
         """
-        if endpoint.service not in self._catalog.services_by_id:
+        if not self._is_configured(endpoint):
             return
-        for superseded in list(self._superseded_by_id.values()):
-            if superseded.url == endpoint.url:
-                del self._superseded_by_id[superseded.id]
-        for known in list(self._catalog.endpoints_by_id.values()):
-            if known.url == endpoint.url and known.id != endpoint.id:
-                self._drop(known.id, reason="another endpoint has its address")
+        for known in self._others_at(endpoint):
+            if not known.starts_after(endpoint):
+                self._set_aside_known(known, reason="another endpoint has its address")
+
+    def _set_aside_known(self, known: Endpoint, *, reason: str) -> None:
+        """Remove a known endpoint, and keep it aside while its entry exists."""
+        if known.has_entry and known.id not in self._missing:
+            self._set_aside(known)
+        self._drop(known.id, reason=reason)
+
+    def _is_configured(self, endpoint: Endpoint) -> bool:
+        return endpoint.service in self._catalog.services_by_id
+
+    def _others_at(self, endpoint: Endpoint) -> list[Endpoint]:
+        """Return the other known endpoints at the address of an endpoint."""
+        return [
+            known
+            for known in self._catalog.endpoints_by_id.values()
+            if known.url == endpoint.url and known.id != endpoint.id
+        ]
+
+    def _set_aside(self, endpoint: Endpoint) -> None:
+        # Taken out first, so that the entries stay in the order of their arrival.
+        self._superseded_by_id.pop(endpoint.id, None)
+        self._superseded_by_id[endpoint.id] = endpoint
 
     def _may_have_lapsed(self) -> bool:
         """Return whether an outage may be the reason for a missing entry."""
@@ -207,23 +252,31 @@
         self._catalog.drop_endpoint(endpoint_id)
         self._gone(endpoint_id)
         log_event("endpoints", "Endpoint removed.", peer=endpoint_id, why=reason)
-        self._put_superseded(dropped.url)
 
-    def _put_superseded(self, url: str) -> None:
-        """Apply the superseded entries of an address whose endpoint is gone.
+    def _drop_and_replace(self, endpoint_id: str, *, reason: str) -> None:
+        """Remove an endpoint, and use the latest other one with an entry there."""
+        dropped = self._catalog.endpoints_by_id.get(endpoint_id)
+        if dropped is None:
+            self._missing.discard(endpoint_id)
+            return
+        self._drop(endpoint_id, reason=reason)
+        latest: Endpoint | None = None
+        for aside in self._superseded_by_id.values():
+            is_there = aside.url == dropped.url
+            if is_there and (latest is None or not latest.starts_after(aside)):
+                latest = aside
+        if latest is not None:
+            del self._superseded_by_id[latest.id]
+            self.put(latest)
 
-        The latest start is applied first and removes the others, since an address has
-        one endpoint. Starts that are not known to differ follow the order of arrival.
-        """
-        waiting = [
-            endpoint
-            for endpoint in self._superseded_by_id.values()
-            if endpoint.url == url
-        ]
-        waiting.reverse()
-        waiting.sort(key=lambda endpoint: endpoint.incarnation, reverse=True)
-        for endpoint in waiting:
-            if self._superseded_by_id.pop(endpoint.id, None) is None:
-                continue
-            if endpoint.id not in self._catalog.endpoints_by_id:
-                self.put(endpoint)
+
+def _complete(endpoint: Endpoint, before: Endpoint) -> Endpoint:
+    """Return a changed entry with what it lacks of the one before.
+
+    Changes that other hosts forward lack the version of the creation.
+    """
+    if endpoint.incarnation == UNKNOWN_INCARNATION:
+        endpoint = attrs.evolve(endpoint, incarnation=before.incarnation)
+    if endpoint.created_version is None:
+        endpoint = attrs.evolve(endpoint, created_version=before.created_version)
+    return endpoint
--- a/passtally/objects.py
+++ b/passtally/objects.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from passtally.store_order import era_of
+
 ObjectT = TypeVar("ObjectT")
 
 SERVE_ROLE = "serve"
@@ -126,6 +128,8 @@
         is_cold: Whether it is still slow after its start.
         has_entry: Whether its own entry was read; otherwise it is known only by its
             address, and its version is not known yet.
+        created_version: The store-wide version at which its entry was created; None if
+            unknown.
     """
 
     id: str
@@ -142,6 +146,18 @@
     software: str = ""
     is_cold: bool = False
     has_entry: bool = True
+    created_version: int | None = None
+
+    def starts_after(self, other: "Endpoint") -> bool:
+        """Return whether it is known to have started after another endpoint.
+
+        Entries are compared by their creation. After the store was restored from an
+        older copy, its versions tell nothing beside those from before.
+        """
+        created, other_created = self.created_version, other.created_version
+        if None in (created, other_created) or era_of(created) != era_of(other_created):
+            return UNKNOWN_INCARNATION < other.incarnation < self.incarnation
+        return created > other_created
 
     @property
     def start(self) -> EndpointStart:
--- a/passtally/platform/adapter.py
+++ b/passtally/platform/adapter.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import attrs
+
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
 from passtally.endpoint_directives import DirectiveRecorder
@@ -61,7 +63,8 @@
     def decode_endpoint(self, stored: StoredObject) -> Endpoint:
         """Decode an endpoint's entry."""
         endpoint_id = stored.key.removeprefix(self.endpoints_prefix)
-        return decode_endpoint(endpoint_id, bytes(stored.value))
+        endpoint = decode_endpoint(endpoint_id, bytes(stored.value))
+        return attrs.evolve(endpoint, created_version=stored.created_version)
 
     def decode_rollout(self, stored: StoredObject) -> RolloutRecord:
         """Decode an order to move a service to another version."""
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -8,6 +8,7 @@
 from passtally.clock import ManualClock
 from passtally.endpoint_registry import MISSING_ENTRY_GRACE, EndpointRegistry
 from passtally.objects import Endpoint, EndpointState, Service, ServiceKind
+from passtally.store_order import version_of
 
 
 class Harness:
@@ -104,6 +105,85 @@
         assert harness.on_removed == ["a"]
 
 
+class TestOrderOfEntries:
+    """Entries of exited endpoints stay for some seconds beside those of later ones."""
+
+    # Guards against a host that lists both entries when it starts, in the order of
+    # their names, and drops the endpoint that runs for the one that has exited.
+    @pytest.mark.parametrize("is_first", [True, False])
+    @pytest.mark.parametrize("key", ["created_version", "incarnation"])
+    def test_the_later_of_two_listed_endpoints_is_used(self, harness, key, is_first):
+        entries = [("exited", 5), ("running", 9)]
+        for name, order in entries if is_first else reversed(entries):
+            harness.put(name, port=3, **{key: order})
+        assert harness.ids == {"a", "b", "running"}
+        harness.registry.remove(["exited"])
+        assert harness.ids == {"a", "b", "running"}
+
+    # Guards against an endpoint that stays unknown for good: an entry whose check-ins
+    # are the only changes is not reported again.
+    def test_an_endpoint_that_was_dropped_in_vain_returns(self, harness):
+        harness.put("running", port=3)
+        harness.put("exited", port=3)
+        assert harness.ids == {"a", "b", "exited"}
+        harness.registry.remove(["exited"])
+        assert harness.ids == {"a", "b", "running"}
+        assert harness.on_removed == ["running", "exited"]
+
+    # Guards against an endpoint that waits for the entry of an exited one to lapse,
+    # although it has answered at the address.
+    def test_an_endpoint_that_answers_at_its_address_returns_at_once(self, harness):
+        harness.put("running", port=3)
+        harness.put("exited", port=3)
+        assert harness.registry.use_set_aside("running")
+        assert harness.ids == {"a", "b", "running"}
+        assert not harness.registry.use_set_aside("running")
+        assert not harness.registry.use_set_aside("unknown")
+
+    def test_an_endpoint_whose_entry_was_removed_does_not_return(self, harness):
+        harness.put("first", port=3, created_version=1)
+        harness.put("second", port=3, created_version=2)
+        harness.registry.remove(["first"])
+        harness.registry.remove(["second"])
+        assert harness.ids == {"a", "b"}
+
+    # Guards against an endpoint that is dropped for the exited one before it, whose
+    # entry changes or is read late.
+    def test_a_change_of_an_earlier_entry_displaces_no_later_one(self, harness):
+        harness.put("first", port=3, created_version=1)
+        harness.put("second", port=3, created_version=2)
+        harness.put("first", port=3, created_version=1, state=EndpointState.DRAINING)
+        assert harness.ids == {"a", "b", "second"}
+        harness.registry.remove(["second"])
+        returned = harness.catalog.endpoints_by_id["first"]
+        assert returned.state is EndpointState.DRAINING
+
+    # Guards against requests to an endpoint whose entry can't be read.
+    def test_an_unreadable_entry_that_was_set_aside_gets_no_requests(self, harness):
+        harness.put("first", port=3, created_version=1)
+        harness.put("second", port=3, created_version=2)
+        harness.registry.put_unreadable("first", reason="test")
+        harness.registry.remove(["second"])
+        returned = harness.catalog.endpoints_by_id["first"]
+        assert returned.state is EndpointState.DRAINING
+
+    # Guards against entries that are compared by versions of a store that counts anew
+    # after it was restored from an older copy.
+    def test_versions_of_different_eras_are_not_compared(self, harness):
+        harness.put("first", port=3, created_version=version_of(1, 9))
+        harness.put("second", port=3, created_version=version_of(0, 50), incarnation=7)
+        assert harness.ids == {"a", "b", "second"}
+        harness.put("third", port=3, created_version=version_of(1, 5), incarnation=8)
+        assert harness.ids == {"a", "b", "third"}
+
+    # Guards against the order that is lost with a change which another host forwards.
+    def test_a_change_without_the_order_keeps_it(self, harness):
+        harness.put("second", port=3, created_version=2)
+        harness.put("second", port=3, state=EndpointState.DRAINING)
+        harness.put("first", port=3, created_version=1)
+        assert harness.ids == {"a", "b", "second"}
+
+
 class TestOlderCopy:
     """The platform was restored from a copy that is older than the entry of b."""
 
--- a/tests/test_endpoint_starts.py
+++ b/tests/test_endpoint_starts.py
@@ -310,6 +310,28 @@
         run(test)
 
 
+class TestListingOfAHostThatStarts:
+    # Guards against endpoints that are refused for good by hosts that start while the
+    # entries of exited ones at the same addresses exist; by name these come last.
+    def test_the_endpoint_that_runs_is_used(self):
+        async def test(system: PlatformSystem) -> None:
+            # The config arrives before the entries, which take two pages.
+            system.store.page = 1
+            system.store.put("config", "main", make_config())
+            runner = await system.add_runner("i-running", LOOKUPS)
+            entry = runner.entry(LOOKUPS)
+            system.store.remove("servers", "i-running")
+            system.store.put("servers", "i-zexited", entry)
+            system.store.put("servers", "i-running", entry)
+            host = await system.add_host()
+            await system.wait_ready()
+            assert list(host.catalog.endpoints_by_id) == ["i-running"]
+            system.store.remove("servers", "i-zexited")
+            assert (await system.send("/look/1")).status == 200
+
+        run(test)
+
+
 async def wait_for_start(host, name: str, incarnation: int) -> None:
     while host.fleet.start_of(name).incarnation != incarnation:
         await asyncio.sleep(0.01)
--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -240,7 +240,10 @@
         live = SimpleNamespace(alive_at=alive_at)
         self.fleet = SimpleNamespace(find=lambda endpoint_id: live)
         self.used: list[str] = []
-        self.registry = SimpleNamespace(put=lambda found: self.used.append(found.id))
+        self.registry = SimpleNamespace(
+            put=lambda found: self.used.append(found.id),
+            use_set_aside=lambda endpoint_id: False,
+        )
         self.departures = Departures()
         self.spawn = asyncio.ensure_future
 
--- a/tests/test_version_paths.py
+++ b/tests/test_version_paths.py
@@ -347,7 +347,9 @@
                         services=[SimpleNamespace(id="s", capacity_tokens=1)]
                     )
                 ),
-                registry=SimpleNamespace(put=put.append),
+                registry=SimpleNamespace(
+                    put=put.append, use_set_aside=lambda endpoint_id: False
+                ),
                 spawn=asyncio.create_task,
             )
             changes = EndpointChanges(
