--- a/passtally/http_client.py
+++ b/passtally/http_client.py
@@ -211,6 +211,9 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._step = ExchangeStep.ANSWER
+                if not is_final_status(event.status_code):
+                    detail = f"invalid status {event.status_code}"
+                    raise self._fail(detail, is_garbled=True)
                 if _holds_status_line(event):
                     raise self._fail("two heads in one", is_garbled=True)
                 return _to_head(event)
@@ -336,6 +339,11 @@
         )
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status is valid in an answer (RFC 9110, section 15)."""
+    return 200 <= status <= 599
+
+
 def _to_head(response: h11.Response) -> ResponseHead:
     lengths = (b"content-length", b"transfer-encoding")
     is_framed = any(name in lengths for name, _ in response.headers)
--- a/passtally/plain_handler.py
+++ b/passtally/plain_handler.py
@@ -16,6 +16,7 @@
 from passtally.fingerprint import fingerprint_of
 from passtally.gate import Gate
 from passtally.held_bodies import MAX_ANSWER_BYTES, HeldBodies
+from passtally.http_client import is_final_status
 from passtally.live_endpoint import LiveEndpoint
 from passtally.objects import Service, ServiceKind, Workspace
 from passtally.outcome import Code, refuse
@@ -80,6 +81,9 @@
                 allow_redirects=False,
                 trace_request_ctx=before_send,
             ) as response:
+                if not is_final_status(response.status):
+                    error = ValueError(f"invalid status {response.status}")
+                    raise lost_call(LossKind.RESET, live, error)
                 body = await self._read(response, live)
                 return PlainAnswer(
                     status=response.status,
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -288,6 +288,27 @@
 
         run(peer, test)
 
+    # Guards against what a peer in trouble sends, passed on as its answer.
+    @pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+    def test_an_invalid_status_is_reported_as_garbled(self, status):
+        peer = Peer(b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nok" % status)
+
+        async def test(pool: ConnectionPool) -> None:
+            with pytest.raises(ExchangeError) as caught:
+                await call(pool, peer)
+            assert caught.value.is_garbled
+
+        run(peer, test)
+
+    @pytest.mark.parametrize("status", [b"200", b"299", b"418", b"599"])
+    def test_an_unusual_valid_status_is_an_answer(self, status):
+        peer = Peer(b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nok" % status)
+
+        async def test(pool: ConnectionPool) -> None:
+            assert await call(pool, peer) == b"ok"
+
+        run(peer, test)
+
     def test_an_answer_without_a_length_ends_with_its_connection(self):
         peer = Peer(b"HTTP/1.1 200 OK\r\n\r\nok", stay=False)
 
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -5,20 +5,25 @@
 """
 
 import asyncio
+import contextlib
 import signal
 import time
 import urllib.error
 import urllib.request
 from collections.abc import Iterator
+from types import SimpleNamespace
 
 import aiohttp
 import msgspec
 import pytest
 from aiohttp import web
+from multidict import CIMultiDict
 
+from passtally.engine import AttemptLostError
 from passtally.objects import Service, ServiceKind
 from passtally.outcome import Code, Outcome, RefusedError, refuse
-from passtally.plain_handler import open_session
+from passtally.plain_call import PlainCall
+from passtally.plain_handler import SessionSender, open_session
 from standins.processes import Processes
 from tests.conftest import HOSTS, System
 
@@ -199,6 +204,44 @@
         assert runs(booking, "s9") == 1
 
 
+class TestInvalidStatus:
+    # Guards against callers who get the invalid status of an endpoint in trouble, and
+    # its body, as an answer.
+    @pytest.mark.parametrize("status", [b"000", b"199", b"600", b"999"])
+    def test_it_is_not_forwarded(self, status):
+        async def answer(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nok" % status)
+            writer.close()
+
+        async def test() -> None:
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            session = open_session()
+            endpoint = SimpleNamespace(id="a1", url=f"http://127.0.0.1:{port}")
+            call = PlainCall(
+                id="q1",
+                workspace="w",
+                service=Service(id="s", kind=ServiceKind.PLAIN),
+                method="POST",
+                path="",
+                headers=CIMultiDict(),
+                body=b"",
+                repeatable=False,
+                key="",
+            )
+            answers = SimpleNamespace(open=lambda **_: contextlib.nullcontext())
+            sender = SessionSender(session=session, answers=answers)
+            try:
+                with pytest.raises(AttemptLostError):
+                    await sender.send(call, SimpleNamespace(endpoint=endpoint))
+            finally:
+                await session.close()
+                server.close()
+
+        asyncio.run(test())
+
+
 class TestClientLibrary:
     """aiohttp must neither retry a call by itself nor send it after a refusal."""
 
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -205,6 +205,22 @@
 
         run(test)
 
+    # Guards against callers who get the invalid status of an endpoint in trouble, and
+    # its body, as an answer.
+    @pytest.mark.parametrize("status", [0, 600, 999])
+    @pytest.mark.parametrize("path", ["/book/1", "/look/1"])
+    def test_an_invalid_status_is_not_forwarded(self, path, status):
+        async def test(system: PlatformSystem) -> None:
+            await start_lookups(system)
+            faults = system.runners["i-look0"].faults
+            faults.own_status, faults.unframed = f"{status:03}", True
+            answer = await system.send(path)
+            assert answer.status == 502
+            assert "x-response-stamp" not in answer.headers
+            assert path.encode() not in answer.body
+
+        run(test)
+
     def test_bytes_after_an_answer_are_not_the_next_answer(self):
         async def test(system: PlatformSystem) -> None:
             await start_lookups(system)
