--- a/passtally/endpoint_dialer.py
+++ b/passtally/endpoint_dialer.py
@@ -236,6 +236,22 @@
             await asyncio.wait([direct])
         return True
 
+    async def is_refused(self, address: Address) -> bool:
+        """Return whether nothing listens at an endpoint's address.
+
+        A direct connection is tried even if the link is down and not due for a retry:
+        the refusal that tells it may just have been recorded. One that may be due to
+        this host's own link does not count.
+        """
+        try:
+            transport, _ = await self.connect_directly(address, asyncio.Protocol)
+        except ConnectionRefusedError:
+            return not await self.check_cut_off()
+        except (OSError, TimeoutError):
+            return False
+        transport.abort()
+        return False
+
     def close(self) -> None:
         """Cancel the checks and connection attempts under way."""
         for task in (*self._checks.values(), *self._direct.values()):
--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -27,7 +27,7 @@
     encode_copy_order,
     is_engine_report,
 )
-from passtally.platform.runner_link import RunnerLink
+from passtally.platform.runner_link import Listener, RunnerLink
 from passtally.platform.runner_stream import RunnerStream
 from passtally.retry import LossKind
 from passtally.settings import Address
@@ -245,7 +245,7 @@
 
     async def has_ended(self) -> bool:
         """Return whether the endpoint's address refuses connections."""
-        return await self._link.is_refusing()
+        return await self._link.find_listener() is Listener.GONE
 
     def is_silent(self, *, since: timedelta) -> bool:
         """Return whether connections opened before ``since`` fell silent."""
--- a/passtally/platform/runner_link.py
+++ b/passtally/platform/runner_link.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from enum import StrEnum
 from functools import partial
 
 from passtally.clock import Clock
 from passtally.connection_pool import ConnectionPool
 from passtally.decision import log_event
+from passtally.endpoint_dialer import LinkDownError
 from passtally.endpoint_directives import DirectiveRecorder
 from passtally.engine import AttemptLostError
 from passtally.fetch import find_header
@@ -43,6 +45,16 @@
 _URL_PREFIX = "http://"
 
 
+class Listener(StrEnum):
+    """What is known of the listener at an endpoint's address."""
+
+    PRESENT = "present"
+    #: Nothing listens there: the endpoint has exited.
+    GONE = "gone"
+    #: It is not reached, which may be due to the link.
+    UNKNOWN = "unknown"
+
+
 class RunnerLink:
     """Sends requests to one endpoint and checks that the answers come from it.
 
@@ -244,8 +256,8 @@
         """Whether only other hosts reach the endpoint."""
         return self._pool.dialer.is_bypassed(self.address)
 
-    async def is_refusing(self) -> bool:
-        """Return whether nothing listens at the endpoint's address.
+    async def find_listener(self) -> Listener:
+        """Find out whether the endpoint listens at its address.
 
         A refusal that may be due to this host's own link does not count.
 
@@ -259,13 +271,32 @@
                     self.address, endpoint_id=self.endpoint_id
                 )
             except ExchangeError as error:
-                return isinstance(error.__cause__, ConnectionRefusedError)
+                return await self._explain(error)
             await self._clock.sleep(CLOSING_TIME)
             is_closing = connection.is_closed
             connection.abort()
             if not is_closing:
-                return False
-        return False
+                return Listener.PRESENT
+        return Listener.UNKNOWN
+
+    async def _explain(self, error: ExchangeError) -> Listener:
+        """Return what a failure to connect tells about the listener."""
+        is_gone = isinstance(error.__cause__, ConnectionRefusedError)
+        if isinstance(error.__cause__, LinkDownError):
+            is_gone = await self._pool.dialer.is_refused(self.address)
+        return Listener.GONE if is_gone else Listener.UNKNOWN
+
+    async def check_unmarked_end(self) -> None:
+        """Check that an answer may be whole whose end only a close marks.
+
+        Raises:
+            AttemptLostError: The endpoint was not found to run. A killed process closes
+                its connections in order, in the middle of an answer.
+        """
+        listener = await self.find_listener()
+        if listener is not Listener.PRESENT:
+            detail = f"closed without a mark of the end, listener {listener}"
+            raise self.lost(LossKind.RESET, detail)
 
     def lost(self, kind: LossKind, detail: str) -> AttemptLostError:
         """Return the error for an attempt that was lost at this endpoint."""
--- a/passtally/platform/runner_stream.py
+++ b/passtally/platform/runner_stream.py
@@ -57,7 +57,7 @@
             while not self._is_complete:
                 chunk = await self._connection.read()
                 if not chunk:
-                    return [self._end()]
+                    return [await self._end()]
                 events = self._decode(chunk)
                 if events:
                     return events
@@ -74,7 +74,7 @@
         if self._buffer.strip():
             self._attempt.broken_off_at = self._position
 
-    def _end(self) -> TokenEvent:
+    async def _end(self) -> TokenEvent:
         if self._buffer.strip():
             raise self._link.lost(LossKind.RESET, "the stream ended inside an event")
         start = self._attempt.start_position
@@ -84,6 +84,7 @@
                 f"the stream ended at event {self._position}, before {start}",
             )
         if not self._head.is_framed:
+            await self._link.check_unmarked_end()
             raise self._link.lost(
                 LossKind.UNMARKED_END, f"the stream closed after event {self._position}"
             )
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -180,6 +180,10 @@
             await self._runner.cleanup()
             self._runner = None
 
+    async def stop_listening(self) -> None:
+        """Refuse new connections, and keep those that are open."""
+        await self._site.stop()
+
     def crash(self) -> None:
         """Reset all connections and stop, like a process that gets SIGKILL."""
         if self.is_crashed:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -1,7 +1,12 @@
 """Answers without a length or chunks: their end may be a truncation."""
 
+import asyncio
+
 import pytest
 
+from passtally.connection_pool import ConnectionPool
+from passtally.http_client import ExchangeError, ExchangeStep
+from passtally.settings import parse_address
 from standins.platform_config import make_config
 from standins.runner import RunnerStandIn
 from tests.platform_system import Answer, PlatformSystem, expected_events, run
@@ -70,6 +75,42 @@
 
         run(test)
 
+    # Guards against a check that finds the link down, since a connection for another
+    # host was refused a moment before, and takes this for no sign of an exit.
+    def test_it_is_not_complete_although_the_link_is_known_to_be_down(self):
+        async def test(system: PlatformSystem) -> None:
+            (runner,) = await start(system, endpoints=1, resume_streams=False)
+            (host,) = system.hosts
+            runner.faults.close_after = 3
+            runner.faults.first_delay = 0.1
+            stream = asyncio.create_task(system.stream())
+            while not runner.ran:
+                await asyncio.sleep(0)
+            await runner.stop_listening()
+            link = host.dialer.links.find(parse_address(runner.address))
+            for _ in range(2):
+                link.record_failure(host.clock.monotonic(), is_silent=False)
+            answer = await stream
+            assert not answer.is_whole
+
+        run(test)
+
+    # Guards against an end that counts although nothing shows that the endpoint runs.
+    def test_it_is_not_complete_if_the_endpoint_is_not_reached(self, monkeypatch):
+        async def refuse(*args: object, **options: object) -> None:
+            raise ExchangeError(ExchangeStep.CONNECT, "no connection")
+
+        async def test(system: PlatformSystem) -> None:
+            (runner,) = await start(system, endpoints=1, resume_streams=False)
+            stream = asyncio.create_task(system.stream())
+            while not runner.ran:
+                await asyncio.sleep(0)
+            monkeypatch.setattr(ConnectionPool, "open", refuse)
+            answer = await stream
+            assert not answer.is_whole
+
+        run(test)
+
     def test_a_broken_off_answer_without_a_mark_of_its_end_is_reset(self):
         async def test(system: PlatformSystem) -> None:
             (runner,) = await start(system, endpoints=1, resume_streams=False)
