--- a/passtally/platform/runner.py
+++ b/passtally/platform/runner.py
@@ -118,6 +118,8 @@
         finally:
             held.release()
         link.release(connection, head)
+        if not head.is_framed:
+            await link.check_unmarked_end()
         headers = CIMultiDict(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in drop_connection_headers(head.headers)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -7,7 +7,7 @@
 from passtally.connection_pool import ConnectionPool
 from passtally.http_client import ExchangeError, ExchangeStep
 from passtally.settings import parse_address
-from standins.platform_config import make_config
+from standins.platform_config import LOOKUPS, make_config
 from standins.runner import RunnerStandIn
 from tests.platform_system import Answer, PlatformSystem, expected_events, run
 
@@ -123,6 +123,45 @@
         run(test)
 
 
+class TestTruncatedCalls:
+    """A killed process closes its connections in order, in the middle of an answer."""
+
+    # Guards against callers who get a part of an answer as a whole one.
+    @pytest.mark.parametrize(("path", "status"), [("/book/1", 502), ("/look/1", 200)])
+    def test_an_answer_of_an_endpoint_that_exits_is_not_whole(self, path, status):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            runners = [await system.add_runner(f"i-{n}", LOOKUPS) for n in range(2)]
+            for runner in runners:
+                runner.faults.unframed = True
+                runner.faults.answer_delay = 0.1
+            await system.add_host()
+            await system.wait_ready()
+            call = asyncio.create_task(system.send(path))
+            while not count_runs(runners):
+                await asyncio.sleep(0.001)
+            (exiting,) = (runner for runner in runners if runner.ran)
+            await exiting.stop_listening()
+            answer = await call
+            assert answer.status == status
+            assert not answer.body.startswith(exiting.name.encode())
+
+        run(test)
+
+    def test_an_answer_of_an_endpoint_that_runs_is_whole(self):
+        async def test(system: PlatformSystem) -> None:
+            system.store.put("config", "main", make_config())
+            runner = await system.add_runner("i-0", LOOKUPS)
+            runner.faults.unframed = True
+            await system.add_host()
+            await system.wait_ready()
+            for path in ("/book/1", "/look/1"):
+                answer = await system.send(path)
+                assert (answer.status, answer.body) == (200, f"i-0 {path}".encode())
+
+        run(test)
+
+
 class TestWholeStreams:
     # Guards against retries for nothing where no endpoint marks its ends.
     def test_an_unmarked_end_is_checked_once(self):
