Ask the store, or hosts of each domain, before a stream is presumed to have one version

Cause, by reading: a taker, or a host that replied to it, counted as receiving changes until its watch timed out. A host or a domain that is cut off from the others and from the store takes itself for current for seconds.

Change: hosts of each known failure domain have to reply, or the store to a call that is made now and tells the changes which the taker has not received.

Not shown with processes.

--- a/passtally/host_serving.py
+++ b/passtally/host_serving.py
@@ -169,10 +169,11 @@
             metrics=host.metrics,
         )
         seen = SeenVersions()
+        version_store = adapter.open_versions(
+            host.store, heartbeat=lambda: host.settings.endpoint_heartbeat
+        )
         self.version_records = VersionRecords(
-            store=adapter.open_versions(
-                host.store, heartbeat=lambda: host.settings.endpoint_heartbeat
-            ),
+            store=version_store,
             seen=seen,
             clock=host.clock,
             is_writer=lambda: host.watch.is_first_watcher,
@@ -188,6 +189,9 @@
             records=self.version_records,
             clock=host.clock,
             is_current=lambda: host.watch.is_receiving,
+            find_changed=lambda service: version_store.find_changed(
+                service, after=host.watch.known_version(adapter.endpoints_prefix)
+            ),
             has_others=lambda: host.roster.peak_hosts > 1 or bool(host.settings.seeds),
             keepers=keepers,
         )
--- a/passtally/known_versions.py
+++ b/passtally/known_versions.py
@@ -1,11 +1,13 @@
 """What the hosts know of the software versions that services have and had."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from datetime import timedelta
 
 import attrs
 
 from passtally.clock import Clock
+from passtally.decision import log_event
+from passtally.object_store import PlatformError
 from passtally.origin_keepers import OriginKeepers
 from passtally.origin_question import OriginQuestion
 from passtally.seen_versions import SeenVersions
@@ -42,6 +44,8 @@
         records: The versions of the time before that.
         clock: The clock.
         is_current: Returns whether this host receives all changes of endpoints.
+        find_changed: Asks the store for the versions of a service in the changes that
+            this host has not received; may raise a PlatformError.
         has_others: Returns whether there are, or have been, other hosts.
         keepers: The hosts that keep records of answers.
     """
@@ -54,6 +58,7 @@
         records: VersionRecords,
         clock: Clock,
         is_current: Callable[[], bool],
+        find_changed: Callable[[str], Awaitable[frozenset[str]]],
         has_others: Callable[[], bool],
         keepers: OriginKeepers,
     ) -> None:
@@ -62,6 +67,7 @@
         self._records = records
         self._clock = clock
         self._is_current = is_current
+        self._find_changed = find_changed
         self._has_others = has_others
         self._keepers = keepers
         self._seen_at = -SEEN_INTERVAL
@@ -112,33 +118,43 @@
             service: The service of the answer.
             question: The replies of other hosts.
         """
-        if not self._is_informed(question):
+        changed = await self._find_missed(service, question)
+        if changed is None:
             return None
-        known = self._with_replies(service, question)
+        known = self._with_replies(service, question, changed)
         if len(known.names) == 1 and not known.is_complete:
             await self._records.learn(service, known.names)
-            known = self._with_replies(service, question)
+            known = self._with_replies(service, question, changed)
         if len(known.names) != 1 or not known.is_complete:
             return None
         return next(iter(known.names))
 
-    def _is_informed(self, question: OriginQuestion) -> bool:
-        """Return whether the versions that serve now are known.
+    async def _find_missed(
+        self, service: str, question: OriginQuestion
+    ) -> frozenset[str] | None:
+        """Return the versions that this host may have missed, or None if unknown.
 
-        A host or a domain that is cut off knows only what served before: others may
-        serve a second version.
+        A host or a domain that is cut off, or stood still, knows only what served
+        before: others may serve a second version. It takes itself for current until its
+        watch times out. So other hosts of each domain have to reply, or the store to a
+        call that is made now.
         """
         replies = question.found_by_address.values()
         domains = {self._keepers.own_domain, *question.answered_domains}
-        return (
-            self._is_current()
-            or any(found.is_current for found in replies)
-            or (bool(replies) and domains >= self._keepers.known_domains)
-            or not self._has_others()
-        )
+        if replies and domains >= self._keepers.known_domains:
+            return frozenset()
+        if not self._has_others():
+            return frozenset()
+        try:
+            return await self._find_changed(service)
+        except PlatformError as error:
+            log_event("versions", "Not confirmed.", service=service, why=error)
+            return None
 
-    def _with_replies(self, service: str, question: OriginQuestion) -> ServiceVersions:
-        """Return what this host and those that replied know of a service.
+    def _with_replies(
+        self, service: str, question: OriginQuestion, changed: frozenset[str]
+    ) -> ServiceVersions:
+        """Return what this host, those that replied and the store know of a service.
 
         A host that does not receive changes now may lack those of late; it counts as
         complete only if nobody receives them.
@@ -149,7 +165,7 @@
         known = [own, *replies]
         current = [item for item in known if item.is_current]
         return ServiceVersions(
-            names=set(own.names).union(*(found.versions for found in replies)),
+            names=changed.union(own.names, *(found.versions for found in replies)),
             is_current=bool(current),
             is_complete=any(item.is_complete for item in current or known),
         )
--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -82,6 +82,13 @@
             raise UnavailableError("restored from a copy", step="history", peer=prefix)
         return self._collect_versions(history, service)
 
+    async def find_changed(self, service: str, *, after: int) -> frozenset[str]:
+        """Return the versions in the entries of a service that changed of late."""
+        changes = await self._store.watch(
+            self._endpoints_prefix, after=after, wait=timedelta(0)
+        )
+        return self._collect_versions(changes, service)
+
     async def served_before(
         self, service: str, version: str, *, ago: timedelta
     ) -> bool:
--- a/passtally/shared_watch.py
+++ b/passtally/shared_watch.py
@@ -339,6 +339,10 @@
             prefix: view.mirror.newest for prefix, view in self._views_by_prefix.items()
         }
 
+    def known_version(self, prefix: str) -> int:
+        """Return the store-wide version up to which the changes of a view are known."""
+        return self._views_by_prefix[prefix].mirror.version
+
     def _watching_ids(self, now: timedelta) -> list[str]:
         return [
             host_id
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -82,6 +82,14 @@
             PlatformError: The store no longer keeps its history from the beginning.
         """
 
+    async def find_changed(self, service: str, *, after: int) -> frozenset[str]:
+        """Return the versions in the entries of a service that changed of late.
+
+        Args:
+            service: The service.
+            after: The store-wide version whose changes are known.
+        """
+
     async def served_before(
         self, service: str, version: str, *, ago: timedelta
     ) -> bool:
--- a/tests/origin_fleet.py
+++ b/tests/origin_fleet.py
@@ -217,6 +217,10 @@
         self.is_current = True
         #: The hosts that receive changes; None if all of them do while is_current.
         self.current_ids: set[str] | None = None
+        #: The hosts that the store does not answer, although they may not know it yet.
+        self.cut_ids: set[str] = set()
+        #: The versions in the changes of endpoints that no host has received yet.
+        self.missed_versions: frozenset[str] = frozenset()
         self.store = VersionStoreFake()
         self.backups = OriginBackupStoreFake()
         self.writers_by_id: dict[str, OriginBackupWriter] = {}
@@ -256,6 +260,7 @@
                 records=records,
                 clock=self.gossip.clock,
                 is_current=partial(self._receives_changes, node.id),
+                find_changed=partial(self._find_changed, node.id),
                 has_others=lambda: True,
                 keepers=keepers,
             )
@@ -289,6 +294,11 @@
             )
             exchange.renew()
 
+    async def _find_changed(self, host_id: str, service: str) -> frozenset[str]:
+        if host_id in self.cut_ids or not self._receives_changes(host_id):
+            raise UnavailableError("no answer", step="watch", peer="store")
+        return self.missed_versions
+
     def _receives_changes(self, host_id: str) -> bool:
         return self.is_current and (
             self.current_ids is None or host_id in self.current_ids
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -7,6 +7,7 @@
 import pytest
 
 from passtally.fetch import Fetched
+from passtally.object_store import TooOldError
 from passtally.objects import Endpoint
 from passtally.origin_backup import OriginBackup
 from passtally.origin_exchange import CHECK_INTERVAL
@@ -14,6 +15,7 @@
 from passtally.origin_table import RECORD_TTL, origin_key
 from passtally.platform.store import PlatformStore
 from passtally.seen_versions import SeenVersions
+from passtally.store_order import version_of
 from passtally.version_records import (
     CHECK_INTERVAL as LOOK_INTERVAL,
 )
@@ -435,6 +437,22 @@
     def test_endpoints_of_others_do_not_count(self):
         assert not self.ask(self.spec("99", version="v2"), self.spec("99", service="t"))
 
+    # Guards against versions of other services that count, and against a store whose
+    # versions began anew, so that its changes since then are not known.
+    def test_the_changes_of_late_name_the_versions_of_the_service(self):
+        specs = (self.spec("1", version="v2"), self.spec("1", "v3", service="t"))
+        fetcher = EntriesFake(*specs, era=1)
+        store = PlatformStore(fetcher=fetcher, url="http://127.0.0.1:1")
+        versions = open_versions(store)
+
+        async def test() -> None:
+            changed = await versions.find_changed("s", after=version_of(1, 3))
+            assert changed == {"v2"}
+            with pytest.raises(TooOldError):
+                await versions.find_changed("s", after=version_of(0, 3))
+
+        asyncio.run(test())
+
     # Guards against a version that came while no host ran, and is the only one in the
     # history of a store that was restored from a copy: later changes are not in it.
     @pytest.mark.parametrize(("era", "is_before"), [(0, True), (1, False)])
@@ -661,6 +679,61 @@
         assert self.find(old=1, current=6) is None
 
 
+class TestHostsOutOfStep:
+    """Hosts that missed changes, and still take themselves for current.
+
+    A watch on a link that was cut, or of a process that stood still, times out late.
+    """
+
+    def find(
+        self,
+        *,
+        living: int = 1,
+        is_cut: bool = False,
+        missed: frozenset[str] = frozenset(),
+    ) -> str | None:
+        """Ask a host for a stream that no host in reach knows.
+
+        Args:
+            living: Number of hosts in reach, all of the failure domain of the host.
+            is_cut: Whether they are cut off from the store too.
+            missed: The versions in the changes that they have not received yet.
+        """
+
+        async def test() -> str | None:
+            fleet = OriginFleet(hosts=9, versions=("v1", "v1"))
+            rows = fleet.gossip.rows
+            fleet.start(rows)
+            fleet.gossip.know_all()
+            await sleep(RECORD_TTL)
+            domain = rows[0].failure_domain
+            own = [row for row in rows if row.failure_domain == domain][:living]
+            assert await fleet.find(own[0].host_id, "before") == "v1"
+            fleet.stop([row for row in rows if row not in own])
+            fleet.missed_versions = missed
+            if is_cut:
+                fleet.cut_ids = {row.host_id for row in own}
+            return await fleet.find(own[0].host_id, "nobody's")
+
+        return run_virtually(test())
+
+    # Guards against streams of a version that joined meanwhile, which go on at the one
+    # that the host saw.
+    @pytest.mark.parametrize("living", [1, 3])
+    def test_a_host_that_reaches_neither_the_others_nor_the_store_refuses(self, living):
+        assert self.find(living=living, is_cut=True) is None
+
+    @pytest.mark.parametrize("living", [1, 3])
+    def test_the_store_tells_what_was_missed(self, living):
+        assert self.find(living=living, missed=frozenset({"v2"})) is None
+
+    # Guards against streams that are refused although no other version serves.
+    @pytest.mark.parametrize("living", [1, 3])
+    def test_the_store_confirms_the_only_version(self, living):
+        assert self.find(living=living) == "v1"
+        assert self.find(living=living, missed=ONLY) == "v1"
+
+
 class TestBackupsAgainstTheRecord:
     # Guards against a stream that goes on at the only version of a record which lacks
     # the one that a host's backup names: it came just before all hosts were lost.
