Test questions of hosts to endpoints that answer without end

Nothing was found: each question ends as lost and its connection is closed within 2 s, the loop is not stalled for 0.5 s, and less than 16 MB are taken from each connection. Not tried: through another host's tunnel.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -31,6 +31,18 @@
 #: What endpoints send first, and what they repeat without end.
 INTERIM_ONLY = b"", INTERIM
 BODY_ONLY = PROVEN_HEAD, b"x" * 1024
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SHAPES = {
+    "interim": INTERIM_ONLY,
+    "body": BODY_ONLY,
+    "first line": (b"HTTP/1.1 200 ", b"x" * 1024),
+    "header": (b"HTTP/1.1 200 OK\r\nX-Odd: ", b"x" * 1024),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-Odd: 1\r\n"),
+    "chunk size": (CHUNKED, b"0" * 1024),
+    "chunks": (CHUNKED, b"1\r\nx\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"X-Odd: 1\r\n"),
+    "no answer": (b"", b"\x00" * 1024),
+}
 #: Number of repetitions that are sent at once.
 AT_ONCE = 200
 #: Time in which an answer that is none is to be recognized, in seconds.
@@ -38,6 +50,9 @@
 #: Longest time that a host's other callers may wait, in seconds.
 UNNOTICED = 0.5
 CALLS = 6
+#: Number of bytes that a host and the buffers of the connection may take of an answer
+#: of at most 1 MB to a question of its own.
+MOST_SENT = 16 << 20
 #: Number of calls that would hold more than the limit.
 MANY_CALLS = 40
 
@@ -49,6 +64,8 @@
         self.first, self.repeated = first, repeated * AT_ONCE
         self.open = 0
         self.requests = 0
+        #: Number of bytes taken from this endpoint, by connection.
+        self.sent: list[int] = []
         self.address = ""
 
     async def start(self) -> None:
@@ -60,6 +77,8 @@
 
     async def _serve(self, reader, writer) -> None:
         self.open += 1
+        number = len(self.sent)
+        self.sent.append(0)
         try:
             await reader.readuntil(b"\r\n\r\n")
             self.requests += 1
@@ -67,6 +86,7 @@
             while True:
                 writer.write(self.repeated)
                 await writer.drain()
+                self.sent[number] += len(self.repeated)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -174,6 +194,33 @@
     return host.caller._sender._answers
 
 
+class TestQueries:
+    """What a host asks of an endpoint for itself."""
+
+    # Guards against a host that keeps what an endpoint in trouble sends in answer to a
+    # question of the host's own, or is stalled by it.
+    @pytest.mark.parametrize("shape", SHAPES)
+    @pytest.mark.parametrize("name", ["count_waiting", "list_cached_prompts"])
+    def test_bytes_without_end_are_no_answer(self, name, shape):
+        async def test(system: PlatformSystem) -> None:
+            async with endless(system, ENGINE, SHAPES[shape]) as endpoint:
+                engine = system.hosts[0].fleet.find("i-endless").engine
+                asked = asyncio.gather(
+                    *(getattr(engine, name)() for _ in range(CALLS)),
+                    return_exceptions=True,
+                )
+                pause = await longest_pause(asked)
+                assert {type(answer) for answer in await asked} == {AttemptLostError}
+                assert endpoint.requests == CALLS
+                assert pause < UNNOTICED
+                async with asyncio.timeout(SOON):
+                    while endpoint.open:
+                        await asyncio.sleep(0.01)
+                assert max(endpoint.sent) < MOST_SENT
+
+        run(test)
+
+
 class TestOwnInterface:
     """Plain calls at the own interface, which another client library sends."""
 
