Test losses of all hosts beside the record of an only version

Endpoints that started again at the same version, versions that replace each other at each loss, two services, a store that is away at the restart. One docstring is reworded.

--- a/passtally/endpoint_changes.py
+++ b/passtally/endpoint_changes.py
@@ -132,8 +132,9 @@
     def _is_address_kept(self, ended: Endpoint) -> bool:
         """Return whether only an endpoint of the same service can have the address.
 
-        The new endpoint has just answered. What names no service shows it by time: an
-        address passes to another service only some time after the end of its endpoint.
+        No answer names the service of its sender. But an address passes to another
+        service only some time after its endpoint has ended, and the new endpoint has
+        just answered.
         """
         live = self._host.fleet.find(ended.id)
         if live is None or live.alive_at is None:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -128,6 +128,24 @@
         while self.system.store.find("software-versions", ENGINE) is None:
             await asyncio.sleep(0.02)
 
+    async def replace_endpoints(self) -> None:
+        """Start the endpoints of the first version again, under new ids."""
+        for number, old in enumerate(self.runners(*range(PER_VERSION))):
+            zone, port = ZONES[number], int(old.address.rpartition(":")[2])
+            self.system.store.remove("servers", old.name)
+            await old.stop()
+            del self.system.runners[old.name]
+            runner = await self.system.add_runner(
+                f"again-{number}",
+                zone=zone,
+                port=port,
+                events=EVENTS,
+                gap=self.gap,
+                marks_version=True,
+            )
+            entry = runner.entry(ENGINE, zone=zone, slots=STREAMS)
+            self.system.store.put("servers", runner.name, entry)
+
     def count_backed_up(self) -> int:
         """Return the number of streams whose origin the store holds."""
         backups = [
@@ -449,6 +467,24 @@
 
         run(test)
 
+    # Guards against streams that are refused since all endpoints started again at the
+    # same version while no host ran.
+    def test_streams_go_on_at_endpoints_that_started_again_at_their_version(self):
+        async def test(system: PlatformSystem) -> None:
+            scene = Scene(system)
+            await scene.start(versions=1)
+            await scene.wait_recorded()
+            await scene.send_all(scene.hosts, leave_after=MIDWAY)
+            await scene.stop_all_hosts()
+            await scene.replace_endpoints()
+            system.store.forget_history()
+            await scene.restart_all_hosts()
+            await scene.send_all(scene.hosts)
+            served = sum(caller.is_served for caller in scene.callers)
+            assert served >= LEAST_SHARE * STREAMS
+
+        run(test)
+
     # Guards against streams that are refused since the entries of all endpoints were
     # created anew: they lapse while the store is down.
     def test_streams_of_the_only_version_go_on_after_all_entries_lapsed(self):
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -336,6 +336,56 @@
 
         run_virtually(test())
 
+    # Guards against versions that are forgotten at the second loss of all hosts.
+    def test_versions_that_replace_each_other_at_each_loss_are_all_recorded(self):
+        async def test() -> None:
+            store = VersionStoreFake()
+            store.running = 0 * SECOND
+            await self.serve(World(store=store, is_first_start=True), "v1", seconds=3)
+            for version in ("v2", "v3"):
+                world = World(store=store, looks_back=True)
+                await self.serve(world, version, seconds=3)
+            recorded = store.versions_by_service
+            assert recorded == {SERVICE: frozenset({"v1", "v2", "v3"})}
+
+        run_virtually(test())
+
+    # Guards against the change of one service that counts for another one.
+    def test_each_service_has_a_record_of_its_own(self):
+        async def test() -> None:
+            store = VersionStoreFake()
+            store.running = 0 * SECOND
+            store.put(SERVICE, ONLY)
+            store.put("other", ONLY)
+            world = World(store=store, looks_back=True)
+            task = asyncio.create_task(world.records.run())
+            other = attrs.evolve(endpoint("v2"), service="other")
+            for _ in range(3):
+                now = world.clock.monotonic()
+                world.seen.record([endpoint("v1"), other], now=now)
+                await sleep(CHECK_INTERVAL)
+            task.cancel()
+            assert world.records.find(SERVICE) == ONLY
+            assert world.records.find("other") == ONLY
+            assert store.versions_by_service == {SERVICE: ONLY, "other": BOTH}
+
+        run_virtually(test())
+
+    # Guards against a stream that goes on at a guess while the store is away, and is
+    # refused after it is back.
+    def test_a_host_that_starts_while_the_store_is_away_learns_it_later(self):
+        async def test() -> None:
+            store = VersionStoreFake()
+            store.put(SERVICE, ONLY)
+            store.read_timeout = timedelta(0)
+            world = World(store=store, looks_back=True)
+            assert await world.learn() is None
+            store.read_timeout = None
+            await sleep(RETRY_INTERVAL)
+            assert await world.learn() == ONLY
+
+        run_virtually(test())
+
     # Guards against a record of what a young host sees, which others take for evidence.
     def test_a_host_without_evidence_records_it_once_it_has_seen_long(self):
         async def test() -> None:
