--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -17,15 +17,14 @@
 import msgspec
 import pytest
 from aiohttp import web
-from multidict import CIMultiDict
 
 from passtally.engine import AttemptLostError
 from passtally.objects import Service, ServiceKind
 from passtally.outcome import Code, Outcome, RefusedError, refuse
-from passtally.plain_call import PlainCall
 from passtally.plain_handler import SessionSender, open_session
 from standins.processes import Processes
 from tests.conftest import HOSTS, System
+from tests.test_calls import make_call
 
 
 class Reply:
@@ -219,22 +218,11 @@
             port = server.sockets[0].getsockname()[1]
             session = open_session()
             endpoint = SimpleNamespace(id="a1", url=f"http://127.0.0.1:{port}")
-            call = PlainCall(
-                id="q1",
-                workspace="w",
-                service=Service(id="s", kind=ServiceKind.PLAIN),
-                method="POST",
-                path="",
-                headers=CIMultiDict(),
-                body=b"",
-                repeatable=False,
-                key="",
-            )
             answers = SimpleNamespace(open=lambda **_: contextlib.nullcontext())
             sender = SessionSender(session=session, answers=answers)
             try:
                 with pytest.raises(AttemptLostError):
-                    await sender.send(call, SimpleNamespace(endpoint=endpoint))
+                    await sender.send(make_call(), SimpleNamespace(endpoint=endpoint))
             finally:
                 await session.close()
                 server.close()
