--- a/passtally/platform/version_store.py
+++ b/passtally/platform/version_store.py
@@ -83,7 +83,7 @@
         return self._collect_versions(history, service)
 
     async def find_changed(self, service: str, *, after: int) -> frozenset[str]:
-        """Return the versions in the entries of a service that changed of late."""
+        """Return the versions in the entries that changed after a store version."""
         changes = await self._store.watch(
             self._endpoints_prefix, after=after, wait=timedelta(0)
         )
--- a/passtally/version_records.py
+++ b/passtally/version_records.py
@@ -83,7 +83,7 @@
         """
 
     async def find_changed(self, service: str, *, after: int) -> frozenset[str]:
-        """Return the versions in the entries of a service that changed of late.
+        """Return the versions in the entries of a service that changed since then.
 
         Args:
             service: The service.
